--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+pub mod schema;
--- /dev/null
+++ b/src/schema/messages.rs
@@ -0,0 +1,2618 @@
+// Generated from the schema of the same name; see tests/schema.rs. Do not edit.
+
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
+///What an operator asks to see.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum AdminView {
+    #[serde(rename = "status")]
+    Status,
+    #[serde(rename = "configuration")]
+    Configuration,
+    #[serde(rename = "history")]
+    History,
+    #[serde(rename = "teams")]
+    Teams,
+    #[serde(rename = "classes")]
+    Classes,
+    #[serde(rename = "vms")]
+    Vms,
+    #[serde(rename = "endpoints")]
+    Endpoints,
+    #[serde(rename = "jobs")]
+    Jobs,
+    #[serde(rename = "leases")]
+    Leases,
+    #[serde(rename = "members")]
+    Members,
+    #[serde(rename = "queue")]
+    Queue,
+    #[serde(rename = "dead_letters")]
+    DeadLetters,
+}
+impl ::std::convert::From<&Self> for AdminView {
+    fn from(value: &AdminView) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for AdminView {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Status => f.write_str("status"),
+            Self::Configuration => f.write_str("configuration"),
+            Self::History => f.write_str("history"),
+            Self::Teams => f.write_str("teams"),
+            Self::Classes => f.write_str("classes"),
+            Self::Vms => f.write_str("vms"),
+            Self::Endpoints => f.write_str("endpoints"),
+            Self::Jobs => f.write_str("jobs"),
+            Self::Leases => f.write_str("leases"),
+            Self::Members => f.write_str("members"),
+            Self::Queue => f.write_str("queue"),
+            Self::DeadLetters => f.write_str("dead_letters"),
+        }
+    }
+}
+impl ::std::str::FromStr for AdminView {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "status" => Ok(Self::Status),
+            "configuration" => Ok(Self::Configuration),
+            "history" => Ok(Self::History),
+            "teams" => Ok(Self::Teams),
+            "classes" => Ok(Self::Classes),
+            "vms" => Ok(Self::Vms),
+            "endpoints" => Ok(Self::Endpoints),
+            "jobs" => Ok(Self::Jobs),
+            "leases" => Ok(Self::Leases),
+            "members" => Ok(Self::Members),
+            "queue" => Ok(Self::Queue),
+            "dead_letters" => Ok(Self::DeadLetters),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for AdminView {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for AdminView {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for AdminView {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///An agent's report on its VM, and its request to renew the lease.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentHeartbeat {
+    pub draining: bool,
+    pub endpoints: ::std::vec::Vec<EndpointReport>,
+    pub in_force: Revision,
+    pub number: u64,
+    ///Whether tasks lists everything that the worker runs.
+    pub reconciled: bool,
+    pub reply_to: ::std::net::SocketAddr,
+    pub sent_ms: u64,
+    pub session: SessionId,
+    pub tasks: ::std::vec::Vec<TaskReport>,
+    pub usage: Usage,
+}
+impl ::std::convert::From<&AgentHeartbeat> for AgentHeartbeat {
+    fn from(value: &AgentHeartbeat) -> Self {
+        value.clone()
+    }
+}
+///Answers an agent's heartbeat.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentHeartbeatReply {
+    pub lease_ms: u32,
+    pub number: u64,
+    pub orders: ::std::vec::Vec<TaskOrder>,
+    ///Echo of the heartbeat's clock, from which the lease counts.
+    pub sent_ms: u64,
+    pub session: SessionId,
+    pub verdict: SessionVerdict,
+}
+impl ::std::convert::From<&AgentHeartbeatReply> for AgentHeartbeatReply {
+    fn from(value: &AgentHeartbeatReply) -> Self {
+        value.clone()
+    }
+}
+///A whole answer of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Answer {
+    pub body: ::serde_bytes::ByteBuf,
+    pub checksum: u32,
+    pub content_type: ::compact_str::CompactString,
+    pub status: u16,
+}
+impl ::std::convert::From<&Answer> for Answer {
+    fn from(value: &Answer) -> Self {
+        value.clone()
+    }
+}
+///Answers an append.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AppendReply {
+    pub in_force: Revision,
+    ///Highest index known equal; when not matched, where to go back to.
+    pub match_index: u64,
+    pub matched: bool,
+    pub sent_ms: u64,
+    pub term: u64,
+}
+impl ::std::convert::From<&AppendReply> for AppendReply {
+    fn from(value: &AppendReply) -> Self {
+        value.clone()
+    }
+}
+///Replicates entries, or only the leader's heartbeat.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AppendRequest {
+    pub commit_index: u64,
+    pub entries: ::std::vec::Vec<LogEntry>,
+    pub previous_index: u64,
+    pub previous_term: u64,
+    ///The leader's clock, echoed in the reply.
+    pub sent_ms: u64,
+    pub term: u64,
+}
+impl ::std::convert::From<&AppendRequest> for AppendRequest {
+    fn from(value: &AppendRequest) -> Self {
+        value.clone()
+    }
+}
+///Cancels jobs of one team in one step.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CancelCommand {
+    pub jobs: ::std::vec::Vec<JobId>,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&CancelCommand> for CancelCommand {
+    fn from(value: &CancelCommand) -> Self {
+        value.clone()
+    }
+}
+///A claimed idempotency key.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Claim {
+    pub agent: ::std::net::SocketAddr,
+    pub attempt: u32,
+    pub changed_ms: u64,
+    pub digest: u64,
+    pub endpoint: EndpointId,
+    pub entry: ::std::net::SocketAddr,
+    pub request: RequestId,
+    pub state: ClaimState,
+}
+impl ::std::convert::From<&Claim> for Claim {
+    fn from(value: &Claim) -> Self {
+        value.clone()
+    }
+}
+///Claims an idempotency key before a non-idempotent request is dispatched.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimCommand {
+    pub agent: ::std::net::SocketAddr,
+    ///The attempt that this claim makes, one above the claim's last.
+    pub attempt: u32,
+    ///Digest of the request, so that a reused key with another body is refused.
+    pub digest: u64,
+    pub endpoint: EndpointId,
+    pub entry: ::std::net::SocketAddr,
+    pub key: ::compact_str::CompactString,
+    pub request: RequestId,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&ClaimCommand> for ClaimCommand {
+    fn from(value: &ClaimCommand) -> Self {
+        value.clone()
+    }
+}
+///How an attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum ClaimOutcome {
+    Done(StoredAnswer),
+    NotRun,
+    Unknown,
+}
+impl ::std::convert::From<&Self> for ClaimOutcome {
+    fn from(value: &ClaimOutcome) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<StoredAnswer> for ClaimOutcome {
+    fn from(value: StoredAnswer) -> Self {
+        Self::Done(value)
+    }
+}
+///Names a claim.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimQuery {
+    pub key: ::compact_str::CompactString,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&ClaimQuery> for ClaimQuery {
+    fn from(value: &ClaimQuery) -> Self {
+        value.clone()
+    }
+}
+///The state of a claim.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum ClaimState {
+    Claimed,
+    Done(StoredAnswer),
+    NotRun,
+    Unknown,
+}
+impl ::std::convert::From<&Self> for ClaimState {
+    fn from(value: &ClaimState) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<StoredAnswer> for ClaimState {
+    fn from(value: StoredAnswer) -> Self {
+        Self::Done(value)
+    }
+}
+///A class of work with the targets that operators set for it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    pub answer_percentile_permille: u32,
+    ///Answer time aimed at, at the percentile below; 0 for batch.
+    pub answer_target_ms: u32,
+    ///Longest deadline that a quick request may ask for.
+    pub deadline_max_ms: u32,
+    ///Evictions of this class's tasks accepted per hour, over all its tasks.
+    pub evictions_per_hour: u32,
+    ///Time from acceptance within which a job should finish; 0 for none.
+    pub finish_target_ms: u64,
+    pub kind: ClassKind,
+    pub name: ::compact_str::CompactString,
+    ///Whether tasks of the class may preempt batch work to start at once.
+    pub urgent: bool,
+}
+impl ::std::convert::From<&Class> for Class {
+    fn from(value: &Class) -> Self {
+        value.clone()
+    }
+}
+///What a class of work is.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum ClassKind {
+    #[serde(rename = "latency_critical")]
+    LatencyCritical,
+    #[serde(rename = "batch")]
+    Batch,
+}
+impl ::std::convert::From<&Self> for ClassKind {
+    fn from(value: &ClassKind) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for ClassKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::LatencyCritical => f.write_str("latency_critical"),
+            Self::Batch => f.write_str("batch"),
+        }
+    }
+}
+impl ::std::str::FromStr for ClassKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "latency_critical" => Ok(Self::LatencyCritical),
+            "batch" => Ok(Self::Batch),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ClassKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for ClassKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ClassKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///An entry's measured answer times of a class.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassLatency {
+    pub answers: u32,
+    pub class: ::compact_str::CompactString,
+    pub percentile_ms: u32,
+}
+impl ::std::convert::From<&ClassLatency> for ClassLatency {
+    fn from(value: &ClassLatency) -> Self {
+        value.clone()
+    }
+}
+///Ends a session; its tasks become lost.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CloseSessionCommand {
+    pub reason: SessionEnd,
+    pub session: SessionId,
+}
+impl ::std::convert::From<&CloseSessionCommand> for CloseSessionCommand {
+    fn from(value: &CloseSessionCommand) -> Self {
+        value.clone()
+    }
+}
+///A command of the replicated log.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum Command {
+    OpenSession(OpenSessionCommand),
+    CloseSession(CloseSessionCommand),
+    Configure(ConfigureCommand),
+    Submit(SubmitCommand),
+    Cancel(CancelCommand),
+    Start(StartCommand),
+    TaskEvent(TaskEventCommand),
+    Claim(ClaimCommand),
+    Settle(SettleCommand),
+    CreateWatch(CreateWatchCommand),
+    DeleteWatch(DeleteWatchCommand),
+    Publish(PublishCommand),
+    VmFlags(VmFlagsCommand),
+}
+impl ::std::convert::From<&Self> for Command {
+    fn from(value: &Command) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<OpenSessionCommand> for Command {
+    fn from(value: OpenSessionCommand) -> Self {
+        Self::OpenSession(value)
+    }
+}
+impl ::std::convert::From<CloseSessionCommand> for Command {
+    fn from(value: CloseSessionCommand) -> Self {
+        Self::CloseSession(value)
+    }
+}
+impl ::std::convert::From<ConfigureCommand> for Command {
+    fn from(value: ConfigureCommand) -> Self {
+        Self::Configure(value)
+    }
+}
+impl ::std::convert::From<SubmitCommand> for Command {
+    fn from(value: SubmitCommand) -> Self {
+        Self::Submit(value)
+    }
+}
+impl ::std::convert::From<CancelCommand> for Command {
+    fn from(value: CancelCommand) -> Self {
+        Self::Cancel(value)
+    }
+}
+impl ::std::convert::From<StartCommand> for Command {
+    fn from(value: StartCommand) -> Self {
+        Self::Start(value)
+    }
+}
+impl ::std::convert::From<TaskEventCommand> for Command {
+    fn from(value: TaskEventCommand) -> Self {
+        Self::TaskEvent(value)
+    }
+}
+impl ::std::convert::From<ClaimCommand> for Command {
+    fn from(value: ClaimCommand) -> Self {
+        Self::Claim(value)
+    }
+}
+impl ::std::convert::From<SettleCommand> for Command {
+    fn from(value: SettleCommand) -> Self {
+        Self::Settle(value)
+    }
+}
+impl ::std::convert::From<CreateWatchCommand> for Command {
+    fn from(value: CreateWatchCommand) -> Self {
+        Self::CreateWatch(value)
+    }
+}
+impl ::std::convert::From<DeleteWatchCommand> for Command {
+    fn from(value: DeleteWatchCommand) -> Self {
+        Self::DeleteWatch(value)
+    }
+}
+impl ::std::convert::From<PublishCommand> for Command {
+    fn from(value: PublishCommand) -> Self {
+        Self::Publish(value)
+    }
+}
+impl ::std::convert::From<VmFlagsCommand> for Command {
+    fn from(value: VmFlagsCommand) -> Self {
+        Self::VmFlags(value)
+    }
+}
+///The result of a completed task.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Completion {
+    pub result: ::compact_str::CompactString,
+    pub run_ms: u64,
+}
+impl ::std::convert::From<&Completion> for Completion {
+    fn from(value: &Completion) -> Self {
+        value.clone()
+    }
+}
+///One change of configuration.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum ConfigChange {
+    PutTeam(Team),
+    DeleteTeam(::compact_str::CompactString),
+    PutClass(Class),
+    DeleteClass(::compact_str::CompactString),
+}
+impl ::std::convert::From<&Self> for ConfigChange {
+    fn from(value: &ConfigChange) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Team> for ConfigChange {
+    fn from(value: Team) -> Self {
+        Self::PutTeam(value)
+    }
+}
+impl ::std::convert::From<Class> for ConfigChange {
+    fn from(value: Class) -> Self {
+        Self::PutClass(value)
+    }
+}
+///Asks a process that is ahead for its configuration.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigFetch {
+    pub reply_to: ::std::net::SocketAddr,
+}
+impl ::std::convert::From<&ConfigFetch> for ConfigFetch {
+    fn from(value: &ConfigFetch) -> Self {
+        value.clone()
+    }
+}
+///The whole accepted configuration at one revision.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    pub classes: ::std::vec::Vec<Class>,
+    pub revision: Revision,
+    pub teams: ::std::vec::Vec<Team>,
+}
+impl ::std::convert::From<&Configuration> for Configuration {
+    fn from(value: &Configuration) -> Self {
+        value.clone()
+    }
+}
+///A compare-and-set change of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigureCommand {
+    ///The revision that the operator saw.
+    pub based_on: Revision,
+    pub change: ConfigChange,
+    ///The operator's idempotency key; a resend gets the first answer.
+    pub key: ::compact_str::CompactString,
+    pub operator: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&ConfigureCommand> for ConfigureCommand {
+    fn from(value: &ConfigureCommand) -> Self {
+        value.clone()
+    }
+}
+///Answers a control request.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlReply {
+    pub id: u64,
+    pub result: ControlResult,
+}
+impl ::std::convert::From<&ControlReply> for ControlReply {
+    fn from(value: &ControlReply) -> Self {
+        value.clone()
+    }
+}
+///Asks control for an operation.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlRequest {
+    pub id: u64,
+    pub operation: Operation,
+    pub reply_to: ::std::net::SocketAddr,
+}
+impl ::std::convert::From<&ControlRequest> for ControlRequest {
+    fn from(value: &ControlRequest) -> Self {
+        value.clone()
+    }
+}
+///The outcome of an operation.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum ControlResult {
+    Ok(Reply),
+    Refused(Refusal),
+    NotLeader(::std::option::Option<::std::net::SocketAddr>),
+}
+impl ::std::convert::From<&Self> for ControlResult {
+    fn from(value: &ControlResult) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Reply> for ControlResult {
+    fn from(value: Reply) -> Self {
+        Self::Ok(value)
+    }
+}
+impl ::std::convert::From<Refusal> for ControlResult {
+    fn from(value: Refusal) -> Self {
+        Self::Refused(value)
+    }
+}
+impl ::std::convert::From<::std::option::Option<::std::net::SocketAddr>>
+for ControlResult {
+    fn from(value: ::std::option::Option<::std::net::SocketAddr>) -> Self {
+        Self::NotLeader(value)
+    }
+}
+///Creates a durable subscription.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CreateWatchCommand {
+    pub key: ::compact_str::CompactString,
+    pub subject: ::compact_str::CompactString,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&CreateWatchCommand> for CreateWatchCommand {
+    fn from(value: &CreateWatchCommand) -> Self {
+        value.clone()
+    }
+}
+///Deletes a durable subscription.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DeleteWatchCommand {
+    pub team: ::compact_str::CompactString,
+    pub watch: WatchId,
+}
+impl ::std::convert::From<&DeleteWatchCommand> for DeleteWatchCommand {
+    fn from(value: &DeleteWatchCommand) -> Self {
+        value.clone()
+    }
+}
+///An endpoint as entries know it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DirectoryEndpoint {
+    pub agent: ::std::net::SocketAddr,
+    pub class: ::compact_str::CompactString,
+    pub id: EndpointId,
+    pub leaving: bool,
+    pub slots: u32,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&DirectoryEndpoint> for DirectoryEndpoint {
+    fn from(value: &DirectoryEndpoint) -> Self {
+        value.clone()
+    }
+}
+///A change of the directory of endpoints.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DirectoryUpdate {
+    pub endpoints: ::std::vec::Vec<DirectoryEndpoint>,
+    ///The leader's term; versions compare within it only.
+    pub epoch: u64,
+    pub gone: ::std::vec::Vec<EndpointId>,
+    pub version: u64,
+    ///Whether endpoints not listed are gone.
+    pub whole: bool,
+}
+impl ::std::convert::From<&DirectoryUpdate> for DirectoryUpdate {
+    fn from(value: &DirectoryUpdate) -> Self {
+        value.clone()
+    }
+}
+///Marks a VM as draining or not.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainRequest {
+    pub draining: bool,
+    pub vm_name: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&DrainRequest> for DrainRequest {
+    fn from(value: &DrainRequest) -> Self {
+        value.clone()
+    }
+}
+///One endpoint announced under an agent's session.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointId {
+    pub number: u32,
+    pub session: SessionId,
+}
+impl ::std::convert::From<&EndpointId> for EndpointId {
+    fn from(value: &EndpointId) -> Self {
+        value.clone()
+    }
+}
+///Tells entries that an endpoint takes no new work.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointLeaving {
+    pub endpoint: EndpointId,
+}
+impl ::std::convert::From<&EndpointLeaving> for EndpointLeaving {
+    fn from(value: &EndpointLeaving) -> Self {
+        value.clone()
+    }
+}
+///An agent's report on one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointReport {
+    ///Tail of the answers since the last report; 0 for none.
+    pub answer_p99_ms: u32,
+    pub class: ::compact_str::CompactString,
+    pub leaving: bool,
+    pub number: u32,
+    pub slots: u32,
+}
+impl ::std::convert::From<&EndpointReport> for EndpointReport {
+    fn from(value: &EndpointReport) -> Self {
+        value.clone()
+    }
+}
+///The content of a log entry.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum EntryBody {
+    Noop,
+    Command(Command),
+    Members(Membership),
+}
+impl ::std::convert::From<&Self> for EntryBody {
+    fn from(value: &EntryBody) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Command> for EntryBody {
+    fn from(value: Command) -> Self {
+        Self::Command(value)
+    }
+}
+impl ::std::convert::From<Membership> for EntryBody {
+    fn from(value: Membership) -> Self {
+        Self::Members(value)
+    }
+}
+///An entry's report, and its question for news.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryHeartbeat {
+    pub directory_epoch: u64,
+    pub directory_version: u64,
+    pub in_force: Revision,
+    pub latencies: ::std::vec::Vec<ClassLatency>,
+    pub name: ::compact_str::CompactString,
+    pub reply_to: ::std::net::SocketAddr,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&EntryHeartbeat> for EntryHeartbeat {
+    fn from(value: &EntryHeartbeat) -> Self {
+        value.clone()
+    }
+}
+///Answers an entry's heartbeat.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryHeartbeatReply {
+    pub directory: ::std::option::Option<DirectoryUpdate>,
+}
+impl ::std::convert::From<&EntryHeartbeatReply> for EntryHeartbeatReply {
+    fn from(value: &EntryHeartbeatReply) -> Self {
+        value.clone()
+    }
+}
+///A message with the sender's configuration revision.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Envelope {
+    pub in_force: Revision,
+    pub message: Message,
+}
+impl ::std::convert::From<&Envelope> for Envelope {
+    fn from(value: &Envelope) -> Self {
+        value.clone()
+    }
+}
+///The closed list of error kinds.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum ErrorKind {
+    #[serde(rename = "bad_request")]
+    BadRequest,
+    #[serde(rename = "unauthenticated")]
+    Unauthenticated,
+    #[serde(rename = "forbidden")]
+    Forbidden,
+    #[serde(rename = "not_found")]
+    NotFound,
+    #[serde(rename = "method_not_allowed")]
+    MethodNotAllowed,
+    #[serde(rename = "payload_too_large")]
+    PayloadTooLarge,
+    #[serde(rename = "unknown_team")]
+    UnknownTeam,
+    #[serde(rename = "unknown_class")]
+    UnknownClass,
+    #[serde(rename = "wrong_class_kind")]
+    WrongClassKind,
+    #[serde(rename = "deadline_out_of_range")]
+    DeadlineOutOfRange,
+    #[serde(rename = "queue_full")]
+    QueueFull,
+    #[serde(rename = "team_share_exceeded")]
+    TeamShareExceeded,
+    #[serde(rename = "would_miss_deadline")]
+    WouldMissDeadline,
+    #[serde(rename = "no_endpoint")]
+    NoEndpoint,
+    #[serde(rename = "endpoint_leaving")]
+    EndpointLeaving,
+    #[serde(rename = "endpoint_busy")]
+    EndpointBusy,
+    #[serde(rename = "stale_session")]
+    StaleSession,
+    #[serde(rename = "draining")]
+    Draining,
+    #[serde(rename = "retry_budget_exhausted")]
+    RetryBudgetExhausted,
+    #[serde(rename = "deadline_expired_queued")]
+    DeadlineExpiredQueued,
+    #[serde(rename = "attempts_exhausted")]
+    AttemptsExhausted,
+    #[serde(rename = "outcome_unknown")]
+    OutcomeUnknown,
+    #[serde(rename = "answer_late")]
+    AnswerLate,
+    #[serde(rename = "endpoint_failed")]
+    EndpointFailed,
+    #[serde(rename = "control_unavailable")]
+    ControlUnavailable,
+    #[serde(rename = "not_leader")]
+    NotLeader,
+    #[serde(rename = "disk_full")]
+    DiskFull,
+    #[serde(rename = "table_full")]
+    TableFull,
+    #[serde(rename = "quota_exceeded")]
+    QuotaExceeded,
+    #[serde(rename = "infeasible")]
+    Infeasible,
+    #[serde(rename = "revision_conflict")]
+    RevisionConflict,
+    #[serde(rename = "key_reused")]
+    KeyReused,
+    #[serde(rename = "claim_in_progress")]
+    ClaimInProgress,
+    #[serde(rename = "already_finished")]
+    AlreadyFinished,
+    #[serde(rename = "membership_unsafe")]
+    MembershipUnsafe,
+    #[serde(rename = "cursor_too_old")]
+    CursorTooOld,
+    #[serde(rename = "version_unsupported")]
+    VersionUnsupported,
+    #[serde(rename = "shutting_down")]
+    ShuttingDown,
+    #[serde(rename = "internal")]
+    Internal,
+}
+impl ::std::convert::From<&Self> for ErrorKind {
+    fn from(value: &ErrorKind) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::BadRequest => f.write_str("bad_request"),
+            Self::Unauthenticated => f.write_str("unauthenticated"),
+            Self::Forbidden => f.write_str("forbidden"),
+            Self::NotFound => f.write_str("not_found"),
+            Self::MethodNotAllowed => f.write_str("method_not_allowed"),
+            Self::PayloadTooLarge => f.write_str("payload_too_large"),
+            Self::UnknownTeam => f.write_str("unknown_team"),
+            Self::UnknownClass => f.write_str("unknown_class"),
+            Self::WrongClassKind => f.write_str("wrong_class_kind"),
+            Self::DeadlineOutOfRange => f.write_str("deadline_out_of_range"),
+            Self::QueueFull => f.write_str("queue_full"),
+            Self::TeamShareExceeded => f.write_str("team_share_exceeded"),
+            Self::WouldMissDeadline => f.write_str("would_miss_deadline"),
+            Self::NoEndpoint => f.write_str("no_endpoint"),
+            Self::EndpointLeaving => f.write_str("endpoint_leaving"),
+            Self::EndpointBusy => f.write_str("endpoint_busy"),
+            Self::StaleSession => f.write_str("stale_session"),
+            Self::Draining => f.write_str("draining"),
+            Self::RetryBudgetExhausted => f.write_str("retry_budget_exhausted"),
+            Self::DeadlineExpiredQueued => f.write_str("deadline_expired_queued"),
+            Self::AttemptsExhausted => f.write_str("attempts_exhausted"),
+            Self::OutcomeUnknown => f.write_str("outcome_unknown"),
+            Self::AnswerLate => f.write_str("answer_late"),
+            Self::EndpointFailed => f.write_str("endpoint_failed"),
+            Self::ControlUnavailable => f.write_str("control_unavailable"),
+            Self::NotLeader => f.write_str("not_leader"),
+            Self::DiskFull => f.write_str("disk_full"),
+            Self::TableFull => f.write_str("table_full"),
+            Self::QuotaExceeded => f.write_str("quota_exceeded"),
+            Self::Infeasible => f.write_str("infeasible"),
+            Self::RevisionConflict => f.write_str("revision_conflict"),
+            Self::KeyReused => f.write_str("key_reused"),
+            Self::ClaimInProgress => f.write_str("claim_in_progress"),
+            Self::AlreadyFinished => f.write_str("already_finished"),
+            Self::MembershipUnsafe => f.write_str("membership_unsafe"),
+            Self::CursorTooOld => f.write_str("cursor_too_old"),
+            Self::VersionUnsupported => f.write_str("version_unsupported"),
+            Self::ShuttingDown => f.write_str("shutting_down"),
+            Self::Internal => f.write_str("internal"),
+        }
+    }
+}
+impl ::std::str::FromStr for ErrorKind {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "bad_request" => Ok(Self::BadRequest),
+            "unauthenticated" => Ok(Self::Unauthenticated),
+            "forbidden" => Ok(Self::Forbidden),
+            "not_found" => Ok(Self::NotFound),
+            "method_not_allowed" => Ok(Self::MethodNotAllowed),
+            "payload_too_large" => Ok(Self::PayloadTooLarge),
+            "unknown_team" => Ok(Self::UnknownTeam),
+            "unknown_class" => Ok(Self::UnknownClass),
+            "wrong_class_kind" => Ok(Self::WrongClassKind),
+            "deadline_out_of_range" => Ok(Self::DeadlineOutOfRange),
+            "queue_full" => Ok(Self::QueueFull),
+            "team_share_exceeded" => Ok(Self::TeamShareExceeded),
+            "would_miss_deadline" => Ok(Self::WouldMissDeadline),
+            "no_endpoint" => Ok(Self::NoEndpoint),
+            "endpoint_leaving" => Ok(Self::EndpointLeaving),
+            "endpoint_busy" => Ok(Self::EndpointBusy),
+            "stale_session" => Ok(Self::StaleSession),
+            "draining" => Ok(Self::Draining),
+            "retry_budget_exhausted" => Ok(Self::RetryBudgetExhausted),
+            "deadline_expired_queued" => Ok(Self::DeadlineExpiredQueued),
+            "attempts_exhausted" => Ok(Self::AttemptsExhausted),
+            "outcome_unknown" => Ok(Self::OutcomeUnknown),
+            "answer_late" => Ok(Self::AnswerLate),
+            "endpoint_failed" => Ok(Self::EndpointFailed),
+            "control_unavailable" => Ok(Self::ControlUnavailable),
+            "not_leader" => Ok(Self::NotLeader),
+            "disk_full" => Ok(Self::DiskFull),
+            "table_full" => Ok(Self::TableFull),
+            "quota_exceeded" => Ok(Self::QuotaExceeded),
+            "infeasible" => Ok(Self::Infeasible),
+            "revision_conflict" => Ok(Self::RevisionConflict),
+            "key_reused" => Ok(Self::KeyReused),
+            "claim_in_progress" => Ok(Self::ClaimInProgress),
+            "already_finished" => Ok(Self::AlreadyFinished),
+            "membership_unsafe" => Ok(Self::MembershipUnsafe),
+            "cursor_too_old" => Ok(Self::CursorTooOld),
+            "version_unsupported" => Ok(Self::VersionUnsupported),
+            "shutting_down" => Ok(Self::ShuttingDown),
+            "internal" => Ok(Self::Internal),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for ErrorKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for ErrorKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for ErrorKind {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Runs a quick request on an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Execute {
+    pub attempt: u32,
+    pub body: ::serde_bytes::ByteBuf,
+    pub class: ::compact_str::CompactString,
+    ///Time left when it was sent.
+    pub deadline_ms: u32,
+    pub endpoint: EndpointId,
+    pub idempotent: bool,
+    pub path: ::compact_str::CompactString,
+    pub reply_to: ::std::net::SocketAddr,
+    pub request: RequestId,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&Execute> for Execute {
+    fn from(value: &Execute) -> Self {
+        value.clone()
+    }
+}
+///How an attempt stands.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum ExecuteOutcome {
+    Answered(Answer),
+    Refused(ErrorKind),
+    Failed(::compact_str::CompactString),
+    Running,
+    NotSeen,
+}
+impl ::std::convert::From<&Self> for ExecuteOutcome {
+    fn from(value: &ExecuteOutcome) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Answer> for ExecuteOutcome {
+    fn from(value: Answer) -> Self {
+        Self::Answered(value)
+    }
+}
+impl ::std::convert::From<ErrorKind> for ExecuteOutcome {
+    fn from(value: ErrorKind) -> Self {
+        Self::Refused(value)
+    }
+}
+impl ::std::convert::From<::compact_str::CompactString> for ExecuteOutcome {
+    fn from(value: ::compact_str::CompactString) -> Self {
+        Self::Failed(value)
+    }
+}
+///Answers an execution or a question about its outcome.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExecuteReply {
+    pub attempt: u32,
+    pub endpoint: EndpointId,
+    pub load: Load,
+    pub outcome: ExecuteOutcome,
+    pub request: RequestId,
+}
+impl ::std::convert::From<&ExecuteReply> for ExecuteReply {
+    fn from(value: &ExecuteReply) -> Self {
+        value.clone()
+    }
+}
+///The first frame of a link.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hello {
+    pub address: ::std::net::SocketAddr,
+    pub group: u32,
+    pub process: ::compact_str::CompactString,
+    pub region: u32,
+    pub version: u32,
+}
+impl ::std::convert::From<&Hello> for Hello {
+    fn from(value: &Hello) -> Self {
+        value.clone()
+    }
+}
+///An accepted job.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobAccepted {
+    pub job: JobId,
+    ///Whether the key had been accepted before.
+    pub resent: bool,
+}
+impl ::std::convert::From<&JobAccepted> for JobAccepted {
+    fn from(value: &JobAccepted) -> Self {
+        value.clone()
+    }
+}
+///A batch job or service, with region and group in its upper bits.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct JobId(pub u64);
+impl ::std::ops::Deref for JobId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<JobId> for u64 {
+    fn from(value: JobId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&JobId> for JobId {
+    fn from(value: &JobId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for JobId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for JobId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for JobId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for JobId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for JobId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for JobId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///Names a job of a team.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobQuery {
+    pub job: JobId,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&JobQuery> for JobQuery {
+    fn from(value: &JobQuery) -> Self {
+        value.clone()
+    }
+}
+///What a caller declares of a job.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSpec {
+    pub class: ::compact_str::CompactString,
+    ///Declared run time of one task; often far off.
+    pub declared_run_ms: u64,
+    ///The kind of work, by which run times are learned.
+    pub kind: ::compact_str::CompactString,
+    pub payload: ::compact_str::CompactString,
+    ///Need of one task.
+    pub resources: Resources,
+    ///What the job is about; watches match it.
+    pub subject: ::compact_str::CompactString,
+    pub tasks: u32,
+}
+impl ::std::convert::From<&JobSpec> for JobSpec {
+    fn from(value: &JobSpec) -> Self {
+        value.clone()
+    }
+}
+///How busy an endpoint is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    pub in_use: u32,
+    pub queued: u32,
+}
+impl ::std::convert::From<&Load> for Load {
+    fn from(value: &Load) -> Self {
+        value.clone()
+    }
+}
+///One entry of the replicated log.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogEntry {
+    pub body: EntryBody,
+    pub index: u64,
+    pub term: u64,
+    ///Clock of the leader, never falling along the log; the state's only clock.
+    pub time_ms: u64,
+}
+impl ::std::convert::From<&LogEntry> for LogEntry {
+    fn from(value: &LogEntry) -> Self {
+        value.clone()
+    }
+}
+///A control member and its address.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Member {
+    pub address: ::std::net::SocketAddr,
+    pub id: MemberId,
+}
+impl ::std::convert::From<&Member> for Member {
+    fn from(value: &Member) -> Self {
+        value.clone()
+    }
+}
+///A change of the group's membership.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum MemberChange {
+    Add(Member),
+    Promote(MemberId),
+    Remove(MemberId),
+}
+impl ::std::convert::From<&Self> for MemberChange {
+    fn from(value: &MemberChange) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Member> for MemberChange {
+    fn from(value: Member) -> Self {
+        Self::Add(value)
+    }
+}
+///Identity of one control member's disk, made once when its data folder is initialised.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct MemberId(pub u64);
+impl ::std::ops::Deref for MemberId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<MemberId> for u64 {
+    fn from(value: MemberId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&MemberId> for MemberId {
+    fn from(value: &MemberId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for MemberId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for MemberId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for MemberId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for MemberId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for MemberId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for MemberId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///The voters and learners of a group.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Membership {
+    pub learners: ::std::vec::Vec<Member>,
+    pub voters: ::std::vec::Vec<Member>,
+}
+impl ::std::convert::From<&Membership> for Membership {
+    fn from(value: &Membership) -> Self {
+        value.clone()
+    }
+}
+///A message between processes.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum Message {
+    Raft(RaftMessage),
+    ControlRequest(ControlRequest),
+    ControlReply(ControlReply),
+    AgentHeartbeat(AgentHeartbeat),
+    AgentHeartbeatReply(AgentHeartbeatReply),
+    AgentOrders(AgentHeartbeatReply),
+    EntryHeartbeat(EntryHeartbeat),
+    EntryHeartbeatReply(EntryHeartbeatReply),
+    Execute(Execute),
+    ExecuteReply(ExecuteReply),
+    OutcomeQuery(OutcomeQuery),
+    EndpointLeaving(EndpointLeaving),
+    ConfigFetch(ConfigFetch),
+    ConfigUpdate(Configuration),
+    NotLeader(::std::option::Option<::std::net::SocketAddr>),
+}
+impl ::std::convert::From<&Self> for Message {
+    fn from(value: &Message) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<RaftMessage> for Message {
+    fn from(value: RaftMessage) -> Self {
+        Self::Raft(value)
+    }
+}
+impl ::std::convert::From<ControlRequest> for Message {
+    fn from(value: ControlRequest) -> Self {
+        Self::ControlRequest(value)
+    }
+}
+impl ::std::convert::From<ControlReply> for Message {
+    fn from(value: ControlReply) -> Self {
+        Self::ControlReply(value)
+    }
+}
+impl ::std::convert::From<AgentHeartbeat> for Message {
+    fn from(value: AgentHeartbeat) -> Self {
+        Self::AgentHeartbeat(value)
+    }
+}
+impl ::std::convert::From<EntryHeartbeat> for Message {
+    fn from(value: EntryHeartbeat) -> Self {
+        Self::EntryHeartbeat(value)
+    }
+}
+impl ::std::convert::From<EntryHeartbeatReply> for Message {
+    fn from(value: EntryHeartbeatReply) -> Self {
+        Self::EntryHeartbeatReply(value)
+    }
+}
+impl ::std::convert::From<Execute> for Message {
+    fn from(value: Execute) -> Self {
+        Self::Execute(value)
+    }
+}
+impl ::std::convert::From<ExecuteReply> for Message {
+    fn from(value: ExecuteReply) -> Self {
+        Self::ExecuteReply(value)
+    }
+}
+impl ::std::convert::From<OutcomeQuery> for Message {
+    fn from(value: OutcomeQuery) -> Self {
+        Self::OutcomeQuery(value)
+    }
+}
+impl ::std::convert::From<EndpointLeaving> for Message {
+    fn from(value: EndpointLeaving) -> Self {
+        Self::EndpointLeaving(value)
+    }
+}
+impl ::std::convert::From<ConfigFetch> for Message {
+    fn from(value: ConfigFetch) -> Self {
+        Self::ConfigFetch(value)
+    }
+}
+impl ::std::convert::From<Configuration> for Message {
+    fn from(value: Configuration) -> Self {
+        Self::ConfigUpdate(value)
+    }
+}
+impl ::std::convert::From<::std::option::Option<::std::net::SocketAddr>> for Message {
+    fn from(value: ::std::option::Option<::std::net::SocketAddr>) -> Self {
+        Self::NotLeader(value)
+    }
+}
+///Messages between the processes of aspenrail, and the commands of its replicated log.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct Messages(pub ::serde_json::Value);
+impl ::std::ops::Deref for Messages {
+    type Target = ::serde_json::Value;
+    fn deref(&self) -> &::serde_json::Value {
+        &self.0
+    }
+}
+impl ::std::convert::From<Messages> for ::serde_json::Value {
+    fn from(value: Messages) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&Messages> for Messages {
+    fn from(value: &Messages) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<::serde_json::Value> for Messages {
+    fn from(value: ::serde_json::Value) -> Self {
+        Self(value)
+    }
+}
+///Opens a new session for a VM's agent, superseding any older one.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OpenSessionCommand {
+    pub address: ::std::net::SocketAddr,
+    ///Random number of the agent's process, so that a resend opens nothing new.
+    pub boot: u64,
+    pub capacity: Resources,
+    pub rack: ::compact_str::CompactString,
+    pub vm_name: ::compact_str::CompactString,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&OpenSessionCommand> for OpenSessionCommand {
+    fn from(value: &OpenSessionCommand) -> Self {
+        value.clone()
+    }
+}
+///An operation that a client of control asks for.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum Operation {
+    Propose(Command),
+    Query(Query),
+    Membership(MemberChange),
+    Drain(DrainRequest),
+}
+impl ::std::convert::From<&Self> for Operation {
+    fn from(value: &Operation) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Command> for Operation {
+    fn from(value: Command) -> Self {
+        Self::Propose(value)
+    }
+}
+impl ::std::convert::From<Query> for Operation {
+    fn from(value: Query) -> Self {
+        Self::Query(value)
+    }
+}
+impl ::std::convert::From<MemberChange> for Operation {
+    fn from(value: MemberChange) -> Self {
+        Self::Membership(value)
+    }
+}
+impl ::std::convert::From<DrainRequest> for Operation {
+    fn from(value: DrainRequest) -> Self {
+        Self::Drain(value)
+    }
+}
+///Asks what became of an attempt; an attempt not seen by then never runs.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OutcomeQuery {
+    pub attempt: u32,
+    pub endpoint: EndpointId,
+    pub reply_to: ::std::net::SocketAddr,
+    pub request: RequestId,
+}
+impl ::std::convert::From<&OutcomeQuery> for OutcomeQuery {
+    fn from(value: &OutcomeQuery) -> Self {
+        value.clone()
+    }
+}
+///Publishes an event to the team's watches on a subject.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublishCommand {
+    pub body: ::compact_str::CompactString,
+    pub key: ::compact_str::CompactString,
+    pub subject: ::compact_str::CompactString,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&PublishCommand> for PublishCommand {
+    fn from(value: &PublishCommand) -> Self {
+        value.clone()
+    }
+}
+///A read answered by the leader under its lease.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum Query {
+    Job(JobQuery),
+    JobResult(JobQuery),
+    Watch(WatchQuery),
+    Claim(ClaimQuery),
+    View(AdminView),
+}
+impl ::std::convert::From<&Self> for Query {
+    fn from(value: &Query) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<WatchQuery> for Query {
+    fn from(value: WatchQuery) -> Self {
+        Self::Watch(value)
+    }
+}
+impl ::std::convert::From<ClaimQuery> for Query {
+    fn from(value: ClaimQuery) -> Self {
+        Self::Claim(value)
+    }
+}
+impl ::std::convert::From<AdminView> for Query {
+    fn from(value: AdminView) -> Self {
+        Self::View(value)
+    }
+}
+///A message between control members.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum RaftBody {
+    Vote(VoteRequest),
+    VoteReply(VoteReply),
+    Append(AppendRequest),
+    AppendReply(AppendReply),
+    Snapshot(SnapshotChunk),
+    SnapshotReply(SnapshotReply),
+    TimeoutNow(TimeoutNow),
+}
+impl ::std::convert::From<&Self> for RaftBody {
+    fn from(value: &RaftBody) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<VoteRequest> for RaftBody {
+    fn from(value: VoteRequest) -> Self {
+        Self::Vote(value)
+    }
+}
+impl ::std::convert::From<VoteReply> for RaftBody {
+    fn from(value: VoteReply) -> Self {
+        Self::VoteReply(value)
+    }
+}
+impl ::std::convert::From<AppendRequest> for RaftBody {
+    fn from(value: AppendRequest) -> Self {
+        Self::Append(value)
+    }
+}
+impl ::std::convert::From<AppendReply> for RaftBody {
+    fn from(value: AppendReply) -> Self {
+        Self::AppendReply(value)
+    }
+}
+impl ::std::convert::From<SnapshotChunk> for RaftBody {
+    fn from(value: SnapshotChunk) -> Self {
+        Self::Snapshot(value)
+    }
+}
+impl ::std::convert::From<SnapshotReply> for RaftBody {
+    fn from(value: SnapshotReply) -> Self {
+        Self::SnapshotReply(value)
+    }
+}
+impl ::std::convert::From<TimeoutNow> for RaftBody {
+    fn from(value: TimeoutNow) -> Self {
+        Self::TimeoutNow(value)
+    }
+}
+///A message between control members, addressed by disk identity.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RaftMessage {
+    pub body: RaftBody,
+    pub from: MemberId,
+    pub to: MemberId,
+}
+impl ::std::convert::From<&RaftMessage> for RaftMessage {
+    fn from(value: &RaftMessage) -> Self {
+        value.clone()
+    }
+}
+///An error told to a client.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Refusal {
+    pub detail: ::compact_str::CompactString,
+    pub kind: ErrorKind,
+    ///When to come back; 0 where that would not help.
+    pub retry_after_ms: u64,
+}
+impl ::std::convert::From<&Refusal> for Refusal {
+    fn from(value: &Refusal) -> Self {
+        value.clone()
+    }
+}
+///What a successful operation answers.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum Reply {
+    Done,
+    SessionOpened(SessionOpened),
+    Configured(Revision),
+    JobAccepted(JobAccepted),
+    WatchCreated(WatchId),
+    Claim(Claim),
+    Document(::compact_str::CompactString),
+}
+impl ::std::convert::From<&Self> for Reply {
+    fn from(value: &Reply) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<SessionOpened> for Reply {
+    fn from(value: SessionOpened) -> Self {
+        Self::SessionOpened(value)
+    }
+}
+impl ::std::convert::From<Revision> for Reply {
+    fn from(value: Revision) -> Self {
+        Self::Configured(value)
+    }
+}
+impl ::std::convert::From<JobAccepted> for Reply {
+    fn from(value: JobAccepted) -> Self {
+        Self::JobAccepted(value)
+    }
+}
+impl ::std::convert::From<WatchId> for Reply {
+    fn from(value: WatchId) -> Self {
+        Self::WatchCreated(value)
+    }
+}
+impl ::std::convert::From<Claim> for Reply {
+    fn from(value: Claim) -> Self {
+        Self::Claim(value)
+    }
+}
+impl ::std::convert::From<::compact_str::CompactString> for Reply {
+    fn from(value: ::compact_str::CompactString) -> Self {
+        Self::Document(value)
+    }
+}
+///A quick request's identity, unique over restarts of entries.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestId {
+    pub boot: u64,
+    pub number: u64,
+}
+impl ::std::convert::From<&RequestId> for RequestId {
+    fn from(value: &RequestId) -> Self {
+        value.clone()
+    }
+}
+///An amount of processor, memory and accelerators.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    pub accelerators: u32,
+    pub cpu_millicores: u32,
+    pub memory_mib: u32,
+}
+impl ::std::convert::From<&Resources> for Resources {
+    fn from(value: &Resources) -> Self {
+        value.clone()
+    }
+}
+///A configuration revision: the log index of the change that made it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+impl ::std::ops::Deref for Revision {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<Revision> for u64 {
+    fn from(value: Revision) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&Revision> for Revision {
+    fn from(value: &Revision) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for Revision {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for Revision {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for Revision {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for Revision {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for Revision {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for Revision {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///The role of a process towards its peers.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum Role {
+    #[serde(rename = "entry")]
+    Entry,
+    #[serde(rename = "agent")]
+    Agent,
+    #[serde(rename = "control")]
+    Control,
+}
+impl ::std::convert::From<&Self> for Role {
+    fn from(value: &Role) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for Role {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Entry => f.write_str("entry"),
+            Self::Agent => f.write_str("agent"),
+            Self::Control => f.write_str("control"),
+        }
+    }
+}
+impl ::std::str::FromStr for Role {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "entry" => Ok(Self::Entry),
+            "agent" => Ok(Self::Agent),
+            "control" => Ok(Self::Control),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Why a session ended.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum SessionEnd {
+    #[serde(rename = "expired")]
+    Expired,
+    #[serde(rename = "left")]
+    Left,
+    #[serde(rename = "superseded")]
+    Superseded,
+}
+impl ::std::convert::From<&Self> for SessionEnd {
+    fn from(value: &SessionEnd) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for SessionEnd {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Expired => f.write_str("expired"),
+            Self::Left => f.write_str("left"),
+            Self::Superseded => f.write_str("superseded"),
+        }
+    }
+}
+impl ::std::str::FromStr for SessionEnd {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "expired" => Ok(Self::Expired),
+            "left" => Ok(Self::Left),
+            "superseded" => Ok(Self::Superseded),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for SessionEnd {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for SessionEnd {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for SessionEnd {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///One run of an agent: the log index of the command that opened it, so newer sessions are larger.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct SessionId(pub u64);
+impl ::std::ops::Deref for SessionId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<SessionId> for u64 {
+    fn from(value: SessionId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&SessionId> for SessionId {
+    fn from(value: &SessionId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for SessionId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for SessionId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for SessionId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for SessionId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for SessionId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for SessionId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///A granted session.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SessionOpened {
+    pub session: SessionId,
+    pub vm: VmId,
+}
+impl ::std::convert::From<&SessionOpened> for SessionOpened {
+    fn from(value: &SessionOpened) -> Self {
+        value.clone()
+    }
+}
+///Whether the leader renewed the lease.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum SessionVerdict {
+    #[serde(rename = "renewed")]
+    Renewed,
+    #[serde(rename = "ended")]
+    Ended,
+}
+impl ::std::convert::From<&Self> for SessionVerdict {
+    fn from(value: &SessionVerdict) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for SessionVerdict {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Renewed => f.write_str("renewed"),
+            Self::Ended => f.write_str("ended"),
+        }
+    }
+}
+impl ::std::str::FromStr for SessionVerdict {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "renewed" => Ok(Self::Renewed),
+            "ended" => Ok(Self::Ended),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for SessionVerdict {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for SessionVerdict {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for SessionVerdict {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Records how a claimed attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SettleCommand {
+    pub attempt: u32,
+    pub key: ::compact_str::CompactString,
+    pub outcome: ClaimOutcome,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&SettleCommand> for SettleCommand {
+    fn from(value: &SettleCommand) -> Self {
+        value.clone()
+    }
+}
+///A piece of a snapshot for a member far behind.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotChunk {
+    ///Of the whole snapshot.
+    pub checksum: u32,
+    pub data: ::serde_bytes::ByteBuf,
+    pub index: u64,
+    pub index_term: u64,
+    pub members: Membership,
+    pub offset_bytes: u64,
+    pub sent_ms: u64,
+    pub term: u64,
+    pub total_bytes: u64,
+}
+impl ::std::convert::From<&SnapshotChunk> for SnapshotChunk {
+    fn from(value: &SnapshotChunk) -> Self {
+        value.clone()
+    }
+}
+///Answers a snapshot chunk.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SnapshotReply {
+    pub index: u64,
+    pub next_offset_bytes: u64,
+    pub sent_ms: u64,
+    pub term: u64,
+}
+impl ::std::convert::From<&SnapshotReply> for SnapshotReply {
+    fn from(value: &SnapshotReply) -> Self {
+        value.clone()
+    }
+}
+///Places a queued task on a VM.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StartCommand {
+    ///The incarnation that this start makes, one above the task's last.
+    pub incarnation: u32,
+    pub session: SessionId,
+    pub task: TaskId,
+    pub vm: VmId,
+}
+impl ::std::convert::From<&StartCommand> for StartCommand {
+    fn from(value: &StartCommand) -> Self {
+        value.clone()
+    }
+}
+///A kept answer to a non-idempotent request.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoredAnswer {
+    pub body: ::compact_str::CompactString,
+    ///Whether the body was small enough to keep.
+    pub body_kept: bool,
+    pub content_type: ::compact_str::CompactString,
+    pub status: u16,
+}
+impl ::std::convert::From<&StoredAnswer> for StoredAnswer {
+    fn from(value: &StoredAnswer) -> Self {
+        value.clone()
+    }
+}
+///Accepts a job.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmitCommand {
+    pub key: ::compact_str::CompactString,
+    pub spec: JobSpec,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&SubmitCommand> for SubmitCommand {
+    fn from(value: &SubmitCommand) -> Self {
+        value.clone()
+    }
+}
+///What an agent is to do with a task's incarnation.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum TaskAction {
+    Start(TaskStart),
+    Checkpoint,
+    Stop,
+    Throttle(u32),
+    Forget,
+}
+impl ::std::convert::From<&Self> for TaskAction {
+    fn from(value: &TaskAction) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<TaskStart> for TaskAction {
+    fn from(value: TaskStart) -> Self {
+        Self::Start(value)
+    }
+}
+impl ::std::convert::From<u32> for TaskAction {
+    fn from(value: u32) -> Self {
+        Self::Throttle(value)
+    }
+}
+///What happened to a task's incarnation.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum TaskEvent {
+    Running,
+    Completed(Completion),
+    Failed(::compact_str::CompactString),
+    EvictRequested,
+    Evicted(::compact_str::CompactString),
+    Stopped,
+    Lost,
+}
+impl ::std::convert::From<&Self> for TaskEvent {
+    fn from(value: &TaskEvent) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<Completion> for TaskEvent {
+    fn from(value: Completion) -> Self {
+        Self::Completed(value)
+    }
+}
+///Reports an event of one incarnation of a task.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskEventCommand {
+    pub event: TaskEvent,
+    pub incarnation: u32,
+    pub task: TaskId,
+}
+impl ::std::convert::From<&TaskEventCommand> for TaskEventCommand {
+    fn from(value: &TaskEventCommand) -> Self {
+        value.clone()
+    }
+}
+///One task of a job, with region and group in its upper bits.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct TaskId(pub u64);
+impl ::std::ops::Deref for TaskId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<TaskId> for u64 {
+    fn from(value: TaskId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&TaskId> for TaskId {
+    fn from(value: &TaskId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for TaskId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for TaskId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for TaskId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for TaskId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for TaskId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for TaskId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///An order on one incarnation of a task.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskOrder {
+    pub action: TaskAction,
+    pub incarnation: u32,
+    pub task: TaskId,
+}
+impl ::std::convert::From<&TaskOrder> for TaskOrder {
+    fn from(value: &TaskOrder) -> Self {
+        value.clone()
+    }
+}
+///A task's phase as its agent sees it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum TaskPhase {
+    #[serde(rename = "starting")]
+    Starting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "checkpointing")]
+    Checkpointing,
+    #[serde(rename = "completed")]
+    Completed,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(rename = "evicted")]
+    Evicted,
+    #[serde(rename = "stopped")]
+    Stopped,
+}
+impl ::std::convert::From<&Self> for TaskPhase {
+    fn from(value: &TaskPhase) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for TaskPhase {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Starting => f.write_str("starting"),
+            Self::Running => f.write_str("running"),
+            Self::Checkpointing => f.write_str("checkpointing"),
+            Self::Completed => f.write_str("completed"),
+            Self::Failed => f.write_str("failed"),
+            Self::Evicted => f.write_str("evicted"),
+            Self::Stopped => f.write_str("stopped"),
+        }
+    }
+}
+impl ::std::str::FromStr for TaskPhase {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "starting" => Ok(Self::Starting),
+            "running" => Ok(Self::Running),
+            "checkpointing" => Ok(Self::Checkpointing),
+            "completed" => Ok(Self::Completed),
+            "failed" => Ok(Self::Failed),
+            "evicted" => Ok(Self::Evicted),
+            "stopped" => Ok(Self::Stopped),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for TaskPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for TaskPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for TaskPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///An agent's report on one task.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskReport {
+    ///Result, checkpoint or failure, by phase.
+    pub detail: ::compact_str::CompactString,
+    pub incarnation: u32,
+    pub phase: TaskPhase,
+    pub run_ms: u64,
+    pub task: TaskId,
+}
+impl ::std::convert::From<&TaskReport> for TaskReport {
+    fn from(value: &TaskReport) -> Self {
+        value.clone()
+    }
+}
+///All that an agent needs to start a task.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskStart {
+    pub checkpoint: ::compact_str::CompactString,
+    pub class: ::compact_str::CompactString,
+    pub kind: ::compact_str::CompactString,
+    pub payload: ::compact_str::CompactString,
+    pub resources: Resources,
+    pub team: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&TaskStart> for TaskStart {
+    fn from(value: &TaskStart) -> Self {
+        value.clone()
+    }
+}
+///A team with its quota.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    ///Jobs accepted and not finished that the team may hold.
+    pub jobs_open_max: u32,
+    pub name: ::compact_str::CompactString,
+    pub quota: Resources,
+    ///Quick requests of the team in one entry at a time.
+    pub requests_in_flight_max: u32,
+}
+impl ::std::convert::From<&Team> for Team {
+    fn from(value: &Team) -> Self {
+        value.clone()
+    }
+}
+///Tells a caught-up voter to stand for election at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimeoutNow {
+    pub term: u64,
+}
+impl ::std::convert::From<&TimeoutNow> for TimeoutNow {
+    fn from(value: &TimeoutNow) -> Self {
+        value.clone()
+    }
+}
+///Measured usage of a VM.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Usage {
+    ///How old the worker's measurement is.
+    pub age_ms: u32,
+    pub cpu_millicores: u32,
+    pub memory_mib: u32,
+}
+impl ::std::convert::From<&Usage> for Usage {
+    fn from(value: &Usage) -> Self {
+        value.clone()
+    }
+}
+///Sets the operator's and the scheduler's marks on a VM.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmFlagsCommand {
+    pub draining: bool,
+    pub quarantined: bool,
+    pub vm: VmId,
+}
+impl ::std::convert::From<&VmFlagsCommand> for VmFlagsCommand {
+    fn from(value: &VmFlagsCommand) -> Self {
+        value.clone()
+    }
+}
+///A VM known to control, numbered in the order of first announcement.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct VmId(pub u32);
+impl ::std::ops::Deref for VmId {
+    type Target = u32;
+    fn deref(&self) -> &u32 {
+        &self.0
+    }
+}
+impl ::std::convert::From<VmId> for u32 {
+    fn from(value: VmId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&VmId> for VmId {
+    fn from(value: &VmId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u32> for VmId {
+    fn from(value: u32) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for VmId {
+    type Err = <u32 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for VmId {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for VmId {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for VmId {
+    type Error = <u32 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for VmId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///Answers a vote request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VoteReply {
+    pub granted: bool,
+    pub pre_vote: bool,
+    pub term: u64,
+}
+impl ::std::convert::From<&VoteReply> for VoteReply {
+    fn from(value: &VoteReply) -> Self {
+        value.clone()
+    }
+}
+///Asks for a vote, or whether one would be given.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VoteRequest {
+    pub last_index: u64,
+    pub last_term: u64,
+    pub pre_vote: bool,
+    pub term: u64,
+    ///Whether the leader itself asked for this election.
+    pub transfer: bool,
+}
+impl ::std::convert::From<&VoteRequest> for VoteRequest {
+    fn from(value: &VoteRequest) -> Self {
+        value.clone()
+    }
+}
+///One event of a watch, read by cursor.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WatchEvent {
+    pub at_ms: u64,
+    pub body: ::compact_str::CompactString,
+    pub cursor: u64,
+    pub subject: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&WatchEvent> for WatchEvent {
+    fn from(value: &WatchEvent) -> Self {
+        value.clone()
+    }
+}
+///A durable subscription, with region and group in its upper bits.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct WatchId(pub u64);
+impl ::std::ops::Deref for WatchId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<WatchId> for u64 {
+    fn from(value: WatchId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&WatchId> for WatchId {
+    fn from(value: &WatchId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for WatchId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for WatchId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for WatchId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for WatchId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for WatchId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for WatchId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///Reads a watch from a cursor.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WatchQuery {
+    pub cursor: u64,
+    pub team: ::compact_str::CompactString,
+    pub watch: WatchId,
+}
+impl ::std::convert::From<&WatchQuery> for WatchQuery {
+    fn from(value: &WatchQuery) -> Self {
+        value.clone()
+    }
+}
--- /dev/null
+++ b/src/schema/settings.rs
@@ -0,0 +1,301 @@
+// Generated from the schema of the same name; see tests/schema.rs. Do not edit.
+
+/// Error types.
+pub mod error {
+    /// Error from a `TryFrom` or `FromStr` implementation.
+    pub struct ConversionError(::std::borrow::Cow<'static, str>);
+    impl ::std::error::Error for ConversionError {}
+    impl ::std::fmt::Display for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Display::fmt(&self.0, f)
+        }
+    }
+    impl ::std::fmt::Debug for ConversionError {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
+            ::std::fmt::Debug::fmt(&self.0, f)
+        }
+    }
+    impl From<&'static str> for ConversionError {
+        fn from(value: &'static str) -> Self {
+            Self(value.into())
+        }
+    }
+    impl From<String> for ConversionError {
+        fn from(value: String) -> Self {
+            Self(value.into())
+        }
+    }
+}
+///The agent role.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    ///Accelerators of the VM.
+    pub accelerators: u32,
+    ///Silence after which an endpoint that announced itself is taken as gone.
+    pub announce_max_ms: u32,
+    ///Processors of the VM.
+    pub cpu_millicores: u32,
+    ///Interval of reports to control.
+    pub heartbeat_ms: u32,
+    ///Address where endpoints of this VM announce themselves.
+    pub listen: ::std::net::SocketAddr,
+    ///Memory of the VM.
+    pub memory_mib: u32,
+    ///Quick requests that may wait for one endpoint.
+    pub queue_max: u32,
+    ///Request ids remembered, so that none runs twice.
+    pub seen_max: u32,
+    ///How long a request id is remembered.
+    pub seen_ms: u32,
+    ///Threads that call endpoints; no more requests than these run at once.
+    pub threads: u32,
+    ///Name of the VM, unique in the installation.
+    pub vm: ::compact_str::CompactString,
+    ///Address of the platform's worker on this VM.
+    pub worker: ::std::net::SocketAddr,
+}
+impl ::std::convert::From<&AgentSettings> for AgentSettings {
+    fn from(value: &AgentSettings) -> Self {
+        value.clone()
+    }
+}
+///The control role.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    ///How long a settled claim answers resends.
+    pub claim_retention_ms: u64,
+    ///Claims of idempotency keys kept.
+    pub claims_max: u32,
+    ///Folder for the log and the snapshots; made by aspenrail init.
+    pub data_folder: ::compact_str::CompactString,
+    ///Least silence of a leader after which a voter stands for election; the most is twice that.
+    pub election_timeout_ms: u32,
+    ///Free disk space below which writes are refused.
+    pub free_min_bytes: u64,
+    ///Interval of a leader's heartbeats.
+    pub heartbeat_ms: u32,
+    ///How long a finished job keeps its result.
+    pub job_retention_ms: u64,
+    ///Jobs kept, finished ones included.
+    pub jobs_max: u32,
+    ///What is added to a lease before its tasks are placed anew, for clocks that run at different speeds.
+    pub lease_margin_ms: u32,
+    ///How long an agent may run tasks after a renewal it asked for.
+    pub lease_ms: u32,
+    ///Address of the administration API.
+    pub listen: ::std::net::SocketAddr,
+    ///File with one line per operator: name = token.
+    pub operators_file: ::compact_str::CompactString,
+    ///Time until a quarantined VM is probed with one task.
+    pub quarantine_ms: u32,
+    ///Log entries after which a snapshot is taken.
+    pub snapshot_entries: u32,
+    ///Different VMs on which a task may fail before it goes to the dead letters.
+    pub task_failures_max: u32,
+    ///Tasks kept, finished ones included.
+    pub tasks_max: u32,
+    ///Different tasks in a row that fail on a VM before it is quarantined.
+    pub vm_failures_max: u32,
+    ///VMs that may announce themselves.
+    pub vms_max: u32,
+    ///Events kept per watch; older ones are told as a gap.
+    pub watch_events_max: u32,
+    ///Watches kept.
+    pub watches_max: u32,
+}
+impl ::std::convert::From<&ControlSettings> for ControlSettings {
+    fn from(value: &ControlSettings) -> Self {
+        value.clone()
+    }
+}
+///The entry role.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    ///Attempts of one quick request.
+    pub attempts_max: u32,
+    ///Largest request body.
+    pub body_max_bytes: u32,
+    ///Requests of any sort that may be open in this entry.
+    pub in_flight_max: u32,
+    ///Address of the caller API.
+    pub listen: ::std::net::SocketAddr,
+    ///Longest time an operation of control is waited for.
+    pub operation_max_ms: u32,
+    ///Longest time a poll of a watch or of a job is held.
+    pub poll_max_ms: u32,
+    ///Quick requests that may wait in this entry.
+    pub queue_max: u32,
+    ///Retries allowed per thousand answers.
+    pub retry_budget_permille: u32,
+    ///File with one line per team: name = token.
+    pub teams_file: ::compact_str::CompactString,
+    ///Threads that read callers' requests.
+    pub threads: u32,
+}
+impl ::std::convert::From<&EntrySettings> for EntrySettings {
+    fn from(value: &EntrySettings) -> Self {
+        value.clone()
+    }
+}
+///The links between the processes of the system.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSettings {
+    ///Addresses of control processes; a dead one among several is survived.
+    pub control: ::std::vec::Vec<::std::net::SocketAddr>,
+    ///Largest message accepted from a peer.
+    pub frame_max_bytes: u32,
+    ///Address where other processes reach this one.
+    pub listen: ::std::net::SocketAddr,
+    ///Messages waiting for one peer; beyond it they are dropped and counted.
+    pub queue_messages: u32,
+}
+impl ::std::convert::From<&LinkSettings> for LinkSettings {
+    fn from(value: &LinkSettings) -> Self {
+        value.clone()
+    }
+}
+///What this process is and where it stands.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProcessSettings {
+    ///Longest time a planned stop waits for work in flight; a second SIGTERM ends it at once.
+    pub drain_max_ms: u32,
+    ///Control group number, part of every identifier.
+    pub group: u32,
+    ///Least severe level that is logged: error, warn, info, debug or trace.
+    pub log_level: ::compact_str::CompactString,
+    ///Name of the process, unique in the installation; shown in logs and status.
+    pub name: ::compact_str::CompactString,
+    ///Rack of the VM.
+    pub rack: ::compact_str::CompactString,
+    ///Region number, part of every identifier.
+    pub region: u32,
+    ///Roles that this process plays, separated by commas.
+    pub roles: ::std::vec::Vec<Role>,
+    ///Availability zone of the VM.
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&ProcessSettings> for ProcessSettings {
+    fn from(value: &ProcessSettings) -> Self {
+        value.clone()
+    }
+}
+///A role of a process.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum Role {
+    #[serde(rename = "entry")]
+    Entry,
+    #[serde(rename = "agent")]
+    Agent,
+    #[serde(rename = "control")]
+    Control,
+}
+impl ::std::convert::From<&Self> for Role {
+    fn from(value: &Role) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for Role {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Entry => f.write_str("entry"),
+            Self::Agent => f.write_str("agent"),
+            Self::Control => f.write_str("control"),
+        }
+    }
+}
+impl ::std::str::FromStr for Role {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "entry" => Ok(Self::Entry),
+            "agent" => Ok(Self::Agent),
+            "control" => Ok(Self::Control),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Role {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///The settings of one process.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    pub agent: ::std::option::Option<AgentSettings>,
+    pub control: ::std::option::Option<ControlSettings>,
+    pub entry: ::std::option::Option<EntrySettings>,
+    pub link: LinkSettings,
+    pub process: ProcessSettings,
+}
+impl ::std::convert::From<&Settings> for Settings {
+    fn from(value: &Settings) -> Self {
+        value.clone()
+    }
+}
+///The settings of a process, one definition for each section of its INI file.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct SettingsFile(pub ::serde_json::Value);
+impl ::std::ops::Deref for SettingsFile {
+    type Target = ::serde_json::Value;
+    fn deref(&self) -> &::serde_json::Value {
+        &self.0
+    }
+}
+impl ::std::convert::From<SettingsFile> for ::serde_json::Value {
+    fn from(value: SettingsFile) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&SettingsFile> for SettingsFile {
+    fn from(value: &SettingsFile) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<::serde_json::Value> for SettingsFile {
+    fn from(value: ::serde_json::Value) -> Self {
+        Self(value)
+    }
+}
