--- /dev/null
+++ b/src/agent/seen.rs
@@ -0,0 +1,84 @@
+//! The attempts that an agent has seen, so that a non-idempotent one never runs twice.
+
+use std::collections::{BTreeSet, HashMap};
+
+use crate::prelude::*;
+
+/// How long refusals of idempotent attempts are kept.
+const BRIEF_MS: u64 = 5_000;
+
+/// One attempt of one request.
+pub(super) type AttemptId = (RequestId, u32);
+
+/// What became of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Fate {
+    /// Waiting for a slot, or running.
+    Running,
+    Ended(ExecuteOutcome),
+}
+
+/// The window of attempts seen, bounded in number and in time.
+#[derive(Clone, Debug)]
+pub(super) struct Seen {
+    fates: HashMap<AttemptId, Fate>,
+    /// Attempts that ended, by when they are forgotten.
+    ended: BTreeSet<(u64, AttemptId)>,
+    len_max: usize,
+    keep_ms: u64,
+}
+
+impl Seen {
+    pub(super) fn new(len_max: usize, keep_ms: u64) -> Seen {
+        Seen {
+            fates: HashMap::new(),
+            ended: BTreeSet::new(),
+            len_max,
+            keep_ms,
+        }
+    }
+
+    pub(super) fn get(&self, id: AttemptId) -> Option<&Fate> {
+        self.fates.get(&id)
+    }
+
+    /// Returns whether another attempt fits; forgetting one early could let it run again.
+    pub(super) fn has_room(&self) -> bool {
+        self.fates.len() < self.len_max
+    }
+
+    pub(super) fn begin(&mut self, id: AttemptId) {
+        self.fates.insert(id, Fate::Running);
+    }
+
+    /// Keeps how an attempt ended.
+    pub(super) fn end(&mut self, id: AttemptId, outcome: ExecuteOutcome, now: Now) {
+        self.keep(id, outcome, now.mono_ms + self.keep_ms);
+    }
+
+    /// Keeps for a short while that an idempotent attempt was refused, in case its message is
+    /// delivered twice. Under overload there are many of these.
+    pub(super) fn end_briefly(&mut self, id: AttemptId, outcome: ExecuteOutcome, now: Now) {
+        self.keep(id, outcome, now.mono_ms + BRIEF_MS.min(self.keep_ms));
+    }
+
+    fn keep(&mut self, id: AttemptId, outcome: ExecuteOutcome, until_ms: u64) {
+        self.fates.insert(id, Fate::Ended(outcome));
+        self.ended.insert((until_ms, id));
+    }
+
+    /// Forgets an attempt that may safely run again.
+    pub(super) fn forget(&mut self, id: AttemptId) {
+        self.fates.remove(&id);
+    }
+
+    /// Forgets what has been kept long enough.
+    pub(super) fn expire(&mut self, now: Now) {
+        while let Some(&(until_ms, id)) = self.ended.first()
+            && until_ms <= now.mono_ms
+        {
+            self.ended.pop_first();
+            self.fates.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,423 @@
+//! Reading and checking the settings of a process.
+//!
+//! The schema in `schema/settings.json` is the only list of keys: their types, units, defaults
+//! and ranges are read from it here, and so is the page docs/SETTINGS.md.
+
+use std::{collections::BTreeSet, fmt, net::SocketAddr, path::Path};
+
+use ini::Ini;
+use serde_json::{Map, Value};
+
+use crate::{
+    prelude::*,
+    schema::settings::{Role, Settings},
+};
+
+const SCHEMA: &str = include_str!("../../schema/settings.json");
+
+/// One thing wrong with a settings file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    pub file: CompactString,
+    pub section: CompactString,
+    pub key: CompactString,
+    /// What is wrong, with the bad value and what is accepted.
+    pub message: CompactString,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: [{}] {}: {}",
+            self.file, self.section, self.key, self.message
+        )
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns everything that is wrong with it, not only the first.
+pub fn load_settings(path: &Path) -> std::result::Result<Settings, Vec<Problem>> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|it| vec![problem(&file, "", "", &format!("cannot be read: {it}"))])?;
+    parse_settings(&file, &text)
+}
+
+/// Checks the text of a settings file; `file` is used in messages only.
+///
+/// # Errors
+///
+/// Returns everything that is wrong with it, not only the first.
+pub fn parse_settings(file: &str, text: &str) -> std::result::Result<Settings, Vec<Problem>> {
+    let ini = Ini::load_from_str(text)
+        .map_err(|it| vec![problem(file, "", "", &format!("is no INI file: {it}"))])?;
+    let schema = Schema::new();
+    let mut problems = Vec::new();
+    let mut document = Map::new();
+    for name in schema.section_names() {
+        document.insert(name.clone(), Value::Null);
+    }
+    let mut seen_sections = BTreeSet::new();
+    for (section, properties) in ini.iter() {
+        let section = section.unwrap_or("");
+        if section.is_empty() && properties.is_empty() {
+            continue;
+        }
+        let Some(keys) = schema.keys_of(section) else {
+            let names: Vec<_> = schema.section_names().cloned().collect();
+            let message = format!("unknown section; sections are {}", names.join(", "));
+            problems.push(problem(file, section, "", &message));
+            continue;
+        };
+        if !seen_sections.insert(section.to_owned()) {
+            problems.push(problem(file, section, "", "the section stands twice"));
+        }
+        let mut values = Map::new();
+        for (key, text) in properties.iter() {
+            match keys.get(key) {
+                None => {
+                    let nearest = nearest_of(key, keys.keys());
+                    let hint = nearest
+                        .map(|it| format!("; did you mean {it}?"))
+                        .unwrap_or_default();
+                    problems.push(problem(file, section, key, &format!("unknown key{hint}")));
+                }
+                Some(_) if values.contains_key(key) => {
+                    problems.push(problem(file, section, key, "the key stands twice"))
+                }
+                Some(property) => match parse_value(property, text) {
+                    Ok(it) => {
+                        values.insert(key.to_owned(), it);
+                    }
+                    Err(message) => problems.push(problem(file, section, key, &message)),
+                },
+            }
+        }
+        fill_defaults(file, section, keys, &mut values, &mut problems);
+        document.insert(section.to_owned(), Value::Object(values));
+    }
+    for required in ["process", "link"] {
+        if !seen_sections.contains(required) {
+            problems.push(problem(file, required, "", "the section is missing"));
+        }
+    }
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    let settings: Settings = serde_json::from_value(Value::Object(document)).map_err(|it| {
+        vec![problem(
+            file,
+            "",
+            "",
+            &format!("does not match the schema: {it}"),
+        )]
+    })?;
+    check_whole(file, &settings)
+}
+
+/// Returns the page that documents every key, made from the schema.
+pub fn settings_page() -> String {
+    let schema = Schema::new();
+    let mut res = String::from(
+        "# Settings\n\nMade from `schema/settings.json`; a test holds the two together. A settings file is INI: \
+         sections in brackets, `key = value` lines. Times are in milliseconds, sizes in the unit given. A section \
+         is needed for each role in `roles`, and `process` and `link` always. `aspenrail check-config FILE` checks \
+         a file without starting anything.\n",
+    );
+    for section in schema.section_names() {
+        let definition = schema.definition_of(section);
+        let text = definition
+            .and_then(|it| it["description"].as_str())
+            .unwrap_or_default();
+        res.push_str(&format!("\n## [{section}]\n\n{text}\n\n"));
+        res.push_str(
+            "| key | what it is | unit | default | range |\n| --- | --- | --- | --- | --- |\n",
+        );
+        for (key, property) in schema.keys_of(section).into_iter().flatten() {
+            let text = property["description"].as_str().unwrap_or_default();
+            let unit = property["x-unit"].as_str().unwrap_or("-");
+            let default = match &property["default"] {
+                Value::Null => "required".to_owned(),
+                Value::String(it) => it.clone(),
+                it => it.to_string(),
+            };
+            res.push_str(&format!(
+                "| `{key}` | {text} | {unit} | {default} | {} |\n",
+                range_of(property)
+            ));
+        }
+    }
+    res
+}
+
+struct Schema {
+    document: Value,
+}
+
+impl Schema {
+    fn new() -> Schema {
+        Schema {
+            document: serde_json::from_str(SCHEMA).expect("the committed schema is JSON"),
+        }
+    }
+
+    fn section_names(&self) -> impl Iterator<Item = &String> {
+        self.document["definitions"]["Settings"]["properties"]
+            .as_object()
+            .into_iter()
+            .flat_map(Map::keys)
+    }
+
+    fn definition_of(&self, section: &str) -> Option<&Value> {
+        let property = self.document["definitions"]["Settings"]["properties"].get(section)?;
+        let reference = property["$ref"]
+            .as_str()
+            .or(property["oneOf"][0]["$ref"].as_str())?;
+        self.document["definitions"].get(reference.strip_prefix("#/definitions/")?)
+    }
+
+    fn keys_of(&self, section: &str) -> Option<&Map<String, Value>> {
+        self.definition_of(section)?["properties"].as_object()
+    }
+}
+
+fn problem(file: &str, section: &str, key: &str, message: &str) -> Problem {
+    Problem {
+        file: file.into(),
+        section: section.into(),
+        key: key.into(),
+        message: message.into(),
+    }
+}
+
+fn parse_value(property: &Value, text: &str) -> std::result::Result<Value, String> {
+    let text = text.trim();
+    if property["type"] == "integer" {
+        return parse_number(property, text);
+    }
+    if property["type"] == "array" {
+        let items: Vec<_> = text
+            .split(',')
+            .map(str::trim)
+            .filter(|it| !it.is_empty())
+            .collect();
+        if items.is_empty() {
+            return Err("needs at least one value".to_owned());
+        }
+        let item_type = property["items"]["$ref"].as_str().unwrap_or_default();
+        let checked: std::result::Result<Vec<_>, _> =
+            items.iter().map(|it| parse_text(item_type, it)).collect();
+        return checked.map(Value::Array);
+    }
+    parse_text(
+        property["allOf"][0]["$ref"].as_str().unwrap_or_default(),
+        text,
+    )
+}
+
+fn parse_number(property: &Value, text: &str) -> std::result::Result<Value, String> {
+    let unit = property["x-unit"]
+        .as_str()
+        .map(|it| format!(" in {it}"))
+        .unwrap_or_default();
+    let Ok(number) = text.parse::<u64>() else {
+        return Err(format!(
+            "'{text}' is not a whole number{unit}, without unit; accepted is {}",
+            range_of(property)
+        ));
+    };
+    let least = property["minimum"].as_u64().unwrap_or(0);
+    let most = property["maximum"].as_u64().unwrap_or(u64::MAX);
+    if number < least || most < number {
+        return Err(format!(
+            "{number} is out of range; accepted is {}{unit}",
+            range_of(property)
+        ));
+    }
+    Ok(Value::from(number))
+}
+
+fn parse_text(reference: &str, text: &str) -> std::result::Result<Value, String> {
+    match reference {
+        "#/definitions/Address" if text.parse::<SocketAddr>().is_err() => Err(format!(
+            "'{text}' is not an IP address with port, such as 10.0.0.1:7000"
+        )),
+        "#/definitions/Role" if text.parse::<Role>().is_err() => Err(format!(
+            "'{text}' is not a role; roles are entry, agent, control"
+        )),
+        "#/definitions/Text" if text.is_empty() => Err("must not be empty".to_owned()),
+        _ => Ok(Value::from(text)),
+    }
+}
+
+fn range_of(property: &Value) -> String {
+    match (property["minimum"].as_u64(), property["maximum"].as_u64()) {
+        (Some(least), Some(most)) => format!("{least} to {most}"),
+        _ => "-".to_owned(),
+    }
+}
+
+fn fill_defaults(
+    file: &str,
+    section: &str,
+    keys: &Map<String, Value>,
+    values: &mut Map<String, Value>,
+    problems: &mut Vec<Problem>,
+) {
+    for (key, property) in keys {
+        if values.contains_key(key) {
+            continue;
+        }
+        match &property["default"] {
+            Value::Null
+                if problems
+                    .iter()
+                    .any(|it| it.section == section && it.key == key) =>
+            {
+                ()
+            }
+            Value::Null => problems.push(problem(
+                file,
+                section,
+                key,
+                "the key is missing and has no default",
+            )),
+            it => {
+                values.insert(key.clone(), it.clone());
+            }
+        }
+    }
+}
+
+fn nearest_of<'a>(key: &str, known: impl Iterator<Item = &'a String>) -> Option<&'a String> {
+    let shared = |it: &str| {
+        it.split('_')
+            .filter(|part| key.split('_').any(|other| other == *part))
+            .count()
+    };
+    known
+        .map(|it| (shared(it), it))
+        .filter(|(count, _)| 0 < *count)
+        .max_by_key(|(count, _)| *count)
+        .map(|(_, it)| it)
+}
+
+/// Checks what no single key shows.
+fn check_whole(file: &str, it: &Settings) -> std::result::Result<Settings, Vec<Problem>> {
+    let mut problems = Vec::new();
+    let roles = &it.process.roles;
+    let sections = [
+        (Role::Entry, "entry", it.entry.is_some()),
+        (Role::Agent, "agent", it.agent.is_some()),
+        (Role::Control, "control", it.control.is_some()),
+    ];
+    for (role, section, present) in sections {
+        match (roles.contains(&role), present) {
+            (true, false) => problems.push(problem(
+                file,
+                section,
+                "",
+                "the role is played but its section is missing",
+            )),
+            (false, true) => problems.push(problem(
+                file,
+                section,
+                "",
+                "the section is there but the role is not played",
+            )),
+            _ => (),
+        }
+    }
+    let mut listens = vec![("link", it.link.listen)];
+    listens.extend(it.entry.as_ref().map(|it| ("entry", it.listen)));
+    listens.extend(it.agent.as_ref().map(|it| ("agent", it.listen)));
+    listens.extend(it.control.as_ref().map(|it| ("control", it.listen)));
+    for (at, (section, address)) in listens.iter().enumerate() {
+        if let Some((other, _)) = listens[..at]
+            .iter()
+            .find(|(_, it)| it == address && it.port() != 0)
+        {
+            let message = format!("{address} is the address of [{other}] too; each needs its own");
+            problems.push(problem(file, section, "listen", &message));
+        }
+    }
+    let mut controls = BTreeSet::new();
+    for address in &it.link.control {
+        if !controls.insert(*address) {
+            problems.push(problem(
+                file,
+                "link",
+                "control",
+                &format!("{address} stands twice"),
+            ));
+        }
+    }
+    if it.process.log_level.parse::<tracing::Level>().is_err() {
+        let message = format!(
+            "'{}' is not a level; levels are error, warn, info, debug, trace",
+            it.process.log_level
+        );
+        problems.push(problem(file, "process", "log_level", &message));
+    }
+    if let Some(control) = &it.control {
+        check_control(file, control, &mut problems);
+    }
+    for (section, key, path) in [
+        (
+            "entry",
+            "teams_file",
+            it.entry.as_ref().map(|it| &it.teams_file),
+        ),
+        (
+            "control",
+            "operators_file",
+            it.control.as_ref().map(|it| &it.operators_file),
+        ),
+    ] {
+        if let Some(path) = path.filter(|it| !Path::new(it.as_str()).is_file()) {
+            problems.push(problem(
+                file,
+                section,
+                key,
+                &format!("there is no file '{path}'"),
+            ));
+        }
+    }
+    if problems.is_empty() {
+        Ok(it.clone())
+    } else {
+        Err(problems)
+    }
+}
+
+fn check_control(
+    file: &str,
+    it: &crate::schema::settings::ControlSettings,
+    problems: &mut Vec<Problem>,
+) {
+    if it.election_timeout_ms < it.heartbeat_ms * 3 {
+        let message = format!(
+            "{} is less than three heartbeats of {} ms: a single lost one would depose the leader",
+            it.election_timeout_ms, it.heartbeat_ms
+        );
+        problems.push(problem(file, "control", "election_timeout_ms", &message));
+    }
+    if it.lease_ms < it.election_timeout_ms * 3 {
+        let message = format!(
+            "{} is less than three election timeouts of {} ms: a change of leader would cost agents their leases",
+            it.lease_ms, it.election_timeout_ms
+        );
+        problems.push(problem(file, "control", "lease_ms", &message));
+    }
+    if !Path::new(it.data_folder.as_str()).is_dir() {
+        let message = format!(
+            "there is no folder '{}'; aspenrail init makes it",
+            it.data_folder
+        );
+        problems.push(problem(file, "control", "data_folder", &message));
+    }
+}
--- /dev/null
+++ b/src/control/client.rs
@@ -0,0 +1,175 @@
+//! The client of control that every role holds.
+//!
+//! It finds the leader, follows its hints, and repeats an operation under the same id until it
+//! is answered or its time is up. Every operation is made so that a repetition does no harm.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use crate::{control::state::Outcome, prelude::*};
+
+/// Time after which an operation without an answer is sent to the next control process.
+const RESEND_MS: u64 = 400;
+
+/// Pause after an answer that names no leader, as while one is elected.
+const ELECTION_PAUSE_MS: u64 = 60;
+
+#[derive(Clone, Debug)]
+struct Call<T> {
+    operation: Operation,
+    token: T,
+    deadline_ms: u64,
+    next_ms: u64,
+}
+
+/// Operations under way, each with the caller's token `T`.
+#[derive(Clone, Debug)]
+pub struct ControlClient<T> {
+    reply_to: SocketAddr,
+    controls: Vec<SocketAddr>,
+    target: usize,
+    leader: Option<SocketAddr>,
+    calls: HashMap<u64, Call<T>>,
+    next_id: u64,
+    outbox: Vec<(SocketAddr, Message)>,
+}
+
+impl<T: Clone> ControlClient<T> {
+    /// Makes a client that is answered at `reply_to`; `boot` makes its ids differ from those of
+    /// an earlier run.
+    pub fn new(reply_to: SocketAddr, controls: Vec<SocketAddr>, boot: u64) -> ControlClient<T> {
+        ControlClient {
+            reply_to,
+            target: boot as usize % controls.len().max(1),
+            controls,
+            leader: None,
+            calls: HashMap::new(),
+            next_id: boot,
+            outbox: Vec::new(),
+        }
+    }
+
+    /// Returns the process that is thought to lead, or the next one to try.
+    pub fn target(&self) -> Option<SocketAddr> {
+        self.leader
+            .or_else(|| self.controls.get(self.target).copied())
+    }
+
+    /// Learns who leads.
+    pub fn set_leader(&mut self, leader: Option<SocketAddr>) {
+        match leader {
+            Some(_) => self.leader = leader,
+            None => self.try_next(),
+        }
+    }
+
+    /// Turns to the next control process, since the current one is silent or does not lead.
+    pub fn try_next(&mut self) {
+        self.leader = None;
+        self.target = (self.target + 1) % self.controls.len().max(1);
+    }
+
+    /// Returns the operations under way.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Returns whether no operation is under way.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Starts an operation.
+    pub fn call(&mut self, now: Now, operation: Operation, deadline_ms: u64, token: T) {
+        self.next_id = self.next_id.wrapping_add(1);
+        let id = self.next_id;
+        self.calls.insert(
+            id,
+            Call {
+                operation,
+                token,
+                deadline_ms,
+                next_ms: now.mono_ms,
+            },
+        );
+        self.send(now, id);
+    }
+
+    /// Takes in an answer; returns the token and the outcome if it ends an operation.
+    pub fn on_reply(&mut self, now: Now, reply: ControlReply) -> Option<(T, Outcome)> {
+        let call = self.calls.get_mut(&reply.id)?;
+        match reply.result {
+            ControlResult::Ok(it) => Some((self.calls.remove(&reply.id)?.token, Ok(it))),
+            ControlResult::Refused(it) => Some((self.calls.remove(&reply.id)?.token, Err(it))),
+            ControlResult::NotLeader(hint) => {
+                let pause_ms = if hint.is_some() { 1 } else { ELECTION_PAUSE_MS };
+                call.next_ms = now.mono_ms + pause_ms;
+                self.set_leader(hint);
+                None
+            }
+        }
+    }
+
+    /// Repeats what is due, and returns the operations whose time is up.
+    pub fn tick(&mut self, now: Now) -> Vec<(T, Outcome)> {
+        let mut ended: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, it)| it.deadline_ms <= now.mono_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        ended.sort_unstable();
+        let mut due: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, it)| it.next_ms <= now.mono_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        due.sort_unstable();
+        due.retain(|it| !ended.contains(it));
+        if !due.is_empty() && self.leader.is_some() {
+            // The leader owed an answer to one of these.
+            self.try_next();
+        }
+        for id in due {
+            self.send(now, id);
+        }
+        let unavailable = || {
+            refusal_until(
+                ErrorKind::ControlUnavailable,
+                "control did not answer in time",
+                1_000,
+            )
+        };
+        ended
+            .into_iter()
+            .filter_map(|id| Some((self.calls.remove(&id)?.token, Err(unavailable()))))
+            .collect()
+    }
+
+    /// Returns when [`ControlClient::tick`] has something to do.
+    pub fn next_tick_ms(&self) -> Option<u64> {
+        self.calls
+            .values()
+            .map(|it| it.next_ms.min(it.deadline_ms))
+            .min()
+    }
+
+    /// Takes the messages to send.
+    pub fn take_messages(&mut self) -> Vec<(SocketAddr, Message)> {
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn send(&mut self, now: Now, id: u64) {
+        let Some(to) = self.target() else { return };
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.next_ms = now.mono_ms + RESEND_MS;
+        let request = ControlRequest {
+            id,
+            reply_to: self.reply_to,
+            operation: call.operation.clone(),
+        };
+        self.outbox.push((to, Message::ControlRequest(request)));
+    }
+}
--- /dev/null
+++ b/src/control/core.rs
@@ -0,0 +1,856 @@
+//! One member of a control group, without its I/O.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use crate::{
+    control::{
+        client::ControlClient,
+        directory::Directory,
+        log::{Applied, DiskWrite, ProposeError, Raft, RaftOptions, Recovered},
+        reconcile,
+        scheduler::{Scheduler, SchedulerOptions},
+        sessions::Sessions,
+        state::{Change, Outcome, State},
+        views,
+    },
+    prelude::*,
+    schema::settings::ControlSettings,
+    util::Place,
+};
+
+/// How often the leader looks for expired leases and makes plans.
+const LEADER_TICK_MS: u64 = 25;
+
+/// How often what was kept long enough is forgotten.
+const EXPIRE_MS: u64 = 30_000;
+
+/// Proposals under way before new ones are refused.
+const PROPOSALS_MAX: usize = 20_000;
+
+/// Events read from a watch at once.
+const WATCH_READ_MAX: usize = 100;
+
+/// What one member is told by its settings and identity.
+#[derive(Clone, Debug)]
+pub struct ControlOptions {
+    pub place: Place,
+    pub member: MemberId,
+    /// Where other processes reach this one.
+    pub address: SocketAddr,
+    pub controls: Vec<SocketAddr>,
+    pub settings: ControlSettings,
+    /// Random number of this process.
+    pub boot: u64,
+}
+
+/// What a member is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    Message {
+        from: SocketAddr,
+        message: Message,
+    },
+    /// An operation from this process's own edge, answered by [`Effect::Answer`].
+    Operation {
+        token: u64,
+        operation: Operation,
+        deadline_ms: u64,
+    },
+    Persisted {
+        number: u64,
+    },
+    DiskFull(bool),
+    Tick,
+    /// A planned stop: leadership is handed over.
+    Stop,
+}
+
+/// What a member wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Send { to: SocketAddr, message: Message },
+    Write { number: u64, writes: Vec<DiskWrite> },
+    Answer { token: u64, outcome: Outcome },
+}
+
+/// Whom the answer to an operation goes to.
+#[derive(Clone, Copy, Debug)]
+enum ReplyTo {
+    Link {
+        address: SocketAddr,
+        id: u64,
+    },
+    Edge {
+        token: u64,
+    },
+    /// The leader's own proposal; nobody waits.
+    Nobody,
+}
+
+/// What only a leader keeps.
+pub(super) struct Leading {
+    pub since_ms: u64,
+    pub sessions: Sessions,
+    pub directory: Directory,
+    pub scheduler: Scheduler,
+    /// Events proposed and not applied, so that each is proposed once.
+    proposed: HashSet<(TaskId, u32, std::mem::Discriminant<TaskEvent>)>,
+    expire_at_ms: u64,
+    tick_at_ms: u64,
+}
+
+/// One member of a control group.
+pub struct ControlCore {
+    pub(super) options: ControlOptions,
+    pub(super) raft: Raft,
+    pub(super) state: State,
+    pub(super) leading: Option<Leading>,
+    waiting: BTreeMap<u64, (u64, ReplyTo)>,
+    /// Where members not in the membership known here were heard from.
+    heard_from: BTreeMap<MemberId, SocketAddr>,
+    client: ControlClient<u64>,
+    disk_full: bool,
+    effects: Vec<Effect>,
+    refusals: HashMap<ErrorKind, u64>,
+}
+
+impl ControlCore {
+    /// Makes a member from what its disk kept.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the snapshot cannot be decoded.
+    pub fn new(options: ControlOptions, recovered: Recovered, now: Now) -> Result<ControlCore> {
+        let settings = &options.settings;
+        let raft_options = RaftOptions {
+            election_timeout_ms: settings.election_timeout_ms.into(),
+            heartbeat_ms: settings.heartbeat_ms.into(),
+            seed: options.boot,
+            ..RaftOptions::default()
+        };
+        let raft = Raft::new(options.member, recovered, raft_options, now);
+        let client = ControlClient::new(options.address, options.controls.clone(), options.boot);
+        let mut res = ControlCore {
+            state: State::new(options.place),
+            options,
+            raft,
+            leading: None,
+            waiting: BTreeMap::new(),
+            heard_from: BTreeMap::new(),
+            client,
+            disk_full: false,
+            effects: Vec::new(),
+            refusals: HashMap::new(),
+        };
+        res.apply(now)?;
+        Ok(res)
+    }
+
+    /// Returns the configuration revision in force here.
+    pub fn in_force(&self) -> Revision {
+        self.state.configuration.revision
+    }
+
+    /// Returns the state applied so far.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the log.
+    pub fn raft(&self) -> &Raft {
+        &self.raft
+    }
+
+    /// Returns how often each kind was refused.
+    pub fn refusals(&self) -> &HashMap<ErrorKind, u64> {
+        &self.refusals
+    }
+
+    /// Returns the leader's scheduler, while this member leads.
+    pub fn scheduler(&self) -> Option<&Scheduler> {
+        self.leading.as_ref().map(|it| &it.scheduler)
+    }
+
+    /// Returns whether this member can answer: it leads, or knows who does.
+    pub fn is_ready(&self) -> bool {
+        self.raft.leader().is_some()
+    }
+
+    /// Returns when the next [`Input::Tick`] is due.
+    pub fn next_tick_ms(&self) -> u64 {
+        let raft_ms = self.raft.next_tick_ms();
+        let leading_ms = self.leading.as_ref().map_or(u64::MAX, |it| it.tick_at_ms);
+        raft_ms
+            .min(leading_ms)
+            .min(self.client.next_tick_ms().unwrap_or(u64::MAX))
+    }
+
+    /// Takes the effects of the inputs so far.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes in one input.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error after which the member must stop: its state cannot be trusted.
+    pub fn handle(&mut self, now: Now, input: Input) -> Result<()> {
+        match input {
+            Input::Message { from, message } => self.on_message(now, from, message),
+            Input::Operation {
+                token,
+                operation,
+                deadline_ms,
+            } => self.operate(now, operation, ReplyTo::Edge { token }, deadline_ms),
+            Input::Persisted { number } => self.raft.persisted(now, number),
+            Input::DiskFull(it) => self.disk_full = it,
+            Input::Tick => self.tick(now),
+            Input::Stop => self.raft.hand_over(now),
+        }
+        self.finish_turn(now)
+    }
+
+    /// Replicates, applies and collects what the inputs of this turn led to.
+    fn finish_turn(&mut self, now: Now) -> Result<()> {
+        self.raft.flush(now);
+        self.apply(now)?;
+        self.follow_leadership(now);
+        if self.raft.snapshot_index() + u64::from(self.options.settings.snapshot_entries)
+            < self.state.index()
+        {
+            // Encoding runs on the core's thread; docs/CAPACITY.md has what it costs.
+            let data = self.state.to_bytes()?;
+            self.raft.compact(data);
+        }
+        if let Some((number, writes)) = self.raft.take_writes() {
+            self.effects.push(Effect::Write { number, writes });
+        }
+        for message in self.raft.take_messages() {
+            if let Some(to) = self.address_of(message.to) {
+                self.effects.push(Effect::Send {
+                    to,
+                    message: Message::Raft(message),
+                });
+            }
+        }
+        for (to, message) in self.client.take_messages() {
+            self.effects.push(Effect::Send { to, message });
+        }
+        Ok(())
+    }
+
+    fn address_of(&self, id: MemberId) -> Option<SocketAddr> {
+        // A learner that joins knows no membership yet, and answers whom it heard from.
+        self.raft
+            .address_of(id)
+            .or_else(|| self.heard_from.get(&id).copied())
+    }
+
+    fn tick(&mut self, now: Now) {
+        self.raft.tick(now);
+        for (token, outcome) in self.client.tick(now) {
+            self.answer(ReplyTo::Edge { token }, outcome);
+        }
+        if self.raft.has_lease(now) {
+            self.lead(now);
+        }
+        if let Some(it) = &mut self.leading {
+            it.tick_at_ms = now.mono_ms + LEADER_TICK_MS;
+        }
+    }
+
+    /// Does what a leader does by itself.
+    fn lead(&mut self, now: Now) {
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.sessions.forget_silent_entries(now);
+        let expired = leading.sessions.take_expired(now);
+        let plan = leading.scheduler.plan(&self.state, now);
+        let mut commands: Vec<Command> = expired
+            .into_iter()
+            .map(|session| {
+                Command::CloseSession(CloseSessionCommand {
+                    session,
+                    reason: SessionEnd::Expired,
+                })
+            })
+            .collect();
+        commands.extend(plan.starts.into_iter().map(Command::Start));
+        commands.extend(plan.flags.into_iter().map(Command::VmFlags));
+        commands.extend(self.new_events(plan.events));
+        if let Some(it) = &mut self.leading
+            && it.expire_at_ms <= now.mono_ms
+        {
+            it.expire_at_ms = now.mono_ms + EXPIRE_MS;
+            let settings = &self.options.settings;
+            commands.push(Command::Expire(ExpireCommand {
+                jobs_before_ms: now.wall_ms.saturating_sub(settings.job_retention_ms),
+                claims_before_ms: now.wall_ms.saturating_sub(settings.claim_retention_ms),
+            }));
+        }
+        for it in commands {
+            self.propose(now, it, ReplyTo::Nobody);
+        }
+    }
+
+    /// Turns events into commands, without those already on their way.
+    fn new_events(&mut self, events: Vec<TaskEventCommand>) -> Vec<Command> {
+        let Some(leading) = &mut self.leading else {
+            return Vec::new();
+        };
+        let is_new = |it: &TaskEventCommand| {
+            leading
+                .proposed
+                .insert((it.task, it.incarnation, std::mem::discriminant(&it.event)))
+        };
+        events
+            .into_iter()
+            .filter(is_new)
+            .map(Command::TaskEvent)
+            .collect()
+    }
+
+    fn on_message(&mut self, now: Now, from: SocketAddr, message: Message) {
+        match message {
+            Message::Raft(it) => {
+                self.heard_from.insert(it.from, from);
+                self.raft.step(now, it);
+            }
+            Message::ControlRequest(it) => {
+                let to = ReplyTo::Link {
+                    address: it.reply_to,
+                    id: it.id,
+                };
+                self.operate(now, it.operation, to, u64::MAX);
+            }
+            Message::ControlReply(it) => {
+                if let Some((token, outcome)) = self.client.on_reply(now, it) {
+                    self.answer(ReplyTo::Edge { token }, outcome);
+                }
+            }
+            Message::AgentHeartbeat(it) => self.on_agent_heartbeat(now, it),
+            Message::EntryHeartbeat(it) => self.on_entry_heartbeat(now, &it),
+            Message::ConfigFetch(it) => {
+                let update = Message::ConfigUpdate(self.state.configuration.clone());
+                self.effects.push(Effect::Send {
+                    to: it.reply_to,
+                    message: update,
+                });
+            }
+            _ => (),
+        }
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        self.raft
+            .leader()
+            .filter(|it| *it != self.raft.id())
+            .and_then(|it| self.raft.address_of(it))
+    }
+
+    fn operate(&mut self, now: Now, operation: Operation, to: ReplyTo, deadline_ms: u64) {
+        let ready = self.raft.has_lease(now);
+        match (to, operation) {
+            (ReplyTo::Edge { token }, operation) if !ready => {
+                self.client.set_leader(self.leader_address());
+                self.client.call(now, operation, deadline_ms, token);
+            }
+            (ReplyTo::Link { address, id }, _) if !ready => {
+                let result = ControlResult::NotLeader(self.leader_address());
+                self.send_reply(address, id, result);
+            }
+            (_, Operation::Propose(it)) => self.propose_for_client(now, it, to),
+            (_, Operation::Query(it)) => {
+                let outcome = self.query(now, &it);
+                self.answer(to, outcome);
+            }
+            (_, Operation::Membership(it)) => match self.raft.change_members(now, it) {
+                Ok(index) => {
+                    self.waiting.insert(index, (self.raft.term(), to));
+                }
+                Err(error) => self.answer_unproposed(to, error),
+            },
+            (_, Operation::Drain(it)) => match self.state.vms.by_name(&it.vm_name) {
+                Some(vm) => {
+                    let flags = VmFlagsCommand {
+                        vm: vm.id,
+                        draining: it.draining,
+                        quarantined: vm.quarantined,
+                    };
+                    self.propose(now, Command::VmFlags(flags), to);
+                }
+                None => {
+                    let detail = format_compact!("no VM is named {}", it.vm_name);
+                    self.answer(to, Err(refusal(ErrorKind::NotFound, detail)));
+                }
+            },
+        }
+    }
+
+    /// Checks the limits that are settings, and proposes.
+    fn propose_for_client(&mut self, now: Now, mut command: Command, to: ReplyTo) {
+        if let Command::CreateWatch(it) = &mut command {
+            it.events_max = self.options.settings.watch_events_max;
+        }
+        match self.check_limits(&command) {
+            Ok(()) => self.propose(now, command, to),
+            Err(it) => self.answer(to, Err(it)),
+        }
+    }
+
+    fn check_limits(&self, command: &Command) -> std::result::Result<(), Refusal> {
+        let settings = &self.options.settings;
+        let full = |table: &str, most: u32| {
+            Err(refusal_until(
+                ErrorKind::TableFull,
+                format_compact!("{table} are at their most, {most}"),
+                5_000,
+            ))
+        };
+        let frees = matches!(
+            command,
+            Command::Cancel(_) | Command::Settle(_) | Command::DeleteWatch(_)
+        );
+        if self.disk_full && !frees {
+            return Err(refusal_until(
+                ErrorKind::DiskFull,
+                "control's disk has too little free space",
+                10_000,
+            ));
+        }
+        if PROPOSALS_MAX <= self.waiting.len() {
+            return full("proposals under way", PROPOSALS_MAX as u32);
+        }
+        let state = &self.state;
+        match command {
+            Command::Submit(_) if settings.jobs_max as usize <= state.jobs.len() => {
+                full("jobs", settings.jobs_max)
+            }
+            Command::Submit(it)
+                if (settings.tasks_max as usize)
+                    < state.jobs.task_count() + it.spec.tasks as usize =>
+            {
+                full("tasks", settings.tasks_max)
+            }
+            Command::Claim(it)
+                if settings.claims_max as usize <= state.claims.len()
+                    && state.claims.get(&it.team, &it.key).is_none() =>
+            {
+                full("claims", settings.claims_max)
+            }
+            Command::CreateWatch(_) if settings.watches_max as usize <= state.watches.len() => {
+                full("watches", settings.watches_max)
+            }
+            Command::Publish(_)
+                if settings.claims_max as usize <= state.watches.published_len() =>
+            {
+                full("keys of published events", settings.claims_max)
+            }
+            Command::OpenSession(it)
+                if settings.vms_max as usize <= state.vms.len()
+                    && state.vms.by_name(&it.vm_name).is_none() =>
+            {
+                full("VMs", settings.vms_max)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn propose(&mut self, now: Now, command: Command, to: ReplyTo) {
+        match self.raft.propose(now, EntryBody::Command(command)) {
+            Ok(index) => {
+                self.waiting.insert(index, (self.raft.term(), to));
+            }
+            Err(error) => self.answer_unproposed(to, error),
+        }
+    }
+
+    fn answer_unproposed(&mut self, to: ReplyTo, error: ProposeError) {
+        let outcome = match error {
+            ProposeError::MembershipBusy => Err(refusal_until(
+                ErrorKind::MembershipUnsafe,
+                "another change of membership is under way",
+                1_000,
+            )),
+            ProposeError::MembershipUnsafe(why) => Err(refusal(ErrorKind::MembershipUnsafe, why)),
+            ProposeError::NotLeader | ProposeError::HandingOver => {
+                return self.answer_not_leader(to);
+            }
+        };
+        self.answer(to, outcome);
+    }
+
+    fn answer_not_leader(&mut self, to: ReplyTo) {
+        match to {
+            ReplyTo::Link { address, id } => {
+                let result = ControlResult::NotLeader(self.leader_address());
+                self.send_reply(address, id, result);
+            }
+            ReplyTo::Edge { .. } => {
+                let detail = "the leader changed meanwhile: ask again with the same key";
+                self.answer(
+                    to,
+                    Err(refusal_until(ErrorKind::ControlUnavailable, detail, 500)),
+                );
+            }
+            ReplyTo::Nobody => (),
+        }
+    }
+
+    fn answer(&mut self, to: ReplyTo, outcome: Outcome) {
+        if let (Err(it), ReplyTo::Link { .. } | ReplyTo::Edge { .. }) = (&outcome, to) {
+            *self.refusals.entry(it.kind).or_insert(0) += 1;
+        }
+        match to {
+            ReplyTo::Edge { token } => self.effects.push(Effect::Answer { token, outcome }),
+            ReplyTo::Link { address, id } => {
+                let result = match outcome {
+                    Ok(it) => ControlResult::Ok(it),
+                    Err(it) => ControlResult::Refused(it),
+                };
+                self.send_reply(address, id, result);
+            }
+            ReplyTo::Nobody => (),
+        }
+    }
+
+    fn send_reply(&mut self, to: SocketAddr, id: u64, result: ControlResult) {
+        let message = Message::ControlReply(ControlReply { id, result });
+        self.effects.push(Effect::Send { to, message });
+    }
+
+    /// Applies what was committed.
+    fn apply(&mut self, now: Now) -> Result<()> {
+        for it in self.raft.take_applied() {
+            match it {
+                Applied::Snapshot(it) => {
+                    self.state = State::from_bytes(&it.data)?;
+                    // Indexes beside the old state are worth nothing; a leader installs none.
+                    self.leading = None;
+                }
+                Applied::Entry(it) => self.apply_entry(now, &it),
+            }
+        }
+        self.raft.set_in_force(self.state.configuration.revision);
+        Ok(())
+    }
+
+    fn apply_entry(&mut self, now: Now, entry: &Arc<LogEntry>) {
+        let waiting = self.waiting.remove(&entry.index);
+        let EntryBody::Command(command) = &entry.body else {
+            self.state.touch(entry.index, entry.time_ms);
+            if let Some((term, to)) = waiting
+                && term == entry.term
+            {
+                self.answer(to, Ok(Reply::Done));
+            }
+            return;
+        };
+        let mut changes = Vec::new();
+        let outcome = self
+            .state
+            .apply(entry.index, entry.time_ms, command, &mut changes);
+        if let Some(leading) = &mut self.leading {
+            leading.note_command(&self.state, &self.options.settings, command, &outcome, now);
+            for it in &changes {
+                leading.scheduler.note(&self.state, *it, now);
+            }
+            let orders = start_orders(&self.state, &changes, &leading.sessions);
+            self.effects.extend(orders);
+        }
+        match waiting {
+            Some((term, to)) if term == entry.term => self.answer(to, outcome),
+            Some((_, to)) => self.answer_not_leader(to),
+            None => (),
+        }
+    }
+
+    /// Takes up and lays down what only a leader keeps.
+    fn follow_leadership(&mut self, now: Now) {
+        match (self.raft.is_leader(), self.leading.is_some()) {
+            // Only once everything of earlier terms is applied is the state the leader's own.
+            (true, false) if self.raft.has_lease(now) => {
+                let settings = &self.options.settings;
+                let scheduler = SchedulerOptions {
+                    task_failures_max: settings.task_failures_max,
+                    vm_failures_max: settings.vm_failures_max,
+                    quarantine_ms: settings.quarantine_ms.into(),
+                    ..SchedulerOptions::default()
+                };
+                self.leading = Some(Leading {
+                    since_ms: now.mono_ms,
+                    sessions: Sessions::take_over(&self.state, now, held_ms(settings)),
+                    directory: Directory::new(self.raft.term()),
+                    scheduler: Scheduler::new(&self.state, scheduler, now),
+                    proposed: HashSet::new(),
+                    expire_at_ms: now.mono_ms + EXPIRE_MS,
+                    tick_at_ms: now.mono_ms,
+                });
+                tracing::info!(
+                    event = "leadership_taken",
+                    term = self.raft.term(),
+                    index = self.state.index()
+                );
+            }
+            (false, true) => {
+                self.leading = None;
+                tracing::info!(event = "leadership_lost", term = self.raft.term());
+            }
+            _ => (),
+        }
+        if !self.raft.is_leader() && !self.waiting.is_empty() {
+            for (_, to) in std::mem::take(&mut self.waiting).into_values() {
+                self.answer_not_leader(to);
+            }
+        }
+    }
+
+    fn on_agent_heartbeat(&mut self, now: Now, it: AgentHeartbeat) {
+        if !self.raft.has_lease(now) || self.leading.is_none() {
+            let message = Message::NotLeader(self.leader_address());
+            self.effects.push(Effect::Send {
+                to: it.reply_to,
+                message,
+            });
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let vm = self.state.vms.by_session(it.session);
+        let seen = leading
+            .sessions
+            .agents
+            .get_mut(&it.session)
+            .filter(|seen| !seen.closing);
+        let (Some(vm), Some(seen)) = (vm, seen) else {
+            let reply = heartbeat_reply(&it, 0, SessionVerdict::Ended, Vec::new());
+            self.effects.push(Effect::Send {
+                to: it.reply_to,
+                message: Message::AgentHeartbeatReply(reply),
+            });
+            return;
+        };
+        if it.number < seen.number {
+            // Overtaken by a newer one; its list of tasks is out of date.
+            return;
+        }
+        let was_draining = std::mem::replace(&mut seen.draining, it.draining);
+        seen.number = it.number;
+        seen.heard = true;
+        seen.reconciled = it.reconciled;
+        seen.in_force = it.in_force;
+        seen.usage = it.usage;
+        seen.held_until_ms = now.mono_ms + held_ms(&self.options.settings);
+        seen.reported = it
+            .tasks
+            .iter()
+            .map(|it| (it.task, (it.incarnation, it.phase)))
+            .collect();
+        leading
+            .directory
+            .set(it.session, it.reply_to, vm, &it.endpoints);
+        let age_ms = u64::from(it.usage.age_ms);
+        let mut events =
+            leading
+                .scheduler
+                .note_endpoints(&self.state, vm, &it.endpoints, age_ms, now);
+        let mut res = reconcile::reconcile(&self.state, vm, &it.tasks, it.reconciled);
+        events.append(&mut res.events);
+        for report in &it.tasks {
+            if let Some(permille) = leading.scheduler.throttle_of(report.task) {
+                let action = TaskAction::Throttle(permille);
+                res.orders.push(TaskOrder {
+                    task: report.task,
+                    incarnation: report.incarnation,
+                    action,
+                });
+            }
+        }
+        if it.draining && !was_draining {
+            tracing::info!(event = "agent_draining", vm = %vm.name);
+        }
+        let reply = heartbeat_reply(
+            &it,
+            self.options.settings.lease_ms,
+            SessionVerdict::Renewed,
+            res.orders,
+        );
+        self.effects.push(Effect::Send {
+            to: it.reply_to,
+            message: Message::AgentHeartbeatReply(reply),
+        });
+        self.send_configuration(it.reply_to, it.in_force);
+        for command in self.new_events(events) {
+            self.propose(now, command, ReplyTo::Nobody);
+        }
+    }
+
+    fn on_entry_heartbeat(&mut self, now: Now, it: &EntryHeartbeat) {
+        if !self.raft.has_lease(now) || self.leading.is_none() {
+            let message = Message::NotLeader(self.leader_address());
+            self.effects.push(Effect::Send {
+                to: it.reply_to,
+                message,
+            });
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.sessions.note_entry(now, it);
+        // A new leader has heard of no endpoints yet; telling that would empty every entry.
+        let waited = leading.since_ms + u64::from(self.options.settings.lease_ms) <= now.mono_ms;
+        let directory = match leading.sessions.all_heard() || waited {
+            true => leading
+                .directory
+                .update_since(it.directory_epoch, it.directory_version),
+            false => None,
+        };
+        let message = Message::EntryHeartbeatReply(EntryHeartbeatReply { directory });
+        self.effects.push(Effect::Send {
+            to: it.reply_to,
+            message,
+        });
+        self.send_configuration(it.reply_to, it.in_force);
+    }
+
+    fn send_configuration(&mut self, to: SocketAddr, in_force: Revision) {
+        if in_force < self.state.configuration.revision {
+            let message = Message::ConfigUpdate(self.state.configuration.clone());
+            self.effects.push(Effect::Send { to, message });
+        }
+    }
+
+    fn query(&self, now: Now, query: &Query) -> Outcome {
+        match query {
+            Query::Job(it) => views::job(&self.state, it),
+            Query::JobResult(it) => views::job_result(&self.state, it),
+            Query::Watch(it) => views::watch(&self.state, it, WATCH_READ_MAX),
+            Query::Claim(it) => match self.state.claims.get(&it.team, &it.key) {
+                Some(claim) => Ok(Reply::Claim(claim.clone())),
+                None => Err(refusal(
+                    ErrorKind::NotFound,
+                    format_compact!("key {} is not claimed", it.key),
+                )),
+            },
+            Query::View(it) => views::view(self, *it, now),
+        }
+    }
+}
+
+impl Leading {
+    /// Keeps sessions and learned run times in step with a command just applied.
+    fn note_command(
+        &mut self,
+        state: &State,
+        settings: &ControlSettings,
+        command: &Command,
+        outcome: &Outcome,
+        now: Now,
+    ) {
+        match (command, outcome) {
+            (Command::OpenSession(_), Ok(Reply::SessionOpened(it))) => {
+                let ended: Vec<_> = self
+                    .sessions
+                    .agents
+                    .keys()
+                    .filter(|id| state.vms.by_session(**id).is_none())
+                    .copied()
+                    .collect();
+                for id in ended {
+                    self.end_session(id);
+                }
+                self.sessions.open(it.session, now, held_ms(settings));
+            }
+            (Command::CloseSession(it), _) => self.end_session(it.session),
+            (Command::TaskEvent(it), _) => {
+                self.proposed
+                    .remove(&(it.task, it.incarnation, std::mem::discriminant(&it.event)));
+                if let (TaskEvent::Completed(done), Ok(_)) = (&it.event, outcome)
+                    && let Some(task) = state.jobs.task(it.task)
+                {
+                    self.scheduler.note_run(state, task, done.run_ms);
+                }
+            }
+            _ => (),
+        }
+    }
+
+    fn end_session(&mut self, id: SessionId) {
+        self.sessions.agents.remove(&id);
+        self.directory.remove_session(id);
+    }
+}
+
+/// Returns how long a lease granted now keeps its tasks from being placed anew.
+fn held_ms(settings: &ControlSettings) -> u64 {
+    u64::from(settings.lease_ms) + u64::from(settings.lease_margin_ms)
+}
+
+fn heartbeat_reply(
+    it: &AgentHeartbeat,
+    lease_ms: u32,
+    verdict: SessionVerdict,
+    orders: Vec<TaskOrder>,
+) -> AgentHeartbeatReply {
+    AgentHeartbeatReply {
+        session: it.session,
+        number: it.number,
+        sent_ms: it.sent_ms,
+        lease_ms,
+        verdict,
+        orders,
+    }
+}
+
+/// Returns the orders for tasks just placed, which do not wait for the next heartbeat.
+fn start_orders(state: &State, changes: &[Change], sessions: &Sessions) -> Vec<Effect> {
+    let mut by_session: BTreeMap<SessionId, Vec<TaskOrder>> = BTreeMap::new();
+    for it in changes {
+        let Change::Task(id) = it else { continue };
+        let Some(task) = state.jobs.task(*id) else {
+            continue;
+        };
+        let action = match task.state {
+            TaskState::Starting | TaskState::Resuming => reconcile::start_order(state, *id),
+            TaskState::Checkpointing => Some(TaskOrder {
+                task: *id,
+                incarnation: task.incarnation,
+                action: TaskAction::Checkpoint,
+            }),
+            TaskState::Stopping => Some(TaskOrder {
+                task: *id,
+                incarnation: task.incarnation,
+                action: TaskAction::Stop,
+            }),
+            _ => None,
+        };
+        if let (Some(order), Some(placement)) = (action, task.placement) {
+            by_session.entry(placement.session).or_default().push(order);
+        }
+    }
+    let to_effect = |(session, orders): (SessionId, Vec<TaskOrder>)| {
+        let seen = sessions.agents.get(&session).filter(|it| it.reconciled)?;
+        let address = state.vms.by_session(session)?.session.as_ref()?.address;
+        let orders = AgentHeartbeatReply {
+            session,
+            number: seen.number,
+            sent_ms: 0,
+            lease_ms: 0,
+            verdict: SessionVerdict::Renewed,
+            orders,
+        };
+        Some(Effect::Send {
+            to: address,
+            message: Message::AgentOrders(orders),
+        })
+    };
+    by_session.into_iter().filter_map(to_effect).collect()
+}
--- /dev/null
+++ b/src/control/log/progress.rs
@@ -0,0 +1,36 @@
+//! What the leader knows of one member.
+
+/// What the leader knows of one member.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Progress {
+    pub match_index: u64,
+    pub next_index: u64,
+    /// The leader's clock at the sending of the newest message that the member answered.
+    pub acked_sent_ms: u64,
+    /// The leader's clock at the newest answer.
+    pub heard_ms: u64,
+    /// Offset of the snapshot chunk under way, while one is.
+    pub snapshot_offset_bytes: Option<u64>,
+    pub chunk_sent_ms: u64,
+    pub in_force: u64,
+}
+
+impl Progress {
+    pub(super) fn new(next_index: u64) -> Progress {
+        Progress {
+            match_index: 0,
+            next_index,
+            acked_sent_ms: 0,
+            heard_ms: 0,
+            snapshot_offset_bytes: None,
+            chunk_sent_ms: 0,
+            in_force: 0,
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self, match_index: u64) {
+        self.match_index = self.match_index.max(match_index);
+        self.next_index = self.next_index.max(self.match_index + 1);
+        self.snapshot_offset_bytes = None;
+    }
+}
--- /dev/null
+++ b/src/control/scheduler.rs
@@ -0,0 +1,817 @@
+//! The leader's scheduler: indexes kept beside the state, and the plan made from them.
+//!
+//! A change of the state updates the indexes in logarithmic time, and a plan looks at a bounded
+//! number of tasks and VMs. The state checks every start once more, so a plan from indexes that
+//! are a moment old can be refused but never overfills a VM.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use crate::{
+    control::state::{Change, State, Task, Vm, subtract},
+    policy::{
+        estimate::RunTimes,
+        feedback::{self, Action},
+        interference::{Pairs, Past},
+        order::{self, Candidate, Facts, Queue, Rule, Runs, Tier, Waiting},
+        placement::{Aim, Cost, Index, Room},
+        preemption::{EvictionBudget, Victim, choose_victims},
+    },
+    prelude::*,
+};
+
+/// Tasks tried in one plan.
+const TRIED_PER_PLAN: usize = 128;
+
+/// VMs looked at for victims of one urgent start.
+const VICTIM_VMS: usize = 48;
+
+/// Plans are made at least this often while tasks wait, since time alone changes their order.
+const REPLAN_MS: u64 = 500;
+
+/// How long room freed for an urgent task is kept for it.
+const HOLD_MS: u64 = 8_000;
+
+/// What the scheduler is told by settings, and what experiments switch off.
+#[derive(Clone, Copy, Debug)]
+pub struct SchedulerOptions {
+    pub rule: Rule,
+    pub task_failures_max: u32,
+    pub vm_failures_max: u32,
+    pub quarantine_ms: u64,
+    pub corrects_sizes: bool,
+    pub learns_interference: bool,
+    pub preempts: bool,
+    pub feeds_back: bool,
+}
+
+impl Default for SchedulerOptions {
+    fn default() -> SchedulerOptions {
+        SchedulerOptions {
+            rule: Rule::default(),
+            task_failures_max: 3,
+            vm_failures_max: 3,
+            quarantine_ms: 60_000,
+            corrects_sizes: true,
+            learns_interference: true,
+            preempts: true,
+            feeds_back: true,
+        }
+    }
+}
+
+/// What the scheduler wants done.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    pub starts: Vec<StartCommand>,
+    pub events: Vec<TaskEventCommand>,
+    pub flags: Vec<VmFlagsCommand>,
+}
+
+/// A start proposed, or room kept for one.
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    vm: VmId,
+    need: Resources,
+    until_ms: u64,
+}
+
+/// The scheduler of one leader's term.
+#[derive(Debug)]
+pub struct Scheduler {
+    options: SchedulerOptions,
+    queue: Queue,
+    index: Index,
+    times: RunTimes,
+    pairs: Pairs,
+    past: Past,
+    loops: HashMap<VmId, feedback::Loop>,
+    /// Classes that answer quick requests on a VM, by its agent's last report.
+    services: HashMap<VmId, Vec<CompactString>>,
+    /// Tasks counted as running, with team and need.
+    running: HashMap<TaskId, (CompactString, Resources)>,
+    holds: BTreeMap<TaskId, Hold>,
+    held_on: HashMap<VmId, Vec<TaskId>>,
+    throttles: HashMap<TaskId, u32>,
+    evicting: HashSet<TaskId>,
+    evictions: HashMap<CompactString, EvictionBudget>,
+    suspects: HashSet<VmId>,
+    quarantined: BTreeSet<VmId>,
+    victim_cursor: VmId,
+    dirty: bool,
+    planned_ms: u64,
+}
+
+impl Scheduler {
+    /// Makes the scheduler of a new leader from the whole state.
+    pub fn new(state: &State, options: SchedulerOptions, now: Now) -> Scheduler {
+        let mut res = Scheduler {
+            options,
+            queue: Queue::default(),
+            index: Index::default(),
+            times: RunTimes::default(),
+            pairs: Pairs::default(),
+            past: Past::default(),
+            loops: HashMap::new(),
+            services: HashMap::new(),
+            running: HashMap::new(),
+            holds: BTreeMap::new(),
+            held_on: HashMap::new(),
+            throttles: HashMap::new(),
+            evicting: HashSet::new(),
+            evictions: HashMap::new(),
+            suspects: HashSet::new(),
+            quarantined: BTreeSet::new(),
+            victim_cursor: VmId(0),
+            dirty: true,
+            planned_ms: 0,
+        };
+        res.note(state, Change::Configuration, now);
+        for it in state.vms.iter() {
+            res.note(state, Change::Vm(it.id), now);
+        }
+        let ids: Vec<_> = state
+            .jobs
+            .tasks()
+            .filter(|it| !it.state.is_final())
+            .map(|it| it.id)
+            .collect();
+        for id in ids {
+            res.note(state, Change::Task(id), now);
+        }
+        res
+    }
+
+    /// Returns the tasks that wait.
+    pub fn queue(&self) -> &Queue {
+        &self.queue
+    }
+
+    /// Returns what a neighbour's processors are to be held to, in permille.
+    pub fn throttle_of(&self, task: TaskId) -> Option<u32> {
+        self.throttles.get(&task).copied()
+    }
+
+    /// Returns the VMs where new batch work is kept away.
+    pub fn is_closed(&self, vm: VmId) -> bool {
+        self.loops.get(&vm).is_some_and(feedback::Loop::is_closed)
+    }
+
+    /// Takes in a change of the state.
+    pub fn note(&mut self, state: &State, change: Change, now: Now) {
+        self.dirty = true;
+        match change {
+            Change::Task(id) => self.note_task(state, id, now),
+            Change::Vm(id) => self.note_vm(state, id, now),
+            Change::Configuration => self.note_configuration(state),
+        }
+    }
+
+    /// Learns how long a completed task ran.
+    pub fn note_run(&mut self, state: &State, task: &Task, run_ms: u64) {
+        if let Some(job) = state.jobs.job_of(task) {
+            self.times
+                .observe(&job.team, &job.spec.kind, job.spec.declared_run_ms, run_ms);
+        }
+    }
+
+    /// Learns from a VM's report of its endpoints, and acts on tails above their target.
+    pub fn note_endpoints(
+        &mut self,
+        state: &State,
+        vm: &Vm,
+        reports: &[EndpointReport],
+        age_ms: u64,
+        now: Now,
+    ) -> Vec<TaskEventCommand> {
+        let mut classes: Vec<_> = reports.iter().map(|it| it.class.clone()).collect();
+        classes.sort_unstable();
+        classes.dedup();
+        self.services.insert(vm.id, classes);
+        let measured = reports.iter().filter(|it| 0 < it.answer_p99_ms);
+        let mut worst: Option<(u64, u64, CompactString)> = None;
+        for it in measured {
+            let tail_ms = u64::from(it.answer_p99_ms);
+            if self.options.learns_interference {
+                let then = now.mono_ms.saturating_sub(age_ms);
+                self.pairs
+                    .observe(&it.class, tail_ms as f64, self.past.at(vm.id, then));
+            }
+            let Some(class) = state.class(&it.class).filter(|it| 0 < it.answer_target_ms) else {
+                continue;
+            };
+            let target_ms = u64::from(class.answer_target_ms);
+            let is_worse = worst
+                .as_ref()
+                .is_none_or(|(tail, target, _)| tail * target_ms < tail_ms * target);
+            if is_worse {
+                worst = Some((tail_ms, target_ms, it.class.clone()));
+            }
+        }
+        match worst {
+            Some((tail_ms, target_ms, class)) if self.options.feeds_back => {
+                self.feed_back(state, vm, tail_ms, target_ms, &class, age_ms, now)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Makes the next plan, if there is reason to.
+    pub fn plan(&mut self, state: &State, now: Now) -> Plan {
+        let mut plan = Plan::default();
+        if !self.dirty && now.mono_ms < self.planned_ms + REPLAN_MS {
+            return plan;
+        }
+        self.dirty = false;
+        self.planned_ms = now.mono_ms;
+        self.queue.advance(now.wall_ms);
+        self.release_old_holds(state, now);
+        self.judge_vms(state, now, &mut plan);
+        for it in self.queue.candidates(TRIED_PER_PLAN) {
+            self.try_candidate(state, &it, now, &mut plan);
+        }
+        plan
+    }
+
+    fn note_task(&mut self, state: &State, id: TaskId, now: Now) {
+        let Some(task) = state.jobs.task(id) else {
+            self.queue.remove(id);
+            return;
+        };
+        let Some(job) = state.jobs.job_of(task) else {
+            return;
+        };
+        let need = job.spec.resources;
+        match (task.state.holds_resources(), self.running.contains_key(&id)) {
+            (true, false) => {
+                self.queue.note_running(&job.team, need, Runs::Starts);
+                self.running.insert(id, (job.team.clone(), need));
+            }
+            (false, true) => {
+                self.queue.note_running(&job.team, need, Runs::Ends);
+                self.running.remove(&id);
+                self.evicting.remove(&id);
+                if self.throttles.remove(&id).is_some() {
+                    self.loops.values_mut().for_each(|it| it.forget(id));
+                }
+            }
+            _ => (),
+        }
+        if task.state.is_waiting() {
+            let team = job.team.clone();
+            self.queue.insert(&team, self.waiting_of(state, task, need));
+        } else {
+            self.queue.remove(id);
+        }
+        if !task.state.is_waiting()
+            && let Some(hold) = self.release_hold(id)
+        {
+            self.refresh_room(state, hold.vm);
+        }
+        if let Some(it) = task.placement {
+            self.refresh_room(state, it.vm);
+            self.note_scene(state, it.vm, now);
+        }
+    }
+
+    fn waiting_of(&self, state: &State, task: &Task, need: Resources) -> Waiting {
+        let job = state.jobs.job_of(task);
+        let class = job.and_then(|it| state.class(&it.spec.class));
+        let declared_ms = job.map_or(1, |it| it.spec.declared_run_ms);
+        let size_ms = match job {
+            Some(it) if self.options.corrects_sizes => {
+                self.times.expect_ms(&it.team, &it.spec.kind, declared_ms)
+            }
+            _ => declared_ms,
+        };
+        let accepted_ms = job.map_or(0, |it| it.accepted_ms);
+        let facts = Facts {
+            size_ms,
+            attained_ms: task.kept_run_ms,
+            accepted_ms,
+        };
+        let remaining_ms = size_ms.saturating_sub(task.kept_run_ms);
+        let due_ms = class
+            .filter(|it| 0 < it.finish_target_ms)
+            .map(|it| (accepted_ms + it.finish_target_ms).saturating_sub(remaining_ms));
+        let tier = match class {
+            Some(it) if it.urgent => Tier::Urgent,
+            Some(it) if it.kind == ClassKind::LatencyCritical => Tier::Service,
+            _ => Tier::Batch,
+        };
+        Waiting {
+            task: task.id,
+            tier,
+            rank: order::rank(self.options.rule, facts),
+            need,
+            due_ms,
+        }
+    }
+
+    fn note_vm(&mut self, state: &State, id: VmId, now: Now) {
+        self.refresh_room(state, id);
+        if state.vms.get(id).is_some_and(|it| it.quarantined) {
+            self.quarantined.insert(id);
+        } else {
+            self.quarantined.remove(&id);
+        }
+        match state.vms.get(id) {
+            Some(vm) if vm.session.is_some() => {
+                if self.options.vm_failures_max <= vm.failures_in_row && !vm.quarantined {
+                    self.suspects.insert(id);
+                }
+                self.note_scene(state, id, now);
+            }
+            _ => {
+                self.loops.remove(&id);
+                self.services.remove(&id);
+                self.past.remove(id);
+            }
+        }
+    }
+
+    fn note_configuration(&mut self, state: &State) {
+        let known: Vec<_> = self.queue.teams().cloned().collect();
+        for name in known {
+            self.queue.set_quota(&name, None);
+        }
+        for it in &state.configuration.teams {
+            self.queue.set_quota(&it.name, Some(it.quota));
+        }
+    }
+
+    /// Notes what runs beside each other on a VM now.
+    fn note_scene(&mut self, state: &State, id: VmId, now: Now) {
+        if !self.options.learns_interference {
+            return;
+        }
+        let Some(vm) = state.vms.get(id) else { return };
+        self.past.note(id, now.mono_ms, kinds_on(state, vm));
+    }
+
+    /// Brings the index in line with a VM's state and what is held there.
+    fn refresh_room(&mut self, state: &State, id: VmId) {
+        // A VM in quarantine is offered to probes only.
+        let open = state
+            .vms
+            .get(id)
+            .filter(|vm| vm.session.is_some() && !vm.draining && !vm.quarantined);
+        let room = open.map(|vm| {
+            let held = self
+                .held_on
+                .get(&id)
+                .into_iter()
+                .flatten()
+                .filter_map(|it| self.holds.get(it));
+            let free = held.fold(vm.free(), |free, it| subtract(free, it.need));
+            Room {
+                free,
+                zone: vm.zone.clone(),
+                rack: vm.rack.clone(),
+            }
+        });
+        self.index.set(id, room);
+    }
+
+    fn hold(&mut self, state: &State, task: TaskId, it: Hold) {
+        self.release_hold(task);
+        self.holds.insert(task, it);
+        self.held_on.entry(it.vm).or_default().push(task);
+        self.refresh_room(state, it.vm);
+    }
+
+    fn release_hold(&mut self, task: TaskId) -> Option<Hold> {
+        let hold = self.holds.remove(&task)?;
+        if let Some(list) = self.held_on.get_mut(&hold.vm) {
+            list.retain(|it| *it != task);
+            if list.is_empty() {
+                self.held_on.remove(&hold.vm);
+            }
+        }
+        Some(hold)
+    }
+
+    fn release_old_holds(&mut self, state: &State, now: Now) {
+        let old: Vec<_> = self
+            .holds
+            .iter()
+            .filter(|(_, it)| it.until_ms <= now.mono_ms)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in old {
+            if let Some(it) = self.release_hold(task) {
+                self.refresh_room(state, it.vm);
+            }
+        }
+    }
+
+    /// Puts VMs that fail whatever starts on them into quarantine, and probes those that are.
+    fn judge_vms(&mut self, state: &State, now: Now, plan: &mut Plan) {
+        let mut suspects: Vec<_> = self.suspects.drain().collect();
+        suspects.sort_unstable();
+        for id in suspects {
+            let Some(vm) = state.vms.get(id).filter(|it| !it.quarantined) else {
+                continue;
+            };
+            plan.flags.push(VmFlagsCommand {
+                vm: id,
+                draining: vm.draining,
+                quarantined: true,
+            });
+        }
+        let waited = |vm: &Vm| vm.changed_ms + self.options.quarantine_ms <= now.wall_ms;
+        let open = self.quarantined.iter().filter_map(|id| state.vms.get(*id));
+        let due: Vec<_> = open
+            .filter(|vm| vm.session.is_some() && vm.tasks.is_empty() && waited(vm))
+            .collect();
+        for vm in due {
+            self.probe(state, vm, now, plan);
+        }
+    }
+
+    /// Starts one waiting task on a VM in quarantine.
+    fn probe(&mut self, state: &State, vm: &Vm, now: Now, plan: &mut Plan) {
+        let Some(session) = vm.session.as_ref().map(|it| it.id) else {
+            return;
+        };
+        if self.held_on.contains_key(&vm.id) {
+            return;
+        }
+        let candidates = self.queue.candidates(TRIED_PER_PLAN);
+        let probe = candidates.iter().find(|it| {
+            it.tier >= Tier::Due && !self.holds.contains_key(&it.task) && vm.has_room_for(it.need)
+        });
+        let Some((it, task)) = probe.and_then(|it| Some((it, state.jobs.task(it.task)?))) else {
+            return;
+        };
+        let hold = Hold {
+            vm: vm.id,
+            need: it.need,
+            until_ms: now.mono_ms + HOLD_MS,
+        };
+        self.hold(state, it.task, hold);
+        plan.starts.push(StartCommand {
+            task: it.task,
+            incarnation: task.incarnation + 1,
+            vm: vm.id,
+            session,
+        });
+    }
+
+    fn try_candidate(&mut self, state: &State, it: &Candidate, now: Now, plan: &mut Plan) {
+        let Some(task) = state.jobs.task(it.task).filter(|it| it.state.is_waiting()) else {
+            return;
+        };
+        if self.is_poison(state, task) {
+            let event = TaskEvent::DeadLetter(format_compact!(
+                "failed on several VMs, last: {}",
+                task.detail
+            ));
+            plan.events.push(TaskEventCommand {
+                task: task.id,
+                incarnation: task.incarnation,
+                event,
+            });
+            return;
+        }
+        let held = self.holds.get(&it.task).copied();
+        if held.is_some_and(|hold| self.is_proposed(hold, now)) {
+            return;
+        }
+        // Room that was freed for this task is its own; to everyone else it looks taken.
+        let own = held.filter(|hold| self.room_with_hold(state, hold.vm, hold.need, it.task));
+        let chosen = own.map(|hold| hold.vm).or_else(|| match held {
+            Some(_) => None,
+            None => self
+                .index
+                .choose(it.need, aim_of(it.tier), &Costs::new(self, state, task)),
+        });
+        let session = chosen.and_then(|vm| Some((vm, state.vms.get(vm)?.session.as_ref()?.id)));
+        match session {
+            Some((vm, session)) => {
+                plan.starts.push(StartCommand {
+                    task: it.task,
+                    incarnation: task.incarnation + 1,
+                    vm,
+                    session,
+                });
+                self.hold(
+                    state,
+                    it.task,
+                    Hold {
+                        vm,
+                        need: it.need,
+                        until_ms: now.mono_ms + HOLD_MS / 4,
+                    },
+                );
+            }
+            None if it.tier == Tier::Urgent && self.options.preempts && held.is_none() => {
+                self.preempt(state, it, now, plan);
+            }
+            None => (),
+        }
+    }
+
+    /// Returns whether a hold stands for a start that was proposed and is not applied yet.
+    fn is_proposed(&self, hold: Hold, now: Now) -> bool {
+        hold.until_ms <= now.mono_ms + HOLD_MS / 4
+    }
+
+    fn room_with_hold(&self, state: &State, vm: VmId, need: Resources, task: TaskId) -> bool {
+        let others = self
+            .held_on
+            .get(&vm)
+            .into_iter()
+            .flatten()
+            .filter(|it| **it != task);
+        let others = others.filter_map(|it| self.holds.get(it));
+        let Some(it) = state.vms.get(vm) else {
+            return false;
+        };
+        let free = others.fold(it.free(), |free, hold| subtract(free, hold.need));
+        it.has_room_for(need) && crate::control::state::fits(need, free)
+    }
+
+    /// Returns whether a task failed on so many VMs that it, and not they, must be at fault.
+    fn is_poison(&self, state: &State, task: &Task) -> bool {
+        // A VM that fails everything is in quarantine, and the task is not blamed for it.
+        let blamed = task
+            .failed_on
+            .iter()
+            .filter(|id| state.vms.get(**id).is_none_or(|it| !it.quarantined))
+            .count();
+        let open = state
+            .vms
+            .iter()
+            .filter(|it| it.session.is_some() && !it.quarantined)
+            .take(16)
+            .count();
+        let enough = (self.options.task_failures_max as usize).min(open.max(1));
+        enough <= blamed
+    }
+
+    /// Makes room for an urgent task by evicting batch work on one VM.
+    fn preempt(&mut self, state: &State, it: &Candidate, now: Now, plan: &mut Plan) {
+        let after = state.vms.iter().filter(|vm| self.victim_cursor < vm.id);
+        let before = state.vms.iter().filter(|vm| vm.id <= self.victim_cursor);
+        let looked_at: Vec<_> = after.chain(before).take(VICTIM_VMS).collect();
+        let mut best: Option<(u64, VmId, Vec<TaskId>)> = None;
+        for vm in looked_at {
+            self.victim_cursor = vm.id;
+            if vm.session.is_none() || vm.draining || vm.quarantined {
+                continue;
+            }
+            let held = self
+                .held_on
+                .get(&vm.id)
+                .into_iter()
+                .flatten()
+                .filter_map(|it| self.holds.get(it));
+            let free = held.fold(vm.free(), |free, it| subtract(free, it.need));
+            let victims = self.victims_on(state, vm, now);
+            let Some((tasks, lost_ms)) = choose_victims(it.need, free, &victims) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _, _)| lost_ms < *least) {
+                best = Some((lost_ms, vm.id, tasks));
+            }
+        }
+        let Some((_, vm, victims)) = best else { return };
+        if !victims.iter().all(|it| self.may_evict(state, *it, now)) {
+            return;
+        }
+        for id in victims {
+            self.evict(state, id, plan);
+        }
+        self.hold(
+            state,
+            it.task,
+            Hold {
+                vm,
+                need: it.need,
+                until_ms: now.mono_ms + HOLD_MS,
+            },
+        );
+    }
+
+    fn victims_on(&self, state: &State, vm: &Vm, now: Now) -> Vec<Victim> {
+        let running = vm.tasks.iter().filter_map(|id| state.jobs.task(*id));
+        let evictable =
+            running.filter(|it| it.state == TaskState::Running && !self.evicting.contains(&it.id));
+        let batch = evictable.filter_map(|it| {
+            let job = state.jobs.job_of(it)?;
+            let class = state.class(&job.spec.class)?;
+            let since_ms = it.placement.map_or(now.wall_ms, |it| it.since_ms);
+            let is_batch = class.kind == ClassKind::Batch && !class.urgent;
+            is_batch.then(|| Victim {
+                task: it.id,
+                holds: job.spec.resources,
+                lost_ms: now.wall_ms.saturating_sub(since_ms),
+                borrows: 1_000 < self.queue.share_permille(&job.team),
+            })
+        });
+        batch.collect()
+    }
+
+    /// Takes one eviction from the budget of a task's class.
+    fn may_evict(&mut self, state: &State, id: TaskId, now: Now) -> bool {
+        let job = state.jobs.task(id).and_then(|it| state.jobs.job_of(it));
+        let Some(class) = job.and_then(|it| state.class(&it.spec.class)) else {
+            return false;
+        };
+        let per_hour = class.evictions_per_hour;
+        let budget = self.evictions.entry(class.name.clone());
+        budget
+            .or_insert_with(|| EvictionBudget::new(per_hour, now.mono_ms))
+            .try_take(per_hour, now.mono_ms)
+    }
+
+    fn evict(&mut self, state: &State, id: TaskId, plan: &mut Plan) {
+        let Some(task) = state.jobs.task(id) else {
+            return;
+        };
+        self.evicting.insert(id);
+        let event = TaskEvent::EvictRequested;
+        plan.events.push(TaskEventCommand {
+            task: id,
+            incarnation: task.incarnation,
+            event,
+        });
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn feed_back(
+        &mut self,
+        state: &State,
+        vm: &Vm,
+        tail_ms: u64,
+        target_ms: u64,
+        class: &str,
+        lag_ms: u64,
+        now: Now,
+    ) -> Vec<TaskEventCommand> {
+        let harm_of = |it: &Task| {
+            let job = state.jobs.job_of(it)?;
+            let is_batch = state
+                .class(&job.spec.class)
+                .is_some_and(|it| it.kind == ClassKind::Batch);
+            let share = share_of(job.spec.resources, vm.capacity);
+            // Before anything is learned the largest neighbour is the likeliest.
+            is_batch.then(|| (self.pairs.harm(class, &job.spec.kind) + 0.01) * share)
+        };
+        let neighbours = vm.tasks.iter().filter_map(|id| state.jobs.task(*id));
+        let running = neighbours.filter(|it| it.state == TaskState::Running);
+        let worst = running
+            .filter_map(|it| Some((harm_of(it)?, it.id)))
+            .max_by(|a, b| a.0.total_cmp(&b.0));
+        let feedback = self.loops.entry(vm.id).or_default();
+        let action = feedback.observe(
+            now.mono_ms,
+            tail_ms,
+            target_ms,
+            lag_ms,
+            worst.map(|(_, id)| id),
+        );
+        let mut plan = Plan::default();
+        match action {
+            Action::None => (),
+            Action::Throttle { task, permille } => {
+                self.throttles.insert(task, permille);
+            }
+            Action::Release { task } => {
+                self.throttles.remove(&task);
+            }
+            Action::Move { task } => {
+                if self.may_evict(state, task, now) {
+                    self.evict(state, task, &mut plan);
+                }
+            }
+        }
+        plan.events
+    }
+}
+
+/// The costs of placing one task.
+struct Costs<'a> {
+    scheduler: &'a Scheduler,
+    state: &'a State,
+    task: &'a Task,
+    kind: &'a str,
+    class: &'a str,
+    is_batch: bool,
+    need: Resources,
+    /// Tasks of the same job by zone and rack, for services only.
+    places: HashMap<(&'a str, &'a str), u32>,
+}
+
+impl<'a> Costs<'a> {
+    fn new(scheduler: &'a Scheduler, state: &'a State, task: &'a Task) -> Costs<'a> {
+        let job = state.jobs.job_of(task);
+        let class = job.map_or("", |it| it.spec.class.as_str());
+        let is_batch = state
+            .class(class)
+            .is_none_or(|it| it.kind == ClassKind::Batch);
+        let mut places = HashMap::new();
+        if !is_batch && let Some(job) = job {
+            let placed = job
+                .task_ids()
+                .filter_map(|id| state.jobs.task(id)?.placement.map(|it| it.vm));
+            let held = job
+                .task_ids()
+                .filter_map(|id| scheduler.holds.get(&id).map(|it| it.vm));
+            for vm in placed.chain(held).filter_map(|id| state.vms.get(id)) {
+                *places
+                    .entry((vm.zone.as_str(), vm.rack.as_str()))
+                    .or_insert(0) += 1;
+            }
+        }
+        Costs {
+            scheduler,
+            state,
+            task,
+            kind: job.map_or("", |it| it.spec.kind.as_str()),
+            class,
+            is_batch,
+            need: job.map_or(crate::control::state::NOTHING, |it| it.spec.resources),
+            places,
+        }
+    }
+}
+
+impl Cost for Costs<'_> {
+    fn interference(&self, id: VmId) -> f64 {
+        if self.task.failed_on.contains(&id) {
+            return 1e6;
+        }
+        let Some(vm) = self.state.vms.get(id) else {
+            return f64::INFINITY;
+        };
+        if self.is_batch && self.scheduler.is_closed(id) {
+            return f64::INFINITY;
+        }
+        if !self.scheduler.options.learns_interference {
+            return 0.0;
+        }
+        let pairs = &self.scheduler.pairs;
+        let share = share_of(self.need, vm.capacity);
+        let services = self
+            .scheduler
+            .services
+            .get(&id)
+            .map_or(&[][..], |it| it.as_slice());
+        let done = services
+            .iter()
+            .map(|class| pairs.harm(class, self.kind) * share)
+            .sum::<f64>();
+        let suffered = match self.is_batch {
+            true => 0.0,
+            false => pairs.slowdown(self.class, &kinds_on(self.state, vm)) - 1.0,
+        };
+        // Small differences are noise of the estimate; they must not beat a tight fit.
+        ((done + suffered) * 4.0).round() / 4.0
+    }
+
+    fn neighbours(&self, room: &Room) -> (u32, u32) {
+        let zone = self
+            .places
+            .iter()
+            .filter(|((zone, _), _)| *zone == room.zone)
+            .map(|(_, it)| it)
+            .sum();
+        let rack = self
+            .places
+            .get(&(room.zone.as_str(), room.rack.as_str()))
+            .copied()
+            .unwrap_or(0);
+        (zone, rack)
+    }
+}
+
+fn aim_of(tier: Tier) -> Aim {
+    match tier {
+        Tier::Service => Aim::Spread,
+        Tier::Urgent | Tier::Due | Tier::Batch => Aim::Pack,
+    }
+}
+
+fn share_of(need: Resources, of: Resources) -> f64 {
+    f64::from(need.cpu_millicores) / f64::from(of.cpu_millicores.max(1))
+}
+
+/// Returns the kinds of batch work on a VM with their shares of its processors.
+fn kinds_on(state: &State, vm: &Vm) -> Vec<(CompactString, f64)> {
+    let mut kinds: BTreeMap<CompactString, f64> = BTreeMap::new();
+    for job in vm
+        .tasks
+        .iter()
+        .filter_map(|id| state.jobs.job_of(state.jobs.task(*id)?))
+    {
+        if state
+            .class(&job.spec.class)
+            .is_some_and(|it| it.kind == ClassKind::Batch)
+        {
+            *kinds.entry(job.spec.kind.clone()).or_insert(0.0) +=
+                share_of(job.spec.resources, vm.capacity);
+        }
+    }
+    kinds.into_iter().collect()
+}
--- /dev/null
+++ b/src/control/state/jobs.rs
@@ -0,0 +1,427 @@
+//! Jobs and their tasks.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    control::state::{
+        Change, Outcome, State,
+        task::{Placement, Step, Task, transition},
+        vms::{self, fits},
+    },
+    prelude::*,
+    util::Place,
+};
+
+/// Tasks that one job may have, so that one command stays small work.
+const TASKS_PER_JOB_MAX: u32 = 10_000;
+
+/// An accepted job.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Job {
+    pub id: JobId,
+    pub team: CompactString,
+    pub key: CompactString,
+    pub spec: JobSpec,
+    pub first_task: TaskId,
+    pub tasks_open: u32,
+    pub accepted_ms: u64,
+    pub finished_ms: Option<u64>,
+}
+
+impl Job {
+    /// Returns the ids of the job's tasks.
+    pub fn task_ids(&self) -> impl Iterator<Item = TaskId> + use<> {
+        let first = self.first_task.0;
+        (first..first + u64::from(self.spec.tasks)).map(TaskId)
+    }
+}
+
+/// All jobs and tasks kept.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct Jobs {
+    jobs: BTreeMap<JobId, Job>,
+    tasks: BTreeMap<TaskId, Task>,
+    by_key: BTreeMap<(CompactString, CompactString), JobId>,
+    open_by_team: BTreeMap<CompactString, u32>,
+    /// Finished jobs by time, for expiry without a scan.
+    finished: BTreeMap<(u64, JobId), ()>,
+    next_job: u64,
+    next_task: u64,
+}
+
+impl Jobs {
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        self.tasks.get(&id)
+    }
+
+    pub fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.values()
+    }
+
+    pub fn jobs(&self) -> impl DoubleEndedIterator<Item = &Job> {
+        self.jobs.values()
+    }
+
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    pub fn task_count(&self) -> usize {
+        self.tasks.len()
+    }
+
+    /// Returns the job of a task.
+    pub fn job_of(&self, task: &Task) -> Option<&Job> {
+        self.jobs.get(&task.job)
+    }
+
+    /// Returns what a task needs.
+    pub fn need_of(&self, task: &Task) -> Resources {
+        self.job_of(task)
+            .map_or(vms::NOTHING, |it| it.spec.resources)
+    }
+
+    /// Returns the jobs of a team that are not finished.
+    pub fn open_of(&self, team: &str) -> u32 {
+        self.open_by_team.get(team).copied().unwrap_or(0)
+    }
+
+    pub(super) fn expire(&mut self, before_ms: u64) {
+        while let Some((&(at_ms, id), ())) = self.finished.first_key_value()
+            && at_ms < before_ms
+        {
+            self.finished.pop_first();
+            let Some(job) = self.jobs.remove(&id) else {
+                continue;
+            };
+            for it in job.task_ids() {
+                self.tasks.remove(&it);
+            }
+            self.by_key.remove(&(job.team, job.key));
+        }
+    }
+
+    fn accept(&mut self, place: Place, it: &SubmitCommand, time_ms: u64) -> JobId {
+        self.next_job += 1;
+        let id = JobId(place.pack(self.next_job));
+        let first_task = TaskId(place.pack(self.next_task + 1));
+        self.next_task += u64::from(it.spec.tasks);
+        let job = Job {
+            id,
+            team: it.team.clone(),
+            key: it.key.clone(),
+            spec: it.spec.clone(),
+            first_task,
+            tasks_open: it.spec.tasks,
+            accepted_ms: time_ms,
+            finished_ms: None,
+        };
+        for task in job.task_ids() {
+            let task = Task {
+                id: task,
+                job: id,
+                state: TaskState::Queued,
+                incarnation: 0,
+                placement: None,
+                checkpoint: CompactString::default(),
+                kept_run_ms: 0,
+                failed_on: Vec::new(),
+                evictions: 0,
+                queued_ms: time_ms,
+                detail: CompactString::default(),
+            };
+            self.tasks.insert(task.id, task);
+        }
+        self.by_key.insert((it.team.clone(), it.key.clone()), id);
+        *self.open_by_team.entry(it.team.clone()).or_insert(0) += 1;
+        self.jobs.insert(id, job);
+        id
+    }
+
+    /// Counts a task that reached a final state; returns the job if that finished it.
+    fn close_task(&mut self, id: JobId, time_ms: u64) -> Option<&Job> {
+        let job = self.jobs.get_mut(&id)?;
+        job.tasks_open -= 1;
+        if 0 < job.tasks_open {
+            return None;
+        }
+        job.finished_ms = Some(time_ms);
+        self.finished.insert((time_ms, id), ());
+        if let Some(it) = self.open_by_team.get_mut(&job.team) {
+            *it -= 1;
+            if *it == 0 {
+                self.open_by_team.remove(&job.team);
+            }
+        }
+        Some(job)
+    }
+}
+
+impl State {
+    pub(super) fn submit(&mut self, it: &SubmitCommand, changes: &mut Vec<Change>) -> Outcome {
+        if let Some(&job) = self.jobs.by_key.get(&(it.team.clone(), it.key.clone())) {
+            return match self.jobs.job(job).is_some_and(|job| job.spec == it.spec) {
+                true => Ok(Reply::JobAccepted(JobAccepted { job, resent: true })),
+                false => Err(refusal(
+                    ErrorKind::KeyReused,
+                    format_compact!("key {} names another job", it.key),
+                )),
+            };
+        }
+        self.check_feasible(it)?;
+        let id = self.jobs.accept(self.place, it, self.time_ms);
+        if let Some(job) = self.jobs.job(id) {
+            changes.extend(job.task_ids().map(Change::Task));
+        }
+        self.notify(id, "accepted");
+        Ok(Reply::JobAccepted(JobAccepted {
+            job: id,
+            resent: false,
+        }))
+    }
+
+    /// Refuses what can never run, so that it does not wait for ever.
+    fn check_feasible(&self, it: &SubmitCommand) -> std::result::Result<(), Refusal> {
+        let spec = &it.spec;
+        let Some(team) = self.team(&it.team) else {
+            return Err(refusal(
+                ErrorKind::UnknownTeam,
+                format_compact!("no team is named {}", it.team),
+            ));
+        };
+        if self.class(&spec.class).is_none() {
+            return Err(refusal(
+                ErrorKind::UnknownClass,
+                format_compact!("no class is named {}", spec.class),
+            ));
+        }
+        if spec.tasks == 0 || TASKS_PER_JOB_MAX < spec.tasks {
+            let detail = format_compact!(
+                "tasks is {}, out of range 1 to {TASKS_PER_JOB_MAX}",
+                spec.tasks
+            );
+            return Err(refusal(ErrorKind::BadRequest, detail));
+        }
+        if spec.resources == vms::NOTHING {
+            return Err(refusal(
+                ErrorKind::BadRequest,
+                "a task needs some resources",
+            ));
+        }
+        if !fits(spec.resources, team.quota) {
+            return Err(refusal(
+                ErrorKind::Infeasible,
+                format_compact!("one task exceeds the quota of {}", team.name),
+            ));
+        }
+        let mut vms = self.vms.iter().peekable();
+        if vms.peek().is_some() && !vms.any(|vm| fits(spec.resources, vm.capacity)) {
+            return Err(refusal(
+                ErrorKind::Infeasible,
+                "one task is larger than any VM",
+            ));
+        }
+        if team.jobs_open_max <= self.jobs.open_of(&it.team) {
+            let detail = format_compact!(
+                "team {} has {} jobs open, its most",
+                team.name,
+                team.jobs_open_max
+            );
+            return Err(refusal_until(ErrorKind::QuotaExceeded, detail, 1_000));
+        }
+        Ok(())
+    }
+
+    pub(super) fn cancel(&mut self, it: &CancelCommand, changes: &mut Vec<Change>) -> Outcome {
+        let mut completed = 0;
+        for id in &it.jobs {
+            let Some(job) = self.jobs.job(*id).filter(|job| job.team == it.team) else {
+                return Err(refusal(
+                    ErrorKind::NotFound,
+                    format_compact!("team {} has no job {id}", it.team),
+                ));
+            };
+            let ids: Vec<_> = job.task_ids().collect();
+            let state_of = |id: &TaskId| self.jobs.task(*id).map(|it| it.state);
+            completed += u32::from(
+                ids.iter()
+                    .all(|it| state_of(it) == Some(TaskState::Completed)),
+            );
+            for task in ids {
+                self.step(task, Step::Cancel, changes);
+            }
+        }
+        if completed as usize == it.jobs.len() {
+            // The completion won; whoever cancels learns it, and the result stays readable.
+            return Err(refusal(
+                ErrorKind::AlreadyFinished,
+                "every job named had completed",
+            ));
+        }
+        Ok(Reply::Done)
+    }
+
+    pub(super) fn start(&mut self, it: &StartCommand, changes: &mut Vec<Change>) -> Outcome {
+        let refused = |detail: &str| Err(refusal(ErrorKind::StaleSession, detail));
+        let Some(task) = self.jobs.task(it.task) else {
+            return refused("no such task");
+        };
+        if task.incarnation + 1 != it.incarnation || !task.state.is_waiting() {
+            return refused("the task moved on");
+        }
+        let need = self.jobs.need_of(task);
+        let Some(vm) = self.vms.get(it.vm) else {
+            return refused("no such VM");
+        };
+        if vm
+            .session
+            .as_ref()
+            .is_none_or(|session| session.id != it.session)
+        {
+            return refused("the VM's session ended");
+        }
+        if !vm.has_room_for(need) {
+            return refused("the VM is full, draining or in quarantine");
+        }
+        self.vms.reserve(it.vm, it.task, need);
+        let placement = Placement {
+            vm: it.vm,
+            session: it.session,
+            since_ms: self.time_ms,
+        };
+        if let Some(task) = self.jobs.tasks.get_mut(&it.task) {
+            task.incarnation = it.incarnation;
+            task.placement = Some(placement);
+        }
+        self.step(it.task, Step::Start, changes);
+        Ok(Reply::Done)
+    }
+
+    pub(super) fn task_event(
+        &mut self,
+        it: &TaskEventCommand,
+        changes: &mut Vec<Change>,
+    ) -> Outcome {
+        let current = self
+            .jobs
+            .tasks
+            .get_mut(&it.task)
+            .filter(|task| task.incarnation == it.incarnation);
+        let Some(task) = current else {
+            return Err(refusal(
+                ErrorKind::StaleSession,
+                "the task has another incarnation",
+            ));
+        };
+        let step = match &it.event {
+            TaskEvent::Running => Step::Running,
+            TaskEvent::Completed(_) => Step::Completed,
+            TaskEvent::Failed(_) => Step::Failed,
+            TaskEvent::EvictRequested => Step::EvictRequested,
+            TaskEvent::Evicted(_) => Step::Evicted,
+            TaskEvent::Stopped => Step::Stopped,
+            TaskEvent::DeadLetter(_) => Step::DeadLetter,
+        };
+        if transition(task.state, step, !task.checkpoint.is_empty()).is_none() {
+            let detail = format_compact!("a task that is {} takes no {step:?}", task.state);
+            return Err(refusal(ErrorKind::AlreadyFinished, detail));
+        }
+        let vm = task.placement.map(|it| it.vm);
+        match &it.event {
+            TaskEvent::Completed(done) => task.detail = done.result.clone(),
+            TaskEvent::Failed(reason) | TaskEvent::DeadLetter(reason) => {
+                task.detail = reason.clone()
+            }
+            TaskEvent::Evicted(checkpoint) if !checkpoint.token.is_empty() => {
+                task.checkpoint = checkpoint.token.clone();
+                task.kept_run_ms = checkpoint.run_ms;
+            }
+            _ => (),
+        }
+        if let (Step::Failed, Some(vm)) = (step, vm)
+            && !task.failed_on.contains(&vm)
+        {
+            task.failed_on.push(vm);
+        }
+        if let (Step::Completed | Step::Failed, Some(vm)) = (step, vm) {
+            self.vms
+                .note_outcome(vm, step == Step::Completed, self.time_ms);
+            changes.push(Change::Vm(vm));
+        }
+        self.step(it.task, step, changes);
+        Ok(Reply::Done)
+    }
+
+    /// Moves one task along the table, and keeps ledger and job in step with it.
+    pub(super) fn step(&mut self, id: TaskId, step: Step, changes: &mut Vec<Change>) {
+        let time_ms = self.time_ms;
+        let Some(task) = self.jobs.tasks.get_mut(&id) else {
+            return;
+        };
+        let Some(next) = transition(task.state, step, !task.checkpoint.is_empty()) else {
+            return;
+        };
+        let before = std::mem::replace(&mut task.state, next);
+        let job = task.job;
+        if matches!(step, Step::Evicted | Step::Lost | Step::Stopped) && next.is_waiting() {
+            task.evictions += 1;
+        }
+        if next.is_waiting() {
+            task.queued_ms = time_ms;
+        }
+        changes.push(Change::Task(id));
+        if before.holds_resources() && !next.holds_resources() {
+            let placement = task.placement.take();
+            let need = self
+                .jobs
+                .jobs
+                .get(&job)
+                .map_or(vms::NOTHING, |it| it.spec.resources);
+            if let Some(it) = placement {
+                self.vms.release(it.vm, id, need);
+                changes.push(Change::Vm(it.vm));
+            }
+        }
+        if next.is_final() && self.jobs.close_task(job, time_ms).is_some() {
+            self.notify(job, "finished");
+        }
+    }
+
+    /// Moves the tasks of a superseded session to the one that took over its VM.
+    pub(super) fn hand_tasks_over(&mut self, vm: VmId, session: SessionId) {
+        let ids: Vec<_> = self
+            .vms
+            .get(vm)
+            .iter()
+            .flat_map(|it| it.tasks.iter().copied())
+            .collect();
+        for id in ids {
+            if let Some(placement) = self
+                .jobs
+                .tasks
+                .get_mut(&id)
+                .and_then(|it| it.placement.as_mut())
+            {
+                placement.session = session;
+            }
+        }
+    }
+
+    /// Tells the watches on a job's subject.
+    fn notify(&mut self, id: JobId, word: &str) {
+        let Some(job) = self.jobs.jobs.get(&id) else {
+            return;
+        };
+        let body = format_compact!("{{\"job\":{id},\"event\":\"{word}\"}}");
+        self.watches
+            .tell(&job.team, &job.spec.subject, &body, self.time_ms);
+    }
+}
--- /dev/null
+++ b/src/control/state/task.rs
@@ -0,0 +1,113 @@
+//! Tasks and the one table of their states.
+
+use crate::prelude::*;
+
+/// Where an incarnation of a task runs.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Placement {
+    pub vm: VmId,
+    pub session: SessionId,
+    pub since_ms: u64,
+}
+
+/// One task of a job.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Task {
+    pub id: TaskId,
+    pub job: JobId,
+    pub state: TaskState,
+    /// Number of the last start; the fencing token of everything said about the task.
+    pub incarnation: u32,
+    pub placement: Option<Placement>,
+    pub checkpoint: CompactString,
+    /// Run time that the checkpoint keeps.
+    pub kept_run_ms: u64,
+    pub failed_on: Vec<VmId>,
+    pub evictions: u32,
+    pub queued_ms: u64,
+    /// Result, or the reason of the last failure.
+    pub detail: CompactString,
+}
+
+impl TaskState {
+    /// Returns whether the task's resources are reserved on a VM.
+    pub fn holds_resources(self) -> bool {
+        use TaskState::*;
+        matches!(
+            self,
+            Starting | Resuming | Running | Checkpointing | Stopping
+        )
+    }
+
+    /// Returns whether the task waits for a VM.
+    pub fn is_waiting(self) -> bool {
+        matches!(self, TaskState::Queued | TaskState::Evicted)
+    }
+
+    /// Returns whether nothing more happens to the task.
+    pub fn is_final(self) -> bool {
+        matches!(
+            self,
+            TaskState::Completed | TaskState::Cancelled | TaskState::DeadLetter
+        )
+    }
+}
+
+/// What moves a task from one state to another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    Start,
+    Running,
+    Completed,
+    Failed,
+    EvictRequested,
+    Evicted,
+    Stopped,
+    /// The session that held the task ended.
+    Lost,
+    Cancel,
+    DeadLetter,
+}
+
+/// Every step, for tests over the whole table.
+pub const STEPS: &[Step] = &[
+    Step::Start,
+    Step::Running,
+    Step::Completed,
+    Step::Failed,
+    Step::EvictRequested,
+    Step::Evicted,
+    Step::Stopped,
+    Step::Lost,
+    Step::Cancel,
+    Step::DeadLetter,
+];
+
+/// Returns the state that `step` leads to, or nothing where the step is refused.
+///
+/// `has_checkpoint` says whether the task resumes from one.
+pub fn transition(state: TaskState, step: Step, has_checkpoint: bool) -> Option<TaskState> {
+    use TaskState::*;
+    let waiting = if has_checkpoint { Evicted } else { Queued };
+    match (state, step) {
+        (Queued, Step::Start) => Some(Starting),
+        (Evicted, Step::Start) => Some(Resuming),
+        (Starting | Resuming, Step::Running) => Some(Running),
+        // A completion wins over an eviction and over a cancellation that were only asked for:
+        // the work is done, and doing it again or throwing it away would cost a caller twice.
+        (Starting | Resuming | Running | Checkpointing | Stopping, Step::Completed) => {
+            Some(Completed)
+        }
+        (
+            Starting | Resuming | Running | Checkpointing,
+            Step::Failed | Step::Stopped | Step::Lost,
+        ) => Some(waiting),
+        (Starting | Resuming | Running, Step::EvictRequested) => Some(Checkpointing),
+        (Starting | Resuming | Running | Checkpointing, Step::Evicted) => Some(waiting),
+        (Stopping, Step::Failed | Step::Stopped | Step::Lost | Step::Evicted) => Some(Cancelled),
+        (Queued | Evicted, Step::Cancel) => Some(Cancelled),
+        (Starting | Resuming | Running | Checkpointing, Step::Cancel) => Some(Stopping),
+        (Queued | Evicted, Step::DeadLetter) => Some(DeadLetter),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/control/views.rs
@@ -0,0 +1,237 @@
+//! What the leader answers to reads, as JSON documents.
+
+use serde_json::{Value, json};
+
+use crate::{
+    control::{
+        core::ControlCore,
+        state::{Job, Outcome, State, Vm},
+    },
+    prelude::*,
+};
+
+/// Jobs shown at once.
+const JOBS_SHOWN: usize = 500;
+
+/// History rows shown at once.
+const HISTORY_SHOWN: usize = 200;
+
+pub(super) fn job(state: &State, it: &JobQuery) -> Outcome {
+    let job = find_job(state, it)?;
+    document(&job_value(state, job))
+}
+
+pub(super) fn job_result(state: &State, it: &JobQuery) -> Outcome {
+    let job = find_job(state, it)?;
+    let tasks: Vec<_> = job
+        .task_ids()
+        .filter_map(|id| state.jobs.task(id))
+        .map(|it| json!({"task": it.id, "state": it.state, "detail": it.detail, "evictions": it.evictions}))
+        .collect();
+    document(&json!({"job": job.id, "finished": job.finished_ms.is_some(), "tasks": tasks}))
+}
+
+pub(super) fn watch(state: &State, it: &WatchQuery, limit: usize) -> Outcome {
+    let Some(watch) = state.watches.get(&it.team, it.watch) else {
+        return Err(refusal(
+            ErrorKind::NotFound,
+            format_compact!("team {} has no watch {}", it.team, it.watch),
+        ));
+    };
+    let events = watch.read(it.cursor, limit)?;
+    let cursor = events.last().map_or(it.cursor, |it| it.cursor);
+    document(&json!({"watch": it.watch, "cursor": cursor, "events": events}))
+}
+
+pub(super) fn view(core: &ControlCore, view: AdminView, now: Now) -> Outcome {
+    let state = &core.state;
+    let value = match view {
+        AdminView::Status => status(core, now),
+        AdminView::Configuration => json!(state.configuration),
+        AdminView::Teams => json!(state.configuration.teams),
+        AdminView::Classes => json!(state.configuration.classes),
+        AdminView::History => json!(
+            state
+                .history
+                .iter()
+                .rev()
+                .take(HISTORY_SHOWN)
+                .collect::<Vec<_>>()
+        ),
+        AdminView::Vms => json!(
+            state
+                .vms
+                .iter()
+                .map(|it| vm_value(core, it, now))
+                .collect::<Vec<_>>()
+        ),
+        AdminView::Endpoints => match &core.leading {
+            Some(it) => json!(it.directory.iter().collect::<Vec<_>>()),
+            None => json!([]),
+        },
+        AdminView::Jobs => {
+            let jobs = state.jobs.jobs().rev().take(JOBS_SHOWN);
+            json!(jobs.map(|it| job_value(state, it)).collect::<Vec<_>>())
+        }
+        AdminView::Leases => leases(core, now),
+        AdminView::Members => members(core, now),
+        AdminView::Queue => queue(core),
+        AdminView::DeadLetters => dead_letters(state),
+    };
+    document(&value)
+}
+
+fn document(value: &Value) -> Outcome {
+    Ok(Reply::Document(value.to_string().into()))
+}
+
+fn find_job<'a>(state: &'a State, it: &JobQuery) -> std::result::Result<&'a Job, Refusal> {
+    let found = state.jobs.job(it.job).filter(|job| job.team == it.team);
+    found.ok_or_else(|| {
+        refusal(
+            ErrorKind::NotFound,
+            format_compact!("team {} has no job {}", it.team, it.job),
+        )
+    })
+}
+
+fn job_value(state: &State, job: &Job) -> Value {
+    let mut counts = serde_json::Map::new();
+    for task in job.task_ids().filter_map(|id| state.jobs.task(id)) {
+        let count = counts.entry(task.state.to_string()).or_insert(json!(0));
+        *count = json!(count.as_u64().unwrap_or(0) + 1);
+    }
+    json!({
+        "job": job.id,
+        "team": job.team,
+        "key": job.key,
+        "kind": job.spec.kind,
+        "class": job.spec.class,
+        "subject": job.spec.subject,
+        "tasks": counts,
+        "finished": job.finished_ms.is_some(),
+        "accepted_ms": job.accepted_ms,
+        "finished_ms": job.finished_ms,
+    })
+}
+
+fn vm_value(core: &ControlCore, vm: &Vm, now: Now) -> Value {
+    let seen = vm
+        .session
+        .as_ref()
+        .and_then(|it| core.leading.as_ref()?.sessions.agents.get(&it.id));
+    json!({
+        "vm": vm.id,
+        "name": vm.name,
+        "zone": vm.zone,
+        "rack": vm.rack,
+        "capacity": vm.capacity,
+        "reserved": vm.used,
+        "tasks": vm.tasks.len(),
+        "session": vm.session.as_ref().map(|it| it.id),
+        "draining": vm.draining || seen.is_some_and(|it| it.draining),
+        "quarantined": vm.quarantined,
+        "closed_to_batch": core.scheduler().is_some_and(|it| it.is_closed(vm.id)),
+        "in_force": seen.map(|it| it.in_force),
+        "lease_left_ms": seen.map(|it| it.held_until_ms.saturating_sub(now.mono_ms)),
+        "usage": seen.map(|it| it.usage),
+    })
+}
+
+fn leases(core: &ControlCore, now: Now) -> Value {
+    let held = core.state.vms.iter().filter(|it| it.session.is_some());
+    let rows = held.map(|vm| {
+        let value = vm_value(core, vm, now);
+        json!({"name": vm.name, "session": value["session"], "lease_left_ms": value["lease_left_ms"], "tasks": vm.tasks})
+    });
+    json!(rows.collect::<Vec<_>>())
+}
+
+fn members(core: &ControlCore, now: Now) -> Value {
+    let members = core.raft.members();
+    let row = |it: &Member, role: &str| {
+        let progress = core.raft.progress_of(it.id, now);
+        json!({
+            "member": it.id,
+            "address": it.address,
+            "role": role,
+            "leads": core.raft.leader() == Some(it.id),
+            "match_index": progress.map(|it| it.0),
+            "silent_ms": progress.map(|it| it.1),
+            "in_force": progress.map(|it| it.2),
+        })
+    };
+    let voters = members.voters.iter().map(|it| row(it, "voter"));
+    json!(
+        voters
+            .chain(members.learners.iter().map(|it| row(it, "learner")))
+            .collect::<Vec<_>>()
+    )
+}
+
+fn queue(core: &ControlCore) -> Value {
+    let Some(scheduler) = core.scheduler() else {
+        return json!([]);
+    };
+    let rows = scheduler.queue().waiting_by_team().map(|(team, waiting)| {
+        json!({
+            "team": team,
+            "waiting": waiting,
+            "quota_used_permille": scheduler.queue().share_permille(team),
+            "jobs_open": core.state.jobs.open_of(team),
+        })
+    });
+    json!(rows.collect::<Vec<_>>())
+}
+
+fn dead_letters(state: &State) -> Value {
+    let tasks = state
+        .jobs
+        .tasks()
+        .filter(|it| it.state == TaskState::DeadLetter)
+        .take(JOBS_SHOWN);
+    json!(tasks.collect::<Vec<_>>())
+}
+
+/// The table that an operator reads first.
+fn status(core: &ControlCore, now: Now) -> Value {
+    let state = &core.state;
+    let entries: Vec<_> = core
+        .leading
+        .iter()
+        .flat_map(|it| &it.sessions.entries)
+        .collect();
+    let classes = state.configuration.classes.iter().map(|class| {
+        // The worst entry is shown: percentiles of several cannot be added up.
+        let measured = entries
+            .iter()
+            .flat_map(|(_, it)| &it.latencies)
+            .filter(|it| it.class == class.name);
+        json!({
+            "class": class.name,
+            "kind": class.kind,
+            "answer_target_ms": class.answer_target_ms,
+            "answer_measured_ms": measured.clone().map(|it| it.percentile_ms).max(),
+            "answers": measured.map(|it| it.answers).sum::<u32>(),
+        })
+    });
+    json!({
+        "accepted_revision": state.configuration.revision,
+        "leader": core.raft.leader(),
+        "term": core.raft.term(),
+        "committed_index": core.raft.commit_index(),
+        "snapshot_index": core.raft.snapshot_index(),
+        "members": members(core, now),
+        "entries": entries.iter().map(|(address, it)| json!({
+            "name": it.name, "zone": it.zone, "address": address, "in_force": it.in_force,
+            "silent_ms": now.mono_ms.saturating_sub(it.heard_ms),
+        })).collect::<Vec<_>>(),
+        "vms": state.vms.iter().map(|it| vm_value(core, it, now)).collect::<Vec<_>>(),
+        "queue": queue(core),
+        "classes": classes.collect::<Vec<_>>(),
+        "jobs": state.jobs.len(),
+        "tasks": state.jobs.task_count(),
+        "claims": state.claims.len(),
+        "watches": state.watches.len(),
+    })
+}
--- /dev/null
+++ b/src/error/mod.rs
@@ -0,0 +1,162 @@
+//! The closed list of error kinds and the one table from kind to answer.
+//!
+//! Errors inside the process are [`Report`]s over one opaque [`Error`], with context attached at
+//! each layer. Errors told to a client are a [`Refusal`]; how a refusal is answered is read
+//! from [`answer_of`], never decided at the place that refuses.
+
+use std::fmt;
+
+use compact_str::CompactString;
+use error_stack::Report;
+
+pub use crate::schema::messages::{ErrorKind, Refusal};
+
+/// A result whose error carries its context.
+pub type Result<T> = std::result::Result<T, Report<Error>>;
+
+/// An error of this process: a kind of the closed list and a message that names the bad value.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Error {
+    kind: ErrorKind,
+    message: CompactString,
+}
+
+impl Error {
+    /// Makes an error of `kind`.
+    pub fn new(kind: ErrorKind, message: impl Into<CompactString>) -> Error {
+        Error {
+            kind,
+            message: message.into(),
+        }
+    }
+
+    /// Makes a report of `kind`, ready to be returned.
+    pub fn report(kind: ErrorKind, message: impl Into<CompactString>) -> Report<Error> {
+        Report::new(Error::new(kind, message))
+    }
+
+    /// Returns the kind.
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind, self.message)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Whether the request behind an error ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// It did not run, and no later event makes it run.
+    No,
+    /// It may have run; a non-idempotent request must not be sent under another key.
+    Unknown,
+    /// It ran.
+    Yes,
+}
+
+impl Ran {
+    /// Returns the word used in answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Ran::No => "no",
+            Ran::Unknown => "unknown",
+            Ran::Yes => "yes",
+        }
+    }
+}
+
+/// How an error kind is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerRow {
+    pub kind: ErrorKind,
+    pub status: u16,
+    pub ran: Ran,
+    /// Whether the same request may succeed later.
+    pub retryable: bool,
+}
+
+const fn row(kind: ErrorKind, status: u16, ran: Ran, retryable: bool) -> AnswerRow {
+    AnswerRow {
+        kind,
+        status,
+        ran,
+        retryable,
+    }
+}
+
+/// Every kind with its answer, in the order of the schema.
+pub const ANSWERS: &[AnswerRow] = &[
+    row(ErrorKind::BadRequest, 400, Ran::No, false),
+    row(ErrorKind::Unauthenticated, 401, Ran::No, false),
+    row(ErrorKind::Forbidden, 403, Ran::No, false),
+    row(ErrorKind::NotFound, 404, Ran::No, false),
+    row(ErrorKind::MethodNotAllowed, 405, Ran::No, false),
+    row(ErrorKind::PayloadTooLarge, 413, Ran::No, false),
+    row(ErrorKind::UnknownTeam, 403, Ran::No, false),
+    row(ErrorKind::UnknownClass, 400, Ran::No, false),
+    row(ErrorKind::WrongClassKind, 400, Ran::No, false),
+    row(ErrorKind::DeadlineOutOfRange, 400, Ran::No, false),
+    row(ErrorKind::QueueFull, 429, Ran::No, true),
+    row(ErrorKind::TeamShareExceeded, 429, Ran::No, true),
+    row(ErrorKind::WouldMissDeadline, 503, Ran::No, true),
+    row(ErrorKind::NoEndpoint, 503, Ran::No, true),
+    row(ErrorKind::EndpointLeaving, 503, Ran::No, true),
+    row(ErrorKind::EndpointBusy, 503, Ran::No, true),
+    row(ErrorKind::StaleSession, 503, Ran::No, true),
+    row(ErrorKind::Draining, 503, Ran::No, true),
+    row(ErrorKind::RetryBudgetExhausted, 503, Ran::No, true),
+    row(ErrorKind::DeadlineExpiredQueued, 504, Ran::No, true),
+    row(ErrorKind::AttemptsExhausted, 503, Ran::No, true),
+    row(ErrorKind::OutcomeUnknown, 502, Ran::Unknown, false),
+    row(ErrorKind::AnswerLate, 504, Ran::Unknown, true),
+    row(ErrorKind::EndpointFailed, 502, Ran::Unknown, true),
+    row(ErrorKind::ControlUnavailable, 503, Ran::Unknown, true),
+    row(ErrorKind::NotLeader, 503, Ran::No, true),
+    row(ErrorKind::DiskFull, 507, Ran::No, true),
+    row(ErrorKind::TableFull, 429, Ran::No, true),
+    row(ErrorKind::QuotaExceeded, 429, Ran::No, true),
+    row(ErrorKind::Infeasible, 422, Ran::No, false),
+    row(ErrorKind::RevisionConflict, 409, Ran::No, false),
+    row(ErrorKind::KeyReused, 422, Ran::No, false),
+    row(ErrorKind::ClaimInProgress, 409, Ran::Unknown, true),
+    row(ErrorKind::AlreadyFinished, 409, Ran::No, false),
+    row(ErrorKind::MembershipUnsafe, 409, Ran::No, true),
+    row(ErrorKind::CursorTooOld, 410, Ran::No, false),
+    row(ErrorKind::VersionUnsupported, 426, Ran::No, false),
+    row(ErrorKind::ShuttingDown, 503, Ran::No, true),
+    row(ErrorKind::Internal, 500, Ran::Unknown, true),
+];
+
+/// Returns how errors of `kind` are answered.
+pub fn answer_of(kind: ErrorKind) -> AnswerRow {
+    // The table is in the order of the enum; a test holds the two together.
+    ANSWERS[kind as usize]
+}
+
+/// Makes a refusal that is not worth repeating.
+pub fn refusal(kind: ErrorKind, detail: impl Into<CompactString>) -> Refusal {
+    Refusal {
+        kind,
+        detail: detail.into(),
+        retry_after_ms: 0,
+    }
+}
+
+/// Makes a refusal that says when to come back.
+pub fn refusal_until(
+    kind: ErrorKind,
+    detail: impl Into<CompactString>,
+    retry_after_ms: u64,
+) -> Refusal {
+    Refusal {
+        kind,
+        detail: detail.into(),
+        retry_after_ms,
+    }
+}
--- /dev/null
+++ b/src/metrics/mod.rs
@@ -0,0 +1,236 @@
+//! Counters and histograms, one set per process.
+//!
+//! Label values come from closed lists, so that every counter exists at zero from the start and
+//! an alert on it can be written before it first moves.
+
+use std::sync::Arc;
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+use crate::{error::ANSWERS, policy::retry::RetryReason, prelude::*};
+
+/// Why an answer was not passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dropped {
+    /// Its request was answered or given up already.
+    Late,
+    /// It names no request of this process.
+    Foreign,
+    /// Its checksum is wrong.
+    Damaged,
+}
+
+impl Dropped {
+    const ALL: [Dropped; 3] = [Dropped::Late, Dropped::Foreign, Dropped::Damaged];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Dropped::Late => "late",
+            Dropped::Foreign => "foreign",
+            Dropped::Damaged => "damaged",
+        }
+    }
+}
+
+/// The metrics of one process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    refusals: IntCounterVec,
+    retries: IntCounterVec,
+    dropped: IntCounterVec,
+    answers: HistogramVec,
+    link_dropped: IntCounterVec,
+    pub requests: IntCounter,
+    pub ejections: IntCounter,
+    pub orders_ignored: IntCounter,
+    pub tasks_started: IntCounter,
+    pub leases_lost: IntCounter,
+    pub in_force_revision: IntGauge,
+    pub link_bytes_sent: IntCounter,
+    pub link_bytes_received: IntCounter,
+    pub link_frames_sent: IntCounter,
+    pub disk_syncs: IntCounter,
+    pub disk_writes: IntCounter,
+    pub state: IntGaugeVec,
+}
+
+/// Upper bounds of the answer time buckets, in seconds.
+const ANSWER_BUCKETS: &[f64] = &[
+    0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.2, 0.5, 1.0, 2.0,
+    5.0, 10.0,
+];
+
+/// Why a message between processes was not sent.
+pub const LINK_DROP_REASONS: [&str; 3] = ["queue_full", "no_connection", "too_large"];
+
+/// What is counted of the state.
+pub const STATE_GAUGES: [&str; 7] = [
+    "vms",
+    "jobs",
+    "tasks",
+    "waiting",
+    "claims",
+    "watches",
+    "log_entries",
+];
+
+impl Metrics {
+    /// Makes the metrics of a process, all at zero.
+    pub fn new() -> Arc<Metrics> {
+        Arc::new(Metrics::build().expect("names and labels are constant and valid"))
+    }
+
+    fn build() -> prometheus::Result<Metrics> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| -> prometheus::Result<IntCounterVec> {
+            let res = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(res.clone()))?;
+            Ok(res)
+        };
+        let counter = |name: &str, help: &str| -> prometheus::Result<IntCounter> {
+            let res = IntCounter::new(name, help)?;
+            registry.register(Box::new(res.clone()))?;
+            Ok(res)
+        };
+        let refusals = counters(
+            "aspenrail_refusals_total",
+            "Requests refused, by kind.",
+            "kind",
+        )?;
+        let retries = counters(
+            "aspenrail_retries_total",
+            "Attempts repeated, by reason.",
+            "reason",
+        )?;
+        let dropped = counters(
+            "aspenrail_answers_dropped_total",
+            "Answers not passed on, by reason.",
+            "reason",
+        )?;
+        let link_dropped = counters(
+            "aspenrail_link_dropped_total",
+            "Messages not sent, by reason.",
+            "reason",
+        )?;
+        ANSWERS
+            .iter()
+            .for_each(|it| drop(refusals.with_label_values(&[&it.kind.to_string()])));
+        RetryReason::ALL
+            .iter()
+            .for_each(|it| drop(retries.with_label_values(&[it.as_str()])));
+        Dropped::ALL
+            .iter()
+            .for_each(|it| drop(dropped.with_label_values(&[it.as_str()])));
+        LINK_DROP_REASONS
+            .iter()
+            .for_each(|it| drop(link_dropped.with_label_values(&[it])));
+        let options = HistogramOpts::new(
+            "aspenrail_answer_seconds",
+            "Answer times of quick requests, by class.",
+        );
+        let answers = HistogramVec::new(options.buckets(ANSWER_BUCKETS.to_vec()), &["class"])?;
+        registry.register(Box::new(answers.clone()))?;
+        let in_force_revision = IntGauge::new(
+            "aspenrail_in_force_revision",
+            "Configuration revision in force here.",
+        )?;
+        registry.register(Box::new(in_force_revision.clone()))?;
+        let state = IntGaugeVec::new(
+            Opts::new("aspenrail_state", "What control keeps, by table."),
+            &["table"],
+        )?;
+        registry.register(Box::new(state.clone()))?;
+        STATE_GAUGES
+            .iter()
+            .for_each(|it| drop(state.with_label_values(&[it])));
+        Ok(Metrics {
+            refusals,
+            retries,
+            dropped,
+            answers,
+            link_dropped,
+            requests: counter(
+                "aspenrail_requests_total",
+                "Requests taken in at the edges.",
+            )?,
+            ejections: counter(
+                "aspenrail_ejections_total",
+                "Endpoints left out of routing for failing.",
+            )?,
+            orders_ignored: counter(
+                "aspenrail_orders_ignored_total",
+                "Orders from control that were out of date.",
+            )?,
+            tasks_started: counter(
+                "aspenrail_tasks_started_total",
+                "Tasks started on the worker.",
+            )?,
+            leases_lost: counter(
+                "aspenrail_leases_lost_total",
+                "Times that tasks were stopped for want of a lease.",
+            )?,
+            in_force_revision,
+            link_bytes_sent: counter(
+                "aspenrail_link_sent_bytes_total",
+                "Bytes of messages sent to processes.",
+            )?,
+            link_bytes_received: counter(
+                "aspenrail_link_received_bytes_total",
+                "Bytes of messages received.",
+            )?,
+            link_frames_sent: counter(
+                "aspenrail_link_sent_messages_total",
+                "Messages sent to processes.",
+            )?,
+            disk_syncs: counter("aspenrail_disk_syncs_total", "Syncs of the log.")?,
+            disk_writes: counter(
+                "aspenrail_disk_writes_total",
+                "Turns of the core whose writes were synced.",
+            )?,
+            state,
+            registry,
+        })
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, kind: ErrorKind) {
+        self.refusals.with_label_values(&[&kind.to_string()]).inc();
+    }
+
+    /// Returns how often a kind was refused.
+    pub fn refusals_of(&self, kind: ErrorKind) -> u64 {
+        self.refusals.with_label_values(&[&kind.to_string()]).get()
+    }
+
+    /// Counts an attempt after the first.
+    pub fn retried(&self, reason: RetryReason) {
+        self.retries.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Counts an answer that was not passed on.
+    pub fn answer_dropped(&self, reason: Dropped) {
+        self.dropped.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Counts a message that was not sent; `reason` is one of [`LINK_DROP_REASONS`].
+    pub fn link_dropped(&self, reason: &'static str) {
+        self.link_dropped.with_label_values(&[reason]).inc();
+    }
+
+    /// Counts an answer and its time.
+    pub fn answered(&self, class: &str, seconds: f64) {
+        self.answers.with_label_values(&[class]).observe(seconds);
+    }
+
+    /// Returns all metrics in the text form.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        // Writing into memory fails only for names that `new` would have refused.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        String::from_utf8(buffer).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/policy/admission.rs
@@ -0,0 +1,157 @@
+//! Which quick requests wait, and which are refused at once.
+//!
+//! A request that cannot be answered in time is told so when that is known, with the time to
+//! come back, and never held until its deadline.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::prelude::*;
+
+/// A request that waits for a free endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Waiting<K> {
+    pub key: K,
+    pub deadline_ms: u64,
+}
+
+/// Why a request does not wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    QueueFull,
+    /// Its team fills its share of a full queue.
+    TeamShare,
+}
+
+/// The requests of one class that wait in an entry, fair between teams.
+#[derive(Clone, Debug)]
+pub struct FairQueue<K> {
+    teams: BTreeMap<CompactString, VecDeque<Waiting<K>>>,
+    /// Requests served by team, relative to the least served one that waits.
+    served: BTreeMap<CompactString, u64>,
+    len: usize,
+}
+
+impl<K: Copy + PartialEq> FairQueue<K> {
+    /// Makes an empty queue.
+    pub fn new() -> FairQueue<K> {
+        FairQueue {
+            teams: BTreeMap::new(),
+            served: BTreeMap::new(),
+            len: 0,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Adds a request.
+    ///
+    /// In a full queue a team with more than its even share loses: the newcomer if it is of that
+    /// team, else the newest of the team with the most waiting, which is returned.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the newcomer may not wait.
+    pub fn push(
+        &mut self,
+        team: &str,
+        it: Waiting<K>,
+        len_max: usize,
+    ) -> std::result::Result<Option<Waiting<K>>, Rejection> {
+        let mut displaced = None;
+        if len_max <= self.len {
+            let own = self.teams.get(team).map_or(0, VecDeque::len);
+            let largest = self
+                .teams
+                .iter()
+                .max_by_key(|(_, list)| list.len())
+                .map(|(name, list)| (name.clone(), list.len()));
+            displaced = match largest {
+                Some((name, len)) if own + 1 < len => {
+                    self.teams.get_mut(&name).and_then(VecDeque::pop_back)
+                }
+                Some((name, _)) if name == team => return Err(Rejection::TeamShare),
+                _ => return Err(Rejection::QueueFull),
+            };
+            self.len -= usize::from(displaced.is_some());
+        }
+        if !self.teams.contains_key(team) {
+            // A team that comes back competes from now on; it has saved up nothing.
+            let floor = self
+                .teams
+                .keys()
+                .filter_map(|it| self.served.get(it))
+                .min()
+                .copied()
+                .unwrap_or(0);
+            let served = self.served.entry(team.into()).or_insert(floor);
+            *served = (*served).max(floor);
+        }
+        self.teams.entry(team.into()).or_default().push_back(it);
+        self.len += 1;
+        Ok(displaced)
+    }
+
+    /// Takes the next request of the team that was served least.
+    pub fn pop(&mut self) -> Option<Waiting<K>> {
+        let served = &self.served;
+        let team = self
+            .teams
+            .keys()
+            .min_by_key(|it| served.get(*it).copied().unwrap_or(0))
+            .cloned()?;
+        let list = self.teams.get_mut(&team)?;
+        let it = list.pop_front();
+        if list.is_empty() {
+            self.teams.remove(&team);
+        }
+        if it.is_some() {
+            self.len -= 1;
+            *self.served.entry(team).or_insert(0) += 1;
+        }
+        it
+    }
+
+    /// Takes out the requests that can no longer be answered by their deadline.
+    pub fn drop_late(&mut self, now_ms: u64, answer_ms: u64) -> Vec<Waiting<K>> {
+        let mut late = Vec::new();
+        for list in self.teams.values_mut() {
+            list.retain(|it| {
+                let in_time = now_ms + answer_ms < it.deadline_ms;
+                if !in_time {
+                    late.push(*it);
+                }
+                in_time
+            });
+        }
+        self.teams.retain(|_, list| !list.is_empty());
+        self.len -= late.len();
+        late
+    }
+
+    /// Takes one request out.
+    pub fn remove(&mut self, key: K) {
+        for list in self.teams.values_mut() {
+            let before = list.len();
+            list.retain(|it| it.key != key);
+            self.len -= before - list.len();
+        }
+        self.teams.retain(|_, list| !list.is_empty());
+    }
+}
+
+impl<K: Copy + PartialEq> Default for FairQueue<K> {
+    fn default() -> FairQueue<K> {
+        FairQueue::new()
+    }
+}
+
+/// Returns the time that a newcomer would wait behind `queued` others.
+pub fn expected_wait_ms(queued: usize, slots: u32, answer_ms: f64) -> u64 {
+    (queued as f64 * answer_ms / f64::from(slots.max(1))) as u64
+}
--- /dev/null
+++ b/src/policy/estimate.rs
@@ -0,0 +1,56 @@
+//! Run times corrected by history, since declared ones are often far off.
+
+use std::collections::HashMap;
+
+use crate::prelude::*;
+
+/// Weight of the newest observation.
+const GAIN: f64 = 0.2;
+
+/// Natural logarithm of the largest correction, either way.
+const LOG_RATIO_MAX: f64 = 4.6;
+
+/// Kinds remembered; the least observed go first.
+const KINDS_MAX: usize = 10_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct History {
+    log_ratio: f64,
+    observed: u32,
+}
+
+/// Ratios of actual to declared run times, by team and kind.
+#[derive(Clone, Debug, Default)]
+pub struct RunTimes {
+    histories: HashMap<(CompactString, CompactString), History>,
+}
+
+impl RunTimes {
+    /// Learns that a task declared at `declared_ms` ran for `run_ms`.
+    pub fn observe(&mut self, team: &str, kind: &str, declared_ms: u64, run_ms: u64) {
+        if KINDS_MAX <= self.histories.len() {
+            self.histories.retain(|_, it| 4 < it.observed);
+        }
+        // The logarithm treats ten times too long and ten times too short alike; the mean of
+        // plain ratios would be carried by the few that ran over.
+        let log_ratio = (run_ms.max(1) as f64 / declared_ms.max(1) as f64)
+            .ln()
+            .clamp(-LOG_RATIO_MAX, LOG_RATIO_MAX);
+        let it = self
+            .histories
+            .entry((team.into(), kind.into()))
+            .or_default();
+        it.observed += 1;
+        let gain = GAIN.max(1.0 / f64::from(it.observed + 1));
+        it.log_ratio += (log_ratio - it.log_ratio) * gain;
+    }
+
+    /// Returns the run time to expect of a task declared at `declared_ms`.
+    pub fn expect_ms(&self, team: &str, kind: &str, declared_ms: u64) -> u64 {
+        let ratio = self
+            .histories
+            .get(&(team.into(), kind.into()))
+            .map_or(1.0, |it| it.log_ratio.exp());
+        ((declared_ms.max(1) as f64 * ratio) as u64).max(1)
+    }
+}
--- /dev/null
+++ b/src/policy/feedback.rs
@@ -0,0 +1,117 @@
+//! What is done on a VM whose services answer too slowly.
+//!
+//! One step at a time, and none before the last one can show in a report: throttle the worst
+//! neighbour, then move it, and keep new batch work away while the tail is above its target.
+
+use crate::prelude::*;
+
+/// Reports in a row above the target before something is done.
+const HIGH_REPORTS: u32 = 2;
+
+/// Reports in a row well below the target before a step is taken back.
+const LOW_REPORTS: u32 = 6;
+
+/// Part of the target below which a tail counts as low, in permille. The gap to the target is
+/// the hysteresis: between the two nothing changes.
+const LOW_PERMILLE: u64 = 700;
+
+/// What a throttled neighbour keeps of its processors, in permille.
+const THROTTLED_PERMILLE: u32 = 400;
+
+/// What is to be done on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action {
+    None,
+    /// Let the neighbour have only this part of its processors.
+    Throttle {
+        task: TaskId,
+        permille: u32,
+    },
+    /// Let the throttled neighbour run freely again.
+    Release {
+        task: TaskId,
+    },
+    /// Checkpoint the neighbour and run it elsewhere.
+    Move {
+        task: TaskId,
+    },
+}
+
+/// The feedback loop of one VM.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Loop {
+    high: u32,
+    low: u32,
+    throttled: Option<TaskId>,
+    acted_ms: Option<u64>,
+    closed: bool,
+}
+
+impl Loop {
+    /// Returns whether new batch work is kept away from the VM.
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
+    /// Returns the neighbour that is throttled.
+    pub fn throttled(&self) -> Option<TaskId> {
+        self.throttled
+    }
+
+    /// Forgets a neighbour that no longer runs on the VM.
+    pub fn forget(&mut self, task: TaskId) {
+        if self.throttled == Some(task) {
+            self.throttled = None;
+        }
+    }
+
+    /// Takes in a report of the tail, and decides.
+    ///
+    /// `worst` is the neighbour estimated most harmful; `lag_ms` is how old reports are.
+    pub fn observe(
+        &mut self,
+        now_ms: u64,
+        tail_ms: u64,
+        target_ms: u64,
+        lag_ms: u64,
+        worst: Option<TaskId>,
+    ) -> Action {
+        let above = target_ms < tail_ms;
+        let below = tail_ms * 1_000 < target_ms * LOW_PERMILLE;
+        self.high = if above { self.high + 1 } else { 0 };
+        self.low = if below { self.low + 1 } else { 0 };
+        // A report that began before the last action says nothing of its effect.
+        if self.acted_ms.is_some_and(|it| now_ms < it + lag_ms * 2) {
+            return Action::None;
+        }
+        let action = match (self.throttled, worst) {
+            _ if HIGH_REPORTS <= self.high && !self.closed => {
+                self.closed = true;
+                worst.map_or(Action::None, |task| Action::Throttle {
+                    task,
+                    permille: THROTTLED_PERMILLE,
+                })
+            }
+            (Some(task), _) if HIGH_REPORTS <= self.high => Action::Move { task },
+            (None, Some(task)) if HIGH_REPORTS <= self.high => Action::Throttle {
+                task,
+                permille: THROTTLED_PERMILLE,
+            },
+            (Some(task), _) if LOW_REPORTS <= self.low => Action::Release { task },
+            (None, _) if LOW_REPORTS <= self.low && self.closed => {
+                self.closed = false;
+                Action::None
+            }
+            _ => return Action::None,
+        };
+        match action {
+            Action::Throttle { task, .. } => self.throttled = Some(task),
+            Action::Release { .. } | Action::Move { .. } => self.throttled = None,
+            Action::None => (),
+        }
+        self.acted_ms = Some(now_ms);
+        self.high = 0;
+        self.low = 0;
+        action
+    }
+}
--- /dev/null
+++ b/src/policy/order.rs
@@ -0,0 +1,266 @@
+//! Which waiting task is next.
+//!
+//! Teams come first by how little of their quota they use; within a team, urgent work, services
+//! and batch work in danger of missing its class's target go before the rest; within those, a
+//! [`Rule`] ranks tasks by size.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use crate::prelude::*;
+
+/// How tasks of one tier are ranked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Rule {
+    /// First come, first served.
+    Fifo,
+    /// Least remaining run time first.
+    ShortestRemaining,
+    /// Least product of size and remaining run time first: the RS rule of Scully,
+    /// "Bounding Mean Slowdown in Multiserver Systems".
+    #[default]
+    RemainingTimesSize,
+    /// Least run time received first.
+    LeastAttained,
+}
+
+/// What the rules know of a waiting task.
+#[derive(Clone, Copy, Debug)]
+pub struct Facts {
+    /// Expected run time of the whole task.
+    pub size_ms: u64,
+    /// Run time kept by its checkpoint.
+    pub attained_ms: u64,
+    pub accepted_ms: u64,
+}
+
+/// Returns the rank of a task; the lowest goes first.
+pub fn rank(rule: Rule, it: Facts) -> u64 {
+    let remaining_ms = it.size_ms.saturating_sub(it.attained_ms).max(1);
+    match rule {
+        Rule::Fifo => it.accepted_ms,
+        Rule::ShortestRemaining => remaining_ms,
+        Rule::RemainingTimesSize => it.size_ms.max(1).saturating_mul(remaining_ms),
+        Rule::LeastAttained => it.attained_ms,
+    }
+}
+
+/// What goes first within a team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    Urgent,
+    Service,
+    /// Batch work that misses its class's finish target unless it starts now.
+    Due,
+    Batch,
+}
+
+/// One waiting task.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Waiting {
+    pub task: TaskId,
+    pub tier: Tier,
+    pub rank: u64,
+    pub need: Resources,
+    /// When a batch task becomes due.
+    pub due_ms: Option<u64>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TeamQueue {
+    quota: Option<Resources>,
+    running: Sum,
+    waiting: BTreeSet<(Tier, u64, TaskId)>,
+}
+
+/// A sum of resources wide enough for a whole installation.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Sum {
+    pub cpu_millicores: u64,
+    pub memory_mib: u64,
+    pub accelerators: u64,
+}
+
+impl Sum {
+    pub fn add(&mut self, it: Resources) {
+        self.cpu_millicores += u64::from(it.cpu_millicores);
+        self.memory_mib += u64::from(it.memory_mib);
+        self.accelerators += u64::from(it.accelerators);
+    }
+
+    pub fn subtract(&mut self, it: Resources) {
+        self.cpu_millicores = self.cpu_millicores.saturating_sub(it.cpu_millicores.into());
+        self.memory_mib = self.memory_mib.saturating_sub(it.memory_mib.into());
+        self.accelerators = self.accelerators.saturating_sub(it.accelerators.into());
+    }
+
+    /// Returns the largest part of `quota` used, in permille.
+    pub fn share_permille(self, quota: Resources) -> u64 {
+        let share = |used: u64, of: u32| match (used, of) {
+            (0, _) => 0,
+            (_, 0) => u64::MAX,
+            _ => used.saturating_mul(1_000) / u64::from(of),
+        };
+        share(self.cpu_millicores, quota.cpu_millicores)
+            .max(share(self.memory_mib, quota.memory_mib))
+            .max(share(self.accelerators, quota.accelerators))
+    }
+}
+
+/// All waiting tasks, in order.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    teams: BTreeMap<CompactString, TeamQueue>,
+    tasks: HashMap<TaskId, (CompactString, Waiting)>,
+    due: BTreeSet<(u64, TaskId)>,
+}
+
+impl Queue {
+    /// Sets a team's quota; a team without one gets nothing started.
+    pub fn set_quota(&mut self, team: &str, quota: Option<Resources>) {
+        self.teams.entry(team.into()).or_default().quota = quota;
+    }
+
+    /// Returns the teams seen so far.
+    pub fn teams(&self) -> impl Iterator<Item = &CompactString> {
+        self.teams.keys()
+    }
+
+    /// Counts a task of the team as running, or no longer.
+    pub fn note_running(&mut self, team: &str, need: Resources, runs: Runs) {
+        let running = &mut self.teams.entry(team.into()).or_default().running;
+        match runs {
+            Runs::Starts => running.add(need),
+            Runs::Ends => running.subtract(need),
+        }
+    }
+
+    /// Adds a waiting task, or replaces what was known of it.
+    pub fn insert(&mut self, team: &str, it: Waiting) {
+        self.remove(it.task);
+        let queue = self.teams.entry(team.into()).or_default();
+        queue.waiting.insert((it.tier, it.rank, it.task));
+        if let (Tier::Batch, Some(due_ms)) = (it.tier, it.due_ms) {
+            self.due.insert((due_ms, it.task));
+        }
+        self.tasks.insert(it.task, (team.into(), it));
+    }
+
+    /// Removes a task that no longer waits.
+    pub fn remove(&mut self, task: TaskId) -> Option<Waiting> {
+        let (team, it) = self.tasks.remove(&task)?;
+        if let Some(queue) = self.teams.get_mut(&team) {
+            queue.waiting.remove(&(it.tier, it.rank, task));
+        }
+        if let Some(due_ms) = it.due_ms {
+            self.due.remove(&(due_ms, task));
+        }
+        Some(it)
+    }
+
+    /// Moves batch tasks that have become due up a tier.
+    pub fn advance(&mut self, now_ms: u64) {
+        while let Some(&(due_ms, task)) = self.due.first()
+            && due_ms <= now_ms
+        {
+            let Some((team, it)) = self.tasks.get(&task).cloned() else {
+                break;
+            };
+            self.insert(
+                &team,
+                Waiting {
+                    tier: Tier::Due,
+                    ..it
+                },
+            );
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.tasks.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.tasks.is_empty()
+    }
+
+    /// Returns the tasks waiting by team.
+    pub fn waiting_by_team(&self) -> impl Iterator<Item = (&CompactString, usize)> {
+        self.teams.iter().map(|(name, it)| (name, it.waiting.len()))
+    }
+
+    /// Returns a team's share of its quota in use, in permille.
+    pub fn share_permille(&self, team: &str) -> u64 {
+        let Some(it) = self.teams.get(team) else {
+            return 0;
+        };
+        it.quota
+            .map_or(u64::MAX, |quota| it.running.share_permille(quota))
+    }
+
+    /// Returns the tasks to try now, at most `limit`, each with what it needs.
+    ///
+    /// Teams below their quota take turns, the one with the smallest share first, as if every
+    /// task tried were started. What is left of the VMs then goes to teams above their quota in
+    /// the same way: they borrow, and give back by eviction when an owner needs it.
+    pub fn candidates(&self, limit: usize) -> Vec<Candidate> {
+        let mut heads: BTreeSet<(bool, bool, u64, &CompactString)> = BTreeSet::new();
+        let mut state: HashMap<&CompactString, (Sum, std::collections::btree_set::Iter<'_, _>)> =
+            HashMap::new();
+        for (name, it) in &self.teams {
+            let (Some(quota), Some((tier, _, _))) = (it.quota, it.waiting.first()) else {
+                continue;
+            };
+            let share = it.running.share_permille(quota);
+            heads.insert((1_000 <= share, *tier != Tier::Urgent, share, name));
+            state.insert(name, (it.running, it.waiting.iter()));
+        }
+        let mut res = Vec::new();
+        while res.len() < limit
+            && let Some((borrows, _, _, name)) = heads.pop_first()
+        {
+            let Some((running, waiting)) = state.get_mut(name) else {
+                continue;
+            };
+            let Some((tier, _, task)) = waiting.next() else {
+                continue;
+            };
+            let Some((_, it)) = self.tasks.get(task) else {
+                continue;
+            };
+            let quota = self
+                .teams
+                .get(name)
+                .and_then(|it| it.quota)
+                .unwrap_or(it.need);
+            running.add(it.need);
+            res.push(Candidate {
+                task: *task,
+                tier: *tier,
+                need: it.need,
+                borrows,
+            });
+            let share = running.share_permille(quota);
+            if let Some((tier, _, _)) = waiting.clone().next() {
+                heads.insert((1_000 <= share, *tier != Tier::Urgent, share, name));
+            }
+        }
+        res
+    }
+}
+
+/// Whether a task begins or ends to use its team's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Runs {
+    Starts,
+    Ends,
+}
+
+/// A task to try now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    pub task: TaskId,
+    pub tier: Tier,
+    pub need: Resources,
+    /// Whether its team is above its quota already.
+    pub borrows: bool,
+}
--- /dev/null
+++ b/src/policy/preemption.rs
@@ -0,0 +1,83 @@
+//! Which batch work gives way to an urgent start.
+
+use crate::{
+    control::state::{add, fits},
+    prelude::*,
+};
+
+/// A running batch task that may be evicted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Victim {
+    pub task: TaskId,
+    pub holds: Resources,
+    /// Run time that an eviction throws away.
+    pub lost_ms: u64,
+    /// Whether its team is above its quota, so that it only borrows the room.
+    pub borrows: bool,
+}
+
+/// Chooses victims on one VM so that `need` fits into `free` and what they hold.
+///
+/// Borrowed room goes first, then the least lost work per freed processor. Returns the victims
+/// and the work lost, or nothing where even all of them free too little.
+pub fn choose_victims(
+    need: Resources,
+    free: Resources,
+    victims: &[Victim],
+) -> Option<(Vec<TaskId>, u64)> {
+    let mut order: Vec<_> = victims.to_vec();
+    let price =
+        |it: &Victim| it.lost_ms.saturating_mul(1_000) / u64::from(it.holds.cpu_millicores.max(1));
+    order.sort_by_key(|it| (!it.borrows, price(it), it.task));
+    let mut room = free;
+    let mut chosen = Vec::new();
+    for it in &order {
+        if fits(need, room) {
+            break;
+        }
+        room = add(room, it.holds);
+        chosen.push(*it);
+    }
+    if !fits(need, room) {
+        return None;
+    }
+    // What a later, larger victim made needless stays.
+    for at in (0..chosen.len()).rev() {
+        let others = chosen.iter().enumerate().filter(|(other, _)| *other != at);
+        if fits(need, others.fold(free, |sum, (_, it)| add(sum, it.holds))) {
+            chosen.remove(at);
+        }
+    }
+    let lost_ms = chosen.iter().map(|it| it.lost_ms).sum();
+    Some((chosen.into_iter().map(|it| it.task).collect(), lost_ms))
+}
+
+/// Evictions that a class still accepts, as a bucket that fills over an hour.
+#[derive(Clone, Copy, Debug)]
+pub struct EvictionBudget {
+    tokens: f64,
+    filled_ms: u64,
+}
+
+impl EvictionBudget {
+    /// Makes a budget that is a quarter full, so that a change of leader grants no new hour.
+    pub fn new(per_hour: u32, now_ms: u64) -> EvictionBudget {
+        EvictionBudget {
+            tokens: (f64::from(per_hour) / 4.0).ceil(),
+            filled_ms: now_ms,
+        }
+    }
+
+    /// Takes one eviction from the budget, or returns whether it is spent.
+    pub fn try_take(&mut self, per_hour: u32, now_ms: u64) -> bool {
+        let elapsed_ms = now_ms.saturating_sub(self.filled_ms) as f64;
+        self.filled_ms = now_ms;
+        let per_hour = f64::from(per_hour);
+        self.tokens = (self.tokens + per_hour * elapsed_ms / 3_600_000.0).min(per_hour);
+        let granted = 1.0 <= self.tokens;
+        if granted {
+            self.tokens -= 1.0;
+        }
+        granted
+    }
+}
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -233,6 +233,20 @@
         value.clone()
     }
 }
+///The checkpoint of an evicted task.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Checkpoint {
+    pub run_ms: u64,
+    ///What the worker needs to resume; empty to begin anew.
+    pub token: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&Checkpoint> for Checkpoint {
+    fn from(value: &Checkpoint) -> Self {
+        value.clone()
+    }
+}
 ///A claimed idempotency key.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -449,6 +463,7 @@
     DeleteWatch(DeleteWatchCommand),
     Publish(PublishCommand),
     VmFlags(VmFlagsCommand),
+    Expire(ExpireCommand),
 }
 impl ::std::convert::From<&Self> for Command {
     fn from(value: &Command) -> Self {
@@ -520,6 +535,11 @@
         Self::VmFlags(value)
     }
 }
+impl ::std::convert::From<ExpireCommand> for Command {
+    fn from(value: ExpireCommand) -> Self {
+        Self::Expire(value)
+    }
+}
 ///The result of a completed task.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -661,6 +681,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct CreateWatchCommand {
+    ///Events kept; set by the leader from its settings.
+    pub events_max: u32,
     pub key: ::compact_str::CompactString,
     pub subject: ::compact_str::CompactString,
     pub team: ::compact_str::CompactString,
@@ -1113,6 +1135,21 @@
         value.clone()
     }
 }
+///Forgets what has been kept long enough.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExpireCommand {
+    ///Claims settled, and events published, before.
+    pub claims_before_ms: u64,
+    ///Jobs that finished before, and VMs gone since before.
+    pub jobs_before_ms: u64,
+}
+impl ::std::convert::From<&ExpireCommand> for ExpireCommand {
+    fn from(value: &ExpireCommand) -> Self {
+        value.clone()
+    }
+}
 ///The first frame of a link.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2179,9 +2216,9 @@
     Completed(Completion),
     Failed(::compact_str::CompactString),
     EvictRequested,
-    Evicted(::compact_str::CompactString),
+    Evicted(Checkpoint),
     Stopped,
-    Lost,
+    DeadLetter(::compact_str::CompactString),
 }
 impl ::std::convert::From<&Self> for TaskEvent {
     fn from(value: &TaskEvent) -> Self {
@@ -2193,6 +2230,11 @@
         Self::Completed(value)
     }
 }
+impl ::std::convert::From<Checkpoint> for TaskEvent {
+    fn from(value: Checkpoint) -> Self {
+        Self::Evicted(value)
+    }
+}
 ///Reports an event of one incarnation of a task.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2388,6 +2430,96 @@
         value.clone()
     }
 }
+///The state of a task, as control keeps it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum TaskState {
+    #[serde(rename = "queued")]
+    Queued,
+    #[serde(rename = "starting")]
+    Starting,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "checkpointing")]
+    Checkpointing,
+    #[serde(rename = "evicted")]
+    Evicted,
+    #[serde(rename = "resuming")]
+    Resuming,
+    #[serde(rename = "stopping")]
+    Stopping,
+    #[serde(rename = "completed")]
+    Completed,
+    #[serde(rename = "cancelled")]
+    Cancelled,
+    #[serde(rename = "dead_letter")]
+    DeadLetter,
+}
+impl ::std::convert::From<&Self> for TaskState {
+    fn from(value: &TaskState) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for TaskState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Queued => f.write_str("queued"),
+            Self::Starting => f.write_str("starting"),
+            Self::Running => f.write_str("running"),
+            Self::Checkpointing => f.write_str("checkpointing"),
+            Self::Evicted => f.write_str("evicted"),
+            Self::Resuming => f.write_str("resuming"),
+            Self::Stopping => f.write_str("stopping"),
+            Self::Completed => f.write_str("completed"),
+            Self::Cancelled => f.write_str("cancelled"),
+            Self::DeadLetter => f.write_str("dead_letter"),
+        }
+    }
+}
+impl ::std::str::FromStr for TaskState {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "queued" => Ok(Self::Queued),
+            "starting" => Ok(Self::Starting),
+            "running" => Ok(Self::Running),
+            "checkpointing" => Ok(Self::Checkpointing),
+            "evicted" => Ok(Self::Evicted),
+            "resuming" => Ok(Self::Resuming),
+            "stopping" => Ok(Self::Stopping),
+            "completed" => Ok(Self::Completed),
+            "cancelled" => Ok(Self::Cancelled),
+            "dead_letter" => Ok(Self::DeadLetter),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for TaskState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for TaskState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for TaskState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///A team with its quota.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
