--- a/src/control/state/claims.rs
+++ b/src/control/state/claims.rs
@@ -90,6 +90,17 @@
         Ok(Reply::Claim(claim.clone()))
     }
 
+    /// Settles the open claims of a session that ended: its agent can no longer be asked.
+    ///
+    /// This costs a scan, which is rare (a VM's end) and bounded by the table of claims.
+    pub(super) fn end_session(&mut self, session: SessionId, time_ms: u64) {
+        let open = self.claims.values_mut().filter(|it| it.state == ClaimState::Claimed);
+        for it in open.filter(|it| it.endpoint.session == session) {
+            it.state = ClaimState::Unknown;
+            it.changed_ms = time_ms;
+        }
+    }
+
     /// Forgets claims settled before `before_ms`. An open claim is kept however old it is: its
     /// request may yet run.
     pub(super) fn expire(&mut self, before_ms: u64) {
--- a/src/control/state/vms.rs
+++ b/src/control/state/vms.rs
@@ -214,6 +214,7 @@
         for task in tasks {
             self.step(task, Step::Lost, changes);
         }
+        self.claims.end_session(it.session, time_ms);
         changes.push(Change::Vm(id));
         Ok(Reply::Done)
     }
--- /dev/null
+++ b/src/entry/claims.rs
@@ -0,0 +1,229 @@
+//! Non-idempotent requests: claimed in the log before they are sent, settled after.
+
+use crate::{
+    entry::{
+        core::{ASK_MS, ControlToken, EntryCore},
+        endpoints::EndpointKey,
+        quick::{QuickKey, Stage},
+        request::CallerAnswer,
+    },
+    control::state::Outcome,
+    prelude::*,
+    util::checksum,
+};
+
+/// Interval at which a claim held by another request is looked at.
+const LOOK_MS: u64 = 150;
+
+/// Age of a claim after which its agent is asked, since its entry may be gone.
+const STALE_MS: u64 = 2_000;
+
+/// Pause between two questions to the agent of such a claim.
+const ASK_AGAIN_MS: u64 = 1_000;
+
+/// Largest answer kept with a claim.
+const KEPT_ANSWER_BYTES: usize = 16 * 1024;
+
+impl EntryCore {
+    /// Claims a request's key for an endpoint already counted.
+    pub(super) fn claim(&mut self, now: Now, key: QuickKey, endpoint: EndpointKey) {
+        let (Some(quick), Some(target)) = (self.quicks.get_mut(key), self.endpoints.get(endpoint)) else { return };
+        quick.stage = Stage::Claiming { endpoint };
+        let command = ClaimCommand {
+            team: quick.team.clone(),
+            key: quick.key(),
+            digest: quick.digest,
+            attempt: quick.claim_attempt + 1,
+            request: quick.request,
+            entry: self.options.address,
+            endpoint: target.id,
+            agent: target.agent,
+        };
+        let deadline_ms = quick.deadline_ms + STALE_MS;
+        let operation = Operation::Propose(Command::Claim(command));
+        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
+    }
+
+    /// Takes in the state of a request's claim.
+    pub(super) fn on_claim(&mut self, now: Now, key: QuickKey, outcome: Outcome) {
+        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let claim = match outcome {
+            Ok(Reply::Claim(it)) => it,
+            Ok(_) => return,
+            // Another claimed it a moment ago; its claim is looked at.
+            Err(it) if it.kind == ErrorKind::ClaimInProgress => return self.follow(now, key, None),
+            Err(it) => return self.refuse(now, key, it),
+        };
+        let next = quick.claim_attempt + 1;
+        let is_own = claim.request == quick.request && claim.state == ClaimState::Claimed;
+        match (&quick.stage, claim.state.clone()) {
+            (Stage::Claiming { endpoint }, ClaimState::Claimed) if is_own && claim.attempt == next => {
+                let endpoint = *endpoint;
+                quick.claim_attempt = next;
+                if quick.token.is_none() {
+                    // Its caller was told that it was not run.
+                    return self.give_up_following(now, key);
+                }
+                self.send_attempt(now, key, endpoint);
+            }
+            (_, ClaimState::Claimed) if is_own => (),
+            (_, ClaimState::Claimed) => self.follow(now, key, Some(&claim)),
+            (_, ClaimState::Done(answer)) => {
+                let answer = match answer.body_kept {
+                    true => CallerAnswer::Quick {
+                        status: answer.status,
+                        content_type: answer.content_type,
+                        body: answer.body.as_bytes().to_vec(),
+                        attempts: 0,
+                    },
+                    false => CallerAnswer::AnsweredBefore { status: answer.status },
+                };
+                self.finish(now, key, answer);
+            }
+            (_, ClaimState::Unknown) => {
+                let detail = "an earlier request with this key was sent, and nobody can know whether it ran";
+                self.refuse(now, key, refusal(ErrorKind::OutcomeUnknown, detail));
+            }
+            (_, ClaimState::NotRun) => {
+                // Free again: this request goes on where the other stopped.
+                self.release_claiming(key);
+                let Some(quick) = self.quicks.get_mut(key) else { return };
+                quick.claim_attempt = claim.attempt;
+                quick.stage = Stage::Waiting;
+                if !self.try_begin(now, key) {
+                    let detail = "no endpoint is free for it now";
+                    self.finish(now, key, CallerAnswer::Refused(refusal_until(ErrorKind::QueueFull, detail, 200)));
+                }
+            }
+        }
+    }
+
+    /// Waits for the outcome of the request that holds the claim, and asks its agent about it
+    /// once it is so old that its entry may be gone.
+    fn follow(&mut self, now: Now, key: QuickKey, claim: Option<&Claim>) {
+        self.release_claiming(key);
+        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let asked_ms = match quick.stage {
+            Stage::Following { asked_ms, .. } => asked_ms,
+            _ => None,
+        };
+        let is_stale = quick.arrived_ms + STALE_MS <= now.mono_ms;
+        let asked_lately = asked_ms.is_some_and(|it| now.mono_ms < it + ASK_AGAIN_MS);
+        let ask = claim.filter(|_| is_stale && !asked_lately);
+        let asked_ms = if ask.is_some() { Some(now.mono_ms) } else { asked_ms };
+        quick.stage = Stage::Following { look_at_ms: now.mono_ms + LOOK_MS, asked_ms };
+        self.schedule(now.mono_ms + LOOK_MS, key);
+        if let Some(it) = ask {
+            self.ask_agent_of(key, it);
+        }
+    }
+
+    fn release_claiming(&mut self, key: QuickKey) {
+        if let Some(Stage::Claiming { endpoint }) = self.quicks.get(key).map(|it| it.stage.clone()) {
+            self.endpoints.note_ended(endpoint);
+            if let Some(quick) = self.quicks.get_mut(key) {
+                quick.stage = Stage::Waiting;
+            }
+        }
+    }
+
+    /// Asks control how the claim stands now.
+    pub(super) fn look_at_claim(&mut self, now: Now, key: QuickKey) {
+        let Some(quick) = self.quicks.get_mut(key) else { return };
+        if let Stage::Following { look_at_ms, .. } = &mut quick.stage {
+            *look_at_ms = quick.deadline_ms;
+        }
+        let query = ClaimQuery { team: quick.team.clone(), key: quick.key() };
+        let deadline_ms = quick.deadline_ms;
+        let operation = Operation::Query(Query::Claim(query));
+        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
+    }
+
+    /// Asks the agent of a claim that another request holds what became of it.
+    ///
+    /// An attempt that the agent has not seen by then never runs there, even if the holder's
+    /// message is still on its way; so whoever asks may go on.
+    fn ask_agent_of(&mut self, key: QuickKey, claim: &Claim) {
+        self.asked.insert((claim.request, claim.attempt), key);
+        let query = OutcomeQuery {
+            request: claim.request,
+            attempt: claim.attempt,
+            endpoint: claim.endpoint,
+            reply_to: self.options.address,
+        };
+        self.send(claim.agent, Message::OutcomeQuery(query));
+    }
+
+    /// Asks the agents of a request's own attempts what became of them.
+    pub(super) fn ask_own(&mut self, now: Now, key: QuickKey) {
+        let Some(quick) = self.quicks.get_mut(key) else { return };
+        quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
+        let request = quick.request;
+        let attempts = quick.attempts.clone();
+        for it in attempts {
+            let Some(to) = self.endpoints.get(it.endpoint).map(|it| it.agent) else { continue };
+            let query = OutcomeQuery {
+                request,
+                attempt: it.number,
+                endpoint: it.endpoint_id,
+                reply_to: self.options.address,
+            };
+            self.send(to, Message::OutcomeQuery(query));
+        }
+        self.schedule(now.mono_ms + ASK_MS, key);
+    }
+
+    /// Takes in what an agent says of an attempt of another request with the same key.
+    pub(super) fn on_foreign_outcome(&mut self, now: Now, key: QuickKey, it: ExecuteReply) {
+        let outcome = match it.outcome {
+            ExecuteOutcome::Answered(answer) if checksum(&answer.body) == answer.checksum => {
+                ClaimOutcome::Done(stored(&answer))
+            }
+            ExecuteOutcome::Answered(_) | ExecuteOutcome::Failed(_) => ClaimOutcome::Unknown,
+            ExecuteOutcome::Refused(_) | ExecuteOutcome::NotSeen => ClaimOutcome::NotRun,
+            ExecuteOutcome::Running => return,
+        };
+        let Some(quick) = self.quicks.get(key) else { return };
+        let command = SettleCommand { team: quick.team.clone(), key: quick.key(), attempt: it.attempt, outcome };
+        let deadline_ms = quick.deadline_ms;
+        let operation = Operation::Propose(Command::Settle(command));
+        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
+    }
+
+    /// Records the answer of a request's own attempt.
+    pub(super) fn settle_done(&mut self, now: Now, key: QuickKey, answer: &Answer) {
+        self.settle(now, key, ClaimOutcome::Done(stored(answer)), ControlToken::Nobody);
+    }
+
+    /// Records how a request's own attempt ended.
+    pub(super) fn settle(&mut self, now: Now, key: QuickKey, outcome: ClaimOutcome, token: ControlToken) {
+        let Some(quick) = self.quicks.get(key).filter(|it| 0 < it.claim_attempt) else { return };
+        let command =
+            SettleCommand { team: quick.team.clone(), key: quick.key(), attempt: quick.claim_attempt, outcome };
+        let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
+        self.client.call(now, Operation::Propose(Command::Settle(command)), deadline_ms, token);
+    }
+
+    /// Ends a request whose caller has been answered.
+    pub(super) fn give_up_following(&mut self, now: Now, key: QuickKey) {
+        let Some(quick) = self.quicks.get(key) else { return };
+        let outcome = match quick.stage {
+            Stage::InFlight { .. } => ClaimOutcome::Unknown,
+            _ => ClaimOutcome::NotRun,
+        };
+        self.settle(now, key, outcome, ControlToken::Nobody);
+        let unused = refusal(ErrorKind::OutcomeUnknown, "answered before");
+        self.finish(now, key, CallerAnswer::Refused(unused));
+    }
+}
+
+/// Returns an answer as it is kept with its claim.
+fn stored(it: &Answer) -> StoredAnswer {
+    let body = std::str::from_utf8(&it.body).ok().filter(|it| it.len() <= KEPT_ANSWER_BYTES);
+    StoredAnswer {
+        status: it.status,
+        content_type: it.content_type.clone(),
+        body: body.unwrap_or_default().into(),
+        body_kept: body.is_some(),
+    }
+}
--- /dev/null
+++ b/src/entry/quick.rs
@@ -0,0 +1,73 @@
+//! Quick requests on their way.
+
+use std::sync::Arc;
+
+use crate::{
+    entry::{endpoints::EndpointKey, request::QuickRequest},
+    prelude::*,
+};
+
+slotmap::new_key_type! {
+    /// A small copyable key of a quick request in this entry.
+    pub(super) struct QuickKey;
+}
+
+/// One attempt sent and not answered.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Attempt {
+    pub number: u32,
+    pub endpoint: EndpointKey,
+    pub endpoint_id: EndpointId,
+    pub sent_ms: u64,
+}
+
+/// Where a quick request stands.
+#[derive(Clone, Debug)]
+pub(super) enum Stage {
+    /// It waits for a free endpoint.
+    Waiting,
+    /// Its key is being claimed for this endpoint; nothing is sent before.
+    Claiming { endpoint: EndpointKey },
+    /// Another request holds the claim of its key; its outcome is looked up from time to time.
+    Following { look_at_ms: u64, asked_ms: Option<u64> },
+    /// One or more attempts are under way.
+    InFlight {
+        /// When another attempt is made, or the agent is asked what became of this one.
+        act_at_ms: u64,
+    },
+}
+
+/// One quick request.
+#[derive(Clone, Debug)]
+pub(super) struct Quick {
+    pub token: Option<u64>,
+    pub request: RequestId,
+    pub team: CompactString,
+    pub quick: Arc<QuickRequest>,
+    pub digest: u64,
+    pub arrived_ms: u64,
+    pub deadline_ms: u64,
+    pub stage: Stage,
+    pub attempts: Vec<Attempt>,
+    pub attempts_made: u32,
+    /// Attempt of the claim that this request holds.
+    pub claim_attempt: u32,
+    pub tried: Vec<EndpointId>,
+    /// Whether an attempt may have run without an answer.
+    pub may_have_run: bool,
+    pub last_refusal: Option<ErrorKind>,
+}
+
+impl Quick {
+    pub(super) fn is_idempotent(&self) -> bool {
+        self.quick.idempotent
+    }
+
+    pub(super) fn left_ms(&self, now: Now) -> u64 {
+        self.deadline_ms.saturating_sub(now.mono_ms)
+    }
+
+    pub(super) fn key(&self) -> CompactString {
+        self.quick.key.clone().unwrap_or_default()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod agent;
 pub mod config;
 pub mod control;
+pub mod entry;
 pub mod error;
 pub mod metrics;
 pub mod policy;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -117,6 +117,15 @@
         it
     }
 
+    /// Puts back what [`FairQueue::pop`] took a moment ago.
+    pub fn unpop(&mut self, team: &str, it: Waiting<K>) {
+        self.teams.entry(team.into()).or_default().push_front(it);
+        self.len += 1;
+        if let Some(served) = self.served.get_mut(team) {
+            *served = served.saturating_sub(1);
+        }
+    }
+
     /// Takes out the requests that can no longer be answered by their deadline.
     pub fn drop_late(&mut self, now_ms: u64, answer_ms: u64) -> Vec<Waiting<K>> {
         let mut late = Vec::new();
