--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -690,7 +690,7 @@
         }
     }
 
-    fn check_execute(&mut self, it: &Execute) -> std::result::Result<(), ErrorKind> {
+    fn check_execute(&mut self, it: &Execute) -> Result<(), ErrorKind> {
         let queue_max = self.options.settings.queue_max as usize;
         let is_ours = self.own_sessions.contains(&it.endpoint.session);
         let has_room = self.seen.has_room();
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -157,7 +157,7 @@
         incarnation: u32,
         start: &TaskStart,
         capacity: Resources,
-    ) -> std::result::Result<(), NotStarted> {
+    ) -> Result<(), NotStarted> {
         let reported = self.reported.get(&task);
         let known = reported
             .map(|it| it.incarnation)
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,113 @@
+//! The command line.
+//!
+//! Exit codes: 0 done; 1 refused or failed; 2 the command line is wrong; 3 the settings are
+//! wrong; 4 a planned stop ran out of time or was cut short.
+
+mod arguments;
+mod bench;
+mod dev;
+mod logs;
+mod operator;
+mod roles;
+mod standin;
+
+use std::process::ExitCode;
+
+use crate::prelude::*;
+
+use self::arguments::Arguments;
+
+const HELP: &str = "\
+aspenrail: a scheduler that colocates latency-critical and batch work on one set of VMs
+
+USAGE
+  aspenrail run FILE                        run the roles that a settings file names
+  aspenrail check-config FILE               check a settings file without starting
+  aspenrail init FILE [--member N --founders ID@ADDR,...] [--join]
+                                            make the data folder of a control member, once
+  aspenrail settings-page                   print the page on all settings
+  aspenrail dev [--stay] [--folder DIR]     show the main job on this machine
+
+OPERATOR COMMANDS (each takes --control ADDR[,ADDR...], --token-file FILE and --json)
+  aspenrail status                          members, revisions, VMs, queue, targets
+  aspenrail show VIEW                       configuration, history, teams, classes, vms,
+                                            endpoints, jobs, leases, members, queue, dead_letters
+  aspenrail configure --based-on N --key K --change JSON
+  aspenrail member add ID@ADDR | promote ID | remove ID
+  aspenrail drain VM [--undo]
+
+TRYING OUT
+  aspenrail stand-in layout|worker|executor|load [--help]
+  aspenrail bench NAME                      measurements; aspenrail bench --help lists them
+
+Each command takes --help. Exit codes: 0 done, 1 refused or failed, 2 wrong command line,
+3 wrong settings, 4 a planned stop was cut short.
+";
+
+/// Why a command ended without success.
+pub(crate) enum Failure {
+    /// The command line is wrong.
+    Usage(String),
+    /// The settings are wrong.
+    Settings(Vec<crate::config::Problem>),
+    Failed(error_stack::Report<Error>),
+    /// Told already; only the exit code is left.
+    Told(u8),
+}
+
+impl From<error_stack::Report<Error>> for Failure {
+    fn from(it: error_stack::Report<Error>) -> Failure {
+        Failure::Failed(it)
+    }
+}
+
+/// Runs the command line of this process.
+pub fn main() -> ExitCode {
+    let arguments = Arguments::from_env();
+    match dispatch(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Usage(message)) => {
+            eprintln!("aspenrail: {message}\nTry aspenrail --help.");
+            ExitCode::from(2)
+        }
+        Err(Failure::Settings(problems)) => {
+            problems.iter().for_each(|it| eprintln!("aspenrail: {it}"));
+            ExitCode::from(3)
+        }
+        Err(Failure::Failed(report)) => {
+            eprintln!("aspenrail: {report:?}");
+            ExitCode::FAILURE
+        }
+        Err(Failure::Told(code)) => ExitCode::from(code),
+    }
+}
+
+fn dispatch(mut arguments: Arguments) -> Result<(), Failure> {
+    let Some(command) = arguments.subcommand()? else {
+        // Without a command only --help is left to ask for.
+        if arguments.wants_help() {
+            print!("{HELP}");
+            return Ok(());
+        }
+        return Err(Failure::Usage("no command is given".to_owned()));
+    };
+    match command.as_str() {
+        "run" => roles::run(arguments),
+        "check-config" => roles::check_config(arguments),
+        "init" => roles::init(arguments),
+        "settings-page" => {
+            arguments.finish()?;
+            print!("{}", crate::config::settings_page());
+            Ok(())
+        }
+        "dev" => dev::run(arguments),
+        "status" | "show" | "configure" | "member" | "drain" => operator::run(&command, arguments),
+        "stand-in" => standin::run(arguments),
+        "bench" => bench::run(arguments),
+        "help" => {
+            print!("{HELP}");
+            Ok(())
+        }
+        other => Err(Failure::Usage(format!("unknown command '{other}'"))),
+    }
+}
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -40,7 +40,7 @@
 /// # Errors
 ///
 /// Returns everything that is wrong with it, not only the first.
-pub fn load_settings(path: &Path) -> std::result::Result<Settings, Vec<Problem>> {
+pub fn load_settings(path: &Path) -> Result<Settings, Vec<Problem>> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|it| vec![problem(&file, "", "", &format!("cannot be read: {it}"))])?;
@@ -52,7 +52,7 @@
 /// # Errors
 ///
 /// Returns everything that is wrong with it, not only the first.
-pub fn parse_settings(file: &str, text: &str) -> std::result::Result<Settings, Vec<Problem>> {
+pub fn parse_settings(file: &str, text: &str) -> Result<Settings, Vec<Problem>> {
     let ini = Ini::load_from_str(text)
         .map_err(|it| vec![problem(file, "", "", &format!("is no INI file: {it}"))])?;
     let schema = Schema::new();
@@ -194,7 +194,7 @@
     }
 }
 
-fn parse_value(property: &Value, text: &str) -> std::result::Result<Value, String> {
+fn parse_value(property: &Value, text: &str) -> Result<Value, String> {
     let text = text.trim();
     if property["type"] == "integer" {
         return parse_number(property, text);
@@ -209,8 +209,7 @@
             return Err("needs at least one value".to_owned());
         }
         let item_type = property["items"]["$ref"].as_str().unwrap_or_default();
-        let checked: std::result::Result<Vec<_>, _> =
-            items.iter().map(|it| parse_text(item_type, it)).collect();
+        let checked: Result<Vec<_>, _> = items.iter().map(|it| parse_text(item_type, it)).collect();
         return checked.map(Value::Array);
     }
     parse_text(
@@ -219,7 +218,7 @@
     )
 }
 
-fn parse_number(property: &Value, text: &str) -> std::result::Result<Value, String> {
+fn parse_number(property: &Value, text: &str) -> Result<Value, String> {
     let unit = property["x-unit"]
         .as_str()
         .map(|it| format!(" in {it}"))
@@ -241,7 +240,7 @@
     Ok(Value::from(number))
 }
 
-fn parse_text(reference: &str, text: &str) -> std::result::Result<Value, String> {
+fn parse_text(reference: &str, text: &str) -> Result<Value, String> {
     match reference {
         "#/definitions/Address" if text.parse::<SocketAddr>().is_err() => Err(format!(
             "'{text}' is not an IP address with port, such as 10.0.0.1:7000"
@@ -307,7 +306,7 @@
 }
 
 /// Checks what no single key shows.
-fn check_whole(file: &str, it: &Settings) -> std::result::Result<Settings, Vec<Problem>> {
+fn check_whole(file: &str, it: &Settings) -> Result<Settings, Vec<Problem>> {
     let mut problems = Vec::new();
     let roles = &it.process.roles;
     let sections = [
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -404,7 +404,7 @@
         }
     }
 
-    fn check_limits(&self, command: &Command) -> std::result::Result<(), Refusal> {
+    fn check_limits(&self, command: &Command) -> Result<(), Refusal> {
         let settings = &self.options.settings;
         let full = |table: &str, most: u32| {
             Err(refusal_until(
--- a/src/control/log/raft.rs
+++ b/src/control/log/raft.rs
@@ -261,7 +261,7 @@
     /// # Errors
     ///
     /// Returns why it was not taken; it is then in no log.
-    pub fn propose(&mut self, now: Now, body: EntryBody) -> std::result::Result<u64, ProposeError> {
+    pub fn propose(&mut self, now: Now, body: EntryBody) -> Result<u64, ProposeError> {
         if !self.is_leader() {
             return Err(ProposeError::NotLeader);
         }
@@ -297,11 +297,7 @@
     /// # Errors
     ///
     /// Returns why the change is refused; nothing has changed then.
-    pub fn change_members(
-        &mut self,
-        now: Now,
-        change: MemberChange,
-    ) -> std::result::Result<u64, ProposeError> {
+    pub fn change_members(&mut self, now: Now, change: MemberChange) -> Result<u64, ProposeError> {
         if !self.is_leader() {
             return Err(ProposeError::NotLeader);
         }
--- a/src/control/state/claims.rs
+++ b/src/control/state/claims.rs
@@ -94,7 +94,10 @@
     ///
     /// This costs a scan, which is rare (a VM's end) and bounded by the table of claims.
     pub(super) fn end_session(&mut self, session: SessionId, time_ms: u64) {
-        let open = self.claims.values_mut().filter(|it| it.state == ClaimState::Claimed);
+        let open = self
+            .claims
+            .values_mut()
+            .filter(|it| it.state == ClaimState::Claimed);
         for it in open.filter(|it| it.endpoint.session == session) {
             it.state = ClaimState::Unknown;
             it.changed_ms = time_ms;
--- a/src/control/state/configuration.rs
+++ b/src/control/state/configuration.rs
@@ -108,7 +108,7 @@
 }
 
 /// Checks the values of a change by themselves.
-fn check_change(change: &ConfigChange) -> std::result::Result<(), Refusal> {
+fn check_change(change: &ConfigChange) -> Result<(), Refusal> {
     let bad = |detail: &str| Err(refusal(ErrorKind::BadRequest, detail));
     match change {
         ConfigChange::PutTeam(it) if it.name.is_empty() => bad("a team needs a name"),
@@ -130,7 +130,7 @@
     list: &mut Vec<T>,
     item: &T,
     name_of: fn(&T) -> &CompactString,
-) -> std::result::Result<(), Refusal> {
+) -> Result<(), Refusal> {
     match list.iter().position(|it| name_of(it) == name_of(item)) {
         Some(at) => list[at] = item.clone(),
         None if ITEMS_MAX <= list.len() => {
@@ -148,7 +148,7 @@
     list: &mut Vec<T>,
     name: &str,
     name_of: fn(&T) -> &CompactString,
-) -> std::result::Result<(), Refusal> {
+) -> Result<(), Refusal> {
     let Some(at) = list.iter().position(|it| name_of(it) == name) else {
         return Err(refusal(
             ErrorKind::NotFound,
--- a/src/control/state/jobs.rs
+++ b/src/control/state/jobs.rs
@@ -189,7 +189,7 @@
     }
 
     /// Refuses what can never run, so that it does not wait for ever.
-    fn check_feasible(&self, it: &SubmitCommand) -> std::result::Result<(), Refusal> {
+    fn check_feasible(&self, it: &SubmitCommand) -> Result<(), Refusal> {
         let spec = &it.spec;
         let Some(team) = self.team(&it.team) else {
             return Err(refusal(
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -34,7 +34,7 @@
 }
 
 /// The outcome of one command.
-pub type Outcome = std::result::Result<Reply, Refusal>;
+pub type Outcome = Result<Reply, Refusal>;
 
 /// The replicated state of one control group.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
@@ -157,7 +157,7 @@
     /// # Errors
     ///
     /// Returns what does not hold.
-    pub fn audit(&self) -> std::result::Result<(), String> {
+    pub fn audit(&self) -> Result<(), String> {
         let mut used: BTreeMap<VmId, Resources> = BTreeMap::new();
         for task in self.jobs.tasks() {
             let holds = task.state.holds_resources();
--- a/src/control/state/watches.rs
+++ b/src/control/state/watches.rs
@@ -23,7 +23,7 @@
     ///
     /// Returns a refusal when events after the cursor are no longer kept, with the cursor from
     /// which on they are; nothing is skipped in silence.
-    pub fn read(&self, cursor: u64, limit: usize) -> std::result::Result<Vec<WatchEvent>, Refusal> {
+    pub fn read(&self, cursor: u64, limit: usize) -> Result<Vec<WatchEvent>, Refusal> {
         let oldest = self.next_cursor - self.events.len() as u64;
         if cursor + 1 < oldest {
             let detail = format_compact!(
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -85,7 +85,7 @@
     Ok(Reply::Document(value.to_string().into()))
 }
 
-fn find_job<'a>(state: &'a State, it: &JobQuery) -> std::result::Result<&'a Job, Refusal> {
+fn find_job<'a>(state: &'a State, it: &JobQuery) -> Result<&'a Job, Refusal> {
     let found = state.jobs.job(it.job).filter(|job| job.team == it.team);
     found.ok_or_else(|| {
         refusal(
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -1,13 +1,13 @@
 //! Non-idempotent requests: claimed in the log before they are sent, settled after.
 
 use crate::{
+    control::state::Outcome,
     entry::{
         core::{ASK_MS, ControlToken, EntryCore},
         endpoints::EndpointKey,
         quick::{QuickKey, Stage},
         request::CallerAnswer,
     },
-    control::state::Outcome,
     prelude::*,
     util::checksum,
 };
@@ -27,7 +27,10 @@
 impl EntryCore {
     /// Claims a request's key for an endpoint already counted.
     pub(super) fn claim(&mut self, now: Now, key: QuickKey, endpoint: EndpointKey) {
-        let (Some(quick), Some(target)) = (self.quicks.get_mut(key), self.endpoints.get(endpoint)) else { return };
+        let (Some(quick), Some(target)) = (self.quicks.get_mut(key), self.endpoints.get(endpoint))
+        else {
+            return;
+        };
         quick.stage = Stage::Claiming { endpoint };
         let command = ClaimCommand {
             team: quick.team.clone(),
@@ -41,12 +44,15 @@
         };
         let deadline_ms = quick.deadline_ms + STALE_MS;
         let operation = Operation::Propose(Command::Claim(command));
-        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
+        self.client
+            .call(now, operation, deadline_ms, ControlToken::Claim(key));
     }
 
     /// Takes in the state of a request's claim.
     pub(super) fn on_claim(&mut self, now: Now, key: QuickKey, outcome: Outcome) {
-        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
         let claim = match outcome {
             Ok(Reply::Claim(it)) => it,
             Ok(_) => return,
@@ -57,7 +63,9 @@
         let next = quick.claim_attempt + 1;
         let is_own = claim.request == quick.request && claim.state == ClaimState::Claimed;
         match (&quick.stage, claim.state.clone()) {
-            (Stage::Claiming { endpoint }, ClaimState::Claimed) if is_own && claim.attempt == next => {
+            (Stage::Claiming { endpoint }, ClaimState::Claimed)
+                if is_own && claim.attempt == next =>
+            {
                 let endpoint = *endpoint;
                 quick.claim_attempt = next;
                 if quick.token.is_none() {
@@ -76,23 +84,32 @@
                         body: answer.body.as_bytes().to_vec(),
                         attempts: 0,
                     },
-                    false => CallerAnswer::AnsweredBefore { status: answer.status },
+                    false => CallerAnswer::AnsweredBefore {
+                        status: answer.status,
+                    },
                 };
                 self.finish(now, key, answer);
             }
             (_, ClaimState::Unknown) => {
-                let detail = "an earlier request with this key was sent, and nobody can know whether it ran";
+                let detail =
+                    "an earlier request with this key was sent, and nobody can know whether it ran";
                 self.refuse(now, key, refusal(ErrorKind::OutcomeUnknown, detail));
             }
             (_, ClaimState::NotRun) => {
                 // Free again: this request goes on where the other stopped.
                 self.release_claiming(key);
-                let Some(quick) = self.quicks.get_mut(key) else { return };
+                let Some(quick) = self.quicks.get_mut(key) else {
+                    return;
+                };
                 quick.claim_attempt = claim.attempt;
                 quick.stage = Stage::Waiting;
                 if !self.try_begin(now, key) {
                     let detail = "no endpoint is free for it now";
-                    self.finish(now, key, CallerAnswer::Refused(refusal_until(ErrorKind::QueueFull, detail, 200)));
+                    self.finish(
+                        now,
+                        key,
+                        CallerAnswer::Refused(refusal_until(ErrorKind::QueueFull, detail, 200)),
+                    );
                 }
             }
         }
@@ -102,7 +119,9 @@
     /// once it is so old that its entry may be gone.
     fn follow(&mut self, now: Now, key: QuickKey, claim: Option<&Claim>) {
         self.release_claiming(key);
-        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
         let asked_ms = match quick.stage {
             Stage::Following { asked_ms, .. } => asked_ms,
             _ => None,
@@ -110,8 +129,15 @@
         let is_stale = quick.arrived_ms + STALE_MS <= now.mono_ms;
         let asked_lately = asked_ms.is_some_and(|it| now.mono_ms < it + ASK_AGAIN_MS);
         let ask = claim.filter(|_| is_stale && !asked_lately);
-        let asked_ms = if ask.is_some() { Some(now.mono_ms) } else { asked_ms };
-        quick.stage = Stage::Following { look_at_ms: now.mono_ms + LOOK_MS, asked_ms };
+        let asked_ms = if ask.is_some() {
+            Some(now.mono_ms)
+        } else {
+            asked_ms
+        };
+        quick.stage = Stage::Following {
+            look_at_ms: now.mono_ms + LOOK_MS,
+            asked_ms,
+        };
         self.schedule(now.mono_ms + LOOK_MS, key);
         if let Some(it) = ask {
             self.ask_agent_of(key, it);
@@ -119,7 +145,8 @@
     }
 
     fn release_claiming(&mut self, key: QuickKey) {
-        if let Some(Stage::Claiming { endpoint }) = self.quicks.get(key).map(|it| it.stage.clone()) {
+        if let Some(Stage::Claiming { endpoint }) = self.quicks.get(key).map(|it| it.stage.clone())
+        {
             self.endpoints.note_ended(endpoint);
             if let Some(quick) = self.quicks.get_mut(key) {
                 quick.stage = Stage::Waiting;
@@ -129,14 +156,20 @@
 
     /// Asks control how the claim stands now.
     pub(super) fn look_at_claim(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
         if let Stage::Following { look_at_ms, .. } = &mut quick.stage {
             *look_at_ms = quick.deadline_ms;
         }
-        let query = ClaimQuery { team: quick.team.clone(), key: quick.key() };
+        let query = ClaimQuery {
+            team: quick.team.clone(),
+            key: quick.key(),
+        };
         let deadline_ms = quick.deadline_ms;
         let operation = Operation::Query(Query::Claim(query));
-        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
+        self.client
+            .call(now, operation, deadline_ms, ControlToken::Claim(key));
     }
 
     /// Asks the agent of a claim that another request holds what became of it.
@@ -156,12 +189,18 @@
 
     /// Asks the agents of a request's own attempts what became of them.
     pub(super) fn ask_own(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else { return };
-        quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
+        quick.stage = Stage::InFlight {
+            act_at_ms: now.mono_ms + ASK_MS,
+        };
         let request = quick.request;
         let attempts = quick.attempts.clone();
         for it in attempts {
-            let Some(to) = self.endpoints.get(it.endpoint).map(|it| it.agent) else { continue };
+            let Some(to) = self.endpoints.get(it.endpoint).map(|it| it.agent) else {
+                continue;
+            };
             let query = OutcomeQuery {
                 request,
                 attempt: it.number,
@@ -183,30 +222,62 @@
             ExecuteOutcome::Refused(_) | ExecuteOutcome::NotSeen => ClaimOutcome::NotRun,
             ExecuteOutcome::Running => return,
         };
-        let Some(quick) = self.quicks.get(key) else { return };
-        let command = SettleCommand { team: quick.team.clone(), key: quick.key(), attempt: it.attempt, outcome };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
+        let command = SettleCommand {
+            team: quick.team.clone(),
+            key: quick.key(),
+            attempt: it.attempt,
+            outcome,
+        };
         let deadline_ms = quick.deadline_ms;
         let operation = Operation::Propose(Command::Settle(command));
-        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
+        self.client
+            .call(now, operation, deadline_ms, ControlToken::Claim(key));
     }
 
     /// Records the answer of a request's own attempt.
     pub(super) fn settle_done(&mut self, now: Now, key: QuickKey, answer: &Answer) {
-        self.settle(now, key, ClaimOutcome::Done(stored(answer)), ControlToken::Nobody);
+        self.settle(
+            now,
+            key,
+            ClaimOutcome::Done(stored(answer)),
+            ControlToken::Nobody,
+        );
     }
 
     /// Records how a request's own attempt ended.
-    pub(super) fn settle(&mut self, now: Now, key: QuickKey, outcome: ClaimOutcome, token: ControlToken) {
-        let Some(quick) = self.quicks.get(key).filter(|it| 0 < it.claim_attempt) else { return };
-        let command =
-            SettleCommand { team: quick.team.clone(), key: quick.key(), attempt: quick.claim_attempt, outcome };
+    pub(super) fn settle(
+        &mut self,
+        now: Now,
+        key: QuickKey,
+        outcome: ClaimOutcome,
+        token: ControlToken,
+    ) {
+        let Some(quick) = self.quicks.get(key).filter(|it| 0 < it.claim_attempt) else {
+            return;
+        };
+        let command = SettleCommand {
+            team: quick.team.clone(),
+            key: quick.key(),
+            attempt: quick.claim_attempt,
+            outcome,
+        };
         let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
-        self.client.call(now, Operation::Propose(Command::Settle(command)), deadline_ms, token);
+        self.client.call(
+            now,
+            Operation::Propose(Command::Settle(command)),
+            deadline_ms,
+            token,
+        );
     }
 
     /// Ends a request whose caller has been answered.
     pub(super) fn give_up_following(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else { return };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
         let outcome = match quick.stage {
             Stage::InFlight { .. } => ClaimOutcome::Unknown,
             _ => ClaimOutcome::NotRun,
@@ -219,7 +290,9 @@
 
 /// Returns an answer as it is kept with its claim.
 fn stored(it: &Answer) -> StoredAnswer {
-    let body = std::str::from_utf8(&it.body).ok().filter(|it| it.len() <= KEPT_ANSWER_BYTES);
+    let body = std::str::from_utf8(&it.body)
+        .ok()
+        .filter(|it| it.len() <= KEPT_ANSWER_BYTES);
     StoredAnswer {
         status: it.status,
         content_type: it.content_type.clone(),
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -165,28 +165,48 @@
     /// Returns when the next [`Input::Tick`] is due.
     pub fn next_tick_ms(&self) -> u64 {
         let timer_ms = self.timers.first().map_or(u64::MAX, |it| it.0);
-        let poll_ms = self.polls.values().map(|it| it.ask_at_ms.unwrap_or(it.until_ms).min(it.until_ms)).min();
+        let poll_ms = self
+            .polls
+            .values()
+            .map(|it| it.ask_at_ms.unwrap_or(it.until_ms).min(it.until_ms))
+            .min();
         let client_ms = self.client.next_tick_ms().unwrap_or(u64::MAX);
-        self.heartbeat_at_ms.min(timer_ms).min(poll_ms.unwrap_or(u64::MAX)).min(client_ms)
+        self.heartbeat_at_ms
+            .min(timer_ms)
+            .min(poll_ms.unwrap_or(u64::MAX))
+            .min(client_ms)
     }
 
     /// Takes the effects of the inputs so far.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         let mut res = std::mem::take(&mut self.effects);
-        res.extend(self.client.take_messages().into_iter().map(|(to, message)| Effect::Send { to, message }));
+        res.extend(
+            self.client
+                .take_messages()
+                .into_iter()
+                .map(|(to, message)| Effect::Send { to, message }),
+        );
         res
     }
 
     /// Takes in one input.
     pub fn handle(&mut self, now: Now, input: Input) {
         match input {
-            Input::Message { from, in_force, message } => {
+            Input::Message {
+                from,
+                in_force,
+                message,
+            } => {
                 if let Some(question) = self.adopted.question(now, in_force, self.options.address) {
                     self.send(from, question);
                 }
                 self.on_message(now, message);
             }
-            Input::Request { token, team, request } => {
+            Input::Request {
+                token,
+                team,
+                request,
+            } => {
                 self.metrics.requests.inc();
                 self.on_request(now, token, team, request);
             }
@@ -238,16 +258,26 @@
             self.unanswered_heartbeats = 0;
             self.client.try_next();
         }
-        let Some(to) = self.client.target() else { return };
+        let Some(to) = self.client.target() else {
+            return;
+        };
         self.unanswered_heartbeats += 1;
-        let latencies = self.lines.iter().filter(|(_, it)| !it.answers.is_empty()).map(|(class, it)| {
-            let permille = self.adopted.class(class).map_or(990, |it| it.answer_percentile_permille);
-            ClassLatency {
-                class: class.clone(),
-                answers: it.answers.len() as u32,
-                percentile_ms: it.answers.value_at_quantile(f64::from(permille) / 1_000.0) as u32,
-            }
-        });
+        let latencies = self
+            .lines
+            .iter()
+            .filter(|(_, it)| !it.answers.is_empty())
+            .map(|(class, it)| {
+                let permille = self
+                    .adopted
+                    .class(class)
+                    .map_or(990, |it| it.answer_percentile_permille);
+                ClassLatency {
+                    class: class.clone(),
+                    answers: it.answers.len() as u32,
+                    percentile_ms: it.answers.value_at_quantile(f64::from(permille) / 1_000.0)
+                        as u32,
+                }
+            });
         let heartbeat = EntryHeartbeat {
             name: self.options.name.clone(),
             zone: self.options.zone.clone(),
@@ -300,40 +330,79 @@
 
     fn on_request(&mut self, now: Now, token: u64, team: CompactString, request: CallerRequest) {
         if self.draining {
-            let refusal = refusal_until(ErrorKind::Draining, "this entry is stopping: ask another", 100);
+            let refusal = refusal_until(
+                ErrorKind::Draining,
+                "this entry is stopping: ask another",
+                100,
+            );
             return self.answer(token, CallerAnswer::Refused(refusal));
         }
         let open = self.quicks.len() + self.polls.len() + self.operations;
         if self.options.settings.in_flight_max as usize <= open {
-            let refusal = refusal_until(ErrorKind::QueueFull, "this entry has its most requests open", 200);
+            let refusal = refusal_until(
+                ErrorKind::QueueFull,
+                "this entry has its most requests open",
+                200,
+            );
             return self.answer(token, CallerAnswer::Refused(refusal));
         }
         let operation = match request {
             CallerRequest::Quick(it) => return self.on_quick(now, token, team, it),
             CallerRequest::JobResult { job, wait_ms } => {
-                return self.hold_poll(now, token, Query::JobResult(JobQuery { team, job }), wait_ms);
+                return self.hold_poll(
+                    now,
+                    token,
+                    Query::JobResult(JobQuery { team, job }),
+                    wait_ms,
+                );
             }
-            CallerRequest::PollWatch { watch, cursor, wait_ms } => {
-                return self.hold_poll(now, token, Query::Watch(WatchQuery { team, watch, cursor }), wait_ms);
+            CallerRequest::PollWatch {
+                watch,
+                cursor,
+                wait_ms,
+            } => {
+                return self.hold_poll(
+                    now,
+                    token,
+                    Query::Watch(WatchQuery {
+                        team,
+                        watch,
+                        cursor,
+                    }),
+                    wait_ms,
+                );
             }
             CallerRequest::Job(job) => Operation::Query(Query::Job(JobQuery { team, job })),
             CallerRequest::Submit { key, spec } => {
                 Operation::Propose(Command::Submit(SubmitCommand { team, key, spec }))
             }
-            CallerRequest::Cancel(jobs) => Operation::Propose(Command::Cancel(CancelCommand { team, jobs })),
+            CallerRequest::Cancel(jobs) => {
+                Operation::Propose(Command::Cancel(CancelCommand { team, jobs }))
+            }
             CallerRequest::CreateWatch { key, subject } => {
-                Operation::Propose(Command::CreateWatch(CreateWatchCommand { team, key, subject, events_max: 0 }))
+                Operation::Propose(Command::CreateWatch(CreateWatchCommand {
+                    team,
+                    key,
+                    subject,
+                    events_max: 0,
+                }))
             }
             CallerRequest::DeleteWatch(watch) => {
                 Operation::Propose(Command::DeleteWatch(DeleteWatchCommand { team, watch }))
             }
             CallerRequest::Publish { key, subject, body } => {
-                Operation::Propose(Command::Publish(PublishCommand { team, key, subject, body }))
+                Operation::Propose(Command::Publish(PublishCommand {
+                    team,
+                    key,
+                    subject,
+                    body,
+                }))
             }
         };
         self.operations += 1;
         let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
-        self.client.call(now, operation, deadline_ms, ControlToken::Caller(token));
+        self.client
+            .call(now, operation, deadline_ms, ControlToken::Caller(token));
     }
 
     fn on_control(&mut self, now: Now, token: ControlToken, outcome: Outcome) {
@@ -350,23 +419,40 @@
 
     fn hold_poll(&mut self, now: Now, token: u64, query: Query, wait_ms: u32) {
         let until_ms = now.mono_ms + u64::from(wait_ms.min(self.options.settings.poll_max_ms));
-        self.polls.insert(token, Poll { query, until_ms, ask_at_ms: Some(now.mono_ms) });
+        self.polls.insert(
+            token,
+            Poll {
+                query,
+                until_ms,
+                ask_at_ms: Some(now.mono_ms),
+            },
+        );
     }
 
     fn tick_polls(&mut self, now: Now) {
         let is_due = |it: &Poll| it.ask_at_ms.is_some_and(|at_ms| at_ms <= now.mono_ms);
-        let due: Vec<_> = self.polls.iter().filter(|(_, it)| is_due(it)).map(|(token, _)| *token).collect();
+        let due: Vec<_> = self
+            .polls
+            .iter()
+            .filter(|(_, it)| is_due(it))
+            .map(|(token, _)| *token)
+            .collect();
         for token in due {
-            let Some(poll) = self.polls.get_mut(&token) else { continue };
+            let Some(poll) = self.polls.get_mut(&token) else {
+                continue;
+            };
             poll.ask_at_ms = None;
             let operation = Operation::Query(poll.query.clone());
             let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
-            self.client.call(now, operation, deadline_ms, ControlToken::Poll(token));
+            self.client
+                .call(now, operation, deadline_ms, ControlToken::Poll(token));
         }
     }
 
     fn on_poll_reply(&mut self, now: Now, token: u64, outcome: Outcome) {
-        let Some(poll) = self.polls.get_mut(&token) else { return };
+        let Some(poll) = self.polls.get_mut(&token) else {
+            return;
+        };
         let has_news = match &outcome {
             Ok(Reply::Document(text)) => tells_news(text),
             _ => true,
@@ -384,7 +470,10 @@
             return self.answer(token, CallerAnswer::Refused(refusal));
         }
         self.next_request += 1;
-        let request = RequestId { boot: self.options.boot, number: self.next_request };
+        let request = RequestId {
+            boot: self.options.boot,
+            number: self.next_request,
+        };
         let deadline_ms = now.mono_ms + u64::from(quick.deadline_ms);
         *self.by_team.entry(team.clone()).or_insert(0) += 1;
         let class = quick.class.clone();
@@ -408,36 +497,61 @@
         self.by_request.insert(request, key);
         self.timers.insert((deadline_ms, key));
         // Who arrives while others wait goes behind them.
-        let others_wait = self.lines.get(&class).is_some_and(|it| !it.queue.is_empty());
+        let others_wait = self
+            .lines
+            .get(&class)
+            .is_some_and(|it| !it.queue.is_empty());
         if others_wait || !self.try_begin(now, key) {
             self.enqueue(now, key);
         }
     }
 
-    fn check_quick(&self, team: &str, it: &QuickRequest) -> std::result::Result<(), Refusal> {
+    fn check_quick(&self, team: &str, it: &QuickRequest) -> Result<(), Refusal> {
         if self.adopted.revision() == Revision(0) {
-            return Err(refusal_until(ErrorKind::NoEndpoint, "this entry has no configuration yet", 1_000));
+            return Err(refusal_until(
+                ErrorKind::NoEndpoint,
+                "this entry has no configuration yet",
+                1_000,
+            ));
         }
         let Some(team) = self.adopted.team(team) else {
-            return Err(refusal(ErrorKind::UnknownTeam, format_compact!("no team is named {team}")));
+            return Err(refusal(
+                ErrorKind::UnknownTeam,
+                format_compact!("no team is named {team}"),
+            ));
         };
         let Some(class) = self.adopted.class(&it.class) else {
-            return Err(refusal(ErrorKind::UnknownClass, format_compact!("no class is named {}", it.class)));
+            return Err(refusal(
+                ErrorKind::UnknownClass,
+                format_compact!("no class is named {}", it.class),
+            ));
         };
         if class.kind != ClassKind::LatencyCritical {
-            let detail = format_compact!("class {} is {}; quick requests need latency_critical", it.class, class.kind);
+            let detail = format_compact!(
+                "class {} is {}; quick requests need latency_critical",
+                it.class,
+                class.kind
+            );
             return Err(refusal(ErrorKind::WrongClassKind, detail));
         }
         if it.deadline_ms == 0 || class.deadline_max_ms < it.deadline_ms {
-            let detail = format_compact!("deadline_ms is {}, out of range 1 to {}", it.deadline_ms, class.deadline_max_ms);
+            let detail = format_compact!(
+                "deadline_ms is {}, out of range 1 to {}",
+                it.deadline_ms,
+                class.deadline_max_ms
+            );
             return Err(refusal(ErrorKind::DeadlineOutOfRange, detail));
         }
         if !it.idempotent && it.key.as_ref().is_none_or(|key| key.is_empty()) {
-            return Err(refusal(ErrorKind::BadRequest, "a request that is not idempotent needs an idempotency key"));
+            return Err(refusal(
+                ErrorKind::BadRequest,
+                "a request that is not idempotent needs an idempotency key",
+            ));
         }
         let open = self.by_team.get(&team.name).copied().unwrap_or(0);
         if team.requests_in_flight_max <= open {
-            let detail = format_compact!("team {} has {open} requests open here, its most", team.name);
+            let detail =
+                format_compact!("team {} has {open} requests open here, its most", team.name);
             return Err(refusal_until(ErrorKind::TeamShareExceeded, detail, 100));
         }
         if self.endpoints.capacity_of(&it.class).0 == 0 {
@@ -449,18 +563,28 @@
 
     /// Lets a request wait for a free endpoint, unless it is known that it would wait too long.
     fn enqueue(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else { return };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
         let class = quick.quick.class.clone();
         let team = quick.team.clone();
-        let waiting = Waiting { key, deadline_ms: quick.deadline_ms };
+        let waiting = Waiting {
+            key,
+            deadline_ms: quick.deadline_ms,
+        };
         let answer_ms = self.endpoints.answer_ms_of(&class);
         let (_, slots) = self.endpoints.capacity_of(&class);
         let len_max = self.options.settings.queue_max as usize;
         let queued = self.lines.get(&class).map_or(0, |it| it.queue.len());
         let wait_ms = admission::expected_wait_ms(queued, slots, answer_ms);
         if quick.left_ms(now) <= wait_ms + answer_ms as u64 {
-            let detail = format_compact!("{queued} requests are ahead, about {wait_ms} ms of waiting");
-            return self.refuse(now, key, refusal_until(ErrorKind::WouldMissDeadline, detail, wait_ms.max(50)));
+            let detail =
+                format_compact!("{queued} requests are ahead, about {wait_ms} ms of waiting");
+            return self.refuse(
+                now,
+                key,
+                refusal_until(ErrorKind::WouldMissDeadline, detail, wait_ms.max(50)),
+            );
         }
         let line = line_of(&mut self.lines, &class);
         match line.queue.push(&team, waiting, len_max) {
@@ -475,7 +599,8 @@
                     Rejection::QueueFull => ErrorKind::QueueFull,
                     Rejection::TeamShare => ErrorKind::TeamShareExceeded,
                 };
-                let detail = format_compact!("{queued} requests of class {class} wait here already");
+                let detail =
+                    format_compact!("{queued} requests of class {class} wait here already");
                 return self.refuse(now, key, refusal_until(kind, detail, wait_ms.max(50)));
             }
         }
@@ -484,21 +609,32 @@
 
     /// Looks at a waiting request again when it can no longer be answered in time.
     fn schedule_drop(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else { return };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
         let answer_ms = self.endpoints.answer_ms_of(&quick.quick.class) as u64;
-        let at_ms = quick.deadline_ms.saturating_sub(answer_ms).max(now.mono_ms + 1);
+        let at_ms = quick
+            .deadline_ms
+            .saturating_sub(answer_ms)
+            .max(now.mono_ms + 1);
         self.timers.insert((at_ms, key));
     }
 
     /// Sends a request to an endpoint, or claims its key first; returns false where no endpoint
     /// takes it now.
     pub(super) fn try_begin(&mut self, now: Now, key: QuickKey) -> bool {
-        let Some(quick) = self.quicks.get_mut(key) else { return true };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return true;
+        };
         let class = quick.quick.class.clone();
-        let chosen = self.endpoints.choose(&class, &quick.tried, now, &mut self.random);
+        let chosen = self
+            .endpoints
+            .choose(&class, &quick.tried, now, &mut self.random);
         // Where every endpoint was tried, the first ones may have recovered.
         let chosen = match chosen {
-            None if !quick.tried.is_empty() => self.endpoints.choose(&class, &[], now, &mut self.random),
+            None if !quick.tried.is_empty() => {
+                self.endpoints.choose(&class, &[], now, &mut self.random)
+            }
             it => it,
         };
         let Some(endpoint) = chosen else { return false };
@@ -513,16 +649,30 @@
 
     /// Sends one attempt to an endpoint already counted.
     pub(super) fn send_attempt(&mut self, now: Now, key: QuickKey, endpoint: EndpointKey) {
-        let (Some(quick), Some(target)) = (self.quicks.get_mut(key), self.endpoints.get(endpoint)) else { return };
+        let (Some(quick), Some(target)) = (self.quicks.get_mut(key), self.endpoints.get(endpoint))
+        else {
+            return;
+        };
         quick.attempts_made += 1;
         // A claimed attempt bears the claim's number, by which others may ask about it.
-        let number = if quick.is_idempotent() { quick.attempts_made } else { quick.claim_attempt };
-        quick.attempts.push(Attempt { number, endpoint, endpoint_id: target.id, sent_ms: now.mono_ms });
+        let number = if quick.is_idempotent() {
+            quick.attempts_made
+        } else {
+            quick.claim_attempt
+        };
+        quick.attempts.push(Attempt {
+            number,
+            endpoint,
+            endpoint_id: target.id,
+            sent_ms: now.mono_ms,
+        });
         let left_ms = quick.left_ms(now);
         let usual_ms = target.answer_time.get_ms() as u64;
         // An attempt that takes several times the usual is worth a second one, while there is
         // time left for it to be answered.
-        let wait_ms = (usual_ms * 6).max(ATTEMPT_MIN_MS).min((left_ms / 2).max(ATTEMPT_MIN_MS));
+        let wait_ms = (usual_ms * 6)
+            .max(ATTEMPT_MIN_MS)
+            .min((left_ms / 2).max(ATTEMPT_MIN_MS));
         let act_at_ms = now.mono_ms + wait_ms;
         quick.stage = Stage::InFlight { act_at_ms };
         let execute = Execute {
@@ -549,7 +699,9 @@
 
     /// Does what is due for a request.
     fn act(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else { return };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
         if quick.deadline_ms <= now.mono_ms {
             return self.on_deadline(now, key);
         }
@@ -559,13 +711,19 @@
                 let answer_ms = self.endpoints.answer_ms_of(&class) as u64;
                 if quick.left_ms(now) <= answer_ms {
                     let detail = "it waited until too little time was left";
-                    self.refuse(now, key, refusal_until(ErrorKind::WouldMissDeadline, detail, 100));
+                    self.refuse(
+                        now,
+                        key,
+                        refusal_until(ErrorKind::WouldMissDeadline, detail, 100),
+                    );
                 } else {
                     self.pump(now, &class);
                     self.schedule_drop(now, key);
                 }
             }
-            Stage::Following { look_at_ms, .. } if look_at_ms <= now.mono_ms => self.look_at_claim(now, key),
+            Stage::Following { look_at_ms, .. } if look_at_ms <= now.mono_ms => {
+                self.look_at_claim(now, key)
+            }
             Stage::InFlight { act_at_ms } if act_at_ms <= now.mono_ms && quick.is_idempotent() => {
                 self.hedge(now, key)
             }
@@ -576,9 +734,15 @@
 
     /// Makes another attempt beside one that is slow to answer.
     fn hedge(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
         quick.may_have_run = true;
-        let slow: Vec<_> = quick.attempts.iter().map(|it| (it.endpoint, it.endpoint_id)).collect();
+        let slow: Vec<_> = quick
+            .attempts
+            .iter()
+            .map(|it| (it.endpoint, it.endpoint_id))
+            .collect();
         if quick.attempts_made < self.options.settings.attempts_max && self.budget.try_spend() {
             quick.tried.extend(slow.iter().map(|(_, id)| *id));
             self.metrics.retried(RetryReason::NoAnswer);
@@ -590,33 +754,57 @@
             }
         }
         if let Some(quick) = self.quicks.get_mut(key) {
-            quick.stage = Stage::InFlight { act_at_ms: quick.deadline_ms };
+            quick.stage = Stage::InFlight {
+                act_at_ms: quick.deadline_ms,
+            };
         }
     }
 
     fn on_deadline(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
         match quick.stage {
             Stage::Waiting => {
                 let detail = "its deadline passed while it waited";
-                self.refuse(now, key, refusal_until(ErrorKind::DeadlineExpiredQueued, detail, 100));
+                self.refuse(
+                    now,
+                    key,
+                    refusal_until(ErrorKind::DeadlineExpiredQueued, detail, 100),
+                );
             }
             Stage::InFlight { .. } if quick.is_idempotent() => {
-                self.refuse(now, key, refusal(ErrorKind::AnswerLate, "no answer arrived by its deadline"));
+                self.refuse(
+                    now,
+                    key,
+                    refusal(ErrorKind::AnswerLate, "no answer arrived by its deadline"),
+                );
             }
             Stage::Following { .. } => {
                 let detail = "an earlier request with this key has no outcome yet";
-                self.refuse(now, key, refusal_until(ErrorKind::ClaimInProgress, detail, 1_000));
+                self.refuse(
+                    now,
+                    key,
+                    refusal_until(ErrorKind::ClaimInProgress, detail, 1_000),
+                );
             }
             Stage::Claiming { .. } | Stage::InFlight { .. } => {
                 let sent = matches!(quick.stage, Stage::InFlight { .. });
                 // The caller is told now; the claim is followed, so that a resend learns more.
                 quick.deadline_ms = now.mono_ms + FOLLOW_UNKNOWN_MS;
                 self.timers.insert((quick.deadline_ms, key));
-                let Some(token) = quick.token.take() else { return self.give_up_following(now, key) };
+                let Some(token) = quick.token.take() else {
+                    return self.give_up_following(now, key);
+                };
                 let refusal = match sent {
-                    true => refusal(ErrorKind::OutcomeUnknown, "it was sent and no answer arrived by its deadline"),
-                    false => refusal(ErrorKind::DeadlineExpiredQueued, "its key could not be claimed in time"),
+                    true => refusal(
+                        ErrorKind::OutcomeUnknown,
+                        "it was sent and no answer arrived by its deadline",
+                    ),
+                    false => refusal(
+                        ErrorKind::DeadlineExpiredQueued,
+                        "its key could not be claimed in time",
+                    ),
                 };
                 self.answer(token, CallerAnswer::Refused(refusal));
             }
@@ -625,8 +813,16 @@
 
     fn on_link_lost(&mut self, now: Now, peer: SocketAddr) {
         let endpoints = &self.endpoints;
-        let at_peer = |it: &Attempt| endpoints.get(it.endpoint).is_some_and(|it| it.agent == peer);
-        let affected = self.quicks.iter().filter(|(_, it)| it.attempts.iter().any(at_peer)).map(|(key, _)| key);
+        let at_peer = |it: &Attempt| {
+            endpoints
+                .get(it.endpoint)
+                .is_some_and(|it| it.agent == peer)
+        };
+        let affected = self
+            .quicks
+            .iter()
+            .filter(|(_, it)| it.attempts.iter().any(at_peer))
+            .map(|(key, _)| key);
         let affected: Vec<_> = affected.collect();
         for key in affected {
             // What was sent may be lost: no reason to wait for the usual time.
@@ -649,16 +845,25 @@
             return self.on_foreign_outcome(now, key, it);
         }
         let found = self.by_request.get(&it.request).copied();
-        let Some((key, quick)) = found.and_then(|key| Some((key, self.quicks.get_mut(key)?))) else {
-            let own = it.request.boot == self.options.boot && it.request.number <= self.next_request;
-            return self.metrics.answer_dropped(if own { Dropped::Late } else { Dropped::Foreign });
+        let Some((key, quick)) = found.and_then(|key| Some((key, self.quicks.get_mut(key)?)))
+        else {
+            let own =
+                it.request.boot == self.options.boot && it.request.number <= self.next_request;
+            return self
+                .metrics
+                .answer_dropped(if own { Dropped::Late } else { Dropped::Foreign });
         };
-        let position = quick.attempts.iter().position(|at| at.number == it.attempt && at.endpoint_id == it.endpoint);
+        let position = quick
+            .attempts
+            .iter()
+            .position(|at| at.number == it.attempt && at.endpoint_id == it.endpoint);
         let Some(position) = position else {
             return self.metrics.answer_dropped(Dropped::Late);
         };
         if it.outcome == ExecuteOutcome::Running {
-            quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
+            quick.stage = Stage::InFlight {
+                act_at_ms: now.mono_ms + ASK_MS,
+            };
             self.timers.insert((now.mono_ms + ASK_MS, key));
             return;
         }
@@ -687,7 +892,9 @@
                 }
                 self.retry(now, key, attempt.endpoint_id, reason_of_refusal(kind));
             }
-            ExecuteOutcome::NotSeen => self.retry(now, key, attempt.endpoint_id, RetryReason::NotSeen),
+            ExecuteOutcome::NotSeen => {
+                self.retry(now, key, attempt.endpoint_id, RetryReason::NotSeen)
+            }
             ExecuteOutcome::Running => (),
         }
     }
@@ -704,11 +911,15 @@
             self.note_failure(now, attempt.endpoint);
         }
         self.budget.earn();
-        let Some(quick) = self.quicks.get(key) else { return };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
         let total_ms = now.mono_ms.saturating_sub(quick.arrived_ms);
         let class = quick.quick.class.clone();
         self.metrics.answered(&class, total_ms as f64 / 1_000.0);
-        line_of(&mut self.lines, &class).answers.saturating_record(total_ms.max(1));
+        line_of(&mut self.lines, &class)
+            .answers
+            .saturating_record(total_ms.max(1));
         if !quick.is_idempotent() {
             self.settle_done(now, key, &it);
         }
@@ -724,7 +935,9 @@
 
     fn on_failed(&mut self, now: Now, key: QuickKey, attempt: Attempt, why: &str) {
         self.note_failure(now, attempt.endpoint);
-        let Some(quick) = self.quicks.get_mut(key) else { return };
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
         quick.may_have_run = true;
         if quick.is_idempotent() {
             return self.retry(now, key, attempt.endpoint_id, RetryReason::Failed);
@@ -735,7 +948,9 @@
     }
 
     fn note_failure(&mut self, now: Now, endpoint: EndpointKey) {
-        let Some(class) = self.endpoints.get(endpoint).map(|it| it.class.clone()) else { return };
+        let Some(class) = self.endpoints.get(endpoint).map(|it| it.class.clone()) else {
+            return;
+        };
         let out_permille = self.endpoints.out_permille(&class, endpoint);
         if let Some(it) = self.endpoints.get_mut(endpoint) {
             let was_out = it.ejection.is_out();
@@ -747,8 +962,16 @@
     }
 
     /// Makes another attempt, if budget and time allow.
-    pub(super) fn retry(&mut self, now: Now, key: QuickKey, failed: EndpointId, reason: RetryReason) {
-        let Some(quick) = self.quicks.get_mut(key) else { return };
+    pub(super) fn retry(
+        &mut self,
+        now: Now,
+        key: QuickKey,
+        failed: EndpointId,
+        reason: RetryReason,
+    ) {
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
         quick.tried.push(failed);
         if !quick.attempts.is_empty() {
             return;
@@ -774,9 +997,14 @@
 
     /// Gives the final answer to a request that is not tried again.
     fn give_up(&mut self, now: Now, key: QuickKey, kind: ErrorKind) {
-        let Some(quick) = self.quicks.get(key) else { return };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
         let tried = quick.attempts_made;
-        let last = quick.last_refusal.map(|it| format_compact!(", the last refused as {it}")).unwrap_or_default();
+        let last = quick
+            .last_refusal
+            .map(|it| format_compact!(", the last refused as {it}"))
+            .unwrap_or_default();
         let detail = format_compact!("{tried} attempts were made{last}");
         let refusal = match quick.may_have_run {
             true => refusal_until(ErrorKind::EndpointFailed, detail, 500),
@@ -787,7 +1015,9 @@
 
     /// Answers with a refusal, and settles a claim of a request that did not run.
     pub(super) fn refuse(&mut self, now: Now, key: QuickKey, refusal: Refusal) {
-        let Some(quick) = self.quicks.get(key) else { return };
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
         let holds_claim = 0 < quick.claim_attempt;
         let ran = crate::error::answer_of(refusal.kind).ran;
         if holds_claim && ran == crate::error::Ran::No {
@@ -798,7 +1028,9 @@
 
     /// Ends a request, and lets the next one of its class have its place.
     pub(super) fn finish(&mut self, now: Now, key: QuickKey, answer: CallerAnswer) {
-        let Some(quick) = self.quicks.remove(key) else { return };
+        let Some(quick) = self.quicks.remove(key) else {
+            return;
+        };
         self.by_request.remove(&quick.request);
         if let Some(it) = self.by_team.get_mut(&quick.team) {
             *it -= 1;
@@ -828,7 +1060,9 @@
     /// Begins waiting requests of a class as far as endpoints take them.
     pub(super) fn pump(&mut self, now: Now, class: &str) {
         loop {
-            let Some(next) = self.lines.get_mut(class).and_then(|it| it.queue.pop()) else { return };
+            let Some(next) = self.lines.get_mut(class).and_then(|it| it.queue.pop()) else {
+                return;
+            };
             if !self.try_begin(now, next.key) {
                 return self.enqueue_again(next);
             }
@@ -836,8 +1070,12 @@
     }
 
     fn pump_all(&mut self, now: Now) {
-        let classes: Vec<_> =
-            self.lines.iter().filter(|(_, it)| !it.queue.is_empty()).map(|(class, _)| class.clone()).collect();
+        let classes: Vec<_> = self
+            .lines
+            .iter()
+            .filter(|(_, it)| !it.queue.is_empty())
+            .map(|(class, _)| class.clone())
+            .collect();
         for it in classes {
             self.pump(now, &it);
         }
@@ -845,16 +1083,24 @@
 
     /// Puts back what was taken from its queue a moment ago.
     fn enqueue_again(&mut self, it: Waiting<QuickKey>) {
-        let Some(quick) = self.quicks.get(it.key) else { return };
+        let Some(quick) = self.quicks.get(it.key) else {
+            return;
+        };
         let team = quick.team.clone();
-        line_of(&mut self.lines, &quick.quick.class).queue.unpop(&team, it);
+        line_of(&mut self.lines, &quick.quick.class)
+            .queue
+            .unpop(&team, it);
     }
 }
 
-fn line_of<'a>(lines: &'a mut BTreeMap<CompactString, ClassLine>, class: &str) -> &'a mut ClassLine {
+fn line_of<'a>(
+    lines: &'a mut BTreeMap<CompactString, ClassLine>,
+    class: &str,
+) -> &'a mut ClassLine {
     lines.entry(class.into()).or_insert_with(|| ClassLine {
         queue: FairQueue::new(),
-        answers: Histogram::new_with_bounds(1, 600_000, 2).expect("the bounds are constant and valid"),
+        answers: Histogram::new_with_bounds(1, 600_000, 2)
+            .expect("the bounds are constant and valid"),
     })
 }
 
@@ -867,7 +1113,11 @@
 
 /// Returns whether a document read by a poll holds what the caller waits for.
 fn tells_news(text: &str) -> bool {
-    let Ok(document) = serde_json::from_str::<serde_json::Value>(text) else { return true };
-    let has_events = document["events"].as_array().is_some_and(|it| !it.is_empty());
+    let Ok(document) = serde_json::from_str::<serde_json::Value>(text) else {
+        return true;
+    };
+    let has_events = document["events"]
+        .as_array()
+        .is_some_and(|it| !it.is_empty());
     has_events || document["finished"] == true
 }
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -60,7 +60,10 @@
 
     /// Returns whether one more request of this entry may be sent there now.
     fn admits(&self, now: Now) -> bool {
-        !self.leaving && !self.gone && self.in_flight < self.slots && self.ejection.admits(now.mono_ms)
+        !self.leaving
+            && !self.gone
+            && self.in_flight < self.slots
+            && self.ejection.admits(now.mono_ms)
     }
 }
 
@@ -90,21 +93,36 @@
 
     /// Returns the endpoints of a class that take requests, and their slots.
     pub(super) fn capacity_of(&self, class: &str) -> (usize, u32) {
-        let open = self.of_class(class).iter().filter_map(|it| self.endpoints.get(*it)).filter(|it| !it.leaving);
+        let open = self
+            .of_class(class)
+            .iter()
+            .filter_map(|it| self.endpoints.get(*it))
+            .filter(|it| !it.leaving);
         open.fold((0, 0), |(count, slots), it| (count + 1, slots + it.slots))
     }
 
     /// Returns the mean answer time estimated of a class.
     pub(super) fn answer_ms_of(&self, class: &str) -> f64 {
         let keys = self.of_class(class);
-        let sum: f64 = keys.iter().filter_map(|it| self.endpoints.get(*it)).map(|it| it.answer_time.get_ms()).sum();
-        if keys.is_empty() { FIRST_GUESS_MS } else { sum / keys.len() as f64 }
+        let sum: f64 = keys
+            .iter()
+            .filter_map(|it| self.endpoints.get(*it))
+            .map(|it| it.answer_time.get_ms())
+            .sum();
+        if keys.is_empty() {
+            FIRST_GUESS_MS
+        } else {
+            sum / keys.len() as f64
+        }
     }
 
     /// Returns the permille of a class's endpoints, others than `key`, that are left out.
     pub(super) fn out_permille(&self, class: &str, key: EndpointKey) -> u32 {
         let keys = self.of_class(class);
-        let out = keys.iter().filter(|it| **it != key).filter_map(|it| self.endpoints.get(*it));
+        let out = keys
+            .iter()
+            .filter(|it| **it != key)
+            .filter_map(|it| self.endpoints.get(*it));
         let out = out.filter(|it| it.ejection.is_out()).count() + 1;
         (out * 1_000 / keys.len().max(1)) as u32
     }
@@ -125,7 +143,10 @@
             let it = self.endpoints.get(*key)?;
             (it.admits(now) && !tried.contains(&it.id)).then(|| (*key, it.view(now)))
         };
-        let mut candidates: Vec<_> = picked.iter().filter_map(|at| open(keys.get(*at)?)).collect();
+        let mut candidates: Vec<_> = picked
+            .iter()
+            .filter_map(|at| open(keys.get(*at)?))
+            .collect();
         if candidates.is_empty() && routing::SAMPLES < keys.len() {
             // From a random place on, so that a long scan does not favour the first.
             let start = random.usize(0..keys.len());
@@ -140,15 +161,22 @@
 
     /// Takes in what control tells of the directory.
     pub(super) fn update(&mut self, it: DirectoryUpdate, zone: &str, now: Now) {
-        let is_older = it.epoch < self.epoch || (it.epoch == self.epoch && it.version < self.version);
+        let is_older =
+            it.epoch < self.epoch || (it.epoch == self.epoch && it.version < self.version);
         if is_older {
             return;
         }
         self.epoch = it.epoch;
         self.version = it.version;
         if it.whole {
-            let listed: std::collections::HashSet<_> = it.endpoints.iter().map(|it| it.id).collect();
-            let gone: Vec<_> = self.by_id.keys().filter(|id| !listed.contains(id)).copied().collect();
+            let listed: std::collections::HashSet<_> =
+                it.endpoints.iter().map(|it| it.id).collect();
+            let gone: Vec<_> = self
+                .by_id
+                .keys()
+                .filter(|id| !listed.contains(id))
+                .copied()
+                .collect();
             gone.into_iter().for_each(|id| self.remove(id));
         }
         it.gone.into_iter().for_each(|id| self.remove(id));
@@ -174,7 +202,9 @@
 
     /// Notes that nothing more is expected of a request sent.
     pub(super) fn note_ended(&mut self, key: EndpointKey) {
-        let Some(it) = self.endpoints.get_mut(key) else { return };
+        let Some(it) = self.endpoints.get_mut(key) else {
+            return;
+        };
         it.in_flight = it.in_flight.saturating_sub(1);
         if it.gone && it.in_flight == 0 {
             self.endpoints.remove(key);
@@ -186,7 +216,10 @@
     }
 
     fn put(&mut self, it: DirectoryEndpoint, zone: &str, now: Now) {
-        if let Some(known) = self.by_id.get(&it.id).and_then(|key| self.endpoints.get_mut(*key))
+        if let Some(known) = self
+            .by_id
+            .get(&it.id)
+            .and_then(|key| self.endpoints.get_mut(*key))
             && known.class == it.class
         {
             known.slots = it.slots;
@@ -216,8 +249,12 @@
     }
 
     fn remove(&mut self, id: EndpointId) {
-        let Some(key) = self.by_id.remove(&id) else { return };
-        let Some(it) = self.endpoints.get_mut(key) else { return };
+        let Some(key) = self.by_id.remove(&id) else {
+            return;
+        };
+        let Some(it) = self.endpoints.get_mut(key) else {
+            return;
+        };
         it.gone = true;
         let idle = it.in_flight == 0;
         if let Some(list) = self.by_class.get_mut(&it.class) {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -54,9 +54,16 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerAnswer {
     /// The endpoint's whole answer.
-    Quick { status: u16, content_type: CompactString, body: Vec<u8>, attempts: u32 },
+    Quick {
+        status: u16,
+        content_type: CompactString,
+        body: Vec<u8>,
+        attempts: u32,
+    },
     /// The answer was given to an earlier request with this key, and its body is not kept.
-    AnsweredBefore { status: u16 },
+    AnsweredBefore {
+        status: u16,
+    },
     Done(Reply),
     Refused(Refusal),
 }
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -11,8 +11,8 @@
 
 pub use crate::schema::messages::{ErrorKind, Refusal};
 
-/// A result whose error carries its context.
-pub type Result<T> = std::result::Result<T, Report<Error>>;
+/// A result whose error, unless named, carries its context.
+pub type Result<T, E = Report<Error>> = std::result::Result<T, E>;
 
 /// An error of this process: a kind of the closed list and a message that names the bad value.
 #[derive(Clone, Debug, PartialEq)]
--- /dev/null
+++ b/src/http/admin.rs
@@ -0,0 +1,67 @@
+//! The operators' edge: docs/API.md describes it.
+
+use crate::{
+    http::{HttpRequest, Tokens},
+    prelude::*,
+};
+
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ChangeBody {
+    based_on: Revision,
+    key: CompactString,
+    change: ConfigChange,
+}
+
+/// Reads an operator's request.
+///
+/// # Errors
+///
+/// Returns a refusal; nothing was begun then.
+pub fn parse(tokens: &Tokens, it: &HttpRequest) -> Result<Operation, Refusal> {
+    let Some(operator) = tokens.holder(it.header("Authorization")) else {
+        return Err(refusal(
+            ErrorKind::Unauthenticated,
+            "send the operator's token as Authorization: Bearer TOKEN",
+        ));
+    };
+    let parts: Vec<_> = it.path.trim_matches('/').split('/').collect();
+    match (it.method.as_str(), parts.as_slice()) {
+        ("POST", ["v1", "admin", "configuration"]) => {
+            let ChangeBody {
+                based_on,
+                key,
+                change,
+            } = it.json()?;
+            if key.is_empty() {
+                return Err(refusal(ErrorKind::BadRequest, "key must not be empty"));
+            }
+            let command = ConfigureCommand {
+                based_on,
+                key,
+                operator,
+                change,
+            };
+            Ok(Operation::Propose(Command::Configure(command)))
+        }
+        ("POST", ["v1", "admin", "members"]) => Ok(Operation::Membership(it.json()?)),
+        ("POST", ["v1", "admin", "drain"]) => Ok(Operation::Drain(it.json()?)),
+        ("GET", ["v1", "admin", view]) => {
+            let view: AdminView = view.parse().map_err(|_| {
+                refusal(
+                    ErrorKind::NotFound,
+                    format_compact!("nothing is named {view}"),
+                )
+            })?;
+            Ok(Operation::Query(Query::View(view)))
+        }
+        (_, ["v1", "admin", ..]) => {
+            let detail = format_compact!("{} is not for {}", it.method, it.path);
+            Err(refusal(ErrorKind::MethodNotAllowed, detail))
+        }
+        _ => Err(refusal(
+            ErrorKind::NotFound,
+            format_compact!("nothing is at {}", it.path),
+        )),
+    }
+}
--- /dev/null
+++ b/src/http/caller.rs
@@ -0,0 +1,202 @@
+//! The callers' edge: docs/API.md describes it.
+
+use crate::{
+    entry::{CallerAnswer, CallerRequest, QuickRequest},
+    http::{HttpAnswer, HttpRequest, Tokens},
+    prelude::*,
+};
+
+/// Deadline of a quick request that names none.
+const DEADLINE_DEFAULT_MS: u64 = 1_000;
+
+/// Wait of a poll that names none.
+const WAIT_DEFAULT_MS: u64 = 0;
+
+/// Longest idempotency key, subject, class or kind.
+const NAME_MAX_BYTES: usize = 200;
+
+/// Largest payload of a job, or body of an event.
+const PAYLOAD_MAX_BYTES: usize = 64 * 1024;
+
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SubmitBody {
+    key: CompactString,
+    spec: JobSpec,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CancelBody {
+    jobs: Vec<JobId>,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WatchBody {
+    key: CompactString,
+    subject: CompactString,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EventBody {
+    key: CompactString,
+    subject: CompactString,
+    body: CompactString,
+}
+
+/// Reads a caller's request.
+///
+/// # Errors
+///
+/// Returns a refusal; nothing was begun then.
+pub fn parse(tokens: &Tokens, it: &HttpRequest) -> Result<(CompactString, CallerRequest), Refusal> {
+    let Some(team) = tokens.holder(it.header("Authorization")) else {
+        return Err(refusal(
+            ErrorKind::Unauthenticated,
+            "send the team's token as Authorization: Bearer TOKEN",
+        ));
+    };
+    let parts: Vec<_> = it.path.trim_matches('/').split('/').collect();
+    let request = match (it.method.as_str(), parts.as_slice()) {
+        ("POST", ["v1", "quick", class, path @ ..]) => quick(it, class, path)?,
+        ("POST", ["v1", "jobs"]) => {
+            let SubmitBody { key, spec } = it.json()?;
+            check_names(&[("key", &key), ("class", &spec.class), ("kind", &spec.kind)])?;
+            check_length("subject", &spec.subject, NAME_MAX_BYTES)?;
+            check_length("payload", &spec.payload, PAYLOAD_MAX_BYTES)?;
+            CallerRequest::Submit { key, spec }
+        }
+        ("POST", ["v1", "jobs", "cancel"]) => {
+            let CancelBody { jobs } = it.json()?;
+            if jobs.is_empty() || 10_000 < jobs.len() {
+                let detail =
+                    format_compact!("{} jobs are named, out of range 1 to 10000", jobs.len());
+                return Err(refusal(ErrorKind::BadRequest, detail));
+            }
+            CallerRequest::Cancel(jobs)
+        }
+        ("GET", ["v1", "jobs", id]) => CallerRequest::Job(JobId(number("job", id)?)),
+        ("GET", ["v1", "jobs", id, "result"]) => CallerRequest::JobResult {
+            job: JobId(number("job", id)?),
+            wait_ms: wait_ms(it)?,
+        },
+        ("POST", ["v1", "watches"]) => {
+            let WatchBody { key, subject } = it.json()?;
+            check_names(&[("key", &key), ("subject", &subject)])?;
+            CallerRequest::CreateWatch { key, subject }
+        }
+        ("GET", ["v1", "watches", id]) => CallerRequest::PollWatch {
+            watch: WatchId(number("watch", id)?),
+            cursor: it.number("cursor", 0)?,
+            wait_ms: wait_ms(it)?,
+        },
+        ("DELETE", ["v1", "watches", id]) => {
+            CallerRequest::DeleteWatch(WatchId(number("watch", id)?))
+        }
+        ("POST", ["v1", "events"]) => {
+            let EventBody { key, subject, body } = it.json()?;
+            check_names(&[("key", &key), ("subject", &subject)])?;
+            check_length("body", &body, PAYLOAD_MAX_BYTES)?;
+            CallerRequest::Publish { key, subject, body }
+        }
+        (_, ["v1", "quick" | "jobs" | "watches" | "events", ..]) => {
+            let detail = format_compact!("{} is not for {}", it.method, it.path);
+            return Err(refusal(ErrorKind::MethodNotAllowed, detail));
+        }
+        _ => {
+            return Err(refusal(
+                ErrorKind::NotFound,
+                format_compact!("nothing is at {}", it.path),
+            ));
+        }
+    };
+    Ok((team, request))
+}
+
+/// Returns the HTTP form of an answer.
+pub fn answer(it: CallerAnswer) -> HttpAnswer {
+    match it {
+        CallerAnswer::Quick {
+            status,
+            content_type,
+            body,
+            attempts,
+        } => HttpAnswer {
+            status,
+            content_type,
+            headers: vec![("Aspenrail-Attempts", attempts.to_string())],
+            body,
+        },
+        CallerAnswer::AnsweredBefore { status } => HttpAnswer::json(
+            200,
+            &serde_json::json!({"answered_before": true, "status": status, "body_kept": false}),
+        ),
+        CallerAnswer::Done(it) => HttpAnswer::reply(&it),
+        CallerAnswer::Refused(it) => HttpAnswer::refusal(&it),
+    }
+}
+
+fn quick(it: &HttpRequest, class: &str, path: &[&str]) -> Result<CallerRequest, Refusal> {
+    let deadline_ms = match it.header("Aspenrail-Deadline-Ms") {
+        Some(text) => number("Aspenrail-Deadline-Ms", text)?,
+        None => DEADLINE_DEFAULT_MS,
+    };
+    let idempotent = match it.header("Aspenrail-Idempotent") {
+        Some("true") => true,
+        Some("false") => false,
+        // Taken for the careful case: running twice what must run once cannot be mended.
+        None => false,
+        Some(other) => {
+            let detail = format_compact!("Aspenrail-Idempotent is '{other}', not true or false");
+            return Err(refusal(ErrorKind::BadRequest, detail));
+        }
+    };
+    let key = it.header("Idempotency-Key").map(CompactString::from);
+    if let Some(key) = &key {
+        check_names(&[("Idempotency-Key", key)])?;
+    }
+    Ok(CallerRequest::Quick(QuickRequest {
+        class: class.into(),
+        path: format_compact!("/{}", path.join("/")),
+        deadline_ms: deadline_ms.min(u32::MAX.into()) as u32,
+        idempotent,
+        key,
+        body: it.body.clone(),
+    }))
+}
+
+fn wait_ms(it: &HttpRequest) -> Result<u32, Refusal> {
+    Ok(it.number("wait_ms", WAIT_DEFAULT_MS)?.min(u32::MAX.into()) as u32)
+}
+
+fn number(name: &str, text: &str) -> Result<u64, Refusal> {
+    text.parse().map_err(|_| {
+        refusal(
+            ErrorKind::BadRequest,
+            format_compact!("{name} is '{text}', not a whole number"),
+        )
+    })
+}
+
+fn check_names(names: &[(&str, &CompactString)]) -> Result<(), Refusal> {
+    for (name, value) in names {
+        if value.is_empty() {
+            return Err(refusal(
+                ErrorKind::BadRequest,
+                format_compact!("{name} must not be empty"),
+            ));
+        }
+        check_length(name, value, NAME_MAX_BYTES)?;
+    }
+    Ok(())
+}
+
+fn check_length(name: &str, value: &str, max_bytes: usize) -> Result<(), Refusal> {
+    if value.len() <= max_bytes {
+        return Ok(());
+    }
+    let detail = format_compact!("{name} has {} bytes, the most is {max_bytes}", value.len());
+    Err(refusal(ErrorKind::PayloadTooLarge, detail))
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,18 @@
+//! The HTTP edges: callers, operators, endpoints and workers.
+//!
+//! Each edge is a thin module that parses, checks, and hands a typed message to a core; another
+//! protocol detail costs one file here and nothing in the cores.
+
+pub mod admin;
+mod answer;
+pub mod caller;
+pub mod client;
+pub mod local;
+mod server;
+mod tokens;
+
+pub use self::{
+    answer::HttpAnswer,
+    server::{HttpRequest, Pending, ServerOptions, start_server},
+    tokens::Tokens,
+};
--- /dev/null
+++ b/src/link/client.rs
@@ -0,0 +1,239 @@
+//! The sending side: one connection and one bounded queue for each peer.
+
+use std::{collections::HashMap, fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::{net::TcpStream, sync::mpsc, time};
+
+use crate::{
+    link::{LinkEvent, LinkOptions, LinkSink, codec::encode_frame},
+    metrics::Metrics,
+    prelude::*,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
+const BACKOFF_MIN: Duration = Duration::from_millis(20);
+const BACKOFF_MAX: Duration = Duration::from_millis(500);
+
+/// How long sent bytes may stay unacknowledged before a connection counts as broken.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why a connection could not be opened or broke.
+#[derive(Debug)]
+enum SendError {
+    Io(std::io::Error),
+    Http2(h2::Error),
+    Other(CompactString),
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SendError::Io(it) => it.fmt(f),
+            SendError::Http2(it) => it.fmt(f),
+            SendError::Other(it) => it.fmt(f),
+        }
+    }
+}
+
+impl From<std::io::Error> for SendError {
+    fn from(it: std::io::Error) -> SendError {
+        SendError::Io(it)
+    }
+}
+
+impl From<h2::Error> for SendError {
+    fn from(it: h2::Error) -> SendError {
+        SendError::Http2(it)
+    }
+}
+
+fn other(it: impl fmt::Display) -> SendError {
+    SendError::Other(format_compact!("{it}"))
+}
+
+/// Hands messages to the queues of their peers.
+pub(super) async fn route<S: LinkSink>(
+    mut incoming: mpsc::UnboundedReceiver<(SocketAddr, Envelope)>,
+    options: Arc<LinkOptions>,
+    metrics: Arc<Metrics>,
+    sink: S,
+) {
+    let mut peers: HashMap<SocketAddr, mpsc::Sender<Envelope>> = HashMap::new();
+    let mut swept = time::Instant::now();
+    while let Some((to, mut envelope)) = incoming.recv().await {
+        if SWEEP_INTERVAL < swept.elapsed() {
+            swept = time::Instant::now();
+            peers.retain(|_, it| !it.is_closed());
+        }
+        // A peer that was idle has ended its task; a second try starts a new one.
+        for _ in 0..2 {
+            let queue = peers.entry(to).or_insert_with(|| {
+                let (sender, receiver) = mpsc::channel(options.queue_messages);
+                let peer = Peer {
+                    address: to,
+                    options: options.clone(),
+                    metrics: metrics.clone(),
+                };
+                tokio::task::spawn_local(carry(peer, receiver, sink.clone()));
+                sender
+            });
+            match queue.try_send(envelope) {
+                Ok(()) => break,
+                Err(mpsc::error::TrySendError::Full(_)) => {
+                    metrics.link_dropped("queue_full");
+                    break;
+                }
+                Err(mpsc::error::TrySendError::Closed(it)) => {
+                    envelope = it;
+                    peers.remove(&to);
+                }
+            }
+        }
+    }
+}
+
+struct Peer {
+    address: SocketAddr,
+    options: Arc<LinkOptions>,
+    metrics: Arc<Metrics>,
+}
+
+/// Carries the messages for one peer until there have been none for a while.
+async fn carry<S: LinkSink>(peer: Peer, mut queue: mpsc::Receiver<Envelope>, sink: S) {
+    let mut backoff = BACKOFF_MIN;
+    while let Ok(Some(first)) = time::timeout(IDLE_TIMEOUT, queue.recv()).await {
+        let connected = time::timeout(CONNECT_TIMEOUT, connect(&peer)).await;
+        let mut stream = match connected {
+            Ok(Ok(it)) => it,
+            failed => {
+                if let Ok(Err(error)) = failed {
+                    tracing::debug!(event = "link_refused", peer = %peer.address, %error);
+                }
+                // What waited meanwhile is as old as the failure; the cores send anew.
+                peer.metrics.link_dropped("no_connection");
+                while queue.try_recv().is_ok() {
+                    peer.metrics.link_dropped("no_connection");
+                }
+                sink.accept(LinkEvent::Lost { peer: peer.address });
+                time::sleep(backoff).await;
+                backoff = (backoff * 2).min(BACKOFF_MAX);
+                continue;
+            }
+        };
+        backoff = BACKOFF_MIN;
+        let mut next = Some(first);
+        let ended = loop {
+            let Some(envelope) = next.take() else {
+                break Ok(());
+            };
+            if let Err(error) = send(&peer, &mut stream, &envelope).await {
+                break Err(error);
+            }
+            next = match time::timeout(IDLE_TIMEOUT, receive_or_break(&mut queue, &mut stream))
+                .await
+            {
+                Ok(it) => it,
+                Err(_) => None,
+            };
+            if next.is_none() && stream.broken {
+                break Err(other("the peer closed the connection"));
+            }
+        };
+        match ended {
+            Ok(()) => return,
+            Err(error) => {
+                tracing::debug!(event = "link_lost", peer = %peer.address, %error);
+                sink.accept(LinkEvent::Lost { peer: peer.address });
+            }
+        }
+    }
+}
+
+/// An open stream to a peer.
+struct Stream {
+    send: h2::SendStream<Bytes>,
+    closed: tokio::sync::oneshot::Receiver<()>,
+    broken: bool,
+}
+
+/// Waits for the next message, or for the connection to break.
+async fn receive_or_break(
+    queue: &mut mpsc::Receiver<Envelope>,
+    stream: &mut Stream,
+) -> Option<Envelope> {
+    tokio::select! {
+        biased;
+        _ = &mut stream.closed => {
+            stream.broken = true;
+            None
+        }
+        it = queue.recv() => it,
+    }
+}
+
+async fn connect(peer: &Peer) -> Result<Stream, SendError> {
+    let tcp = TcpStream::connect(peer.address).await?;
+    tcp.set_nodelay(true)?;
+    socket2::SockRef::from(&tcp).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let (mut client, connection) = h2::client::Builder::new()
+        .initial_window_size(1 << 22)
+        .initial_connection_window_size(1 << 22)
+        .handshake::<_, Bytes>(tcp)
+        .await?;
+    let (closing, closed) = tokio::sync::oneshot::channel();
+    tokio::task::spawn_local(async move {
+        // How it ended shows on the stream.
+        let _ = connection.await;
+        let _ = closing.send(());
+    });
+    std::future::poll_fn(|cx| client.poll_ready(cx)).await?;
+    let request = http::Request::post(format!("http://{}/link", peer.address))
+        .body(())
+        .map_err(other)?;
+    let (response, send) = client.send_request(request, false)?;
+    let mut stream = Stream {
+        send,
+        closed,
+        broken: false,
+    };
+    let hello = encode_frame(&peer.options.hello, peer.options.frame_max_bytes).map_err(other)?;
+    write(&mut stream, hello).await?;
+    let response = response.await?;
+    if response.status() != http::StatusCode::OK {
+        let wanted = peer.options.hello.version;
+        tracing::error!(event = "link_version_refused", peer = %peer.address, ours = wanted, status = %response.status());
+        return Err(other(format_compact!(
+            "the peer answered {}",
+            response.status()
+        )));
+    }
+    Ok(stream)
+}
+
+async fn send(peer: &Peer, stream: &mut Stream, envelope: &Envelope) -> Result<(), SendError> {
+    let frame = match encode_frame(envelope, peer.options.frame_max_bytes) {
+        Ok(it) => it,
+        Err(error) => {
+            tracing::error!(event = "message_too_large", peer = %peer.address, %error);
+            peer.metrics.link_dropped("too_large");
+            return Ok(());
+        }
+    };
+    peer.metrics.link_bytes_sent.inc_by(frame.len() as u64);
+    peer.metrics.link_frames_sent.inc();
+    write(stream, frame).await
+}
+
+async fn write(stream: &mut Stream, mut data: Bytes) -> Result<(), SendError> {
+    while !data.is_empty() {
+        stream.send.reserve_capacity(data.len());
+        let granted = std::future::poll_fn(|cx| stream.send.poll_capacity(cx)).await;
+        let granted = granted.ok_or_else(|| other("the stream was closed"))??;
+        let chunk = data.split_to(granted.min(data.len()));
+        stream.send.send_data(chunk, false)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/link/codec.rs
@@ -0,0 +1,104 @@
+//! Frames: a length and a `bincode` body.
+
+use std::fmt;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use serde::{Serialize, de::DeserializeOwned};
+
+const LENGTH_BYTES: usize = 4;
+
+/// Why a frame was refused; its connection is closed then.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FrameError {
+    TooLarge { bytes: usize, max_bytes: usize },
+    Undecodable(String),
+}
+
+impl fmt::Display for FrameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FrameError::TooLarge { bytes, max_bytes } => {
+                write!(f, "frame of {bytes} bytes, the most is {max_bytes}")
+            }
+            FrameError::Undecodable(why) => write!(f, "frame cannot be decoded: {why}"),
+        }
+    }
+}
+
+/// Encodes one frame.
+///
+/// # Errors
+///
+/// Returns an error when the frame is larger than `max_bytes`.
+pub fn encode_frame<T: Serialize>(it: &T, max_bytes: usize) -> Result<Bytes, FrameError> {
+    let body = bincode::serde::encode_to_vec(it, bincode::config::standard())
+        .map_err(|it| FrameError::Undecodable(it.to_string()))?;
+    if max_bytes < body.len() {
+        return Err(FrameError::TooLarge {
+            bytes: body.len(),
+            max_bytes,
+        });
+    }
+    let mut res = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    res.put_u32_le(body.len() as u32);
+    res.put_slice(&body);
+    Ok(res.freeze())
+}
+
+/// Cuts a stream of bytes into frames.
+#[derive(Debug)]
+pub struct Frames {
+    buffer: BytesMut,
+    max_bytes: usize,
+}
+
+impl Frames {
+    /// Makes a cutter that accepts frames of at most `max_bytes`.
+    pub fn new(max_bytes: usize) -> Frames {
+        Frames {
+            buffer: BytesMut::new(),
+            max_bytes,
+        }
+    }
+
+    /// Takes in bytes as they arrive.
+    pub fn push(&mut self, data: &[u8]) {
+        self.buffer.extend_from_slice(data);
+    }
+
+    /// Returns the next whole frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the frame is too large, is not of type `T`, or has bytes left over.
+    pub fn next_frame<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+        let Some(length) = self
+            .buffer
+            .get(..LENGTH_BYTES)
+            .and_then(|it| it.try_into().ok())
+        else {
+            return Ok(None);
+        };
+        let length = u32::from_le_bytes(length) as usize;
+        if self.max_bytes < length {
+            return Err(FrameError::TooLarge {
+                bytes: length,
+                max_bytes: self.max_bytes,
+            });
+        }
+        if self.buffer.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        self.buffer.advance(LENGTH_BYTES);
+        let body = self.buffer.split_to(length);
+        let decoded = bincode::serde::decode_from_slice(&body, bincode::config::standard());
+        match decoded {
+            Ok((it, used)) if used == length => Ok(Some(it)),
+            Ok((_, used)) => Err(FrameError::Undecodable(format!(
+                "{} bytes are left over",
+                length - used
+            ))),
+            Err(it) => Err(FrameError::Undecodable(it.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,104 @@
+//! Links between processes: `h2` streams of `bincode` frames.
+//!
+//! Every process listens on one address and opens one connection to each peer that it sends to;
+//! a connection carries one stream, in one direction. Nothing is confirmed here: a message may
+//! be lost with its connection, and the cores repeat what matters. `h2` needs an asynchronous
+//! runtime; it is single-threaded and lives in this module's thread only.
+
+mod client;
+mod codec;
+mod server;
+
+use std::{net::SocketAddr, sync::Arc, thread};
+
+use error_stack::ResultExt;
+use tokio::sync::mpsc;
+
+use crate::{metrics::Metrics, prelude::*};
+
+pub use self::codec::{FrameError, Frames, encode_frame};
+
+/// What a link tells its process.
+#[derive(Clone, Debug)]
+pub enum LinkEvent {
+    Message {
+        from: SocketAddr,
+        envelope: Envelope,
+    },
+    /// The connection to a peer broke; what was sent last may be lost.
+    Lost { peer: SocketAddr },
+}
+
+/// Takes in the events of a link; called on the link's thread.
+pub trait LinkSink: Clone + Send + 'static {
+    /// Takes in one event.
+    fn accept(&self, event: LinkEvent);
+}
+
+/// What a link is told by the settings.
+#[derive(Clone, Debug)]
+pub struct LinkOptions {
+    pub hello: Hello,
+    pub listen: SocketAddr,
+    pub queue_messages: usize,
+    pub frame_max_bytes: usize,
+}
+
+/// The sending side of a process's links.
+#[derive(Clone, Debug)]
+pub struct Link {
+    outgoing: mpsc::UnboundedSender<(SocketAddr, Envelope)>,
+}
+
+impl Link {
+    /// Starts listening, and the thread that carries all links.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be listened on.
+    pub fn start<S: LinkSink>(
+        options: LinkOptions,
+        metrics: Arc<Metrics>,
+        sink: S,
+    ) -> Result<Link> {
+        let cannot = || {
+            Error::new(
+                ErrorKind::Internal,
+                format_compact!("cannot listen on {}", options.listen),
+            )
+        };
+        let listener = std::net::TcpListener::bind(options.listen).change_context_lazy(cannot)?;
+        listener.set_nonblocking(true).change_context_lazy(cannot)?;
+        // The queue to the thread is emptied at once into the bounded queues of the peers.
+        let (outgoing, incoming) = mpsc::unbounded_channel();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .change_context_lazy(|| {
+                Error::new(ErrorKind::Internal, "cannot start the links' runtime")
+            })?;
+        let carry = move || {
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, async move {
+                let options = Arc::new(options);
+                let serving =
+                    server::serve(listener, options.clone(), metrics.clone(), sink.clone());
+                tokio::task::spawn_local(serving);
+                client::route(incoming, options, metrics, sink).await;
+            });
+        };
+        thread::Builder::new()
+            .name("link".to_owned())
+            .spawn(carry)
+            .change_context_lazy(|| {
+                Error::new(ErrorKind::Internal, "cannot start the links' thread")
+            })?;
+        Ok(Link { outgoing })
+    }
+
+    /// Sends a message; it is dropped and counted where the peer cannot be reached in time.
+    pub fn send(&self, to: SocketAddr, envelope: Envelope) {
+        // Fails only once the thread has ended with its process.
+        let _ = self.outgoing.send((to, envelope));
+    }
+}
--- /dev/null
+++ b/src/link/server.rs
@@ -0,0 +1,149 @@
+//! The receiving side.
+
+use std::sync::Arc;
+
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{
+    link::{
+        LinkEvent, LinkOptions, LinkSink,
+        codec::{FrameError, Frames},
+    },
+    metrics::Metrics,
+    prelude::*,
+};
+
+/// Accepts links until the process ends.
+pub(super) async fn serve<S: LinkSink>(
+    listener: std::net::TcpListener,
+    options: Arc<LinkOptions>,
+    metrics: Arc<Metrics>,
+    sink: S,
+) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(it) => it,
+        Err(error) => return tracing::error!(event = "link_listen_failed", %error),
+    };
+    loop {
+        match listener.accept().await {
+            Ok((tcp, _)) => {
+                tokio::task::spawn_local(receive(
+                    tcp,
+                    options.clone(),
+                    metrics.clone(),
+                    sink.clone(),
+                ));
+            }
+            Err(error) => {
+                // Such as too many open files: it passes, and must not spin meanwhile.
+                tracing::warn!(event = "link_accept_failed", %error);
+                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn receive<S: LinkSink>(
+    tcp: TcpStream,
+    options: Arc<LinkOptions>,
+    metrics: Arc<Metrics>,
+    sink: S,
+) {
+    let _ = tcp.set_nodelay(true);
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(1 << 22)
+        .initial_connection_window_size(1 << 23)
+        .max_concurrent_streams(4)
+        .handshake::<_, bytes::Bytes>(tcp)
+        .await;
+    let Ok(mut connection) = handshake else {
+        return;
+    };
+    while let Some(Ok((request, respond))) = connection.accept().await {
+        let stream = read_stream(
+            request.into_body(),
+            respond,
+            options.clone(),
+            metrics.clone(),
+            sink.clone(),
+        );
+        tokio::task::spawn_local(stream);
+    }
+}
+
+async fn read_stream<S: LinkSink>(
+    mut body: h2::RecvStream,
+    mut respond: h2::server::SendResponse<bytes::Bytes>,
+    options: Arc<LinkOptions>,
+    metrics: Arc<Metrics>,
+    sink: S,
+) {
+    let mut frames = Frames::new(options.frame_max_bytes);
+    let mut peer: Option<Hello> = None;
+    while let Some(Ok(data)) = body.data().await {
+        metrics.link_bytes_received.inc_by(data.len() as u64);
+        let _ = body.flow_control().release_capacity(data.len());
+        frames.push(&data);
+        if peer.is_none() {
+            match greet(&mut frames, &options) {
+                Ok(None) => continue,
+                Ok(Some(hello)) => {
+                    let _ = respond.send_response(http::Response::new(()), true);
+                    peer = Some(hello);
+                }
+                Err(error) => {
+                    metrics.refused(ErrorKind::VersionUnsupported);
+                    tracing::error!(event = "link_greeting_refused", %error);
+                    let refused = http::Response::builder()
+                        .status(http::StatusCode::UPGRADE_REQUIRED)
+                        .body(());
+                    if let Ok(it) = refused {
+                        let _ = respond.send_response(it, true);
+                    }
+                    return;
+                }
+            }
+        }
+        let Some(hello) = &peer else { continue };
+        loop {
+            match frames.next_frame::<Envelope>() {
+                Ok(Some(envelope)) => sink.accept(LinkEvent::Message {
+                    from: hello.address,
+                    envelope,
+                }),
+                Ok(None) => break,
+                Err(error) => {
+                    metrics.refused(ErrorKind::BadRequest);
+                    tracing::error!(event = "link_frame_refused", peer = %hello.process, %error);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Reads the first frame of a link.
+///
+/// The layout of [`Hello`] never changes, so that any two versions understand each other's
+/// refusal.
+fn greet(frames: &mut Frames, options: &LinkOptions) -> Result<Option<Hello>, String> {
+    let hello: Option<Hello> = frames
+        .next_frame()
+        .map_err(|it: FrameError| it.to_string())?;
+    let Some(hello) = hello else { return Ok(None) };
+    let ours = &options.hello;
+    if hello.version != ours.version {
+        return Err(format!(
+            "{} speaks version {}, this process {}",
+            hello.process, hello.version, ours.version
+        ));
+    }
+    if (hello.region, hello.group) != (ours.region, ours.group) {
+        let place = (hello.region, hello.group);
+        return Err(format!(
+            "{} is of region and group {place:?}",
+            hello.process
+        ));
+    }
+    Ok(Some(hello))
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The one binary of aspenrail.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    aspenrail::cli::main()
+}
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -62,7 +62,7 @@
         team: &str,
         it: Waiting<K>,
         len_max: usize,
-    ) -> std::result::Result<Option<Waiting<K>>, Rejection> {
+    ) -> Result<Option<Waiting<K>>, Rejection> {
         let mut displaced = None;
         if len_max <= self.len {
             let own = self.teams.get(team).map_or(0, VecDeque::len);
--- /dev/null
+++ b/src/runtime/adapters.rs
@@ -0,0 +1,180 @@
+//! What carries out the effects of the cores.
+
+use std::{cell::RefCell, collections::VecDeque, net::SocketAddr, rc::Rc, sync::Arc};
+
+use crossbeam_channel::Sender;
+
+use crate::{
+    agent::{self, AgentCore, ExecutorCall, WorkerCall},
+    control::{self, ControlCore},
+    entry::{self, EntryCore},
+    http::{self, HttpAnswer, Pending},
+    link::{Link, LinkEvent},
+    metrics::Metrics,
+    prelude::*,
+    runtime::{disk::DiskWriter, pool::Pool, process::Event, role::Adapter},
+};
+
+/// Messages of this process to itself, which need no link.
+pub(super) type Loopback = Rc<RefCell<VecDeque<Event>>>;
+
+/// The sending side of a process's links.
+#[derive(Clone)]
+pub(super) struct Sending {
+    pub link: Link,
+    pub own: SocketAddr,
+    pub loopback: Loopback,
+}
+
+impl Sending {
+    fn send(&self, to: SocketAddr, in_force: Revision, message: Message) {
+        let envelope = Envelope { in_force, message };
+        if to == self.own {
+            let event = Event::Link(LinkEvent::Message {
+                from: self.own,
+                envelope,
+            });
+            self.loopback.borrow_mut().push_back(event);
+        } else {
+            self.link.send(to, envelope);
+        }
+    }
+}
+
+/// Carries out an entry's effects.
+pub(super) struct EntryAdapter {
+    pub sending: Sending,
+    pub pending: Pending,
+    pub metrics: Arc<Metrics>,
+}
+
+impl Adapter<EntryCore> for EntryAdapter {
+    fn carry(&mut self, effect: entry::Effect, in_force: Revision) {
+        match effect {
+            entry::Effect::Send { to, message } => self.sending.send(to, in_force, message),
+            entry::Effect::Answer { token, answer } => {
+                self.pending.answer(token, http::caller::answer(answer))
+            }
+        }
+    }
+
+    fn observe(&mut self, core: &EntryCore) {
+        self.metrics.in_force_revision.set(core.in_force().0 as i64);
+    }
+}
+
+/// Carries out an agent's effects.
+pub(super) struct AgentAdapter<W, E>
+where
+    W: Fn(WorkerCall) + Send + Sync + 'static,
+    E: Fn(ExecutorCall) + Send + Sync + 'static,
+{
+    pub sending: Sending,
+    pub pending: Pending,
+    pub metrics: Arc<Metrics>,
+    /// One thread, so that calls reach the worker in order.
+    pub worker: Pool<WorkerCall, W>,
+    pub executors: Pool<ExecutorCall, E>,
+}
+
+impl<W, E> Adapter<AgentCore> for AgentAdapter<W, E>
+where
+    W: Fn(WorkerCall) + Send + Sync + 'static,
+    E: Fn(ExecutorCall) + Send + Sync + 'static,
+{
+    fn carry(&mut self, effect: agent::Effect, in_force: Revision) {
+        match effect {
+            agent::Effect::Send { to, message } => self.sending.send(to, in_force, message),
+            agent::Effect::Worker(it) => self.worker.submit(it),
+            agent::Effect::Call(it) => self.executors.submit(it),
+            agent::Effect::Answer { token, outcome } => {
+                self.pending.answer(token, answer_of(&outcome))
+            }
+        }
+    }
+
+    fn observe(&mut self, core: &AgentCore) {
+        self.metrics.in_force_revision.set(core.in_force().0 as i64);
+    }
+}
+
+/// Carries out a control member's effects.
+pub(super) struct ControlAdapter {
+    pub sending: Sending,
+    pub pending: Pending,
+    pub metrics: Arc<Metrics>,
+    pub disk: DiskWriter,
+}
+
+impl Adapter<ControlCore> for ControlAdapter {
+    fn carry(&mut self, effect: control::Effect, in_force: Revision) {
+        match effect {
+            control::Effect::Send { to, message } => self.sending.send(to, in_force, message),
+            control::Effect::Write { number, writes } => self.disk.submit(number, writes),
+            control::Effect::Answer { token, outcome } => {
+                if let Err(it) = &outcome {
+                    self.metrics.refused(it.kind);
+                }
+                self.pending.answer(token, answer_of(&outcome));
+            }
+        }
+    }
+
+    fn observe(&mut self, core: &ControlCore) {
+        self.metrics.in_force_revision.set(core.in_force().0 as i64);
+        let state = core.state();
+        let waiting = core.scheduler().map_or(0, |it| it.queue().len());
+        let log_entries = core.raft().last_index() - core.raft().snapshot_index();
+        for (table, rows) in [
+            ("vms", state.vms.len()),
+            ("jobs", state.jobs.len()),
+            ("tasks", state.jobs.task_count()),
+            ("waiting", waiting),
+            ("claims", state.claims.len()),
+            ("watches", state.watches.len()),
+            ("log_entries", log_entries as usize),
+        ] {
+            self.metrics
+                .state
+                .with_label_values(&[table])
+                .set(rows as i64);
+        }
+    }
+}
+
+fn answer_of(outcome: &control::state::Outcome) -> HttpAnswer {
+    match outcome {
+        Ok(it) => HttpAnswer::reply(it),
+        Err(it) => HttpAnswer::refusal(it),
+    }
+}
+
+/// Makes what calls a worker and posts how it ended.
+pub(super) fn worker_caller(
+    worker: SocketAddr,
+    events: Sender<Event>,
+) -> impl Fn(WorkerCall) + Send + Sync + 'static {
+    let client = http::client::new_client(2);
+    move |call| {
+        let result = http::client::call_worker(&client, worker, &call);
+        let _ = events.send(Event::Agent(Box::new(agent::Input::Worker {
+            call,
+            result,
+        })));
+    }
+}
+
+/// Makes what calls endpoints and posts how it ended.
+pub(super) fn executor_caller(
+    threads: usize,
+    events: Sender<Event>,
+) -> impl Fn(ExecutorCall) + Send + Sync + 'static {
+    let client = http::client::new_client(threads);
+    move |call: ExecutorCall| {
+        let result = http::client::call_executor(&client, &call);
+        let _ = events.send(Event::Agent(Box::new(agent::Input::Executor {
+            execution: call.execution,
+            result,
+        })));
+    }
+}
--- /dev/null
+++ b/src/runtime/disk.rs
@@ -0,0 +1,125 @@
+//! The thread that makes a control member's writes durable.
+
+use std::{
+    sync::Arc,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use error_stack::ResultExt;
+
+use crate::{
+    control::log::{Disk, DiskWrite},
+    metrics::Metrics,
+    prelude::*,
+    runtime::process::Event,
+};
+
+/// Pause in the writes after which the log is marked as durable up to here.
+const MARK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Interval at which free space is looked at.
+const SPACE_INTERVAL: Duration = Duration::from_secs(1);
+
+type Job = (u64, Vec<DiskWrite>);
+
+/// The sending side of the disk's thread.
+pub(super) struct DiskWriter {
+    jobs: Option<Sender<Job>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl DiskWriter {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot be started.
+    pub(super) fn start(
+        disk: Disk,
+        metrics: Arc<Metrics>,
+        events: Sender<Event>,
+    ) -> Result<DiskWriter> {
+        let (jobs, receiver) = crossbeam_channel::unbounded();
+        let thread = thread::Builder::new()
+            .name("disk".to_owned())
+            .spawn(move || write_all(disk, &receiver, &metrics, &events))
+            .change_context_lazy(|| {
+                Error::new(ErrorKind::Internal, "cannot start the disk's thread")
+            })?;
+        Ok(DiskWriter {
+            jobs: Some(jobs),
+            thread: Some(thread),
+        })
+    }
+
+    pub(super) fn submit(&self, number: u64, writes: Vec<DiskWrite>) {
+        if let Some(it) = &self.jobs {
+            // Fails only after the thread has reported why it ended.
+            let _ = it.send((number, writes));
+        }
+    }
+}
+
+impl Drop for DiskWriter {
+    fn drop(&mut self) {
+        self.jobs = None;
+        if let Some(it) = self.thread.take() {
+            // Its panic would have been printed; there is nothing else to do about it here.
+            let _ = it.join();
+        }
+    }
+}
+
+fn write_all(mut disk: Disk, jobs: &Receiver<Job>, metrics: &Metrics, events: &Sender<Event>) {
+    let mut marked = true;
+    let mut was_full = false;
+    let mut looked: Option<Instant> = None;
+    loop {
+        if looked.is_none_or(|it| SPACE_INTERVAL < it.elapsed()) {
+            looked = Some(Instant::now());
+            let is_full = disk.is_full();
+            if is_full != was_full {
+                tracing::warn!(event = "disk_space", is_full);
+                let _ = events.send(Event::DiskFull(is_full));
+            }
+            was_full = is_full;
+        }
+        let (mut number, mut writes) =
+            match jobs.recv_timeout(if marked { SPACE_INTERVAL } else { MARK_PAUSE }) {
+                Ok(it) => it,
+                Err(RecvTimeoutError::Timeout) if marked => continue,
+                Err(RecvTimeoutError::Timeout) => {
+                    marked = true;
+                    match disk.mark() {
+                        Ok(()) => continue,
+                        Err(report) => return fail(events, report),
+                    }
+                }
+                Err(RecvTimeoutError::Disconnected) => {
+                    if let Err(report) = disk.mark() {
+                        tracing::error!(event = "disk_failed", error = ?report);
+                    }
+                    return;
+                }
+            };
+        // Whatever gathered during the last sync shares the next one.
+        while let Ok((next, more)) = jobs.try_recv() {
+            number = next;
+            writes.extend(more);
+            metrics.disk_writes.inc();
+        }
+        metrics.disk_writes.inc();
+        metrics.disk_syncs.inc();
+        marked = false;
+        if let Err(report) = disk.write(&writes) {
+            return fail(events, report);
+        }
+        let _ = events.send(Event::Persisted(number));
+    }
+}
+
+fn fail(events: &Sender<Event>, report: error_stack::Report<Error>) {
+    let _ = events.send(Event::DiskFailed(report));
+}
--- /dev/null
+++ b/src/runtime/mod.rs
@@ -0,0 +1,17 @@
+//! A process of the system: cores as actors, and the adapters that do their I/O.
+//!
+//! One `stakker` thread holds all decision state and never blocks. Every link, disk and HTTP edge
+//! is an adapter on threads of its own, with a bounded queue to the core's thread.
+
+mod adapters;
+mod disk;
+mod edges;
+mod pool;
+mod process;
+mod role;
+mod signals;
+
+pub use self::{
+    process::{Ending, Event, Process, ProcessHandle},
+    signals::forward_signals,
+};
--- /dev/null
+++ b/src/runtime/signals.rs
@@ -0,0 +1,35 @@
+//! Signals, as events.
+
+use std::thread;
+
+use error_stack::ResultExt;
+use signal_hook::{consts, iterator::Signals};
+
+use crate::{prelude::*, runtime::process::ProcessHandle};
+
+/// Forwards SIGTERM and SIGINT to a process: the first begins a planned stop, the second ends
+/// it at once.
+///
+/// # Errors
+///
+/// Returns an error when the handler cannot be installed.
+pub fn forward_signals(handle: ProcessHandle) -> Result<()> {
+    let cannot = || Error::new(ErrorKind::Internal, "cannot handle signals");
+    let mut signals =
+        Signals::new([consts::SIGTERM, consts::SIGINT]).change_context_lazy(cannot)?;
+    let forward = move || {
+        for (count, signal) in signals.forever().enumerate() {
+            tracing::info!(event = "signal", signal, count = count + 1);
+            if count == 0 {
+                handle.stop()
+            } else {
+                handle.kill()
+            }
+        }
+    };
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(forward)
+        .change_context_lazy(cannot)?;
+    Ok(())
+}
