--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -179,10 +179,7 @@
     pub fn next_tick_ms(&self) -> u64 {
         let lease_ms = self.lease.map_or(u64::MAX, |it| it.until_ms);
         let client_ms = self.client.next_tick_ms().unwrap_or(u64::MAX);
-        self.heartbeat_at_ms
-            .min(self.list_at_ms)
-            .min(lease_ms)
-            .min(client_ms)
+        self.heartbeat_at_ms.min(self.list_at_ms).min(lease_ms).min(client_ms)
     }
 
     /// Takes the effects of the inputs so far.
@@ -202,11 +199,7 @@
         // Whatever arrives first after a pause of this process, the lease is looked at before it.
         self.heed_lease_end(now);
         match input {
-            Input::Message {
-                from,
-                in_force,
-                message,
-            } => {
+            Input::Message { from, in_force, message } => {
                 if let Some(question) = self.adopted.question(now, in_force, self.options.address) {
                     self.send(from, question);
                 }
@@ -214,10 +207,7 @@
             }
             Input::Worker { call, result } => self.on_worker(now, call, result),
             Input::Executor { execution, result } => self.on_executor(now, execution, result),
-            Input::Announce {
-                token,
-                announcement,
-            } => self.on_announce(now, token, announcement),
+            Input::Announce { token, announcement } => self.on_announce(now, token, announcement),
             Input::Leave { token, address } => self.on_leave(now, token, address),
             Input::Tick => (),
             Input::Stop => self.drain(now),
@@ -275,8 +265,7 @@
             self.begin_leaving(now, number);
         }
         self.endpoints.remove_idle_leavers();
-        self.entries
-            .retain(|_, at_ms| now.mono_ms < *at_ms + 60_000);
+        self.entries.retain(|_, at_ms| now.mono_ms < *at_ms + 60_000);
     }
 
     fn open_session(&mut self, now: Now) {
@@ -293,8 +282,7 @@
             capacity: self.capacity(),
         };
         let operation = Operation::Propose(Command::OpenSession(command));
-        self.client
-            .call(now, operation, now.mono_ms + OPEN_MAX_MS, ());
+        self.client.call(now, operation, now.mono_ms + OPEN_MAX_MS, ());
     }
 
     fn capacity(&self) -> Resources {
@@ -310,11 +298,7 @@
         self.opening = false;
         match outcome {
             Ok(Reply::SessionOpened(it)) => {
-                tracing::info!(
-                    event = "session_opened",
-                    session = it.session.0,
-                    vm = it.vm.0
-                );
+                tracing::info!(event = "session_opened", session = it.session.0, vm = it.vm.0);
                 self.own_sessions.insert(it.session);
                 // There is no lease yet: the first heartbeat asks for it.
                 self.lease = Some(Lease {
@@ -399,11 +383,7 @@
     }
 
     fn on_heartbeat_reply(&mut self, now: Now, it: AgentHeartbeatReply) {
-        let Some(lease) = self
-            .lease
-            .as_mut()
-            .filter(|lease| lease.session == it.session)
-        else {
+        let Some(lease) = self.lease.as_mut().filter(|lease| lease.session == it.session) else {
             return;
         };
         lease.answered = lease.answered.max(it.number);
@@ -417,10 +397,7 @@
         let until_ms = (it.sent_ms + u64::from(it.lease_ms)).max(lease.until_ms);
         if lease.until_ms < until_ms {
             lease.until_ms = until_ms;
-            let call = WorkerCall::Lease {
-                session: it.session,
-                until_boottime_ms: until_ms,
-            };
+            let call = WorkerCall::Lease { session: it.session, until_boottime_ms: until_ms };
             self.effects.push(Effect::Worker(call));
         }
         self.on_orders(now, it);
@@ -439,11 +416,7 @@
     }
 
     fn follow_order(&mut self, lease: Lease, order: TaskOrder) {
-        let TaskOrder {
-            task,
-            incarnation,
-            action,
-        } = order;
+        let TaskOrder { task, incarnation, action } = order;
         let session = lease.session;
         let call = match action {
             TaskAction::Start(start) => {
@@ -460,50 +433,26 @@
                     return;
                 }
                 self.metrics.tasks_started.inc();
-                WorkerCall::Start {
-                    session,
-                    task,
-                    incarnation,
-                    start: Box::new(start),
-                }
+                WorkerCall::Start { session, task, incarnation, start: Box::new(start) }
             }
-            TaskAction::Checkpoint => WorkerCall::Checkpoint {
-                session,
-                task,
-                incarnation,
-            },
-            TaskAction::Stop => WorkerCall::Stop {
-                session,
-                task,
-                incarnation,
-            },
+            TaskAction::Checkpoint => WorkerCall::Checkpoint { session, task, incarnation },
+            TaskAction::Stop => WorkerCall::Stop { session, task, incarnation },
             TaskAction::Throttle(permille) => {
                 if !self.tasks.note_throttle(task, incarnation, permille) {
                     return;
                 }
-                WorkerCall::Throttle {
-                    session,
-                    task,
-                    incarnation,
-                    permille,
-                }
+                WorkerCall::Throttle { session, task, incarnation, permille }
             }
             TaskAction::Forget => {
                 self.tasks.forget(task, incarnation);
-                WorkerCall::Forget {
-                    session,
-                    task,
-                    incarnation,
-                }
+                WorkerCall::Forget { session, task, incarnation }
             }
         };
         self.effects.push(Effect::Worker(call));
     }
 
     fn valid_session(&self, now: Now) -> Option<SessionId> {
-        self.lease
-            .filter(|it| now.mono_ms < it.until_ms)
-            .map(|it| it.session)
+        self.lease.filter(|it| now.mono_ms < it.until_ms).map(|it| it.session)
     }
 
     /// Stops all tasks once the lease has run out: from now on control may place them elsewhere.
@@ -526,17 +475,9 @@
         let Some(session) = self.lease.map(|it| it.session) else {
             return;
         };
-        let ids: Vec<_> = self
-            .tasks
-            .running()
-            .map(|it| (it.task, it.incarnation))
-            .collect();
+        let ids: Vec<_> = self.tasks.running().map(|it| (it.task, it.incarnation)).collect();
         for (task, incarnation) in ids {
-            self.effects.push(Effect::Worker(WorkerCall::Stop {
-                session,
-                task,
-                incarnation,
-            }));
+            self.effects.push(Effect::Worker(WorkerCall::Stop { session, task, incarnation }));
         }
     }
 
@@ -558,12 +499,7 @@
             }
             (WorkerCall::List, _) => self.listing = false,
             (WorkerCall::Lease { .. }, _) => self.list_at_ms = now.mono_ms,
-            (
-                WorkerCall::Start {
-                    task, incarnation, ..
-                },
-                result,
-            ) => {
+            (WorkerCall::Start { task, incarnation, .. }, result) => {
                 self.tasks.note_start(task, incarnation, &result);
                 self.heartbeat_at_ms = now.mono_ms;
             }
@@ -576,16 +512,9 @@
 
     fn on_announce(&mut self, now: Now, token: u64, it: Announcement) {
         let outcome = if self.draining {
-            Err(refusal_until(
-                ErrorKind::Draining,
-                "this VM's agent is stopping",
-                1_000,
-            ))
+            Err(refusal_until(ErrorKind::Draining, "this VM's agent is stopping", 1_000))
         } else if it.slots == 0 || it.connections == 0 {
-            Err(refusal(
-                ErrorKind::BadRequest,
-                "slots and connections must be above 0",
-            ))
+            Err(refusal(ErrorKind::BadRequest, "slots and connections must be above 0"))
         } else {
             let address = it.address;
             let is_new = self.endpoints.at(address).is_none();
@@ -637,10 +566,7 @@
         let entries: Vec<_> = self.entries.keys().copied().collect();
         for to in entries {
             for session in &sessions {
-                let endpoint = EndpointId {
-                    session: *session,
-                    number,
-                };
+                let endpoint = EndpointId { session: *session, number };
                 self.send(to, Message::EndpointLeaving(EndpointLeaving { endpoint }));
             }
         }
@@ -681,10 +607,7 @@
         let Some(endpoint) = self.endpoints.get_mut(number) else {
             return;
         };
-        endpoint.queue.push_back(Queued {
-            request: it,
-            deadline_ms,
-        });
+        endpoint.queue.push_back(Queued { request: it, deadline_ms });
         if endpoint.has_slot() && executions < threads {
             self.run_next(now, number);
         }
@@ -757,10 +680,8 @@
     fn drop_late(&mut self, now: Now) {
         let mut late = Vec::new();
         for endpoint in self.endpoints.iter_mut() {
-            let (old, kept) = endpoint
-                .queue
-                .drain(..)
-                .partition(|it: &Queued| it.deadline_ms <= now.mono_ms);
+            let (old, kept) =
+                endpoint.queue.drain(..).partition(|it: &Queued| it.deadline_ms <= now.mono_ms);
             endpoint.queue = kept;
             late.extend::<std::collections::VecDeque<_>>(old);
         }
@@ -790,20 +711,12 @@
         endpoint: EndpointId,
         outcome: ExecuteOutcome,
     ) {
-        let load = self.endpoints.get_mut(endpoint.number).map_or(
-            Load {
-                in_use: 0,
-                queued: 0,
-            },
-            |it| it.load(),
-        );
-        let reply = ExecuteReply {
-            request: attempt.0,
-            attempt: attempt.1,
-            endpoint,
-            outcome,
-            load,
-        };
+        let load = self
+            .endpoints
+            .get_mut(endpoint.number)
+            .map_or(Load { in_use: 0, queued: 0 }, |it| it.load());
+        let reply =
+            ExecuteReply { request: attempt.0, attempt: attempt.1, endpoint, outcome, load };
         self.send(to, Message::ExecuteReply(reply));
     }
 
@@ -817,16 +730,14 @@
             endpoint.note_answer(answer_ms);
         }
         let outcome = match result {
-            ExecutorResult::Answered {
-                status,
-                content_type,
-                body,
-            } => ExecuteOutcome::Answered(Answer {
-                status,
-                content_type,
-                checksum: checksum(&body),
-                body: serde_bytes::ByteBuf::from(body),
-            }),
+            ExecutorResult::Answered { status, content_type, body } => {
+                ExecuteOutcome::Answered(Answer {
+                    status,
+                    content_type,
+                    checksum: checksum(&body),
+                    body: serde_bytes::ByteBuf::from(body),
+                })
+            }
             ExecutorResult::NotSent(_) => ExecuteOutcome::Refused(ErrorKind::NoEndpoint),
             ExecutorResult::Failed(why) => ExecuteOutcome::Failed(why),
         };
@@ -841,12 +752,8 @@
         self.reply(it.reply_to, it.attempt, it.endpoint, outcome);
         // A freed thread may serve any endpoint; the one that freed it goes first.
         self.run_next(now, it.endpoint.number);
-        let waiting: Vec<_> = self
-            .endpoints
-            .iter()
-            .filter(|it| !it.queue.is_empty())
-            .map(|it| it.number)
-            .collect();
+        let waiting: Vec<_> =
+            self.endpoints.iter().filter(|it| !it.queue.is_empty()).map(|it| it.number).collect();
         for number in waiting {
             self.run_next(now, number);
         }
--- a/src/agent/endpoints.rs
+++ b/src/agent/endpoints.rs
@@ -79,24 +79,17 @@
     }
 
     pub(super) fn load(&self) -> Load {
-        Load {
-            in_use: self.in_use,
-            queued: self.queue.len() as u32,
-        }
+        Load { in_use: self.in_use, queued: self.queue.len() as u32 }
     }
 
     pub(super) fn note_answer(&mut self, answer_ms: u64) {
-        self.answers
-            .saturating_record(answer_ms.clamp(1, ANSWER_MAX_MS));
+        self.answers.saturating_record(answer_ms.clamp(1, ANSWER_MAX_MS));
     }
 
     /// Returns the tail of the answers since the last report, and begins anew.
     pub(super) fn take_tail_ms(&mut self) -> u32 {
-        let tail_ms = if self.answers.is_empty() {
-            0
-        } else {
-            self.answers.value_at_quantile(0.99) as u32
-        };
+        let tail_ms =
+            if self.answers.is_empty() { 0 } else { self.answers.value_at_quantile(0.99) as u32 };
         self.answers.reset();
         tail_ms
     }
@@ -124,10 +117,8 @@
 
     /// Adds an endpoint, or notes that one known is alive; returns its number.
     pub(super) fn announce(&mut self, it: Announcement, now: Now) -> u32 {
-        let known = self
-            .endpoints
-            .values_mut()
-            .find(|known| known.announcement.address == it.address);
+        let known =
+            self.endpoints.values_mut().find(|known| known.announcement.address == it.address);
         if let Some(known) = known {
             // One that left and comes back under its address is a new endpoint of the same name.
             known.leaving = false;
@@ -154,23 +145,16 @@
 
     /// Returns the number of the endpoint at an address.
     pub(super) fn at(&self, address: SocketAddr) -> Option<u32> {
-        self.endpoints
-            .values()
-            .find(|it| it.announcement.address == address)
-            .map(|it| it.number)
+        self.endpoints.values().find(|it| it.announcement.address == address).map(|it| it.number)
     }
 
     /// Removes endpoints that left and have nothing in flight.
     pub(super) fn remove_idle_leavers(&mut self) {
-        self.endpoints
-            .retain(|_, it| !it.leaving || 0 < it.in_use || !it.queue.is_empty());
+        self.endpoints.retain(|_, it| !it.leaving || 0 < it.in_use || !it.queue.is_empty());
     }
 
     /// Returns the requests running and waiting.
     pub(super) fn busy(&self) -> usize {
-        self.endpoints
-            .values()
-            .map(|it| it.in_use as usize + it.queue.len())
-            .sum()
+        self.endpoints.values().map(|it| it.in_use as usize + it.queue.len()).sum()
     }
 }
--- a/src/agent/seen.rs
+++ b/src/agent/seen.rs
@@ -30,12 +30,7 @@
 
 impl Seen {
     pub(super) fn new(len_max: usize, keep_ms: u64) -> Seen {
-        Seen {
-            fates: HashMap::new(),
-            ended: BTreeSet::new(),
-            len_max,
-            keep_ms,
-        }
+        Seen { fates: HashMap::new(), ended: BTreeSet::new(), len_max, keep_ms }
     }
 
     pub(super) fn get(&self, id: AttemptId) -> Option<&Fate> {
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -128,16 +128,13 @@
             detail: CompactString::default(),
             run_ms: 0,
         });
-        let failed = self
-            .failed
-            .iter()
-            .map(|(task, (incarnation, reason))| TaskReport {
-                task: *task,
-                incarnation: *incarnation,
-                phase: TaskPhase::Failed,
-                detail: reason.clone(),
-                run_ms: 0,
-            });
+        let failed = self.failed.iter().map(|(task, (incarnation, reason))| TaskReport {
+            task: *task,
+            incarnation: *incarnation,
+            phase: TaskPhase::Failed,
+            detail: reason.clone(),
+            run_ms: 0,
+        });
         worker.chain(starting).chain(failed).collect()
     }
 
@@ -159,9 +156,8 @@
         capacity: Resources,
     ) -> Result<(), NotStarted> {
         let reported = self.reported.get(&task);
-        let known = reported
-            .map(|it| it.incarnation)
-            .max(self.pending.get(&task).map(|it| it.incarnation));
+        let known =
+            reported.map(|it| it.incarnation).max(self.pending.get(&task).map(|it| it.incarnation));
         let known = known.max(self.failed.get(&task).map(|it| it.0));
         if known.is_some_and(|it| incarnation <= it) {
             return Err(NotStarted::Known);
@@ -171,29 +167,21 @@
         }
         // Control's ledger decides; this second look keeps the promise even if that one is wrong.
         let running = self.running().map(|it| it.resources);
-        let held = running
-            .chain(self.pending.values().map(|it| it.start.resources))
-            .fold(NOTHING, add);
+        let held =
+            running.chain(self.pending.values().map(|it| it.start.resources)).fold(NOTHING, add);
         if !fits(add(held, start.resources), capacity) {
             return Err(NotStarted::Full);
         }
         self.pending.insert(
             task,
-            Pending {
-                incarnation,
-                start: Box::new(start.clone()),
-                unanswered: false,
-            },
+            Pending { incarnation, start: Box::new(start.clone()), unanswered: false },
         );
         Ok(())
     }
 
     /// Takes in how a start ended.
     pub(super) fn note_start(&mut self, task: TaskId, incarnation: u32, result: &WorkerResult) {
-        let Some(pending) = self
-            .pending
-            .get_mut(&task)
-            .filter(|it| it.incarnation == incarnation)
+        let Some(pending) = self.pending.get_mut(&task).filter(|it| it.incarnation == incarnation)
         else {
             return;
         };
@@ -225,9 +213,7 @@
         self.usage = Some(it.usage);
         let reported: BTreeMap<_, _> = it.tasks.into_iter().map(|it| (it.task, it)).collect();
         let phase = |list: &BTreeMap<TaskId, WorkerTask>| -> Vec<_> {
-            list.values()
-                .map(|it| (it.task, it.incarnation, it.phase))
-                .collect()
+            list.values().map(|it| (it.task, it.incarnation, it.phase)).collect()
         };
         let changed = phase(&self.reported) != phase(&reported);
         self.reported = reported;
@@ -235,9 +221,7 @@
         // A start whose answer got lost stays pending until the worker lists it: it is asked for
         // again, which does no harm, while forgetting it could let it run unseen.
         let arrived = |id: &TaskId, it: &Pending| {
-            listed
-                .get(id)
-                .is_some_and(|task| it.incarnation <= task.incarnation)
+            listed.get(id).is_some_and(|task| it.incarnation <= task.incarnation)
         };
         self.pending.retain(|id, it| !arrived(id, it));
         self.throttled.retain(|id, _| listed.contains_key(id));
@@ -268,8 +252,5 @@
 }
 
 fn has_ended(it: TaskPhase) -> bool {
-    matches!(
-        it,
-        TaskPhase::Completed | TaskPhase::Failed | TaskPhase::Evicted | TaskPhase::Stopped
-    )
+    matches!(it, TaskPhase::Completed | TaskPhase::Failed | TaskPhase::Evicted | TaskPhase::Stopped)
 }
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -11,9 +11,7 @@
 
 impl Arguments {
     pub(super) fn from_env() -> Arguments {
-        Arguments {
-            inner: pico_args::Arguments::from_env(),
-        }
+        Arguments { inner: pico_args::Arguments::from_env() }
     }
 
     /// Takes the next word as a command.
@@ -44,8 +42,7 @@
         &mut self,
         name: &'static str,
     ) -> Result<T, Failure> {
-        self.optional(name)?
-            .ok_or_else(|| Failure::Usage(format!("{name} is missing")))
+        self.optional(name)?.ok_or_else(|| Failure::Usage(format!("{name} is missing")))
     }
 
     /// Takes a flag whose value is a list separated by commas.
@@ -57,14 +54,9 @@
             return Ok(Vec::new());
         };
         let parse = |it: &str| {
-            it.trim()
-                .parse()
-                .map_err(|error| Failure::Usage(format!("{name}: '{it}': {error}")))
+            it.trim().parse().map_err(|error| Failure::Usage(format!("{name}: '{it}': {error}")))
         };
-        text.split(',')
-            .filter(|it| !it.trim().is_empty())
-            .map(parse)
-            .collect()
+        text.split(',').filter(|it| !it.trim().is_empty()).map(parse).collect()
     }
 
     /// Takes the next word that is no flag.
@@ -83,11 +75,7 @@
             None => Ok(()),
             Some(it) => {
                 let it = it.to_string_lossy();
-                let what = if it.starts_with('-') {
-                    "unknown flag"
-                } else {
-                    "one word too many:"
-                };
+                let what = if it.starts_with('-') { "unknown flag" } else { "one word too many:" };
                 Err(Failure::Usage(format!("{what} {it}")))
             }
         }
--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -30,11 +30,7 @@
   --folder DIR    keeps settings and data there instead of in a new temporary folder
 ";
 
-const COUNTS: Counts = Counts {
-    controls: 3,
-    entries: 2,
-    agents: 6,
-};
+const COUNTS: Counts = Counts { controls: 3, entries: 2, agents: 6 };
 
 /// Longest time that any step of the show may take.
 const STEP_MAX: Duration = Duration::from_secs(20);
@@ -49,21 +45,14 @@
     arguments.finish()?;
     logs::start("warn");
     let kept = folder.is_some();
-    let unique = format!(
-        "aspenrail-dev-{}-{:x}",
-        std::process::id(),
-        fastrand::u32(..)
-    );
+    let unique = format!("aspenrail-dev-{}-{:x}", std::process::id(), fastrand::u32(..));
     let folder = folder.unwrap_or_else(|| std::env::temp_dir().join(unique));
     let layout = Layout::create(&folder, COUNTS, "")?;
     let handles = start_all(&layout)?;
     let shown = show(&layout);
     if stay && shown.is_ok() {
         println!("\ncallers' API: {:?}, token {TEAM_TOKEN}", layout.callers);
-        println!(
-            "administration: {:?}, token {OPERATOR_TOKEN}",
-            layout.admins
-        );
+        println!("administration: {:?}, token {OPERATOR_TOKEN}", layout.admins);
         println!("interrupt to end");
         let signals = signal_hook::iterator::Signals::new([
             signal_hook::consts::SIGTERM,
@@ -86,11 +75,7 @@
 }
 
 fn start_all(layout: &Layout) -> Result<Vec<(ProcessHandle, thread::JoinHandle<()>)>, Failure> {
-    let capacity = Resources {
-        cpu_millicores: 64_000,
-        memory_mib: 250_000,
-        accelerators: 0,
-    };
+    let capacity = Resources { cpu_millicores: 64_000, memory_mib: 250_000, accelerators: 0 };
     for vm in &layout.vms {
         start_worker(vm.worker, WorkerModel::new(capacity))?;
         start_executor(ExecutorOptions {
@@ -103,11 +88,7 @@
             fail_permille: 0,
         })?;
     }
-    let files = layout
-        .control_files
-        .iter()
-        .chain(&layout.agent_files)
-        .chain(&layout.entry_files);
+    let files = layout.control_files.iter().chain(&layout.agent_files).chain(&layout.entry_files);
     let mut handles = Vec::new();
     for file in files {
         let process = Process::new(read_settings(file)?);
@@ -138,10 +119,7 @@
     wait_until("both entries are ready", || {
         let client = new_client(1);
         let ready = |it: &std::net::SocketAddr| {
-            client
-                .get(format!("http://{it}/healthz"))
-                .call()
-                .is_ok_and(|it| it.status() == 200)
+            client.get(format!("http://{it}/healthz")).call().is_ok_and(|it| it.status() == 200)
         };
         layout.callers.iter().all(ready).then_some(())
     })?;
@@ -173,10 +151,8 @@
     println!("3. job: {job}");
 
     let change = json!({"PutClass": quick_class(40)});
-    let changed = operator.post(
-        "configuration",
-        &json!({"based_on": revision, "key": "dev-2", "change": change}),
-    )?;
+    let changed = operator
+        .post("configuration", &json!({"based_on": revision, "key": "dev-2", "change": change}))?;
     let revision = changed["revision"].as_u64().unwrap_or(0);
     let begun = Instant::now();
     wait_until("the change is in force everywhere", || {
@@ -244,25 +220,16 @@
         .header("Authorization", &authorization)
         .send(json!({"key": "dev-job", "spec": spec}).to_string())
         .map_err(|it| failed(it.to_string()))?;
-    let accepted: Value = response
-        .body_mut()
-        .read_json()
-        .map_err(|it| failed(it.to_string()))?;
+    let accepted: Value = response.body_mut().read_json().map_err(|it| failed(it.to_string()))?;
     let Some(job) = accepted["job"].as_u64() else {
         return Err(failed(format!("not accepted: {accepted}")));
     };
     let mut response = client
-        .get(format!(
-            "http://{}/v1/jobs/{job}/result?wait_ms=15000",
-            layout.callers[1]
-        ))
+        .get(format!("http://{}/v1/jobs/{job}/result?wait_ms=15000", layout.callers[1]))
         .header("Authorization", &authorization)
         .call()
         .map_err(|it| failed(it.to_string()))?;
-    let result: Value = response
-        .body_mut()
-        .read_json()
-        .map_err(|it| failed(it.to_string()))?;
+    let result: Value = response.body_mut().read_json().map_err(|it| failed(it.to_string()))?;
     if result["finished"] != true {
         return Err(failed(format!("job did not finish: {result}")));
     }
--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -27,14 +27,8 @@
     ) -> fmt::Result {
         write!(writer, "time=")?;
         SystemTime.format_time(&mut writer)?;
-        write!(
-            writer,
-            " level={} ",
-            event.metadata().level().as_str().to_ascii_lowercase()
-        )?;
-        context
-            .field_format()
-            .format_fields(writer.by_ref(), event)?;
+        write!(writer, " level={} ", event.metadata().level().as_str().to_ascii_lowercase())?;
+        context.field_format().format_fields(writer.by_ref(), event)?;
         writeln!(writer)
     }
 }
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -87,10 +87,7 @@
 
 impl Operator {
     pub(super) fn new(controls: Vec<SocketAddr>, token: &str) -> Operator {
-        Operator {
-            controls,
-            token: token.to_owned(),
-        }
+        Operator { controls, token: token.to_owned() }
     }
 
     fn from_arguments(arguments: &mut Arguments) -> Result<Operator, Failure> {
@@ -117,9 +114,7 @@
     pub(super) fn get(&self, view: &str) -> Result<Value, Failure> {
         self.call(|client, control| {
             let request = client.get(format!("http://{control}/v1/admin/{view}"));
-            request
-                .header("Authorization", format!("Bearer {}", self.token))
-                .call()
+            request.header("Authorization", format!("Bearer {}", self.token)).call()
         })
     }
 
@@ -127,9 +122,7 @@
     pub(super) fn post(&self, path: &str, body: &Value) -> Result<Value, Failure> {
         self.call(|client, control| {
             let request = client.post(format!("http://{control}/v1/admin/{path}"));
-            request
-                .header("Authorization", format!("Bearer {}", self.token))
-                .send(body.to_string())
+            request.header("Authorization", format!("Bearer {}", self.token)).send(body.to_string())
         })
     }
 
@@ -157,10 +150,7 @@
                 last = format!("{control}: {document}");
                 continue;
             }
-            eprintln!(
-                "aspenrail: {}",
-                document["detail"].as_str().unwrap_or("refused")
-            );
+            eprintln!("aspenrail: {}", document["detail"].as_str().unwrap_or("refused"));
             println!("{document}");
             return Err(Failure::Told(1));
         }
@@ -174,11 +164,7 @@
 
 /// Parses `ID@ADDRESS`.
 pub(super) fn parse_member(text: &str) -> Result<Member, Failure> {
-    let bad = || {
-        Failure::Usage(format!(
-            "'{text}' is not ID@ADDRESS, such as 4@10.0.0.4:7000"
-        ))
-    };
+    let bad = || Failure::Usage(format!("'{text}' is not ID@ADDRESS, such as 4@10.0.0.4:7000"));
     let (id, address) = text.split_once('@').ok_or_else(bad)?;
     Ok(Member {
         id: MemberId(id.parse().map_err(|_| bad())?),
@@ -197,9 +183,7 @@
         "add" => Ok(MemberChange::Add(parse_member(&subject)?)),
         "promote" => Ok(MemberChange::Promote(id()?)),
         "remove" => Ok(MemberChange::Remove(id()?)),
-        other => Err(Failure::Usage(format!(
-            "'{other}' is not add, promote or remove"
-        ))),
+        other => Err(Failure::Usage(format!("'{other}' is not add, promote or remove"))),
     }
 }
 
@@ -222,21 +206,9 @@
         (
             "MEMBERS",
             "members",
-            &[
-                "member",
-                "address",
-                "role",
-                "leads",
-                "match_index",
-                "silent_ms",
-                "in_force",
-            ][..],
-        ),
-        (
-            "ENTRIES",
-            "entries",
-            &["name", "zone", "address", "in_force", "silent_ms"],
+            &["member", "address", "role", "leads", "match_index", "silent_ms", "in_force"][..],
         ),
+        ("ENTRIES", "entries", &["name", "zone", "address", "in_force", "silent_ms"]),
         (
             "VMS",
             "vms",
@@ -253,29 +225,15 @@
                 "lease_left_ms",
             ],
         ),
-        (
-            "QUEUE",
-            "queue",
-            &["team", "waiting", "quota_used_permille", "jobs_open"],
-        ),
+        ("QUEUE", "queue", &["team", "waiting", "quota_used_permille", "jobs_open"]),
         (
             "CLASSES",
             "classes",
-            &[
-                "class",
-                "kind",
-                "answer_target_ms",
-                "answer_measured_ms",
-                "answers",
-            ],
+            &["class", "kind", "answer_target_ms", "answer_measured_ms", "answers"],
         ),
     ];
     for (title, key, columns) in sections {
-        res.push_str(&table(
-            title,
-            it[key].as_array().map_or(&[], Vec::as_slice),
-            columns,
-        ));
+        res.push_str(&table(title, it[key].as_array().map_or(&[], Vec::as_slice), columns));
     }
     res
 }
@@ -287,26 +245,17 @@
         it => it.to_string(),
     };
     let width = |column: &str| {
-        let widest = rows
-            .iter()
-            .map(|row| cell(row, column).len())
-            .max()
-            .unwrap_or(0);
+        let widest = rows.iter().map(|row| cell(row, column).len()).max().unwrap_or(0);
         widest.max(column.len())
     };
     let widths: Vec<_> = columns.iter().map(|it| width(it)).collect();
     let line = |cells: Vec<String>| {
-        let padded: Vec<_> = cells
-            .iter()
-            .zip(&widths)
-            .map(|(it, width)| format!("{it:<width$}"))
-            .collect();
+        let padded: Vec<_> =
+            cells.iter().zip(&widths).map(|(it, width)| format!("{it:<width$}")).collect();
         format!("  {}\n", padded.join("  ").trim_end())
     };
-    let mut res = format!(
-        "\n{title}\n{}",
-        line(columns.iter().map(|it| (*it).to_owned()).collect())
-    );
+    let mut res =
+        format!("\n{title}\n{}", line(columns.iter().map(|it| (*it).to_owned()).collect()));
     for row in rows {
         res.push_str(&line(columns.iter().map(|it| cell(row, it)).collect()));
     }
--- a/src/cli/roles.rs
+++ b/src/cli/roles.rs
@@ -74,10 +74,7 @@
     let text = std::fs::read_to_string(&path).unwrap_or_default();
     let folder = ini::Ini::load_from_str(&text)
         .ok()
-        .and_then(|it| {
-            it.get_from(Some("control"), "data_folder")
-                .map(PathBuf::from)
-        })
+        .and_then(|it| it.get_from(Some("control"), "data_folder").map(PathBuf::from))
         .ok_or_else(|| {
             Failure::Usage(format!("{} names no control data_folder", path.display()))
         })?;
@@ -85,10 +82,8 @@
     create(&folder)
         .map_err(|it| Failure::Usage(format!("cannot make {}: {it}", folder.display())))?;
     let settings = load_settings(&path).map_err(Failure::Settings)?;
-    let place = Place {
-        region: settings.process.region as u8,
-        group: settings.process.group as u8,
-    };
+    let place =
+        Place { region: settings.process.region as u8, group: settings.process.group as u8 };
     let identity = match (joins, member) {
         (true, None) if founders.is_empty() => Identity {
             member: MemberId(fastrand::u64(1 << 20..1 << 53)),
@@ -96,26 +91,15 @@
             founders: Vec::new(),
         },
         (false, Some(member)) if 0 < member => {
-            let founders: Result<Vec<_>, _> = founders
-                .iter()
-                .map(|it| super::operator::parse_member(it))
-                .collect();
+            let founders: Result<Vec<_>, _> =
+                founders.iter().map(|it| super::operator::parse_member(it)).collect();
             let founders = founders?;
-            if !founders
-                .iter()
-                .any(|it| it.id.0 == member && it.address == settings.link.listen)
-            {
-                let message = format!(
-                    "--founders does not list member {member} at {}",
-                    settings.link.listen
-                );
+            if !founders.iter().any(|it| it.id.0 == member && it.address == settings.link.listen) {
+                let message =
+                    format!("--founders does not list member {member} at {}", settings.link.listen);
                 return Err(Failure::Usage(message));
             }
-            Identity {
-                member: MemberId(member),
-                place,
-                founders,
-            }
+            Identity { member: MemberId(member), place, founders }
         }
         _ => {
             return Err(Failure::Usage(
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -37,10 +37,7 @@
         Some("worker") => worker(arguments),
         Some("executor") => executor(arguments),
         Some("load") => load(arguments),
-        other => Err(Failure::Usage(format!(
-            "unknown stand-in '{}'",
-            other.unwrap_or_default()
-        ))),
+        other => Err(Failure::Usage(format!("unknown stand-in '{}'", other.unwrap_or_default()))),
     }
 }
 
--- a/src/config/adopted.rs
+++ b/src/config/adopted.rs
@@ -21,15 +21,9 @@
 impl Adopted {
     /// Makes a process's configuration before the first is known.
     pub fn new() -> Adopted {
-        let current = Configuration {
-            revision: Revision(0),
-            teams: Vec::new(),
-            classes: Vec::new(),
-        };
-        Adopted {
-            current,
-            asked_ms: None,
-        }
+        let current =
+            Configuration { revision: Revision(0), teams: Vec::new(), classes: Vec::new() };
+        Adopted { current, asked_ms: None }
     }
 
     /// Returns the revision in force; zero before the first is known.
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -27,11 +27,7 @@
 
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}: [{}] {}: {}",
-            self.file, self.section, self.key, self.message
-        )
+        write!(f, "{}: [{}] {}: {}", self.file, self.section, self.key, self.message)
     }
 }
 
@@ -81,9 +77,8 @@
             match keys.get(key) {
                 None => {
                     let nearest = nearest_of(key, keys.keys());
-                    let hint = nearest
-                        .map(|it| format!("; did you mean {it}?"))
-                        .unwrap_or_default();
+                    let hint =
+                        nearest.map(|it| format!("; did you mean {it}?")).unwrap_or_default();
                     problems.push(problem(file, section, key, &format!("unknown key{hint}")));
                 }
                 Some(_) if values.contains_key(key) => {
@@ -108,14 +103,8 @@
     if !problems.is_empty() {
         return Err(problems);
     }
-    let settings: Settings = serde_json::from_value(Value::Object(document)).map_err(|it| {
-        vec![problem(
-            file,
-            "",
-            "",
-            &format!("does not match the schema: {it}"),
-        )]
-    })?;
+    let settings: Settings = serde_json::from_value(Value::Object(document))
+        .map_err(|it| vec![problem(file, "", "", &format!("does not match the schema: {it}"))])?;
     check_whole(file, &settings)
 }
 
@@ -130,9 +119,7 @@
     );
     for section in schema.section_names() {
         let definition = schema.definition_of(section);
-        let text = definition
-            .and_then(|it| it["description"].as_str())
-            .unwrap_or_default();
+        let text = definition.and_then(|it| it["description"].as_str()).unwrap_or_default();
         res.push_str(&format!("\n## [{section}]\n\n{text}\n\n"));
         res.push_str(
             "| key | what it is | unit | default | range |\n| --- | --- | --- | --- | --- |\n",
@@ -160,9 +147,7 @@
 
 impl Schema {
     fn new() -> Schema {
-        Schema {
-            document: serde_json::from_str(SCHEMA).expect("the committed schema is JSON"),
-        }
+        Schema { document: serde_json::from_str(SCHEMA).expect("the committed schema is JSON") }
     }
 
     fn section_names(&self) -> impl Iterator<Item = &String> {
@@ -174,9 +159,7 @@
 
     fn definition_of(&self, section: &str) -> Option<&Value> {
         let property = self.document["definitions"]["Settings"]["properties"].get(section)?;
-        let reference = property["$ref"]
-            .as_str()
-            .or(property["oneOf"][0]["$ref"].as_str())?;
+        let reference = property["$ref"].as_str().or(property["oneOf"][0]["$ref"].as_str())?;
         self.document["definitions"].get(reference.strip_prefix("#/definitions/")?)
     }
 
@@ -186,12 +169,7 @@
 }
 
 fn problem(file: &str, section: &str, key: &str, message: &str) -> Problem {
-    Problem {
-        file: file.into(),
-        section: section.into(),
-        key: key.into(),
-        message: message.into(),
-    }
+    Problem { file: file.into(), section: section.into(), key: key.into(), message: message.into() }
 }
 
 fn parse_value(property: &Value, text: &str) -> Result<Value, String> {
@@ -200,11 +178,7 @@
         return parse_number(property, text);
     }
     if property["type"] == "array" {
-        let items: Vec<_> = text
-            .split(',')
-            .map(str::trim)
-            .filter(|it| !it.is_empty())
-            .collect();
+        let items: Vec<_> = text.split(',').map(str::trim).filter(|it| !it.is_empty()).collect();
         if items.is_empty() {
             return Err("needs at least one value".to_owned());
         }
@@ -212,17 +186,11 @@
         let checked: Result<Vec<_>, _> = items.iter().map(|it| parse_text(item_type, it)).collect();
         return checked.map(Value::Array);
     }
-    parse_text(
-        property["allOf"][0]["$ref"].as_str().unwrap_or_default(),
-        text,
-    )
+    parse_text(property["allOf"][0]["$ref"].as_str().unwrap_or_default(), text)
 }
 
 fn parse_number(property: &Value, text: &str) -> Result<Value, String> {
-    let unit = property["x-unit"]
-        .as_str()
-        .map(|it| format!(" in {it}"))
-        .unwrap_or_default();
+    let unit = property["x-unit"].as_str().map(|it| format!(" in {it}")).unwrap_or_default();
     let Ok(number) = text.parse::<u64>() else {
         return Err(format!(
             "'{text}' is not a whole number{unit}, without unit; accepted is {}",
@@ -232,22 +200,19 @@
     let least = property["minimum"].as_u64().unwrap_or(0);
     let most = property["maximum"].as_u64().unwrap_or(u64::MAX);
     if number < least || most < number {
-        return Err(format!(
-            "{number} is out of range; accepted is {}{unit}",
-            range_of(property)
-        ));
+        return Err(format!("{number} is out of range; accepted is {}{unit}", range_of(property)));
     }
     Ok(Value::from(number))
 }
 
 fn parse_text(reference: &str, text: &str) -> Result<Value, String> {
     match reference {
-        "#/definitions/Address" if text.parse::<SocketAddr>().is_err() => Err(format!(
-            "'{text}' is not an IP address with port, such as 10.0.0.1:7000"
-        )),
-        "#/definitions/Role" if text.parse::<Role>().is_err() => Err(format!(
-            "'{text}' is not a role; roles are entry, agent, control"
-        )),
+        "#/definitions/Address" if text.parse::<SocketAddr>().is_err() => {
+            Err(format!("'{text}' is not an IP address with port, such as 10.0.0.1:7000"))
+        }
+        "#/definitions/Role" if text.parse::<Role>().is_err() => {
+            Err(format!("'{text}' is not a role; roles are entry, agent, control"))
+        }
         "#/definitions/Text" if text.is_empty() => Err("must not be empty".to_owned()),
         _ => Ok(Value::from(text)),
     }
@@ -272,19 +237,10 @@
             continue;
         }
         match &property["default"] {
-            Value::Null
-                if problems
-                    .iter()
-                    .any(|it| it.section == section && it.key == key) =>
-            {
-                ()
+            Value::Null if problems.iter().any(|it| it.section == section && it.key == key) => (),
+            Value::Null => {
+                problems.push(problem(file, section, key, "the key is missing and has no default"))
             }
-            Value::Null => problems.push(problem(
-                file,
-                section,
-                key,
-                "the key is missing and has no default",
-            )),
             it => {
                 values.insert(key.clone(), it.clone());
             }
@@ -293,11 +249,8 @@
 }
 
 fn nearest_of<'a>(key: &str, known: impl Iterator<Item = &'a String>) -> Option<&'a String> {
-    let shared = |it: &str| {
-        it.split('_')
-            .filter(|part| key.split('_').any(|other| other == *part))
-            .count()
-    };
+    let shared =
+        |it: &str| it.split('_').filter(|part| key.split('_').any(|other| other == *part)).count();
     known
         .map(|it| (shared(it), it))
         .filter(|(count, _)| 0 < *count)
@@ -336,9 +289,8 @@
     listens.extend(it.agent.as_ref().map(|it| ("agent", it.listen)));
     listens.extend(it.control.as_ref().map(|it| ("control", it.listen)));
     for (at, (section, address)) in listens.iter().enumerate() {
-        if let Some((other, _)) = listens[..at]
-            .iter()
-            .find(|(_, it)| it == address && it.port() != 0)
+        if let Some((other, _)) =
+            listens[..at].iter().find(|(_, it)| it == address && it.port() != 0)
         {
             let message = format!("{address} is the address of [{other}] too; each needs its own");
             problems.push(problem(file, section, "listen", &message));
@@ -347,12 +299,7 @@
     let mut controls = BTreeSet::new();
     for address in &it.link.control {
         if !controls.insert(*address) {
-            problems.push(problem(
-                file,
-                "link",
-                "control",
-                &format!("{address} stands twice"),
-            ));
+            problems.push(problem(file, "link", "control", &format!("{address} stands twice")));
         }
     }
     if it.process.log_level.parse::<tracing::Level>().is_err() {
@@ -366,31 +313,14 @@
         check_control(file, control, &mut problems);
     }
     for (section, key, path) in [
-        (
-            "entry",
-            "teams_file",
-            it.entry.as_ref().map(|it| &it.teams_file),
-        ),
-        (
-            "control",
-            "operators_file",
-            it.control.as_ref().map(|it| &it.operators_file),
-        ),
+        ("entry", "teams_file", it.entry.as_ref().map(|it| &it.teams_file)),
+        ("control", "operators_file", it.control.as_ref().map(|it| &it.operators_file)),
     ] {
         if let Some(path) = path.filter(|it| !Path::new(it.as_str()).is_file()) {
-            problems.push(problem(
-                file,
-                section,
-                key,
-                &format!("there is no file '{path}'"),
-            ));
+            problems.push(problem(file, section, key, &format!("there is no file '{path}'")));
         }
     }
-    if problems.is_empty() {
-        Ok(it.clone())
-    } else {
-        Err(problems)
-    }
+    if problems.is_empty() { Ok(it.clone()) } else { Err(problems) }
 }
 
 fn check_control(
@@ -413,10 +343,7 @@
         problems.push(problem(file, "control", "lease_ms", &message));
     }
     if !Path::new(it.data_folder.as_str()).is_dir() {
-        let message = format!(
-            "there is no folder '{}'; aspenrail init makes it",
-            it.data_folder
-        );
+        let message = format!("there is no folder '{}'; aspenrail init makes it", it.data_folder);
         problems.push(problem(file, "control", "data_folder", &message));
     }
 }
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -50,8 +50,7 @@
 
     /// Returns the process that is thought to lead, or the next one to try.
     pub fn target(&self) -> Option<SocketAddr> {
-        self.leader
-            .or_else(|| self.controls.get(self.target).copied())
+        self.leader.or_else(|| self.controls.get(self.target).copied())
     }
 
     /// Learns who leads.
@@ -82,15 +81,7 @@
     pub fn call(&mut self, now: Now, operation: Operation, deadline_ms: u64, token: T) {
         self.next_id = self.next_id.wrapping_add(1);
         let id = self.next_id;
-        self.calls.insert(
-            id,
-            Call {
-                operation,
-                token,
-                deadline_ms,
-                next_ms: now.mono_ms,
-            },
-        );
+        self.calls.insert(id, Call { operation, token, deadline_ms, next_ms: now.mono_ms });
         self.send(now, id);
     }
 
@@ -134,11 +125,7 @@
             self.send(now, id);
         }
         let unavailable = || {
-            refusal_until(
-                ErrorKind::ControlUnavailable,
-                "control did not answer in time",
-                1_000,
-            )
+            refusal_until(ErrorKind::ControlUnavailable, "control did not answer in time", 1_000)
         };
         ended
             .into_iter()
@@ -148,10 +135,7 @@
 
     /// Returns when [`ControlClient::tick`] has something to do.
     pub fn next_tick_ms(&self) -> Option<u64> {
-        self.calls
-            .values()
-            .map(|it| it.next_ms.min(it.deadline_ms))
-            .min()
+        self.calls.values().map(|it| it.next_ms.min(it.deadline_ms)).min()
     }
 
     /// Takes the messages to send.
@@ -165,11 +149,8 @@
             return;
         };
         call.next_ms = now.mono_ms + RESEND_MS;
-        let request = ControlRequest {
-            id,
-            reply_to: self.reply_to,
-            operation: call.operation.clone(),
-        };
+        let request =
+            ControlRequest { id, reply_to: self.reply_to, operation: call.operation.clone() };
         self.outbox.push((to, Message::ControlRequest(request)));
     }
 }
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -184,9 +184,7 @@
     pub fn next_tick_ms(&self) -> u64 {
         let raft_ms = self.raft.next_tick_ms();
         let leading_ms = self.leading.as_ref().map_or(u64::MAX, |it| it.tick_at_ms);
-        raft_ms
-            .min(leading_ms)
-            .min(self.client.next_tick_ms().unwrap_or(u64::MAX))
+        raft_ms.min(leading_ms).min(self.client.next_tick_ms().unwrap_or(u64::MAX))
     }
 
     /// Takes the effects of the inputs so far.
@@ -202,11 +200,9 @@
     pub fn handle(&mut self, now: Now, input: Input) -> Result<()> {
         match input {
             Input::Message { from, message } => self.on_message(now, from, message),
-            Input::Operation {
-                token,
-                operation,
-                deadline_ms,
-            } => self.operate(now, operation, ReplyTo::Edge { token }, deadline_ms),
+            Input::Operation { token, operation, deadline_ms } => {
+                self.operate(now, operation, ReplyTo::Edge { token }, deadline_ms)
+            }
             Input::Persisted { number } => self.raft.persisted(now, number),
             Input::DiskFull(it) => self.disk_full = it,
             Input::Tick => self.tick(now),
@@ -232,10 +228,7 @@
         }
         for message in self.raft.take_messages() {
             if let Some(to) = self.address_of(message.to) {
-                self.effects.push(Effect::Send {
-                    to,
-                    message: Message::Raft(message),
-                });
+                self.effects.push(Effect::Send { to, message: Message::Raft(message) });
             }
         }
         for (to, message) in self.client.take_messages() {
@@ -246,9 +239,7 @@
 
     fn address_of(&self, id: MemberId) -> Option<SocketAddr> {
         // A learner that joins knows no membership yet, and answers whom it heard from.
-        self.raft
-            .address_of(id)
-            .or_else(|| self.heard_from.get(&id).copied())
+        self.raft.address_of(id).or_else(|| self.heard_from.get(&id).copied())
     }
 
     fn tick(&mut self, now: Now) {
@@ -275,10 +266,7 @@
         let mut commands: Vec<Command> = expired
             .into_iter()
             .map(|session| {
-                Command::CloseSession(CloseSessionCommand {
-                    session,
-                    reason: SessionEnd::Expired,
-                })
+                Command::CloseSession(CloseSessionCommand { session, reason: SessionEnd::Expired })
             })
             .collect();
         commands.extend(plan.starts.into_iter().map(Command::Start));
@@ -305,15 +293,9 @@
             return Vec::new();
         };
         let is_new = |it: &TaskEventCommand| {
-            leading
-                .proposed
-                .insert((it.task, it.incarnation, std::mem::discriminant(&it.event)))
+            leading.proposed.insert((it.task, it.incarnation, std::mem::discriminant(&it.event)))
         };
-        events
-            .into_iter()
-            .filter(is_new)
-            .map(Command::TaskEvent)
-            .collect()
+        events.into_iter().filter(is_new).map(Command::TaskEvent).collect()
     }
 
     fn on_message(&mut self, now: Now, from: SocketAddr, message: Message) {
@@ -323,10 +305,7 @@
                 self.raft.step(now, it);
             }
             Message::ControlRequest(it) => {
-                let to = ReplyTo::Link {
-                    address: it.reply_to,
-                    id: it.id,
-                };
+                let to = ReplyTo::Link { address: it.reply_to, id: it.id };
                 self.operate(now, it.operation, to, u64::MAX);
             }
             Message::ControlReply(it) => {
@@ -338,10 +317,7 @@
             Message::EntryHeartbeat(it) => self.on_entry_heartbeat(now, &it),
             Message::ConfigFetch(it) => {
                 let update = Message::ConfigUpdate(self.state.configuration.clone());
-                self.effects.push(Effect::Send {
-                    to: it.reply_to,
-                    message: update,
-                });
+                self.effects.push(Effect::Send { to: it.reply_to, message: update });
             }
             _ => (),
         }
@@ -413,10 +389,8 @@
                 5_000,
             ))
         };
-        let frees = matches!(
-            command,
-            Command::Cancel(_) | Command::Settle(_) | Command::DeleteWatch(_)
-        );
+        let frees =
+            matches!(command, Command::Cancel(_) | Command::Settle(_) | Command::DeleteWatch(_));
         if self.disk_full && !frees {
             return Err(refusal_until(
                 ErrorKind::DiskFull,
@@ -494,10 +468,7 @@
             }
             ReplyTo::Edge { .. } => {
                 let detail = "the leader changed meanwhile: ask again with the same key";
-                self.answer(
-                    to,
-                    Err(refusal_until(ErrorKind::ControlUnavailable, detail, 500)),
-                );
+                self.answer(to, Err(refusal_until(ErrorKind::ControlUnavailable, detail, 500)));
             }
             ReplyTo::Nobody => (),
         }
@@ -553,9 +524,7 @@
             return;
         };
         let mut changes = Vec::new();
-        let outcome = self
-            .state
-            .apply(entry.index, entry.time_ms, command, &mut changes);
+        let outcome = self.state.apply(entry.index, entry.time_ms, command, &mut changes);
         if let Some(leading) = &mut self.leading {
             leading.note_command(&self.state, &self.options.settings, command, &outcome, now);
             for it in &changes {
@@ -614,21 +583,14 @@
     fn on_agent_heartbeat(&mut self, now: Now, it: AgentHeartbeat) {
         if !self.raft.has_lease(now) || self.leading.is_none() {
             let message = Message::NotLeader(self.leader_address());
-            self.effects.push(Effect::Send {
-                to: it.reply_to,
-                message,
-            });
+            self.effects.push(Effect::Send { to: it.reply_to, message });
             return;
         }
         let Some(leading) = &mut self.leading else {
             return;
         };
         let vm = self.state.vms.by_session(it.session);
-        let seen = leading
-            .sessions
-            .agents
-            .get_mut(&it.session)
-            .filter(|seen| !seen.closing);
+        let seen = leading.sessions.agents.get_mut(&it.session).filter(|seen| !seen.closing);
         let (Some(vm), Some(seen)) = (vm, seen) else {
             let reply = heartbeat_reply(&it, 0, SessionVerdict::Ended, Vec::new());
             self.effects.push(Effect::Send {
@@ -648,19 +610,11 @@
         seen.in_force = it.in_force;
         seen.usage = it.usage;
         seen.held_until_ms = now.mono_ms + held_ms(&self.options.settings);
-        seen.reported = it
-            .tasks
-            .iter()
-            .map(|it| (it.task, (it.incarnation, it.phase)))
-            .collect();
-        leading
-            .directory
-            .set(it.session, it.reply_to, vm, &it.endpoints);
+        seen.reported = it.tasks.iter().map(|it| (it.task, (it.incarnation, it.phase))).collect();
+        leading.directory.set(it.session, it.reply_to, vm, &it.endpoints);
         let age_ms = u64::from(it.usage.age_ms);
         let mut events =
-            leading
-                .scheduler
-                .note_endpoints(&self.state, vm, &it.endpoints, age_ms, now);
+            leading.scheduler.note_endpoints(&self.state, vm, &it.endpoints, age_ms, now);
         let mut res = reconcile::reconcile(&self.state, vm, &it.tasks, it.reconciled);
         events.append(&mut res.events);
         for report in &it.tasks {
@@ -682,10 +636,8 @@
             SessionVerdict::Renewed,
             res.orders,
         );
-        self.effects.push(Effect::Send {
-            to: it.reply_to,
-            message: Message::AgentHeartbeatReply(reply),
-        });
+        self.effects
+            .push(Effect::Send { to: it.reply_to, message: Message::AgentHeartbeatReply(reply) });
         self.send_configuration(it.reply_to, it.in_force);
         for command in self.new_events(events) {
             self.propose(now, command, ReplyTo::Nobody);
@@ -695,10 +647,7 @@
     fn on_entry_heartbeat(&mut self, now: Now, it: &EntryHeartbeat) {
         if !self.raft.has_lease(now) || self.leading.is_none() {
             let message = Message::NotLeader(self.leader_address());
-            self.effects.push(Effect::Send {
-                to: it.reply_to,
-                message,
-            });
+            self.effects.push(Effect::Send { to: it.reply_to, message });
             return;
         }
         let Some(leading) = &mut self.leading else {
@@ -708,16 +657,11 @@
         // A new leader has heard of no endpoints yet; telling that would empty every entry.
         let waited = leading.since_ms + u64::from(self.options.settings.lease_ms) <= now.mono_ms;
         let directory = match leading.sessions.all_heard() || waited {
-            true => leading
-                .directory
-                .update_since(it.directory_epoch, it.directory_version),
+            true => leading.directory.update_since(it.directory_epoch, it.directory_version),
             false => None,
         };
         let message = Message::EntryHeartbeatReply(EntryHeartbeatReply { directory });
-        self.effects.push(Effect::Send {
-            to: it.reply_to,
-            message,
-        });
+        self.effects.push(Effect::Send { to: it.reply_to, message });
         self.send_configuration(it.reply_to, it.in_force);
     }
 
@@ -771,8 +715,7 @@
             }
             (Command::CloseSession(it), _) => self.end_session(it.session),
             (Command::TaskEvent(it), _) => {
-                self.proposed
-                    .remove(&(it.task, it.incarnation, std::mem::discriminant(&it.event)));
+                self.proposed.remove(&(it.task, it.incarnation, std::mem::discriminant(&it.event)));
                 if let (TaskEvent::Completed(done), Ok(_)) = (&it.event, outcome)
                     && let Some(task) = state.jobs.task(it.task)
                 {
@@ -847,10 +790,7 @@
             verdict: SessionVerdict::Renewed,
             orders,
         };
-        Some(Effect::Send {
-            to: address,
-            message: Message::AgentOrders(orders),
-        })
+        Some(Effect::Send { to: address, message: Message::AgentOrders(orders) })
     };
     by_session.into_iter().filter_map(to_effect).collect()
 }
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -49,10 +49,7 @@
         reports: &[EndpointReport],
     ) {
         for it in reports {
-            let id = EndpointId {
-                session,
-                number: it.number,
-            };
+            let id = EndpointId { session, number: it.number };
             let endpoint = DirectoryEndpoint {
                 id,
                 agent,
@@ -61,11 +58,7 @@
                 slots: it.slots,
                 leaving: it.leaving || vm.draining,
             };
-            if self
-                .endpoints
-                .get(&key(id))
-                .is_none_or(|(known, _)| *known != endpoint)
-            {
+            if self.endpoints.get(&key(id)).is_none_or(|(known, _)| *known != endpoint) {
                 self.version += 1;
                 self.endpoints.insert(key(id), (endpoint, self.version));
             }
--- a/src/control/log/disk.rs
+++ b/src/control/log/disk.rs
@@ -66,11 +66,8 @@
             return Err(Error::report(ErrorKind::BadRequest, message));
         }
         fs::create_dir_all(folder).change_context_lazy(|| cannot("make", folder))?;
-        let founders: Vec<_> = self
-            .founders
-            .iter()
-            .map(|it| format!("{}@{}", it.id.0, it.address))
-            .collect();
+        let founders: Vec<_> =
+            self.founders.iter().map(|it| format!("{}@{}", it.id.0, it.address)).collect();
         let mut file = Ini::new();
         file.with_section(Some("identity"))
             .set("format", FORMAT.to_string())
@@ -79,8 +76,7 @@
             .set("group", self.place.group.to_string())
             .set("founders", founders.join(","));
         let mut text = Vec::new();
-        file.write_to(&mut text)
-            .change_context_lazy(|| cannot("write", &path))?;
+        file.write_to(&mut text).change_context_lazy(|| cannot("write", &path))?;
         replace_file(folder, "identity", &text)
     }
 
@@ -99,8 +95,7 @@
             Error::new(ErrorKind::BadRequest, message)
         })?;
         let value = |key: &str| -> Result<&str> {
-            file.get_from(Some("identity"), key)
-                .ok_or_else(|| bad_identity(&path, key, "missing"))
+            file.get_from(Some("identity"), key).ok_or_else(|| bad_identity(&path, key, "missing"))
         };
         let number = |key: &str| -> Result<u64> {
             let text = value(key)?;
@@ -111,29 +106,14 @@
         }
         let mut founders = Vec::new();
         for it in value("founders")?.split(',').filter(|it| !it.is_empty()) {
-            let (id, address) = it
-                .split_once('@')
-                .ok_or_else(|| bad_identity(&path, "founders", it))?;
-            let id = id
-                .parse()
-                .map_err(|_| bad_identity(&path, "founders", it))?;
-            let address = address
-                .parse()
-                .map_err(|_| bad_identity(&path, "founders", it))?;
-            founders.push(Member {
-                id: MemberId(id),
-                address,
-            });
+            let (id, address) =
+                it.split_once('@').ok_or_else(|| bad_identity(&path, "founders", it))?;
+            let id = id.parse().map_err(|_| bad_identity(&path, "founders", it))?;
+            let address = address.parse().map_err(|_| bad_identity(&path, "founders", it))?;
+            founders.push(Member { id: MemberId(id), address });
         }
-        let place = Place {
-            region: number("region")? as u8,
-            group: number("group")? as u8,
-        };
-        Ok(Identity {
-            member: MemberId(number("member")?),
-            place,
-            founders,
-        })
+        let place = Place { region: number("region")? as u8, group: number("group")? as u8 };
+        Ok(Identity { member: MemberId(number("member")?), place, founders })
     }
 }
 
@@ -148,10 +128,8 @@
         let file = File::create(&path).change_context_lazy(|| cannot("open", &path))?;
         let operation = rustix::fs::FlockOperation::NonBlockingLockExclusive;
         rustix::fs::flock(&file, operation).change_context_lazy(|| {
-            let message = format_compact!(
-                "data folder {} is in use by another process",
-                folder.display()
-            );
+            let message =
+                format_compact!("data folder {} is in use by another process", folder.display());
             Error::new(ErrorKind::Internal, message)
         })?;
         Ok(DiskLock { _file: file })
@@ -176,10 +154,7 @@
         let snapshot_index = newest(folder, "snapshot-")?;
         let log_index = newest(folder, "log-")?;
         let mut recovered = Recovered {
-            initial_members: Membership {
-                voters: identity.founders.clone(),
-                learners: Vec::new(),
-            },
+            initial_members: Membership { voters: identity.founders.clone(), learners: Vec::new() },
             ..Recovered::default()
         };
         // A snapshot is durable before the log that begins at it is made, so the log decides.
@@ -194,8 +169,7 @@
             .open(&path)
             .change_context_lazy(|| cannot("open", &path))?;
         if existed {
-            file.set_len(size_bytes)
-                .change_context_lazy(|| cannot("truncate", &path))?;
+            file.set_len(size_bytes).change_context_lazy(|| cannot("truncate", &path))?;
         }
         file.flush()
             .and_then(|()| file.sync_all())
@@ -239,9 +213,7 @@
                     }
                 }
                 DiskWrite::Truncate { from_index } => record::encode(
-                    &Record::Truncate {
-                        from_index: *from_index,
-                    },
+                    &Record::Truncate { from_index: *from_index },
                     self.durable_bytes,
                     &mut buffer,
                 )?,
@@ -275,18 +247,14 @@
     }
 
     fn append(&mut self, buffer: &[u8]) -> Result<()> {
-        self.file
-            .write_all(buffer)
-            .change_context_lazy(|| cannot("write", &self.path))?;
+        self.file.write_all(buffer).change_context_lazy(|| cannot("write", &self.path))?;
         self.size_bytes += buffer.len() as u64;
         Ok(())
     }
 
     fn sync(&mut self) -> Result<()> {
         if self.durable_bytes != self.size_bytes {
-            self.file
-                .sync_data()
-                .change_context_lazy(|| cannot("sync", &self.path))?;
+            self.file.sync_data().change_context_lazy(|| cannot("sync", &self.path))?;
             self.durable_bytes = self.size_bytes;
         }
         Ok(())
@@ -314,10 +282,7 @@
         self.size_bytes = start.len() as u64;
         self.durable_bytes = self.size_bytes;
         for prefix in ["snapshot-", "log-"] {
-            for old in indexes(&self.folder, prefix)?
-                .into_iter()
-                .filter(|it| *it != index)
-            {
+            for old in indexes(&self.folder, prefix)?.into_iter().filter(|it| *it != index) {
                 // A file that stays behind is passed over at the next start.
                 let _ = fs::remove_file(self.folder.join(format!("{prefix}{old}")));
             }
@@ -327,17 +292,11 @@
 }
 
 fn cannot(verb: &str, path: &Path) -> Error {
-    Error::new(
-        ErrorKind::Internal,
-        format_compact!("cannot {verb} {}", path.display()),
-    )
+    Error::new(ErrorKind::Internal, format_compact!("cannot {verb} {}", path.display()))
 }
 
 fn bad_identity(path: &Path, key: &str, value: &str) -> error_stack::Report<Error> {
-    let message = format_compact!(
-        "{}: key {key} has the unusable value '{value}'",
-        path.display()
-    );
+    let message = format_compact!("{}: key {key} has the unusable value '{value}'", path.display());
     Error::report(ErrorKind::BadRequest, message)
 }
 
@@ -355,17 +314,13 @@
 }
 
 fn sync_folder(folder: &Path) -> Result<()> {
-    File::open(folder)
-        .and_then(|it| it.sync_all())
-        .change_context_lazy(|| cannot("sync", folder))
+    File::open(folder).and_then(|it| it.sync_all()).change_context_lazy(|| cannot("sync", folder))
 }
 
 fn indexes(folder: &Path, prefix: &str) -> Result<Vec<u64>> {
     let names = fs::read_dir(folder).change_context_lazy(|| cannot("list", folder))?;
     let names = names.filter_map(|it| it.ok()?.file_name().into_string().ok());
-    Ok(names
-        .filter_map(|it| it.strip_prefix(prefix)?.parse().ok())
-        .collect())
+    Ok(names.filter_map(|it| it.strip_prefix(prefix)?.parse().ok()).collect())
 }
 
 fn newest(folder: &Path, prefix: &str) -> Result<Option<u64>> {
--- a/src/control/log/raft.rs
+++ b/src/control/log/raft.rs
@@ -184,22 +184,13 @@
 
     /// Returns the membership in force.
     pub fn members(&self) -> &Membership {
-        &self
-            .memberships
-            .back()
-            .expect("the first membership is never removed")
-            .1
+        &self.memberships.back().expect("the first membership is never removed").1
     }
 
     /// Returns the address of a member in force.
     pub fn address_of(&self, id: MemberId) -> Option<std::net::SocketAddr> {
         let members = self.members();
-        members
-            .voters
-            .iter()
-            .chain(&members.learners)
-            .find(|it| it.id == id)
-            .map(|it| it.address)
+        members.voters.iter().chain(&members.learners).find(|it| it.id == id).map(|it| it.address)
     }
 
     /// Returns, for the leader, how far a member's log is known to match, how long ago it
@@ -209,11 +200,7 @@
             return Some((self.durable_index, 0, self.in_force));
         }
         let it = self.progress.get(&id)?;
-        Some((
-            it.match_index,
-            now.mono_ms.saturating_sub(it.heard_ms),
-            Revision(it.in_force),
-        ))
+        Some((it.match_index, now.mono_ms.saturating_sub(it.heard_ms), Revision(it.in_force)))
     }
 
     /// Sets the configuration revision told to the leader.
@@ -235,11 +222,7 @@
 
     /// Returns the time of the next call of [`Raft::tick`].
     pub fn next_tick_ms(&self) -> u64 {
-        if self.is_leader() {
-            self.heartbeat_at_ms
-        } else {
-            self.election_at_ms
-        }
+        if self.is_leader() { self.heartbeat_at_ms } else { self.election_at_ms }
     }
 
     /// Lets time pass.
@@ -270,12 +253,8 @@
         }
         let index = self.last_index() + 1;
         let last_time_ms = self.entries.back().map_or(0, |it| it.time_ms);
-        let entry = LogEntry {
-            index,
-            term: self.hard.term,
-            time_ms: now.wall_ms.max(last_time_ms),
-            body,
-        };
+        let entry =
+            LogEntry { index, term: self.hard.term, time_ms: now.wall_ms.max(last_time_ms), body };
         self.append(Arc::new(entry));
         Ok(index)
     }
@@ -301,11 +280,8 @@
         if !self.is_leader() {
             return Err(ProposeError::NotLeader);
         }
-        let (changed_at, current) = self
-            .memberships
-            .back()
-            .cloned()
-            .expect("a membership is always known");
+        let (changed_at, current) =
+            self.memberships.back().cloned().expect("a membership is always known");
         if self.commit_index < changed_at || self.term_at(self.commit_index) != Some(self.hard.term)
         {
             return Err(ProposeError::MembershipBusy);
@@ -331,9 +307,7 @@
                     self.commit_index <= it.match_index && self.heard_lately(it, now)
                 });
                 if !caught_up {
-                    return Err(ProposeError::MembershipUnsafe(
-                        "the learner has not caught up",
-                    ));
+                    return Err(ProposeError::MembershipUnsafe("the learner has not caught up"));
                 }
                 let member = members.learners.remove(at);
                 members.voters.push(member);
@@ -354,10 +328,7 @@
         }
         let live = members.voters.iter().filter(|it| {
             it.id == self.id
-                || self
-                    .progress
-                    .get(&it.id)
-                    .is_some_and(|it| self.heard_lately(it, now))
+                || self.progress.get(&it.id).is_some_and(|it| self.heard_lately(it, now))
         });
         if live.count() < members.voters.len() / 2 + 1 {
             return Err(ProposeError::MembershipUnsafe(
@@ -421,11 +392,7 @@
             && *needed <= self.durable
         {
             if let Some((_, to, body)) = self.held.pop_front() {
-                self.outbox.push(RaftMessage {
-                    from: self.id,
-                    to,
-                    body,
-                });
+                self.outbox.push(RaftMessage { from: self.id, to, body });
             }
         }
         match self.role {
@@ -466,13 +433,7 @@
             return;
         };
         let members = self.members_at(index);
-        let snapshot = Arc::new(Snapshot {
-            index,
-            term,
-            members,
-            checksum: checksum(&data),
-            data,
-        });
+        let snapshot = Arc::new(Snapshot { index, term, members, checksum: checksum(&data), data });
         self.pending.push(DiskWrite::Snapshot(snapshot.clone()));
         self.snapshot = Some(snapshot);
         let keep_from = index.saturating_sub(self.options.retained_entries);
@@ -488,20 +449,14 @@
             self.memberships.pop_front();
         }
         // The log on disk now begins anew: the entries kept in memory go with it.
-        let kept: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|it| index < it.index)
-            .cloned()
-            .collect();
+        let kept: Vec<_> = self.entries.iter().filter(|it| index < it.index).cloned().collect();
         if !kept.is_empty() {
             self.pending.push(DiskWrite::Append(kept));
         }
     }
 
     fn entry_at(&self, index: u64) -> Option<&Arc<LogEntry>> {
-        self.entries
-            .get(index.checked_sub(self.base_index + 1)? as usize)
+        self.entries.get(index.checked_sub(self.base_index + 1)? as usize)
     }
 
     fn term_at(&self, index: u64) -> Option<u64> {
@@ -529,10 +484,7 @@
 
     fn has_quorum(&self) -> bool {
         let voters = &self.members().voters;
-        let given = voters
-            .iter()
-            .filter(|it| self.votes.contains(&it.id))
-            .count();
+        let given = voters.iter().filter(|it| self.votes.contains(&it.id)).count();
         voters.len() / 2 < given
     }
 
@@ -551,12 +503,7 @@
 
     /// Returns the largest value that a majority of the voters reaches.
     fn quorum_value(&self, value_of: impl Fn(MemberId) -> u64) -> u64 {
-        let mut values: Vec<_> = self
-            .members()
-            .voters
-            .iter()
-            .map(|it| value_of(it.id))
-            .collect();
+        let mut values: Vec<_> = self.members().voters.iter().map(|it| value_of(it.id)).collect();
         values.sort_unstable_by(|a, b| b.cmp(a));
         values.get(values.len() / 2).copied().unwrap_or(0)
     }
@@ -605,30 +552,16 @@
             self.role = Role::PreCandidate;
         } else {
             self.role = Role::Candidate;
-            self.set_hard(HardState {
-                term,
-                vote: Some(self.id),
-            });
+            self.set_hard(HardState { term, vote: Some(self.id) });
         }
         if pre_vote && self.has_quorum() {
             return self.stand(now, false, transfer);
         }
         let last_index = self.last_index();
         let last_term = self.term_at(last_index).unwrap_or(0);
-        let request = VoteRequest {
-            term,
-            last_index,
-            last_term,
-            pre_vote,
-            transfer,
-        };
-        let voters: Vec<_> = self
-            .members()
-            .voters
-            .iter()
-            .map(|it| it.id)
-            .filter(|it| *it != self.id)
-            .collect();
+        let request = VoteRequest { term, last_index, last_term, pre_vote, transfer };
+        let voters: Vec<_> =
+            self.members().voters.iter().map(|it| it.id).filter(|it| *it != self.id).collect();
         for to in voters {
             self.send_durable(to, RaftBody::Vote(request));
         }
@@ -650,19 +583,13 @@
 
     fn refresh_progress(&mut self) {
         let members = self.members().clone();
-        let ids: BTreeSet<_> = members
-            .voters
-            .iter()
-            .chain(&members.learners)
-            .map(|it| it.id)
-            .collect();
+        let ids: BTreeSet<_> =
+            members.voters.iter().chain(&members.learners).map(|it| it.id).collect();
         self.progress.retain(|id, _| ids.contains(id));
         let next_index = self.last_index() + 1;
         for id in ids {
             if id != self.id {
-                self.progress
-                    .entry(id)
-                    .or_insert_with(|| Progress::new(next_index));
+                self.progress.entry(id).or_insert_with(|| Progress::new(next_index));
             }
         }
     }
@@ -679,8 +606,7 @@
     }
 
     fn truncate_from(&mut self, index: u64) {
-        self.entries
-            .truncate((index - self.base_index - 1) as usize);
+        self.entries.truncate((index - self.base_index - 1) as usize);
         while 1 < self.memberships.len()
             && self.memberships.back().is_some_and(|(at, _)| index <= *at)
         {
@@ -694,11 +620,7 @@
     }
 
     fn send_now(&mut self, to: MemberId, body: RaftBody) {
-        self.outbox.push(RaftMessage {
-            from: self.id,
-            to,
-            body,
-        });
+        self.outbox.push(RaftMessage { from: self.id, to, body });
     }
 
     /// Sends a message once everything written so far is durable.
@@ -744,19 +666,10 @@
             return self.send_chunk(now, to);
         };
         let in_window = it.next_index <= it.match_index + self.options.window_entries;
-        let limit = if in_window {
-            self.options.batch_entries
-        } else {
-            0
-        };
+        let limit = if in_window { self.options.batch_entries } else { 0 };
         let first = (it.next_index - self.base_index - 1) as usize;
-        let entries: Vec<_> = self
-            .entries
-            .iter()
-            .skip(first)
-            .take(limit)
-            .map(|it| (**it).clone())
-            .collect();
+        let entries: Vec<_> =
+            self.entries.iter().skip(first).take(limit).map(|it| (**it).clone()).collect();
         if let Some(it) = self.progress.get_mut(&to) {
             it.next_index += entries.len() as u64;
         }
@@ -813,12 +726,7 @@
             // Once this was sent another may lead at any moment, so the lease never comes back
             // in this term; a leader whose offer got lost steps down instead.
             self.handed_over = true;
-            self.send_now(
-                to,
-                RaftBody::TimeoutNow(TimeoutNow {
-                    term: self.hard.term,
-                }),
-            );
+            self.send_now(to, RaftBody::TimeoutNow(TimeoutNow { term: self.hard.term }));
         }
     }
 
@@ -840,11 +748,7 @@
         let barred = now.mono_ms < self.vote_barred_until_ms && !it.transfer;
         let leads = self.is_leader() && !it.transfer;
         if barred || leads || it.term < self.hard.term {
-            let reply = VoteReply {
-                term: self.hard.term,
-                granted: false,
-                pre_vote: it.pre_vote,
-            };
+            let reply = VoteReply { term: self.hard.term, granted: false, pre_vote: it.pre_vote };
             return self.send_durable(from, RaftBody::VoteReply(reply));
         }
         let last_index = self.last_index();
@@ -854,11 +758,7 @@
             let granted = up_to_date && self.hard.term < it.term;
             // A denial carries this member's own term: the asked one was never begun.
             let term = if granted { it.term } else { self.hard.term };
-            let reply = VoteReply {
-                term,
-                granted,
-                pre_vote: true,
-            };
+            let reply = VoteReply { term, granted, pre_vote: true };
             return self.send_durable(from, RaftBody::VoteReply(reply));
         }
         if self.hard.term < it.term {
@@ -867,17 +767,10 @@
         let free = self.hard.vote.is_none() || self.hard.vote == Some(from);
         let granted = up_to_date && free && self.role == Role::Follower;
         if granted {
-            self.set_hard(HardState {
-                term: it.term,
-                vote: Some(from),
-            });
+            self.set_hard(HardState { term: it.term, vote: Some(from) });
             self.reset_election(now);
         }
-        let reply = VoteReply {
-            term: self.hard.term,
-            granted,
-            pre_vote: false,
-        };
+        let reply = VoteReply { term: self.hard.term, granted, pre_vote: false };
         self.send_durable(from, RaftBody::VoteReply(reply));
     }
 
@@ -1070,11 +963,7 @@
         };
         progress.acked_sent_ms = progress.acked_sent_ms.max(it.sent_ms);
         progress.heard_ms = now.mono_ms;
-        let offset_bytes = if it.index == current {
-            it.next_offset_bytes
-        } else {
-            0
-        };
+        let offset_bytes = if it.index == current { it.next_offset_bytes } else { 0 };
         progress.snapshot_offset_bytes = Some(offset_bytes);
         progress.chunk_sent_ms = 0;
         self.send_chunk(now, from);
--- a/src/control/log/record.rs
+++ b/src/control/log/record.rs
@@ -49,15 +49,6 @@
     pub initial_members: Membership,
 }
 
-impl Default for Membership {
-    fn default() -> Membership {
-        Membership {
-            voters: Vec::new(),
-            learners: Vec::new(),
-        }
-    }
-}
-
 impl Recovered {
     /// Takes in a write that was found durable.
     ///
@@ -78,8 +69,7 @@
             }
             Record::Truncate { from_index } => {
                 let first = self.first_index();
-                self.entries
-                    .truncate(from_index.saturating_sub(first) as usize);
+                self.entries.truncate(from_index.saturating_sub(first) as usize);
             }
             Record::Mark => (),
         }
@@ -113,10 +103,7 @@
 pub(super) fn encode(record: &Record, durable_bytes: u64, buffer: &mut Vec<u8>) -> Result<()> {
     let body =
         bincode::serde::encode_to_vec(record, bincode::config::standard()).map_err(|it| {
-            Error::report(
-                ErrorKind::Internal,
-                format_compact!("cannot encode a log record: {it}"),
-            )
+            Error::report(ErrorKind::Internal, format_compact!("cannot encode a log record: {it}"))
         })?;
     let start = buffer.len();
     buffer.extend_from_slice(&(body.len() as u32).to_le_bytes());
@@ -139,10 +126,7 @@
 pub(super) fn decode(data: &[u8]) -> Option<Decoded> {
     let header = data.get(..HEADER_BYTES)?;
     let word = |at: usize| {
-        header
-            .get(at..at + 4)
-            .and_then(|it| it.try_into().ok())
-            .map(u32::from_le_bytes)
+        header.get(at..at + 4).and_then(|it| it.try_into().ok()).map(u32::from_le_bytes)
     };
     let durable_bytes = u64::from_le_bytes(header.get(4..12)?.try_into().ok()?);
     if word(16)? != checksum(&header[..16]) {
@@ -154,11 +138,7 @@
         return None;
     }
     let (record, _) = bincode::serde::decode_from_slice(body, bincode::config::standard()).ok()?;
-    Some(Decoded {
-        record,
-        durable_bytes,
-        size_bytes,
-    })
+    Some(Decoded { record, durable_bytes, size_bytes })
 }
 
 /// What is wrong at the end of the readable records.
--- a/src/control/reconcile.rs
+++ b/src/control/reconcile.rs
@@ -31,9 +31,7 @@
         let Some(task) = state.jobs.task(*id) else {
             continue;
         };
-        let report = by_task
-            .get(id)
-            .filter(|it| it.incarnation == task.incarnation);
+        let report = by_task.get(id).filter(|it| it.incarnation == task.incarnation);
         let phase = report.map(|it| it.phase);
         match (task.state, phase) {
             (TaskState::Starting | TaskState::Resuming, None) if complete => {
@@ -64,19 +62,12 @@
         }
     }
     for it in reports {
-        let task = state
-            .jobs
-            .task(it.task)
-            .filter(|task| task.incarnation == it.incarnation);
+        let task = state.jobs.task(it.task).filter(|task| task.incarnation == it.incarnation);
         if task.is_some_and(|_| vm.tasks.contains(&it.task)) {
             continue;
         }
         // Not this VM's any more: what has ended is forgotten, what runs is stopped.
-        let action = if ending_of(it).is_some() {
-            TaskAction::Forget
-        } else {
-            TaskAction::Stop
-        };
+        let action = if ending_of(it).is_some() { TaskAction::Forget } else { TaskAction::Stop };
         res.push_order(it.task, it.incarnation, action);
     }
     res
@@ -94,43 +85,29 @@
         payload: job.spec.payload.clone(),
         checkpoint: task.checkpoint.clone(),
     };
-    Some(TaskOrder {
-        task: id,
-        incarnation: task.incarnation,
-        action: TaskAction::Start(start),
-    })
+    Some(TaskOrder { task: id, incarnation: task.incarnation, action: TaskAction::Start(start) })
 }
 
 impl Reconciled {
     fn push_event(&mut self, task: TaskId, incarnation: u32, event: TaskEvent) {
-        self.events.push(TaskEventCommand {
-            task,
-            incarnation,
-            event,
-        });
+        self.events.push(TaskEventCommand { task, incarnation, event });
     }
 
     fn push_order(&mut self, task: TaskId, incarnation: u32, action: TaskAction) {
-        self.orders.push(TaskOrder {
-            task,
-            incarnation,
-            action,
-        });
+        self.orders.push(TaskOrder { task, incarnation, action });
     }
 }
 
 /// Returns the event that a report of an ended task stands for.
 fn ending_of(it: &TaskReport) -> Option<TaskEvent> {
     match it.phase {
-        TaskPhase::Completed => Some(TaskEvent::Completed(Completion {
-            result: it.detail.clone(),
-            run_ms: it.run_ms,
-        })),
+        TaskPhase::Completed => {
+            Some(TaskEvent::Completed(Completion { result: it.detail.clone(), run_ms: it.run_ms }))
+        }
         TaskPhase::Failed => Some(TaskEvent::Failed(it.detail.clone())),
-        TaskPhase::Evicted => Some(TaskEvent::Evicted(Checkpoint {
-            token: it.detail.clone(),
-            run_ms: it.run_ms,
-        })),
+        TaskPhase::Evicted => {
+            Some(TaskEvent::Evicted(Checkpoint { token: it.detail.clone(), run_ms: it.run_ms }))
+        }
         TaskPhase::Stopped => Some(TaskEvent::Stopped),
         TaskPhase::Starting | TaskPhase::Running | TaskPhase::Checkpointing => None,
     }
--- a/src/control/scheduler.rs
+++ b/src/control/scheduler.rs
@@ -129,12 +129,8 @@
         for it in state.vms.iter() {
             res.note(state, Change::Vm(it.id), now);
         }
-        let ids: Vec<_> = state
-            .jobs
-            .tasks()
-            .filter(|it| !it.state.is_final())
-            .map(|it| it.id)
-            .collect();
+        let ids: Vec<_> =
+            state.jobs.tasks().filter(|it| !it.state.is_final()).map(|it| it.id).collect();
         for id in ids {
             res.note(state, Change::Task(id), now);
         }
@@ -169,8 +165,7 @@
     /// Learns how long a completed task ran.
     pub fn note_run(&mut self, state: &State, task: &Task, run_ms: u64) {
         if let Some(job) = state.jobs.job_of(task) {
-            self.times
-                .observe(&job.team, &job.spec.kind, job.spec.declared_run_ms, run_ms);
+            self.times.observe(&job.team, &job.spec.kind, job.spec.declared_run_ms, run_ms);
         }
     }
 
@@ -193,16 +188,14 @@
             let tail_ms = u64::from(it.answer_p99_ms);
             if self.options.learns_interference {
                 let then = now.mono_ms.saturating_sub(age_ms);
-                self.pairs
-                    .observe(&it.class, tail_ms as f64, self.past.at(vm.id, then));
+                self.pairs.observe(&it.class, tail_ms as f64, self.past.at(vm.id, then));
             }
             let Some(class) = state.class(&it.class).filter(|it| 0 < it.answer_target_ms) else {
                 continue;
             };
             let target_ms = u64::from(class.answer_target_ms);
-            let is_worse = worst
-                .as_ref()
-                .is_none_or(|(tail, target, _)| tail * target_ms < tail_ms * target);
+            let is_worse =
+                worst.as_ref().is_none_or(|(tail, target, _)| tail * target_ms < tail_ms * target);
             if is_worse {
                 worst = Some((tail_ms, target_ms, it.class.clone()));
             }
@@ -284,11 +277,7 @@
             _ => declared_ms,
         };
         let accepted_ms = job.map_or(0, |it| it.accepted_ms);
-        let facts = Facts {
-            size_ms,
-            attained_ms: task.kept_run_ms,
-            accepted_ms,
-        };
+        let facts = Facts { size_ms, attained_ms: task.kept_run_ms, accepted_ms };
         let remaining_ms = size_ms.saturating_sub(task.kept_run_ms);
         let due_ms = class
             .filter(|it| 0 < it.finish_target_ms)
@@ -298,13 +287,7 @@
             Some(it) if it.kind == ClassKind::LatencyCritical => Tier::Service,
             _ => Tier::Batch,
         };
-        Waiting {
-            task: task.id,
-            tier,
-            rank: order::rank(self.options.rule, facts),
-            need,
-            due_ms,
-        }
+        Waiting { task: task.id, tier, rank: order::rank(self.options.rule, facts), need, due_ms }
     }
 
     fn note_vm(&mut self, state: &State, id: VmId, now: Now) {
@@ -351,23 +334,13 @@
     /// Brings the index in line with a VM's state and what is held there.
     fn refresh_room(&mut self, state: &State, id: VmId) {
         // A VM in quarantine is offered to probes only.
-        let open = state
-            .vms
-            .get(id)
-            .filter(|vm| vm.session.is_some() && !vm.draining && !vm.quarantined);
+        let open =
+            state.vms.get(id).filter(|vm| vm.session.is_some() && !vm.draining && !vm.quarantined);
         let room = open.map(|vm| {
-            let held = self
-                .held_on
-                .get(&id)
-                .into_iter()
-                .flatten()
-                .filter_map(|it| self.holds.get(it));
+            let held =
+                self.held_on.get(&id).into_iter().flatten().filter_map(|it| self.holds.get(it));
             let free = held.fold(vm.free(), |free, it| subtract(free, it.need));
-            Room {
-                free,
-                zone: vm.zone.clone(),
-                rack: vm.rack.clone(),
-            }
+            Room { free, zone: vm.zone.clone(), rack: vm.rack.clone() }
         });
         self.index.set(id, room);
     }
@@ -412,17 +385,12 @@
             let Some(vm) = state.vms.get(id).filter(|it| !it.quarantined) else {
                 continue;
             };
-            plan.flags.push(VmFlagsCommand {
-                vm: id,
-                draining: vm.draining,
-                quarantined: true,
-            });
+            plan.flags.push(VmFlagsCommand { vm: id, draining: vm.draining, quarantined: true });
         }
         let waited = |vm: &Vm| vm.changed_ms + self.options.quarantine_ms <= now.wall_ms;
         let open = self.quarantined.iter().filter_map(|id| state.vms.get(*id));
-        let due: Vec<_> = open
-            .filter(|vm| vm.session.is_some() && vm.tasks.is_empty() && waited(vm))
-            .collect();
+        let due: Vec<_> =
+            open.filter(|vm| vm.session.is_some() && vm.tasks.is_empty() && waited(vm)).collect();
         for vm in due {
             self.probe(state, vm, now, plan);
         }
@@ -443,11 +411,7 @@
         let Some((it, task)) = probe.and_then(|it| Some((it, state.jobs.task(it.task)?))) else {
             return;
         };
-        let hold = Hold {
-            vm: vm.id,
-            need: it.need,
-            until_ms: now.mono_ms + HOLD_MS,
-        };
+        let hold = Hold { vm: vm.id, need: it.need, until_ms: now.mono_ms + HOLD_MS };
         self.hold(state, it.task, hold);
         plan.starts.push(StartCommand {
             task: it.task,
@@ -481,9 +445,7 @@
         let own = held.filter(|hold| self.room_with_hold(state, hold.vm, hold.need, it.task));
         let chosen = own.map(|hold| hold.vm).or_else(|| match held {
             Some(_) => None,
-            None => self
-                .index
-                .choose(it.need, aim_of(it.tier), &Costs::new(self, state, task)),
+            None => self.index.choose(it.need, aim_of(it.tier), &Costs::new(self, state, task)),
         });
         let session = chosen.and_then(|vm| Some((vm, state.vms.get(vm)?.session.as_ref()?.id)));
         match session {
@@ -497,11 +459,7 @@
                 self.hold(
                     state,
                     it.task,
-                    Hold {
-                        vm,
-                        need: it.need,
-                        until_ms: now.mono_ms + HOLD_MS / 4,
-                    },
+                    Hold { vm, need: it.need, until_ms: now.mono_ms + HOLD_MS / 4 },
                 );
             }
             None if it.tier == Tier::Urgent && self.options.preempts && held.is_none() => {
@@ -517,12 +475,7 @@
     }
 
     fn room_with_hold(&self, state: &State, vm: VmId, need: Resources, task: TaskId) -> bool {
-        let others = self
-            .held_on
-            .get(&vm)
-            .into_iter()
-            .flatten()
-            .filter(|it| **it != task);
+        let others = self.held_on.get(&vm).into_iter().flatten().filter(|it| **it != task);
         let others = others.filter_map(|it| self.holds.get(it));
         let Some(it) = state.vms.get(vm) else {
             return false;
@@ -539,12 +492,8 @@
             .iter()
             .filter(|id| state.vms.get(**id).is_none_or(|it| !it.quarantined))
             .count();
-        let open = state
-            .vms
-            .iter()
-            .filter(|it| it.session.is_some() && !it.quarantined)
-            .take(16)
-            .count();
+        let open =
+            state.vms.iter().filter(|it| it.session.is_some() && !it.quarantined).take(16).count();
         let enough = (self.options.task_failures_max as usize).min(open.max(1));
         enough <= blamed
     }
@@ -560,12 +509,8 @@
             if vm.session.is_none() || vm.draining || vm.quarantined {
                 continue;
             }
-            let held = self
-                .held_on
-                .get(&vm.id)
-                .into_iter()
-                .flatten()
-                .filter_map(|it| self.holds.get(it));
+            let held =
+                self.held_on.get(&vm.id).into_iter().flatten().filter_map(|it| self.holds.get(it));
             let free = held.fold(vm.free(), |free, it| subtract(free, it.need));
             let victims = self.victims_on(state, vm, now);
             let Some((tasks, lost_ms)) = choose_victims(it.need, free, &victims) else {
@@ -582,15 +527,7 @@
         for id in victims {
             self.evict(state, id, plan);
         }
-        self.hold(
-            state,
-            it.task,
-            Hold {
-                vm,
-                need: it.need,
-                until_ms: now.mono_ms + HOLD_MS,
-            },
-        );
+        self.hold(state, it.task, Hold { vm, need: it.need, until_ms: now.mono_ms + HOLD_MS });
     }
 
     fn victims_on(&self, state: &State, vm: &Vm, now: Now) -> Vec<Victim> {
@@ -631,11 +568,7 @@
         };
         self.evicting.insert(id);
         let event = TaskEvent::EvictRequested;
-        plan.events.push(TaskEventCommand {
-            task: id,
-            incarnation: task.incarnation,
-            event,
-        });
+        plan.events.push(TaskEventCommand { task: id, incarnation: task.incarnation, event });
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -651,26 +584,19 @@
     ) -> Vec<TaskEventCommand> {
         let harm_of = |it: &Task| {
             let job = state.jobs.job_of(it)?;
-            let is_batch = state
-                .class(&job.spec.class)
-                .is_some_and(|it| it.kind == ClassKind::Batch);
+            let is_batch =
+                state.class(&job.spec.class).is_some_and(|it| it.kind == ClassKind::Batch);
             let share = share_of(job.spec.resources, vm.capacity);
             // Before anything is learned the largest neighbour is the likeliest.
             is_batch.then(|| (self.pairs.harm(class, &job.spec.kind) + 0.01) * share)
         };
         let neighbours = vm.tasks.iter().filter_map(|id| state.jobs.task(*id));
         let running = neighbours.filter(|it| it.state == TaskState::Running);
-        let worst = running
-            .filter_map(|it| Some((harm_of(it)?, it.id)))
-            .max_by(|a, b| a.0.total_cmp(&b.0));
+        let worst =
+            running.filter_map(|it| Some((harm_of(it)?, it.id))).max_by(|a, b| a.0.total_cmp(&b.0));
         let feedback = self.loops.entry(vm.id).or_default();
-        let action = feedback.observe(
-            now.mono_ms,
-            tail_ms,
-            target_ms,
-            lag_ms,
-            worst.map(|(_, id)| id),
-        );
+        let action =
+            feedback.observe(now.mono_ms, tail_ms, target_ms, lag_ms, worst.map(|(_, id)| id));
         let mut plan = Plan::default();
         match action {
             Action::None => (),
@@ -707,21 +633,14 @@
     fn new(scheduler: &'a Scheduler, state: &'a State, task: &'a Task) -> Costs<'a> {
         let job = state.jobs.job_of(task);
         let class = job.map_or("", |it| it.spec.class.as_str());
-        let is_batch = state
-            .class(class)
-            .is_none_or(|it| it.kind == ClassKind::Batch);
+        let is_batch = state.class(class).is_none_or(|it| it.kind == ClassKind::Batch);
         let mut places = HashMap::new();
         if !is_batch && let Some(job) = job {
-            let placed = job
-                .task_ids()
-                .filter_map(|id| state.jobs.task(id)?.placement.map(|it| it.vm));
-            let held = job
-                .task_ids()
-                .filter_map(|id| scheduler.holds.get(&id).map(|it| it.vm));
+            let placed =
+                job.task_ids().filter_map(|id| state.jobs.task(id)?.placement.map(|it| it.vm));
+            let held = job.task_ids().filter_map(|id| scheduler.holds.get(&id).map(|it| it.vm));
             for vm in placed.chain(held).filter_map(|id| state.vms.get(id)) {
-                *places
-                    .entry((vm.zone.as_str(), vm.rack.as_str()))
-                    .or_insert(0) += 1;
+                *places.entry((vm.zone.as_str(), vm.rack.as_str())).or_insert(0) += 1;
             }
         }
         Costs {
@@ -753,15 +672,8 @@
         }
         let pairs = &self.scheduler.pairs;
         let share = share_of(self.need, vm.capacity);
-        let services = self
-            .scheduler
-            .services
-            .get(&id)
-            .map_or(&[][..], |it| it.as_slice());
-        let done = services
-            .iter()
-            .map(|class| pairs.harm(class, self.kind) * share)
-            .sum::<f64>();
+        let services = self.scheduler.services.get(&id).map_or(&[][..], |it| it.as_slice());
+        let done = services.iter().map(|class| pairs.harm(class, self.kind) * share).sum::<f64>();
         let suffered = match self.is_batch {
             true => 0.0,
             false => pairs.slowdown(self.class, &kinds_on(self.state, vm)) - 1.0,
@@ -771,17 +683,9 @@
     }
 
     fn neighbours(&self, room: &Room) -> (u32, u32) {
-        let zone = self
-            .places
-            .iter()
-            .filter(|((zone, _), _)| *zone == room.zone)
-            .map(|(_, it)| it)
-            .sum();
-        let rack = self
-            .places
-            .get(&(room.zone.as_str(), room.rack.as_str()))
-            .copied()
-            .unwrap_or(0);
+        let zone =
+            self.places.iter().filter(|((zone, _), _)| *zone == room.zone).map(|(_, it)| it).sum();
+        let rack = self.places.get(&(room.zone.as_str(), room.rack.as_str())).copied().unwrap_or(0);
         (zone, rack)
     }
 }
@@ -800,15 +704,8 @@
 /// Returns the kinds of batch work on a VM with their shares of its processors.
 fn kinds_on(state: &State, vm: &Vm) -> Vec<(CompactString, f64)> {
     let mut kinds: BTreeMap<CompactString, f64> = BTreeMap::new();
-    for job in vm
-        .tasks
-        .iter()
-        .filter_map(|id| state.jobs.job_of(state.jobs.task(*id)?))
-    {
-        if state
-            .class(&job.spec.class)
-            .is_some_and(|it| it.kind == ClassKind::Batch)
-        {
+    for job in vm.tasks.iter().filter_map(|id| state.jobs.job_of(state.jobs.task(*id)?)) {
+        if state.class(&job.spec.class).is_some_and(|it| it.kind == ClassKind::Batch) {
             *kinds.entry(job.spec.kind.clone()).or_insert(0.0) +=
                 share_of(job.spec.resources, vm.capacity);
         }
--- a/src/control/sessions.rs
+++ b/src/control/sessions.rs
@@ -66,11 +66,7 @@
             reconciled: false,
             draining: false,
             in_force: Revision(0),
-            usage: Usage {
-                cpu_millicores: 0,
-                memory_mib: 0,
-                age_ms: 0,
-            },
+            usage: Usage { cpu_millicores: 0, memory_mib: 0, age_ms: 0 },
             reported: HashMap::new(),
             closing: false,
         });
@@ -107,7 +103,6 @@
 
     /// Forgets entries that have been silent.
     pub(super) fn forget_silent_entries(&mut self, now: Now) {
-        self.entries
-            .retain(|_, it| now.mono_ms < it.heard_ms + ENTRY_SILENCE_MS);
+        self.entries.retain(|_, it| now.mono_ms < it.heard_ms + ENTRY_SILENCE_MS);
     }
 }
--- a/src/control/state/claims.rs
+++ b/src/control/state/claims.rs
@@ -44,11 +44,7 @@
         };
         if it.attempt != last_attempt + 1 {
             // Of two that saw the same free claim one has won meanwhile, and lost it again.
-            return Err(refusal_until(
-                ErrorKind::ClaimInProgress,
-                "the claim moved on",
-                100,
-            ));
+            return Err(refusal_until(ErrorKind::ClaimInProgress, "the claim moved on", 100));
         }
         let claim = Claim {
             digest: it.digest,
@@ -94,10 +90,7 @@
     ///
     /// This costs a scan, which is rare (a VM's end) and bounded by the table of claims.
     pub(super) fn end_session(&mut self, session: SessionId, time_ms: u64) {
-        let open = self
-            .claims
-            .values_mut()
-            .filter(|it| it.state == ClaimState::Claimed);
+        let open = self.claims.values_mut().filter(|it| it.state == ClaimState::Claimed);
         for it in open.filter(|it| it.endpoint.session == session) {
             it.state = ClaimState::Unknown;
             it.changed_ms = time_ms;
@@ -107,7 +100,6 @@
     /// Forgets claims settled before `before_ms`. An open claim is kept however old it is: its
     /// request may yet run.
     pub(super) fn expire(&mut self, before_ms: u64) {
-        self.claims
-            .retain(|_, it| it.state == ClaimState::Claimed || before_ms <= it.changed_ms);
+        self.claims.retain(|_, it| it.state == ClaimState::Claimed || before_ms <= it.changed_ms);
     }
 }
--- a/src/control/state/configuration.rs
+++ b/src/control/state/configuration.rs
@@ -51,10 +51,8 @@
         changes: &mut Vec<Change>,
     ) -> Outcome {
         // A resend is recognised before the revision is compared: its own first success moved it.
-        let earlier = self
-            .history
-            .iter()
-            .find(|row| row.operator == it.operator && row.key == it.key);
+        let earlier =
+            self.history.iter().find(|row| row.operator == it.operator && row.key == it.key);
         if let Some(row) = earlier {
             return match row.change == it.change && row.based_on == it.based_on {
                 true => Ok(Reply::Configured(row.revision)),
@@ -92,10 +90,7 @@
     fn conflict(&self, it: &ConfigureCommand) -> Refusal {
         let winner = self.history.iter().next_back().map(|row| {
             let change = serde_json::to_string(&row.change).unwrap_or_default();
-            format!(
-                "; revision {} by {} is {change}",
-                row.revision, row.operator
-            )
+            format!("; revision {} by {} is {change}", row.revision, row.operator)
         });
         let detail = format!(
             "the change is based on revision {}, in force is {}{}",
@@ -150,10 +145,7 @@
     name_of: fn(&T) -> &CompactString,
 ) -> Result<(), Refusal> {
     let Some(at) = list.iter().position(|it| name_of(it) == name) else {
-        return Err(refusal(
-            ErrorKind::NotFound,
-            format_compact!("nothing is named {name}"),
-        ));
+        return Err(refusal(ErrorKind::NotFound, format_compact!("nothing is named {name}")));
     };
     list.remove(at);
     Ok(())
--- a/src/control/state/jobs.rs
+++ b/src/control/state/jobs.rs
@@ -85,8 +85,7 @@
 
     /// Returns what a task needs.
     pub fn need_of(&self, task: &Task) -> Resources {
-        self.job_of(task)
-            .map_or(vms::NOTHING, |it| it.spec.resources)
+        self.job_of(task).map_or(vms::NOTHING, |it| it.spec.resources)
     }
 
     /// Returns the jobs of a team that are not finished.
@@ -182,10 +181,7 @@
             changes.extend(job.task_ids().map(Change::Task));
         }
         self.notify(id, "accepted");
-        Ok(Reply::JobAccepted(JobAccepted {
-            job: id,
-            resent: false,
-        }))
+        Ok(Reply::JobAccepted(JobAccepted { job: id, resent: false }))
     }
 
     /// Refuses what can never run, so that it does not wait for ever.
@@ -204,17 +200,12 @@
             ));
         }
         if spec.tasks == 0 || TASKS_PER_JOB_MAX < spec.tasks {
-            let detail = format_compact!(
-                "tasks is {}, out of range 1 to {TASKS_PER_JOB_MAX}",
-                spec.tasks
-            );
+            let detail =
+                format_compact!("tasks is {}, out of range 1 to {TASKS_PER_JOB_MAX}", spec.tasks);
             return Err(refusal(ErrorKind::BadRequest, detail));
         }
         if spec.resources == vms::NOTHING {
-            return Err(refusal(
-                ErrorKind::BadRequest,
-                "a task needs some resources",
-            ));
+            return Err(refusal(ErrorKind::BadRequest, "a task needs some resources"));
         }
         if !fits(spec.resources, team.quota) {
             return Err(refusal(
@@ -224,10 +215,7 @@
         }
         let mut vms = self.vms.iter().peekable();
         if vms.peek().is_some() && !vms.any(|vm| fits(spec.resources, vm.capacity)) {
-            return Err(refusal(
-                ErrorKind::Infeasible,
-                "one task is larger than any VM",
-            ));
+            return Err(refusal(ErrorKind::Infeasible, "one task is larger than any VM"));
         }
         if team.jobs_open_max <= self.jobs.open_of(&it.team) {
             let detail = format_compact!(
@@ -251,20 +239,14 @@
             };
             let ids: Vec<_> = job.task_ids().collect();
             let state_of = |id: &TaskId| self.jobs.task(*id).map(|it| it.state);
-            completed += u32::from(
-                ids.iter()
-                    .all(|it| state_of(it) == Some(TaskState::Completed)),
-            );
+            completed += u32::from(ids.iter().all(|it| state_of(it) == Some(TaskState::Completed)));
             for task in ids {
                 self.step(task, Step::Cancel, changes);
             }
         }
         if completed as usize == it.jobs.len() {
             // The completion won; whoever cancels learns it, and the result stays readable.
-            return Err(refusal(
-                ErrorKind::AlreadyFinished,
-                "every job named had completed",
-            ));
+            return Err(refusal(ErrorKind::AlreadyFinished, "every job named had completed"));
         }
         Ok(Reply::Done)
     }
@@ -281,22 +263,14 @@
         let Some(vm) = self.vms.get(it.vm) else {
             return refused("no such VM");
         };
-        if vm
-            .session
-            .as_ref()
-            .is_none_or(|session| session.id != it.session)
-        {
+        if vm.session.as_ref().is_none_or(|session| session.id != it.session) {
             return refused("the VM's session ended");
         }
         if !vm.has_room_for(need) {
             return refused("the VM is full, draining or in quarantine");
         }
         self.vms.reserve(it.vm, it.task, need);
-        let placement = Placement {
-            vm: it.vm,
-            session: it.session,
-            since_ms: self.time_ms,
-        };
+        let placement = Placement { vm: it.vm, session: it.session, since_ms: self.time_ms };
         if let Some(task) = self.jobs.tasks.get_mut(&it.task) {
             task.incarnation = it.incarnation;
             task.placement = Some(placement);
@@ -310,16 +284,10 @@
         it: &TaskEventCommand,
         changes: &mut Vec<Change>,
     ) -> Outcome {
-        let current = self
-            .jobs
-            .tasks
-            .get_mut(&it.task)
-            .filter(|task| task.incarnation == it.incarnation);
+        let current =
+            self.jobs.tasks.get_mut(&it.task).filter(|task| task.incarnation == it.incarnation);
         let Some(task) = current else {
-            return Err(refusal(
-                ErrorKind::StaleSession,
-                "the task has another incarnation",
-            ));
+            return Err(refusal(ErrorKind::StaleSession, "the task has another incarnation"));
         };
         let step = match &it.event {
             TaskEvent::Running => Step::Running,
@@ -352,8 +320,7 @@
             task.failed_on.push(vm);
         }
         if let (Step::Completed | Step::Failed, Some(vm)) = (step, vm) {
-            self.vms
-                .note_outcome(vm, step == Step::Completed, self.time_ms);
+            self.vms.note_outcome(vm, step == Step::Completed, self.time_ms);
             changes.push(Change::Vm(vm));
         }
         self.step(it.task, step, changes);
@@ -380,11 +347,7 @@
         changes.push(Change::Task(id));
         if before.holds_resources() && !next.holds_resources() {
             let placement = task.placement.take();
-            let need = self
-                .jobs
-                .jobs
-                .get(&job)
-                .map_or(vms::NOTHING, |it| it.spec.resources);
+            let need = self.jobs.jobs.get(&job).map_or(vms::NOTHING, |it| it.spec.resources);
             if let Some(it) = placement {
                 self.vms.release(it.vm, id, need);
                 changes.push(Change::Vm(it.vm));
@@ -397,18 +360,10 @@
 
     /// Moves the tasks of a superseded session to the one that took over its VM.
     pub(super) fn hand_tasks_over(&mut self, vm: VmId, session: SessionId) {
-        let ids: Vec<_> = self
-            .vms
-            .get(vm)
-            .iter()
-            .flat_map(|it| it.tasks.iter().copied())
-            .collect();
+        let ids: Vec<_> = self.vms.get(vm).iter().flat_map(|it| it.tasks.iter().copied()).collect();
         for id in ids {
-            if let Some(placement) = self
-                .jobs
-                .tasks
-                .get_mut(&id)
-                .and_then(|it| it.placement.as_mut())
+            if let Some(placement) =
+                self.jobs.tasks.get_mut(&id).and_then(|it| it.placement.as_mut())
             {
                 placement.session = session;
             }
@@ -421,7 +376,6 @@
             return;
         };
         let body = format_compact!("{{\"job\":{id},\"event\":\"{word}\"}}");
-        self.watches
-            .tell(&job.team, &job.spec.subject, &body, self.time_ms);
+        self.watches.tell(&job.team, &job.spec.subject, &body, self.time_ms);
     }
 }
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -130,10 +130,7 @@
     /// Returns an error when it cannot be encoded.
     pub fn to_bytes(&self) -> Result<Vec<u8>> {
         bincode::serde::encode_to_vec(self, bincode::config::standard()).map_err(|it| {
-            Error::report(
-                ErrorKind::Internal,
-                format_compact!("cannot encode the state: {it}"),
-            )
+            Error::report(ErrorKind::Internal, format_compact!("cannot encode the state: {it}"))
         })
     }
 
@@ -173,15 +170,8 @@
             let need = self.jobs.need_of(task);
             let sum = used.entry(placement.vm).or_insert(NOTHING);
             *sum = add(*sum, need);
-            if !self
-                .vms
-                .get(placement.vm)
-                .is_some_and(|it| it.tasks.contains(&task.id))
-            {
-                return Err(format!(
-                    "task {} is not listed on its VM {}",
-                    task.id, placement.vm
-                ));
+            if !self.vms.get(placement.vm).is_some_and(|it| it.tasks.contains(&task.id)) {
+                return Err(format!("task {} is not listed on its VM {}", task.id, placement.vm));
             }
         }
         for vm in self.vms.iter() {
@@ -193,10 +183,7 @@
                 ));
             }
             if !fits(sum, vm.capacity) {
-                return Err(format!(
-                    "VM {} is overfilled: {sum:?} of {:?}",
-                    vm.name, vm.capacity
-                ));
+                return Err(format!("VM {} is overfilled: {sum:?} of {:?}", vm.name, vm.capacity));
             }
         }
         Ok(())
--- a/src/control/state/task.rs
+++ b/src/control/state/task.rs
@@ -33,10 +33,7 @@
     /// Returns whether the task's resources are reserved on a VM.
     pub fn holds_resources(self) -> bool {
         use TaskState::*;
-        matches!(
-            self,
-            Starting | Resuming | Running | Checkpointing | Stopping
-        )
+        matches!(self, Starting | Resuming | Running | Checkpointing | Stopping)
     }
 
     /// Returns whether the task waits for a VM.
@@ -46,10 +43,7 @@
 
     /// Returns whether nothing more happens to the task.
     pub fn is_final(self) -> bool {
-        matches!(
-            self,
-            TaskState::Completed | TaskState::Cancelled | TaskState::DeadLetter
-        )
+        matches!(self, TaskState::Completed | TaskState::Cancelled | TaskState::DeadLetter)
     }
 }
 
--- a/src/control/state/vms.rs
+++ b/src/control/state/vms.rs
@@ -8,11 +8,7 @@
 };
 
 /// No resources.
-pub const NOTHING: Resources = Resources {
-    cpu_millicores: 0,
-    memory_mib: 0,
-    accelerators: 0,
-};
+pub const NOTHING: Resources = Resources { cpu_millicores: 0, memory_mib: 0, accelerators: 0 };
 
 /// The run of an agent that holds a VM.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -138,15 +134,9 @@
     ) -> Outcome {
         let known = self.vms.by_name(&it.vm_name);
         if let Some(vm) = known
-            && let Some(session) = vm
-                .session
-                .as_ref()
-                .filter(|session| session.boot == it.boot)
+            && let Some(session) = vm.session.as_ref().filter(|session| session.boot == it.boot)
         {
-            return Ok(Reply::SessionOpened(SessionOpened {
-                session: session.id,
-                vm: vm.id,
-            }));
+            return Ok(Reply::SessionOpened(SessionOpened { session: session.id, vm: vm.id }));
         }
         if let Some(vm) = known
             && !fits(vm.used, it.capacity)
@@ -158,11 +148,7 @@
             self.vms.next += 1;
             VmId(self.vms.next)
         });
-        let session = Session {
-            id: SessionId(self.index),
-            boot: it.boot,
-            address: it.address,
-        };
+        let session = Session { id: SessionId(self.index), boot: it.boot, address: it.address };
         let vm = self.vms.vms.entry(id).or_insert_with(|| Vm {
             id,
             name: it.vm_name.clone(),
@@ -188,10 +174,7 @@
         // The worker still runs what the agent before started; the new agent finds it there.
         self.hand_tasks_over(id, SessionId(self.index));
         changes.push(Change::Vm(id));
-        Ok(Reply::SessionOpened(SessionOpened {
-            session: SessionId(self.index),
-            vm: id,
-        }))
+        Ok(Reply::SessionOpened(SessionOpened { session: SessionId(self.index), vm: id }))
     }
 
     pub(super) fn close_session(
@@ -200,11 +183,8 @@
         changes: &mut Vec<Change>,
     ) -> Outcome {
         let time_ms = self.time_ms;
-        let Some(vm) = self
-            .vms
-            .by_session
-            .remove(&it.session)
-            .and_then(|id| self.vms.vms.get_mut(&id))
+        let Some(vm) =
+            self.vms.by_session.remove(&it.session).and_then(|id| self.vms.vms.get_mut(&id))
         else {
             return Ok(Reply::Done);
         };
--- a/src/control/state/watches.rs
+++ b/src/control/state/watches.rs
@@ -26,19 +26,11 @@
     pub fn read(&self, cursor: u64, limit: usize) -> Result<Vec<WatchEvent>, Refusal> {
         let oldest = self.next_cursor - self.events.len() as u64;
         if cursor + 1 < oldest {
-            let detail = format_compact!(
-                "cursor {cursor} is too old, events are kept after {}",
-                oldest - 1
-            );
+            let detail =
+                format_compact!("cursor {cursor} is too old, events are kept after {}", oldest - 1);
             return Err(refusal(ErrorKind::CursorTooOld, detail));
         }
-        Ok(self
-            .events
-            .iter()
-            .filter(|it| cursor < it.cursor)
-            .take(limit)
-            .cloned()
-            .collect())
+        Ok(self.events.iter().filter(|it| cursor < it.cursor).take(limit).cloned().collect())
     }
 
     fn push(&mut self, body: &CompactString, at_ms: u64) {
@@ -88,11 +80,7 @@
     pub(super) fn create(&mut self, place: Place, it: &CreateWatchCommand) -> Outcome {
         let key = (it.team.clone(), it.key.clone());
         if let Some(&id) = self.by_key.get(&key) {
-            return match self
-                .watches
-                .get(&id)
-                .is_some_and(|watch| watch.subject == it.subject)
-            {
+            return match self.watches.get(&id).is_some_and(|watch| watch.subject == it.subject) {
                 true => Ok(Reply::WatchCreated(id)),
                 false => Err(refusal(
                     ErrorKind::KeyReused,
@@ -112,10 +100,7 @@
             events: VecDeque::new(),
         };
         self.by_key.insert(key, id);
-        self.by_subject
-            .entry((it.team.clone(), it.subject.clone()))
-            .or_default()
-            .push(id);
+        self.by_subject.entry((it.team.clone(), it.subject.clone())).or_default().push(id);
         self.watches.insert(id, watch);
         Ok(Reply::WatchCreated(id))
     }
@@ -152,11 +137,8 @@
         body: &CompactString,
         time_ms: u64,
     ) {
-        let ids = self
-            .by_subject
-            .get(&(team.clone(), subject.clone()))
-            .cloned()
-            .unwrap_or_default();
+        let ids =
+            self.by_subject.get(&(team.clone(), subject.clone())).cloned().unwrap_or_default();
         for id in ids {
             if let Some(it) = self.watches.get_mut(&id) {
                 it.push(body, time_ms);
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -50,21 +50,12 @@
         AdminView::Configuration => json!(state.configuration),
         AdminView::Teams => json!(state.configuration.teams),
         AdminView::Classes => json!(state.configuration.classes),
-        AdminView::History => json!(
-            state
-                .history
-                .iter()
-                .rev()
-                .take(HISTORY_SHOWN)
-                .collect::<Vec<_>>()
-        ),
-        AdminView::Vms => json!(
-            state
-                .vms
-                .iter()
-                .map(|it| vm_value(core, it, now))
-                .collect::<Vec<_>>()
-        ),
+        AdminView::History => {
+            json!(state.history.iter().rev().take(HISTORY_SHOWN).collect::<Vec<_>>())
+        }
+        AdminView::Vms => {
+            json!(state.vms.iter().map(|it| vm_value(core, it, now)).collect::<Vec<_>>())
+        }
         AdminView::Endpoints => match &core.leading {
             Some(it) => json!(it.directory.iter().collect::<Vec<_>>()),
             None => json!([]),
@@ -88,10 +79,7 @@
 fn find_job<'a>(state: &'a State, it: &JobQuery) -> Result<&'a Job, Refusal> {
     let found = state.jobs.job(it.job).filter(|job| job.team == it.team);
     found.ok_or_else(|| {
-        refusal(
-            ErrorKind::NotFound,
-            format_compact!("team {} has no job {}", it.team, it.job),
-        )
+        refusal(ErrorKind::NotFound, format_compact!("team {} has no job {}", it.team, it.job))
     })
 }
 
@@ -116,10 +104,8 @@
 }
 
 fn vm_value(core: &ControlCore, vm: &Vm, now: Now) -> Value {
-    let seen = vm
-        .session
-        .as_ref()
-        .and_then(|it| core.leading.as_ref()?.sessions.agents.get(&it.id));
+    let seen =
+        vm.session.as_ref().and_then(|it| core.leading.as_ref()?.sessions.agents.get(&it.id));
     json!({
         "vm": vm.id,
         "name": vm.name,
@@ -162,11 +148,7 @@
         })
     };
     let voters = members.voters.iter().map(|it| row(it, "voter"));
-    json!(
-        voters
-            .chain(members.learners.iter().map(|it| row(it, "learner")))
-            .collect::<Vec<_>>()
-    )
+    json!(voters.chain(members.learners.iter().map(|it| row(it, "learner"))).collect::<Vec<_>>())
 }
 
 fn queue(core: &ControlCore) -> Value {
@@ -185,28 +167,18 @@
 }
 
 fn dead_letters(state: &State) -> Value {
-    let tasks = state
-        .jobs
-        .tasks()
-        .filter(|it| it.state == TaskState::DeadLetter)
-        .take(JOBS_SHOWN);
+    let tasks = state.jobs.tasks().filter(|it| it.state == TaskState::DeadLetter).take(JOBS_SHOWN);
     json!(tasks.collect::<Vec<_>>())
 }
 
 /// The table that an operator reads first.
 fn status(core: &ControlCore, now: Now) -> Value {
     let state = &core.state;
-    let entries: Vec<_> = core
-        .leading
-        .iter()
-        .flat_map(|it| &it.sessions.entries)
-        .collect();
+    let entries: Vec<_> = core.leading.iter().flat_map(|it| &it.sessions.entries).collect();
     let classes = state.configuration.classes.iter().map(|class| {
         // The worst entry is shown: percentiles of several cannot be added up.
-        let measured = entries
-            .iter()
-            .flat_map(|(_, it)| &it.latencies)
-            .filter(|it| it.class == class.name);
+        let measured =
+            entries.iter().flat_map(|(_, it)| &it.latencies).filter(|it| it.class == class.name);
         json!({
             "class": class.name,
             "kind": class.kind,
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -44,8 +44,7 @@
         };
         let deadline_ms = quick.deadline_ms + STALE_MS;
         let operation = Operation::Propose(Command::Claim(command));
-        self.client
-            .call(now, operation, deadline_ms, ControlToken::Claim(key));
+        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
     }
 
     /// Takes in the state of a request's claim.
@@ -84,9 +83,7 @@
                         body: answer.body.as_bytes().to_vec(),
                         attempts: 0,
                     },
-                    false => CallerAnswer::AnsweredBefore {
-                        status: answer.status,
-                    },
+                    false => CallerAnswer::AnsweredBefore { status: answer.status },
                 };
                 self.finish(now, key, answer);
             }
@@ -129,15 +126,8 @@
         let is_stale = quick.arrived_ms + STALE_MS <= now.mono_ms;
         let asked_lately = asked_ms.is_some_and(|it| now.mono_ms < it + ASK_AGAIN_MS);
         let ask = claim.filter(|_| is_stale && !asked_lately);
-        let asked_ms = if ask.is_some() {
-            Some(now.mono_ms)
-        } else {
-            asked_ms
-        };
-        quick.stage = Stage::Following {
-            look_at_ms: now.mono_ms + LOOK_MS,
-            asked_ms,
-        };
+        let asked_ms = if ask.is_some() { Some(now.mono_ms) } else { asked_ms };
+        quick.stage = Stage::Following { look_at_ms: now.mono_ms + LOOK_MS, asked_ms };
         self.schedule(now.mono_ms + LOOK_MS, key);
         if let Some(it) = ask {
             self.ask_agent_of(key, it);
@@ -162,14 +152,10 @@
         if let Stage::Following { look_at_ms, .. } = &mut quick.stage {
             *look_at_ms = quick.deadline_ms;
         }
-        let query = ClaimQuery {
-            team: quick.team.clone(),
-            key: quick.key(),
-        };
+        let query = ClaimQuery { team: quick.team.clone(), key: quick.key() };
         let deadline_ms = quick.deadline_ms;
         let operation = Operation::Query(Query::Claim(query));
-        self.client
-            .call(now, operation, deadline_ms, ControlToken::Claim(key));
+        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
     }
 
     /// Asks the agent of a claim that another request holds what became of it.
@@ -192,9 +178,7 @@
         let Some(quick) = self.quicks.get_mut(key) else {
             return;
         };
-        quick.stage = Stage::InFlight {
-            act_at_ms: now.mono_ms + ASK_MS,
-        };
+        quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
         let request = quick.request;
         let attempts = quick.attempts.clone();
         for it in attempts {
@@ -233,18 +217,12 @@
         };
         let deadline_ms = quick.deadline_ms;
         let operation = Operation::Propose(Command::Settle(command));
-        self.client
-            .call(now, operation, deadline_ms, ControlToken::Claim(key));
+        self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
     }
 
     /// Records the answer of a request's own attempt.
     pub(super) fn settle_done(&mut self, now: Now, key: QuickKey, answer: &Answer) {
-        self.settle(
-            now,
-            key,
-            ClaimOutcome::Done(stored(answer)),
-            ControlToken::Nobody,
-        );
+        self.settle(now, key, ClaimOutcome::Done(stored(answer)), ControlToken::Nobody);
     }
 
     /// Records how a request's own attempt ended.
@@ -265,12 +243,7 @@
             outcome,
         };
         let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
-        self.client.call(
-            now,
-            Operation::Propose(Command::Settle(command)),
-            deadline_ms,
-            token,
-        );
+        self.client.call(now, Operation::Propose(Command::Settle(command)), deadline_ms, token);
     }
 
     /// Ends a request whose caller has been answered.
@@ -290,9 +263,7 @@
 
 /// Returns an answer as it is kept with its claim.
 fn stored(it: &Answer) -> StoredAnswer {
-    let body = std::str::from_utf8(&it.body)
-        .ok()
-        .filter(|it| it.len() <= KEPT_ANSWER_BYTES);
+    let body = std::str::from_utf8(&it.body).ok().filter(|it| it.len() <= KEPT_ANSWER_BYTES);
     StoredAnswer {
         status: it.status,
         content_type: it.content_type.clone(),
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -171,10 +171,7 @@
             .map(|it| it.ask_at_ms.unwrap_or(it.until_ms).min(it.until_ms))
             .min();
         let client_ms = self.client.next_tick_ms().unwrap_or(u64::MAX);
-        self.heartbeat_at_ms
-            .min(timer_ms)
-            .min(poll_ms.unwrap_or(u64::MAX))
-            .min(client_ms)
+        self.heartbeat_at_ms.min(timer_ms).min(poll_ms.unwrap_or(u64::MAX)).min(client_ms)
     }
 
     /// Takes the effects of the inputs so far.
@@ -192,21 +189,13 @@
     /// Takes in one input.
     pub fn handle(&mut self, now: Now, input: Input) {
         match input {
-            Input::Message {
-                from,
-                in_force,
-                message,
-            } => {
+            Input::Message { from, in_force, message } => {
                 if let Some(question) = self.adopted.question(now, in_force, self.options.address) {
                     self.send(from, question);
                 }
                 self.on_message(now, message);
             }
-            Input::Request {
-                token,
-                team,
-                request,
-            } => {
+            Input::Request { token, team, request } => {
                 self.metrics.requests.inc();
                 self.on_request(now, token, team, request);
             }
@@ -262,15 +251,10 @@
             return;
         };
         self.unanswered_heartbeats += 1;
-        let latencies = self
-            .lines
-            .iter()
-            .filter(|(_, it)| !it.answers.is_empty())
-            .map(|(class, it)| {
-                let permille = self
-                    .adopted
-                    .class(class)
-                    .map_or(990, |it| it.answer_percentile_permille);
+        let latencies =
+            self.lines.iter().filter(|(_, it)| !it.answers.is_empty()).map(|(class, it)| {
+                let permille =
+                    self.adopted.class(class).map_or(990, |it| it.answer_percentile_permille);
                 ClassLatency {
                     class: class.clone(),
                     answers: it.answers.len() as u32,
@@ -330,20 +314,14 @@
 
     fn on_request(&mut self, now: Now, token: u64, team: CompactString, request: CallerRequest) {
         if self.draining {
-            let refusal = refusal_until(
-                ErrorKind::Draining,
-                "this entry is stopping: ask another",
-                100,
-            );
+            let refusal =
+                refusal_until(ErrorKind::Draining, "this entry is stopping: ask another", 100);
             return self.answer(token, CallerAnswer::Refused(refusal));
         }
         let open = self.quicks.len() + self.polls.len() + self.operations;
         if self.options.settings.in_flight_max as usize <= open {
-            let refusal = refusal_until(
-                ErrorKind::QueueFull,
-                "this entry has its most requests open",
-                200,
-            );
+            let refusal =
+                refusal_until(ErrorKind::QueueFull, "this entry has its most requests open", 200);
             return self.answer(token, CallerAnswer::Refused(refusal));
         }
         let operation = match request {
@@ -356,19 +334,11 @@
                     wait_ms,
                 );
             }
-            CallerRequest::PollWatch {
-                watch,
-                cursor,
-                wait_ms,
-            } => {
+            CallerRequest::PollWatch { watch, cursor, wait_ms } => {
                 return self.hold_poll(
                     now,
                     token,
-                    Query::Watch(WatchQuery {
-                        team,
-                        watch,
-                        cursor,
-                    }),
+                    Query::Watch(WatchQuery { team, watch, cursor }),
                     wait_ms,
                 );
             }
@@ -391,18 +361,12 @@
                 Operation::Propose(Command::DeleteWatch(DeleteWatchCommand { team, watch }))
             }
             CallerRequest::Publish { key, subject, body } => {
-                Operation::Propose(Command::Publish(PublishCommand {
-                    team,
-                    key,
-                    subject,
-                    body,
-                }))
+                Operation::Propose(Command::Publish(PublishCommand { team, key, subject, body }))
             }
         };
         self.operations += 1;
         let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
-        self.client
-            .call(now, operation, deadline_ms, ControlToken::Caller(token));
+        self.client.call(now, operation, deadline_ms, ControlToken::Caller(token));
     }
 
     fn on_control(&mut self, now: Now, token: ControlToken, outcome: Outcome) {
@@ -419,24 +383,13 @@
 
     fn hold_poll(&mut self, now: Now, token: u64, query: Query, wait_ms: u32) {
         let until_ms = now.mono_ms + u64::from(wait_ms.min(self.options.settings.poll_max_ms));
-        self.polls.insert(
-            token,
-            Poll {
-                query,
-                until_ms,
-                ask_at_ms: Some(now.mono_ms),
-            },
-        );
+        self.polls.insert(token, Poll { query, until_ms, ask_at_ms: Some(now.mono_ms) });
     }
 
     fn tick_polls(&mut self, now: Now) {
         let is_due = |it: &Poll| it.ask_at_ms.is_some_and(|at_ms| at_ms <= now.mono_ms);
-        let due: Vec<_> = self
-            .polls
-            .iter()
-            .filter(|(_, it)| is_due(it))
-            .map(|(token, _)| *token)
-            .collect();
+        let due: Vec<_> =
+            self.polls.iter().filter(|(_, it)| is_due(it)).map(|(token, _)| *token).collect();
         for token in due {
             let Some(poll) = self.polls.get_mut(&token) else {
                 continue;
@@ -444,8 +397,7 @@
             poll.ask_at_ms = None;
             let operation = Operation::Query(poll.query.clone());
             let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
-            self.client
-                .call(now, operation, deadline_ms, ControlToken::Poll(token));
+            self.client.call(now, operation, deadline_ms, ControlToken::Poll(token));
         }
     }
 
@@ -470,10 +422,7 @@
             return self.answer(token, CallerAnswer::Refused(refusal));
         }
         self.next_request += 1;
-        let request = RequestId {
-            boot: self.options.boot,
-            number: self.next_request,
-        };
+        let request = RequestId { boot: self.options.boot, number: self.next_request };
         let deadline_ms = now.mono_ms + u64::from(quick.deadline_ms);
         *self.by_team.entry(team.clone()).or_insert(0) += 1;
         let class = quick.class.clone();
@@ -497,10 +446,7 @@
         self.by_request.insert(request, key);
         self.timers.insert((deadline_ms, key));
         // Who arrives while others wait goes behind them.
-        let others_wait = self
-            .lines
-            .get(&class)
-            .is_some_and(|it| !it.queue.is_empty());
+        let others_wait = self.lines.get(&class).is_some_and(|it| !it.queue.is_empty());
         if others_wait || !self.try_begin(now, key) {
             self.enqueue(now, key);
         }
@@ -568,10 +514,7 @@
         };
         let class = quick.quick.class.clone();
         let team = quick.team.clone();
-        let waiting = Waiting {
-            key,
-            deadline_ms: quick.deadline_ms,
-        };
+        let waiting = Waiting { key, deadline_ms: quick.deadline_ms };
         let answer_ms = self.endpoints.answer_ms_of(&class);
         let (_, slots) = self.endpoints.capacity_of(&class);
         let len_max = self.options.settings.queue_max as usize;
@@ -613,10 +556,7 @@
             return;
         };
         let answer_ms = self.endpoints.answer_ms_of(&quick.quick.class) as u64;
-        let at_ms = quick
-            .deadline_ms
-            .saturating_sub(answer_ms)
-            .max(now.mono_ms + 1);
+        let at_ms = quick.deadline_ms.saturating_sub(answer_ms).max(now.mono_ms + 1);
         self.timers.insert((at_ms, key));
     }
 
@@ -627,9 +567,7 @@
             return true;
         };
         let class = quick.quick.class.clone();
-        let chosen = self
-            .endpoints
-            .choose(&class, &quick.tried, now, &mut self.random);
+        let chosen = self.endpoints.choose(&class, &quick.tried, now, &mut self.random);
         // Where every endpoint was tried, the first ones may have recovered.
         let chosen = match chosen {
             None if !quick.tried.is_empty() => {
@@ -655,11 +593,7 @@
         };
         quick.attempts_made += 1;
         // A claimed attempt bears the claim's number, by which others may ask about it.
-        let number = if quick.is_idempotent() {
-            quick.attempts_made
-        } else {
-            quick.claim_attempt
-        };
+        let number = if quick.is_idempotent() { quick.attempts_made } else { quick.claim_attempt };
         quick.attempts.push(Attempt {
             number,
             endpoint,
@@ -670,9 +604,7 @@
         let usual_ms = target.answer_time.get_ms() as u64;
         // An attempt that takes several times the usual is worth a second one, while there is
         // time left for it to be answered.
-        let wait_ms = (usual_ms * 6)
-            .max(ATTEMPT_MIN_MS)
-            .min((left_ms / 2).max(ATTEMPT_MIN_MS));
+        let wait_ms = (usual_ms * 6).max(ATTEMPT_MIN_MS).min((left_ms / 2).max(ATTEMPT_MIN_MS));
         let act_at_ms = now.mono_ms + wait_ms;
         quick.stage = Stage::InFlight { act_at_ms };
         let execute = Execute {
@@ -711,11 +643,7 @@
                 let answer_ms = self.endpoints.answer_ms_of(&class) as u64;
                 if quick.left_ms(now) <= answer_ms {
                     let detail = "it waited until too little time was left";
-                    self.refuse(
-                        now,
-                        key,
-                        refusal_until(ErrorKind::WouldMissDeadline, detail, 100),
-                    );
+                    self.refuse(now, key, refusal_until(ErrorKind::WouldMissDeadline, detail, 100));
                 } else {
                     self.pump(now, &class);
                     self.schedule_drop(now, key);
@@ -738,11 +666,7 @@
             return;
         };
         quick.may_have_run = true;
-        let slow: Vec<_> = quick
-            .attempts
-            .iter()
-            .map(|it| (it.endpoint, it.endpoint_id))
-            .collect();
+        let slow: Vec<_> = quick.attempts.iter().map(|it| (it.endpoint, it.endpoint_id)).collect();
         if quick.attempts_made < self.options.settings.attempts_max && self.budget.try_spend() {
             quick.tried.extend(slow.iter().map(|(_, id)| *id));
             self.metrics.retried(RetryReason::NoAnswer);
@@ -754,9 +678,7 @@
             }
         }
         if let Some(quick) = self.quicks.get_mut(key) {
-            quick.stage = Stage::InFlight {
-                act_at_ms: quick.deadline_ms,
-            };
+            quick.stage = Stage::InFlight { act_at_ms: quick.deadline_ms };
         }
     }
 
@@ -767,11 +689,7 @@
         match quick.stage {
             Stage::Waiting => {
                 let detail = "its deadline passed while it waited";
-                self.refuse(
-                    now,
-                    key,
-                    refusal_until(ErrorKind::DeadlineExpiredQueued, detail, 100),
-                );
+                self.refuse(now, key, refusal_until(ErrorKind::DeadlineExpiredQueued, detail, 100));
             }
             Stage::InFlight { .. } if quick.is_idempotent() => {
                 self.refuse(
@@ -782,11 +700,7 @@
             }
             Stage::Following { .. } => {
                 let detail = "an earlier request with this key has no outcome yet";
-                self.refuse(
-                    now,
-                    key,
-                    refusal_until(ErrorKind::ClaimInProgress, detail, 1_000),
-                );
+                self.refuse(now, key, refusal_until(ErrorKind::ClaimInProgress, detail, 1_000));
             }
             Stage::Claiming { .. } | Stage::InFlight { .. } => {
                 let sent = matches!(quick.stage, Stage::InFlight { .. });
@@ -813,11 +727,7 @@
 
     fn on_link_lost(&mut self, now: Now, peer: SocketAddr) {
         let endpoints = &self.endpoints;
-        let at_peer = |it: &Attempt| {
-            endpoints
-                .get(it.endpoint)
-                .is_some_and(|it| it.agent == peer)
-        };
+        let at_peer = |it: &Attempt| endpoints.get(it.endpoint).is_some_and(|it| it.agent == peer);
         let affected = self
             .quicks
             .iter()
@@ -849,9 +759,7 @@
         else {
             let own =
                 it.request.boot == self.options.boot && it.request.number <= self.next_request;
-            return self
-                .metrics
-                .answer_dropped(if own { Dropped::Late } else { Dropped::Foreign });
+            return self.metrics.answer_dropped(if own { Dropped::Late } else { Dropped::Foreign });
         };
         let position = quick
             .attempts
@@ -861,9 +769,7 @@
             return self.metrics.answer_dropped(Dropped::Late);
         };
         if it.outcome == ExecuteOutcome::Running {
-            quick.stage = Stage::InFlight {
-                act_at_ms: now.mono_ms + ASK_MS,
-            };
+            quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
             self.timers.insert((now.mono_ms + ASK_MS, key));
             return;
         }
@@ -917,9 +823,7 @@
         let total_ms = now.mono_ms.saturating_sub(quick.arrived_ms);
         let class = quick.quick.class.clone();
         self.metrics.answered(&class, total_ms as f64 / 1_000.0);
-        line_of(&mut self.lines, &class)
-            .answers
-            .saturating_record(total_ms.max(1));
+        line_of(&mut self.lines, &class).answers.saturating_record(total_ms.max(1));
         if !quick.is_idempotent() {
             self.settle_done(now, key, &it);
         }
@@ -1087,9 +991,7 @@
             return;
         };
         let team = quick.team.clone();
-        line_of(&mut self.lines, &quick.quick.class)
-            .queue
-            .unpop(&team, it);
+        line_of(&mut self.lines, &quick.quick.class).queue.unpop(&team, it);
     }
 }
 
@@ -1116,8 +1018,6 @@
     let Ok(document) = serde_json::from_str::<serde_json::Value>(text) else {
         return true;
     };
-    let has_events = document["events"]
-        .as_array()
-        .is_some_and(|it| !it.is_empty());
+    let has_events = document["events"].as_array().is_some_and(|it| !it.is_empty());
     has_events || document["finished"] == true
 }
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -109,20 +109,13 @@
             .filter_map(|it| self.endpoints.get(*it))
             .map(|it| it.answer_time.get_ms())
             .sum();
-        if keys.is_empty() {
-            FIRST_GUESS_MS
-        } else {
-            sum / keys.len() as f64
-        }
+        if keys.is_empty() { FIRST_GUESS_MS } else { sum / keys.len() as f64 }
     }
 
     /// Returns the permille of a class's endpoints, others than `key`, that are left out.
     pub(super) fn out_permille(&self, class: &str, key: EndpointKey) -> u32 {
         let keys = self.of_class(class);
-        let out = keys
-            .iter()
-            .filter(|it| **it != key)
-            .filter_map(|it| self.endpoints.get(*it));
+        let out = keys.iter().filter(|it| **it != key).filter_map(|it| self.endpoints.get(*it));
         let out = out.filter(|it| it.ejection.is_out()).count() + 1;
         (out * 1_000 / keys.len().max(1)) as u32
     }
@@ -143,10 +136,7 @@
             let it = self.endpoints.get(*key)?;
             (it.admits(now) && !tried.contains(&it.id)).then(|| (*key, it.view(now)))
         };
-        let mut candidates: Vec<_> = picked
-            .iter()
-            .filter_map(|at| open(keys.get(*at)?))
-            .collect();
+        let mut candidates: Vec<_> = picked.iter().filter_map(|at| open(keys.get(*at)?)).collect();
         if candidates.is_empty() && routing::SAMPLES < keys.len() {
             // From a random place on, so that a long scan does not favour the first.
             let start = random.usize(0..keys.len());
@@ -171,12 +161,8 @@
         if it.whole {
             let listed: std::collections::HashSet<_> =
                 it.endpoints.iter().map(|it| it.id).collect();
-            let gone: Vec<_> = self
-                .by_id
-                .keys()
-                .filter(|id| !listed.contains(id))
-                .copied()
-                .collect();
+            let gone: Vec<_> =
+                self.by_id.keys().filter(|id| !listed.contains(id)).copied().collect();
             gone.into_iter().for_each(|id| self.remove(id));
         }
         it.gone.into_iter().for_each(|id| self.remove(id));
@@ -216,10 +202,7 @@
     }
 
     fn put(&mut self, it: DirectoryEndpoint, zone: &str, now: Now) {
-        if let Some(known) = self
-            .by_id
-            .get(&it.id)
-            .and_then(|key| self.endpoints.get_mut(*key))
+        if let Some(known) = self.by_id.get(&it.id).and_then(|key| self.endpoints.get_mut(*key))
             && known.class == it.class
         {
             known.slots = it.slots;
--- a/src/entry/quick.rs
+++ b/src/entry/quick.rs
@@ -29,10 +29,7 @@
     /// Its key is being claimed for this endpoint; nothing is sent before.
     Claiming { endpoint: EndpointKey },
     /// Another request holds the claim of its key; its outcome is looked up from time to time.
-    Following {
-        look_at_ms: u64,
-        asked_ms: Option<u64>,
-    },
+    Following { look_at_ms: u64, asked_ms: Option<u64> },
     /// One or more attempts are under way.
     InFlight {
         /// When another attempt is made, or the agent is asked what became of this one.
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -24,10 +24,7 @@
 impl Error {
     /// Makes an error of `kind`.
     pub fn new(kind: ErrorKind, message: impl Into<CompactString>) -> Error {
-        Error {
-            kind,
-            message: message.into(),
-        }
+        Error { kind, message: message.into() }
     }
 
     /// Makes a report of `kind`, ready to be returned.
@@ -82,12 +79,7 @@
 }
 
 const fn row(kind: ErrorKind, status: u16, ran: Ran, retryable: bool) -> AnswerRow {
-    AnswerRow {
-        kind,
-        status,
-        ran,
-        retryable,
-    }
+    AnswerRow { kind, status, ran, retryable }
 }
 
 /// Every kind with its answer, in the order of the schema.
@@ -141,11 +133,7 @@
 
 /// Makes a refusal that is not worth repeating.
 pub fn refusal(kind: ErrorKind, detail: impl Into<CompactString>) -> Refusal {
-    Refusal {
-        kind,
-        detail: detail.into(),
-        retry_after_ms: 0,
-    }
+    Refusal { kind, detail: detail.into(), retry_after_ms: 0 }
 }
 
 /// Makes a refusal that says when to come back.
@@ -154,9 +142,5 @@
     detail: impl Into<CompactString>,
     retry_after_ms: u64,
 ) -> Refusal {
-    Refusal {
-        kind,
-        detail: detail.into(),
-        retry_after_ms,
-    }
+    Refusal { kind, detail: detail.into(), retry_after_ms }
 }
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -28,30 +28,18 @@
     let parts: Vec<_> = it.path.trim_matches('/').split('/').collect();
     match (it.method.as_str(), parts.as_slice()) {
         ("POST", ["v1", "admin", "configuration"]) => {
-            let ChangeBody {
-                based_on,
-                key,
-                change,
-            } = it.json()?;
+            let ChangeBody { based_on, key, change } = it.json()?;
             if key.is_empty() {
                 return Err(refusal(ErrorKind::BadRequest, "key must not be empty"));
             }
-            let command = ConfigureCommand {
-                based_on,
-                key,
-                operator,
-                change,
-            };
+            let command = ConfigureCommand { based_on, key, operator, change };
             Ok(Operation::Propose(Command::Configure(command)))
         }
         ("POST", ["v1", "admin", "members"]) => Ok(Operation::Membership(it.json()?)),
         ("POST", ["v1", "admin", "drain"]) => Ok(Operation::Drain(it.json()?)),
         ("GET", ["v1", "admin", view]) => {
             let view: AdminView = view.parse().map_err(|_| {
-                refusal(
-                    ErrorKind::NotFound,
-                    format_compact!("nothing is named {view}"),
-                )
+                refusal(ErrorKind::NotFound, format_compact!("nothing is named {view}"))
             })?;
             Ok(Operation::Query(Query::View(view)))
         }
@@ -59,9 +47,6 @@
             let detail = format_compact!("{} is not for {}", it.method, it.path);
             Err(refusal(ErrorKind::MethodNotAllowed, detail))
         }
-        _ => Err(refusal(
-            ErrorKind::NotFound,
-            format_compact!("nothing is at {}", it.path),
-        )),
+        _ => Err(refusal(ErrorKind::NotFound, format_compact!("nothing is at {}", it.path))),
     }
 }
--- a/src/http/answer.rs
+++ b/src/http/answer.rs
@@ -40,10 +40,13 @@
             "retry_after_ms": it.retry_after_ms,
         });
         let mut res = HttpAnswer::json(row.status, &body);
+        if matches!(it.kind, ErrorKind::Draining | ErrorKind::ShuttingDown) {
+            // The next request of this caller has to go to another process.
+            res.headers.push(("Connection", "close".to_owned()));
+        }
         if 0 < it.retry_after_ms {
             // The header counts whole seconds; the body has the exact time.
-            res.headers
-                .push(("Retry-After", it.retry_after_ms.div_ceil(1_000).to_string()));
+            res.headers.push(("Retry-After", it.retry_after_ms.div_ceil(1_000).to_string()));
         }
         res
     }
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -78,10 +78,9 @@
             CallerRequest::Cancel(jobs)
         }
         ("GET", ["v1", "jobs", id]) => CallerRequest::Job(JobId(number("job", id)?)),
-        ("GET", ["v1", "jobs", id, "result"]) => CallerRequest::JobResult {
-            job: JobId(number("job", id)?),
-            wait_ms: wait_ms(it)?,
-        },
+        ("GET", ["v1", "jobs", id, "result"]) => {
+            CallerRequest::JobResult { job: JobId(number("job", id)?), wait_ms: wait_ms(it)? }
+        }
         ("POST", ["v1", "watches"]) => {
             let WatchBody { key, subject } = it.json()?;
             check_names(&[("key", &key), ("subject", &subject)])?;
@@ -106,10 +105,7 @@
             return Err(refusal(ErrorKind::MethodNotAllowed, detail));
         }
         _ => {
-            return Err(refusal(
-                ErrorKind::NotFound,
-                format_compact!("nothing is at {}", it.path),
-            ));
+            return Err(refusal(ErrorKind::NotFound, format_compact!("nothing is at {}", it.path)));
         }
     };
     Ok((team, request))
@@ -118,12 +114,7 @@
 /// Returns the HTTP form of an answer.
 pub fn answer(it: CallerAnswer) -> HttpAnswer {
     match it {
-        CallerAnswer::Quick {
-            status,
-            content_type,
-            body,
-            attempts,
-        } => HttpAnswer {
+        CallerAnswer::Quick { status, content_type, body, attempts } => HttpAnswer {
             status,
             content_type,
             headers: vec![("Aspenrail-Attempts", attempts.to_string())],
@@ -173,10 +164,7 @@
 
 fn number(name: &str, text: &str) -> Result<u64, Refusal> {
     text.parse().map_err(|_| {
-        refusal(
-            ErrorKind::BadRequest,
-            format_compact!("{name} is '{text}', not a whole number"),
-        )
+        refusal(ErrorKind::BadRequest, format_compact!("{name} is '{text}', not a whole number"))
     })
 }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -36,10 +36,7 @@
 pub fn call_executor(client: &Agent, it: &ExecutorCall) -> ExecutorResult {
     let sent = client
         .post(format!("http://{}{}", it.address, it.path))
-        .header(
-            "Aspenrail-Request",
-            format!("{:x}-{}", it.request.boot, it.request.number),
-        )
+        .header("Aspenrail-Request", format!("{:x}-{}", it.request.boot, it.request.number))
         .header("Aspenrail-Team", it.team.as_str())
         .config()
         .timeout_global(Some(Duration::from_millis(it.timeout_ms.max(1))))
@@ -57,12 +54,7 @@
         .get("content-type")
         .and_then(|it| it.to_str().ok())
         .map(CompactString::from);
-    match response
-        .body_mut()
-        .with_config()
-        .limit(ANSWER_MAX_BYTES)
-        .read_to_vec()
-    {
+    match response.body_mut().with_config().limit(ANSWER_MAX_BYTES).read_to_vec() {
         Ok(body) => ExecutorResult::Answered {
             status: response.status().as_u16(),
             content_type: content_type.unwrap_or_else(|| "application/octet-stream".into()),
@@ -86,52 +78,27 @@
 pub fn call_worker(client: &Agent, worker: SocketAddr, it: &WorkerCall) -> WorkerResult {
     let (path, body) = match it {
         WorkerCall::List => return list(client, worker),
-        WorkerCall::Lease {
-            session,
-            until_boottime_ms,
-        } => (
+        WorkerCall::Lease { session, until_boottime_ms } => (
             "/v1/lease".to_owned(),
             json!({"session": session, "until_boottime_ms": until_boottime_ms}),
         ),
-        WorkerCall::Start {
-            session,
-            task,
-            incarnation,
-            start,
-        } => (
+        WorkerCall::Start { session, task, incarnation, start } => (
             format!("/v1/tasks/{task}/start"),
             json!({"session": session, "incarnation": incarnation, "start": start}),
         ),
-        WorkerCall::Throttle {
-            session,
-            task,
-            incarnation,
-            permille,
-        } => (
+        WorkerCall::Throttle { session, task, incarnation, permille } => (
             format!("/v1/tasks/{task}/throttle"),
             json!({"session": session, "incarnation": incarnation, "permille": permille}),
         ),
-        WorkerCall::Checkpoint {
-            session,
-            task,
-            incarnation,
-        } => (
+        WorkerCall::Checkpoint { session, task, incarnation } => (
             format!("/v1/tasks/{task}/checkpoint"),
             json!({"session": session, "incarnation": incarnation}),
         ),
-        WorkerCall::Stop {
-            session,
-            task,
-            incarnation,
-        } => (
+        WorkerCall::Stop { session, task, incarnation } => (
             format!("/v1/tasks/{task}/stop"),
             json!({"session": session, "incarnation": incarnation}),
         ),
-        WorkerCall::Forget {
-            session,
-            task,
-            incarnation,
-        } => (
+        WorkerCall::Forget { session, task, incarnation } => (
             format!("/v1/tasks/{task}/forget"),
             json!({"session": session, "incarnation": incarnation}),
         ),
@@ -160,11 +127,7 @@
         .build()
         .call();
     let text = match sent {
-        Ok(mut response) => response
-            .body_mut()
-            .with_config()
-            .limit(ANSWER_MAX_BYTES)
-            .read_to_vec(),
+        Ok(mut response) => response.body_mut().with_config().limit(ANSWER_MAX_BYTES).read_to_vec(),
         Err(error) => return WorkerResult::Failed(format_compact!("{error}")),
     };
     let report = text.map_err(|it| it.to_string());
--- a/src/http/local.rs
+++ b/src/http/local.rs
@@ -30,9 +30,6 @@
             let detail = format_compact!("{} is not for {}", it.method, it.path);
             Err(refusal(ErrorKind::MethodNotAllowed, detail))
         }
-        _ => Err(refusal(
-            ErrorKind::NotFound,
-            format_compact!("nothing is at {}", it.path),
-        )),
+        _ => Err(refusal(ErrorKind::NotFound, format_compact!("nothing is at {}", it.path))),
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,25 +1,36 @@
 //! The HTTP server behind every edge.
+//!
+//! It is `hyper` on threads of its own. `tiny_http` served the first version and was measured:
+//! of 32 callers that connected at the same moment and kept their connections, up to 10 waited
+//! until another connection closed, since its connections share a pool of threads. DESIGN.md
+//! has the figures; tests/http_server.rs keeps the case.
 
 use std::{
     collections::HashMap,
-    io::Read,
+    convert::Infallible,
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     thread,
+    time::Duration,
 };
 
+use bytes::Bytes;
 use error_stack::ResultExt;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{Request, Response, body::Incoming, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, sync::oneshot};
 
 use crate::{http::HttpAnswer, prelude::*};
 
 /// Headers of one request, all together.
 const HEADERS_MAX_BYTES: usize = 16 * 1024;
 
-/// Threads that write answers.
-const RESPONDERS: usize = 4;
+/// Time that a caller may take to send its headers, and then its body.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// What a server is told by the settings.
 #[derive(Clone, Copy, Debug)]
@@ -36,17 +47,14 @@
     /// Path without the query.
     pub path: CompactString,
     pub query: HashMap<CompactString, CompactString>,
-    headers: Vec<(CompactString, CompactString)>,
+    headers: http::HeaderMap,
     pub body: Vec<u8>,
 }
 
 impl HttpRequest {
     /// Returns a header; its name is compared without regard to case.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(it, _)| it.eq_ignore_ascii_case(name))
-            .map(|(_, it)| it.as_str())
+        self.headers.get(name)?.to_str().ok()
     }
 
     /// Returns a number of the query.
@@ -58,12 +66,13 @@
         let Some(text) = self.query.get(name) else {
             return Ok(default);
         };
-        text.parse().map_err(|_| {
+        let bad = |_| {
             refusal(
                 ErrorKind::BadRequest,
                 format_compact!("{name} is '{text}', not a whole number"),
             )
-        })
+        };
+        text.parse().map_err(bad)
     }
 
     /// Reads the body as JSON.
@@ -73,91 +82,50 @@
     /// Returns a refusal that says where the body is wrong.
     pub fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, Refusal> {
         serde_json::from_slice(&self.body).map_err(|it| {
-            refusal(
-                ErrorKind::BadRequest,
-                format_compact!("the body is not as documented: {it}"),
-            )
+            refusal(ErrorKind::BadRequest, format_compact!("the body is not as documented: {it}"))
         })
     }
 }
 
 /// Requests that wait for their answer from a core.
 ///
-/// The request itself is kept here, not a thread: thousands of held polls cost memory only.
-#[derive(Clone)]
+/// A held poll costs an entry here and its connection, no thread.
+#[derive(Clone, Default)]
 pub struct Pending {
     inner: Arc<Inner>,
 }
 
+#[derive(Default)]
 struct Inner {
-    requests: Mutex<HashMap<u64, tiny_http::Request>>,
+    answers: Mutex<HashMap<u64, oneshot::Sender<HttpAnswer>>>,
     next: AtomicU64,
-    responses: crossbeam_channel::Sender<(tiny_http::Request, HttpAnswer)>,
 }
 
 impl Pending {
-    /// Makes the table and the threads that write answers.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error when a thread cannot be started.
-    pub fn start() -> Result<Pending> {
-        let (responses, receiver) =
-            crossbeam_channel::unbounded::<(tiny_http::Request, HttpAnswer)>();
-        for _ in 0..RESPONDERS {
-            let receiver = receiver.clone();
-            let write = move || {
-                receiver
-                    .iter()
-                    .for_each(|(request, answer)| respond(request, answer))
-            };
-            spawn("http-respond", write)?;
-        }
-        let inner = Inner {
-            requests: Mutex::new(HashMap::new()),
-            next: AtomicU64::new(1),
-            responses,
-        };
-        Ok(Pending {
-            inner: Arc::new(inner),
-        })
-    }
-
     /// Answers the request that has a token; a second answer changes nothing.
     pub fn answer(&self, token: u64, answer: HttpAnswer) {
-        let request = self.lock().remove(&token);
-        if let Some(it) = request {
-            let _ = self.inner.responses.send((it, answer));
+        let waiting = self.lock().remove(&token);
+        if let Some(it) = waiting {
+            // Fails where the caller is gone; there is nobody left to tell.
+            let _ = it.send(answer);
         }
     }
 
-    /// Returns the requests that wait.
-    pub fn len(&self) -> usize {
-        self.lock().len()
-    }
-
-    /// Returns whether no request waits.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    fn keep(&self, request: tiny_http::Request) -> u64 {
+    fn wait(&self) -> (u64, oneshot::Receiver<HttpAnswer>) {
         let token = self.inner.next.fetch_add(1, Ordering::Relaxed);
-        self.lock().insert(token, request);
-        token
+        let (sender, receiver) = oneshot::channel();
+        self.lock().insert(token, sender);
+        (token, receiver)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, tiny_http::Request>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<HttpAnswer>>> {
         // The table is whole at every unlock, also after a panic elsewhere.
-        self.inner
-            .requests
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.inner.answers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// Starts a server; `handle` gets each request with a token, and returns its answer or leaves it
-/// to be given later through `pending`.
+/// to be given later through `pending`. It runs on the server's threads and must not block.
 ///
 /// # Errors
 ///
@@ -166,147 +134,154 @@
 where
     H: Fn(u64, HttpRequest) -> Option<HttpAnswer> + Clone + Send + 'static,
 {
-    let cannot = || {
-        Error::new(
-            ErrorKind::Internal,
-            format_compact!("cannot listen on {}", options.listen),
-        )
-    };
-    let socket = socket2::Socket::new(
-        socket2::Domain::for_address(options.listen),
-        socket2::Type::STREAM,
-        None,
-    )
-    .change_context_lazy(cannot)?;
-    // An accepted connection inherits this: without it, an answer in two segments waits for the
-    // caller's delayed acknowledgement, some 40 ms.
-    socket.set_tcp_nodelay(true).change_context_lazy(cannot)?;
+    let cannot =
+        || Error::new(ErrorKind::Internal, format_compact!("cannot listen on {}", options.listen));
+    let domain = socket2::Domain::for_address(options.listen);
+    let socket =
+        socket2::Socket::new(domain, socket2::Type::STREAM, None).change_context_lazy(cannot)?;
+    // A process that restarts takes its address back at once.
     socket.set_reuse_address(true).change_context_lazy(cannot)?;
-    socket
-        .bind(&options.listen.into())
-        .change_context_lazy(cannot)?;
+    socket.set_nonblocking(true).change_context_lazy(cannot)?;
+    socket.bind(&options.listen.into()).change_context_lazy(cannot)?;
     socket.listen(1024).change_context_lazy(cannot)?;
-    let server = tiny_http::Server::from_listener(std::net::TcpListener::from(socket), None)
-        .map_err(|it| {
-            Error::report(
-                ErrorKind::Internal,
-                format_compact!("cannot serve HTTP on {}: {it}", options.listen),
-            )
-        })?;
-    let server = Arc::new(server);
+    let listener = std::net::TcpListener::from(socket);
     for _ in 0..options.threads {
-        let (server, pending, handle) = (server.clone(), pending.clone(), handle.clone());
+        let listener = listener.try_clone().change_context_lazy(cannot)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime
+            .change_context_lazy(|| Error::new(ErrorKind::Internal, "cannot start a runtime"))?;
+        let (pending, handle) = (pending.clone(), handle.clone());
         let serve = move || {
-            for request in server.incoming_requests() {
-                serve_one(request, &options, &pending, &handle);
-            }
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, accept(listener, options, pending, handle));
         };
-        spawn("http-serve", serve)?;
+        let started = thread::Builder::new().name("http".to_owned()).spawn(serve);
+        started.change_context_lazy(|| Error::new(ErrorKind::Internal, "cannot start a thread"))?;
     }
     Ok(())
 }
 
-fn spawn(name: &str, body: impl FnOnce() + Send + 'static) -> Result<()> {
-    let started = thread::Builder::new()
-        .name(name.to_owned())
-        .stack_size(512 * 1024)
-        .spawn(body);
-    started.change_context_lazy(|| Error::new(ErrorKind::Internal, "cannot start a thread"))?;
-    Ok(())
-}
-
-fn serve_one<H>(
-    mut request: tiny_http::Request,
-    options: &ServerOptions,
-    pending: &Pending,
-    handle: &H,
+async fn accept<H>(
+    listener: std::net::TcpListener,
+    options: ServerOptions,
+    pending: Pending,
+    handle: H,
 ) where
-    H: Fn(u64, HttpRequest) -> Option<HttpAnswer>,
+    H: Fn(u64, HttpRequest) -> Option<HttpAnswer> + Clone + Send + 'static,
 {
-    let parsed = match read_request(&mut request, options.body_max_bytes) {
+    let listener = match TcpListener::from_std(listener) {
         Ok(it) => it,
-        Err(it) => return respond(request, HttpAnswer::refusal(&it)),
+        Err(error) => return tracing::error!(event = "http_listen_failed", %error),
     };
-    // Kept before it is handled: the answer may come before the handler returns.
-    let token = pending.keep(request);
-    if let Some(answer) = handle(token, parsed) {
-        pending.answer(token, answer);
+    loop {
+        let tcp = match listener.accept().await {
+            Ok((it, _)) => it,
+            Err(error) => {
+                // Such as too many open files: it passes, and must not spin meanwhile.
+                tracing::warn!(event = "http_accept_failed", %error);
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        // Without this an answer in two segments waits for a delayed acknowledgement.
+        let _ = tcp.set_nodelay(true);
+        let (pending, handle) = (pending.clone(), handle.clone());
+        let service =
+            service_fn(move |request| serve_one(request, options, pending.clone(), handle.clone()));
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(READ_TIMEOUT)
+            .max_buf_size(HEADERS_MAX_BYTES.max(8 * 1024))
+            .serve_connection(TokioIo::new(tcp), service);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(event = "caller_gone", %error);
+            }
+        });
     }
 }
 
-fn read_request(
-    request: &mut tiny_http::Request,
+async fn serve_one<H>(
+    request: Request<Incoming>,
+    options: ServerOptions,
+    pending: Pending,
+    handle: H,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    H: Fn(u64, HttpRequest) -> Option<HttpAnswer>,
+{
+    let answer = match read_request(request, options.body_max_bytes).await {
+        Ok(parsed) => {
+            // Waited for before it is handled: the answer may come before the handler returns.
+            let (token, answer) = pending.wait();
+            if let Some(it) = handle(token, parsed) {
+                pending.answer(token, it);
+            }
+            answer.await.unwrap_or_else(|_| {
+                HttpAnswer::refusal(&refusal(
+                    ErrorKind::Internal,
+                    "the answer to this request was lost",
+                ))
+            })
+        }
+        Err(it) => HttpAnswer::refusal(&it),
+    };
+    Ok(respond(answer))
+}
+
+async fn read_request(
+    request: Request<Incoming>,
     body_max_bytes: usize,
 ) -> Result<HttpRequest, Refusal> {
-    let headers: Vec<_> = request
-        .headers()
-        .iter()
-        .map(|it| {
-            (
-                CompactString::from(it.field.as_str().as_str()),
-                CompactString::from(it.value.as_str()),
-            )
-        })
-        .collect();
-    let headers_bytes: usize = headers
-        .iter()
-        .map(|(name, value)| name.len() + value.len())
-        .sum();
-    if HEADERS_MAX_BYTES < headers_bytes {
-        let detail =
-            format_compact!("headers of {headers_bytes} bytes, the most is {HEADERS_MAX_BYTES}");
-        return Err(refusal(ErrorKind::PayloadTooLarge, detail));
-    }
-    let too_large = |bytes: usize| {
-        let detail =
-            format_compact!("body of at least {bytes} bytes, the most is {body_max_bytes}");
+    let (head, body) = request.into_parts();
+    let too_large = || {
+        let detail = format_compact!("the body is larger than {body_max_bytes} bytes");
         refusal(ErrorKind::PayloadTooLarge, detail)
     };
-    if let Some(bytes) = request.body_length().filter(|it| body_max_bytes < *it) {
-        return Err(too_large(bytes));
+    let declared = head
+        .headers
+        .get(http::header::CONTENT_LENGTH)
+        .and_then(|it| it.to_str().ok()?.parse().ok());
+    if declared.is_some_and(|it: usize| body_max_bytes < it) {
+        return Err(too_large());
     }
-    let mut body = Vec::new();
-    let limit = body_max_bytes as u64 + 1;
-    request
-        .as_reader()
-        .take(limit)
-        .read_to_end(&mut body)
-        .map_err(|it| {
-            refusal(
+    let reading = tokio::time::timeout(READ_TIMEOUT, Limited::new(body, body_max_bytes).collect());
+    let body = match reading.await {
+        Ok(Ok(it)) => it.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(too_large()),
+        Ok(Err(error)) => {
+            return Err(refusal(
                 ErrorKind::BadRequest,
-                format_compact!("the body cannot be read: {it}"),
-            )
-        })?;
-    if body_max_bytes < body.len() {
-        return Err(too_large(body.len()));
-    }
-    if request.body_length().is_some_and(|it| body.len() < it) {
-        return Err(refusal(ErrorKind::BadRequest, "the body ended early"));
-    }
-    let (path, query) = request.url().split_once('?').unwrap_or((request.url(), ""));
-    let pairs = query.split('&').filter_map(|it| it.split_once('='));
+                format_compact!("the body cannot be read: {error}"),
+            ));
+        }
+        Err(_) => {
+            return Err(refusal(ErrorKind::BadRequest, "the body did not arrive in time"));
+        }
+    };
+    let pairs = head.uri.query().unwrap_or_default().split('&').filter_map(|it| it.split_once('='));
     Ok(HttpRequest {
-        method: format_compact!("{}", request.method()),
-        path: path.into(),
-        query: pairs
-            .map(|(name, value)| (name.into(), value.into()))
-            .collect(),
-        headers,
-        body,
+        method: head.method.as_str().into(),
+        path: head.uri.path().into(),
+        query: pairs.map(|(name, value)| (name.into(), value.into())).collect(),
+        headers: head.headers,
+        body: body.to_vec(),
     })
 }
 
-fn respond(request: tiny_http::Request, answer: HttpAnswer) {
-    let mut response = tiny_http::Response::from_data(answer.body).with_status_code(answer.status);
-    let mut headers = vec![("Content-Type", answer.content_type.to_string())];
-    headers.extend(answer.headers);
+fn respond(answer: HttpAnswer) -> Response<Full<Bytes>> {
+    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() = status;
+    let headers =
+        answer.headers.into_iter().chain([("Content-Type", answer.content_type.to_string())]);
     for (name, value) in headers {
         // A value that is no header text is left out; the answer itself must arrive.
-        if let Ok(it) = tiny_http::Header::from_bytes(name.as_bytes(), value.as_bytes()) {
-            response.add_header(it);
+        if let (Ok(name), Ok(value)) =
+            (http::HeaderName::from_bytes(name.as_bytes()), value.parse())
+        {
+            response.headers_mut().insert(name, value);
         }
     }
-    if let Err(error) = request.respond(response) {
-        tracing::debug!(event = "caller_gone", %error);
-    }
+    response
 }
--- a/src/http/tokens.rs
+++ b/src/http/tokens.rs
@@ -25,21 +25,13 @@
     /// Returns an error that names the line's holder, never the token.
     pub fn load(path: &Path) -> Result<Tokens> {
         let bad = |message: CompactString| {
-            Error::report(
-                ErrorKind::BadRequest,
-                format_compact!("{}: {message}", path.display()),
-            )
+            Error::report(ErrorKind::BadRequest, format_compact!("{}: {message}", path.display()))
         };
         let file = ini::Ini::load_from_file(path).map_err(|it| bad(format_compact!("{it}")))?;
-        let mut res = Tokens {
-            names: Vec::new(),
-            digests: Vec::new(),
-        };
+        let mut res = Tokens { names: Vec::new(), digests: Vec::new() };
         for (section, properties) in file.iter() {
             if let Some(it) = section {
-                return Err(bad(format_compact!(
-                    "[{it}]: a file of tokens has no sections"
-                )));
+                return Err(bad(format_compact!("[{it}]: a file of tokens has no sections")));
             }
             for (name, token) in properties.iter() {
                 if token.len() < TOKEN_MIN_BYTES {
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -72,11 +72,7 @@
         for _ in 0..2 {
             let queue = peers.entry(to).or_insert_with(|| {
                 let (sender, receiver) = mpsc::channel(options.queue_messages);
-                let peer = Peer {
-                    address: to,
-                    options: options.clone(),
-                    metrics: metrics.clone(),
-                };
+                let peer = Peer { address: to, options: options.clone(), metrics: metrics.clone() };
                 tokio::task::spawn_local(carry(peer, receiver, sink.clone()));
                 sender
             });
@@ -132,12 +128,8 @@
             if let Err(error) = send(&peer, &mut stream, &envelope).await {
                 break Err(error);
             }
-            next = match time::timeout(IDLE_TIMEOUT, receive_or_break(&mut queue, &mut stream))
-                .await
-            {
-                Ok(it) => it,
-                Err(_) => None,
-            };
+            let waited = time::timeout(IDLE_TIMEOUT, receive_or_break(&mut queue, &mut stream));
+            next = waited.await.unwrap_or_default();
             if next.is_none() && stream.broken {
                 break Err(other("the peer closed the connection"));
             }
@@ -190,25 +182,17 @@
         let _ = closing.send(());
     });
     std::future::poll_fn(|cx| client.poll_ready(cx)).await?;
-    let request = http::Request::post(format!("http://{}/link", peer.address))
-        .body(())
-        .map_err(other)?;
+    let request =
+        http::Request::post(format!("http://{}/link", peer.address)).body(()).map_err(other)?;
     let (response, send) = client.send_request(request, false)?;
-    let mut stream = Stream {
-        send,
-        closed,
-        broken: false,
-    };
+    let mut stream = Stream { send, closed, broken: false };
     let hello = encode_frame(&peer.options.hello, peer.options.frame_max_bytes).map_err(other)?;
     write(&mut stream, hello).await?;
     let response = response.await?;
     if response.status() != http::StatusCode::OK {
         let wanted = peer.options.hello.version;
         tracing::error!(event = "link_version_refused", peer = %peer.address, ours = wanted, status = %response.status());
-        return Err(other(format_compact!(
-            "the peer answered {}",
-            response.status()
-        )));
+        return Err(other(format_compact!("the peer answered {}", response.status())));
     }
     Ok(stream)
 }
--- a/src/link/codec.rs
+++ b/src/link/codec.rs
@@ -34,10 +34,7 @@
     let body = bincode::serde::encode_to_vec(it, bincode::config::standard())
         .map_err(|it| FrameError::Undecodable(it.to_string()))?;
     if max_bytes < body.len() {
-        return Err(FrameError::TooLarge {
-            bytes: body.len(),
-            max_bytes,
-        });
+        return Err(FrameError::TooLarge { bytes: body.len(), max_bytes });
     }
     let mut res = BytesMut::with_capacity(LENGTH_BYTES + body.len());
     res.put_u32_le(body.len() as u32);
@@ -55,10 +52,7 @@
 impl Frames {
     /// Makes a cutter that accepts frames of at most `max_bytes`.
     pub fn new(max_bytes: usize) -> Frames {
-        Frames {
-            buffer: BytesMut::new(),
-            max_bytes,
-        }
+        Frames { buffer: BytesMut::new(), max_bytes }
     }
 
     /// Takes in bytes as they arrive.
@@ -72,19 +66,12 @@
     ///
     /// Returns an error when the frame is too large, is not of type `T`, or has bytes left over.
     pub fn next_frame<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
-        let Some(length) = self
-            .buffer
-            .get(..LENGTH_BYTES)
-            .and_then(|it| it.try_into().ok())
-        else {
+        let Some(length) = self.buffer.get(..LENGTH_BYTES).and_then(|it| it.try_into().ok()) else {
             return Ok(None);
         };
         let length = u32::from_le_bytes(length) as usize;
         if self.max_bytes < length {
-            return Err(FrameError::TooLarge {
-                bytes: length,
-                max_bytes: self.max_bytes,
-            });
+            return Err(FrameError::TooLarge { bytes: length, max_bytes: self.max_bytes });
         }
         if self.buffer.len() < LENGTH_BYTES + length {
             return Ok(None);
@@ -94,10 +81,9 @@
         let decoded = bincode::serde::decode_from_slice(&body, bincode::config::standard());
         match decoded {
             Ok((it, used)) if used == length => Ok(Some(it)),
-            Ok((_, used)) => Err(FrameError::Undecodable(format!(
-                "{} bytes are left over",
-                length - used
-            ))),
+            Ok((_, used)) => {
+                Err(FrameError::Undecodable(format!("{} bytes are left over", length - used)))
+            }
             Err(it) => Err(FrameError::Undecodable(it.to_string())),
         }
     }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -23,10 +23,12 @@
 pub enum LinkEvent {
     Message {
         from: SocketAddr,
-        envelope: Envelope,
+        envelope: Box<Envelope>,
     },
     /// The connection to a peer broke; what was sent last may be lost.
-    Lost { peer: SocketAddr },
+    Lost {
+        peer: SocketAddr,
+    },
 }
 
 /// Takes in the events of a link; called on the link's thread.
@@ -62,10 +64,7 @@
         sink: S,
     ) -> Result<Link> {
         let cannot = || {
-            Error::new(
-                ErrorKind::Internal,
-                format_compact!("cannot listen on {}", options.listen),
-            )
+            Error::new(ErrorKind::Internal, format_compact!("cannot listen on {}", options.listen))
         };
         let listener = std::net::TcpListener::bind(options.listen).change_context_lazy(cannot)?;
         listener.set_nonblocking(true).change_context_lazy(cannot)?;
@@ -87,12 +86,9 @@
                 client::route(incoming, options, metrics, sink).await;
             });
         };
-        thread::Builder::new()
-            .name("link".to_owned())
-            .spawn(carry)
-            .change_context_lazy(|| {
-                Error::new(ErrorKind::Internal, "cannot start the links' thread")
-            })?;
+        thread::Builder::new().name("link".to_owned()).spawn(carry).change_context_lazy(|| {
+            Error::new(ErrorKind::Internal, "cannot start the links' thread")
+        })?;
         Ok(Link { outgoing })
     }
 
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -109,7 +109,7 @@
             match frames.next_frame::<Envelope>() {
                 Ok(Some(envelope)) => sink.accept(LinkEvent::Message {
                     from: hello.address,
-                    envelope,
+                    envelope: Box::new(envelope),
                 }),
                 Ok(None) => break,
                 Err(error) => {
@@ -127,9 +127,7 @@
 /// The layout of [`Hello`] never changes, so that any two versions understand each other's
 /// refusal.
 fn greet(frames: &mut Frames, options: &LinkOptions) -> Result<Option<Hello>, String> {
-    let hello: Option<Hello> = frames
-        .next_frame()
-        .map_err(|it: FrameError| it.to_string())?;
+    let hello: Option<Hello> = frames.next_frame().map_err(|it: FrameError| it.to_string())?;
     let Some(hello) = hello else { return Ok(None) };
     let ours = &options.hello;
     if hello.version != ours.version {
@@ -140,10 +138,7 @@
     }
     if (hello.region, hello.group) != (ours.region, ours.group) {
         let place = (hello.region, hello.group);
-        return Err(format!(
-            "{} is of region and group {place:?}",
-            hello.process
-        ));
+        return Err(format!("{} is of region and group {place:?}", hello.process));
     }
     Ok(Some(hello))
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -68,15 +68,8 @@
 pub const LINK_DROP_REASONS: [&str; 3] = ["queue_full", "no_connection", "too_large"];
 
 /// What is counted of the state.
-pub const STATE_GAUGES: [&str; 7] = [
-    "vms",
-    "jobs",
-    "tasks",
-    "waiting",
-    "claims",
-    "watches",
-    "log_entries",
-];
+pub const STATE_GAUGES: [&str; 7] =
+    ["vms", "jobs", "tasks", "waiting", "claims", "watches", "log_entries"];
 
 impl Metrics {
     /// Makes the metrics of a process, all at zero.
@@ -96,67 +89,42 @@
             registry.register(Box::new(res.clone()))?;
             Ok(res)
         };
-        let refusals = counters(
-            "aspenrail_refusals_total",
-            "Requests refused, by kind.",
-            "kind",
-        )?;
-        let retries = counters(
-            "aspenrail_retries_total",
-            "Attempts repeated, by reason.",
-            "reason",
-        )?;
+        let refusals = counters("aspenrail_refusals_total", "Requests refused, by kind.", "kind")?;
+        let retries =
+            counters("aspenrail_retries_total", "Attempts repeated, by reason.", "reason")?;
         let dropped = counters(
             "aspenrail_answers_dropped_total",
             "Answers not passed on, by reason.",
             "reason",
         )?;
-        let link_dropped = counters(
-            "aspenrail_link_dropped_total",
-            "Messages not sent, by reason.",
-            "reason",
-        )?;
-        ANSWERS
-            .iter()
-            .for_each(|it| drop(refusals.with_label_values(&[&it.kind.to_string()])));
-        RetryReason::ALL
-            .iter()
-            .for_each(|it| drop(retries.with_label_values(&[it.as_str()])));
-        Dropped::ALL
-            .iter()
-            .for_each(|it| drop(dropped.with_label_values(&[it.as_str()])));
-        LINK_DROP_REASONS
-            .iter()
-            .for_each(|it| drop(link_dropped.with_label_values(&[it])));
+        let link_dropped =
+            counters("aspenrail_link_dropped_total", "Messages not sent, by reason.", "reason")?;
+        ANSWERS.iter().for_each(|it| drop(refusals.with_label_values(&[&it.kind.to_string()])));
+        RetryReason::ALL.iter().for_each(|it| drop(retries.with_label_values(&[it.as_str()])));
+        Dropped::ALL.iter().for_each(|it| drop(dropped.with_label_values(&[it.as_str()])));
+        LINK_DROP_REASONS.iter().for_each(|it| drop(link_dropped.with_label_values(&[it])));
         let options = HistogramOpts::new(
             "aspenrail_answer_seconds",
             "Answer times of quick requests, by class.",
         );
         let answers = HistogramVec::new(options.buckets(ANSWER_BUCKETS.to_vec()), &["class"])?;
         registry.register(Box::new(answers.clone()))?;
-        let in_force_revision = IntGauge::new(
-            "aspenrail_in_force_revision",
-            "Configuration revision in force here.",
-        )?;
+        let in_force_revision =
+            IntGauge::new("aspenrail_in_force_revision", "Configuration revision in force here.")?;
         registry.register(Box::new(in_force_revision.clone()))?;
         let state = IntGaugeVec::new(
             Opts::new("aspenrail_state", "What control keeps, by table."),
             &["table"],
         )?;
         registry.register(Box::new(state.clone()))?;
-        STATE_GAUGES
-            .iter()
-            .for_each(|it| drop(state.with_label_values(&[it])));
+        STATE_GAUGES.iter().for_each(|it| drop(state.with_label_values(&[it])));
         Ok(Metrics {
             refusals,
             retries,
             dropped,
             answers,
             link_dropped,
-            requests: counter(
-                "aspenrail_requests_total",
-                "Requests taken in at the edges.",
-            )?,
+            requests: counter("aspenrail_requests_total", "Requests taken in at the edges.")?,
             ejections: counter(
                 "aspenrail_ejections_total",
                 "Endpoints left out of routing for failing.",
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -34,11 +34,7 @@
 impl<K: Copy + PartialEq> FairQueue<K> {
     /// Makes an empty queue.
     pub fn new() -> FairQueue<K> {
-        FairQueue {
-            teams: BTreeMap::new(),
-            served: BTreeMap::new(),
-            len: 0,
-        }
+        FairQueue { teams: BTreeMap::new(), served: BTreeMap::new(), len: 0 }
     }
 
     pub fn len(&self) -> usize {
@@ -82,13 +78,8 @@
         }
         if !self.teams.contains_key(team) {
             // A team that comes back competes from now on; it has saved up nothing.
-            let floor = self
-                .teams
-                .keys()
-                .filter_map(|it| self.served.get(it))
-                .min()
-                .copied()
-                .unwrap_or(0);
+            let floor =
+                self.teams.keys().filter_map(|it| self.served.get(it)).min().copied().unwrap_or(0);
             let served = self.served.entry(team.into()).or_insert(floor);
             *served = (*served).max(floor);
         }
@@ -100,11 +91,8 @@
     /// Takes the next request of the team that was served least.
     pub fn pop(&mut self) -> Option<Waiting<K>> {
         let served = &self.served;
-        let team = self
-            .teams
-            .keys()
-            .min_by_key(|it| served.get(*it).copied().unwrap_or(0))
-            .cloned()?;
+        let team =
+            self.teams.keys().min_by_key(|it| served.get(*it).copied().unwrap_or(0)).cloned()?;
         let list = self.teams.get_mut(&team)?;
         let it = list.pop_front();
         if list.is_empty() {
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -36,10 +36,7 @@
         let log_ratio = (run_ms.max(1) as f64 / declared_ms.max(1) as f64)
             .ln()
             .clamp(-LOG_RATIO_MAX, LOG_RATIO_MAX);
-        let it = self
-            .histories
-            .entry((team.into(), kind.into()))
-            .or_default();
+        let it = self.histories.entry((team.into(), kind.into())).or_default();
         it.observed += 1;
         let gain = GAIN.max(1.0 / f64::from(it.observed + 1));
         it.log_ratio += (log_ratio - it.log_ratio) * gain;
@@ -47,10 +44,8 @@
 
     /// Returns the run time to expect of a task declared at `declared_ms`.
     pub fn expect_ms(&self, team: &str, kind: &str, declared_ms: u64) -> u64 {
-        let ratio = self
-            .histories
-            .get(&(team.into(), kind.into()))
-            .map_or(1.0, |it| it.log_ratio.exp());
+        let ratio =
+            self.histories.get(&(team.into(), kind.into())).map_or(1.0, |it| it.log_ratio.exp());
         ((declared_ms.max(1) as f64 * ratio) as u64).max(1)
     }
 }
--- a/src/policy/feedback.rs
+++ b/src/policy/feedback.rs
@@ -93,10 +93,9 @@
                 })
             }
             (Some(task), _) if HIGH_REPORTS <= self.high => Action::Move { task },
-            (None, Some(task)) if HIGH_REPORTS <= self.high => Action::Throttle {
-                task,
-                permille: THROTTLED_PERMILLE,
-            },
+            (None, Some(task)) if HIGH_REPORTS <= self.high => {
+                Action::Throttle { task, permille: THROTTLED_PERMILLE }
+            }
             (Some(task), _) if LOW_REPORTS <= self.low => Action::Release { task },
             (None, _) if LOW_REPORTS <= self.low && self.closed => {
                 self.closed = false;
--- a/src/policy/interference.rs
+++ b/src/policy/interference.rs
@@ -34,10 +34,7 @@
     /// Notes what runs on a VM from now on: kinds with their share of its processors.
     pub fn note(&mut self, vm: VmId, now_ms: u64, kinds: Vec<(CompactString, f64)>) {
         let list = self.scenes.entry(vm).or_default();
-        list.push_back(Scene {
-            since_ms: now_ms,
-            kinds,
-        });
+        list.push_back(Scene { since_ms: now_ms, kinds });
         // The last scene that began before the horizon still covers it.
         while 1 < list.len() && list[1].since_ms + PAST_MS < now_ms {
             list.pop_front();
@@ -67,34 +64,21 @@
 impl Pairs {
     /// Returns the harm that a full VM's worth of `kind` does to `class`.
     pub fn harm(&self, class: &str, kind: &str) -> f64 {
-        self.harm
-            .get(&(class.into(), kind.into()))
-            .copied()
-            .unwrap_or(0.0)
+        self.harm.get(&(class.into(), kind.into())).copied().unwrap_or(0.0)
     }
 
     /// Returns the slow-down of `class` to expect beside `kinds`.
     pub fn slowdown(&self, class: &str, kinds: &[(CompactString, f64)]) -> f64 {
-        1.0 + kinds
-            .iter()
-            .map(|(kind, share)| self.harm(class, kind) * share)
-            .sum::<f64>()
+        1.0 + kinds.iter().map(|(kind, share)| self.harm(class, kind) * share).sum::<f64>()
     }
 
     /// Learns the tail of `class` measured beside `kinds`.
     pub fn observe(&mut self, class: &str, tail_ms: f64, kinds: &[(CompactString, f64)]) {
         let predicted = self.slowdown(class, kinds);
-        let usual_ms = self
-            .usual_ms
-            .entry(class.into())
-            .or_insert(tail_ms / predicted);
+        let usual_ms = self.usual_ms.entry(class.into()).or_insert(tail_ms / predicted);
         // The usual time follows reports from VMs where nothing else is thought to harm.
         let alone_ms = tail_ms / predicted;
-        let usual_gain = if kinds.is_empty() || alone_ms < *usual_ms {
-            GAIN
-        } else {
-            GAIN / 10.0
-        };
+        let usual_gain = if kinds.is_empty() || alone_ms < *usual_ms { GAIN } else { GAIN / 10.0 };
         *usual_ms += (alone_ms - *usual_ms) * usual_gain;
         let error = (tail_ms / usual_ms.max(0.01)).min(20.0) - predicted;
         let power: f64 = kinds.iter().map(|(_, share)| share * share).sum();
--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -165,13 +165,7 @@
             let Some((team, it)) = self.tasks.get(&task).cloned() else {
                 break;
             };
-            self.insert(
-                &team,
-                Waiting {
-                    tier: Tier::Due,
-                    ..it
-                },
-            );
+            self.insert(&team, Waiting { tier: Tier::Due, ..it });
         }
     }
 
@@ -193,8 +187,7 @@
         let Some(it) = self.teams.get(team) else {
             return 0;
         };
-        it.quota
-            .map_or(u64::MAX, |quota| it.running.share_permille(quota))
+        it.quota.map_or(u64::MAX, |quota| it.running.share_permille(quota))
     }
 
     /// Returns the tasks to try now, at most `limit`, each with what it needs.
@@ -227,18 +220,9 @@
             let Some((_, it)) = self.tasks.get(task) else {
                 continue;
             };
-            let quota = self
-                .teams
-                .get(name)
-                .and_then(|it| it.quota)
-                .unwrap_or(it.need);
+            let quota = self.teams.get(name).and_then(|it| it.quota).unwrap_or(it.need);
             running.add(it.need);
-            res.push(Candidate {
-                task: *task,
-                tier: *tier,
-                need: it.need,
-                borrows,
-            });
+            res.push(Candidate { task: *task, tier: *tier, need: it.need, borrows });
             let share = running.share_permille(quota);
             if let Some((tier, _, _)) = waiting.clone().next() {
                 heads.insert((1_000 <= share, *tier != Tier::Urgent, share, name));
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -97,11 +97,7 @@
         let candidates: Vec<VmId> = match aim {
             Aim::Pack => {
                 let looked_at = self.by_cpu.range(range).take(LOOKED_AT_MAX);
-                looked_at
-                    .map(|(_, vm)| *vm)
-                    .filter(fitting)
-                    .take(CANDIDATES)
-                    .collect()
+                looked_at.map(|(_, vm)| *vm).filter(fitting).take(CANDIDATES).collect()
             }
             Aim::Spread => {
                 // Zones differ in which of their VMs are empty; a longer look finds several zones.
@@ -114,11 +110,7 @@
 
     /// The naive twin of [`Index::choose`]: compares every VM.
     pub fn choose_by_scan(&self, need: Resources, aim: Aim, cost: &impl Cost) -> Option<VmId> {
-        let fitting = self
-            .rooms
-            .iter()
-            .filter(|(_, it)| fits(need, it.free))
-            .map(|(id, _)| *id);
+        let fitting = self.rooms.iter().filter(|(_, it)| fits(need, it.free)).map(|(id, _)| *id);
         self.best_of(fitting, need, aim, cost)
     }
 
@@ -143,10 +135,7 @@
         };
         let scored = candidates.filter_map(|vm| Some((score(vm)?, vm)));
         let best = scored.min_by(|(a, _), (b, _)| {
-            (a.0, a.1)
-                .cmp(&(b.0, b.1))
-                .then(a.2.total_cmp(&b.2))
-                .then(a.3.cmp(&b.3))
+            (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)).then(a.3.cmp(&b.3))
         });
         best.map(|(_, vm)| vm)
     }
--- a/src/policy/preemption.rs
+++ b/src/policy/preemption.rs
@@ -62,10 +62,7 @@
 impl EvictionBudget {
     /// Makes a budget that is a quarter full, so that a change of leader grants no new hour.
     pub fn new(per_hour: u32, now_ms: u64) -> EvictionBudget {
-        EvictionBudget {
-            tokens: (f64::from(per_hour) / 4.0).ceil(),
-            filled_ms: now_ms,
-        }
+        EvictionBudget { tokens: (f64::from(per_hour) / 4.0).ceil(), filled_ms: now_ms }
     }
 
     /// Takes one eviction from the budget, or returns whether it is spent.
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -142,9 +142,7 @@
     /// Notes a probe that was refused before it ran, which says nothing either way.
     pub fn note_refused(&mut self, now_ms: u64) {
         if self.health == Health::HalfOpen {
-            self.health = Health::Ejected {
-                until_ms: now_ms + EJECTION_MIN_MS,
-            };
+            self.health = Health::Ejected { until_ms: now_ms + EJECTION_MIN_MS };
         }
     }
 
@@ -156,9 +154,7 @@
         if probe_failed || too_many {
             let doubled = EJECTION_MIN_MS << self.ejections_in_row.min(5);
             self.ejections_in_row += 1;
-            self.health = Health::Ejected {
-                until_ms: now_ms + doubled.min(EJECTION_MAX_MS),
-            };
+            self.health = Health::Ejected { until_ms: now_ms + doubled.min(EJECTION_MAX_MS) };
         }
     }
 }
--- a/src/policy/routing.rs
+++ b/src/policy/routing.rs
@@ -43,10 +43,7 @@
 
 /// Returns the index of the best of the sampled views.
 pub fn best_of(views: &[EndpointView]) -> Option<usize> {
-    let scored = views
-        .iter()
-        .enumerate()
-        .map(|(at, it)| (at, expected_ms(it)));
+    let scored = views.iter().enumerate().map(|(at, it)| (at, expected_ms(it)));
     scored.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
--- a/src/runtime/adapters.rs
+++ b/src/runtime/adapters.rs
@@ -30,10 +30,8 @@
     fn send(&self, to: SocketAddr, in_force: Revision, message: Message) {
         let envelope = Envelope { in_force, message };
         if to == self.own {
-            let event = Event::Link(LinkEvent::Message {
-                from: self.own,
-                envelope,
-            });
+            let event =
+                Event::Link(LinkEvent::Message { from: self.own, envelope: Box::new(envelope) });
             self.loopback.borrow_mut().push_back(event);
         } else {
             self.link.send(to, envelope);
@@ -134,10 +132,7 @@
             ("watches", state.watches.len()),
             ("log_entries", log_entries as usize),
         ] {
-            self.metrics
-                .state
-                .with_label_values(&[table])
-                .set(rows as i64);
+            self.metrics.state.with_label_values(&[table]).set(rows as i64);
         }
     }
 }
@@ -157,10 +152,7 @@
     let client = http::client::new_client(2);
     move |call| {
         let result = http::client::call_worker(&client, worker, &call);
-        let _ = events.send(Event::Agent(Box::new(agent::Input::Worker {
-            call,
-            result,
-        })));
+        let _ = events.send(Event::Agent(Box::new(agent::Input::Worker { call, result })));
     }
 }
 
--- a/src/runtime/disk.rs
+++ b/src/runtime/disk.rs
@@ -48,10 +48,7 @@
             .change_context_lazy(|| {
                 Error::new(ErrorKind::Internal, "cannot start the disk's thread")
             })?;
-        Ok(DiskWriter {
-            jobs: Some(jobs),
-            thread: Some(thread),
-        })
+        Ok(DiskWriter { jobs: Some(jobs), thread: Some(thread) })
     }
 
     pub(super) fn submit(&self, number: u64, writes: Vec<DiskWrite>) {
