--- a/src/runtime/edges.rs
+++ b/src/runtime/edges.rs
@@ -43,11 +43,9 @@
                 Some(HttpAnswer::text(200, "text/plain", "ok\n".into()))
             }
             ("GET", "/healthz") => Some(HttpAnswer::text(503, "text/plain", "not ready\n".into())),
-            ("GET", "/metrics") => Some(HttpAnswer::text(
-                200,
-                "text/plain; version=0.0.4",
-                self.metrics.render(),
-            )),
+            ("GET", "/metrics") => {
+                Some(HttpAnswer::text(200, "text/plain; version=0.0.4", self.metrics.render()))
+            }
             _ => None,
         }
     }
@@ -107,11 +105,7 @@
             match http::admin::parse(&tokens, &it) {
                 Ok(operation) => {
                     let deadline_ms = Clock.now().mono_ms + ADMIN_MAX_MS;
-                    let input = control::Input::Operation {
-                        token,
-                        operation,
-                        deadline_ms,
-                    };
+                    let input = control::Input::Operation { token, operation, deadline_ms };
                     self.post(Event::Control(Box::new(input)))
                 }
                 Err(it) => self.refuse(&it),
@@ -131,10 +125,9 @@
                 return Some(answer);
             }
             let input = match http::local::parse(&it) {
-                Ok(LocalRequest::Announce(announcement)) => agent::Input::Announce {
-                    token,
-                    announcement,
-                },
+                Ok(LocalRequest::Announce(announcement)) => {
+                    agent::Input::Announce { token, announcement }
+                }
                 Ok(LocalRequest::Leave(address)) => agent::Input::Leave { token, address },
                 Err(it) => return self.refuse(&it),
             };
@@ -144,9 +137,5 @@
 }
 
 fn small(listen: std::net::SocketAddr) -> ServerOptions {
-    ServerOptions {
-        listen,
-        threads: SMALL_THREADS,
-        body_max_bytes: SMALL_BODY_BYTES,
-    }
+    ServerOptions { listen, threads: SMALL_THREADS, body_max_bytes: SMALL_BODY_BYTES }
 }
--- a/src/runtime/pool.rs
+++ b/src/runtime/pool.rs
@@ -53,11 +53,7 @@
                 idle.fetch_add(1, Ordering::Release);
             }
         };
-        match thread::Builder::new()
-            .name("call".to_owned())
-            .stack_size(256 * 1024)
-            .spawn(work)
-        {
+        match thread::Builder::new().name("call".to_owned()).stack_size(256 * 1024).spawn(work) {
             Ok(_) => self.started += 1,
             Err(error) => tracing::error!(event = "thread_not_started", %error),
         }
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -135,19 +135,12 @@
     /// Makes a process from checked settings.
     pub fn new(settings: Settings) -> Process {
         let (events, receiver) = crossbeam_channel::bounded(EVENTS_MAX);
-        Process {
-            settings,
-            metrics: Metrics::new(),
-            events,
-            receiver,
-        }
+        Process { settings, metrics: Metrics::new(), events, receiver }
     }
 
     /// Returns a handle to stop it by.
     pub fn handle(&self) -> ProcessHandle {
-        ProcessHandle {
-            events: self.events.clone(),
-        }
+        ProcessHandle { events: self.events.clone() }
     }
 
     /// Runs the process until it is stopped.
@@ -176,19 +169,10 @@
             queue_messages: link_settings.queue_messages as usize,
             frame_max_bytes: link_settings.frame_max_bytes as usize,
         };
-        let link = Link::start(
-            options,
-            self.metrics.clone(),
-            Sink {
-                events: self.events.clone(),
-            },
-        )?;
+        let link =
+            Link::start(options, self.metrics.clone(), Sink { events: self.events.clone() })?;
         let loopback: Loopback = Rc::new(RefCell::new(VecDeque::new()));
-        let sending = Sending {
-            link,
-            own: link_settings.listen,
-            loopback: loopback.clone(),
-        };
+        let sending = Sending { link, own: link_settings.listen, loopback: loopback.clone() };
         let mut stakker = Stakker::new(Instant::now());
         let actors = self.start_roles(&mut stakker, disk, &sending)?;
         tracing::info!(event = "started", process = %process.name, zone = %process.zone, link = %link_settings.listen);
@@ -201,10 +185,7 @@
         let folder = Path::new(settings.data_folder.as_str());
         let identity = Identity::read(folder)?;
         let process = &self.settings.process;
-        let place = Place {
-            region: process.region as u8,
-            group: process.group as u8,
-        };
+        let place = Place { region: process.region as u8, group: process.group as u8 };
         if identity.place != place {
             let message = format_compact!(
                 "{} belongs to {:?}, the settings say {place:?}",
@@ -214,11 +195,7 @@
             return Err(Error::report(ErrorKind::BadRequest, message));
         }
         let (disk, recovered) = Disk::open(folder, &identity, settings.free_min_bytes)?;
-        Ok(OpenDisk {
-            disk,
-            recovered,
-            identity,
-        })
+        Ok(OpenDisk { disk, recovered, identity })
     }
 
     fn start_roles(
@@ -233,22 +210,22 @@
         >,
     > {
         let mut statuses = Vec::new();
-        let mut edge = || -> Result<Edge> {
+        let mut edge = || {
             let status = Arc::new(RoleStatus::default());
             statuses.push(status.clone());
-            Ok(Edge {
+            Edge {
                 events: self.events.clone(),
                 metrics: self.metrics.clone(),
                 status,
-                pending: Pending::start()?,
-            })
+                pending: Pending::default(),
+            }
         };
         let process = &self.settings.process;
         let link = &self.settings.link;
         let metrics = &self.metrics;
         let control = match (&self.settings.control, disk) {
             (Some(settings), Some(it)) => {
-                let edge = edge()?;
+                let edge = edge();
                 let options = ControlOptions {
                     place: it.identity.place,
                     member: it.identity.member,
@@ -272,7 +249,7 @@
         };
         let agent = match &self.settings.agent {
             Some(settings) => {
-                let edge = edge()?;
+                let edge = edge();
                 let options = AgentOptions {
                     address: link.listen,
                     controls: link.control.clone(),
@@ -298,7 +275,7 @@
         };
         let entry = match &self.settings.entry {
             Some(settings) => {
-                let edge = edge()?;
+                let edge = edge();
                 let options = EntryOptions {
                     name: process.name.clone(),
                     zone: process.zone.clone(),
@@ -319,12 +296,7 @@
             }
             None => None,
         };
-        Ok(Actors {
-            entry,
-            agent,
-            control,
-            statuses,
-        })
+        Ok(Actors { entry, agent, control, statuses })
     }
 
     /// Takes in events and lets the actors run, until the process ends.
@@ -341,11 +313,7 @@
         let mut stopping: Option<Instant> = None;
         stakker.run(Instant::now(), false);
         while stakker.not_shutdown() {
-            let longest = if stopping.is_some() {
-                STOP_LOOK
-            } else {
-                WAIT_MAX
-            };
+            let longest = if stopping.is_some() { STOP_LOOK } else { WAIT_MAX };
             let wait = match loopback.borrow().is_empty() {
                 true => stakker.next_wait_max(Instant::now(), longest, false),
                 false => Duration::ZERO,
@@ -406,7 +374,7 @@
 {
     fn dispatch(&self, event: Event) {
         match event {
-            Event::Link(LinkEvent::Message { from, envelope }) => self.deliver(from, envelope),
+            Event::Link(LinkEvent::Message { from, envelope }) => self.deliver(from, *envelope),
             Event::Link(LinkEvent::Lost { peer }) => self.to_entry(entry::Input::LinkLost { peer }),
             Event::Entry(it) => self.to_entry(*it),
             Event::Agent(it) => self.to_agent(*it),
@@ -431,44 +399,25 @@
                 self.to_control(control::Input::Message { from, message })
             }
             Message::ConfigFetch(_) if self.entry.is_some() => {
-                self.to_entry(entry::Input::Message {
-                    from,
-                    in_force,
-                    message,
-                })
+                self.to_entry(entry::Input::Message { from, in_force, message })
             }
             Message::Execute(_)
             | Message::OutcomeQuery(_)
             | Message::AgentHeartbeatReply(_)
             | Message::AgentOrders(_)
-            | Message::ConfigFetch(_) => self.to_agent(agent::Input::Message {
-                from,
-                in_force,
-                message,
-            }),
+            | Message::ConfigFetch(_) => {
+                self.to_agent(agent::Input::Message { from, in_force, message })
+            }
             Message::ExecuteReply(_)
             | Message::EndpointLeaving(_)
-            | Message::EntryHeartbeatReply(_) => self.to_entry(entry::Input::Message {
-                from,
-                in_force,
-                message,
-            }),
+            | Message::EntryHeartbeatReply(_) => {
+                self.to_entry(entry::Input::Message { from, in_force, message })
+            }
             // Each role knows its own by the id, and passes over the others'.
             Message::ControlReply(_) | Message::NotLeader(_) | Message::ConfigUpdate(_) => {
-                self.to_control(control::Input::Message {
-                    from,
-                    message: message.clone(),
-                });
-                self.to_agent(agent::Input::Message {
-                    from,
-                    in_force,
-                    message: message.clone(),
-                });
-                self.to_entry(entry::Input::Message {
-                    from,
-                    in_force,
-                    message,
-                });
+                self.to_control(control::Input::Message { from, message: message.clone() });
+                self.to_agent(agent::Input::Message { from, in_force, message: message.clone() });
+                self.to_entry(entry::Input::Message { from, in_force, message });
             }
         }
     }
--- a/src/runtime/role.rs
+++ b/src/runtime/role.rs
@@ -86,13 +86,7 @@
 impl<C: RoleCore, A: Adapter<C>> RoleActor<C, A> {
     /// Makes the actor and lets its core begin.
     pub(super) fn init(cx: CX![], core: C, adapter: A, status: Arc<RoleStatus>) -> Option<Self> {
-        let mut res = RoleActor {
-            core,
-            adapter,
-            status,
-            clock: Clock,
-            timer: None,
-        };
+        let mut res = RoleActor { core, adapter, status, clock: Clock, timer: None };
         res.input(cx, C::tick());
         Some(res)
     }
@@ -109,24 +103,14 @@
             self.adapter.carry(it, in_force);
         }
         self.adapter.observe(&self.core);
-        self.status
-            .ready
-            .store(self.core.is_ready(), Ordering::Relaxed);
-        self.status
-            .drained
-            .store(self.core.is_drained(), Ordering::Relaxed);
+        self.status.ready.store(self.core.is_ready(), Ordering::Relaxed);
+        self.status.drained.store(self.core.is_drained(), Ordering::Relaxed);
         self.set_timer(cx, now);
     }
 
     fn set_timer(&mut self, cx: CX![], now: Now) {
-        let at_ms = self
-            .core
-            .next_tick_ms()
-            .clamp(now.mono_ms, now.mono_ms + TICK_MAX_MS);
-        if self
-            .timer
-            .is_some_and(|(set_ms, _)| set_ms <= at_ms && now.mono_ms < set_ms)
-        {
+        let at_ms = self.core.next_tick_ms().clamp(now.mono_ms, now.mono_ms + TICK_MAX_MS);
+        if self.timer.is_some_and(|(set_ms, _)| set_ms <= at_ms && now.mono_ms < set_ms) {
             // It fires early enough, and finds out then what is due.
             return;
         }
@@ -134,10 +118,8 @@
             cx.timer_del(key);
         }
         let pause = Duration::from_millis((at_ms - now.mono_ms).max(1));
-        self.timer = Some((
-            now.mono_ms + pause.as_millis() as u64,
-            after!(pause, [cx], on_timer()),
-        ));
+        self.timer =
+            Some((now.mono_ms + pause.as_millis() as u64, after!(pause, [cx], on_timer())));
     }
 
     fn on_timer(&mut self, cx: CX![]) {
--- a/src/runtime/signals.rs
+++ b/src/runtime/signals.rs
@@ -20,16 +20,9 @@
     let forward = move || {
         for (count, signal) in signals.forever().enumerate() {
             tracing::info!(event = "signal", signal, count = count + 1);
-            if count == 0 {
-                handle.stop()
-            } else {
-                handle.kill()
-            }
+            if count == 0 { handle.stop() } else { handle.kill() }
         }
     };
-    thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(forward)
-        .change_context_lazy(cannot)?;
+    thread::Builder::new().name("signals".to_owned()).spawn(forward).change_context_lazy(cannot)?;
     Ok(())
 }
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1386,7 +1386,7 @@
     }
 }
 ///The voters and learners of a group.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Membership {
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -141,7 +141,7 @@
     pub retry_budget_permille: u32,
     ///File with one line per team: name = token.
     pub teams_file: ::compact_str::CompactString,
-    ///Threads that read callers' requests.
+    ///Threads that read callers' requests and write their answers.
     pub threads: u32,
 }
 impl ::std::convert::From<&EntrySettings> for EntrySettings {
--- a/src/standin/executor.rs
+++ b/src/standin/executor.rs
@@ -45,12 +45,7 @@
 impl Seen {
     /// Returns how often a request with this body ran.
     pub fn runs_of(&self, body: &str) -> u32 {
-        self.runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(body)
-            .copied()
-            .unwrap_or(0)
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).get(body).copied().unwrap_or(0)
     }
 
     /// Returns how many requests ran at once at the most.
@@ -71,21 +66,12 @@
 /// Returns an error when the address cannot be listened on.
 pub fn start_executor(options: ExecutorOptions) -> Result<Arc<Seen>> {
     let seen = Arc::new(Seen::default());
-    let pending = Pending::start()?;
-    // More threads than slots, so that a request beyond them shows instead of waiting unseen.
-    let server = ServerOptions {
-        listen: options.listen,
-        threads: options.slots as usize * 2 + 2,
-        body_max_bytes: 16 << 20,
-    };
-    let (counted, work) = (seen.clone(), options.clone());
-    start_server(server, &pending, move |_, it| {
+    let pending = Pending::default();
+    let server = ServerOptions { listen: options.listen, threads: 1, body_max_bytes: 16 << 20 };
+    let (counted, work, answers) = (seen.clone(), options.clone(), pending.clone());
+    start_server(server, &pending, move |token, it| {
         if it.path == "/runs" {
-            let runs = counted
-                .runs
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .clone();
+            let runs = counted.runs.lock().unwrap_or_else(PoisonError::into_inner).clone();
             return Some(HttpAnswer::json(
                 200,
                 &json!({"runs": runs, "most_in_use": counted.most_in_use()}),
@@ -100,24 +86,26 @@
             .unwrap_or_else(PoisonError::into_inner)
             .entry(body.clone())
             .or_insert(0) += 1;
-        if 0 < work.work_ms {
-            thread::sleep(Duration::from_millis(work.work_ms));
-        }
-        counted.in_use.fetch_sub(1, Ordering::Relaxed);
         let failed = fastrand::u32(0..1_000) < work.fail_permille;
         let answer = json!({"echo": body, "path": it.path, "endpoint": work.listen, "team": it.header("Aspenrail-Team")});
-        Some(HttpAnswer::json(if failed { 500 } else { 200 }, &answer))
+        let answer = HttpAnswer::json(if failed { 500 } else { 200 }, &answer);
+        if work.work_ms == 0 {
+            counted.in_use.fetch_sub(1, Ordering::Relaxed);
+            return Some(answer);
+        }
+        let (counted, answers, work_ms) = (counted.clone(), answers.clone(), work.work_ms);
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(work_ms));
+            counted.in_use.fetch_sub(1, Ordering::Relaxed);
+            answers.answer(token, answer);
+        });
+        None
     })?;
     let announcing = seen.clone();
     let announce = move || announce_until_left(&options, &announcing);
-    let started = thread::Builder::new()
-        .name("announce".to_owned())
-        .spawn(announce);
+    let started = thread::Builder::new().name("announce".to_owned()).spawn(announce);
     started.map_err(|it| {
-        Error::report(
-            ErrorKind::Internal,
-            format_compact!("cannot start a thread: {it}"),
-        )
+        Error::report(ErrorKind::Internal, format_compact!("cannot start a thread: {it}"))
     })?;
     Ok(seen)
 }
@@ -134,18 +122,11 @@
         let sent = client
             .post(format!("http://{}/v1/announce", options.agent))
             .send(announcement.to_string());
-        let pause_ms = if sent.is_ok_and(|it| it.status() == 200) {
-            1_000
-        } else {
-            100
-        };
+        let pause_ms = if sent.is_ok_and(|it| it.status() == 200) { 1_000 } else { 100 };
         thread::sleep(Duration::from_millis(pause_ms));
     }
     let leave = json!({"address": options.listen}).to_string();
-    if let Err(error) = client
-        .post(format!("http://{}/v1/leave", options.agent))
-        .send(leave)
-    {
+    if let Err(error) = client.post(format!("http://{}/v1/leave", options.agent)).send(leave) {
         tracing::warn!(event = "leave_not_told", %error);
     }
 }
--- a/src/standin/layout.rs
+++ b/src/standin/layout.rs
@@ -58,11 +58,7 @@
     /// Returns an error when a file cannot be written.
     pub fn create(folder: &Path, counts: Counts, timing: &str) -> Result<Layout> {
         let links = free_addresses(counts.controls)?;
-        let control_list = links
-            .iter()
-            .map(SocketAddr::to_string)
-            .collect::<Vec<_>>()
-            .join(", ");
+        let control_list = links.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(", ");
         fs::create_dir_all(folder).change_context_lazy(|| cannot_write(folder))?;
         let teams = folder.join("teams.ini");
         let operators = folder.join("operators.ini");
@@ -80,19 +76,13 @@
         let founders: Vec<_> = links
             .iter()
             .enumerate()
-            .map(|(at, it)| Member {
-                id: MemberId(at as u64 + 1),
-                address: *it,
-            })
+            .map(|(at, it)| Member { id: MemberId(at as u64 + 1), address: *it })
             .collect();
         for (at, link) in links.iter().enumerate() {
             let data = folder.join(format!("control-{}", at + 1));
             let identity = Identity {
                 member: MemberId(at as u64 + 1),
-                place: Place {
-                    region: 1,
-                    group: 1,
-                },
+                place: Place { region: 1, group: 1 },
                 founders: founders.clone(),
             };
             identity.create(&data)?;
@@ -106,10 +96,7 @@
                 data = data.display(),
                 operators = operators.display(),
             );
-            res.control_files.push(write(
-                &folder.join(format!("control-{}.ini", at + 1)),
-                &text,
-            )?);
+            res.control_files.push(write(&folder.join(format!("control-{}.ini", at + 1)), &text)?);
         }
         for (at, link) in free_addresses(counts.entries)?.iter().enumerate() {
             let text = format!(
@@ -120,18 +107,13 @@
                 caller = res.callers[at],
                 teams = teams.display(),
             );
-            res.entry_files
-                .push(write(&folder.join(format!("entry-{}.ini", at + 1)), &text)?);
+            res.entry_files.push(write(&folder.join(format!("entry-{}.ini", at + 1)), &text)?);
         }
         for (at, link) in free_addresses(counts.agents)?.iter().enumerate() {
             let [local, worker, executor] = free_addresses(3)?[..] else {
                 continue;
             };
-            res.vms.push(VmAddresses {
-                local,
-                worker,
-                executor,
-            });
+            res.vms.push(VmAddresses { local, worker, executor });
             let text = format!(
                 "[process]\nname = agent-{n}\nroles = agent\nzone = zone-{zone}\nrack = rack-{rack}\n\n[link]\nlisten = \
                  {link}\ncontrol = {control_list}\n\n[agent]\nlisten = {local}\nvm = vm-{n}\nworker = \
@@ -140,8 +122,7 @@
                 zone = at % 3 + 1,
                 rack = at / 3 + 1,
             );
-            res.agent_files
-                .push(write(&folder.join(format!("agent-{}.ini", at + 1)), &text)?);
+            res.agent_files.push(write(&folder.join(format!("agent-{}.ini", at + 1)), &text)?);
         }
         Ok(res)
     }
@@ -183,10 +164,7 @@
             res.push(address);
         }
     }
-    Err(Error::report(
-        ErrorKind::Internal,
-        "no free address on loopback",
-    ))
+    Err(Error::report(ErrorKind::Internal, "no free address on loopback"))
 }
 
 fn write(path: &Path, text: &str) -> Result<PathBuf> {
@@ -195,8 +173,5 @@
 }
 
 fn cannot_write(path: &Path) -> Error {
-    Error::new(
-        ErrorKind::Internal,
-        format_compact!("cannot write {}", path.display()),
-    )
+    Error::new(ErrorKind::Internal, format_compact!("cannot write {}", path.display()))
 }
--- a/src/standin/load.rs
+++ b/src/standin/load.rs
@@ -87,10 +87,7 @@
         // A caller that panicked has printed why; its numbers are missing from the report.
         let _ = it.join();
     }
-    let mut res = report
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .clone();
+    let mut res = report.lock().unwrap_or_else(PoisonError::into_inner).clone();
     res.elapsed = begun.elapsed();
     res
 }
@@ -115,11 +112,7 @@
         }
         thread::sleep(due.saturating_duration_since(now));
         // Counted from when it was due: a slow answer must not hide the requests behind it.
-        let since = if interval.is_zero() {
-            Instant::now()
-        } else {
-            due
-        };
+        let since = if interval.is_zero() { Instant::now() } else { due };
         due += interval;
         let target = options.targets[(caller + number as usize) % options.targets.len()];
         let body = format!("caller-{caller}-{number}-{:x}", fastrand::u64(..));
@@ -163,11 +156,6 @@
     let document: Value = serde_json::from_str(&text).map_err(|_| None)?;
     match document["echo"].as_str() {
         Some(it) if status == 200 => Ok(it.to_owned()),
-        _ => Err(Some(
-            document["error"]
-                .as_str()
-                .unwrap_or("endpoint_status")
-                .to_owned(),
-        )),
+        _ => Err(Some(document["error"].as_str().unwrap_or("endpoint_status").to_owned())),
     }
 }
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -34,22 +34,15 @@
 /// Returns an error when the address cannot be listened on.
 pub fn start_worker(listen: SocketAddr, model: WorkerModel) -> Result<()> {
     let model = Arc::new(Mutex::new(model));
-    let pending = Pending::start()?;
-    let options = ServerOptions {
-        listen,
-        threads: 2,
-        body_max_bytes: 1 << 20,
-    };
+    let pending = Pending::default();
+    let options = ServerOptions { listen, threads: 2, body_max_bytes: 1 << 20 };
     start_server(options, &pending, move |_, it| {
         let call = match parse(&it) {
             Ok(it) => it,
             Err(it) => return Some(HttpAnswer::refusal(&it)),
         };
         let now_ms = Clock.now().mono_ms;
-        let result = model
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .call(now_ms, &call);
+        let result = model.lock().unwrap_or_else(PoisonError::into_inner).call(now_ms, &call);
         Some(match result {
             WorkerResult::Done => HttpAnswer::json(200, &serde_json::json!({"done": true})),
             WorkerResult::Report(it) => HttpAnswer::json(200, &serde_json::json!(it)),
@@ -65,54 +58,23 @@
     match (it.method.as_str(), parts.as_slice()) {
         ("GET", ["v1", "tasks"]) => Ok(WorkerCall::List),
         ("POST", ["v1", "lease"]) => {
-            let LeaseBody {
-                session,
-                until_boottime_ms,
-            } = it.json()?;
-            Ok(WorkerCall::Lease {
-                session,
-                until_boottime_ms,
-            })
+            let LeaseBody { session, until_boottime_ms } = it.json()?;
+            Ok(WorkerCall::Lease { session, until_boottime_ms })
         }
         ("POST", ["v1", "tasks", task, verb]) => {
-            let task = task
-                .parse()
-                .map(TaskId)
-                .map_err(|_| refusal(ErrorKind::BadRequest, "bad task"))?;
-            let TaskBody {
-                session,
-                incarnation,
-                start,
-                permille,
-            } = it.json()?;
+            let task =
+                task.parse().map(TaskId).map_err(|_| refusal(ErrorKind::BadRequest, "bad task"))?;
+            let TaskBody { session, incarnation, start, permille } = it.json()?;
             match (*verb, start, permille) {
-                ("start", Some(start), _) => Ok(WorkerCall::Start {
-                    session,
-                    task,
-                    incarnation,
-                    start,
-                }),
-                ("throttle", _, Some(permille)) => Ok(WorkerCall::Throttle {
-                    session,
-                    task,
-                    incarnation,
-                    permille,
-                }),
-                ("checkpoint", ..) => Ok(WorkerCall::Checkpoint {
-                    session,
-                    task,
-                    incarnation,
-                }),
-                ("stop", ..) => Ok(WorkerCall::Stop {
-                    session,
-                    task,
-                    incarnation,
-                }),
-                ("forget", ..) => Ok(WorkerCall::Forget {
-                    session,
-                    task,
-                    incarnation,
-                }),
+                ("start", Some(start), _) => {
+                    Ok(WorkerCall::Start { session, task, incarnation, start })
+                }
+                ("throttle", _, Some(permille)) => {
+                    Ok(WorkerCall::Throttle { session, task, incarnation, permille })
+                }
+                ("checkpoint", ..) => Ok(WorkerCall::Checkpoint { session, task, incarnation }),
+                ("stop", ..) => Ok(WorkerCall::Stop { session, task, incarnation }),
+                ("forget", ..) => Ok(WorkerCall::Forget { session, task, incarnation }),
                 _ => Err(refusal(ErrorKind::BadRequest, "unknown verb")),
             }
         }
--- a/src/standin/worker_model.rs
+++ b/src/standin/worker_model.rs
@@ -75,10 +75,7 @@
         self.advance(now_ms);
         match call {
             WorkerCall::List => WorkerResult::Report(self.report()),
-            WorkerCall::Lease {
-                session,
-                until_boottime_ms,
-            } => {
+            WorkerCall::Lease { session, until_boottime_ms } => {
                 if *session < self.session {
                     return refused("an older session");
                 }
@@ -86,41 +83,27 @@
                 self.lease_until_ms = *until_boottime_ms;
                 WorkerResult::Done
             }
-            WorkerCall::Start {
-                session,
-                task,
-                incarnation,
-                start,
-            } => self.start(now_ms, *session, *task, *incarnation, start),
-            WorkerCall::Throttle {
-                session,
-                task,
-                incarnation,
-                permille,
-            } => self.with_run(*session, *task, *incarnation, |it| {
-                it.rate = f64::from(*permille) / 1_000.0
-            }),
-            WorkerCall::Checkpoint {
-                session,
-                task,
-                incarnation,
-            } => self.with_run(*session, *task, *incarnation, |it| {
-                if is_running(it.task.phase) {
-                    it.task.phase = TaskPhase::Evicted;
-                    it.task.run_ms = it.done_ms as u64;
-                    it.task.detail = format_compact!("at-{}", it.task.run_ms);
-                }
-            }),
-            WorkerCall::Stop {
-                session,
-                task,
-                incarnation,
-            } => self.stop(*session, *task, *incarnation),
-            WorkerCall::Forget {
-                session,
-                task,
-                incarnation,
-            } => {
+            WorkerCall::Start { session, task, incarnation, start } => {
+                self.start(now_ms, *session, *task, *incarnation, start)
+            }
+            WorkerCall::Throttle { session, task, incarnation, permille } => {
+                self.with_run(*session, *task, *incarnation, |it| {
+                    it.rate = f64::from(*permille) / 1_000.0
+                })
+            }
+            WorkerCall::Checkpoint { session, task, incarnation } => {
+                self.with_run(*session, *task, *incarnation, |it| {
+                    if is_running(it.task.phase) {
+                        it.task.phase = TaskPhase::Evicted;
+                        it.task.run_ms = it.done_ms as u64;
+                        it.task.detail = format_compact!("at-{}", it.task.run_ms);
+                    }
+                })
+            }
+            WorkerCall::Stop { session, task, incarnation } => {
+                self.stop(*session, *task, *incarnation)
+            }
+            WorkerCall::Forget { session, task, incarnation } => {
                 if *session < self.session {
                     return refused("an older session");
                 }
@@ -137,11 +120,7 @@
     /// Lets time pass: tasks end, and all of them stop when the lease does.
     pub fn advance(&mut self, now_ms: u64) {
         let until_ms = now_ms.min(self.lease_until_ms);
-        for run in self
-            .runs
-            .values_mut()
-            .filter(|it| is_running(it.task.phase))
-        {
+        for run in self.runs.values_mut().filter(|it| is_running(it.task.phase)) {
             run.done_ms += until_ms.saturating_sub(run.seen_ms) as f64 * run.rate;
             run.seen_ms = run.seen_ms.max(until_ms);
             run.task.run_ms = run.done_ms as u64;
@@ -161,11 +140,8 @@
 
     fn report(&self) -> WorkerReport {
         let held = self.held();
-        let usage = Usage {
-            cpu_millicores: held.cpu_millicores,
-            memory_mib: held.memory_mib,
-            age_ms: 500,
-        };
+        let usage =
+            Usage { cpu_millicores: held.cpu_millicores, memory_mib: held.memory_mib, age_ms: 500 };
         WorkerReport {
             session: self.session,
             tasks: self.runs.values().map(|it| it.task.clone()).collect(),
@@ -199,21 +175,11 @@
         }
         self.starts += 1;
         let script: Script = serde_json::from_str(&start.payload).unwrap_or_default();
-        let kept_ms = start
-            .checkpoint
-            .strip_prefix("at-")
-            .and_then(|it| it.parse::<u64>().ok())
-            .unwrap_or(0);
-        let phase = if self.broken {
-            TaskPhase::Failed
-        } else {
-            TaskPhase::Running
-        };
-        let detail = if self.broken {
-            "this worker is broken".into()
-        } else {
-            CompactString::default()
-        };
+        let kept_ms =
+            start.checkpoint.strip_prefix("at-").and_then(|it| it.parse::<u64>().ok()).unwrap_or(0);
+        let phase = if self.broken { TaskPhase::Failed } else { TaskPhase::Running };
+        let detail =
+            if self.broken { "this worker is broken".into() } else { CompactString::default() };
         let run = Run {
             task: WorkerTask {
                 task,
@@ -269,11 +235,7 @@
         if session < self.session {
             return refused("an older session");
         }
-        match self
-            .runs
-            .get_mut(&task)
-            .filter(|it| it.task.incarnation == incarnation)
-        {
+        match self.runs.get_mut(&task).filter(|it| it.task.incarnation == incarnation) {
             Some(it) => {
                 change(it);
                 WorkerResult::Done
@@ -284,10 +246,7 @@
 }
 
 fn is_running(it: TaskPhase) -> bool {
-    matches!(
-        it,
-        TaskPhase::Starting | TaskPhase::Running | TaskPhase::Checkpointing
-    )
+    matches!(it, TaskPhase::Starting | TaskPhase::Running | TaskPhase::Checkpointing)
 }
 
 fn refused(why: &str) -> WorkerResult {
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -26,12 +26,7 @@
         // that reason; CLOCK_BOOTTIME counts the suspension.
         let it = clock_gettime(ClockId::Boottime);
         let mono_ms = it.tv_sec as u64 * 1_000 + it.tv_nsec as u64 / 1_000_000;
-        let wall = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Now {
-            mono_ms,
-            wall_ms: wall.as_millis() as u64,
-        }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Now { mono_ms, wall_ms: wall.as_millis() as u64 }
     }
 }
--- a/src/util/digest.rs
+++ b/src/util/digest.rs
@@ -15,7 +15,5 @@
         hasher.update(it);
     }
     let res = hasher.finalize();
-    u64::from_le_bytes([
-        res[0], res[1], res[2], res[3], res[4], res[5], res[6], res[7],
-    ])
+    u64::from_le_bytes([res[0], res[1], res[2], res[3], res[4], res[5], res[6], res[7]])
 }
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -19,15 +19,11 @@
     "EndpointId",
 ];
 
+/// Types that have an empty value.
+const DEFAULTED: &[&str] = &["Membership"];
+
 /// Plain types that are cheap to copy and compare.
-const COPIED: &[&str] = &[
-    "Resources",
-    "Usage",
-    "Load",
-    "VoteRequest",
-    "VoteReply",
-    "TimeoutNow",
-];
+const COPIED: &[&str] = &["Resources", "Usage", "Load", "VoteRequest", "VoteReply", "TimeoutNow"];
 
 fn generate(schema_text: &str) -> String {
     let mut settings = TypeSpaceSettings::default();
@@ -52,10 +48,12 @@
         settings.with_patch(*name, &patch);
     }
     for name in COPIED {
-        settings.with_patch(
-            *name,
-            TypeSpacePatch::default().with_derive("Copy".to_owned()),
-        );
+        settings.with_patch(*name, TypeSpacePatch::default().with_derive("Copy".to_owned()));
+    }
+    for name in DEFAULTED {
+        let mut patch = TypeSpacePatch::default();
+        patch.with_derive("Default".to_owned());
+        settings.with_patch(*name, &patch);
     }
     let mut document: serde_json::Value =
         serde_json::from_str(schema_text).expect("schema is JSON");
@@ -63,9 +61,7 @@
     let schema: schemars::schema::RootSchema =
         serde_json::from_value(document).expect("schema is JSON Schema");
     let mut space = TypeSpace::new(&settings);
-    space
-        .add_root_schema(schema)
-        .expect("schema has supported types only");
+    space.add_root_schema(schema).expect("schema has supported types only");
     let file = syn::parse2::<syn::File>(space.to_stream()).expect("generator prints Rust");
     tidy(&prettyplease::unparse(&file))
 }
@@ -104,18 +100,13 @@
             }
             "///" => (),
             "#[derive(" => {
-                let list: Vec<_> = lines
-                    .by_ref()
-                    .map(str::trim)
-                    .take_while(|it| *it != ")]")
-                    .collect();
+                let list: Vec<_> =
+                    lines.by_ref().map(str::trim).take_while(|it| *it != ")]").collect();
                 push_derives(&mut res, &list);
             }
             it if it.starts_with("#[derive(") => {
-                let list: Vec<_> = it["#[derive(".len()..]
-                    .trim_end_matches(")]")
-                    .split(", ")
-                    .collect();
+                let list: Vec<_> =
+                    it["#[derive(".len()..].trim_end_matches(")]").split(", ").collect();
                 push_derives(&mut res, &list);
             }
             _ => {
@@ -130,11 +121,7 @@
 fn push_derives(res: &mut String, list: &[&str]) {
     let names = list.iter().map(|it| it.trim_end_matches(','));
     let (foreign, std): (Vec<_>, Vec<_>) = names.partition(|it| it.contains("serde"));
-    res.push_str(&format!(
-        "#[derive({})]\n#[derive({})]\n",
-        std.join(", "),
-        foreign.join(", ")
-    ));
+    res.push_str(&format!("#[derive({})]\n#[derive({})]\n", std.join(", "), foreign.join(", ")));
 }
 
 fn check(name: &str) {
