--- a/src/agent/core.rs
+++ b/src/agent/core.rs
@@ -371,9 +371,7 @@
             }
             Message::Execute(it) => self.on_execute(now, it),
             Message::OutcomeQuery(it) => self.on_outcome_query(now, &it),
-            Message::ConfigUpdate(it) => {
-                self.adopted.adopt(it);
-            }
+            Message::ConfigUpdate(it) => self.adopted.adopt_from_peer(it),
             Message::ConfigFetch(it) => {
                 let update = Message::ConfigUpdate(self.adopted.current().clone());
                 self.send(it.reply_to, update);
@@ -393,6 +391,9 @@
             self.lease = None;
             return;
         }
+        if let Some(news) = it.configuration.clone() {
+            self.adopted.adopt(news);
+        }
         // Counted from when the renewal was asked for: control counts from later.
         let until_ms = (it.sent_ms + u64::from(it.lease_ms)).max(lease.until_ms);
         if lease.until_ms < until_ms {
--- a/src/agent/tasks.rs
+++ b/src/agent/tasks.rs
@@ -94,6 +94,9 @@
 pub(super) struct Tasks {
     reported: BTreeMap<TaskId, WorkerTask>,
     pending: BTreeMap<TaskId, Pending>,
+    /// Starts that the worker confirmed, until control has taken in their end. One that the worker
+    /// lists no more, as after its own restart, is reported as stopped and never started again.
+    started: BTreeMap<TaskId, u32>,
     /// Failures to start, reported until control has taken them in.
     failed: BTreeMap<TaskId, (u32, CompactString)>,
     throttled: BTreeMap<TaskId, (u32, u32)>,
@@ -135,7 +138,17 @@
             detail: reason.clone(),
             run_ms: 0,
         });
-        worker.chain(starting).chain(failed).collect()
+        let is_known =
+            |task: &TaskId| self.reported.contains_key(task) || self.pending.contains_key(task);
+        let vanished =
+            self.started.iter().filter(|(task, _)| !is_known(task)).map(|(task, it)| TaskReport {
+                task: *task,
+                incarnation: *it,
+                phase: TaskPhase::Stopped,
+                detail: "the worker no longer knows it".into(),
+                run_ms: 0,
+            });
+        worker.chain(starting).chain(vanished).chain(failed).collect()
     }
 
     /// Returns the tasks that the worker runs, by its last report.
@@ -159,6 +172,7 @@
         let known =
             reported.map(|it| it.incarnation).max(self.pending.get(&task).map(|it| it.incarnation));
         let known = known.max(self.failed.get(&task).map(|it| it.0));
+        let known = known.max(self.started.get(&task).copied());
         if known.is_some_and(|it| incarnation <= it) {
             return Err(NotStarted::Known);
         }
@@ -201,6 +215,7 @@
                     resources: pending.start.resources,
                 };
                 self.pending.remove(&task);
+                self.started.insert(task, incarnation);
                 self.reported.insert(task, it);
             }
         }
@@ -243,6 +258,9 @@
         if self.failed.get(&task).is_some_and(|it| it.0 <= incarnation) {
             self.failed.remove(&task);
         }
+        if self.started.get(&task).is_some_and(|it| *it <= incarnation) {
+            self.started.remove(&task);
+        }
     }
 
     /// Returns whether a throttle is news to the worker.
--- a/src/config/adopted.rs
+++ b/src/config/adopted.rs
@@ -10,8 +10,9 @@
 /// The configuration in force in an entry or an agent.
 ///
 /// It only ever moves forward: an update that is not newer changes nothing. A process starts
-/// with none, and takes its first from the leader or from a process that has one; whichever it
-/// is, every later one is newer.
+/// with none, and takes its first only from the leader's answer to a question of this very run:
+/// a peer that lags, or an answer to an earlier run still on its way, could hold an older one
+/// than this process had in force before its restart. Later ones come from whoever is ahead.
 #[derive(Clone, Debug)]
 pub struct Adopted {
     current: Configuration,
@@ -58,6 +59,13 @@
         newer
     }
 
+    /// Adopts what a peer sent, once the first one came from the leader.
+    pub fn adopt_from_peer(&mut self, it: Configuration) {
+        if Revision(0) < self.current.revision {
+            self.adopt(it);
+        }
+    }
+
     /// Returns the question to ask a peer whose revision is `theirs`, if it is ahead.
     pub fn question(
         &mut self,
@@ -65,6 +73,9 @@
         theirs: Revision,
         reply_to: SocketAddr,
     ) -> Option<Message> {
+        if self.current.revision == Revision(0) {
+            return None;
+        }
         let asked_lately = self.asked_ms.is_some_and(|it| now.mono_ms < it + ASK_MS);
         if theirs <= self.current.revision || asked_lately {
             return None;
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -175,9 +175,9 @@
         self.leading.as_ref().map(|it| &it.scheduler)
     }
 
-    /// Returns whether this member can answer: it leads, or knows who does.
+    /// Returns whether this member can answer: it is up to date, and leads or knows who does.
     pub fn is_ready(&self) -> bool {
-        self.raft.leader().is_some()
+        self.raft.leader().is_some() && self.raft.has_caught_up()
     }
 
     /// Returns when the next [`Input::Tick`] is due.
@@ -508,7 +508,12 @@
                 Applied::Entry(it) => self.apply_entry(now, &it),
             }
         }
-        self.raft.set_in_force(self.state.configuration.revision);
+        let is_shown = self.raft.has_caught_up();
+        self.raft.set_in_force(if is_shown {
+            self.state.configuration.revision
+        } else {
+            Revision(0)
+        });
         Ok(())
     }
 
@@ -630,15 +635,11 @@
         if it.draining && !was_draining {
             tracing::info!(event = "agent_draining", vm = %vm.name);
         }
-        let reply = heartbeat_reply(
-            &it,
-            self.options.settings.lease_ms,
-            SessionVerdict::Renewed,
-            res.orders,
-        );
+        let lease_ms = self.options.settings.lease_ms;
+        let mut reply = heartbeat_reply(&it, lease_ms, SessionVerdict::Renewed, res.orders);
+        reply.configuration = self.news_for(it.in_force);
         self.effects
             .push(Effect::Send { to: it.reply_to, message: Message::AgentHeartbeatReply(reply) });
-        self.send_configuration(it.reply_to, it.in_force);
         for command in self.new_events(events) {
             self.propose(now, command, ReplyTo::Nobody);
         }
@@ -660,16 +661,16 @@
             true => leading.directory.update_since(it.directory_epoch, it.directory_version),
             false => None,
         };
-        let message = Message::EntryHeartbeatReply(EntryHeartbeatReply { directory });
+        let configuration = self.news_for(it.in_force);
+        let reply = EntryHeartbeatReply { boot: it.boot, directory, configuration };
+        let message = Message::EntryHeartbeatReply(reply);
         self.effects.push(Effect::Send { to: it.reply_to, message });
-        self.send_configuration(it.reply_to, it.in_force);
     }
 
-    fn send_configuration(&mut self, to: SocketAddr, in_force: Revision) {
-        if in_force < self.state.configuration.revision {
-            let message = Message::ConfigUpdate(self.state.configuration.clone());
-            self.effects.push(Effect::Send { to, message });
-        }
+    /// Returns the configuration for a process that is behind.
+    fn news_for(&self, in_force: Revision) -> Option<Configuration> {
+        let is_behind = in_force < self.state.configuration.revision;
+        is_behind.then(|| self.state.configuration.clone())
     }
 
     fn query(&self, now: Now, query: &Query) -> Outcome {
@@ -750,6 +751,7 @@
         lease_ms,
         verdict,
         orders,
+        configuration: None,
     }
 }
 
@@ -789,6 +791,7 @@
             lease_ms: 0,
             verdict: SessionVerdict::Renewed,
             orders,
+            configuration: None,
         };
         Some(Effect::Send { to: address, message: Message::AgentOrders(orders) })
     };
--- a/src/control/log/raft.rs
+++ b/src/control/log/raft.rs
@@ -86,6 +86,10 @@
     handed_over: bool,
 
     in_force: Revision,
+    caught_up: bool,
+    /// Leader's clock in the first message since the start, and the index to catch up to.
+    first_sent_ms: Option<u64>,
+    catch_up_index: Option<u64>,
     pending: Vec<DiskWrite>,
     written: u64,
     durable: u64,
@@ -138,6 +142,9 @@
             handing_over_since_ms: None,
             handed_over: false,
             in_force: Revision(0),
+            caught_up: false,
+            first_sent_ms: None,
+            catch_up_index: None,
             pending: Vec::new(),
             written: 0,
             durable: 0,
@@ -220,6 +227,15 @@
             && self.term_at(self.applied_index) == Some(self.hard.term)
     }
 
+    /// Returns whether everything that was committed when this member started is applied here.
+    ///
+    /// Until then a restarted member may hold an older state than it showed before. What a leader
+    /// says it has committed counts once the leader has committed in its own term, and once its
+    /// clock has moved on by an election timeout, so that it did not say so before the restart.
+    pub fn has_caught_up(&self) -> bool {
+        self.caught_up
+    }
+
     /// Returns the time of the next call of [`Raft::tick`].
     pub fn next_tick_ms(&self) -> u64 {
         if self.is_leader() { self.heartbeat_at_ms } else { self.election_at_ms }
@@ -423,6 +439,9 @@
             self.applied_index = it.index;
             res.push(Applied::Entry(it));
         }
+        let reached = self.catch_up_index.is_some_and(|it| it <= self.applied_index);
+        let leads = self.is_leader() && self.term_at(self.applied_index) == Some(self.hard.term);
+        self.caught_up |= reached || leads;
         res
     }
 
@@ -529,6 +548,10 @@
     }
 
     fn follow(&mut self, now: Now, term: u64, leader: Option<MemberId>) {
+        if self.leader != leader {
+            // Another leader, another clock.
+            self.first_sent_ms = None;
+        }
         if self.hard.term < term {
             self.set_hard(HardState { term, vote: None });
         }
@@ -831,10 +854,19 @@
             self.append(Arc::new(entry));
         }
         self.commit_index = self.commit_index.max(it.commit_index.min(match_index));
+        self.note_catch_up(it.term, it.commit_index, it.sent_ms);
         let reply = self.append_reply(true, match_index, it.sent_ms);
         self.send_durable(from, reply);
     }
 
+    fn note_catch_up(&mut self, term: u64, commit_index: u64, sent_ms: u64) {
+        let first_ms = *self.first_sent_ms.get_or_insert(sent_ms);
+        let is_fresh = first_ms + self.options.election_timeout_ms < sent_ms;
+        if self.catch_up_index.is_none() && is_fresh && self.term_at(commit_index) == Some(term) {
+            self.catch_up_index = Some(commit_index);
+        }
+    }
+
     fn append_reply(&self, matched: bool, match_index: u64, sent_ms: u64) -> RaftBody {
         RaftBody::AppendReply(AppendReply {
             term: self.hard.term,
--- a/src/control/reconcile.rs
+++ b/src/control/reconcile.rs
@@ -34,9 +34,15 @@
         let report = by_task.get(id).filter(|it| it.incarnation == task.incarnation);
         let phase = report.map(|it| it.phase);
         match (task.state, phase) {
-            (TaskState::Starting | TaskState::Resuming, None) if complete => {
+            (TaskState::Starting | TaskState::Resuming, None)
+                if complete && task.placement.is_some_and(|it| !it.inherited) =>
+            {
                 res.orders.extend(start_order(state, *id));
             }
+            // Its start was asked of an earlier run of the agent, and the worker does not have it.
+            (TaskState::Starting | TaskState::Resuming, None) if complete => {
+                res.push_event(*id, task.incarnation, TaskEvent::Stopped);
+            }
             // The agent knows nothing of a task that ran here: its worker lost it.
             (TaskState::Running | TaskState::Checkpointing | TaskState::Stopping, None)
                 if complete =>
--- a/src/control/state/jobs.rs
+++ b/src/control/state/jobs.rs
@@ -270,7 +270,8 @@
             return refused("the VM is full, draining or in quarantine");
         }
         self.vms.reserve(it.vm, it.task, need);
-        let placement = Placement { vm: it.vm, session: it.session, since_ms: self.time_ms };
+        let placement =
+            Placement { vm: it.vm, session: it.session, since_ms: self.time_ms, inherited: false };
         if let Some(task) = self.jobs.tasks.get_mut(&it.task) {
             task.incarnation = it.incarnation;
             task.placement = Some(placement);
@@ -366,6 +367,7 @@
                 self.jobs.tasks.get_mut(&id).and_then(|it| it.placement.as_mut())
             {
                 placement.session = session;
+                placement.inherited = true;
             }
         }
     }
--- a/src/control/state/task.rs
+++ b/src/control/state/task.rs
@@ -8,6 +8,9 @@
     pub vm: VmId,
     pub session: SessionId,
     pub since_ms: u64,
+    /// Whether the session that it was placed under has been superseded since. The VM may have
+    /// restarted with all it ran, so this incarnation is never started once more.
+    pub inherited: bool,
 }
 
 /// One task of a job.
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -265,6 +265,7 @@
         let heartbeat = EntryHeartbeat {
             name: self.options.name.clone(),
             zone: self.options.zone.clone(),
+            boot: self.options.boot,
             reply_to: self.options.address,
             in_force: self.adopted.revision(),
             directory_epoch: self.endpoints.epoch,
@@ -287,8 +288,11 @@
                     self.on_control(now, token, outcome);
                 }
             }
-            Message::EntryHeartbeatReply(it) => {
+            Message::EntryHeartbeatReply(it) if it.boot == self.options.boot => {
                 self.unanswered_heartbeats = 0;
+                if let Some(news) = it.configuration {
+                    self.adopted.adopt(news);
+                }
                 if let Some(update) = it.directory {
                     let zone = self.options.zone.clone();
                     self.endpoints.update(update, &zone, now);
@@ -301,9 +305,7 @@
                 self.heartbeat_at_ms = self.heartbeat_at_ms.min(now.mono_ms + HEARTBEAT_MS / 5);
             }
             Message::EndpointLeaving(it) => self.endpoints.note_leaving(it.endpoint),
-            Message::ConfigUpdate(it) => {
-                self.adopted.adopt(it);
-            }
+            Message::ConfigUpdate(it) => self.adopted.adopt_from_peer(it),
             Message::ConfigFetch(it) => {
                 let update = Message::ConfigUpdate(self.adopted.current().clone());
                 self.send(it.reply_to, update);
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -157,6 +157,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct AgentHeartbeatReply {
+    ///The configuration in force, for an agent that is behind.
+    pub configuration: ::std::option::Option<Configuration>,
     pub lease_ms: u32,
     pub number: u64,
     pub orders: ::std::vec::Vec<TaskOrder>,
@@ -823,6 +825,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryHeartbeat {
+    ///Random number of the entry's process, so that it knows answers to an earlier run.
+    pub boot: u64,
     pub directory_epoch: u64,
     pub directory_version: u64,
     pub in_force: Revision,
@@ -841,6 +845,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntryHeartbeatReply {
+    pub boot: u64,
+    ///The configuration in force, for an entry that is behind.
+    pub configuration: ::std::option::Option<Configuration>,
     pub directory: ::std::option::Option<DirectoryUpdate>,
 }
 impl ::std::convert::From<&EntryHeartbeatReply> for EntryHeartbeatReply {
