Say "not run" only of a key that has been looked up

Cause: a resend of a non-idempotent request that was refused before its claim (no endpoint, queue full, draining, late) was told "not run", though the first sending had run. Conclusion: a refusal of a keyed request costs one read of control; idempotent ones cost nothing.

--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -47,11 +47,42 @@
         self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
     }
 
+    /// Settles a request's claim as not run, or looks its key up, before its caller is told so.
+    ///
+    /// Control's answer decides: another sending of the key may have taken the claim over.
+    pub(super) fn check_key(&mut self, now: Now, key: QuickKey, refusal: Refusal) {
+        self.leave_stage(key);
+        let Some(quick) = self.quicks.get_mut(key) else { return };
+        quick.stage = Stage::Checking { refusal };
+        // A deadline that has passed already leaves a moment for the answer.
+        quick.deadline_ms = quick.deadline_ms.max(now.mono_ms + STALE_MS);
+        let deadline_ms = quick.deadline_ms;
+        if 0 < quick.claim_attempt {
+            self.settle(now, key, ClaimOutcome::NotRun, ControlToken::Claim(key));
+        } else {
+            let query = ClaimQuery { team: quick.team.clone(), key: quick.key() };
+            let operation = Operation::Query(Query::Claim(query));
+            self.client.call(now, operation, deadline_ms, ControlToken::Claim(key));
+        }
+        self.schedule(deadline_ms, key);
+    }
+
     /// Takes in the state of a request's claim.
     pub(super) fn on_claim(&mut self, now: Now, key: QuickKey, outcome: Outcome) {
         let Some(quick) = self.quicks.get_mut(key) else {
             return;
         };
+        if let Stage::Checking { refusal } = &quick.stage {
+            let refusal = refusal.clone();
+            let is_free = match &outcome {
+                Ok(Reply::Claim(it)) => it.state == ClaimState::NotRun,
+                Err(it) => it.kind == ErrorKind::NotFound,
+                Ok(_) => false,
+            };
+            if is_free {
+                return self.finish(now, key, CallerAnswer::Refused(refusal));
+            }
+        }
         let claim = match outcome {
             Ok(Reply::Claim(it)) => it,
             Ok(_) => return,
@@ -59,6 +90,12 @@
             Err(it) if it.kind == ErrorKind::ClaimInProgress => return self.follow(now, key, None),
             Err(it) => return self.refuse(now, key, it),
         };
+        if claim.digest != quick.digest {
+            // Never another request's answer.
+            let detail = format_compact!("key {} names another request", quick.key());
+            let refusal = refusal(ErrorKind::KeyReused, detail);
+            return self.finish(now, key, CallerAnswer::Refused(refusal));
+        }
         let next = quick.claim_attempt + 1;
         let is_own = claim.request == quick.request && claim.state == ClaimState::Claimed;
         match (&quick.stage, claim.state.clone()) {
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -17,6 +17,7 @@
         quick::{Attempt, Quick, QuickKey, Stage},
         request::{CallerAnswer, CallerRequest, Effect, Input, QuickRequest},
     },
+    error::{Ran, answer_of},
     metrics::{Dropped, Metrics},
     policy::{
         admission::{self, FairQueue, Rejection, Waiting},
@@ -45,6 +46,9 @@
 /// How long an attempt whose caller was told "unknown" is still followed.
 const FOLLOW_UNKNOWN_MS: u64 = 30_000;
 
+/// Requests open in an entry beyond which not even keys are looked up any more.
+const LOOKUPS_MAX: usize = 20_000;
+
 /// Shortest time that an attempt is given before another is made.
 const ATTEMPT_MIN_MS: u64 = 20;
 
@@ -315,19 +319,17 @@
     }
 
     fn on_request(&mut self, now: Now, token: u64, team: CompactString, request: CallerRequest) {
-        if self.draining {
-            let refusal =
-                refusal_until(ErrorKind::Draining, "this entry is stopping: ask another", 100);
-            return self.answer(token, CallerAnswer::Refused(refusal));
-        }
         let open = self.quicks.len() + self.polls.len() + self.operations;
-        if self.options.settings.in_flight_max as usize <= open {
-            let refusal =
-                refusal_until(ErrorKind::QueueFull, "this entry has its most requests open", 200);
-            return self.answer(token, CallerAnswer::Refused(refusal));
-        }
+        let request = match (self.check_room(open), request) {
+            // A keyed request that cannot be served has its key looked up first.
+            (busy, CallerRequest::Quick(it)) => {
+                return self.on_quick(now, token, team, it, busy.err());
+            }
+            (Err(refusal), _) => return self.answer(token, CallerAnswer::Refused(refusal)),
+            (Ok(()), it) => it,
+        };
         let operation = match request {
-            CallerRequest::Quick(it) => return self.on_quick(now, token, team, it),
+            CallerRequest::Quick(_) => return,
             CallerRequest::JobResult { job, wait_ms } => {
                 return self.hold_poll(
                     now,
@@ -375,7 +377,7 @@
         match token {
             ControlToken::Caller(token) => {
                 self.operations -= 1;
-                self.answer(token, answer_of(outcome));
+                self.answer(token, caller_answer(outcome));
             }
             ControlToken::Poll(token) => self.on_poll_reply(now, token, outcome),
             ControlToken::Claim(key) => self.on_claim(now, key, outcome),
@@ -413,21 +415,86 @@
         };
         if has_news || poll.until_ms <= now.mono_ms + POLL_MS {
             self.polls.remove(&token);
-            self.answer(token, answer_of(outcome));
+            self.answer(token, caller_answer(outcome));
         } else {
             poll.ask_at_ms = Some(now.mono_ms + POLL_MS);
         }
     }
 
-    fn on_quick(&mut self, now: Now, token: u64, team: CompactString, quick: QuickRequest) {
-        if let Err(refusal) = self.check_quick(&team, &quick) {
+    /// Checks whether this entry takes anything at all.
+    fn check_room(&self, open: usize) -> Result<(), Refusal> {
+        if self.draining {
+            return Err(refusal_until(
+                ErrorKind::Draining,
+                "this entry is stopping: ask another",
+                100,
+            ));
+        }
+        if self.adopted.revision() == Revision(0) {
+            let detail = "this entry has no configuration yet";
+            return Err(refusal_until(ErrorKind::NoEndpoint, detail, 1_000));
+        }
+        if self.options.settings.in_flight_max as usize <= open {
+            return Err(refusal_until(
+                ErrorKind::QueueFull,
+                "this entry has its most requests open",
+                200,
+            ));
+        }
+        Ok(())
+    }
+
+    fn on_quick(
+        &mut self,
+        now: Now,
+        token: u64,
+        team: CompactString,
+        quick: QuickRequest,
+        no_room: Option<Refusal>,
+    ) {
+        if !quick.idempotent && quick.key.as_ref().is_none_or(|key| key.is_empty()) {
+            let detail = "a request that is not idempotent needs an idempotency key";
+            return self
+                .answer(token, CallerAnswer::Refused(refusal(ErrorKind::BadRequest, detail)));
+        }
+        let refusal = match &no_room {
+            Some(it) if quick.idempotent => Some(it.clone()),
+            Some(_) => None,
+            None => self.check_quick(&team, &quick).err(),
+        };
+        if let Some(it) = refusal {
+            return self.answer(token, CallerAnswer::Refused(it));
+        }
+        if LOOKUPS_MAX <= self.quicks.len() && no_room.is_some() {
+            // Not even its key can be looked up, so an earlier sending may have run.
+            let detail =
+                "too many requests are open to look up its key: send it again with the same key";
+            let refusal = refusal_until(ErrorKind::OutcomeUnknown, detail, 500);
             return self.answer(token, CallerAnswer::Refused(refusal));
         }
+        let key = self.admit(now, token, team, quick);
+        if let Some(refusal) = no_room.or_else(|| self.check_busy(key).err()) {
+            return self.refuse(now, key, refusal);
+        }
+        // Who arrives while others wait goes behind them.
+        let Some(class) = self.quicks.get(key).map(|it| it.quick.class.clone()) else { return };
+        let others_wait = self.lines.get(&class).is_some_and(|it| !it.queue.is_empty());
+        if others_wait || !self.try_begin(now, key) {
+            self.enqueue(now, key);
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Now,
+        token: u64,
+        team: CompactString,
+        quick: QuickRequest,
+    ) -> QuickKey {
         self.next_request += 1;
         let request = RequestId { boot: self.options.boot, number: self.next_request };
         let deadline_ms = now.mono_ms + u64::from(quick.deadline_ms);
         *self.by_team.entry(team.clone()).or_insert(0) += 1;
-        let class = quick.class.clone();
         let digest = digest_of(&[quick.class.as_bytes(), quick.path.as_bytes(), &quick.body]);
         let key = self.quicks.insert(Quick {
             token: Some(token),
@@ -447,27 +514,31 @@
         });
         self.by_request.insert(request, key);
         self.timers.insert((deadline_ms, key));
-        // Who arrives while others wait goes behind them.
-        let others_wait = self.lines.get(&class).is_some_and(|it| !it.queue.is_empty());
-        if others_wait || !self.try_begin(now, key) {
-            self.enqueue(now, key);
+        key
+    }
+
+    /// Checks whether a request admitted a moment ago can be served now.
+    fn check_busy(&self, key: QuickKey) -> Result<(), Refusal> {
+        let Some(quick) = self.quicks.get(key) else { return Ok(()) };
+        let open = self.by_team.get(&quick.team).copied().unwrap_or(0);
+        let most = self.adopted.team(&quick.team).map_or(0, |it| it.requests_in_flight_max);
+        if most < open {
+            let detail =
+                format_compact!("team {} has {most} requests open here, its most", quick.team);
+            return Err(refusal_until(ErrorKind::TeamShareExceeded, detail, 100));
+        }
+        if self.endpoints.capacity_of(&quick.quick.class).0 == 0 {
+            let detail = format_compact!("class {} has no endpoint now", quick.quick.class);
+            return Err(refusal_until(ErrorKind::NoEndpoint, detail, 1_000));
         }
+        Ok(())
     }
 
     fn check_quick(&self, team: &str, it: &QuickRequest) -> Result<(), Refusal> {
-        if self.adopted.revision() == Revision(0) {
-            return Err(refusal_until(
-                ErrorKind::NoEndpoint,
-                "this entry has no configuration yet",
-                1_000,
-            ));
+        if self.adopted.team(team).is_none() {
+            let detail = format_compact!("no team is named {team}");
+            return Err(refusal(ErrorKind::UnknownTeam, detail));
         }
-        let Some(team) = self.adopted.team(team) else {
-            return Err(refusal(
-                ErrorKind::UnknownTeam,
-                format_compact!("no team is named {team}"),
-            ));
-        };
         let Some(class) = self.adopted.class(&it.class) else {
             return Err(refusal(
                 ErrorKind::UnknownClass,
@@ -490,22 +561,6 @@
             );
             return Err(refusal(ErrorKind::DeadlineOutOfRange, detail));
         }
-        if !it.idempotent && it.key.as_ref().is_none_or(|key| key.is_empty()) {
-            return Err(refusal(
-                ErrorKind::BadRequest,
-                "a request that is not idempotent needs an idempotency key",
-            ));
-        }
-        let open = self.by_team.get(&team.name).copied().unwrap_or(0);
-        if team.requests_in_flight_max <= open {
-            let detail =
-                format_compact!("team {} has {open} requests open here, its most", team.name);
-            return Err(refusal_until(ErrorKind::TeamShareExceeded, detail, 100));
-        }
-        if self.endpoints.capacity_of(&it.class).0 == 0 {
-            let detail = format_compact!("class {} has no endpoint now", it.class);
-            return Err(refusal_until(ErrorKind::NoEndpoint, detail, 1_000));
-        }
         Ok(())
     }
 
@@ -700,6 +755,10 @@
                     refusal(ErrorKind::AnswerLate, "no answer arrived by its deadline"),
                 );
             }
+            Stage::Checking { .. } => {
+                let detail = "its key could not be looked up in time";
+                self.refuse(now, key, refusal_until(ErrorKind::ControlUnavailable, detail, 500));
+            }
             Stage::Following { .. } => {
                 let detail = "an earlier request with this key has no outcome yet";
                 self.refuse(now, key, refusal_until(ErrorKind::ClaimInProgress, detail, 1_000));
@@ -718,7 +777,7 @@
                         "it was sent and no answer arrived by its deadline",
                     ),
                     false => refusal(
-                        ErrorKind::DeadlineExpiredQueued,
+                        ErrorKind::ControlUnavailable,
                         "its key could not be claimed in time",
                     ),
                 };
@@ -920,20 +979,22 @@
     }
 
     /// Answers with a refusal, and settles a claim of a request that did not run.
+    ///
+    /// "Not run" must be true of the idempotency key, not only of this sending: before it is said
+    /// of a key, its claim is settled, or looked up where this request does not hold it.
     pub(super) fn refuse(&mut self, now: Now, key: QuickKey, refusal: Refusal) {
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
-        let holds_claim = 0 < quick.claim_attempt;
-        let ran = crate::error::answer_of(refusal.kind).ran;
-        if holds_claim && ran == crate::error::Ran::No {
-            self.settle(now, key, ClaimOutcome::NotRun, ControlToken::Nobody);
+        let Some(quick) = self.quicks.get(key) else { return };
+        let says_not_run = answer_of(refusal.kind).ran == Ran::No;
+        let is_checked = matches!(quick.stage, Stage::Checking { .. });
+        if says_not_run && !quick.is_idempotent() && !is_checked {
+            return self.check_key(now, key, refusal);
         }
         self.finish(now, key, CallerAnswer::Refused(refusal));
     }
 
     /// Ends a request, and lets the next one of its class have its place.
     pub(super) fn finish(&mut self, now: Now, key: QuickKey, answer: CallerAnswer) {
+        self.leave_stage(key);
         let Some(quick) = self.quicks.remove(key) else {
             return;
         };
@@ -948,19 +1009,24 @@
             self.endpoints.note_ended(it.endpoint);
         }
         let class = &quick.quick.class;
+        if let Some(token) = quick.token {
+            self.answer(token, answer);
+        }
+        self.pump(now, class);
+    }
+
+    /// Gives back what a request holds in its stage: its place in the queue, or on an endpoint.
+    pub(super) fn leave_stage(&mut self, key: QuickKey) {
+        let Some(quick) = self.quicks.get(key) else { return };
         match quick.stage {
             Stage::Claiming { endpoint } => self.endpoints.note_ended(endpoint),
             Stage::Waiting => {
-                if let Some(line) = self.lines.get_mut(class) {
+                if let Some(line) = self.lines.get_mut(&quick.quick.class) {
                     line.queue.remove(key);
                 }
             }
             _ => (),
         }
-        if let Some(token) = quick.token {
-            self.answer(token, answer);
-        }
-        self.pump(now, class);
     }
 
     /// Begins waiting requests of a class as far as endpoints take them.
@@ -1008,7 +1074,7 @@
     })
 }
 
-fn answer_of(outcome: Outcome) -> CallerAnswer {
+fn caller_answer(outcome: Outcome) -> CallerAnswer {
     match outcome {
         Ok(it) => CallerAnswer::Done(it),
         Err(it) => CallerAnswer::Refused(it),
--- a/src/entry/quick.rs
+++ b/src/entry/quick.rs
@@ -30,6 +30,8 @@
     Claiming { endpoint: EndpointKey },
     /// Another request holds the claim of its key; its outcome is looked up from time to time.
     Following { look_at_ms: u64, asked_ms: Option<u64> },
+    /// It cannot be served; its key is looked up before that is said.
+    Checking { refusal: Refusal },
     /// One or more attempts are under way.
     InFlight {
         /// When another attempt is made, or the agent is asked what became of this one.
