--- a/src/standin/load.rs
+++ b/src/standin/load.rs
@@ -38,6 +38,8 @@
     /// Requests that got no answer at all, such as when their entry was killed.
     pub unanswered: u64,
     pub errors: BTreeMap<String, u64>,
+    /// Bodies of the requests that were told "not run".
+    pub refused_not_run: Vec<String>,
     pub elapsed: Duration,
     latencies_us: Histogram<u64>,
 }
@@ -72,6 +74,7 @@
         mismatched: 0,
         unanswered: 0,
         errors: BTreeMap::new(),
+        refused_not_run: Vec::new(),
         elapsed: Duration::ZERO,
         latencies_us,
     };
@@ -125,19 +128,25 @@
                 report.latencies_us.saturating_record(elapsed_us.max(1));
             }
             Ok(_) => report.mismatched += 1,
-            Err(Some(kind)) => *report.errors.entry(kind).or_insert(0) += 1,
+            Err(Some(document)) => {
+                let kind = document["error"].as_str().unwrap_or("endpoint_status").to_owned();
+                *report.errors.entry(kind).or_insert(0) += 1;
+                if document["ran"] == "no" {
+                    report.refused_not_run.push(body);
+                }
+            }
             Err(None) => report.unanswered += 1,
         }
     }
 }
 
-/// Sends one request; returns what it echoes, the error kind, or nothing without an answer.
+/// Sends one request; returns what it echoes, the refusal, or nothing without an answer.
 fn call(
     client: &ureq::Agent,
     options: &LoadOptions,
     target: SocketAddr,
     body: &str,
-) -> Result<String, Option<String>> {
+) -> Result<String, Option<Value>> {
     let path = if options.direct {
         "check".to_owned()
     } else {
@@ -156,6 +165,6 @@
     let document: Value = serde_json::from_str(&text).map_err(|_| None)?;
     match document["echo"].as_str() {
         Some(it) if status == 200 => Ok(it.to_owned()),
-        _ => Err(Some(document["error"].as_str().unwrap_or("endpoint_status").to_owned())),
+        _ => Err(Some(document)),
     }
 }
--- a/tests/promises/world.rs
+++ b/tests/promises/world.rs
@@ -287,7 +287,7 @@
         self.next_member += 1;
         let id = MemberId(self.next_member);
         if let RoleCore::Control { disk, member, .. } = &mut self.nodes[node].role {
-            *disk = Box::new(FakeDisk::new(Recovered::default()));
+            **disk = FakeDisk::new(Recovered::default());
             *member = id;
         }
         self.start(node);
