Keep the mix of kinds on a VM by addition, not by summing it anew

Each candidate VM of each start, and each change of a task, summed up all tasks of a VM. Change: scheduler/residents.rs adds and subtracts; scenes are noted once a plan for VMs that changed.

--- /dev/null
+++ b/src/bench/commits.rs
@@ -0,0 +1,86 @@
+//! What commits cost on this machine's disk: together, and one at a time.
+
+use std::{path::Path, sync::Arc, time::Instant};
+
+use crate::{
+    control::log::{Disk, DiskWrite, Identity, Raft, RaftOptions, Recovered},
+    prelude::*,
+    util::{Clock, Place},
+};
+
+/// Writes `commits` commands of `bytes` each in batches of every size, and prints a line each.
+///
+/// # Errors
+///
+/// Returns an error when the folder cannot be written.
+pub fn run(folder: &Path, commits: u64, bytes: usize) -> Result<()> {
+    println!("batch commits seconds commits_per_second syncs bytes_per_commit");
+    for batch in [1, 8, 64, 512] {
+        let path = folder.join(format!("batch-{batch}"));
+        let identity = Identity {
+            member: MemberId(1),
+            place: Place { region: 1, group: 1 },
+            founders: Vec::new(),
+        };
+        identity.create(&path)?;
+        let (mut disk, _) = Disk::open(&path, &identity, 0)?;
+        let begun = Instant::now();
+        let mut index = 0;
+        let mut syncs = 0;
+        while index < commits {
+            let count = batch.min(commits - index);
+            let entries = (1..=count).map(|it| Arc::new(entry(index + it, bytes))).collect();
+            disk.write(&[DiskWrite::Append(entries)])?;
+            index += count;
+            syncs += 1;
+        }
+        let seconds = begun.elapsed().as_secs_f64();
+        let size = std::fs::metadata(path.join("log-0")).map_or(0, |it| it.len());
+        let rate = commits as f64 / seconds;
+        println!("{batch} {commits} {seconds:.3} {rate:.0} {syncs} {}", size / commits);
+    }
+    recover(folder, bytes)
+}
+
+/// Measures the start of a member by the length of its log.
+fn recover(folder: &Path, bytes: usize) -> Result<()> {
+    println!("log_entries recovery_ms resident_growth_B");
+    for count in [1_000, 10_000, 50_000] {
+        let path = folder.join(format!("recover-{count}"));
+        let identity = Identity {
+            member: MemberId(1),
+            place: Place { region: 1, group: 1 },
+            founders: Vec::new(),
+        };
+        identity.create(&path)?;
+        let (mut disk, _) = Disk::open(&path, &identity, 0)?;
+        let entries: Vec<_> = (1..=count).map(|it| Arc::new(entry(it, bytes))).collect();
+        for it in entries.chunks(1_000) {
+            disk.write(&[DiskWrite::Append(it.to_vec())])?;
+        }
+        drop((disk, entries));
+        let resident = crate::bench::resident_bytes();
+        let begun = Instant::now();
+        let (_disk, recovered): (Disk, Recovered) = Disk::open(&path, &identity, 0)?;
+        let raft = Raft::new(MemberId(1), recovered, RaftOptions::default(), Clock.now());
+        let recovery_ms = begun.elapsed().as_secs_f64() * 1e3;
+        let growth = crate::bench::resident_bytes().saturating_sub(resident);
+        println!("{} {recovery_ms:.1} {growth}", raft.last_index());
+    }
+    Ok(())
+}
+
+fn entry(index: u64, bytes: usize) -> LogEntry {
+    let command = PublishCommand {
+        team: "team".into(),
+        key: format_compact!("key-{index}"),
+        subject: "subject".into(),
+        body: "x".repeat(bytes).into(),
+    };
+    LogEntry {
+        index,
+        term: 1,
+        time_ms: 1_700_000_000_000 + index,
+        body: EntryBody::Command(Command::Publish(command)),
+    }
+}
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -533,7 +533,7 @@
         if let Some(leading) = &mut self.leading {
             leading.note_command(&self.state, &self.options.settings, command, &outcome, now);
             for it in &changes {
-                leading.scheduler.note(&self.state, *it, now);
+                leading.scheduler.note(&self.state, *it);
             }
             let orders = start_orders(&self.state, &changes, &leading.sessions);
             self.effects.extend(orders);
@@ -561,7 +561,7 @@
                     since_ms: now.mono_ms,
                     sessions: Sessions::take_over(&self.state, now, held_ms(settings)),
                     directory: Directory::new(self.raft.term()),
-                    scheduler: Scheduler::new(&self.state, scheduler, now),
+                    scheduler: Scheduler::new(&self.state, scheduler),
                     proposed: HashSet::new(),
                     expire_at_ms: now.mono_ms + EXPIRE_MS,
                     tick_at_ms: now.mono_ms,
--- a/src/control/scheduler.rs
+++ b/src/control/scheduler/mod.rs
@@ -4,16 +4,23 @@
 //! number of tasks and VMs. The state checks every start once more, so a plan from indexes that
 //! are a moment old can be refused but never overfills a VM.
 
+mod costs;
+mod residents;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use crate::{
+    control::scheduler::{
+        costs::{Costs, share_of},
+        residents::{Resident, Residents},
+    },
     control::state::{Change, State, Task, Vm, subtract},
     policy::{
         estimate::RunTimes,
         feedback::{self, Action},
         interference::{Pairs, Past},
         order::{self, Candidate, Facts, Queue, Rule, Runs, Tier, Waiting},
-        placement::{Aim, Cost, Index, Room},
+        placement::{Aim, Index, Room},
         preemption::{EvictionBudget, Victim, choose_victims},
     },
     prelude::*,
@@ -87,8 +94,7 @@
     loops: HashMap<VmId, feedback::Loop>,
     /// Classes that answer quick requests on a VM, by its agent's last report.
     services: HashMap<VmId, Vec<CompactString>>,
-    /// Tasks counted as running, with team and need.
-    running: HashMap<TaskId, (CompactString, Resources)>,
+    residents: Residents,
     holds: BTreeMap<TaskId, Hold>,
     held_on: HashMap<VmId, Vec<TaskId>>,
     throttles: HashMap<TaskId, u32>,
@@ -103,7 +109,7 @@
 
 impl Scheduler {
     /// Makes the scheduler of a new leader from the whole state.
-    pub fn new(state: &State, options: SchedulerOptions, now: Now) -> Scheduler {
+    pub fn new(state: &State, options: SchedulerOptions) -> Scheduler {
         let mut res = Scheduler {
             options,
             queue: Queue::default(),
@@ -113,7 +119,7 @@
             past: Past::default(),
             loops: HashMap::new(),
             services: HashMap::new(),
-            running: HashMap::new(),
+            residents: Residents::default(),
             holds: BTreeMap::new(),
             held_on: HashMap::new(),
             throttles: HashMap::new(),
@@ -125,14 +131,14 @@
             dirty: true,
             planned_ms: 0,
         };
-        res.note(state, Change::Configuration, now);
+        res.note(state, Change::Configuration);
         for it in state.vms.iter() {
-            res.note(state, Change::Vm(it.id), now);
+            res.note(state, Change::Vm(it.id));
         }
         let ids: Vec<_> =
             state.jobs.tasks().filter(|it| !it.state.is_final()).map(|it| it.id).collect();
         for id in ids {
-            res.note(state, Change::Task(id), now);
+            res.note(state, Change::Task(id));
         }
         res
     }
@@ -153,11 +159,11 @@
     }
 
     /// Takes in a change of the state.
-    pub fn note(&mut self, state: &State, change: Change, now: Now) {
+    pub fn note(&mut self, state: &State, change: Change) {
         self.dirty = true;
         match change {
-            Change::Task(id) => self.note_task(state, id, now),
-            Change::Vm(id) => self.note_vm(state, id, now),
+            Change::Task(id) => self.note_task(state, id),
+            Change::Vm(id) => self.note_vm(state, id),
             Change::Configuration => self.note_configuration(state),
         }
     }
@@ -211,6 +217,7 @@
     /// Makes the next plan, if there is reason to.
     pub fn plan(&mut self, state: &State, now: Now) -> Plan {
         let mut plan = Plan::default();
+        self.note_scenes(state, now);
         if !self.dirty && now.mono_ms < self.planned_ms + REPLAN_MS {
             return plan;
         }
@@ -225,7 +232,7 @@
         plan
     }
 
-    fn note_task(&mut self, state: &State, id: TaskId, now: Now) {
+    fn note_task(&mut self, state: &State, id: TaskId) {
         let Some(task) = state.jobs.task(id) else {
             self.queue.remove(id);
             return;
@@ -234,14 +241,19 @@
             return;
         };
         let need = job.spec.resources;
-        match (task.state.holds_resources(), self.running.contains_key(&id)) {
-            (true, false) => {
+        match (task.placement, self.residents.contains(id)) {
+            (Some(placement), false) => {
+                let is_batch =
+                    state.class(&job.spec.class).is_some_and(|it| it.kind == ClassKind::Batch);
+                let kind = is_batch.then(|| job.spec.kind.clone());
+                let resident = Resident { team: job.team.clone(), need, vm: placement.vm, kind };
                 self.queue.note_running(&job.team, need, Runs::Starts);
-                self.running.insert(id, (job.team.clone(), need));
+                self.residents.add(id, resident);
             }
-            (false, true) => {
-                self.queue.note_running(&job.team, need, Runs::Ends);
-                self.running.remove(&id);
+            (None, true) => {
+                if let Some(it) = self.residents.remove(id) {
+                    self.queue.note_running(&it.team, it.need, Runs::Ends);
+                }
                 self.evicting.remove(&id);
                 if self.throttles.remove(&id).is_some() {
                     self.loops.values_mut().for_each(|it| it.forget(id));
@@ -262,7 +274,6 @@
         }
         if let Some(it) = task.placement {
             self.refresh_room(state, it.vm);
-            self.note_scene(state, it.vm, now);
         }
     }
 
@@ -290,7 +301,7 @@
         Waiting { task: task.id, tier, rank: order::rank(self.options.rule, facts), need, due_ms }
     }
 
-    fn note_vm(&mut self, state: &State, id: VmId, now: Now) {
+    fn note_vm(&mut self, state: &State, id: VmId) {
         self.refresh_room(state, id);
         if state.vms.get(id).is_some_and(|it| it.quarantined) {
             self.quarantined.insert(id);
@@ -302,12 +313,12 @@
                 if self.options.vm_failures_max <= vm.failures_in_row && !vm.quarantined {
                     self.suspects.insert(id);
                 }
-                self.note_scene(state, id, now);
             }
             _ => {
                 self.loops.remove(&id);
                 self.services.remove(&id);
                 self.past.remove(id);
+                self.residents.forget(id);
             }
         }
     }
@@ -322,13 +333,13 @@
         }
     }
 
-    /// Notes what runs beside each other on a VM now.
-    fn note_scene(&mut self, state: &State, id: VmId, now: Now) {
-        if !self.options.learns_interference {
-            return;
+    /// Notes what runs beside each other now, on the VMs where that has changed.
+    fn note_scenes(&mut self, state: &State, now: Now) {
+        for id in self.residents.take_changed() {
+            if let Some(vm) = state.vms.get(id).filter(|_| self.options.learns_interference) {
+                self.past.note(id, now.mono_ms, self.residents.kinds_on(id, vm.capacity));
+            }
         }
-        let Some(vm) = state.vms.get(id) else { return };
-        self.past.note(id, now.mono_ms, kinds_on(state, vm));
     }
 
     /// Brings the index in line with a VM's state and what is held there.
@@ -616,99 +627,9 @@
     }
 }
 
-/// The costs of placing one task.
-struct Costs<'a> {
-    scheduler: &'a Scheduler,
-    state: &'a State,
-    task: &'a Task,
-    kind: &'a str,
-    class: &'a str,
-    is_batch: bool,
-    need: Resources,
-    /// Tasks of the same job by zone and rack, for services only.
-    places: HashMap<(&'a str, &'a str), u32>,
-}
-
-impl<'a> Costs<'a> {
-    fn new(scheduler: &'a Scheduler, state: &'a State, task: &'a Task) -> Costs<'a> {
-        let job = state.jobs.job_of(task);
-        let class = job.map_or("", |it| it.spec.class.as_str());
-        let is_batch = state.class(class).is_none_or(|it| it.kind == ClassKind::Batch);
-        let mut places = HashMap::new();
-        if !is_batch && let Some(job) = job {
-            let placed =
-                job.task_ids().filter_map(|id| state.jobs.task(id)?.placement.map(|it| it.vm));
-            let held = job.task_ids().filter_map(|id| scheduler.holds.get(&id).map(|it| it.vm));
-            for vm in placed.chain(held).filter_map(|id| state.vms.get(id)) {
-                *places.entry((vm.zone.as_str(), vm.rack.as_str())).or_insert(0) += 1;
-            }
-        }
-        Costs {
-            scheduler,
-            state,
-            task,
-            kind: job.map_or("", |it| it.spec.kind.as_str()),
-            class,
-            is_batch,
-            need: job.map_or(crate::control::state::NOTHING, |it| it.spec.resources),
-            places,
-        }
-    }
-}
-
-impl Cost for Costs<'_> {
-    fn interference(&self, id: VmId) -> f64 {
-        if self.task.failed_on.contains(&id) {
-            return 1e6;
-        }
-        let Some(vm) = self.state.vms.get(id) else {
-            return f64::INFINITY;
-        };
-        if self.is_batch && self.scheduler.is_closed(id) {
-            return f64::INFINITY;
-        }
-        if !self.scheduler.options.learns_interference {
-            return 0.0;
-        }
-        let pairs = &self.scheduler.pairs;
-        let share = share_of(self.need, vm.capacity);
-        let services = self.scheduler.services.get(&id).map_or(&[][..], |it| it.as_slice());
-        let done = services.iter().map(|class| pairs.harm(class, self.kind) * share).sum::<f64>();
-        let suffered = match self.is_batch {
-            true => 0.0,
-            false => pairs.slowdown(self.class, &kinds_on(self.state, vm)) - 1.0,
-        };
-        // Small differences are noise of the estimate; they must not beat a tight fit.
-        ((done + suffered) * 4.0).round() / 4.0
-    }
-
-    fn neighbours(&self, room: &Room) -> (u32, u32) {
-        let zone =
-            self.places.iter().filter(|((zone, _), _)| *zone == room.zone).map(|(_, it)| it).sum();
-        let rack = self.places.get(&(room.zone.as_str(), room.rack.as_str())).copied().unwrap_or(0);
-        (zone, rack)
-    }
-}
-
 fn aim_of(tier: Tier) -> Aim {
     match tier {
         Tier::Service => Aim::Spread,
         Tier::Urgent | Tier::Due | Tier::Batch => Aim::Pack,
     }
 }
-
-fn share_of(need: Resources, of: Resources) -> f64 {
-    f64::from(need.cpu_millicores) / f64::from(of.cpu_millicores.max(1))
-}
-
-/// Returns the kinds of batch work on a VM with their shares of its processors.
-fn kinds_on(state: &State, vm: &Vm) -> Vec<(CompactString, f64)> {
-    let mut kinds: BTreeMap<CompactString, f64> = BTreeMap::new();
-    for job in vm.tasks.iter().filter_map(|id| state.jobs.job_of(state.jobs.task(*id)?)) {
-        if state.class(&job.spec.class).is_some_and(|it| it.kind == ClassKind::Batch) {
-            *kinds.entry(job.spec.kind.clone()).or_insert(0.0) +=
-                share_of(job.spec.resources, vm.capacity);
-        }
-    }
-    kinds.into_iter().collect()
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! aspenrail: a scheduler that colocates latency-critical and batch work on one set of VMs.
 pub mod agent;
+pub mod bench;
 pub mod cli;
 pub mod config;
 pub mod control;
