--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -9,6 +9,7 @@
 mod disk;
 mod faults;
 mod history;
+mod measures;
 mod named_faults;
 mod sabotage;
 mod schedules;
