--- /dev/null
+++ b/src/bench/batch.rs
@@ -0,0 +1,603 @@
+//! What each decision about batch work earns, under waves, wrong sizes and faults.
+//!
+//! The real state and the real scheduler are fed seeded arrivals; VMs, run times and the harm
+//! that kinds do to services are small fakes. Every variant sees the same arrivals and faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    control::{
+        Scheduler, SchedulerOptions,
+        state::{Change, State},
+    },
+    policy::order::Rule,
+    prelude::*,
+    util::Place,
+};
+
+const WALL_MS: u64 = 1_700_000_000_000;
+const STEP_MS: u64 = 100;
+const VMS: u32 = 10;
+const VM_MILLICORES: u32 = 64_000;
+
+/// How old a report on a VM's services is when it arrives.
+const LAG_MS: u64 = 2_000;
+
+/// Time that a checkpoint takes.
+const CHECKPOINT_MS: u64 = 2_000;
+
+/// Tail of a service with nothing harmful beside it, and its target.
+const TAIL_ALONE_MS: f64 = 20.0;
+const TARGET_MS: u32 = 40;
+
+/// Kinds of batch work: mean run time in seconds, processors, harm of a full VM to services, and
+/// by what factor its callers misjudge it.
+const KINDS: [(&str, f64, u32, f64, f64); 6] = [
+    ("index", 15.0, 4_000, 0.1, 10.0),
+    ("grade", 40.0, 8_000, 0.2, 0.1),
+    ("scan", 90.0, 6_000, 6.0, 1.0),
+    ("notice", 8.0, 2_000, 0.0, 5.0),
+    ("render", 200.0, 12_000, 0.3, 0.2),
+    ("pack", 30.0, 4_000, 4.0, 2.0),
+];
+
+/// A way to schedule that is measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Variant {
+    /// First in, first out; the first VM that fits; nothing learned.
+    Naive,
+    Ours(SchedulerOptions),
+    /// Ours with true sizes.
+    Clairvoyant,
+}
+
+/// What one run measured.
+#[derive(Clone, Debug, Default)]
+struct Measured {
+    completed: u64,
+    responses_s: Vec<f64>,
+    slowdowns: Vec<f64>,
+    tails_ms: Vec<f64>,
+    evictions: u64,
+    lost_s: f64,
+    failed_runs: u64,
+    urgent_starts_s: Vec<f64>,
+    refused: u64,
+}
+
+/// Runs every variant over `seeds` seeds, each for `seconds` of virtual time, and prints a table
+/// with the mean and the standard error over the seeds.
+pub fn run(seeds: u64, seconds: u64) {
+    println!(
+        "variant | completed/h | slowdown mean | response p50 s | response p99 s | tail p50 ms | tail p99 ms | over target % | \
+         evictions | lost work s | failed runs | urgent start p99 s"
+    );
+    for (mix, load) in [("batch-heavy", 1.0), ("quick-heavy", 0.6)] {
+        println!("-- {mix}: batch load {load} of what services leave");
+        for (name, variant) in variants() {
+            let rows: Vec<_> = (1..=seeds)
+                .map(|seed| World::new(seed, load, variant).run(seconds).row(seconds))
+                .collect();
+            let cells: Vec<_> =
+                (0..rows[0].len()).map(|at| cell(rows.iter().map(|it| it[at]))).collect();
+            println!("{name} | {}", cells.join(" | "));
+        }
+    }
+}
+
+fn variants() -> Vec<(&'static str, Variant)> {
+    let ours = SchedulerOptions { quarantine_ms: 60_000, ..SchedulerOptions::default() };
+    vec![
+        ("naive: first fit, FIFO", Variant::Naive),
+        ("ours", Variant::Ours(ours)),
+        ("ours, FIFO", Variant::Ours(SchedulerOptions { rule: Rule::Fifo, ..ours })),
+        (
+            "ours, shortest remaining",
+            Variant::Ours(SchedulerOptions { rule: Rule::ShortestRemaining, ..ours }),
+        ),
+        ("ours, RS", Variant::Ours(SchedulerOptions { rule: Rule::RemainingTimesSize, ..ours })),
+        (
+            "ours, least attained",
+            Variant::Ours(SchedulerOptions { rule: Rule::LeastAttained, ..ours }),
+        ),
+        (
+            "ours, sizes as declared",
+            Variant::Ours(SchedulerOptions { corrects_sizes: false, ..ours }),
+        ),
+        (
+            "ours, no interference",
+            Variant::Ours(SchedulerOptions { learns_interference: false, ..ours }),
+        ),
+        ("ours, no feedback", Variant::Ours(SchedulerOptions { feeds_back: false, ..ours })),
+        (
+            "ours, neither of both",
+            Variant::Ours(SchedulerOptions {
+                feeds_back: false,
+                learns_interference: false,
+                ..ours
+            }),
+        ),
+        ("ours, no preemption", Variant::Ours(SchedulerOptions { preempts: false, ..ours })),
+        (
+            "ours, no quarantine",
+            Variant::Ours(SchedulerOptions { vm_failures_max: u32::MAX, ..ours }),
+        ),
+        ("clairvoyant sizes", Variant::Clairvoyant),
+    ]
+}
+
+fn cell(values: impl Iterator<Item = f64> + Clone) -> String {
+    let count = values.clone().count() as f64;
+    let mean = values.clone().sum::<f64>() / count;
+    let variance = values.map(|it| (it - mean).powi(2)).sum::<f64>() / (count - 1.0).max(1.0);
+    format!("{mean:.1} ±{:.1}", (variance / count).sqrt())
+}
+
+impl Measured {
+    fn row(&self, seconds: u64) -> Vec<f64> {
+        let mean = |list: &[f64]| list.iter().sum::<f64>() / list.len().max(1) as f64;
+        let over = self.tails_ms.iter().filter(|it| f64::from(TARGET_MS) < **it).count();
+        vec![
+            self.completed as f64 * 3_600.0 / seconds as f64,
+            mean(&self.slowdowns),
+            quantile(&self.responses_s, 0.5),
+            quantile(&self.responses_s, 0.99),
+            quantile(&self.tails_ms, 0.5),
+            quantile(&self.tails_ms, 0.99),
+            over as f64 * 100.0 / self.tails_ms.len().max(1) as f64,
+            self.evictions as f64,
+            self.lost_s,
+            self.failed_runs as f64,
+            quantile(&self.urgent_starts_s, 0.99),
+        ]
+    }
+}
+
+fn quantile(list: &[f64], quantile: f64) -> f64 {
+    let mut sorted = list.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(((sorted.len().max(1) - 1) as f64 * quantile) as usize).copied().unwrap_or(0.0)
+}
+
+/// A running incarnation at its fake worker.
+#[derive(Clone, Debug)]
+struct Run {
+    incarnation: u32,
+    vm: VmId,
+    done_ms: f64,
+    begun_ms: f64,
+    /// When a checkpoint asked for is done.
+    evicted_at_ms: Option<u64>,
+}
+
+struct World {
+    variant: Variant,
+    load: f64,
+    random: fastrand::Rng,
+    now_ms: u64,
+    state: State,
+    scheduler: Scheduler,
+    runs: BTreeMap<TaskId, Run>,
+    /// True run times by job.
+    sizes_ms: BTreeMap<JobId, f64>,
+    /// Reports on tails under way: when they arrive, the VM and the tail.
+    reports: Vec<(u64, VmId, f64)>,
+    services: BTreeSet<TaskId>,
+    measured: Measured,
+    jobs: u64,
+}
+
+impl World {
+    fn new(seed: u64, load: f64, variant: Variant) -> World {
+        let state = State::new(Place { region: 1, group: 1 });
+        let options = match variant {
+            Variant::Ours(it) => it,
+            _ => SchedulerOptions::default(),
+        };
+        let scheduler = Scheduler::new(&state, options);
+        let mut res = World {
+            variant,
+            load,
+            random: fastrand::Rng::with_seed(seed),
+            now_ms: 0,
+            state,
+            scheduler,
+            runs: BTreeMap::new(),
+            sizes_ms: BTreeMap::new(),
+            reports: Vec::new(),
+            services: BTreeSet::new(),
+            measured: Measured::default(),
+            jobs: 0,
+        };
+        res.begin();
+        res
+    }
+
+    /// Configures, opens the VMs and places two services of ten cores on each.
+    fn begin(&mut self) {
+        let whole = Resources {
+            cpu_millicores: VMS * VM_MILLICORES,
+            memory_mib: u32::MAX,
+            accelerators: 0,
+        };
+        for (at, share) in [2, 4, 4].into_iter().enumerate() {
+            let quota = Resources { cpu_millicores: whole.cpu_millicores / share, ..whole };
+            let name = format_compact!("team-{at}");
+            self.configure(ConfigChange::PutTeam(Team {
+                name,
+                quota,
+                jobs_open_max: u32::MAX,
+                requests_in_flight_max: 1,
+            }));
+        }
+        for (name, kind, urgent) in [
+            ("service", ClassKind::LatencyCritical, false),
+            ("batch", ClassKind::Batch, false),
+            ("urgent", ClassKind::Batch, true),
+        ] {
+            let is_service = kind == ClassKind::LatencyCritical;
+            self.configure(ConfigChange::PutClass(Class {
+                name: name.into(),
+                kind,
+                answer_target_ms: if is_service { TARGET_MS } else { 0 },
+                answer_percentile_permille: 990,
+                deadline_max_ms: if is_service { 1_000 } else { 0 },
+                finish_target_ms: 0,
+                evictions_per_hour: 120,
+                urgent,
+            }));
+        }
+        for vm in 0..VMS {
+            self.open_vm(vm);
+        }
+        self.submit("service", "service", VMS * 2, 10_000, 1e12, 1);
+        for _ in 0..20 {
+            self.plan();
+            self.now_ms += 1_000;
+        }
+        let ids: Vec<_> = self.runs.keys().copied().collect();
+        self.services.extend(ids);
+    }
+
+    fn run(mut self, seconds: u64) -> Measured {
+        let begun_ms = self.now_ms;
+        while self.now_ms < begun_ms + seconds * 1_000 {
+            self.now_ms += STEP_MS;
+            let second = (self.now_ms - begun_ms) / 1_000;
+            self.arrive(second);
+            if (self.now_ms - begun_ms).is_multiple_of(1_000) {
+                self.fail(second);
+                self.measure();
+            }
+            self.progress(second);
+            self.report();
+            self.plan();
+        }
+        self.measured
+    }
+
+    fn now(&self) -> Now {
+        Now { mono_ms: self.now_ms, wall_ms: WALL_MS + self.now_ms }
+    }
+
+    fn apply(&mut self, command: &Command) -> Result<Reply, Refusal> {
+        let mut changes = Vec::new();
+        let index = self.state.index() + 1;
+        let outcome = self.state.apply(index, WALL_MS + self.now_ms, command, &mut changes);
+        if self.variant != Variant::Naive {
+            changes.iter().for_each(|it| self.scheduler.note(&self.state, *it));
+        }
+        for it in changes {
+            if let Change::Task(id) = it {
+                self.follow(id);
+            }
+        }
+        outcome
+    }
+
+    /// Keeps the fake workers in step with the state.
+    fn follow(&mut self, id: TaskId) {
+        let Some(task) = self.state.jobs.task(id) else { return };
+        match task.placement {
+            Some(it)
+                if self.runs.get(&id).is_none_or(|run| run.incarnation != task.incarnation) =>
+            {
+                let kept_ms = task.kept_run_ms as f64;
+                let run = Run {
+                    incarnation: task.incarnation,
+                    vm: it.vm,
+                    done_ms: kept_ms,
+                    begun_ms: kept_ms,
+                    evicted_at_ms: None,
+                };
+                self.runs.insert(id, run);
+                let job = self.state.jobs.job_of(task);
+                if let Some(job) =
+                    job.filter(|it| it.spec.class == "urgent" && task.incarnation == 1)
+                {
+                    let waited_ms = WALL_MS + self.now_ms - job.accepted_ms;
+                    self.measured.urgent_starts_s.push(waited_ms as f64 / 1_000.0);
+                }
+            }
+            Some(_) if task.state == TaskState::Checkpointing => {
+                if let Some(run) = self.runs.get_mut(&id) {
+                    run.evicted_at_ms.get_or_insert(self.now_ms + CHECKPOINT_MS);
+                }
+            }
+            Some(_) => (),
+            None => {
+                if let Some(run) = self.runs.remove(&id)
+                    && task.state.is_waiting()
+                {
+                    self.measured.lost_s +=
+                        (run.done_ms - task.kept_run_ms as f64).max(0.0) / 1_000.0;
+                }
+            }
+        }
+    }
+
+    fn configure(&mut self, change: ConfigChange) {
+        let based_on = self.state.configuration.revision;
+        let key = format_compact!("{based_on}");
+        let _ = self.apply(&Command::Configure(ConfigureCommand {
+            based_on,
+            key,
+            operator: "bench".into(),
+            change,
+        }));
+    }
+
+    fn open_vm(&mut self, vm: u32) {
+        let _ = self.apply(&Command::OpenSession(OpenSessionCommand {
+            vm_name: format_compact!("vm-{vm}"),
+            boot: self.now_ms,
+            zone: format_compact!("zone-{}", vm % 4),
+            rack: format_compact!("rack-{}", vm / 3),
+            address: std::net::SocketAddr::from(([10, 0, 0, vm as u8], 7_000)),
+            capacity: Resources {
+                cpu_millicores: VM_MILLICORES,
+                memory_mib: 250_000,
+                accelerators: 0,
+            },
+        }));
+    }
+
+    fn submit(
+        &mut self,
+        class: &str,
+        kind: &str,
+        tasks: u32,
+        cpu_millicores: u32,
+        size_ms: f64,
+        declared_ms: u64,
+    ) {
+        self.jobs += 1;
+        let team = self.random.u32(0..3);
+        let declared_run_ms =
+            if self.variant == Variant::Clairvoyant { size_ms as u64 } else { declared_ms };
+        let command = Command::Submit(SubmitCommand {
+            team: format_compact!("team-{team}"),
+            key: format_compact!("job-{}", self.jobs),
+            spec: JobSpec {
+                kind: kind.into(),
+                class: class.into(),
+                subject: CompactString::default(),
+                tasks,
+                resources: Resources { cpu_millicores, memory_mib: 100, accelerators: 0 },
+                declared_run_ms,
+                payload: CompactString::default(),
+            },
+        });
+        match self.apply(&command) {
+            Ok(Reply::JobAccepted(it)) => drop(self.sizes_ms.insert(it.job, size_ms)),
+            _ => self.measured.refused += 1,
+        }
+    }
+
+    /// Lets jobs arrive: in waves of ten minutes, the harmful kinds in waves of their own.
+    fn arrive(&mut self, second: u64) {
+        let room = f64::from(VMS * (VM_MILLICORES - 20_000));
+        let mean_work: f64 =
+            KINDS.iter().map(|it| it.1 * f64::from(it.2)).sum::<f64>() / KINDS.len() as f64;
+        let wave = if (second / 600).is_multiple_of(2) { 1.25 } else { 0.7 };
+        let rate = room * self.load * wave / mean_work * STEP_MS as f64 / 1_000.0;
+        let count = rate as u64 + u64::from(self.random.f64() < rate.fract());
+        for _ in 0..count {
+            let harmful_wave = (second / 200) % 3 == 0;
+            let at = self.random.usize(0..KINDS.len());
+            let at = if harmful_wave && self.random.bool() { 2 } else { at };
+            let (kind, mean_s, cpu, _, misjudged) = KINDS[at];
+            // Exponential sizes, and declarations that are off by the kind's factor and by chance.
+            let size_ms = (-(1.0 - self.random.f64()).ln() * mean_s * 1_000.0).max(500.0);
+            let chance = 10_f64.powf(self.random.f64() - 0.5);
+            self.submit("batch", kind, 1, cpu, size_ms, (size_ms * misjudged * chance) as u64 + 1);
+        }
+        if second.is_multiple_of(30) && self.now_ms.is_multiple_of(1_000) {
+            self.submit("urgent", "urgent", 1, 24_000, 8_000.0, 8_000);
+        }
+    }
+
+    /// One VM fails every task for ten minutes, another is lost for five; a wave of cancellations
+    /// every ten minutes.
+    fn fail(&mut self, second: u64) {
+        let lost =
+            self.state.vms.by_name("vm-7").and_then(|it| it.session.as_ref().map(|it| it.id));
+        match (second, lost) {
+            (1_200, Some(session)) => {
+                let _ = self.apply(&Command::CloseSession(CloseSessionCommand {
+                    session,
+                    reason: SessionEnd::Expired,
+                }));
+            }
+            (1_500, _) => self.open_vm(7),
+            _ => (),
+        }
+        if second % 600 == 599 {
+            let waiting = self
+                .state
+                .jobs
+                .tasks()
+                .filter(|it| it.state.is_waiting() && !self.services.contains(&it.id));
+            let jobs: Vec<_> = waiting.map(|it| it.job).collect();
+            for job in jobs {
+                let Some(team) = self.state.jobs.job(job).map(|it| it.team.clone()) else {
+                    continue;
+                };
+                if self.random.u32(0..5) == 0 {
+                    let _ = self.apply(&Command::Cancel(CancelCommand { team, jobs: vec![job] }));
+                }
+            }
+        }
+    }
+
+    fn is_bad(&self, vm: VmId, second: u64) -> bool {
+        (600..1_200).contains(&second) && self.state.vms.get(vm).is_some_and(|it| it.name == "vm-3")
+    }
+
+    fn progress(&mut self, second: u64) {
+        let mut events = Vec::new();
+        for (id, run) in &mut self.runs {
+            if self.services.contains(id) {
+                continue;
+            }
+            let throttle =
+                self.scheduler.throttle_of(*id).map_or(1.0, |it| f64::from(it) / 1_000.0);
+            run.done_ms += STEP_MS as f64 * throttle;
+        }
+        for (id, run) in &self.runs {
+            let Some(task) = self.state.jobs.task(*id) else { continue };
+            let size_ms = self.sizes_ms.get(&task.job).copied().unwrap_or(f64::MAX);
+            let event = if self.services.contains(id) {
+                None
+            } else if self.is_bad(run.vm, second) && run.begun_ms + 1_000.0 < run.done_ms {
+                Some(TaskEvent::Failed("bad VM".into()))
+            } else if size_ms <= run.done_ms {
+                Some(TaskEvent::Completed(Completion {
+                    result: CompactString::default(),
+                    run_ms: run.done_ms as u64,
+                }))
+            } else if run.evicted_at_ms.is_some_and(|it| it <= self.now_ms) {
+                let token = "checkpoint".into();
+                Some(TaskEvent::Evicted(Checkpoint { token, run_ms: run.done_ms as u64 }))
+            } else if matches!(task.state, TaskState::Starting | TaskState::Resuming) {
+                Some(TaskEvent::Running)
+            } else {
+                None
+            };
+            events.extend(event.map(|event| TaskEventCommand {
+                task: *id,
+                incarnation: run.incarnation,
+                event,
+            }));
+        }
+        for it in events {
+            self.end(it);
+        }
+    }
+
+    fn end(&mut self, it: TaskEventCommand) {
+        let task = self.state.jobs.task(it.task).cloned();
+        let Some(task) = task else { return };
+        let done = match &it.event {
+            TaskEvent::Completed(done) => Some(done.run_ms),
+            TaskEvent::Failed(_) => {
+                self.measured.failed_runs += 1;
+                None
+            }
+            TaskEvent::Evicted(_) => {
+                self.measured.evictions += 1;
+                None
+            }
+            _ => None,
+        };
+        if self.apply(&Command::TaskEvent(it)).is_err() {
+            return;
+        }
+        let Some(run_ms) = done else { return };
+        self.scheduler.note_run(&self.state, &task, run_ms);
+        let Some(job) = self.state.jobs.job_of(&task).filter(|it| it.spec.class == "batch") else {
+            return;
+        };
+        let size_ms = self.sizes_ms.get(&task.job).copied().unwrap_or(1.0);
+        let response_ms = (WALL_MS + self.now_ms - job.accepted_ms) as f64;
+        self.measured.completed += 1;
+        self.measured.responses_s.push(response_ms / 1_000.0);
+        self.measured.slowdowns.push(response_ms / size_ms);
+    }
+
+    /// Measures the tail of the services on each VM now; the report arrives later.
+    fn measure(&mut self) {
+        let mut harm: BTreeMap<VmId, f64> = BTreeMap::new();
+        for (id, run) in &self.runs {
+            let Some(job) = self.state.jobs.task(*id).and_then(|it| self.state.jobs.job_of(it))
+            else {
+                continue;
+            };
+            let kind = KINDS.iter().find(|it| it.0 == job.spec.kind);
+            let throttle =
+                self.scheduler.throttle_of(*id).map_or(1.0, |it| f64::from(it) / 1_000.0);
+            let share = f64::from(job.spec.resources.cpu_millicores) / f64::from(VM_MILLICORES);
+            *harm.entry(run.vm).or_insert(0.0) += kind.map_or(0.0, |it| it.3) * share * throttle;
+        }
+        let with_services: BTreeSet<_> =
+            self.services.iter().filter_map(|it| self.runs.get(it)).map(|it| it.vm).collect();
+        for vm in with_services {
+            let noise = 0.9 + 0.2 * self.random.f64();
+            let tail_ms = TAIL_ALONE_MS * (1.0 + harm.get(&vm).copied().unwrap_or(0.0)) * noise;
+            self.measured.tails_ms.push(tail_ms);
+            self.reports.push((self.now_ms + LAG_MS, vm, tail_ms));
+        }
+    }
+
+    fn report(&mut self) {
+        let now_ms = self.now_ms;
+        let due: Vec<_> = self.reports.extract_if(.., |it| it.0 <= now_ms).collect();
+        if self.variant == Variant::Naive {
+            return;
+        }
+        for (_, vm, tail_ms) in due {
+            let Some(vm) = self.state.vms.get(vm).cloned() else { continue };
+            let report = EndpointReport {
+                number: 1,
+                class: "service".into(),
+                slots: 8,
+                leaving: false,
+                answer_p99_ms: tail_ms as u32,
+            };
+            let events =
+                self.scheduler.note_endpoints(&self.state, &vm, &[report], LAG_MS, self.now());
+            for it in events {
+                let _ = self.apply(&Command::TaskEvent(it));
+            }
+        }
+    }
+
+    fn plan(&mut self) {
+        if self.variant == Variant::Naive {
+            return self.plan_naively();
+        }
+        let plan = self.scheduler.plan(&self.state, self.now());
+        let starts = plan.starts.into_iter().map(Command::Start);
+        let events = plan.events.into_iter().map(Command::TaskEvent);
+        let flags = plan.flags.into_iter().map(Command::VmFlags);
+        for it in starts.chain(events).chain(flags) {
+            let _ = self.apply(&it);
+        }
+    }
+
+    /// First in, first out, on the first VM that fits; the first that fits nowhere blocks.
+    fn plan_naively(&mut self) {
+        loop {
+            let waiting = self.state.jobs.tasks().filter(|it| it.state.is_waiting());
+            let Some(task) = waiting.min_by_key(|it| it.id) else { return };
+            let need = self.state.jobs.need_of(task);
+            let Some(vm) = self.state.vms.iter().find(|it| it.has_room_for(need)) else { return };
+            let Some(session) = vm.session.as_ref().map(|it| it.id) else { return };
+            let (task, incarnation, vm) = (task.id, task.incarnation + 1, vm.id);
+            let start = StartCommand { task, incarnation, vm, session };
+            if self.apply(&Command::Start(start)).is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements on one machine, from small parts of the real system.
 
+pub mod batch;
 pub mod capacity;
 pub mod commits;
 
--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -2,6 +2,7 @@
 
 use std::{
     path::PathBuf,
+    sync::Arc,
     thread,
     time::{Duration, Instant},
 };
@@ -14,7 +15,7 @@
     prelude::*,
     runtime::{Process, ProcessHandle},
     standin::{
-        executor::{ExecutorOptions, start_executor},
+        executor::{ExecutorOptions, Seen, start_executor},
         layout::{Counts, Layout, OPERATOR_TOKEN, TEAM_TOKEN, read_settings},
         load::{LoadOptions, run_load},
         worker::start_worker,
@@ -30,7 +31,7 @@
   --folder DIR    keeps settings and data there instead of in a new temporary folder
 ";
 
-const COUNTS: Counts = Counts { controls: 3, entries: 2, agents: 6 };
+pub(super) const COUNTS: Counts = Counts { controls: 3, entries: 2, agents: 6 };
 
 /// Longest time that any step of the show may take.
 const STEP_MAX: Duration = Duration::from_secs(20);
@@ -48,7 +49,7 @@
     let unique = format!("aspenrail-dev-{}-{:x}", std::process::id(), fastrand::u32(..));
     let folder = folder.unwrap_or_else(|| std::env::temp_dir().join(unique));
     let layout = Layout::create(&folder, COUNTS, "")?;
-    let handles = start_all(&layout)?;
+    let running = start_all(&layout)?;
     let shown = show(&layout);
     if stay && shown.is_ok() {
         println!("\ncallers' API: {:?}, token {TEAM_TOKEN}", layout.callers);
@@ -62,11 +63,7 @@
             signals.forever().next();
         }
     }
-    handles.iter().for_each(|(handle, _)| handle.stop());
-    for (_, it) in handles {
-        // A thread that panicked has printed why.
-        let _ = it.join();
-    }
+    running.stop();
     if !kept {
         // What stays behind in the temporary folder does no harm.
         let _ = std::fs::remove_dir_all(&folder);
@@ -74,11 +71,30 @@
     shown
 }
 
-fn start_all(layout: &Layout) -> Result<Vec<(ProcessHandle, thread::JoinHandle<()>)>, Failure> {
+/// The processes of an installation, as threads.
+pub(super) struct Running {
+    processes: Vec<(ProcessHandle, thread::JoinHandle<()>)>,
+    pub executors: Vec<Arc<Seen>>,
+}
+
+impl Running {
+    /// Stops every process and waits for its end.
+    pub(super) fn stop(self) {
+        self.processes.iter().for_each(|(handle, _)| handle.stop());
+        for (_, it) in self.processes {
+            // A thread that panicked has printed why.
+            let _ = it.join();
+        }
+    }
+}
+
+/// Starts every process of a layout as a thread, with its stand-ins.
+pub(super) fn start_all(layout: &Layout) -> Result<Running, Failure> {
     let capacity = Resources { cpu_millicores: 64_000, memory_mib: 250_000, accelerators: 0 };
+    let mut executors = Vec::new();
     for vm in &layout.vms {
         start_worker(vm.worker, WorkerModel::new(capacity))?;
-        start_executor(ExecutorOptions {
+        executors.push(start_executor(ExecutorOptions {
             listen: vm.executor,
             agent: vm.local,
             class: "quick".into(),
@@ -86,10 +102,10 @@
             connections: 60,
             work_ms: 2,
             fail_permille: 0,
-        })?;
+        })?);
     }
     let files = layout.control_files.iter().chain(&layout.agent_files).chain(&layout.entry_files);
-    let mut handles = Vec::new();
+    let mut processes = Vec::new();
     for file in files {
         let process = Process::new(read_settings(file)?);
         let handle = process.handle();
@@ -101,20 +117,18 @@
         let thread = thread::Builder::new().name("core".to_owned()).spawn(run);
         let thread = thread
             .map_err(|it| Error::report(ErrorKind::Internal, format_compact!("no thread: {it}")))?;
-        handles.push((handle, thread));
+        processes.push((handle, thread));
     }
-    Ok(handles)
+    Ok(Running { processes, executors })
 }
 
-fn show(layout: &Layout) -> Result<(), Failure> {
+/// Configures an installation and waits until its entries can route; returns the revision.
+pub(super) fn prepare(layout: &Layout) -> Result<u64, Failure> {
     let operator = Operator::new(layout.admins.clone(), OPERATOR_TOKEN);
     let revision = configure(&operator)?;
-    println!(
-        "1. configuration accepted at revision {revision}: team demo, classes quick and batch"
-    );
     wait_until("every VM and endpoint is known", || {
         let endpoints = operator.get("endpoints").ok()?;
-        (endpoints.as_array()?.len() == COUNTS.agents).then_some(())
+        (endpoints.as_array()?.len() == layout.vms.len()).then_some(())
     })?;
     wait_until("both entries are ready", || {
         let client = new_client(1);
@@ -125,6 +139,15 @@
     })?;
     // The directory reaches the entries with their next heartbeat.
     thread::sleep(Duration::from_millis(1_200));
+    Ok(revision)
+}
+
+fn show(layout: &Layout) -> Result<(), Failure> {
+    let operator = Operator::new(layout.admins.clone(), OPERATOR_TOKEN);
+    let revision = prepare(layout)?;
+    println!(
+        "1. configuration accepted at revision {revision}: team demo, classes quick and batch"
+    );
 
     let load = LoadOptions {
         targets: layout.callers.clone(),
--- a/src/control/scheduler/costs.rs
+++ b/src/control/scheduler/costs.rs
@@ -5,12 +5,24 @@
 use crate::{
     control::{
         scheduler::Scheduler,
-        state::{NOTHING, State, Task},
+        state::{NOTHING, State, Task, Vm},
+    },
+    policy::{
+        order::Tier,
+        placement::{Cost, Room},
     },
-    policy::placement::{Cost, Room},
     prelude::*,
 };
 
+/// Slow-down below which a neighbour counts as harmless.
+const HARMLESS: f64 = 0.03;
+
+/// Part of a target up to which harmful work costs nothing.
+const COMFORT: f64 = 0.6;
+
+/// Part of a target beyond which harmful work waits.
+const FULL: f64 = 0.9;
+
 /// The costs of placing one task.
 pub(super) struct Costs<'a> {
     scheduler: &'a Scheduler,
@@ -19,13 +31,20 @@
     kind: &'a str,
     class: &'a str,
     is_batch: bool,
+    /// Whether the task waits rather than harm: urgent and due work does not.
+    may_wait: bool,
     need: Resources,
     /// Tasks of the same job by zone and rack, for services only.
     places: HashMap<(&'a str, &'a str), u32>,
 }
 
 impl<'a> Costs<'a> {
-    pub(super) fn new(scheduler: &'a Scheduler, state: &'a State, task: &'a Task) -> Costs<'a> {
+    pub(super) fn new(
+        scheduler: &'a Scheduler,
+        state: &'a State,
+        task: &'a Task,
+        tier: Tier,
+    ) -> Costs<'a> {
         let job = state.jobs.job_of(task);
         let class = job.map_or("", |it| it.spec.class.as_str());
         let is_batch = state.class(class).is_none_or(|it| it.kind == ClassKind::Batch);
@@ -45,12 +64,45 @@
             kind: job.map_or("", |it| it.spec.kind.as_str()),
             class,
             is_batch,
+            may_wait: tier == Tier::Batch,
             need: job.map_or(NOTHING, |it| it.spec.resources),
             places,
         }
     }
 }
 
+impl Costs<'_> {
+    /// Returns how close to their targets, or beyond, the task would bring the services of a VM.
+    ///
+    /// What the task adds is the same everywhere; what it meets there is not. So work that harms
+    /// is spread until each VM has as much of it as its targets bear, and then waits, while work
+    /// that does no harm goes anywhere.
+    fn harm_done(&self, vm: &Vm, kinds: &[(CompactString, f64)], is_closed: bool) -> f64 {
+        let pairs = &self.scheduler.pairs;
+        let share = share_of(self.need, vm.capacity);
+        let services = self.scheduler.services.get(&vm.id).map_or(&[][..], |it| it.as_slice());
+        let mut cost = 0.0;
+        for class in services {
+            let harm = pairs.harm(class, self.kind) * share;
+            let target_ms = self.state.class(class).map_or(0, |it| it.answer_target_ms);
+            let Some(usual_ms) =
+                pairs.usual_ms(class).filter(|_| HARMLESS <= harm && 0 < target_ms)
+            else {
+                continue;
+            };
+            let before = pairs.slowdown(class, kinds);
+            let after = usual_ms * (before + harm) / f64::from(target_ms);
+            // Alone it runs somewhere in the end, whatever it does: else it would wait for ever.
+            let is_alone = before < 1.0 + HARMLESS;
+            if self.may_wait && !is_alone && (is_closed || FULL < after) {
+                return f64::INFINITY;
+            }
+            cost += (after - COMFORT).max(0.0);
+        }
+        cost
+    }
+}
+
 impl Cost for Costs<'_> {
     fn interference(&self, id: VmId) -> f64 {
         if self.task.failed_on.contains(&id) {
@@ -59,25 +111,20 @@
         let Some(vm) = self.state.vms.get(id) else {
             return f64::INFINITY;
         };
-        if self.is_batch && self.scheduler.is_closed(id) {
-            return f64::INFINITY;
+        let is_closed = self.is_batch && self.scheduler.is_closed(id);
+        match self.scheduler.options.learns_interference {
+            // Without estimates any batch work may be what harms.
+            false if is_closed => return f64::INFINITY,
+            false => return 0.0,
+            true => (),
         }
-        if !self.scheduler.options.learns_interference {
-            return 0.0;
-        }
-        let pairs = &self.scheduler.pairs;
-        let share = share_of(self.need, vm.capacity);
-        let services = self.scheduler.services.get(&id).map_or(&[][..], |it| it.as_slice());
-        let done = services.iter().map(|class| pairs.harm(class, self.kind) * share).sum::<f64>();
-        let suffered = match self.is_batch {
-            true => 0.0,
-            false => {
-                let kinds = self.scheduler.residents.kinds_on(id, vm.capacity);
-                pairs.slowdown(self.class, &kinds) - 1.0
-            }
+        let kinds = self.scheduler.residents.kinds_on(id, vm.capacity);
+        let cost = match self.is_batch {
+            true => self.harm_done(vm, &kinds, is_closed),
+            false => self.scheduler.pairs.slowdown(self.class, &kinds) - 1.0,
         };
         // Small differences are noise of the estimate; they must not beat a tight fit.
-        ((done + suffered) * 4.0).round() / 4.0
+        (cost * 8.0).round() / 8.0
     }
 
     fn neighbours(&self, room: &Room) -> (u32, u32) {
--- a/src/control/scheduler/mod.rs
+++ b/src/control/scheduler/mod.rs
@@ -5,6 +5,7 @@
 //! are a moment old can be refused but never overfills a VM.
 
 mod costs;
+mod reserve;
 mod residents;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -12,6 +13,7 @@
 use crate::{
     control::scheduler::{
         costs::{Costs, share_of},
+        reserve::Reserve,
         residents::{Resident, Residents},
     },
     control::state::{Change, State, Task, Vm, subtract},
@@ -21,7 +23,7 @@
         interference::{Pairs, Past},
         order::{self, Candidate, Facts, Queue, Rule, Runs, Tier, Waiting},
         placement::{Aim, Index, Room},
-        preemption::{EvictionBudget, Victim, choose_victims},
+        preemption::{EvictionBudget, Purpose, Victim, choose_victims},
     },
     prelude::*,
 };
@@ -39,7 +41,7 @@
 const HOLD_MS: u64 = 8_000;
 
 /// What the scheduler is told by settings, and what experiments switch off.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SchedulerOptions {
     pub rule: Rule,
     pub task_failures_max: u32,
@@ -49,6 +51,7 @@
     pub learns_interference: bool,
     pub preempts: bool,
     pub feeds_back: bool,
+    pub reserves: bool,
 }
 
 impl Default for SchedulerOptions {
@@ -62,6 +65,7 @@
             learns_interference: true,
             preempts: true,
             feeds_back: true,
+            reserves: true,
         }
     }
 }
@@ -95,6 +99,9 @@
     /// Classes that answer quick requests on a VM, by its agent's last report.
     services: HashMap<VmId, Vec<CompactString>>,
     residents: Residents,
+    reserve: Reserve,
+    /// Urgent tasks not counted as arrived yet.
+    arrived: Vec<Resources>,
     holds: BTreeMap<TaskId, Hold>,
     held_on: HashMap<VmId, Vec<TaskId>>,
     throttles: HashMap<TaskId, u32>,
@@ -120,6 +127,8 @@
             loops: HashMap::new(),
             services: HashMap::new(),
             residents: Residents::default(),
+            reserve: Reserve::default(),
+            arrived: Vec::new(),
             holds: BTreeMap::new(),
             held_on: HashMap::new(),
             throttles: HashMap::new(),
@@ -225,6 +234,7 @@
         self.planned_ms = now.mono_ms;
         self.queue.advance(now.wall_ms);
         self.release_old_holds(state, now);
+        self.keep_reserve(state, now);
         self.judge_vms(state, now, &mut plan);
         for it in self.queue.candidates(TRIED_PER_PLAN) {
             self.try_candidate(state, &it, now, &mut plan);
@@ -263,7 +273,11 @@
         }
         if task.state.is_waiting() {
             let team = job.team.clone();
-            self.queue.insert(&team, self.waiting_of(state, task, need));
+            let waiting = self.waiting_of(state, task, need);
+            if waiting.tier == Tier::Urgent && task.incarnation == 0 && !self.queue.contains(id) {
+                self.arrived.push(need);
+            }
+            self.queue.insert(&team, waiting);
         } else {
             self.queue.remove(id);
         }
@@ -345,8 +359,7 @@
     /// Brings the index in line with a VM's state and what is held there.
     fn refresh_room(&mut self, state: &State, id: VmId) {
         // A VM in quarantine is offered to probes only.
-        let open =
-            state.vms.get(id).filter(|vm| vm.session.is_some() && !vm.draining && !vm.quarantined);
+        let open = state.vms.get(id).filter(|vm| is_open(vm));
         let room = open.map(|vm| {
             let held =
                 self.held_on.get(&id).into_iter().flatten().filter_map(|it| self.holds.get(it));
@@ -456,8 +469,14 @@
         let own = held.filter(|hold| self.room_with_hold(state, hold.vm, hold.need, it.task));
         let chosen = own.map(|hold| hold.vm).or_else(|| match held {
             Some(_) => None,
-            None => self.index.choose(it.need, aim_of(it.tier), &Costs::new(self, state, task)),
+            None => {
+                self.index.choose(it.need, aim_of(it.tier), &Costs::new(self, state, task, it.tier))
+            }
         });
+        let chosen = match chosen {
+            None if it.tier == Tier::Urgent && held.is_none() => self.take_reserved(state, it.need),
+            it => it,
+        };
         let session = chosen.and_then(|vm| Some((vm, state.vms.get(vm)?.session.as_ref()?.id)));
         match session {
             Some((vm, session)) => {
@@ -485,6 +504,44 @@
         hold.until_ms <= now.mono_ms + HOLD_MS / 4
     }
 
+    /// Keeps as many places free as urgent arrivals of late call for.
+    fn keep_reserve(&mut self, state: &State, now: Now) {
+        for need in std::mem::take(&mut self.arrived) {
+            self.reserve.note_arrival(now, need);
+        }
+        let (count, need) = self.reserve.wanted(now);
+        let count = if self.options.reserves { count } else { 0 };
+        for (at, key) in Reserve::keys().enumerate() {
+            let held = self.holds.get(&key).copied();
+            let is_open = held.is_some_and(|it| state.vms.get(it.vm).is_some_and(is_open));
+            match held {
+                Some(it) if count <= at || it.need != need || !is_open => {
+                    self.release_hold(key);
+                    self.refresh_room(state, it.vm);
+                }
+                Some(_) => continue,
+                None => (),
+            }
+            // What runs there now ends in time, and nothing new takes its room.
+            if at < count
+                && let Some(vm) = self.index.roomiest()
+            {
+                self.hold(state, key, Hold { vm, need, until_ms: u64::MAX });
+            }
+        }
+    }
+
+    /// Gives a reserved place that has its room to an urgent task.
+    fn take_reserved(&mut self, state: &State, need: Resources) -> Option<VmId> {
+        let has_room = |key: &TaskId| {
+            let hold = self.holds.get(key)?;
+            self.room_with_hold(state, hold.vm, need, *key).then_some((*key, hold.vm))
+        };
+        let (key, vm) = Reserve::keys().find_map(|it| has_room(&it))?;
+        self.release_hold(key);
+        Some(vm)
+    }
+
     fn room_with_hold(&self, state: &State, vm: VmId, need: Resources, task: TaskId) -> bool {
         let others = self.held_on.get(&vm).into_iter().flatten().filter(|it| **it != task);
         let others = others.filter_map(|it| self.holds.get(it));
@@ -517,7 +574,7 @@
         let mut best: Option<(u64, VmId, Vec<TaskId>)> = None;
         for vm in looked_at {
             self.victim_cursor = vm.id;
-            if vm.session.is_none() || vm.draining || vm.quarantined {
+            if !is_open(vm) {
                 continue;
             }
             let held =
@@ -532,7 +589,7 @@
             }
         }
         let Some((_, vm, victims)) = best else { return };
-        if !victims.iter().all(|it| self.may_evict(state, *it, now)) {
+        if !victims.iter().all(|it| self.may_evict(state, *it, now, Purpose::UrgentStart)) {
             return;
         }
         for id in victims {
@@ -561,16 +618,18 @@
     }
 
     /// Takes one eviction from the budget of a task's class.
-    fn may_evict(&mut self, state: &State, id: TaskId, now: Now) -> bool {
+    fn may_evict(&mut self, state: &State, id: TaskId, now: Now, purpose: Purpose) -> bool {
         let job = state.jobs.task(id).and_then(|it| state.jobs.job_of(it));
         let Some(class) = job.and_then(|it| state.class(&it.spec.class)) else {
             return false;
         };
         let per_hour = class.evictions_per_hour;
         let budget = self.evictions.entry(class.name.clone());
-        budget
-            .or_insert_with(|| EvictionBudget::new(per_hour, now.mono_ms))
-            .try_take(per_hour, now.mono_ms)
+        budget.or_insert_with(|| EvictionBudget::new(per_hour, now.mono_ms)).try_take(
+            per_hour,
+            now.mono_ms,
+            purpose,
+        )
     }
 
     fn evict(&mut self, state: &State, id: TaskId, plan: &mut Plan) {
@@ -618,7 +677,7 @@
                 self.throttles.remove(&task);
             }
             Action::Move { task } => {
-                if self.may_evict(state, task, now) {
+                if self.may_evict(state, task, now, Purpose::Relief) {
                     self.evict(state, task, &mut plan);
                 }
             }
@@ -627,6 +686,10 @@
     }
 }
 
+fn is_open(vm: &Vm) -> bool {
+    vm.session.is_some() && !vm.draining && !vm.quarantined
+}
+
 fn aim_of(tier: Tier) -> Aim {
     match tier {
         Tier::Service => Aim::Spread,
--- a/src/entry/core.rs
+++ b/src/entry/core.rs
@@ -511,6 +511,7 @@
             tried: Vec::new(),
             may_have_run: false,
             last_refusal: None,
+            error_answer: None,
         });
         self.by_request.insert(request, key);
         self.timers.insert((deadline_ms, key));
@@ -868,27 +869,38 @@
 
     fn on_answered(&mut self, now: Now, key: QuickKey, attempt: Attempt, it: Answer) {
         let answer_ms = now.mono_ms.saturating_sub(attempt.sent_ms);
+        let is_error = 500 <= it.status;
         if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) {
             endpoint.answer_time.observe(answer_ms as f64);
-            if it.status < 500 {
+            if !is_error {
                 endpoint.ejection.note_success();
             }
         }
-        if 500 <= it.status {
+        if is_error {
             self.note_failure(now, attempt.endpoint);
+        } else {
+            self.budget.earn();
         }
-        self.budget.earn();
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
+        if is_error && quick.is_idempotent() {
+            // Another endpoint may do better; if none does, the caller gets this answer.
+            quick.error_answer = Some(it);
+            return self.retry(now, key, attempt.endpoint_id, RetryReason::Failed);
+        }
+        if !quick.is_idempotent() {
+            self.settle_done(now, key, &it);
+        }
+        self.pass_on(now, key, it);
+    }
+
+    /// Answers the caller with an endpoint's answer.
+    fn pass_on(&mut self, now: Now, key: QuickKey, it: Answer) {
+        let Some(quick) = self.quicks.get(key) else { return };
         let total_ms = now.mono_ms.saturating_sub(quick.arrived_ms);
+        let attempts = quick.attempts_made;
         let class = quick.quick.class.clone();
         self.metrics.answered(&class, total_ms as f64 / 1_000.0);
         line_of(&mut self.lines, &class).answers.saturating_record(total_ms.max(1));
-        if !quick.is_idempotent() {
-            self.settle_done(now, key, &it);
-        }
-        let attempts = self.quicks.get(key).map_or(1, |it| it.attempts_made);
         let answer = CallerAnswer::Quick {
             status: it.status,
             content_type: it.content_type,
@@ -916,7 +928,7 @@
         let Some(class) = self.endpoints.get(endpoint).map(|it| it.class.clone()) else {
             return;
         };
-        let out_permille = self.endpoints.out_permille(&class, endpoint);
+        let out_permille = self.endpoints.out_permille(&class, endpoint, now);
         if let Some(it) = self.endpoints.get_mut(endpoint) {
             let was_out = it.ejection.is_out();
             it.ejection.note_failure(now.mono_ms, out_permille);
@@ -984,6 +996,9 @@
     /// of a key, its claim is settled, or looked up where this request does not hold it.
     pub(super) fn refuse(&mut self, now: Now, key: QuickKey, refusal: Refusal) {
         let Some(quick) = self.quicks.get(key) else { return };
+        if let Some(it) = quick.error_answer.clone() {
+            return self.pass_on(now, key, it);
+        }
         let says_not_run = answer_of(refusal.kind).ran == Ran::No;
         let is_checked = matches!(quick.stage, Stage::Checking { .. });
         if says_not_run && !quick.is_idempotent() && !is_checked {
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -112,11 +112,11 @@
         if keys.is_empty() { FIRST_GUESS_MS } else { sum / keys.len() as f64 }
     }
 
-    /// Returns the permille of a class's endpoints, others than `key`, that are left out.
-    pub(super) fn out_permille(&self, class: &str, key: EndpointKey) -> u32 {
+    /// Returns the permille of a class's endpoints that are left out now, `key` not counted.
+    pub(super) fn out_permille(&self, class: &str, key: EndpointKey, now: Now) -> u32 {
         let keys = self.of_class(class);
-        let out = keys.iter().filter(|it| **it != key).filter_map(|it| self.endpoints.get(*it));
-        let out = out.filter(|it| it.ejection.is_out()).count() + 1;
+        let others = keys.iter().filter(|it| **it != key).filter_map(|it| self.endpoints.get(*it));
+        let out = others.filter(|it| !it.ejection.admits(now.mono_ms)).count();
         (out * 1_000 / keys.len().max(1)) as u32
     }
 
--- a/src/entry/quick.rs
+++ b/src/entry/quick.rs
@@ -58,6 +58,8 @@
     /// Whether an attempt may have run without an answer.
     pub may_have_run: bool,
     pub last_refusal: Option<ErrorKind>,
+    /// An error that an endpoint answered with, passed on if no other attempt does better.
+    pub error_answer: Option<Answer>,
 }
 
 impl Quick {
--- a/src/policy/interference.rs
+++ b/src/policy/interference.rs
@@ -67,6 +67,11 @@
         self.harm.get(&(class.into(), kind.into())).copied().unwrap_or(0.0)
     }
 
+    /// Returns the tail of `class` with nothing harmful beside it, once it is known.
+    pub fn usual_ms(&self, class: &str) -> Option<f64> {
+        self.usual_ms.get(class).copied()
+    }
+
     /// Returns the slow-down of `class` to expect beside `kinds`.
     pub fn slowdown(&self, class: &str, kinds: &[(CompactString, f64)]) -> f64 {
         1.0 + kinds.iter().map(|(kind, share)| self.harm(class, kind) * share).sum::<f64>()
--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Returns whether a task waits here.
+    pub fn contains(&self, task: TaskId) -> bool {
+        self.tasks.contains_key(&task)
+    }
+
     pub fn len(&self) -> usize {
         self.tasks.len()
     }
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns the VM with the most free processors.
+    pub fn roomiest(&self) -> Option<VmId> {
+        self.by_cpu.last().map(|(_, vm)| *vm)
+    }
+
     pub fn get(&self, vm: VmId) -> Option<&Room> {
         self.rooms.get(&vm)
     }
--- a/src/policy/preemption.rs
+++ b/src/policy/preemption.rs
@@ -52,6 +52,14 @@
     Some((chosen.into_iter().map(|it| it.task).collect(), lost_ms))
 }
 
+/// What an eviction is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    UrgentStart,
+    /// A service beside it is above its target.
+    Relief,
+}
+
 /// Evictions that a class still accepts, as a bucket that fills over an hour.
 #[derive(Clone, Copy, Debug)]
 pub struct EvictionBudget {
@@ -66,12 +74,18 @@
     }
 
     /// Takes one eviction from the budget, or returns whether it is spent.
-    pub fn try_take(&mut self, per_hour: u32, now_ms: u64) -> bool {
+    ///
+    /// Work that can wait leaves an eighth of the hour to urgent starts.
+    pub fn try_take(&mut self, per_hour: u32, now_ms: u64, purpose: Purpose) -> bool {
         let elapsed_ms = now_ms.saturating_sub(self.filled_ms) as f64;
         self.filled_ms = now_ms;
         let per_hour = f64::from(per_hour);
         self.tokens = (self.tokens + per_hour * elapsed_ms / 3_600_000.0).min(per_hour);
-        let granted = 1.0 <= self.tokens;
+        let kept = match purpose {
+            Purpose::UrgentStart => 0.0,
+            Purpose::Relief => per_hour / 8.0,
+        };
+        let granted = 1.0 + kept <= self.tokens;
         if granted {
             self.tokens -= 1.0;
         }
--- a/src/standin/executor.rs
+++ b/src/standin/executor.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -40,6 +40,9 @@
     in_use: AtomicU32,
     most_in_use: AtomicU32,
     leaving: AtomicBool,
+    /// Work time and failures, changed while it runs.
+    work_ms: AtomicU64,
+    fail_permille: AtomicU32,
 }
 
 impl Seen {
@@ -53,6 +56,16 @@
         self.most_in_use.load(Ordering::Relaxed)
     }
 
+    /// Makes the endpoint slower or faster.
+    pub fn set_work_ms(&self, work_ms: u64) {
+        self.work_ms.store(work_ms, Ordering::Relaxed);
+    }
+
+    /// Makes the endpoint answer with status 500 more or less often.
+    pub fn set_fail_permille(&self, permille: u32) {
+        self.fail_permille.store(permille, Ordering::Relaxed);
+    }
+
     /// Stops announcing, as an endpoint does before it leaves.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -66,6 +79,8 @@
 /// Returns an error when the address cannot be listened on.
 pub fn start_executor(options: ExecutorOptions) -> Result<Arc<Seen>> {
     let seen = Arc::new(Seen::default());
+    seen.set_work_ms(options.work_ms);
+    seen.set_fail_permille(options.fail_permille);
     let pending = Pending::default();
     let server = ServerOptions { listen: options.listen, threads: 1, body_max_bytes: 16 << 20 };
     let (counted, work, answers) = (seen.clone(), options.clone(), pending.clone());
@@ -90,14 +105,15 @@
             .unwrap_or_else(PoisonError::into_inner)
             .entry(body.clone())
             .or_insert(0) += 1;
-        let failed = fastrand::u32(0..1_000) < work.fail_permille;
+        let failed = fastrand::u32(0..1_000) < counted.fail_permille.load(Ordering::Relaxed);
         let answer = json!({"echo": body, "path": it.path, "endpoint": work.listen, "team": it.header("Aspenrail-Team")});
         let answer = HttpAnswer::json(if failed { 500 } else { 200 }, &answer);
-        if work.work_ms == 0 {
+        let work_ms = counted.work_ms.load(Ordering::Relaxed);
+        if work_ms == 0 {
             counted.in_use.fetch_sub(1, Ordering::Relaxed);
             return Some(answer);
         }
-        let (counted, answers, work_ms) = (counted.clone(), answers.clone(), work.work_ms);
+        let (counted, answers) = (counted.clone(), answers.clone());
         thread::spawn(move || {
             thread::sleep(Duration::from_millis(work_ms));
             counted.in_use.fetch_sub(1, Ordering::Relaxed);
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -12,7 +12,7 @@
         interference::{Pairs, Past},
         order::{self, Facts, Queue, Rule, Runs, Tier},
         placement::{Aim, Cost, Index, Room},
-        preemption::{EvictionBudget, Victim, choose_victims},
+        preemption::{EvictionBudget, Purpose, Victim, choose_victims},
         retry::{Ejection, RetryBudget},
         routing::{self, EndpointView},
     },
@@ -280,10 +280,20 @@
 #[test]
 fn eviction_budget_is_kept_over_an_hour() {
     let mut budget = EvictionBudget::new(12, 0);
-    let taken = (0..3_600).filter(|second| budget.try_take(12, second * 1_000)).count();
+    let taken = (0..3_600)
+        .filter(|second| budget.try_take(12, second * 1_000, Purpose::UrgentStart))
+        .count();
     assert!((12..=15).contains(&taken), "{taken}");
 }
 
+#[test]
+fn relief_leaves_evictions_to_urgent_starts() {
+    let mut budget = EvictionBudget::new(80, 0);
+    let relief = (0..100).filter(|_| budget.try_take(80, 0, Purpose::Relief)).count();
+    let urgent = (0..100).filter(|_| budget.try_take(80, 0, Purpose::UrgentStart)).count();
+    assert_eq!((relief, urgent), (10, 10));
+}
+
 #[test]
 fn retries_stay_a_part_of_the_answers() {
     let mut budget = RetryBudget::new(200);
