--- a/src/bench/batch.rs
+++ b/src/bench/batch.rs
@@ -403,7 +403,7 @@
         let rate = room * self.load * wave / mean_work * STEP_MS as f64 / 1_000.0;
         let count = rate as u64 + u64::from(self.random.f64() < rate.fract());
         for _ in 0..count {
-            let harmful_wave = (second / 200) % 3 == 0;
+            let harmful_wave = (second / 200).is_multiple_of(3);
             let at = self.random.usize(0..KINDS.len());
             let at = if harmful_wave && self.random.bool() { 2 } else { at };
             let (kind, mean_s, cpu, _, misjudged) = KINDS[at];
--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -181,7 +181,7 @@
     }
     // The plan is the scheduler's; at 25 ms a turn it starts up to 128 tasks.
     let mut ms = 5_000;
-    while core.scheduler().is_some_and(|it| 0 < it.queue().len()) && ms < 60_000 {
+    while core.scheduler().is_some_and(|it| !it.queue().is_empty()) && ms < 60_000 {
         ms += 25;
         feed(&mut core, now(ms), Input::Tick);
     }
@@ -373,7 +373,7 @@
 
 /// A job of `tasks` tasks, of which about a quarter of the jobs are services.
 fn submit(number: u32, tasks: u32) -> SubmitCommand {
-    let class = if number % 4 == 0 { "quick" } else { "batch" };
+    let class = if number.is_multiple_of(4) { "quick" } else { "batch" };
     SubmitCommand {
         team: format_compact!("team-{}", number % 25),
         key: format_compact!("job-{number}"),
--- a/src/control/core.rs
+++ b/src/control/core/mod.rs
@@ -1,5 +1,8 @@
 //! One member of a control group, without its I/O.
 
+mod operations;
+mod reports;
+
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
@@ -10,12 +13,11 @@
     control::{
         client::ControlClient,
         directory::Directory,
-        log::{Applied, DiskWrite, ProposeError, Raft, RaftOptions, Recovered},
+        log::{Applied, DiskWrite, Raft, RaftOptions, Recovered},
         reconcile,
         scheduler::{Scheduler, SchedulerOptions},
         sessions::Sessions,
         state::{Change, Outcome, State},
-        views,
     },
     prelude::*,
     schema::settings::ControlSettings,
@@ -287,17 +289,6 @@
         }
     }
 
-    /// Turns events into commands, without those already on their way.
-    fn new_events(&mut self, events: Vec<TaskEventCommand>) -> Vec<Command> {
-        let Some(leading) = &mut self.leading else {
-            return Vec::new();
-        };
-        let is_new = |it: &TaskEventCommand| {
-            leading.proposed.insert((it.task, it.incarnation, std::mem::discriminant(&it.event)))
-        };
-        events.into_iter().filter(is_new).map(Command::TaskEvent).collect()
-    }
-
     fn on_message(&mut self, now: Now, from: SocketAddr, message: Message) {
         match message {
             Message::Raft(it) => {
@@ -323,179 +314,6 @@
         }
     }
 
-    fn leader_address(&self) -> Option<SocketAddr> {
-        self.raft
-            .leader()
-            .filter(|it| *it != self.raft.id())
-            .and_then(|it| self.raft.address_of(it))
-    }
-
-    fn operate(&mut self, now: Now, operation: Operation, to: ReplyTo, deadline_ms: u64) {
-        let ready = self.raft.has_lease(now);
-        match (to, operation) {
-            (ReplyTo::Edge { token }, operation) if !ready => {
-                self.client.set_leader(self.leader_address());
-                self.client.call(now, operation, deadline_ms, token);
-            }
-            (ReplyTo::Link { address, id }, _) if !ready => {
-                let result = ControlResult::NotLeader(self.leader_address());
-                self.send_reply(address, id, result);
-            }
-            (_, Operation::Propose(it)) => self.propose_for_client(now, it, to),
-            (_, Operation::Query(it)) => {
-                let outcome = self.query(now, &it);
-                self.answer(to, outcome);
-            }
-            (_, Operation::Membership(it)) => match self.raft.change_members(now, it) {
-                Ok(index) => {
-                    self.waiting.insert(index, (self.raft.term(), to));
-                }
-                Err(error) => self.answer_unproposed(to, error),
-            },
-            (_, Operation::Drain(it)) => match self.state.vms.by_name(&it.vm_name) {
-                Some(vm) => {
-                    let flags = VmFlagsCommand {
-                        vm: vm.id,
-                        draining: it.draining,
-                        quarantined: vm.quarantined,
-                    };
-                    self.propose(now, Command::VmFlags(flags), to);
-                }
-                None => {
-                    let detail = format_compact!("no VM is named {}", it.vm_name);
-                    self.answer(to, Err(refusal(ErrorKind::NotFound, detail)));
-                }
-            },
-        }
-    }
-
-    /// Checks the limits that are settings, and proposes.
-    fn propose_for_client(&mut self, now: Now, mut command: Command, to: ReplyTo) {
-        if let Command::CreateWatch(it) = &mut command {
-            it.events_max = self.options.settings.watch_events_max;
-        }
-        match self.check_limits(&command) {
-            Ok(()) => self.propose(now, command, to),
-            Err(it) => self.answer(to, Err(it)),
-        }
-    }
-
-    fn check_limits(&self, command: &Command) -> Result<(), Refusal> {
-        let settings = &self.options.settings;
-        let full = |table: &str, most: u32| {
-            Err(refusal_until(
-                ErrorKind::TableFull,
-                format_compact!("{table} are at their most, {most}"),
-                5_000,
-            ))
-        };
-        let frees =
-            matches!(command, Command::Cancel(_) | Command::Settle(_) | Command::DeleteWatch(_));
-        if self.disk_full && !frees {
-            return Err(refusal_until(
-                ErrorKind::DiskFull,
-                "control's disk has too little free space",
-                10_000,
-            ));
-        }
-        if PROPOSALS_MAX <= self.waiting.len() {
-            return full("proposals under way", PROPOSALS_MAX as u32);
-        }
-        let state = &self.state;
-        match command {
-            Command::Submit(_) if settings.jobs_max as usize <= state.jobs.len() => {
-                full("jobs", settings.jobs_max)
-            }
-            Command::Submit(it)
-                if (settings.tasks_max as usize)
-                    < state.jobs.task_count() + it.spec.tasks as usize =>
-            {
-                full("tasks", settings.tasks_max)
-            }
-            Command::Claim(it)
-                if settings.claims_max as usize <= state.claims.len()
-                    && state.claims.get(&it.team, &it.key).is_none() =>
-            {
-                full("claims", settings.claims_max)
-            }
-            Command::CreateWatch(_) if settings.watches_max as usize <= state.watches.len() => {
-                full("watches", settings.watches_max)
-            }
-            Command::Publish(_)
-                if settings.claims_max as usize <= state.watches.published_len() =>
-            {
-                full("keys of published events", settings.claims_max)
-            }
-            Command::OpenSession(it)
-                if settings.vms_max as usize <= state.vms.len()
-                    && state.vms.by_name(&it.vm_name).is_none() =>
-            {
-                full("VMs", settings.vms_max)
-            }
-            _ => Ok(()),
-        }
-    }
-
-    fn propose(&mut self, now: Now, command: Command, to: ReplyTo) {
-        match self.raft.propose(now, EntryBody::Command(command)) {
-            Ok(index) => {
-                self.waiting.insert(index, (self.raft.term(), to));
-            }
-            Err(error) => self.answer_unproposed(to, error),
-        }
-    }
-
-    fn answer_unproposed(&mut self, to: ReplyTo, error: ProposeError) {
-        let outcome = match error {
-            ProposeError::MembershipBusy => Err(refusal_until(
-                ErrorKind::MembershipUnsafe,
-                "another change of membership is under way",
-                1_000,
-            )),
-            ProposeError::MembershipUnsafe(why) => Err(refusal(ErrorKind::MembershipUnsafe, why)),
-            ProposeError::NotLeader | ProposeError::HandingOver => {
-                return self.answer_not_leader(to);
-            }
-        };
-        self.answer(to, outcome);
-    }
-
-    fn answer_not_leader(&mut self, to: ReplyTo) {
-        match to {
-            ReplyTo::Link { address, id } => {
-                let result = ControlResult::NotLeader(self.leader_address());
-                self.send_reply(address, id, result);
-            }
-            ReplyTo::Edge { .. } => {
-                let detail = "the leader changed meanwhile: ask again with the same key";
-                self.answer(to, Err(refusal_until(ErrorKind::ControlUnavailable, detail, 500)));
-            }
-            ReplyTo::Nobody => (),
-        }
-    }
-
-    fn answer(&mut self, to: ReplyTo, outcome: Outcome) {
-        if let (Err(it), ReplyTo::Link { .. } | ReplyTo::Edge { .. }) = (&outcome, to) {
-            *self.refusals.entry(it.kind).or_insert(0) += 1;
-        }
-        match to {
-            ReplyTo::Edge { token } => self.effects.push(Effect::Answer { token, outcome }),
-            ReplyTo::Link { address, id } => {
-                let result = match outcome {
-                    Ok(it) => ControlResult::Ok(it),
-                    Err(it) => ControlResult::Refused(it),
-                };
-                self.send_reply(address, id, result);
-            }
-            ReplyTo::Nobody => (),
-        }
-    }
-
-    fn send_reply(&mut self, to: SocketAddr, id: u64, result: ControlResult) {
-        let message = Message::ControlReply(ControlReply { id, result });
-        self.effects.push(Effect::Send { to, message });
-    }
-
     /// Applies what was committed.
     fn apply(&mut self, now: Now) -> Result<()> {
         for it in self.raft.take_applied() {
@@ -584,110 +402,6 @@
             }
         }
     }
-
-    fn on_agent_heartbeat(&mut self, now: Now, it: AgentHeartbeat) {
-        if !self.raft.has_lease(now) || self.leading.is_none() {
-            let message = Message::NotLeader(self.leader_address());
-            self.effects.push(Effect::Send { to: it.reply_to, message });
-            return;
-        }
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        let vm = self.state.vms.by_session(it.session);
-        let seen = leading.sessions.agents.get_mut(&it.session).filter(|seen| !seen.closing);
-        let (Some(vm), Some(seen)) = (vm, seen) else {
-            let reply = heartbeat_reply(&it, 0, SessionVerdict::Ended, Vec::new());
-            self.effects.push(Effect::Send {
-                to: it.reply_to,
-                message: Message::AgentHeartbeatReply(reply),
-            });
-            return;
-        };
-        if it.number < seen.number {
-            // Overtaken by a newer one; its list of tasks is out of date.
-            return;
-        }
-        let was_draining = std::mem::replace(&mut seen.draining, it.draining);
-        seen.number = it.number;
-        seen.heard = true;
-        seen.reconciled = it.reconciled;
-        seen.in_force = it.in_force;
-        seen.usage = it.usage;
-        seen.held_until_ms = now.mono_ms + held_ms(&self.options.settings);
-        seen.reported = it.tasks.iter().map(|it| (it.task, (it.incarnation, it.phase))).collect();
-        leading.directory.set(it.session, it.reply_to, vm, &it.endpoints);
-        let age_ms = u64::from(it.usage.age_ms);
-        let mut events =
-            leading.scheduler.note_endpoints(&self.state, vm, &it.endpoints, age_ms, now);
-        let mut res = reconcile::reconcile(&self.state, vm, &it.tasks, it.reconciled);
-        events.append(&mut res.events);
-        for report in &it.tasks {
-            if let Some(permille) = leading.scheduler.throttle_of(report.task) {
-                let action = TaskAction::Throttle(permille);
-                res.orders.push(TaskOrder {
-                    task: report.task,
-                    incarnation: report.incarnation,
-                    action,
-                });
-            }
-        }
-        if it.draining && !was_draining {
-            tracing::info!(event = "agent_draining", vm = %vm.name);
-        }
-        let lease_ms = self.options.settings.lease_ms;
-        let mut reply = heartbeat_reply(&it, lease_ms, SessionVerdict::Renewed, res.orders);
-        reply.configuration = self.news_for(it.in_force);
-        self.effects
-            .push(Effect::Send { to: it.reply_to, message: Message::AgentHeartbeatReply(reply) });
-        for command in self.new_events(events) {
-            self.propose(now, command, ReplyTo::Nobody);
-        }
-    }
-
-    fn on_entry_heartbeat(&mut self, now: Now, it: &EntryHeartbeat) {
-        if !self.raft.has_lease(now) || self.leading.is_none() {
-            let message = Message::NotLeader(self.leader_address());
-            self.effects.push(Effect::Send { to: it.reply_to, message });
-            return;
-        }
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
-        leading.sessions.note_entry(now, it);
-        // A new leader has heard of no endpoints yet; telling that would empty every entry.
-        let waited = leading.since_ms + u64::from(self.options.settings.lease_ms) <= now.mono_ms;
-        let directory = match leading.sessions.all_heard() || waited {
-            true => leading.directory.update_since(it.directory_epoch, it.directory_version),
-            false => None,
-        };
-        let configuration = self.news_for(it.in_force);
-        let reply = EntryHeartbeatReply { boot: it.boot, directory, configuration };
-        let message = Message::EntryHeartbeatReply(reply);
-        self.effects.push(Effect::Send { to: it.reply_to, message });
-    }
-
-    /// Returns the configuration for a process that is behind.
-    fn news_for(&self, in_force: Revision) -> Option<Configuration> {
-        let is_behind = in_force < self.state.configuration.revision;
-        is_behind.then(|| self.state.configuration.clone())
-    }
-
-    fn query(&self, now: Now, query: &Query) -> Outcome {
-        match query {
-            Query::Job(it) => views::job(&self.state, it),
-            Query::JobResult(it) => views::job_result(&self.state, it),
-            Query::Watch(it) => views::watch(&self.state, it, WATCH_READ_MAX),
-            Query::Claim(it) => match self.state.claims.get(&it.team, &it.key) {
-                Some(claim) => Ok(Reply::Claim(claim.clone())),
-                None => Err(refusal(
-                    ErrorKind::NotFound,
-                    format_compact!("key {} is not claimed", it.key),
-                )),
-            },
-            Query::View(it) => views::view(self, *it, now),
-        }
-    }
 }
 
 impl Leading {
--- /dev/null
+++ b/src/control/core/operations.rs
@@ -0,0 +1,210 @@
+//! Operations that clients ask for.
+
+use std::net::SocketAddr;
+
+use crate::{
+    control::{
+        core::{ControlCore, Effect, PROPOSALS_MAX, ReplyTo, WATCH_READ_MAX},
+        log::ProposeError,
+        state::Outcome,
+        views,
+    },
+    prelude::*,
+};
+
+impl ControlCore {
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
+        self.raft
+            .leader()
+            .filter(|it| *it != self.raft.id())
+            .and_then(|it| self.raft.address_of(it))
+    }
+
+    pub(super) fn operate(
+        &mut self,
+        now: Now,
+        operation: Operation,
+        to: ReplyTo,
+        deadline_ms: u64,
+    ) {
+        let ready = self.raft.has_lease(now);
+        match (to, operation) {
+            (ReplyTo::Edge { token }, operation) if !ready => {
+                self.client.set_leader(self.leader_address());
+                self.client.call(now, operation, deadline_ms, token);
+            }
+            (ReplyTo::Link { address, id }, _) if !ready => {
+                let result = ControlResult::NotLeader(self.leader_address());
+                self.send_reply(address, id, result);
+            }
+            (_, Operation::Propose(it)) => self.propose_for_client(now, it, to),
+            (_, Operation::Query(it)) => {
+                let outcome = self.query(now, &it);
+                self.answer(to, outcome);
+            }
+            (_, Operation::Membership(it)) => match self.raft.change_members(now, it) {
+                Ok(index) => {
+                    self.waiting.insert(index, (self.raft.term(), to));
+                }
+                Err(error) => self.answer_unproposed(to, error),
+            },
+            (_, Operation::Drain(it)) => match self.state.vms.by_name(&it.vm_name) {
+                Some(vm) => {
+                    let flags = VmFlagsCommand {
+                        vm: vm.id,
+                        draining: it.draining,
+                        quarantined: vm.quarantined,
+                    };
+                    self.propose(now, Command::VmFlags(flags), to);
+                }
+                None => {
+                    let detail = format_compact!("no VM is named {}", it.vm_name);
+                    self.answer(to, Err(refusal(ErrorKind::NotFound, detail)));
+                }
+            },
+        }
+    }
+
+    /// Checks the limits that are settings, and proposes.
+    pub(super) fn propose_for_client(&mut self, now: Now, mut command: Command, to: ReplyTo) {
+        if let Command::CreateWatch(it) = &mut command {
+            it.events_max = self.options.settings.watch_events_max;
+        }
+        match self.check_limits(&command) {
+            Ok(()) => self.propose(now, command, to),
+            Err(it) => self.answer(to, Err(it)),
+        }
+    }
+
+    pub(super) fn check_limits(&self, command: &Command) -> Result<(), Refusal> {
+        let settings = &self.options.settings;
+        let full = |table: &str, most: u32| {
+            Err(refusal_until(
+                ErrorKind::TableFull,
+                format_compact!("{table} are at their most, {most}"),
+                5_000,
+            ))
+        };
+        let frees =
+            matches!(command, Command::Cancel(_) | Command::Settle(_) | Command::DeleteWatch(_));
+        if self.disk_full && !frees {
+            return Err(refusal_until(
+                ErrorKind::DiskFull,
+                "control's disk has too little free space",
+                10_000,
+            ));
+        }
+        if PROPOSALS_MAX <= self.waiting.len() {
+            return full("proposals under way", PROPOSALS_MAX as u32);
+        }
+        let state = &self.state;
+        match command {
+            Command::Submit(_) if settings.jobs_max as usize <= state.jobs.len() => {
+                full("jobs", settings.jobs_max)
+            }
+            Command::Submit(it)
+                if (settings.tasks_max as usize)
+                    < state.jobs.task_count() + it.spec.tasks as usize =>
+            {
+                full("tasks", settings.tasks_max)
+            }
+            Command::Claim(it)
+                if settings.claims_max as usize <= state.claims.len()
+                    && state.claims.get(&it.team, &it.key).is_none() =>
+            {
+                full("claims", settings.claims_max)
+            }
+            Command::CreateWatch(_) if settings.watches_max as usize <= state.watches.len() => {
+                full("watches", settings.watches_max)
+            }
+            Command::Publish(_)
+                if settings.claims_max as usize <= state.watches.published_len() =>
+            {
+                full("keys of published events", settings.claims_max)
+            }
+            Command::OpenSession(it)
+                if settings.vms_max as usize <= state.vms.len()
+                    && state.vms.by_name(&it.vm_name).is_none() =>
+            {
+                full("VMs", settings.vms_max)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    pub(super) fn propose(&mut self, now: Now, command: Command, to: ReplyTo) {
+        match self.raft.propose(now, EntryBody::Command(command)) {
+            Ok(index) => {
+                self.waiting.insert(index, (self.raft.term(), to));
+            }
+            Err(error) => self.answer_unproposed(to, error),
+        }
+    }
+
+    pub(super) fn answer_unproposed(&mut self, to: ReplyTo, error: ProposeError) {
+        let outcome = match error {
+            ProposeError::MembershipBusy => Err(refusal_until(
+                ErrorKind::MembershipUnsafe,
+                "another change of membership is under way",
+                1_000,
+            )),
+            ProposeError::MembershipUnsafe(why) => Err(refusal(ErrorKind::MembershipUnsafe, why)),
+            ProposeError::NotLeader | ProposeError::HandingOver => {
+                return self.answer_not_leader(to);
+            }
+        };
+        self.answer(to, outcome);
+    }
+
+    pub(super) fn answer_not_leader(&mut self, to: ReplyTo) {
+        match to {
+            ReplyTo::Link { address, id } => {
+                let result = ControlResult::NotLeader(self.leader_address());
+                self.send_reply(address, id, result);
+            }
+            ReplyTo::Edge { .. } => {
+                let detail = "the leader changed meanwhile: ask again with the same key";
+                self.answer(to, Err(refusal_until(ErrorKind::ControlUnavailable, detail, 500)));
+            }
+            ReplyTo::Nobody => (),
+        }
+    }
+
+    pub(super) fn answer(&mut self, to: ReplyTo, outcome: Outcome) {
+        if let (Err(it), ReplyTo::Link { .. } | ReplyTo::Edge { .. }) = (&outcome, to) {
+            *self.refusals.entry(it.kind).or_insert(0) += 1;
+        }
+        match to {
+            ReplyTo::Edge { token } => self.effects.push(Effect::Answer { token, outcome }),
+            ReplyTo::Link { address, id } => {
+                let result = match outcome {
+                    Ok(it) => ControlResult::Ok(it),
+                    Err(it) => ControlResult::Refused(it),
+                };
+                self.send_reply(address, id, result);
+            }
+            ReplyTo::Nobody => (),
+        }
+    }
+
+    pub(super) fn send_reply(&mut self, to: SocketAddr, id: u64, result: ControlResult) {
+        let message = Message::ControlReply(ControlReply { id, result });
+        self.effects.push(Effect::Send { to, message });
+    }
+
+    pub(super) fn query(&self, now: Now, query: &Query) -> Outcome {
+        match query {
+            Query::Job(it) => views::job(&self.state, it),
+            Query::JobResult(it) => views::job_result(&self.state, it),
+            Query::Watch(it) => views::watch(&self.state, it, WATCH_READ_MAX),
+            Query::Claim(it) => match self.state.claims.get(&it.team, &it.key) {
+                Some(claim) => Ok(Reply::Claim(claim.clone())),
+                None => Err(refusal(
+                    ErrorKind::NotFound,
+                    format_compact!("key {} is not claimed", it.key),
+                )),
+            },
+            Query::View(it) => views::view(self, *it, now),
+        }
+    }
+}
--- /dev/null
+++ b/src/control/core/reports.rs
@@ -0,0 +1,110 @@
+//! Reports of agents and entries, and what the leader answers.
+
+use crate::{
+    control::{
+        core::{ControlCore, Effect, ReplyTo, heartbeat_reply, held_ms},
+        reconcile,
+    },
+    prelude::*,
+};
+
+impl ControlCore {
+    /// Turns events into commands, without those already on their way.
+    pub(super) fn new_events(&mut self, events: Vec<TaskEventCommand>) -> Vec<Command> {
+        let Some(leading) = &mut self.leading else {
+            return Vec::new();
+        };
+        let is_new = |it: &TaskEventCommand| {
+            leading.proposed.insert((it.task, it.incarnation, std::mem::discriminant(&it.event)))
+        };
+        events.into_iter().filter(is_new).map(Command::TaskEvent).collect()
+    }
+
+    pub(super) fn on_agent_heartbeat(&mut self, now: Now, it: AgentHeartbeat) {
+        if !self.raft.has_lease(now) || self.leading.is_none() {
+            let message = Message::NotLeader(self.leader_address());
+            self.effects.push(Effect::Send { to: it.reply_to, message });
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        let vm = self.state.vms.by_session(it.session);
+        let seen = leading.sessions.agents.get_mut(&it.session).filter(|seen| !seen.closing);
+        let (Some(vm), Some(seen)) = (vm, seen) else {
+            let reply = heartbeat_reply(&it, 0, SessionVerdict::Ended, Vec::new());
+            self.effects.push(Effect::Send {
+                to: it.reply_to,
+                message: Message::AgentHeartbeatReply(reply),
+            });
+            return;
+        };
+        if it.number < seen.number {
+            // Overtaken by a newer one; its list of tasks is out of date.
+            return;
+        }
+        let was_draining = std::mem::replace(&mut seen.draining, it.draining);
+        seen.number = it.number;
+        seen.heard = true;
+        seen.reconciled = it.reconciled;
+        seen.in_force = it.in_force;
+        seen.usage = it.usage;
+        seen.held_until_ms = now.mono_ms + held_ms(&self.options.settings);
+        seen.reported = it.tasks.iter().map(|it| (it.task, (it.incarnation, it.phase))).collect();
+        leading.directory.set(it.session, it.reply_to, vm, &it.endpoints);
+        let age_ms = u64::from(it.usage.age_ms);
+        let mut events =
+            leading.scheduler.note_endpoints(&self.state, vm, &it.endpoints, age_ms, now);
+        let mut res = reconcile::reconcile(&self.state, vm, &it.tasks, it.reconciled);
+        events.append(&mut res.events);
+        for report in &it.tasks {
+            if let Some(permille) = leading.scheduler.throttle_of(report.task) {
+                let action = TaskAction::Throttle(permille);
+                res.orders.push(TaskOrder {
+                    task: report.task,
+                    incarnation: report.incarnation,
+                    action,
+                });
+            }
+        }
+        if it.draining && !was_draining {
+            tracing::info!(event = "agent_draining", vm = %vm.name);
+        }
+        let lease_ms = self.options.settings.lease_ms;
+        let mut reply = heartbeat_reply(&it, lease_ms, SessionVerdict::Renewed, res.orders);
+        reply.configuration = self.news_for(it.in_force);
+        self.effects
+            .push(Effect::Send { to: it.reply_to, message: Message::AgentHeartbeatReply(reply) });
+        for command in self.new_events(events) {
+            self.propose(now, command, ReplyTo::Nobody);
+        }
+    }
+
+    pub(super) fn on_entry_heartbeat(&mut self, now: Now, it: &EntryHeartbeat) {
+        if !self.raft.has_lease(now) || self.leading.is_none() {
+            let message = Message::NotLeader(self.leader_address());
+            self.effects.push(Effect::Send { to: it.reply_to, message });
+            return;
+        }
+        let Some(leading) = &mut self.leading else {
+            return;
+        };
+        leading.sessions.note_entry(now, it);
+        // A new leader has heard of no endpoints yet; telling that would empty every entry.
+        let waited = leading.since_ms + u64::from(self.options.settings.lease_ms) <= now.mono_ms;
+        let directory = match leading.sessions.all_heard() || waited {
+            true => leading.directory.update_since(it.directory_epoch, it.directory_version),
+            false => None,
+        };
+        let configuration = self.news_for(it.in_force);
+        let reply = EntryHeartbeatReply { boot: it.boot, directory, configuration };
+        let message = Message::EntryHeartbeatReply(reply);
+        self.effects.push(Effect::Send { to: it.reply_to, message });
+    }
+
+    /// Returns the configuration for a process that is behind.
+    pub(super) fn news_for(&self, in_force: Revision) -> Option<Configuration> {
+        let is_behind = in_force < self.state.configuration.revision;
+        is_behind.then(|| self.state.configuration.clone())
+    }
+}
--- a/src/control/scheduler/mod.rs
+++ b/src/control/scheduler/mod.rs
@@ -5,25 +5,27 @@
 //! are a moment old can be refused but never overfills a VM.
 
 mod costs;
+mod relief;
 mod reserve;
 mod residents;
+mod urgent;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use crate::{
     control::scheduler::{
-        costs::{Costs, share_of},
+        costs::Costs,
         reserve::Reserve,
         residents::{Resident, Residents},
     },
     control::state::{Change, State, Task, Vm, subtract},
     policy::{
         estimate::RunTimes,
-        feedback::{self, Action},
+        feedback::{self},
         interference::{Pairs, Past},
         order::{self, Candidate, Facts, Queue, Rule, Runs, Tier, Waiting},
         placement::{Aim, Index, Room},
-        preemption::{EvictionBudget, Purpose, Victim, choose_victims},
+        preemption::EvictionBudget,
     },
     prelude::*,
 };
@@ -184,45 +186,6 @@
         }
     }
 
-    /// Learns from a VM's report of its endpoints, and acts on tails above their target.
-    pub fn note_endpoints(
-        &mut self,
-        state: &State,
-        vm: &Vm,
-        reports: &[EndpointReport],
-        age_ms: u64,
-        now: Now,
-    ) -> Vec<TaskEventCommand> {
-        let mut classes: Vec<_> = reports.iter().map(|it| it.class.clone()).collect();
-        classes.sort_unstable();
-        classes.dedup();
-        self.services.insert(vm.id, classes);
-        let measured = reports.iter().filter(|it| 0 < it.answer_p99_ms);
-        let mut worst: Option<(u64, u64, CompactString)> = None;
-        for it in measured {
-            let tail_ms = u64::from(it.answer_p99_ms);
-            if self.options.learns_interference {
-                let then = now.mono_ms.saturating_sub(age_ms);
-                self.pairs.observe(&it.class, tail_ms as f64, self.past.at(vm.id, then));
-            }
-            let Some(class) = state.class(&it.class).filter(|it| 0 < it.answer_target_ms) else {
-                continue;
-            };
-            let target_ms = u64::from(class.answer_target_ms);
-            let is_worse =
-                worst.as_ref().is_none_or(|(tail, target, _)| tail * target_ms < tail_ms * target);
-            if is_worse {
-                worst = Some((tail_ms, target_ms, it.class.clone()));
-            }
-        }
-        match worst {
-            Some((tail_ms, target_ms, class)) if self.options.feeds_back => {
-                self.feed_back(state, vm, tail_ms, target_ms, &class, age_ms, now)
-            }
-            _ => Vec::new(),
-        }
-    }
-
     /// Makes the next plan, if there is reason to.
     pub fn plan(&mut self, state: &State, now: Now) -> Plan {
         let mut plan = Plan::default();
@@ -504,44 +467,6 @@
         hold.until_ms <= now.mono_ms + HOLD_MS / 4
     }
 
-    /// Keeps as many places free as urgent arrivals of late call for.
-    fn keep_reserve(&mut self, state: &State, now: Now) {
-        for need in std::mem::take(&mut self.arrived) {
-            self.reserve.note_arrival(now, need);
-        }
-        let (count, need) = self.reserve.wanted(now);
-        let count = if self.options.reserves { count } else { 0 };
-        for (at, key) in Reserve::keys().enumerate() {
-            let held = self.holds.get(&key).copied();
-            let is_open = held.is_some_and(|it| state.vms.get(it.vm).is_some_and(is_open));
-            match held {
-                Some(it) if count <= at || it.need != need || !is_open => {
-                    self.release_hold(key);
-                    self.refresh_room(state, it.vm);
-                }
-                Some(_) => continue,
-                None => (),
-            }
-            // What runs there now ends in time, and nothing new takes its room.
-            if at < count
-                && let Some(vm) = self.index.roomiest()
-            {
-                self.hold(state, key, Hold { vm, need, until_ms: u64::MAX });
-            }
-        }
-    }
-
-    /// Gives a reserved place that has its room to an urgent task.
-    fn take_reserved(&mut self, state: &State, need: Resources) -> Option<VmId> {
-        let has_room = |key: &TaskId| {
-            let hold = self.holds.get(key)?;
-            self.room_with_hold(state, hold.vm, need, *key).then_some((*key, hold.vm))
-        };
-        let (key, vm) = Reserve::keys().find_map(|it| has_room(&it))?;
-        self.release_hold(key);
-        Some(vm)
-    }
-
     fn room_with_hold(&self, state: &State, vm: VmId, need: Resources, task: TaskId) -> bool {
         let others = self.held_on.get(&vm).into_iter().flatten().filter(|it| **it != task);
         let others = others.filter_map(|it| self.holds.get(it));
@@ -565,125 +490,6 @@
         let enough = (self.options.task_failures_max as usize).min(open.max(1));
         enough <= blamed
     }
-
-    /// Makes room for an urgent task by evicting batch work on one VM.
-    fn preempt(&mut self, state: &State, it: &Candidate, now: Now, plan: &mut Plan) {
-        let after = state.vms.iter().filter(|vm| self.victim_cursor < vm.id);
-        let before = state.vms.iter().filter(|vm| vm.id <= self.victim_cursor);
-        let looked_at: Vec<_> = after.chain(before).take(VICTIM_VMS).collect();
-        let mut best: Option<(u64, VmId, Vec<TaskId>)> = None;
-        for vm in looked_at {
-            self.victim_cursor = vm.id;
-            if !is_open(vm) {
-                continue;
-            }
-            let held =
-                self.held_on.get(&vm.id).into_iter().flatten().filter_map(|it| self.holds.get(it));
-            let free = held.fold(vm.free(), |free, it| subtract(free, it.need));
-            let victims = self.victims_on(state, vm, now);
-            let Some((tasks, lost_ms)) = choose_victims(it.need, free, &victims) else {
-                continue;
-            };
-            if best.as_ref().is_none_or(|(least, _, _)| lost_ms < *least) {
-                best = Some((lost_ms, vm.id, tasks));
-            }
-        }
-        let Some((_, vm, victims)) = best else { return };
-        if !victims.iter().all(|it| self.may_evict(state, *it, now, Purpose::UrgentStart)) {
-            return;
-        }
-        for id in victims {
-            self.evict(state, id, plan);
-        }
-        self.hold(state, it.task, Hold { vm, need: it.need, until_ms: now.mono_ms + HOLD_MS });
-    }
-
-    fn victims_on(&self, state: &State, vm: &Vm, now: Now) -> Vec<Victim> {
-        let running = vm.tasks.iter().filter_map(|id| state.jobs.task(*id));
-        let evictable =
-            running.filter(|it| it.state == TaskState::Running && !self.evicting.contains(&it.id));
-        let batch = evictable.filter_map(|it| {
-            let job = state.jobs.job_of(it)?;
-            let class = state.class(&job.spec.class)?;
-            let since_ms = it.placement.map_or(now.wall_ms, |it| it.since_ms);
-            let is_batch = class.kind == ClassKind::Batch && !class.urgent;
-            is_batch.then(|| Victim {
-                task: it.id,
-                holds: job.spec.resources,
-                lost_ms: now.wall_ms.saturating_sub(since_ms),
-                borrows: 1_000 < self.queue.share_permille(&job.team),
-            })
-        });
-        batch.collect()
-    }
-
-    /// Takes one eviction from the budget of a task's class.
-    fn may_evict(&mut self, state: &State, id: TaskId, now: Now, purpose: Purpose) -> bool {
-        let job = state.jobs.task(id).and_then(|it| state.jobs.job_of(it));
-        let Some(class) = job.and_then(|it| state.class(&it.spec.class)) else {
-            return false;
-        };
-        let per_hour = class.evictions_per_hour;
-        let budget = self.evictions.entry(class.name.clone());
-        budget.or_insert_with(|| EvictionBudget::new(per_hour, now.mono_ms)).try_take(
-            per_hour,
-            now.mono_ms,
-            purpose,
-        )
-    }
-
-    fn evict(&mut self, state: &State, id: TaskId, plan: &mut Plan) {
-        let Some(task) = state.jobs.task(id) else {
-            return;
-        };
-        self.evicting.insert(id);
-        let event = TaskEvent::EvictRequested;
-        plan.events.push(TaskEventCommand { task: id, incarnation: task.incarnation, event });
-    }
-
-    #[allow(clippy::too_many_arguments)]
-    fn feed_back(
-        &mut self,
-        state: &State,
-        vm: &Vm,
-        tail_ms: u64,
-        target_ms: u64,
-        class: &str,
-        lag_ms: u64,
-        now: Now,
-    ) -> Vec<TaskEventCommand> {
-        let harm_of = |it: &Task| {
-            let job = state.jobs.job_of(it)?;
-            let is_batch =
-                state.class(&job.spec.class).is_some_and(|it| it.kind == ClassKind::Batch);
-            let share = share_of(job.spec.resources, vm.capacity);
-            // Before anything is learned the largest neighbour is the likeliest.
-            is_batch.then(|| (self.pairs.harm(class, &job.spec.kind) + 0.01) * share)
-        };
-        let neighbours = vm.tasks.iter().filter_map(|id| state.jobs.task(*id));
-        let running = neighbours.filter(|it| it.state == TaskState::Running);
-        let worst =
-            running.filter_map(|it| Some((harm_of(it)?, it.id))).max_by(|a, b| a.0.total_cmp(&b.0));
-        let feedback = self.loops.entry(vm.id).or_default();
-        let action =
-            feedback.observe(now.mono_ms, tail_ms, target_ms, lag_ms, worst.map(|(_, id)| id));
-        let mut plan = Plan::default();
-        match action {
-            Action::None => (),
-            Action::Throttle { task, permille } => {
-                self.throttles.insert(task, permille);
-            }
-            Action::Release { task } => {
-                self.throttles.remove(&task);
-            }
-            Action::Move { task } => {
-                if self.may_evict(state, task, now, Purpose::Relief) {
-                    self.evict(state, task, &mut plan);
-                }
-            }
-        }
-        plan.events
-    }
 }
 
 fn is_open(vm: &Vm) -> bool {
--- /dev/null
+++ b/src/control/scheduler/urgent.rs
@@ -0,0 +1,134 @@
+//! Room for urgent work: reserved, or made by eviction.
+
+use crate::{
+    control::{
+        scheduler::{HOLD_MS, Hold, Plan, Scheduler, VICTIM_VMS, is_open, reserve::Reserve},
+        state::{State, Vm, subtract},
+    },
+    policy::{
+        order::Candidate,
+        preemption::{EvictionBudget, Purpose, Victim, choose_victims},
+    },
+    prelude::*,
+};
+
+impl Scheduler {
+    /// Keeps as many places free as urgent arrivals of late call for.
+    pub(super) fn keep_reserve(&mut self, state: &State, now: Now) {
+        for need in std::mem::take(&mut self.arrived) {
+            self.reserve.note_arrival(now, need);
+        }
+        let (count, need) = self.reserve.wanted(now);
+        let count = if self.options.reserves { count } else { 0 };
+        for (at, key) in Reserve::keys().enumerate() {
+            let held = self.holds.get(&key).copied();
+            let is_open = held.is_some_and(|it| state.vms.get(it.vm).is_some_and(is_open));
+            match held {
+                Some(it) if count <= at || it.need != need || !is_open => {
+                    self.release_hold(key);
+                    self.refresh_room(state, it.vm);
+                }
+                Some(_) => continue,
+                None => (),
+            }
+            // What runs there now ends in time, and nothing new takes its room.
+            if at < count
+                && let Some(vm) = self.index.roomiest()
+            {
+                self.hold(state, key, Hold { vm, need, until_ms: u64::MAX });
+            }
+        }
+    }
+
+    /// Gives a reserved place that has its room to an urgent task.
+    pub(super) fn take_reserved(&mut self, state: &State, need: Resources) -> Option<VmId> {
+        let has_room = |key: &TaskId| {
+            let hold = self.holds.get(key)?;
+            self.room_with_hold(state, hold.vm, need, *key).then_some((*key, hold.vm))
+        };
+        let (key, vm) = Reserve::keys().find_map(|it| has_room(&it))?;
+        self.release_hold(key);
+        Some(vm)
+    }
+
+    /// Makes room for an urgent task by evicting batch work on one VM.
+    pub(super) fn preempt(&mut self, state: &State, it: &Candidate, now: Now, plan: &mut Plan) {
+        let after = state.vms.iter().filter(|vm| self.victim_cursor < vm.id);
+        let before = state.vms.iter().filter(|vm| vm.id <= self.victim_cursor);
+        let looked_at: Vec<_> = after.chain(before).take(VICTIM_VMS).collect();
+        let mut best: Option<(u64, VmId, Vec<TaskId>)> = None;
+        for vm in looked_at {
+            self.victim_cursor = vm.id;
+            if !is_open(vm) {
+                continue;
+            }
+            let held =
+                self.held_on.get(&vm.id).into_iter().flatten().filter_map(|it| self.holds.get(it));
+            let free = held.fold(vm.free(), |free, it| subtract(free, it.need));
+            let victims = self.victims_on(state, vm, now);
+            let Some((tasks, lost_ms)) = choose_victims(it.need, free, &victims) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _, _)| lost_ms < *least) {
+                best = Some((lost_ms, vm.id, tasks));
+            }
+        }
+        let Some((_, vm, victims)) = best else { return };
+        if !victims.iter().all(|it| self.may_evict(state, *it, now, Purpose::UrgentStart)) {
+            return;
+        }
+        for id in victims {
+            self.evict(state, id, plan);
+        }
+        self.hold(state, it.task, Hold { vm, need: it.need, until_ms: now.mono_ms + HOLD_MS });
+    }
+
+    pub(super) fn victims_on(&self, state: &State, vm: &Vm, now: Now) -> Vec<Victim> {
+        let running = vm.tasks.iter().filter_map(|id| state.jobs.task(*id));
+        let evictable =
+            running.filter(|it| it.state == TaskState::Running && !self.evicting.contains(&it.id));
+        let batch = evictable.filter_map(|it| {
+            let job = state.jobs.job_of(it)?;
+            let class = state.class(&job.spec.class)?;
+            let since_ms = it.placement.map_or(now.wall_ms, |it| it.since_ms);
+            let is_batch = class.kind == ClassKind::Batch && !class.urgent;
+            is_batch.then(|| Victim {
+                task: it.id,
+                holds: job.spec.resources,
+                lost_ms: now.wall_ms.saturating_sub(since_ms),
+                borrows: 1_000 < self.queue.share_permille(&job.team),
+            })
+        });
+        batch.collect()
+    }
+
+    /// Takes one eviction from the budget of a task's class.
+    pub(super) fn may_evict(
+        &mut self,
+        state: &State,
+        id: TaskId,
+        now: Now,
+        purpose: Purpose,
+    ) -> bool {
+        let job = state.jobs.task(id).and_then(|it| state.jobs.job_of(it));
+        let Some(class) = job.and_then(|it| state.class(&it.spec.class)) else {
+            return false;
+        };
+        let per_hour = class.evictions_per_hour;
+        let budget = self.evictions.entry(class.name.clone());
+        budget.or_insert_with(|| EvictionBudget::new(per_hour, now.mono_ms)).try_take(
+            per_hour,
+            now.mono_ms,
+            purpose,
+        )
+    }
+
+    pub(super) fn evict(&mut self, state: &State, id: TaskId, plan: &mut Plan) {
+        let Some(task) = state.jobs.task(id) else {
+            return;
+        };
+        self.evicting.insert(id);
+        let event = TaskEvent::EvictRequested;
+        plan.events.push(TaskEventCommand { task: id, incarnation: task.incarnation, event });
+    }
+}
--- /dev/null
+++ b/src/entry/core/attempts.rs
@@ -0,0 +1,451 @@
+//! Attempts of quick requests: sent, answered, repeated, given up.
+
+use std::net::SocketAddr;
+
+use crate::{
+    entry::{
+        core::{ASK_MS, ATTEMPT_MIN_MS, ControlToken, EntryCore, FOLLOW_UNKNOWN_MS, line_of},
+        endpoints::EndpointKey,
+        quick::{Attempt, QuickKey, Stage},
+        request::CallerAnswer,
+    },
+    error::{Ran, answer_of},
+    metrics::Dropped,
+    policy::retry::{RetryReason, reason_of_refusal},
+    prelude::*,
+    util::checksum,
+};
+
+impl EntryCore {
+    /// Sends a request to an endpoint, or claims its key first; returns false where no endpoint
+    /// takes it now.
+    pub(super) fn try_begin(&mut self, now: Now, key: QuickKey) -> bool {
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return true;
+        };
+        let class = quick.quick.class.clone();
+        let chosen = self.endpoints.choose(&class, &quick.tried, now, &mut self.random);
+        // Where every endpoint was tried, the first ones may have recovered.
+        let chosen = match chosen {
+            None if !quick.tried.is_empty() => {
+                self.endpoints.choose(&class, &[], now, &mut self.random)
+            }
+            it => it,
+        };
+        let Some(endpoint) = chosen else { return false };
+        self.endpoints.note_sent(endpoint);
+        if quick.is_idempotent() {
+            self.send_attempt(now, key, endpoint);
+        } else {
+            self.claim(now, key, endpoint);
+        }
+        true
+    }
+
+    /// Sends one attempt to an endpoint already counted.
+    pub(super) fn send_attempt(&mut self, now: Now, key: QuickKey, endpoint: EndpointKey) {
+        let (Some(quick), Some(target)) = (self.quicks.get_mut(key), self.endpoints.get(endpoint))
+        else {
+            return;
+        };
+        quick.attempts_made += 1;
+        // A claimed attempt bears the claim's number, by which others may ask about it.
+        let number = if quick.is_idempotent() { quick.attempts_made } else { quick.claim_attempt };
+        quick.attempts.push(Attempt {
+            number,
+            endpoint,
+            endpoint_id: target.id,
+            sent_ms: now.mono_ms,
+        });
+        let left_ms = quick.left_ms(now);
+        let usual_ms = target.answer_time.get_ms() as u64;
+        // An attempt that takes several times the usual is worth a second one, while there is
+        // time left for it to be answered.
+        let wait_ms = (usual_ms * 6).max(ATTEMPT_MIN_MS).min((left_ms / 2).max(ATTEMPT_MIN_MS));
+        let act_at_ms = now.mono_ms + wait_ms;
+        quick.stage = Stage::InFlight { act_at_ms };
+        let execute = Execute {
+            request: quick.request,
+            attempt: number,
+            endpoint: target.id,
+            reply_to: self.options.address,
+            team: quick.team.clone(),
+            class: quick.quick.class.clone(),
+            path: quick.quick.path.clone(),
+            deadline_ms: left_ms.min(u32::MAX.into()) as u32,
+            idempotent: quick.is_idempotent(),
+            body: serde_bytes::ByteBuf::from(quick.quick.body.clone()),
+        };
+        let to = target.agent;
+        self.timers.insert((act_at_ms, key));
+        self.send(to, Message::Execute(execute));
+    }
+
+    /// Looks at a request again at a time.
+    pub(super) fn schedule(&mut self, at_ms: u64, key: QuickKey) {
+        self.timers.insert((at_ms, key));
+    }
+
+    /// Does what is due for a request.
+    pub(super) fn act(&mut self, now: Now, key: QuickKey) {
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
+        if quick.deadline_ms <= now.mono_ms {
+            return self.on_deadline(now, key);
+        }
+        match quick.stage {
+            Stage::Waiting => {
+                let class = quick.quick.class.clone();
+                let answer_ms = self.endpoints.answer_ms_of(&class) as u64;
+                if quick.left_ms(now) <= answer_ms {
+                    let detail = "it waited until too little time was left";
+                    self.refuse(now, key, refusal_until(ErrorKind::WouldMissDeadline, detail, 100));
+                } else {
+                    self.pump(now, &class);
+                    self.schedule_drop(now, key);
+                }
+            }
+            Stage::Following { look_at_ms, .. } if look_at_ms <= now.mono_ms => {
+                self.look_at_claim(now, key)
+            }
+            Stage::InFlight { act_at_ms } if act_at_ms <= now.mono_ms && quick.is_idempotent() => {
+                self.hedge(now, key)
+            }
+            Stage::InFlight { act_at_ms } if act_at_ms <= now.mono_ms => self.ask_own(now, key),
+            _ => (),
+        }
+    }
+
+    /// Makes another attempt beside one that is slow to answer.
+    pub(super) fn hedge(&mut self, now: Now, key: QuickKey) {
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
+        quick.may_have_run = true;
+        let slow: Vec<_> = quick.attempts.iter().map(|it| (it.endpoint, it.endpoint_id)).collect();
+        if quick.attempts_made < self.options.settings.attempts_max && self.budget.try_spend() {
+            quick.tried.extend(slow.iter().map(|(_, id)| *id));
+            self.metrics.retried(RetryReason::NoAnswer);
+            for (endpoint, _) in slow {
+                self.note_failure(now, endpoint);
+            }
+            if self.try_begin(now, key) {
+                return;
+            }
+        }
+        if let Some(quick) = self.quicks.get_mut(key) {
+            quick.stage = Stage::InFlight { act_at_ms: quick.deadline_ms };
+        }
+    }
+
+    pub(super) fn on_deadline(&mut self, now: Now, key: QuickKey) {
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
+        match quick.stage {
+            Stage::Waiting => {
+                let detail = "its deadline passed while it waited";
+                self.refuse(now, key, refusal_until(ErrorKind::DeadlineExpiredQueued, detail, 100));
+            }
+            Stage::InFlight { .. } if quick.is_idempotent() => {
+                self.refuse(
+                    now,
+                    key,
+                    refusal(ErrorKind::AnswerLate, "no answer arrived by its deadline"),
+                );
+            }
+            Stage::Checking { .. } => {
+                let detail = "its key could not be looked up in time";
+                self.refuse(now, key, refusal_until(ErrorKind::ControlUnavailable, detail, 500));
+            }
+            Stage::Following { .. } => {
+                let detail = "an earlier request with this key has no outcome yet";
+                self.refuse(now, key, refusal_until(ErrorKind::ClaimInProgress, detail, 1_000));
+            }
+            Stage::Claiming { .. } | Stage::InFlight { .. } => {
+                let sent = matches!(quick.stage, Stage::InFlight { .. });
+                // The caller is told now; the claim is followed, so that a resend learns more.
+                quick.deadline_ms = now.mono_ms + FOLLOW_UNKNOWN_MS;
+                self.timers.insert((quick.deadline_ms, key));
+                let Some(token) = quick.token.take() else {
+                    return self.give_up_following(now, key);
+                };
+                let refusal = match sent {
+                    true => refusal(
+                        ErrorKind::OutcomeUnknown,
+                        "it was sent and no answer arrived by its deadline",
+                    ),
+                    false => refusal(
+                        ErrorKind::ControlUnavailable,
+                        "its key could not be claimed in time",
+                    ),
+                };
+                self.answer(token, CallerAnswer::Refused(refusal));
+            }
+        }
+    }
+
+    pub(super) fn on_link_lost(&mut self, now: Now, peer: SocketAddr) {
+        let endpoints = &self.endpoints;
+        let at_peer = |it: &Attempt| endpoints.get(it.endpoint).is_some_and(|it| it.agent == peer);
+        let affected = self
+            .quicks
+            .iter()
+            .filter(|(_, it)| it.attempts.iter().any(at_peer))
+            .map(|(key, _)| key);
+        let affected: Vec<_> = affected.collect();
+        for key in affected {
+            // What was sent may be lost: no reason to wait for the usual time.
+            if let Some(quick) = self.quicks.get_mut(key)
+                && let Stage::InFlight { act_at_ms } = &mut quick.stage
+            {
+                *act_at_ms = now.mono_ms;
+                self.timers.insert((now.mono_ms, key));
+            }
+        }
+    }
+
+    pub(super) fn on_execute_reply(&mut self, now: Now, it: ExecuteReply) {
+        if let Some(key) = self.endpoints.key_of(it.endpoint)
+            && let Some(endpoint) = self.endpoints.get_mut(key)
+        {
+            endpoint.note_load(it.load, now);
+        }
+        if let Some(key) = self.asked.remove(&(it.request, it.attempt)) {
+            return self.on_foreign_outcome(now, key, it);
+        }
+        let found = self.by_request.get(&it.request).copied();
+        let Some((key, quick)) = found.and_then(|key| Some((key, self.quicks.get_mut(key)?)))
+        else {
+            let own =
+                it.request.boot == self.options.boot && it.request.number <= self.next_request;
+            return self.metrics.answer_dropped(if own { Dropped::Late } else { Dropped::Foreign });
+        };
+        let position = quick
+            .attempts
+            .iter()
+            .position(|at| at.number == it.attempt && at.endpoint_id == it.endpoint);
+        let Some(position) = position else {
+            return self.metrics.answer_dropped(Dropped::Late);
+        };
+        if it.outcome == ExecuteOutcome::Running {
+            quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
+            self.timers.insert((now.mono_ms + ASK_MS, key));
+            return;
+        }
+        let attempt = quick.attempts.remove(position);
+        self.endpoints.note_ended(attempt.endpoint);
+        self.on_outcome(now, key, attempt, it.outcome);
+    }
+
+    pub(super) fn on_outcome(
+        &mut self,
+        now: Now,
+        key: QuickKey,
+        attempt: Attempt,
+        outcome: ExecuteOutcome,
+    ) {
+        match outcome {
+            ExecuteOutcome::Answered(it) if checksum(&it.body) != it.checksum => {
+                self.metrics.answer_dropped(Dropped::Damaged);
+                self.on_failed(now, key, attempt, "its answer arrived damaged");
+            }
+            ExecuteOutcome::Answered(it) => self.on_answered(now, key, attempt, it),
+            ExecuteOutcome::Failed(why) => self.on_failed(now, key, attempt, &why),
+            ExecuteOutcome::Refused(kind) => {
+                if reason_of_refusal(kind) != RetryReason::Busy {
+                    self.endpoints.note_leaving(attempt.endpoint_id);
+                }
+                if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) {
+                    endpoint.ejection.note_refused(now.mono_ms);
+                }
+                if let Some(quick) = self.quicks.get_mut(key) {
+                    quick.last_refusal = Some(kind);
+                }
+                self.retry(now, key, attempt.endpoint_id, reason_of_refusal(kind));
+            }
+            ExecuteOutcome::NotSeen => {
+                self.retry(now, key, attempt.endpoint_id, RetryReason::NotSeen)
+            }
+            ExecuteOutcome::Running => (),
+        }
+    }
+
+    pub(super) fn on_answered(&mut self, now: Now, key: QuickKey, attempt: Attempt, it: Answer) {
+        let answer_ms = now.mono_ms.saturating_sub(attempt.sent_ms);
+        let is_error = 500 <= it.status;
+        if let Some(endpoint) = self.endpoints.get_mut(attempt.endpoint) {
+            endpoint.answer_time.observe(answer_ms as f64);
+            if !is_error {
+                endpoint.ejection.note_success();
+            }
+        }
+        if is_error {
+            self.note_failure(now, attempt.endpoint);
+        } else {
+            self.budget.earn();
+        }
+        let Some(quick) = self.quicks.get_mut(key) else { return };
+        if is_error && quick.is_idempotent() {
+            // Another endpoint may do better; if none does, the caller gets this answer.
+            quick.error_answer = Some(it);
+            return self.retry(now, key, attempt.endpoint_id, RetryReason::Failed);
+        }
+        if !quick.is_idempotent() {
+            self.settle_done(now, key, &it);
+        }
+        self.pass_on(now, key, it);
+    }
+
+    /// Answers the caller with an endpoint's answer.
+    pub(super) fn pass_on(&mut self, now: Now, key: QuickKey, it: Answer) {
+        let Some(quick) = self.quicks.get(key) else { return };
+        let total_ms = now.mono_ms.saturating_sub(quick.arrived_ms);
+        let attempts = quick.attempts_made;
+        let class = quick.quick.class.clone();
+        self.metrics.answered(&class, total_ms as f64 / 1_000.0);
+        line_of(&mut self.lines, &class).answers.saturating_record(total_ms.max(1));
+        let answer = CallerAnswer::Quick {
+            status: it.status,
+            content_type: it.content_type,
+            body: it.body.into_vec(),
+            attempts,
+        };
+        self.finish(now, key, answer);
+    }
+
+    pub(super) fn on_failed(&mut self, now: Now, key: QuickKey, attempt: Attempt, why: &str) {
+        self.note_failure(now, attempt.endpoint);
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
+        quick.may_have_run = true;
+        if quick.is_idempotent() {
+            return self.retry(now, key, attempt.endpoint_id, RetryReason::Failed);
+        }
+        let detail = format_compact!("the endpoint failed while it ran: {why}");
+        self.settle(now, key, ClaimOutcome::Unknown, ControlToken::Nobody);
+        self.refuse(now, key, refusal(ErrorKind::OutcomeUnknown, detail));
+    }
+
+    pub(super) fn note_failure(&mut self, now: Now, endpoint: EndpointKey) {
+        let Some(class) = self.endpoints.get(endpoint).map(|it| it.class.clone()) else {
+            return;
+        };
+        let out_permille = self.endpoints.out_permille(&class, endpoint, now);
+        if let Some(it) = self.endpoints.get_mut(endpoint) {
+            let was_out = it.ejection.is_out();
+            it.ejection.note_failure(now.mono_ms, out_permille);
+            if it.ejection.is_out() && !was_out {
+                self.metrics.ejections.inc();
+            }
+        }
+    }
+
+    /// Makes another attempt, if budget and time allow.
+    pub(super) fn retry(
+        &mut self,
+        now: Now,
+        key: QuickKey,
+        failed: EndpointId,
+        reason: RetryReason,
+    ) {
+        let Some(quick) = self.quicks.get_mut(key) else {
+            return;
+        };
+        quick.tried.push(failed);
+        if !quick.attempts.is_empty() {
+            return;
+        }
+        if quick.token.is_none() {
+            // Its caller was told already; nothing new is begun for it.
+            return self.give_up(now, key, ErrorKind::DeadlineExpiredQueued);
+        }
+        if self.options.settings.attempts_max <= quick.attempts_made {
+            return self.give_up(now, key, ErrorKind::AttemptsExhausted);
+        }
+        if !self.budget.try_spend() {
+            return self.give_up(now, key, ErrorKind::RetryBudgetExhausted);
+        }
+        self.metrics.retried(reason);
+        quick.stage = Stage::Waiting;
+        if self.endpoints.capacity_of(&quick.quick.class).0 == 0 {
+            self.give_up(now, key, ErrorKind::NoEndpoint)
+        } else if !self.try_begin(now, key) {
+            self.enqueue(now, key);
+        }
+    }
+
+    /// Gives the final answer to a request that is not tried again.
+    pub(super) fn give_up(&mut self, now: Now, key: QuickKey, kind: ErrorKind) {
+        let Some(quick) = self.quicks.get(key) else {
+            return;
+        };
+        let tried = quick.attempts_made;
+        let last = quick
+            .last_refusal
+            .map(|it| format_compact!(", the last refused as {it}"))
+            .unwrap_or_default();
+        let detail = format_compact!("{tried} attempts were made{last}");
+        let refusal = match quick.may_have_run {
+            true => refusal_until(ErrorKind::EndpointFailed, detail, 500),
+            false => refusal_until(kind, detail, 500),
+        };
+        self.refuse(now, key, refusal);
+    }
+
+    /// Answers with a refusal, and settles a claim of a request that did not run.
+    ///
+    /// "Not run" must be true of the idempotency key, not only of this sending: before it is said
+    /// of a key, its claim is settled, or looked up where this request does not hold it.
+    pub(super) fn refuse(&mut self, now: Now, key: QuickKey, refusal: Refusal) {
+        let Some(quick) = self.quicks.get(key) else { return };
+        if let Some(it) = quick.error_answer.clone() {
+            return self.pass_on(now, key, it);
+        }
+        let says_not_run = answer_of(refusal.kind).ran == Ran::No;
+        let is_checked = matches!(quick.stage, Stage::Checking { .. });
+        if says_not_run && !quick.is_idempotent() && !is_checked {
+            return self.check_key(now, key, refusal);
+        }
+        self.finish(now, key, CallerAnswer::Refused(refusal));
+    }
+
+    /// Ends a request, and lets the next one of its class have its place.
+    pub(super) fn finish(&mut self, now: Now, key: QuickKey, answer: CallerAnswer) {
+        self.leave_stage(key);
+        let Some(quick) = self.quicks.remove(key) else {
+            return;
+        };
+        self.by_request.remove(&quick.request);
+        if let Some(it) = self.by_team.get_mut(&quick.team) {
+            *it -= 1;
+            if *it == 0 {
+                self.by_team.remove(&quick.team);
+            }
+        }
+        for it in &quick.attempts {
+            self.endpoints.note_ended(it.endpoint);
+        }
+        let class = &quick.quick.class;
+        if let Some(token) = quick.token {
+            self.answer(token, answer);
+        }
+        self.pump(now, class);
+    }
+
+    /// Gives back what a request holds in its stage: its place in the queue, or on an endpoint.
+    pub(super) fn leave_stage(&mut self, key: QuickKey) {
+        let Some(quick) = self.quicks.get(key) else { return };
+        match quick.stage {
+            Stage::Claiming { endpoint } => self.endpoints.note_ended(endpoint),
+            Stage::Waiting => {
+                if let Some(line) = self.lines.get_mut(&quick.quick.class) {
+                    line.queue.remove(key);
+                }
+            }
+            _ => (),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/core/mod.rs
@@ -0,0 +1,405 @@
+//! One entry, without its I/O.
+
+mod admission;
+mod attempts;
+mod claims;
+mod polls;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use hdrhistogram::Histogram;
+use slotmap::SlotMap;
+
+use crate::{
+    config::Adopted,
+    control::{client::ControlClient, state::Outcome},
+    entry::{
+        endpoints::Endpoints,
+        quick::{Quick, QuickKey},
+        request::{CallerAnswer, CallerRequest, Effect, Input},
+    },
+    metrics::Metrics,
+    policy::{admission::FairQueue, retry::RetryBudget},
+    prelude::*,
+    schema::settings::EntrySettings,
+};
+
+/// Interval of reports to control.
+const HEARTBEAT_MS: u64 = 1_000;
+
+/// Heartbeats without an answer before another control process is tried.
+const SILENT_HEARTBEATS: u32 = 3;
+
+/// Heartbeats over which answer times are gathered before they are reported anew.
+const LATENCY_HEARTBEATS: u32 = 10;
+
+/// Interval at which a held poll asks control again.
+const POLL_MS: u64 = 250;
+
+/// Interval at which an agent is asked what became of an attempt.
+pub(super) const ASK_MS: u64 = 200;
+
+/// How long an attempt whose caller was told "unknown" is still followed.
+const FOLLOW_UNKNOWN_MS: u64 = 30_000;
+
+/// Requests open in an entry beyond which not even keys are looked up any more.
+const LOOKUPS_MAX: usize = 20_000;
+
+/// Shortest time that an attempt is given before another is made.
+const ATTEMPT_MIN_MS: u64 = 20;
+
+/// What one entry is told by its settings.
+#[derive(Clone, Debug)]
+pub struct EntryOptions {
+    pub name: CompactString,
+    pub zone: CompactString,
+    pub address: SocketAddr,
+    pub controls: Vec<SocketAddr>,
+    pub settings: EntrySettings,
+    /// Random number of this process.
+    pub boot: u64,
+}
+
+/// What an operation of control was for.
+#[derive(Clone, Debug)]
+pub(super) enum ControlToken {
+    Caller(u64),
+    Poll(u64),
+    /// A claim, a settlement or a look at a claim, for a quick request.
+    Claim(QuickKey),
+    /// Nobody waits for it.
+    Nobody,
+}
+
+/// A poll that is held until there is something to tell.
+#[derive(Clone, Debug)]
+struct Poll {
+    query: Query,
+    until_ms: u64,
+    /// When control is asked again; not while an answer is due.
+    ask_at_ms: Option<u64>,
+}
+
+/// The quick requests of one class that wait, and the class's answer times.
+#[derive(Debug)]
+struct ClassLine {
+    queue: FairQueue<QuickKey>,
+    answers: Histogram<u32>,
+}
+
+/// One entry.
+pub struct EntryCore {
+    pub(super) options: EntryOptions,
+    metrics: Arc<Metrics>,
+    random: fastrand::Rng,
+    pub(super) client: ControlClient<ControlToken>,
+    adopted: Adopted,
+    pub(super) endpoints: Endpoints,
+    pub(super) quicks: SlotMap<QuickKey, Quick>,
+    by_request: HashMap<RequestId, QuickKey>,
+    /// Attempts of other requests that agents were asked about, by who asked.
+    pub(super) asked: HashMap<(RequestId, u32), QuickKey>,
+    timers: BTreeSet<(u64, QuickKey)>,
+    lines: BTreeMap<CompactString, ClassLine>,
+    by_team: HashMap<CompactString, u32>,
+    polls: BTreeMap<u64, Poll>,
+    budget: RetryBudget,
+    next_request: u64,
+    operations: usize,
+    heartbeat_at_ms: u64,
+    unanswered_heartbeats: u32,
+    latency_age: u32,
+    draining: bool,
+    effects: Vec<Effect>,
+}
+
+impl EntryCore {
+    /// Makes an entry that knows no configuration and no endpoints yet.
+    pub fn new(options: EntryOptions, metrics: Arc<Metrics>) -> EntryCore {
+        EntryCore {
+            random: fastrand::Rng::with_seed(options.boot),
+            client: ControlClient::new(options.address, options.controls.clone(), options.boot),
+            budget: RetryBudget::new(options.settings.retry_budget_permille),
+            options,
+            metrics,
+            adopted: Adopted::new(),
+            endpoints: Endpoints::default(),
+            quicks: SlotMap::with_key(),
+            by_request: HashMap::new(),
+            asked: HashMap::new(),
+            timers: BTreeSet::new(),
+            lines: BTreeMap::new(),
+            by_team: HashMap::new(),
+            polls: BTreeMap::new(),
+            next_request: 0,
+            operations: 0,
+            heartbeat_at_ms: 0,
+            unanswered_heartbeats: 0,
+            latency_age: 0,
+            draining: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Returns the configuration revision in force here.
+    pub fn in_force(&self) -> Revision {
+        self.adopted.revision()
+    }
+
+    /// Returns whether callers may be sent here: it has a configuration and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        Revision(0) < self.adopted.revision() && !self.draining
+    }
+
+    /// Returns whether a planned stop has nothing left to wait for.
+    pub fn is_drained(&self) -> bool {
+        let owed = self.quicks.values().any(|it| it.token.is_some());
+        self.draining && !owed && self.polls.is_empty() && self.operations == 0
+    }
+
+    /// Returns the quick requests under way.
+    pub fn in_flight(&self) -> usize {
+        self.quicks.len()
+    }
+
+    /// Returns when the next [`Input::Tick`] is due.
+    pub fn next_tick_ms(&self) -> u64 {
+        let timer_ms = self.timers.first().map_or(u64::MAX, |it| it.0);
+        let poll_ms = self
+            .polls
+            .values()
+            .map(|it| it.ask_at_ms.unwrap_or(it.until_ms).min(it.until_ms))
+            .min();
+        let client_ms = self.client.next_tick_ms().unwrap_or(u64::MAX);
+        self.heartbeat_at_ms.min(timer_ms).min(poll_ms.unwrap_or(u64::MAX)).min(client_ms)
+    }
+
+    /// Takes the effects of the inputs so far.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        let mut res = std::mem::take(&mut self.effects);
+        res.extend(
+            self.client
+                .take_messages()
+                .into_iter()
+                .map(|(to, message)| Effect::Send { to, message }),
+        );
+        res
+    }
+
+    /// Takes in one input.
+    pub fn handle(&mut self, now: Now, input: Input) {
+        match input {
+            Input::Message { from, in_force, message } => {
+                if let Some(question) = self.adopted.question(now, in_force, self.options.address) {
+                    self.send(from, question);
+                }
+                self.on_message(now, message);
+            }
+            Input::Request { token, team, request } => {
+                self.metrics.requests.inc();
+                self.on_request(now, token, team, request);
+            }
+            Input::LinkLost { peer } => self.on_link_lost(now, peer),
+            Input::Tick => (),
+            Input::Stop => self.stop(now),
+        }
+        self.tick(now);
+    }
+
+    pub(super) fn send(&mut self, to: SocketAddr, message: Message) {
+        self.effects.push(Effect::Send { to, message });
+    }
+
+    pub(super) fn answer(&mut self, token: u64, answer: CallerAnswer) {
+        if let CallerAnswer::Refused(it) = &answer {
+            self.metrics.refused(it.kind);
+        }
+        self.effects.push(Effect::Answer { token, answer });
+    }
+
+    fn tick(&mut self, now: Now) {
+        for (token, outcome) in self.client.tick(now) {
+            self.on_control(now, token, outcome);
+        }
+        while let Some(&(at_ms, key)) = self.timers.first()
+            && at_ms <= now.mono_ms
+        {
+            self.timers.pop_first();
+            self.act(now, key);
+        }
+        self.tick_polls(now);
+        if self.heartbeat_at_ms <= now.mono_ms {
+            self.heartbeat(now);
+        }
+    }
+
+    fn stop(&mut self, now: Now) {
+        self.draining = true;
+        // A held poll has lost nothing: its caller reads on from its cursor elsewhere.
+        for it in self.polls.values_mut() {
+            it.until_ms = now.mono_ms;
+        }
+    }
+
+    fn heartbeat(&mut self, now: Now) {
+        self.heartbeat_at_ms = now.mono_ms + HEARTBEAT_MS;
+        if SILENT_HEARTBEATS <= self.unanswered_heartbeats {
+            self.unanswered_heartbeats = 0;
+            self.client.try_next();
+        }
+        let Some(to) = self.client.target() else {
+            return;
+        };
+        self.unanswered_heartbeats += 1;
+        let latencies =
+            self.lines.iter().filter(|(_, it)| !it.answers.is_empty()).map(|(class, it)| {
+                let permille =
+                    self.adopted.class(class).map_or(990, |it| it.answer_percentile_permille);
+                ClassLatency {
+                    class: class.clone(),
+                    answers: it.answers.len() as u32,
+                    percentile_ms: it.answers.value_at_quantile(f64::from(permille) / 1_000.0)
+                        as u32,
+                }
+            });
+        let heartbeat = EntryHeartbeat {
+            name: self.options.name.clone(),
+            zone: self.options.zone.clone(),
+            boot: self.options.boot,
+            reply_to: self.options.address,
+            in_force: self.adopted.revision(),
+            directory_epoch: self.endpoints.epoch,
+            directory_version: self.endpoints.version,
+            latencies: latencies.collect(),
+        };
+        self.latency_age += 1;
+        if LATENCY_HEARTBEATS <= self.latency_age {
+            self.latency_age = 0;
+            self.lines.values_mut().for_each(|it| it.answers.reset());
+        }
+        self.send(to, Message::EntryHeartbeat(heartbeat));
+    }
+
+    fn on_message(&mut self, now: Now, message: Message) {
+        match message {
+            Message::ExecuteReply(it) => self.on_execute_reply(now, it),
+            Message::ControlReply(it) => {
+                if let Some((token, outcome)) = self.client.on_reply(now, it) {
+                    self.on_control(now, token, outcome);
+                }
+            }
+            Message::EntryHeartbeatReply(it) if it.boot == self.options.boot => {
+                self.unanswered_heartbeats = 0;
+                if let Some(news) = it.configuration {
+                    self.adopted.adopt(news);
+                }
+                if let Some(update) = it.directory {
+                    let zone = self.options.zone.clone();
+                    self.endpoints.update(update, &zone, now);
+                    self.pump_all(now);
+                }
+            }
+            Message::NotLeader(hint) => {
+                self.unanswered_heartbeats = 0;
+                self.client.set_leader(hint);
+                self.heartbeat_at_ms = self.heartbeat_at_ms.min(now.mono_ms + HEARTBEAT_MS / 5);
+            }
+            Message::EndpointLeaving(it) => self.endpoints.note_leaving(it.endpoint),
+            Message::ConfigUpdate(it) => self.adopted.adopt_from_peer(it),
+            Message::ConfigFetch(it) => {
+                let update = Message::ConfigUpdate(self.adopted.current().clone());
+                self.send(it.reply_to, update);
+            }
+            _ => (),
+        }
+    }
+
+    fn on_request(&mut self, now: Now, token: u64, team: CompactString, request: CallerRequest) {
+        let open = self.quicks.len() + self.polls.len() + self.operations;
+        let request = match (self.check_room(open), request) {
+            // A keyed request that cannot be served has its key looked up first.
+            (busy, CallerRequest::Quick(it)) => {
+                return self.on_quick(now, token, team, it, busy.err());
+            }
+            (Err(refusal), _) => return self.answer(token, CallerAnswer::Refused(refusal)),
+            (Ok(()), it) => it,
+        };
+        let operation = match request {
+            CallerRequest::Quick(_) => return,
+            CallerRequest::JobResult { job, wait_ms } => {
+                return self.hold_poll(
+                    now,
+                    token,
+                    Query::JobResult(JobQuery { team, job }),
+                    wait_ms,
+                );
+            }
+            CallerRequest::PollWatch { watch, cursor, wait_ms } => {
+                return self.hold_poll(
+                    now,
+                    token,
+                    Query::Watch(WatchQuery { team, watch, cursor }),
+                    wait_ms,
+                );
+            }
+            CallerRequest::Job(job) => Operation::Query(Query::Job(JobQuery { team, job })),
+            CallerRequest::Submit { key, spec } => {
+                Operation::Propose(Command::Submit(SubmitCommand { team, key, spec }))
+            }
+            CallerRequest::Cancel(jobs) => {
+                Operation::Propose(Command::Cancel(CancelCommand { team, jobs }))
+            }
+            CallerRequest::CreateWatch { key, subject } => {
+                Operation::Propose(Command::CreateWatch(CreateWatchCommand {
+                    team,
+                    key,
+                    subject,
+                    events_max: 0,
+                }))
+            }
+            CallerRequest::DeleteWatch(watch) => {
+                Operation::Propose(Command::DeleteWatch(DeleteWatchCommand { team, watch }))
+            }
+            CallerRequest::Publish { key, subject, body } => {
+                Operation::Propose(Command::Publish(PublishCommand { team, key, subject, body }))
+            }
+        };
+        self.operations += 1;
+        let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
+        self.client.call(now, operation, deadline_ms, ControlToken::Caller(token));
+    }
+
+    fn on_control(&mut self, now: Now, token: ControlToken, outcome: Outcome) {
+        match token {
+            ControlToken::Caller(token) => {
+                self.operations -= 1;
+                self.answer(token, caller_answer(outcome));
+            }
+            ControlToken::Poll(token) => self.on_poll_reply(now, token, outcome),
+            ControlToken::Claim(key) => self.on_claim(now, key, outcome),
+            ControlToken::Nobody => (),
+        }
+    }
+}
+
+fn line_of<'a>(
+    lines: &'a mut BTreeMap<CompactString, ClassLine>,
+    class: &str,
+) -> &'a mut ClassLine {
+    lines.entry(class.into()).or_insert_with(|| ClassLine {
+        queue: FairQueue::new(),
+        answers: Histogram::new_with_bounds(1, 600_000, 2)
+            .expect("the bounds are constant and valid"),
+    })
+}
+
+fn caller_answer(outcome: Outcome) -> CallerAnswer {
+    match outcome {
+        Ok(it) => CallerAnswer::Done(it),
+        Err(it) => CallerAnswer::Refused(it),
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,7 +4,6 @@
 //! It keeps nothing that must survive; it is given requests, messages, time and randomness, and
 //! gives back [`Effect`]s.
 
-mod claims;
 mod core;
 mod endpoints;
 mod quick;
--- /dev/null
+++ b/tests/cluster/faults.rs
@@ -0,0 +1,141 @@
+//! Processes killed, frozen and stopped, and a disk that fails.
+
+use std::{process::Command, thread, time::Duration};
+
+use aspenrail::standin::{
+    layout::Counts,
+    load::{LoadOptions, run_load},
+};
+use rustix::process::Signal;
+use serde_json::json;
+
+use crate::harness::{Cluster, wait_until};
+
+#[test]
+fn one_process_of_each_role_is_killed_on_the_way() {
+    let mut cluster = Cluster::start(Counts { controls: 3, entries: 2, agents: 6 });
+    let load = cluster.load();
+    let loading = thread::spawn(move || run_load(&load));
+    let mut jobs = Vec::new();
+    let victims = [
+        cluster.leader_file(),
+        cluster.layout.entry_files[0].clone(),
+        cluster.layout.agent_files[0].clone(),
+    ];
+    for round in 0..9 {
+        let key = format!("job-{round}");
+        jobs.push((cluster.submit(&key, 400), key));
+        if let Some(victim) = victims.get(round / 3).filter(|_| round % 3 == 1) {
+            cluster.kill(victim);
+        }
+        if let Some(victim) = victims.get(round / 3).filter(|_| round % 3 == 2) {
+            cluster.spawn(victim);
+        }
+    }
+    let report = loading.join().unwrap();
+    assert_eq!(report.mismatched, 0, "every answer matches its request");
+    assert!(0 < report.answered);
+    for (job, key) in &jobs {
+        cluster.check_job(*job, key);
+        // A resend of the same key is the same job.
+        assert_eq!(cluster.submit(key, 400), *job);
+    }
+    for body in &report.refused_not_run {
+        assert_eq!(cluster.runs_of(body), 0, "{body} was told not run");
+    }
+}
+
+#[test]
+fn agent_frozen_for_longer_than_its_lease_wakes_up() {
+    let cluster = Cluster::start(Counts { controls: 3, entries: 1, agents: 3 });
+    let job = cluster.submit("long", 12_000);
+    wait_until("its tasks run", || {
+        let vms = cluster.admin("vms", None)?;
+        vms.as_array()?.iter().any(|it| 0 < it["tasks"].as_u64().unwrap_or(0)).then_some(())
+    });
+    let vms = cluster.admin("vms", None).unwrap();
+    let busy =
+        vms.as_array().unwrap().iter().position(|it| it["tasks"].as_u64() != Some(0)).unwrap();
+    let name = vms[busy]["name"].as_str().unwrap();
+    let number: usize = name.trim_start_matches("vm-").parse().unwrap();
+    let file = cluster.layout.agent_files[number - 1].clone();
+    let session = vms[busy]["session"].as_u64();
+    cluster.signal(&file, Signal::STOP);
+    wait_until("its session ends", || {
+        let vms = cluster.admin("vms", None)?;
+        let vm = vms.as_array()?.iter().find(|it| it["name"] == name)?.clone();
+        (vm["session"].as_u64() != session).then_some(())
+    });
+    cluster.signal(&file, Signal::CONT);
+    cluster.check_job(job, "long");
+}
+
+#[test]
+fn planned_stops_cut_off_nothing() {
+    let mut cluster = Cluster::start(Counts { controls: 3, entries: 2, agents: 3 });
+    let load = LoadOptions { seconds: 6, ..cluster.load() };
+    let loading = thread::spawn(move || run_load(&load));
+    let stopped = [cluster.layout.agent_files[0].clone(), cluster.leader_file()];
+    for file in &stopped {
+        thread::sleep(Duration::from_millis(500));
+        cluster.signal(file, Signal::TERM);
+        let code = cluster.processes.remove(file).unwrap().wait().unwrap();
+        assert_eq!(code.code(), Some(0), "{file:?} drains");
+        cluster.spawn(file);
+    }
+    let report = loading.join().unwrap();
+    assert_eq!(report.unanswered, 0, "nothing is cut off: {}", report.to_json());
+    assert_eq!(report.mismatched, 0);
+    // An entry that stops answers what it took; its callers are told to go elsewhere.
+    let load =
+        LoadOptions { seconds: 3, targets: vec![cluster.layout.callers[0]], ..cluster.load() };
+    let loading = thread::spawn(move || run_load(&load));
+    thread::sleep(Duration::from_millis(700));
+    let file = cluster.layout.entry_files[0].clone();
+    cluster.signal(&file, Signal::TERM);
+    let code = cluster.processes.remove(&file).unwrap().wait().unwrap();
+    assert_eq!(code.code(), Some(0));
+    let report = loading.join().unwrap();
+    for body in &report.refused_not_run {
+        assert_eq!(cluster.runs_of(body), 0, "{body} was told not run");
+    }
+}
+
+/// A write that fails ends the process: it must not go on as if it had succeeded.
+#[test]
+fn failed_write_ends_the_process_and_loses_nothing_acknowledged() {
+    let mut cluster = Cluster::start(Counts { controls: 1, entries: 0, agents: 0 });
+    let file = cluster.layout.control_files[0].clone();
+    cluster.kill(&file);
+    // Files of more than 64 KiB fail to grow, with the signal that would come with it ignored.
+    let limited = format!(
+        "trap '' XFSZ; ulimit -f 64; exec {} run {}",
+        env!("CARGO_BIN_EXE_aspenrail"),
+        file.display()
+    );
+    let child =
+        Command::new("bash").args(["-c", &limited]).env("ASPENRAIL_LOG", "off").spawn().unwrap();
+    cluster.processes.insert(file.clone(), child);
+    let mut revision = wait_until("control is back", || {
+        cluster.admin("status", None)?["accepted_revision"].as_u64()
+    });
+    let mut number = 0;
+    let code = wait_until("the process ends", || {
+        number += 1;
+        let change = json!({"DeleteTeam": format!("none-{number}-{}", "x".repeat(2_000))});
+        let team = json!({"PutTeam": {
+            "name": format!("team-{}-{}", number % 3, "x".repeat(2_000)), "jobs_open_max": number,
+            "quota": {"cpu_millicores": 1, "memory_mib": 1, "accelerators": 0}, "requests_in_flight_max": 1,
+        }});
+        let change = if number % 10 == 0 { change } else { team };
+        let body = json!({"based_on": revision, "key": format!("k-{number}"), "change": change});
+        if let Some(answer) = cluster.admin("configuration", Some(&body)) {
+            revision = answer["revision"].as_u64().unwrap();
+        }
+        cluster.processes.get_mut(&file).unwrap().try_wait().unwrap()
+    });
+    assert_eq!(code.code(), Some(1));
+    cluster.spawn(&file);
+    let status = wait_until("control is back", || cluster.admin("status", None));
+    assert!(revision <= status["accepted_revision"].as_u64().unwrap());
+}
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -38,7 +38,7 @@
 
 impl Cost for SomeCost {
     fn interference(&self, vm: VmId) -> f64 {
-        if vm.0 % 7 == 0 { f64::INFINITY } else { f64::from(vm.0 % 3) }
+        if vm.0.is_multiple_of(7) { f64::INFINITY } else { f64::from(vm.0 % 3) }
     }
 
     fn neighbours(&self, room: &Room) -> (u32, u32) {
--- a/tests/promises/measures.rs
+++ b/tests/promises/measures.rs
@@ -1,7 +1,5 @@
 //! Times of recovery, in virtual time, beside the timeouts that they come from.
 
-use aspenrail::prelude::*;
-
 use crate::{
     faults::{begin, put_team, wait_for_leader},
     world::{World, control_settings},
