Pass the query on to endpoints, pause before a session is asked for again

Cause: a quick request's query was dropped; an agent whose session was refused (a full table of VMs) asked again without a pause. Both were found by reading. Change: path and query pass through; the pause is the refusal's, at least a heartbeat.

--- a/src/agent/core/lease.rs
+++ b/src/agent/core/lease.rs
@@ -44,7 +44,9 @@
             }
             Ok(_) => (),
             Err(it) => {
-                tracing::warn!(event = "session_refused", kind = %it.kind, detail = %it.detail)
+                tracing::warn!(event = "session_refused", kind = %it.kind, detail = %it.detail);
+                let pause_ms = it.retry_after_ms.max(self.options.settings.heartbeat_ms.into());
+                self.open_at_ms = now.mono_ms + pause_ms;
             }
         }
     }
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -115,6 +115,8 @@
     /// Sessions of this process: its endpoints were known under each of them.
     own_sessions: BTreeSet<SessionId>,
     opening: bool,
+    /// When a session is asked for again after a refusal.
+    open_at_ms: u64,
     openings: u64,
     heartbeat_number: u64,
     heartbeat_at_ms: u64,
@@ -144,6 +146,7 @@
             lease: None,
             own_sessions: BTreeSet::new(),
             opening: false,
+            open_at_ms: 0,
             openings: 0,
             heartbeat_number: 0,
             heartbeat_at_ms: 0,
@@ -222,7 +225,7 @@
         for (_, outcome) in self.client.tick(now) {
             self.on_opened(now, outcome);
         }
-        if self.lease.is_none() && !self.opening {
+        if self.lease.is_none() && !self.opening && self.open_at_ms <= now.mono_ms {
             self.open_session(now);
         }
         if self.heartbeat_at_ms <= now.mono_ms {
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -126,6 +126,13 @@
 ];
 
 /// Returns how errors of `kind` are answered.
+///
+/// ```
+/// use aspenrail::error::{ErrorKind, Ran, answer_of};
+///
+/// let row = answer_of(ErrorKind::QueueFull);
+/// assert_eq!((row.status, row.ran, row.retryable), (429, Ran::No, true));
+/// ```
 pub fn answer_of(kind: ErrorKind) -> AnswerRow {
     // The table is in the order of the enum; a test holds the two together.
     ANSWERS[kind as usize]
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -60,7 +60,7 @@
     };
     let parts: Vec<_> = it.path.trim_matches('/').split('/').collect();
     let request = match (it.method.as_str(), parts.as_slice()) {
-        ("POST", ["v1", "quick", class, path @ ..]) => quick(it, class, path)?,
+        ("POST", ["v1", "quick", class, ..]) => quick(it, class)?,
         ("POST", ["v1", "jobs"]) => {
             let SubmitBody { key, spec } = it.json()?;
             check_names(&[("key", &key), ("class", &spec.class), ("kind", &spec.kind)])?;
@@ -129,7 +129,7 @@
     }
 }
 
-fn quick(it: &HttpRequest, class: &str, path: &[&str]) -> Result<CallerRequest, Refusal> {
+fn quick(it: &HttpRequest, class: &str) -> Result<CallerRequest, Refusal> {
     let deadline_ms = match it.header("Aspenrail-Deadline-Ms") {
         Some(text) => number("Aspenrail-Deadline-Ms", text)?,
         None => DEADLINE_DEFAULT_MS,
@@ -150,7 +150,7 @@
     }
     Ok(CallerRequest::Quick(QuickRequest {
         class: class.into(),
-        path: format_compact!("/{}", path.join("/")),
+        path: endpoint_path(it, class),
         deadline_ms: deadline_ms.min(u32::MAX.into()) as u32,
         idempotent,
         key,
@@ -158,6 +158,13 @@
     }))
 }
 
+/// Returns the part of a quick request's target that is the endpoint's, query included.
+fn endpoint_path(it: &HttpRequest, class: &str) -> CompactString {
+    let target = it.path_and_query.trim_start_matches('/');
+    let rest = target.strip_prefix("v1/quick/").and_then(|it| it.strip_prefix(class)).unwrap_or("");
+    if rest.starts_with('/') { rest.into() } else { format_compact!("/{rest}") }
+}
+
 fn wait_ms(it: &HttpRequest) -> Result<u32, Refusal> {
     Ok(it.number("wait_ms", WAIT_DEFAULT_MS)?.min(u32::MAX.into()) as u32)
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -50,6 +50,8 @@
     /// Path without the query.
     pub path: CompactString,
     pub query: HashMap<CompactString, CompactString>,
+    /// Path and query as they were sent.
+    pub path_and_query: CompactString,
     headers: http::HeaderMap,
     pub body: Vec<u8>,
 }
@@ -238,6 +240,7 @@
     Ok(HttpRequest {
         method: head.method.as_str().into(),
         path: head.uri.path().into(),
+        path_and_query: head.uri.path_and_query().map_or("/", |it| it.as_str()).into(),
         query: pairs.map(|(name, value)| (name.into(), value.into())).collect(),
         headers: head.headers,
         body,
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -53,6 +53,17 @@
     /// # Errors
     ///
     /// Returns why the newcomer may not wait.
+    ///
+    /// ```
+    /// use aspenrail::policy::admission::{FairQueue, Rejection, Waiting};
+    ///
+    /// let mut queue = FairQueue::new();
+    /// let it = |key| Waiting { key, deadline_ms: 100 };
+    /// queue.push("noisy", it(1), 2).unwrap();
+    /// queue.push("noisy", it(2), 2).unwrap();
+    /// assert_eq!(queue.push("noisy", it(3), 2), Err(Rejection::TeamShare));
+    /// assert_eq!(queue.push("quiet", it(4), 2), Ok(Some(it(2))));
+    /// ```
     pub fn push(
         &mut self,
         team: &str,
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -43,6 +43,15 @@
     }
 
     /// Returns the run time to expect of a task declared at `declared_ms`.
+    ///
+    /// ```
+    /// use aspenrail::policy::estimate::RunTimes;
+    ///
+    /// let mut times = RunTimes::default();
+    /// assert_eq!(times.expect_ms("team", "kind", 1_000), 1_000);
+    /// times.observe("team", "kind", 1_000, 10_000);
+    /// assert!(1_000 < times.expect_ms("team", "kind", 1_000));
+    /// ```
     pub fn expect_ms(&self, team: &str, kind: &str, declared_ms: u64) -> u64 {
         let ratio =
             self.histories.get(&(team.into(), kind.into())).map_or(1.0, |it| it.log_ratio.exp());
--- a/src/policy/preemption.rs
+++ b/src/policy/preemption.rs
@@ -20,6 +20,19 @@
 ///
 /// Borrowed room goes first, then the least lost work per freed processor. Returns the victims
 /// and the work lost, or nothing where even all of them free too little.
+///
+/// ```
+/// use aspenrail::{
+///     policy::preemption::{Victim, choose_victims},
+///     prelude::*,
+/// };
+///
+/// let cpu = |cpu_millicores| Resources { cpu_millicores, memory_mib: 0, accelerators: 0 };
+/// let victim = |task, holds, lost_ms| Victim { task: TaskId(task), holds: cpu(holds), lost_ms, borrows: false };
+/// let victims = [victim(1, 2_000, 9_000), victim(2, 2_000, 100)];
+/// assert_eq!(choose_victims(cpu(2_000), cpu(0), &victims), Some((vec![TaskId(2)], 100)));
+/// assert_eq!(choose_victims(cpu(9_000), cpu(0), &victims), None);
+/// ```
 pub fn choose_victims(
     need: Resources,
     free: Resources,
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -77,6 +77,18 @@
     }
 
     /// Takes one retry, or returns whether the budget is spent.
+    ///
+    /// ```
+    /// use aspenrail::policy::retry::RetryBudget;
+    ///
+    /// // Half a retry for each answer, and nothing saved up beyond the first few.
+    /// let mut budget = RetryBudget::new(500);
+    /// while budget.try_spend() {}
+    /// budget.earn();
+    /// assert!(!budget.try_spend());
+    /// budget.earn();
+    /// assert!(budget.try_spend());
+    /// ```
     pub fn try_spend(&mut self) -> bool {
         let granted = 1_000 <= self.tokens_milli;
         if granted {
--- a/src/standin/executor.rs
+++ b/src/standin/executor.rs
@@ -106,7 +106,7 @@
             .entry(body.clone())
             .or_insert(0) += 1;
         let failed = fastrand::u32(0..1_000) < counted.fail_permille.load(Ordering::Relaxed);
-        let answer = json!({"echo": body, "path": it.path, "endpoint": work.listen, "team": it.header("Aspenrail-Team")});
+        let answer = json!({"echo": body, "path": it.path_and_query, "endpoint": work.listen, "team": it.header("Aspenrail-Team")});
         let answer = HttpAnswer::json(if failed { 500 } else { 200 }, &answer);
         let work_ms = counted.work_ms.load(Ordering::Relaxed);
         if work_ms == 0 {
--- a/src/util/id.rs
+++ b/src/util/id.rs
@@ -15,6 +15,16 @@
 
 impl Place {
     /// Packs `index` with this place into one number.
+    ///
+    /// ```
+    /// use aspenrail::util::{Place, index_of};
+    ///
+    /// let here = Place { region: 2, group: 1 };
+    /// let id = here.pack(7);
+    /// assert_eq!(index_of(id), 7);
+    /// assert!(here.owns(id));
+    /// assert!(!Place { region: 1, group: 1 }.owns(id));
+    /// ```
     pub fn pack(self, index: u64) -> u64 {
         (u64::from(self.region) << 56)
             | (u64::from(self.group) << INDEX_BITS)
--- a/tests/cluster/edges.rs
+++ b/tests/cluster/edges.rs
@@ -413,3 +413,19 @@
     let line = format!("aspenrail_refusals_total{{kind=\"{kind}\"}} ");
     text.lines().find_map(|it| it.strip_prefix(&line)?.parse().ok()).unwrap()
 }
+
+#[test]
+fn path_and_query_reach_the_endpoint() {
+    let cluster = Cluster::start(Counts { controls: 1, entries: 1, agents: 1 });
+    for (target, expected) in
+        [("quick/a/b?c=d&e", "/a/b?c=d&e"), ("quick", "/"), ("quick?v1=quick", "/?v1=quick")]
+    {
+        let url = format!("http://{}/v1/quick/{target}", cluster.layout.callers[0]);
+        let request =
+            new_client(1).post(url).header("Authorization", format!("Bearer {TEAM_TOKEN}"));
+        let mut response = request.header("Aspenrail-Idempotent", "true").send("body").unwrap();
+        let answer: Value = response.body_mut().read_json().unwrap();
+        assert_eq!(answer["path"], expected, "{answer}");
+        assert_eq!(answer["team"], "demo");
+    }
+}
--- a/tests/promises/named_faults.rs
+++ b/tests/promises/named_faults.rs
@@ -1,6 +1,7 @@
 //! A test for each fault that users name, by its name.
 
 use aspenrail::{
+    control::Input,
     entry::{CallerAnswer, CallerRequest},
     error::{Ran, answer_of},
     prelude::*,
@@ -441,3 +442,21 @@
     assert!(!world.history.runs.contains_key("second"));
     check(&mut world);
 }
+
+#[test]
+fn disk_is_full() {
+    let mut world = begin(18, 3, 1, 2);
+    let leader = wait_for_leader(&mut world);
+    world.input_control(leader, Input::DiskFull(true));
+    let base = world.control(leader).unwrap().in_force();
+    let refused = change(&mut world, leader, base, "full");
+    world.submit(world.entries[0], "job", job(1, 100, 500));
+    world.run(2_000);
+    let outcome = |world: &World, at: usize| world.history.changes[at].outcome.clone().unwrap();
+    assert_eq!(outcome(&world, refused).unwrap_err().kind, ErrorKind::DiskFull);
+    assert!(world.history.jobs.is_empty(), "told, not taken and lost");
+    world.input_control(leader, Input::DiskFull(false));
+    let taken = change(&mut world, leader, base, "full");
+    assert!(outcome(&world, taken).is_ok());
+    check(&mut world);
+}
--- a/tests/promises/world.rs
+++ b/tests/promises/world.rs
@@ -640,7 +640,7 @@
         }
     }
 
-    fn input_control(&mut self, node: usize, input: control::Input) {
+    pub fn input_control(&mut self, node: usize, input: control::Input) {
         let now = self.now();
         if self.nodes[node].paused {
             return;
