Keep the reserve where it is, and spend evictions on all victims or none

And a reserved place was given up with each use and begun anew on another, full VM. Change: the evictions of a start are granted together; a place stays reserved after its use.

--- a/src/agent/core/lease.rs
+++ b/src/agent/core/lease.rs
@@ -58,9 +58,7 @@
         if lease.answered + SILENT_HEARTBEATS < self.heartbeat_number {
             self.client.try_next();
         }
-        let Some(to) = self.client.target() else {
-            return;
-        };
+        let Some(to) = self.client.target() else { return };
         self.heartbeat_number += 1;
         let draining = self.draining;
         let endpoints = self.endpoints.iter_mut().map(|it| EndpointReport {
@@ -182,9 +180,7 @@
     }
 
     pub(super) fn stop_tasks(&mut self) {
-        let Some(session) = self.lease.map(|it| it.session) else {
-            return;
-        };
+        let Some(session) = self.lease.map(|it| it.session) else { return };
         let ids: Vec<_> = self.tasks.running().map(|it| (it.task, it.incarnation)).collect();
         for (task, incarnation) in ids {
             self.effects.push(Effect::Worker(WorkerCall::Stop { session, task, incarnation }));
--- a/src/agent/core/mod.rs
+++ b/src/agent/core/mod.rs
@@ -348,9 +348,7 @@
     /// Takes an endpoint out: refused here at once, told to the entries that use it, and to
     /// control, which tells the others.
     fn begin_leaving(&mut self, now: Now, number: u32) {
-        let Some(endpoint) = self.endpoints.get_mut(number) else {
-            return;
-        };
+        let Some(endpoint) = self.endpoints.get_mut(number) else { return };
         endpoint.leaving = true;
         let queued: Vec<_> = endpoint.queue.drain(..).collect();
         tracing::info!(event = "endpoint_leaving", number, refused = queued.len());
--- a/src/agent/core/requests.rs
+++ b/src/agent/core/requests.rs
@@ -36,9 +36,7 @@
         let number = it.endpoint.number;
         let executions = self.executions.len();
         let threads = self.options.settings.threads as usize;
-        let Some(endpoint) = self.endpoints.get_mut(number) else {
-            return;
-        };
+        let Some(endpoint) = self.endpoints.get_mut(number) else { return };
         endpoint.queue.push_back(Queued { request: it, deadline_ms });
         if endpoint.has_slot() && executions < threads {
             self.run_next(now, number);
@@ -70,15 +68,11 @@
     pub(super) fn run_next(&mut self, now: Now, number: u32) {
         loop {
             let threads = self.options.settings.threads as usize;
-            let Some(endpoint) = self.endpoints.get_mut(number) else {
-                return;
-            };
+            let Some(endpoint) = self.endpoints.get_mut(number) else { return };
             if !endpoint.has_slot() || threads <= self.executions.len() {
                 return;
             }
-            let Some(queued) = endpoint.queue.pop_front() else {
-                return;
-            };
+            let Some(queued) = endpoint.queue.pop_front() else { return };
             if queued.deadline_ms <= now.mono_ms {
                 self.refuse(now, &queued.request, ErrorKind::DeadlineExpiredQueued);
                 continue;
@@ -153,9 +147,7 @@
     }
 
     pub(super) fn on_executor(&mut self, now: Now, id: ExecutionId, result: ExecutorResult) {
-        let Some(it) = self.executions.remove(&id) else {
-            return;
-        };
+        let Some(it) = self.executions.remove(&id) else { return };
         let answer_ms = now.mono_ms.saturating_sub(it.begun_ms);
         if let Some(endpoint) = self.endpoints.get_mut(it.endpoint.number) {
             endpoint.in_use -= 1;
--- a/src/bench/batch.rs
+++ b/src/bench/batch.rs
@@ -140,6 +140,7 @@
             }),
         ),
         ("ours, no preemption", Variant::Ours(SchedulerOptions { preempts: false, ..ours })),
+        ("ours, no reserve", Variant::Ours(SchedulerOptions { reserves: false, ..ours })),
         (
             "ours, no quarantine",
             Variant::Ours(SchedulerOptions { vm_failures_max: u32::MAX, ..ours }),
--- a/src/bench/commits.rs
+++ b/src/bench/commits.rs
@@ -17,13 +17,7 @@
     println!("batch commits seconds commits_per_second syncs bytes_per_commit");
     for batch in [1, 8, 64, 512] {
         let path = folder.join(format!("batch-{batch}"));
-        let identity = Identity {
-            member: MemberId(1),
-            place: Place { region: 1, group: 1 },
-            founders: Vec::new(),
-        };
-        identity.create(&path)?;
-        let (mut disk, _) = Disk::open(&path, &identity, 0)?;
+        let mut disk = create(&path)?;
         let begun = Instant::now();
         let mut index = 0;
         let mut syncs = 0;
@@ -47,13 +41,7 @@
     println!("log_entries recovery_ms resident_growth_B");
     for count in [1_000, 10_000, 50_000] {
         let path = folder.join(format!("recover-{count}"));
-        let identity = Identity {
-            member: MemberId(1),
-            place: Place { region: 1, group: 1 },
-            founders: Vec::new(),
-        };
-        identity.create(&path)?;
-        let (mut disk, _) = Disk::open(&path, &identity, 0)?;
+        let mut disk = create(&path)?;
         let entries: Vec<_> = (1..=count).map(|it| Arc::new(entry(it, bytes))).collect();
         for it in entries.chunks(1_000) {
             disk.write(&[DiskWrite::Append(it.to_vec())])?;
@@ -61,7 +49,7 @@
         drop((disk, entries));
         let resident = crate::bench::resident_bytes();
         let begun = Instant::now();
-        let (_disk, recovered): (Disk, Recovered) = Disk::open(&path, &identity, 0)?;
+        let (_disk, recovered): (Disk, Recovered) = Disk::open(&path, &Identity::read(&path)?, 0)?;
         let raft = Raft::new(MemberId(1), recovered, RaftOptions::default(), Clock.now());
         let recovery_ms = begun.elapsed().as_secs_f64() * 1e3;
         let growth = crate::bench::resident_bytes().saturating_sub(resident);
@@ -70,6 +58,13 @@
     Ok(())
 }
 
+fn create(folder: &Path) -> Result<Disk> {
+    let place = Place { region: 1, group: 1 };
+    let identity = Identity { member: MemberId(1), place, founders: Vec::new() };
+    identity.create(folder)?;
+    Ok(Disk::open(folder, &identity, 0)?.0)
+}
+
 fn entry(index: u64, bytes: usize) -> LogEntry {
     let command = PublishCommand {
         team: "team".into(),
--- a/src/cli/arguments.rs
+++ b/src/cli/arguments.rs
@@ -50,9 +50,7 @@
         &mut self,
         name: &'static str,
     ) -> Result<Vec<T>, Failure> {
-        let Some(text) = self.optional::<String>(name)? else {
-            return Ok(Vec::new());
-        };
+        let Some(text) = self.optional::<String>(name)? else { return Ok(Vec::new()) };
         let parse = |it: &str| {
             it.trim().parse().map_err(|error| Failure::Usage(format!("{name}: '{it}': {error}")))
         };
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -145,9 +145,7 @@
 
     fn send(&mut self, now: Now, id: u64) {
         let Some(to) = self.target() else { return };
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
+        let Some(call) = self.calls.get_mut(&id) else { return };
         call.next_ms = now.mono_ms + RESEND_MS;
         let request =
             ControlRequest { id, reply_to: self.reply_to, operation: call.operation.clone() };
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -259,9 +259,7 @@
 
     /// Does what a leader does by itself.
     fn lead(&mut self, now: Now) {
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
+        let Some(leading) = &mut self.leading else { return };
         leading.sessions.forget_silent_entries(now);
         let expired = leading.sessions.take_expired(now);
         let plan = leading.scheduler.plan(&self.state, now);
@@ -474,9 +472,7 @@
     let mut by_session: BTreeMap<SessionId, Vec<TaskOrder>> = BTreeMap::new();
     for it in changes {
         let Change::Task(id) = it else { continue };
-        let Some(task) = state.jobs.task(*id) else {
-            continue;
-        };
+        let Some(task) = state.jobs.task(*id) else { continue };
         let action = match task.state {
             TaskState::Starting | TaskState::Resuming => reconcile::start_order(state, *id),
             TaskState::Checkpointing => Some(TaskOrder {
--- a/src/control/core/reports.rs
+++ b/src/control/core/reports.rs
@@ -1,5 +1,7 @@
 //! Reports of agents and entries, and what the leader answers.
 
+use std::net::SocketAddr;
+
 use crate::{
     control::{
         core::{ControlCore, Effect, ReplyTo, heartbeat_reply, held_ms},
@@ -11,24 +13,28 @@
 impl ControlCore {
     /// Turns events into commands, without those already on their way.
     pub(super) fn new_events(&mut self, events: Vec<TaskEventCommand>) -> Vec<Command> {
-        let Some(leading) = &mut self.leading else {
-            return Vec::new();
-        };
+        let Some(leading) = &mut self.leading else { return Vec::new() };
         let is_new = |it: &TaskEventCommand| {
             leading.proposed.insert((it.task, it.incarnation, std::mem::discriminant(&it.event)))
         };
         events.into_iter().filter(is_new).map(Command::TaskEvent).collect()
     }
 
-    pub(super) fn on_agent_heartbeat(&mut self, now: Now, it: AgentHeartbeat) {
-        if !self.raft.has_lease(now) || self.leading.is_none() {
+    /// Returns whether this member may answer reports; who sent one is told where to turn if not.
+    fn takes_report(&mut self, now: Now, from: SocketAddr) -> bool {
+        let res = self.raft.has_lease(now) && self.leading.is_some();
+        if !res {
             let message = Message::NotLeader(self.leader_address());
-            self.effects.push(Effect::Send { to: it.reply_to, message });
-            return;
+            self.effects.push(Effect::Send { to: from, message });
         }
-        let Some(leading) = &mut self.leading else {
+        res
+    }
+
+    pub(super) fn on_agent_heartbeat(&mut self, now: Now, it: AgentHeartbeat) {
+        if !self.takes_report(now, it.reply_to) {
             return;
-        };
+        }
+        let Some(leading) = &mut self.leading else { return };
         let vm = self.state.vms.by_session(it.session);
         let seen = leading.sessions.agents.get_mut(&it.session).filter(|seen| !seen.closing);
         let (Some(vm), Some(seen)) = (vm, seen) else {
@@ -81,14 +87,10 @@
     }
 
     pub(super) fn on_entry_heartbeat(&mut self, now: Now, it: &EntryHeartbeat) {
-        if !self.raft.has_lease(now) || self.leading.is_none() {
-            let message = Message::NotLeader(self.leader_address());
-            self.effects.push(Effect::Send { to: it.reply_to, message });
+        if !self.takes_report(now, it.reply_to) {
             return;
         }
-        let Some(leading) = &mut self.leading else {
-            return;
-        };
+        let Some(leading) = &mut self.leading else { return };
         leading.sessions.note_entry(now, it);
         // A new leader has heard of no endpoints yet; telling that would empty every entry.
         let waited = leading.since_ms + u64::from(self.options.settings.lease_ms) <= now.mono_ms;
--- a/src/control/log/raft/mod.rs
+++ b/src/control/log/raft/mod.rs
@@ -349,9 +349,7 @@
             res.push(Applied::Snapshot(it));
         }
         while self.applied_index < self.commit_index {
-            let Some(it) = self.entry_at(self.applied_index + 1).cloned() else {
-                break;
-            };
+            let Some(it) = self.entry_at(self.applied_index + 1).cloned() else { break };
             self.applied_index = it.index;
             res.push(Applied::Entry(it));
         }
--- a/src/control/log/raft/replication.rs
+++ b/src/control/log/raft/replication.rs
@@ -47,9 +47,7 @@
 
     pub(super) fn send_entries(&mut self, now: Now, to: MemberId) {
         let last_index = self.last_index();
-        let Some(it) = self.progress.get(&to) else {
-            return;
-        };
+        let Some(it) = self.progress.get(&to) else { return };
         let in_window = it.next_index <= it.match_index + self.options.window_entries;
         if it.next_index <= last_index && it.snapshot_offset_bytes.is_none() && in_window {
             self.send_append(now, to);
@@ -58,9 +56,7 @@
 
     /// Sends entries from the member's next index on, or an empty append as heartbeat.
     pub(super) fn send_append(&mut self, now: Now, to: MemberId) {
-        let Some(it) = self.progress.get(&to).copied() else {
-            return;
-        };
+        let Some(it) = self.progress.get(&to).copied() else { return };
         let previous_index = it.next_index - 1;
         let Some(previous_term) = self.term_at(previous_index) else {
             return self.send_chunk(now, to);
@@ -167,9 +163,7 @@
             return;
         }
         let last_index = self.last_index();
-        let Some(progress) = self.progress.get_mut(&from) else {
-            return;
-        };
+        let Some(progress) = self.progress.get_mut(&from) else { return };
         progress.acked_sent_ms = progress.acked_sent_ms.max(it.sent_ms);
         progress.heard_ms = now.mono_ms;
         progress.in_force = it.in_force.0;
--- a/src/control/log/raft/snapshots.rs
+++ b/src/control/log/raft/snapshots.rs
@@ -15,18 +15,14 @@
     /// Replaces the log up to the applied index by a snapshot of the state at that index.
     pub fn compact(&mut self, data: Vec<u8>) {
         let index = self.applied_index;
-        let Some(term) = self.term_at(index) else {
-            return;
-        };
+        let Some(term) = self.term_at(index) else { return };
         let members = self.members_at(index);
         let snapshot = Arc::new(Snapshot { index, term, members, checksum: checksum(&data), data });
         self.pending.push(DiskWrite::Snapshot(snapshot.clone()));
         self.snapshot = Some(snapshot);
         let keep_from = index.saturating_sub(self.options.retained_entries);
         while self.base_index < keep_from {
-            let Some(it) = self.entries.pop_front() else {
-                break;
-            };
+            let Some(it) = self.entries.pop_front() else { break };
             self.base_index = it.index;
             self.base_term = it.term;
         }
@@ -42,15 +38,11 @@
     }
 
     pub(super) fn send_chunk(&mut self, now: Now, to: MemberId) {
-        let Some(snapshot) = self.snapshot.clone() else {
-            return;
-        };
+        let Some(snapshot) = self.snapshot.clone() else { return };
         let chunk_bytes = self.options.chunk_bytes;
         // An unanswered chunk is sent again, not before its answer had time to arrive.
         let resend_ms = self.options.heartbeat_ms * 2;
-        let Some(it) = self.progress.get_mut(&to) else {
-            return;
-        };
+        let Some(it) = self.progress.get_mut(&to) else { return };
         if it.snapshot_offset_bytes.is_some() && now.mono_ms < it.chunk_sent_ms + resend_ms {
             return;
         }
@@ -87,9 +79,7 @@
         if !self.incoming.as_ref().is_some_and(same) {
             self.incoming = Some((it.clone(), Vec::new()));
         }
-        let Some((_, data)) = &mut self.incoming else {
-            return;
-        };
+        let Some((_, data)) = &mut self.incoming else { return };
         if data.len() as u64 == it.offset_bytes {
             data.extend_from_slice(&it.data);
         }
@@ -103,9 +93,7 @@
             };
             return self.send_now(from, RaftBody::SnapshotReply(reply));
         }
-        let Some((_, data)) = self.incoming.take() else {
-            return;
-        };
+        let Some((_, data)) = self.incoming.take() else { return };
         if checksum(&data) != it.checksum {
             // Begun anew; a wrong snapshot is never installed.
             let reply = SnapshotReply {
@@ -148,9 +136,7 @@
             return;
         }
         let current = self.snapshot_index();
-        let Some(progress) = self.progress.get_mut(&from) else {
-            return;
-        };
+        let Some(progress) = self.progress.get_mut(&from) else { return };
         progress.acked_sent_ms = progress.acked_sent_ms.max(it.sent_ms);
         progress.heard_ms = now.mono_ms;
         let offset_bytes = if it.index == current { it.next_offset_bytes } else { 0 };
--- a/src/control/reconcile.rs
+++ b/src/control/reconcile.rs
@@ -28,9 +28,7 @@
     let mut res = Reconciled::default();
     let by_task: HashMap<TaskId, &TaskReport> = reports.iter().map(|it| (it.task, it)).collect();
     for id in &vm.tasks {
-        let Some(task) = state.jobs.task(*id) else {
-            continue;
-        };
+        let Some(task) = state.jobs.task(*id) else { continue };
         let report = by_task.get(id).filter(|it| it.incarnation == task.incarnation);
         let phase = report.map(|it| it.phase);
         match (task.state, phase) {
--- a/src/control/scheduler/costs.rs
+++ b/src/control/scheduler/costs.rs
@@ -108,9 +108,7 @@
         if self.task.failed_on.contains(&id) {
             return 1e6;
         }
-        let Some(vm) = self.state.vms.get(id) else {
-            return f64::INFINITY;
-        };
+        let Some(vm) = self.state.vms.get(id) else { return f64::INFINITY };
         let is_closed = self.is_batch && self.scheduler.is_closed(id);
         match self.scheduler.options.learns_interference {
             // Without estimates any batch work may be what harms.
--- a/src/control/scheduler/mod.rs
+++ b/src/control/scheduler/mod.rs
@@ -210,9 +210,7 @@
             self.queue.remove(id);
             return;
         };
-        let Some(job) = state.jobs.job_of(task) else {
-            return;
-        };
+        let Some(job) = state.jobs.job_of(task) else { return };
         let need = job.spec.resources;
         match (task.placement, self.residents.contains(id)) {
             (Some(placement), false) => {
@@ -371,9 +369,7 @@
         let mut suspects: Vec<_> = self.suspects.drain().collect();
         suspects.sort_unstable();
         for id in suspects {
-            let Some(vm) = state.vms.get(id).filter(|it| !it.quarantined) else {
-                continue;
-            };
+            let Some(vm) = state.vms.get(id).filter(|it| !it.quarantined) else { continue };
             plan.flags.push(VmFlagsCommand { vm: id, draining: vm.draining, quarantined: true });
         }
         let waited = |vm: &Vm| vm.changed_ms + self.options.quarantine_ms <= now.wall_ms;
@@ -387,9 +383,7 @@
 
     /// Starts one waiting task on a VM in quarantine.
     fn probe(&mut self, state: &State, vm: &Vm, now: Now, plan: &mut Plan) {
-        let Some(session) = vm.session.as_ref().map(|it| it.id) else {
-            return;
-        };
+        let Some(session) = vm.session.as_ref().map(|it| it.id) else { return };
         if self.held_on.contains_key(&vm.id) {
             return;
         }
@@ -439,7 +433,7 @@
             }
         });
         let chosen = match chosen {
-            None if it.tier == Tier::Urgent && held.is_none() => self.take_reserved(state, it.need),
+            None if it.tier == Tier::Urgent && held.is_none() => self.reserved_room(state, it.need),
             it => it,
         };
         let session = chosen.and_then(|vm| Some((vm, state.vms.get(vm)?.session.as_ref()?.id)));
@@ -472,9 +466,7 @@
     fn room_with_hold(&self, state: &State, vm: VmId, need: Resources, task: TaskId) -> bool {
         let others = self.held_on.get(&vm).into_iter().flatten().filter(|it| **it != task);
         let others = others.filter_map(|it| self.holds.get(it));
-        let Some(it) = state.vms.get(vm) else {
-            return false;
-        };
+        let Some(it) = state.vms.get(vm) else { return false };
         let free = others.fold(it.free(), |free, hold| subtract(free, hold.need));
         it.has_room_for(need) && crate::control::state::fits(need, free)
     }
--- a/src/control/scheduler/relief.rs
+++ b/src/control/scheduler/relief.rs
@@ -97,7 +97,7 @@
             // Told to the agent as a throttle that leaves everything.
             Action::Release { task } => self.throttle(task, FREE_PERMILLE),
             Action::Move { task } => {
-                if self.may_evict(state, task, now, Purpose::Relief) {
+                if self.may_evict(state, &[task], now, Purpose::Relief) {
                     self.evict(state, task, &mut plan);
                 } else if let Some(it) = self.loops.get_mut(&vm.id) {
                     it.keep_throttled(task);
--- a/src/control/scheduler/urgent.rs
+++ b/src/control/scheduler/urgent.rs
@@ -1,5 +1,7 @@
 //! Room for urgent work: reserved, or made by eviction.
 
+use std::collections::BTreeMap;
+
 use crate::{
     control::{
         scheduler::{HOLD_MS, Hold, Plan, Scheduler, VICTIM_VMS, is_open, reserve::Reserve},
@@ -40,15 +42,15 @@
         }
     }
 
-    /// Gives a reserved place that has its room to an urgent task.
-    pub(super) fn take_reserved(&mut self, state: &State, need: Resources) -> Option<VmId> {
-        let has_room = |key: &TaskId| {
-            let hold = self.holds.get(key)?;
-            self.room_with_hold(state, hold.vm, need, *key).then_some((*key, hold.vm))
+    /// Returns the VM of a reserved place that has its room.
+    ///
+    /// The place stays reserved: what an urgent task leaves there when it ends is for the next one.
+    pub(super) fn reserved_room(&self, state: &State, need: Resources) -> Option<VmId> {
+        let has_room = |key: TaskId| {
+            let hold = self.holds.get(&key)?;
+            self.room_with_hold(state, hold.vm, need, key).then_some(hold.vm)
         };
-        let (key, vm) = Reserve::keys().find_map(|it| has_room(&it))?;
-        self.release_hold(key);
-        Some(vm)
+        Reserve::keys().find_map(has_room)
     }
 
     /// Makes room for an urgent task by evicting batch work on one VM.
@@ -66,15 +68,13 @@
                 self.held_on.get(&vm.id).into_iter().flatten().filter_map(|it| self.holds.get(it));
             let free = held.fold(vm.free(), |free, it| subtract(free, it.need));
             let victims = self.victims_on(state, vm, now);
-            let Some((tasks, lost_ms)) = choose_victims(it.need, free, &victims) else {
-                continue;
-            };
+            let Some((tasks, lost_ms)) = choose_victims(it.need, free, &victims) else { continue };
             if best.as_ref().is_none_or(|(least, _, _)| lost_ms < *least) {
                 best = Some((lost_ms, vm.id, tasks));
             }
         }
         let Some((_, vm, victims)) = best else { return };
-        if !victims.iter().all(|it| self.may_evict(state, *it, now, Purpose::UrgentStart)) {
+        if !self.may_evict(state, &victims, now, Purpose::UrgentStart) {
             return;
         }
         for id in victims {
@@ -102,31 +102,41 @@
         batch.collect()
     }
 
-    /// Takes one eviction from the budget of a task's class.
+    /// Takes the evictions of `tasks` from the budgets of their classes: all of them or none.
+    ///
+    /// Taking some and then finding the next refused would spend the budget on nothing.
     pub(super) fn may_evict(
         &mut self,
         state: &State,
-        id: TaskId,
+        tasks: &[TaskId],
         now: Now,
         purpose: Purpose,
     ) -> bool {
-        let job = state.jobs.task(id).and_then(|it| state.jobs.job_of(it));
-        let Some(class) = job.and_then(|it| state.class(&it.spec.class)) else {
-            return false;
+        let mut by_class: BTreeMap<&CompactString, (u32, u32)> = BTreeMap::new();
+        for id in tasks {
+            let job = state.jobs.task(*id).and_then(|it| state.jobs.job_of(it));
+            let Some(class) = job.and_then(|it| state.class(&it.spec.class)) else { return false };
+            by_class.entry(&class.name).or_insert((class.evictions_per_hour, 0)).1 += 1;
+        }
+        let evictions = &mut self.evictions;
+        let mut allows = |class: &CompactString, per_hour: u32, count: u32| {
+            let budget = evictions.entry(class.clone());
+            let budget = budget.or_insert_with(|| EvictionBudget::new(per_hour, now.mono_ms));
+            budget.allows(per_hour, now.mono_ms, purpose, count)
         };
-        let per_hour = class.evictions_per_hour;
-        let budget = self.evictions.entry(class.name.clone());
-        budget.or_insert_with(|| EvictionBudget::new(per_hour, now.mono_ms)).try_take(
-            per_hour,
-            now.mono_ms,
-            purpose,
-        )
+        if !by_class.iter().all(|(class, (per_hour, count))| allows(class, *per_hour, *count)) {
+            return false;
+        }
+        for (class, (_, count)) in by_class {
+            if let Some(it) = self.evictions.get_mut(class) {
+                it.take(count);
+            }
+        }
+        true
     }
 
     pub(super) fn evict(&mut self, state: &State, id: TaskId, plan: &mut Plan) {
-        let Some(task) = state.jobs.task(id) else {
-            return;
-        };
+        let Some(task) = state.jobs.task(id) else { return };
         self.evicting.insert(id);
         let event = TaskEvent::EvictRequested;
         plan.events.push(TaskEventCommand { task: id, incarnation: task.incarnation, event });
--- a/src/control/state/jobs.rs
+++ b/src/control/state/jobs.rs
@@ -98,9 +98,7 @@
             && at_ms < before_ms
         {
             self.finished.pop_first();
-            let Some(job) = self.jobs.remove(&id) else {
-                continue;
-            };
+            let Some(job) = self.jobs.remove(&id) else { continue };
             for it in job.task_ids() {
                 self.tasks.remove(&it);
             }
@@ -253,16 +251,12 @@
 
     pub(super) fn start(&mut self, it: &StartCommand, changes: &mut Vec<Change>) -> Outcome {
         let refused = |detail: &str| Err(refusal(ErrorKind::StaleSession, detail));
-        let Some(task) = self.jobs.task(it.task) else {
-            return refused("no such task");
-        };
+        let Some(task) = self.jobs.task(it.task) else { return refused("no such task") };
         if task.incarnation + 1 != it.incarnation || !task.state.is_waiting() {
             return refused("the task moved on");
         }
         let need = self.jobs.need_of(task);
-        let Some(vm) = self.vms.get(it.vm) else {
-            return refused("no such VM");
-        };
+        let Some(vm) = self.vms.get(it.vm) else { return refused("no such VM") };
         if vm.session.as_ref().is_none_or(|session| session.id != it.session) {
             return refused("the VM's session ended");
         }
@@ -331,12 +325,8 @@
     /// Moves one task along the table, and keeps ledger and job in step with it.
     pub(super) fn step(&mut self, id: TaskId, step: Step, changes: &mut Vec<Change>) {
         let time_ms = self.time_ms;
-        let Some(task) = self.jobs.tasks.get_mut(&id) else {
-            return;
-        };
-        let Some(next) = transition(task.state, step, !task.checkpoint.is_empty()) else {
-            return;
-        };
+        let Some(task) = self.jobs.tasks.get_mut(&id) else { return };
+        let Some(next) = transition(task.state, step, !task.checkpoint.is_empty()) else { return };
         let before = std::mem::replace(&mut task.state, next);
         let job = task.job;
         if matches!(step, Step::Evicted | Step::Lost | Step::Stopped) && next.is_waiting() {
@@ -374,9 +364,7 @@
 
     /// Tells the watches on a job's subject.
     fn notify(&mut self, id: JobId, word: &str) {
-        let Some(job) = self.jobs.jobs.get(&id) else {
-            return;
-        };
+        let Some(job) = self.jobs.jobs.get(&id) else { return };
         let body = format_compact!("{{\"job\":{id},\"event\":\"{word}\"}}");
         self.watches.tell(&job.team, &job.spec.subject, &body, self.time_ms);
     }
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -164,9 +164,7 @@
                     task.id, task.state, task.placement
                 ));
             }
-            let Some(placement) = task.placement else {
-                continue;
-            };
+            let Some(placement) = task.placement else { continue };
             let need = self.jobs.need_of(task);
             let sum = used.entry(placement.vm).or_insert(NOTHING);
             *sum = add(*sum, need);
--- a/src/control/state/vms.rs
+++ b/src/control/state/vms.rs
@@ -107,9 +107,7 @@
     /// In quarantine the task was a probe: its success lifts the quarantine, its failure begins
     /// the waiting time anew.
     pub(super) fn note_outcome(&mut self, id: VmId, completed: bool, time_ms: u64) {
-        let Some(vm) = self.vms.get_mut(&id) else {
-            return;
-        };
+        let Some(vm) = self.vms.get_mut(&id) else { return };
         vm.failures_in_row = if completed { 0 } else { vm.failures_in_row + 1 };
         if vm.quarantined {
             vm.quarantined = !completed;
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -152,9 +152,7 @@
 }
 
 fn queue(core: &ControlCore) -> Value {
-    let Some(scheduler) = core.scheduler() else {
-        return json!([]);
-    };
+    let Some(scheduler) = core.scheduler() else { return json!([]) };
     let rows = scheduler.queue().waiting_by_team().map(|(team, waiting)| {
         json!({
             "team": team,
--- a/src/entry/core/admission.rs
+++ b/src/entry/core/admission.rs
@@ -160,9 +160,7 @@
 
     /// Lets a request wait for a free endpoint, unless it is known that it would wait too long.
     pub(super) fn enqueue(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(key) else { return };
         let class = quick.quick.class.clone();
         let team = quick.team.clone();
         let waiting = Waiting { key, deadline_ms: quick.deadline_ms };
@@ -203,9 +201,7 @@
 
     /// Looks at a waiting request again when it can no longer be answered in time.
     pub(super) fn schedule_drop(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(key) else { return };
         let answer_ms = self.endpoints.answer_ms_of(&quick.quick.class) as u64;
         let at_ms = quick.deadline_ms.saturating_sub(answer_ms).max(now.mono_ms + 1);
         self.timers.insert((at_ms, key));
@@ -237,9 +233,7 @@
 
     /// Puts back what was taken from its queue a moment ago.
     pub(super) fn enqueue_again(&mut self, it: Waiting<QuickKey>) {
-        let Some(quick) = self.quicks.get(it.key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(it.key) else { return };
         let team = quick.team.clone();
         line_of(&mut self.lines, &quick.quick.class).queue.unpop(&team, it);
     }
--- a/src/entry/core/attempts.rs
+++ b/src/entry/core/attempts.rs
@@ -20,9 +20,7 @@
     /// Sends a request to an endpoint, or claims its key first; returns false where no endpoint
     /// takes it now.
     pub(super) fn try_begin(&mut self, now: Now, key: QuickKey) -> bool {
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return true;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return true };
         let class = quick.quick.class.clone();
         let chosen = self.endpoints.choose(&class, &quick.tried, now, &mut self.random);
         // Where every endpoint was tried, the first ones may have recovered.
@@ -88,9 +86,7 @@
 
     /// Does what is due for a request.
     pub(super) fn act(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(key) else { return };
         if quick.deadline_ms <= now.mono_ms {
             return self.on_deadline(now, key);
         }
@@ -119,9 +115,7 @@
 
     /// Makes another attempt beside one that is slow to answer.
     pub(super) fn hedge(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         quick.may_have_run = true;
         let slow: Vec<_> = quick.attempts.iter().map(|it| (it.endpoint, it.endpoint_id)).collect();
         if quick.attempts_made < self.options.settings.attempts_max && self.budget.try_spend() {
@@ -140,9 +134,7 @@
     }
 
     pub(super) fn on_deadline(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         match quick.stage {
             Stage::Waiting => {
                 let detail = "its deadline passed while it waited";
@@ -226,9 +218,7 @@
             .attempts
             .iter()
             .position(|at| at.number == it.attempt && at.endpoint_id == it.endpoint);
-        let Some(position) = position else {
-            return self.metrics.answer_dropped(Dropped::Late);
-        };
+        let Some(position) = position else { return self.metrics.answer_dropped(Dropped::Late) };
         if it.outcome == ExecuteOutcome::Running {
             quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
             self.timers.insert((now.mono_ms + ASK_MS, key));
@@ -317,9 +307,7 @@
 
     pub(super) fn on_failed(&mut self, now: Now, key: QuickKey, attempt: Attempt, why: &str) {
         self.note_failure(now, attempt.endpoint);
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         quick.may_have_run = true;
         if quick.is_idempotent() {
             return self.retry(now, key, attempt.endpoint_id, RetryReason::Failed);
@@ -330,9 +318,7 @@
     }
 
     pub(super) fn note_failure(&mut self, now: Now, endpoint: EndpointKey) {
-        let Some(class) = self.endpoints.get(endpoint).map(|it| it.class.clone()) else {
-            return;
-        };
+        let Some(class) = self.endpoints.get(endpoint).map(|it| it.class.clone()) else { return };
         let out_permille = self.endpoints.out_permille(&class, endpoint, now);
         if let Some(it) = self.endpoints.get_mut(endpoint) {
             let was_out = it.ejection.is_out();
@@ -351,9 +337,7 @@
         failed: EndpointId,
         reason: RetryReason,
     ) {
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         quick.tried.push(failed);
         if !quick.attempts.is_empty() {
             return;
@@ -379,9 +363,7 @@
 
     /// Gives the final answer to a request that is not tried again.
     pub(super) fn give_up(&mut self, now: Now, key: QuickKey, kind: ErrorKind) {
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(key) else { return };
         let tried = quick.attempts_made;
         let last = quick
             .last_refusal
@@ -415,9 +397,7 @@
     /// Ends a request, and lets the next one of its class have its place.
     pub(super) fn finish(&mut self, now: Now, key: QuickKey, answer: CallerAnswer) {
         self.leave_stage(key);
-        let Some(quick) = self.quicks.remove(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.remove(key) else { return };
         self.by_request.remove(&quick.request);
         if let Some(it) = self.by_team.get_mut(&quick.team) {
             *it -= 1;
--- a/src/entry/core/claims.rs
+++ b/src/entry/core/claims.rs
@@ -69,9 +69,7 @@
 
     /// Takes in the state of a request's claim.
     pub(super) fn on_claim(&mut self, now: Now, key: QuickKey, outcome: Outcome) {
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         if let Stage::Checking { refusal } = &quick.stage {
             let refusal = refusal.clone();
             let is_free = match &outcome {
@@ -132,9 +130,7 @@
             (_, ClaimState::NotRun) => {
                 // Free again: this request goes on where the other stopped.
                 self.release_claiming(key);
-                let Some(quick) = self.quicks.get_mut(key) else {
-                    return;
-                };
+                let Some(quick) = self.quicks.get_mut(key) else { return };
                 quick.claim_attempt = claim.attempt;
                 quick.stage = Stage::Waiting;
                 if !self.try_begin(now, key) {
@@ -153,9 +149,7 @@
     /// once it is so old that its entry may be gone.
     fn follow(&mut self, now: Now, key: QuickKey, claim: Option<&Claim>) {
         self.release_claiming(key);
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         let asked_ms = match quick.stage {
             Stage::Following { asked_ms, .. } => asked_ms,
             _ => None,
@@ -183,9 +177,7 @@
 
     /// Asks control how the claim stands now.
     pub(super) fn look_at_claim(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         if let Stage::Following { look_at_ms, .. } = &mut quick.stage {
             *look_at_ms = quick.deadline_ms;
         }
@@ -212,16 +204,12 @@
 
     /// Asks the agents of a request's own attempts what became of them.
     pub(super) fn ask_own(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get_mut(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get_mut(key) else { return };
         quick.stage = Stage::InFlight { act_at_ms: now.mono_ms + ASK_MS };
         let request = quick.request;
         let attempts = quick.attempts.clone();
         for it in attempts {
-            let Some(to) = self.endpoints.get(it.endpoint).map(|it| it.agent) else {
-                continue;
-            };
+            let Some(to) = self.endpoints.get(it.endpoint).map(|it| it.agent) else { continue };
             let query = OutcomeQuery {
                 request,
                 attempt: it.number,
@@ -243,9 +231,7 @@
             ExecuteOutcome::Refused(_) | ExecuteOutcome::NotSeen => ClaimOutcome::NotRun,
             ExecuteOutcome::Running => return,
         };
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(key) else { return };
         let command = SettleCommand {
             team: quick.team.clone(),
             key: quick.key(),
@@ -270,9 +256,7 @@
         outcome: ClaimOutcome,
         token: ControlToken,
     ) {
-        let Some(quick) = self.quicks.get(key).filter(|it| 0 < it.claim_attempt) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(key).filter(|it| 0 < it.claim_attempt) else { return };
         let command = SettleCommand {
             team: quick.team.clone(),
             key: quick.key(),
@@ -285,9 +269,7 @@
 
     /// Ends a request whose caller has been answered.
     pub(super) fn give_up_following(&mut self, now: Now, key: QuickKey) {
-        let Some(quick) = self.quicks.get(key) else {
-            return;
-        };
+        let Some(quick) = self.quicks.get(key) else { return };
         let outcome = match quick.stage {
             Stage::InFlight { .. } => ClaimOutcome::Unknown,
             _ => ClaimOutcome::NotRun,
--- a/src/entry/core/mod.rs
+++ b/src/entry/core/mod.rs
@@ -251,9 +251,7 @@
             self.unanswered_heartbeats = 0;
             self.client.try_next();
         }
-        let Some(to) = self.client.target() else {
-            return;
-        };
+        let Some(to) = self.client.target() else { return };
         self.unanswered_heartbeats += 1;
         let latencies =
             self.lines.iter().filter(|(_, it)| !it.answers.is_empty()).map(|(class, it)| {
--- a/src/entry/core/polls.rs
+++ b/src/entry/core/polls.rs
@@ -17,9 +17,7 @@
         let due: Vec<_> =
             self.polls.iter().filter(|(_, it)| is_due(it)).map(|(token, _)| *token).collect();
         for token in due {
-            let Some(poll) = self.polls.get_mut(&token) else {
-                continue;
-            };
+            let Some(poll) = self.polls.get_mut(&token) else { continue };
             poll.ask_at_ms = None;
             let operation = Operation::Query(poll.query.clone());
             let deadline_ms = now.mono_ms + u64::from(self.options.settings.operation_max_ms);
@@ -28,9 +26,7 @@
     }
 
     pub(super) fn on_poll_reply(&mut self, now: Now, token: u64, outcome: Outcome) {
-        let Some(poll) = self.polls.get_mut(&token) else {
-            return;
-        };
+        let Some(poll) = self.polls.get_mut(&token) else { return };
         let has_news = match &outcome {
             Ok(Reply::Document(text)) => tells_news(text),
             _ => true,
@@ -46,9 +42,7 @@
 
 /// Returns whether a document read by a poll holds what the caller waits for.
 fn tells_news(text: &str) -> bool {
-    let Ok(document) = serde_json::from_str::<serde_json::Value>(text) else {
-        return true;
-    };
+    let Ok(document) = serde_json::from_str::<serde_json::Value>(text) else { return true };
     let has_events = document["events"].as_array().is_some_and(|it| !it.is_empty());
     has_events || document["finished"] == true
 }
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -188,9 +188,7 @@
 
     /// Notes that nothing more is expected of a request sent.
     pub(super) fn note_ended(&mut self, key: EndpointKey) {
-        let Some(it) = self.endpoints.get_mut(key) else {
-            return;
-        };
+        let Some(it) = self.endpoints.get_mut(key) else { return };
         it.in_flight = it.in_flight.saturating_sub(1);
         if it.gone && it.in_flight == 0 {
             self.endpoints.remove(key);
@@ -232,12 +230,8 @@
     }
 
     fn remove(&mut self, id: EndpointId) {
-        let Some(key) = self.by_id.remove(&id) else {
-            return;
-        };
-        let Some(it) = self.endpoints.get_mut(key) else {
-            return;
-        };
+        let Some(key) = self.by_id.remove(&id) else { return };
+        let Some(it) = self.endpoints.get_mut(key) else { return };
         it.gone = true;
         let idle = it.in_flight == 0;
         if let Some(list) = self.by_class.get_mut(&it.class) {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -68,9 +68,7 @@
     ///
     /// Returns a refusal that names the parameter when it is no number.
     pub fn number(&self, name: &str, default: u64) -> Result<u64, Refusal> {
-        let Some(text) = self.query.get(name) else {
-            return Ok(default);
-        };
+        let Some(text) = self.query.get(name) else { return Ok(default) };
         let bad = |_| {
             refusal(
                 ErrorKind::BadRequest,
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -56,9 +56,7 @@
         .max_concurrent_streams(4)
         .handshake::<_, bytes::Bytes>(tcp)
         .await;
-    let Ok(mut connection) = handshake else {
-        return;
-    };
+    let Ok(mut connection) = handshake else { return };
     while let Some(Ok((request, respond))) = connection.accept().await {
         let stream = read_stream(
             request.into_body(),
--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -162,9 +162,7 @@
         while let Some(&(due_ms, task)) = self.due.first()
             && due_ms <= now_ms
         {
-            let Some((team, it)) = self.tasks.get(&task).cloned() else {
-                break;
-            };
+            let Some((team, it)) = self.tasks.get(&task).cloned() else { break };
             self.insert(&team, Waiting { tier: Tier::Due, ..it });
         }
     }
@@ -189,9 +187,7 @@
 
     /// Returns a team's share of its quota in use, in permille.
     pub fn share_permille(&self, team: &str) -> u64 {
-        let Some(it) = self.teams.get(team) else {
-            return 0;
-        };
+        let Some(it) = self.teams.get(team) else { return 0 };
         it.quota.map_or(u64::MAX, |quota| it.running.share_permille(quota))
     }
 
@@ -216,15 +212,9 @@
         while res.len() < limit
             && let Some((borrows, _, _, name)) = heads.pop_first()
         {
-            let Some((running, waiting)) = state.get_mut(name) else {
-                continue;
-            };
-            let Some((tier, _, task)) = waiting.next() else {
-                continue;
-            };
-            let Some((_, it)) = self.tasks.get(task) else {
-                continue;
-            };
+            let Some((running, waiting)) = state.get_mut(name) else { continue };
+            let Some((tier, _, task)) = waiting.next() else { continue };
+            let Some((_, it)) = self.tasks.get(task) else { continue };
             let quota = self.teams.get(name).and_then(|it| it.quota).unwrap_or(it.need);
             running.add(it.need);
             res.push(Candidate { task: *task, tier: *tier, need: it.need, borrows });
--- a/src/policy/preemption.rs
+++ b/src/policy/preemption.rs
@@ -86,10 +86,10 @@
         EvictionBudget { tokens: (f64::from(per_hour) / 4.0).ceil(), filled_ms: now_ms }
     }
 
-    /// Takes one eviction from the budget, or returns whether it is spent.
+    /// Returns whether `count` evictions are left, none of which is taken yet.
     ///
     /// Work that can wait leaves an eighth of the hour to urgent starts.
-    pub fn try_take(&mut self, per_hour: u32, now_ms: u64, purpose: Purpose) -> bool {
+    pub fn allows(&mut self, per_hour: u32, now_ms: u64, purpose: Purpose, count: u32) -> bool {
         let elapsed_ms = now_ms.saturating_sub(self.filled_ms) as f64;
         self.filled_ms = now_ms;
         let per_hour = f64::from(per_hour);
@@ -98,10 +98,11 @@
             Purpose::UrgentStart => 0.0,
             Purpose::Relief => per_hour / 8.0,
         };
-        let granted = 1.0 + kept <= self.tokens;
-        if granted {
-            self.tokens -= 1.0;
-        }
-        granted
+        f64::from(count) + kept <= self.tokens
+    }
+
+    /// Takes evictions that [`EvictionBudget::allows`] has granted.
+    pub fn take(&mut self, count: u32) {
+        self.tokens -= f64::from(count);
     }
 }
--- a/src/standin/layout.rs
+++ b/src/standin/layout.rs
@@ -110,9 +110,7 @@
             res.entry_files.push(write(&folder.join(format!("entry-{}.ini", at + 1)), &text)?);
         }
         for (at, link) in free_addresses(counts.agents)?.iter().enumerate() {
-            let [local, worker, executor] = free_addresses(3)?[..] else {
-                continue;
-            };
+            let [local, worker, executor] = free_addresses(3)?[..] else { continue };
             res.vms.push(VmAddresses { local, worker, executor });
             let text = format!(
                 "[process]\nname = agent-{n}\nroles = agent\nzone = zone-{zone}\nrack = rack-{rack}\n\n[link]\nlisten = \
--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -281,11 +281,29 @@
     assert!(feedback.is_closed());
 }
 
+fn try_take(budget: &mut EvictionBudget, per_hour: u32, now_ms: u64, purpose: Purpose) -> bool {
+    let allowed = budget.allows(per_hour, now_ms, purpose, 1);
+    if allowed {
+        budget.take(1);
+    }
+    allowed
+}
+
+/// Asking for more than is left spends nothing; before, each vain try of several did.
+#[test]
+fn refused_evictions_cost_nothing() {
+    let mut budget = EvictionBudget::new(40, 0);
+    for _ in 0..100 {
+        assert!(!budget.allows(40, 0, Purpose::UrgentStart, 11));
+    }
+    assert!(budget.allows(40, 0, Purpose::UrgentStart, 10));
+}
+
 #[test]
 fn eviction_budget_is_kept_over_an_hour() {
     let mut budget = EvictionBudget::new(12, 0);
     let taken = (0..3_600)
-        .filter(|second| budget.try_take(12, second * 1_000, Purpose::UrgentStart))
+        .filter(|second| try_take(&mut budget, 12, second * 1_000, Purpose::UrgentStart))
         .count();
     assert!((12..=15).contains(&taken), "{taken}");
 }
@@ -293,8 +311,8 @@
 #[test]
 fn relief_leaves_evictions_to_urgent_starts() {
     let mut budget = EvictionBudget::new(80, 0);
-    let relief = (0..100).filter(|_| budget.try_take(80, 0, Purpose::Relief)).count();
-    let urgent = (0..100).filter(|_| budget.try_take(80, 0, Purpose::UrgentStart)).count();
+    let relief = (0..100).filter(|_| try_take(&mut budget, 80, 0, Purpose::Relief)).count();
+    let urgent = (0..100).filter(|_| try_take(&mut budget, 80, 0, Purpose::UrgentStart)).count();
     assert_eq!((relief, urgent), (10, 10));
 }
 
