Give every promise's checker a broken variant, and noisy waves a test by their name

Cause: two of the nine checkers (resumes exactly once, planned stops) had no variant that they catch. Change: a worker that starts twice, and a process that ends before it is drained; both are caught, and the unbroken runs of the same scenes are clean.

--- a/tests/policies.rs
+++ b/tests/policies.rs
@@ -267,6 +267,31 @@
     assert!(pairs.harm("quick", "calm") < 0.5, "{}", pairs.harm("quick", "calm"));
 }
 
+/// Noisy tasks come for twenty reports and go for twenty: they are throttled once they are seen,
+/// let go when they fit, and the VM opens again after each wave.
+#[test]
+fn noisy_tasks_arrive_in_waves() {
+    let mut feedback = Loop::default();
+    let (mut throttles, mut opened) = (0, 0);
+    for second in 0..200_u64 {
+        let is_noisy = (second / 20) % 2 == 0;
+        let throttled = feedback.throttled().is_some();
+        let tail_ms = match (is_noisy, throttled) {
+            (true, false) => 90,
+            (true, true) => 40,
+            (false, _) => 20,
+        };
+        let released_ms = if is_noisy && throttled { 90 } else { tail_ms };
+        let report = Report { tail_ms, released_ms, target_ms: 50, lag_ms: 1_000 };
+        let was_closed = feedback.is_closed();
+        let action = feedback.observe(second * 1_000, report, Some(TaskId(1)));
+        throttles += u32::from(matches!(action, Action::Throttle { .. }));
+        opened += u32::from(was_closed && !feedback.is_closed());
+        assert!(!matches!(action, Action::Move { .. }), "a throttle is enough here");
+    }
+    assert_eq!((throttles, opened), (5, 5), "one step each way for each of five waves");
+}
+
 #[test]
 fn feedback_does_not_oscillate_under_lag() {
     let mut feedback = Loop::default();
--- a/tests/promises/faults.rs
+++ b/tests/promises/faults.rs
@@ -329,7 +329,7 @@
 }
 
 /// Notes requests that a stopped entry took before its stop and did not answer.
-fn note_cut_off(world: &mut World, node: usize) {
+pub fn note_cut_off(world: &mut World, node: usize) {
     let unanswered =
         world.history.quicks.values().filter(|it| it.entry == node && it.answer.is_none());
     let open: Vec<_> = unanswered.map(|it| (it.body.clone(), it.asked_ms)).collect();
--- a/tests/promises/sabotage.rs
+++ b/tests/promises/sabotage.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     checkers::check_all,
-    faults::{begin, job, put_team},
+    faults::{begin, job, note_cut_off, put_team},
     world::World,
 };
 
@@ -21,6 +21,10 @@
     LieNotRun,
     /// The agent never hears that its endpoint leaves.
     LeaveUnheard,
+    /// A worker starts what it is told to twice.
+    StartTwice,
+    /// A process in a planned stop ends before it is drained.
+    EndUndrained,
     /// A control member shows its state before it has caught up.
     ShowsTooEarly,
 }
@@ -135,3 +139,27 @@
         world.start(follower);
     });
 }
+
+#[test]
+fn an_incarnation_that_starts_twice_is_caught() {
+    check(Sabotage::StartTwice, "evicted work resumes exactly once", |world| {
+        world.submit(world.entries[0], "job", job(2, 500, 1_000));
+        world.run(2_000);
+    });
+}
+
+#[test]
+fn a_stop_that_cuts_off_is_caught() {
+    check(Sabotage::EndUndrained, "planned stops cut off nothing", |world| {
+        let entry = world.entries[0];
+        for at in 0..5 {
+            world.quick(entry, &format!("body-{at}"), None, 1_000);
+        }
+        world.stop(entry);
+        while world.sabotage != Some(Sabotage::EndUndrained) && !world.is_drained(entry) {
+            world.run(10);
+        }
+        note_cut_off(world, entry);
+        world.kill(entry, 0);
+    });
+}
--- a/tests/promises/world/effects.rs
+++ b/tests/promises/world/effects.rs
@@ -35,6 +35,13 @@
             }
             (_, it) => it,
         };
+        if let (Some(Sabotage::StartTwice), WorkerCall::Start { task, incarnation, .. }) =
+            (&self.sabotage, &call)
+        {
+            // As if a second copy of the worker had heard the order too.
+            self.vms[vm].worker.clone().call(self.now_ms, &call);
+            self.history.starts.entry((*task, *incarnation)).or_default().push(vm);
+        }
         let result = self.vms[vm].worker.call(self.now_ms, &call);
         if let WorkerCall::Start { task, incarnation, .. } = &call
             && starts_before < self.vms[vm].worker.starts
