--- a/src/cli/dev.rs
+++ b/src/cli/dev.rs
@@ -111,7 +111,7 @@
         let handle = process.handle();
         let run = move || {
             if let Err(report) = process.run() {
-                tracing::error!(event = "process_failed", error = ?report);
+                tracing::error!(event = "process_failed", error = %format_args!("{report:#}"));
             }
         };
         let thread = thread::Builder::new().name("core".to_owned()).spawn(run);
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -63,6 +63,7 @@
 
 /// Runs the command line of this process.
 pub fn main() -> ExitCode {
+    error_stack::Report::set_color_mode(error_stack::fmt::ColorMode::None);
     let arguments = Arguments::from_env();
     match dispatch(arguments) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/runtime/disk.rs
+++ b/src/runtime/disk.rs
@@ -96,7 +96,7 @@
                 }
                 Err(RecvTimeoutError::Disconnected) => {
                     if let Err(report) = disk.mark() {
-                        tracing::error!(event = "disk_failed", error = ?report);
+                        tracing::error!(event = "disk_failed", error = %format_args!("{report:#}"));
                     }
                     return;
                 }
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -326,7 +326,7 @@
                     Event::Kill => return Ending::CutOff,
                     Event::DiskFailed(report) => {
                         // What the disk holds is not known; only a restart reads it back.
-                        tracing::error!(event = "disk_failed", error = ?report);
+                        tracing::error!(event = "disk_failed", error = %format_args!("{report:#}"));
                         return Ending::Failed;
                     }
                     Event::Stop => {
--- a/src/runtime/role.rs
+++ b/src/runtime/role.rs
@@ -95,7 +95,7 @@
     pub(super) fn input(&mut self, cx: CX![], input: C::Input) {
         let now = self.clock.now();
         if let Err(report) = self.core.handle(now, input) {
-            tracing::error!(event = "core_failed", error = ?report);
+            tracing::error!(event = "core_failed", error = %format_args!("{report:#}"));
             return cx.fail_string(report.to_string());
         }
         let in_force = self.core.in_force();
--- a/tests/cluster/faults.rs
+++ b/tests/cluster/faults.rs
@@ -139,3 +139,60 @@
     let status = wait_until("control is back", || cluster.admin("status", None));
     assert!(revision <= status["accepted_revision"].as_u64().unwrap());
 }
+
+#[test]
+fn second_signal_is_the_hard_stop() {
+    let mut cluster = Cluster::start(Counts { controls: 1, entries: 1, agents: 1 });
+    // A request that is longer in flight than this test takes keeps the entry from draining.
+    cluster.executors[0].set_work_ms(8_000);
+    let load =
+        LoadOptions { seconds: 1, rate: 1, callers: 1, deadline_ms: 10_000, ..cluster.load() };
+    let loading = thread::spawn(move || run_load(&load));
+    thread::sleep(Duration::from_millis(500));
+    let file = cluster.layout.entry_files[0].clone();
+    cluster.signal(&file, Signal::TERM);
+    thread::sleep(Duration::from_millis(1_500));
+    assert!(
+        cluster.processes.get_mut(&file).unwrap().try_wait().unwrap().is_none(),
+        "it waits for what it took"
+    );
+    cluster.signal(&file, Signal::TERM);
+    let code = cluster.processes.remove(&file).unwrap().wait().unwrap();
+    assert_eq!(code.code(), Some(4));
+    loading.join().unwrap();
+}
+
+#[test]
+fn control_restarts_with_an_old_folder_and_refuses_a_flipped_log() {
+    let mut cluster = Cluster::start(Counts { controls: 3, entries: 0, agents: 0 });
+    let file = cluster.layout.control_files[0].clone();
+    cluster.kill(&file);
+    let mut revision = wait_until("there is a leader", || {
+        cluster.admin("status", None)?["accepted_revision"].as_u64()
+    });
+    for at in 0..50 {
+        let team = json!({"PutTeam": {
+            "name": format!("team-{at}"), "jobs_open_max": 1, "requests_in_flight_max": 1,
+            "quota": {"cpu_millicores": 1, "memory_mib": 1, "accelerators": 0},
+        }});
+        let body = json!({"based_on": revision, "key": format!("r-{at}"), "change": team});
+        revision = wait_until("a change is taken", || {
+            cluster.admin("configuration", Some(&body))?["revision"].as_u64()
+        });
+    }
+    cluster.spawn(&file);
+    wait_until("it has caught up", || {
+        let members = cluster.admin("members", None)?;
+        members.as_array()?.iter().all(|it| it["in_force"].as_u64() == Some(revision)).then_some(())
+    });
+    cluster.kill(&file);
+    let log = cluster.layout.folder.join("control-1/log-0");
+    let mut data = std::fs::read(&log).unwrap();
+    let middle = data.len() / 2;
+    data[middle] ^= 1;
+    std::fs::write(&log, data).unwrap();
+    cluster.spawn(&file);
+    let code = cluster.processes.remove(&file).unwrap().wait().unwrap();
+    assert_eq!(code.code(), Some(1), "it must not vote");
+    wait_until("the others go on", || cluster.admin("status", None));
+}
--- a/tests/cluster/harness.rs
+++ b/tests/cluster/harness.rs
@@ -33,7 +33,7 @@
 pub struct Cluster {
     pub layout: Layout,
     pub processes: BTreeMap<PathBuf, Child>,
-    executors: Vec<Arc<Seen>>,
+    pub executors: Vec<Arc<Seen>>,
     _folder: tempfile::TempDir,
 }
 
