--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -97,6 +97,10 @@
         "check-config" => roles::check_config(arguments),
         "init" => roles::init(arguments),
         "settings-page" => {
+            if arguments.wants_help() {
+                println!("aspenrail settings-page: prints the page on all settings");
+                return Ok(());
+            }
             arguments.finish()?;
             print!("{}", crate::config::settings_page());
             Ok(())
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -27,7 +27,13 @@
 
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: [{}] {}: {}", self.file, self.section, self.key, self.message)
+        match (self.section.is_empty(), self.key.is_empty()) {
+            (true, _) => write!(f, "{}: {}", self.file, self.message),
+            (false, true) => write!(f, "{}: [{}]: {}", self.file, self.section, self.message),
+            (false, false) => {
+                write!(f, "{}: [{}] {}: {}", self.file, self.section, self.key, self.message)
+            }
+        }
     }
 }
 
