--- /dev/null
+++ b/tests/state_twin.rs
@@ -0,0 +1,261 @@
+//! The replicated state against a naive twin that keeps a flat list of tasks and sums everything
+//! anew for each question.
+#![allow(clippy::unwrap_used)]
+
+use aspenrail::{control::state::State, prelude::*, util::Place};
+use proptest::prelude::*;
+
+const CAPACITY: u32 = 1_000;
+
+/// A task as the twin keeps it: where it is, and whether it is wanted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Spot {
+    Waiting,
+    On(usize),
+    /// Cancelled while it held a VM.
+    Ending(usize),
+    Over,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TwinTask {
+    need: u32,
+    spot: Spot,
+    incarnation: u32,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Twin {
+    tasks: Vec<TwinTask>,
+    /// Open session of each VM.
+    sessions: Vec<Option<u64>>,
+}
+
+impl Twin {
+    fn used(&self, vm: usize) -> u32 {
+        let held =
+            self.tasks.iter().filter(|it| it.spot == Spot::On(vm) || it.spot == Spot::Ending(vm));
+        held.map(|it| it.need).sum()
+    }
+
+    fn start(&mut self, task: usize, incarnation: u32, vm: usize, session: u64) -> bool {
+        let it = self.tasks[task];
+        let fits = self.used(vm) + it.need <= CAPACITY;
+        let ok = it.spot == Spot::Waiting
+            && it.incarnation + 1 == incarnation
+            && self.sessions[vm] == Some(session)
+            && fits;
+        if ok {
+            self.tasks[task].spot = Spot::On(vm);
+            self.tasks[task].incarnation = incarnation;
+        }
+        ok
+    }
+
+    fn end(&mut self, task: usize, incarnation: u32, completed: bool) -> bool {
+        let it = &mut self.tasks[task];
+        let ok = it.incarnation == incarnation && matches!(it.spot, Spot::On(_) | Spot::Ending(_));
+        if ok {
+            let goes_back = !completed && matches!(it.spot, Spot::On(_));
+            it.spot = if goes_back { Spot::Waiting } else { Spot::Over };
+        }
+        ok
+    }
+
+    fn cancel(&mut self, task: usize) {
+        let it = &mut self.tasks[task];
+        it.spot = match it.spot {
+            Spot::Waiting => Spot::Over,
+            Spot::On(vm) => Spot::Ending(vm),
+            other => other,
+        };
+    }
+
+    fn close(&mut self, vm: usize) {
+        self.sessions[vm] = None;
+        for it in &mut self.tasks {
+            it.spot = match it.spot {
+                Spot::On(on) if on == vm => Spot::Waiting,
+                Spot::Ending(on) if on == vm => Spot::Over,
+                other => other,
+            };
+        }
+    }
+}
+
+struct Pair {
+    state: State,
+    twin: Twin,
+    ids: Vec<(JobId, TaskId)>,
+}
+
+impl Pair {
+    fn apply(&mut self, command: Command) -> Result<Reply, Refusal> {
+        let index = self.state.index() + 1;
+        self.state.apply(index, index, &command, &mut Vec::new())
+    }
+
+    fn new() -> Pair {
+        let state = State::new(Place { region: 1, group: 1 });
+        let mut res = Pair { state, twin: Twin::default(), ids: Vec::new() };
+        let quota = Resources { cpu_millicores: CAPACITY, memory_mib: 1, accelerators: 0 };
+        let team =
+            Team { name: "t".into(), quota, jobs_open_max: 1_000, requests_in_flight_max: 1 };
+        let class = Class {
+            name: "c".into(),
+            kind: ClassKind::Batch,
+            answer_target_ms: 0,
+            answer_percentile_permille: 0,
+            deadline_max_ms: 0,
+            finish_target_ms: 0,
+            evictions_per_hour: 0,
+            urgent: false,
+        };
+        for change in [ConfigChange::PutTeam(team), ConfigChange::PutClass(class)] {
+            let based_on = res.state.configuration.revision;
+            let key = format_compact!("{based_on}");
+            res.apply(Command::Configure(ConfigureCommand {
+                based_on,
+                key,
+                operator: "o".into(),
+                change,
+            }))
+            .unwrap();
+        }
+        for vm in 0..3 {
+            res.twin.sessions.push(None);
+            res.open(vm);
+        }
+        res
+    }
+
+    fn open(&mut self, vm: usize) {
+        let index = self.state.index() + 1;
+        let command = OpenSessionCommand {
+            vm_name: format_compact!("vm-{vm}"),
+            boot: index,
+            zone: "z".into(),
+            rack: "r".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            capacity: Resources {
+                cpu_millicores: CAPACITY,
+                memory_mib: 1_000_000,
+                accelerators: 0,
+            },
+        };
+        self.apply(Command::OpenSession(command)).unwrap();
+        self.twin.sessions[vm] = Some(index);
+    }
+
+    fn submit(&mut self, need: u32) {
+        let number = self.ids.len();
+        let spec = JobSpec {
+            kind: "k".into(),
+            class: "c".into(),
+            subject: "s".into(),
+            tasks: 1,
+            resources: Resources { cpu_millicores: need, memory_mib: 0, accelerators: 0 },
+            declared_run_ms: 1,
+            payload: "".into(),
+        };
+        let command = SubmitCommand { team: "t".into(), key: format_compact!("{number}"), spec };
+        let Ok(Reply::JobAccepted(it)) = self.apply(Command::Submit(command)) else {
+            panic!("refused")
+        };
+        let task = self.state.jobs.job(it.job).unwrap().first_task;
+        self.ids.push((it.job, task));
+        self.twin.tasks.push(TwinTask { need, spot: Spot::Waiting, incarnation: 0 });
+    }
+
+    /// Does one step to both, and checks that they agree.
+    fn step(&mut self, (kind, task, vm, skew): (u8, usize, usize, u32)) {
+        if self.ids.is_empty() || kind == 0 {
+            return self.submit(100 + (task as u32 * 130) % 700);
+        }
+        let task = task % self.ids.len();
+        let (job, id) = self.ids[task];
+        // Most of the time the right incarnation, now and then an older or a newer one.
+        let incarnation =
+            (self.twin.tasks[task].incarnation + u32::from(kind == 1) + u32::from(skew == 1))
+                .saturating_sub(u32::from(skew == 2));
+        match kind {
+            1 => {
+                let session = self.twin.sessions[vm].unwrap_or(1) - u64::from(skew == 3);
+                let start = StartCommand {
+                    task: id,
+                    incarnation,
+                    vm: VmId(vm as u32 + 1),
+                    session: SessionId(session),
+                };
+                let expected = self.twin.start(task, incarnation, vm, session);
+                assert_eq!(self.apply(Command::Start(start)).is_ok(), expected);
+            }
+            2 | 3 => {
+                let done = Completion { result: "r".into(), run_ms: 1 };
+                let event = if kind == 2 { TaskEvent::Completed(done) } else { TaskEvent::Stopped };
+                let expected = self.twin.end(task, incarnation, kind == 2);
+                let command = TaskEventCommand { task: id, incarnation, event };
+                assert_eq!(self.apply(Command::TaskEvent(command)).is_ok(), expected);
+            }
+            4 => {
+                self.twin.cancel(task);
+                let _ = self
+                    .apply(Command::Cancel(CancelCommand { team: "t".into(), jobs: vec![job] }));
+            }
+            5 => {
+                if let Some(session) = self.twin.sessions[vm] {
+                    self.twin.close(vm);
+                    let command = CloseSessionCommand {
+                        session: SessionId(session),
+                        reason: SessionEnd::Expired,
+                    };
+                    self.apply(Command::CloseSession(command)).unwrap();
+                }
+            }
+            _ => self.open(vm),
+        }
+        self.compare();
+    }
+
+    fn compare(&self) {
+        self.state.audit().unwrap();
+        for ((_, id), twin) in self.ids.iter().zip(&self.twin.tasks) {
+            let task = self.state.jobs.task(*id).unwrap();
+            let spot = match (task.placement, task.state) {
+                (Some(it), TaskState::Stopping) => Spot::Ending(it.vm.0 as usize - 1),
+                (Some(it), _) => Spot::On(it.vm.0 as usize - 1),
+                (None, it) if it.is_waiting() => Spot::Waiting,
+                (None, _) => Spot::Over,
+            };
+            assert_eq!((spot, task.incarnation), (twin.spot, twin.incarnation), "task {id}");
+        }
+        for (vm, session) in self.twin.sessions.iter().enumerate() {
+            let it = self.state.vms.get(VmId(vm as u32 + 1)).unwrap();
+            assert_eq!(it.used.cpu_millicores, self.twin.used(vm));
+            assert_eq!(it.session.as_ref().map(|it| it.id.0), *session);
+        }
+        let copy = State::from_bytes(&self.state.to_bytes().unwrap()).unwrap();
+        assert_eq!(
+            copy.to_bytes().unwrap(),
+            self.state.to_bytes().unwrap(),
+            "a snapshot is the state"
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn state_agrees_with_its_twin(steps in proptest::collection::vec((0_u8..7, 0_usize..40, 0_usize..3, 0_u32..12), 1..120)) {
+        let mut pair = Pair::new();
+        for it in steps {
+            pair.step(it);
+        }
+    }
+}
