--- /dev/null
+++ b/tests/links.rs
@@ -0,0 +1,82 @@
+//! Links between processes on loopback.
+#![allow(clippy::unwrap_used)]
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use aspenrail::{
+    link::{Link, LinkEvent, LinkOptions, LinkSink},
+    metrics::Metrics,
+    prelude::*,
+    schema::PROTOCOL_VERSION,
+    standin::layout::free_addresses,
+};
+use crossbeam_channel::{Receiver, Sender, unbounded};
+
+/// Far longer than anything here takes.
+const NEVER: Duration = Duration::from_secs(30);
+
+#[derive(Clone)]
+struct Sink(Sender<LinkEvent>);
+
+impl LinkSink for Sink {
+    fn accept(&self, event: LinkEvent) {
+        let _ = self.0.send(event);
+    }
+}
+
+struct Process {
+    link: Link,
+    events: Receiver<LinkEvent>,
+    metrics: Arc<Metrics>,
+    address: SocketAddr,
+}
+
+fn start(version: u32, group: u32) -> Process {
+    let address = free_addresses(1).unwrap()[0];
+    let hello = Hello { version, process: "p".into(), region: 1, group, address };
+    let options =
+        LinkOptions { hello, listen: address, queue_messages: 16, frame_max_bytes: 100_000 };
+    let (sender, events) = unbounded();
+    let metrics = Metrics::new();
+    let link = Link::start(options, metrics.clone(), Sink(sender)).unwrap();
+    Process { link, events, metrics, address }
+}
+
+fn message(number: u64) -> Envelope {
+    Envelope { in_force: Revision(number), message: Message::NotLeader(None) }
+}
+
+#[test]
+fn messages_arrive_whole_and_in_order() {
+    let (a, b) = (start(PROTOCOL_VERSION, 1), start(PROTOCOL_VERSION, 1));
+    (1..=10).for_each(|it| a.link.send(b.address, message(it)));
+    for number in 1..=10 {
+        let LinkEvent::Message { from, envelope } = b.events.recv_timeout(NEVER).unwrap() else {
+            panic!("lost")
+        };
+        assert_eq!((from, *envelope), (a.address, message(number)));
+    }
+}
+
+#[yare::parameterized(
+    other_version = { PROTOCOL_VERSION + 1, 1 },
+    other_group = { PROTOCOL_VERSION, 2 },
+)]
+fn stranger_is_refused(version: u32, group: u32) {
+    let (stranger, own) = (start(version, group), start(PROTOCOL_VERSION, 1));
+    stranger.link.send(own.address, message(1));
+    let event = stranger.events.recv_timeout(NEVER).unwrap();
+    assert!(matches!(event, LinkEvent::Lost { peer } if peer == own.address), "{event:?}");
+    assert_eq!(own.metrics.refusals_of(ErrorKind::VersionUnsupported), 1);
+    assert!(own.events.try_recv().is_err(), "nothing of it is taken in");
+}
+
+#[test]
+fn dead_peer_is_told_as_lost() {
+    let a = start(PROTOCOL_VERSION, 1);
+    let nobody = free_addresses(1).unwrap()[0];
+    a.link.send(nobody, message(1));
+    assert!(
+        matches!(a.events.recv_timeout(NEVER).unwrap(), LinkEvent::Lost { peer } if peer == nobody)
+    );
+}
