--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -26,9 +26,6 @@
 
 use crate::{http::HttpAnswer, prelude::*};
 
-/// Headers of one request, all together.
-const HEADERS_MAX_BYTES: usize = 16 * 1024;
-
 /// Bytes of a body too large that are read before its connection is closed.
 const DISCARDED_MAX_BYTES: usize = 64 * 1024 * 1024;
 
@@ -41,6 +38,7 @@
     pub listen: SocketAddr,
     pub threads: usize,
     pub body_max_bytes: usize,
+    pub headers_max_bytes: usize,
 }
 
 /// A request, read whole.
@@ -194,7 +192,8 @@
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(READ_TIMEOUT)
-            .max_buf_size(HEADERS_MAX_BYTES.max(8 * 1024))
+            // The library's least is 8 KiB, and so is the setting's.
+            .max_buf_size(options.headers_max_bytes.max(8 * 1024))
             .serve_connection(TokioIo::new(tcp), service);
         tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
--- a/src/runtime/edges.rs
+++ b/src/runtime/edges.rs
@@ -23,6 +23,9 @@
 /// Largest body of an operator's or an endpoint's request.
 const SMALL_BODY_BYTES: usize = 256 * 1024;
 
+/// Largest headers of such a request.
+const SMALL_HEADERS_BYTES: usize = 16 * 1024;
+
 /// Longest time that an operator's request waits for the leader.
 const ADMIN_MAX_MS: u64 = 8_000;
 
@@ -80,6 +83,7 @@
             listen: settings.listen,
             threads: settings.threads as usize,
             body_max_bytes: settings.body_max_bytes as usize,
+            headers_max_bytes: settings.headers_max_bytes as usize,
         };
         let pending = self.pending.clone();
         start_server(options, &pending, move |token, it| {
@@ -147,5 +151,10 @@
 }
 
 fn small(listen: std::net::SocketAddr) -> ServerOptions {
-    ServerOptions { listen, threads: SMALL_THREADS, body_max_bytes: SMALL_BODY_BYTES }
+    ServerOptions {
+        listen,
+        threads: SMALL_THREADS,
+        body_max_bytes: SMALL_BODY_BYTES,
+        headers_max_bytes: SMALL_HEADERS_BYTES,
+    }
 }
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -127,6 +127,8 @@
     pub attempts_max: u32,
     ///Largest request body.
     pub body_max_bytes: u32,
+    ///Largest headers of a request, all together.
+    pub headers_max_bytes: u32,
     ///Requests of any sort that may be open in this entry.
     pub in_flight_max: u32,
     ///Address of the caller API.
--- a/src/standin/executor.rs
+++ b/src/standin/executor.rs
@@ -82,7 +82,12 @@
     seen.set_work_ms(options.work_ms);
     seen.set_fail_permille(options.fail_permille);
     let pending = Pending::default();
-    let server = ServerOptions { listen: options.listen, threads: 1, body_max_bytes: 16 << 20 };
+    let server = ServerOptions {
+        listen: options.listen,
+        threads: 1,
+        body_max_bytes: 16 << 20,
+        headers_max_bytes: 16 * 1024,
+    };
     let (counted, work, answers) = (seen.clone(), options.clone(), pending.clone());
     start_server(server, &pending, move |token, it| {
         let it = match it {
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -35,7 +35,8 @@
 pub fn start_worker(listen: SocketAddr, model: WorkerModel) -> Result<()> {
     let model = Arc::new(Mutex::new(model));
     let pending = Pending::default();
-    let options = ServerOptions { listen, threads: 2, body_max_bytes: 1 << 20 };
+    let options =
+        ServerOptions { listen, threads: 2, body_max_bytes: 1 << 20, headers_max_bytes: 16 * 1024 };
     start_server(options, &pending, move |_, it| {
         let call = match it.and_then(|it| parse(&it)) {
             Ok(it) => it,
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -19,7 +19,12 @@
 
 fn start() -> SocketAddr {
     let address = free_addresses(1).unwrap()[0];
-    let options = ServerOptions { listen: address, threads: 2, body_max_bytes: 1_000 };
+    let options = ServerOptions {
+        listen: address,
+        threads: 2,
+        body_max_bytes: 1_000,
+        headers_max_bytes: 16 * 1024,
+    };
     start_server(options, &Pending::default(), |_, it| {
         Some(match it {
             Ok(it) => HttpAnswer::text(200, "text/plain", format!("{} bytes", it.body.len())),
--- a/tests/promises/world/settings.rs
+++ b/tests/promises/world/settings.rs
@@ -38,6 +38,7 @@
         teams_file: "unused".into(),
         threads: 1,
         body_max_bytes: 1 << 20,
+        headers_max_bytes: 16 * 1024,
         queue_max: 256,
         in_flight_max: 4_096,
         attempts_max: 4,
