--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -225,7 +225,7 @@
                 "lease_left_ms",
             ],
         ),
-        ("QUEUE", "queue", &["team", "waiting", "quota_used_permille", "jobs_open"]),
+        ("QUEUE", "queue", &["team", "waiting", "by_class", "quota_used_permille", "jobs_open"]),
         (
             "CLASSES",
             "classes",
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -1,5 +1,7 @@
 //! What the leader answers to reads, as JSON documents.
 
+use std::collections::BTreeMap;
+
 use serde_json::{Value, json};
 
 use crate::{
@@ -153,10 +155,20 @@
 
 fn queue(core: &ControlCore) -> Value {
     let Some(scheduler) = core.scheduler() else { return json!([]) };
+    let mut by_class: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for (team, id) in scheduler.queue().iter() {
+        let job = core.state.jobs.task(id).and_then(|it| core.state.jobs.job_of(it));
+        let class = job.map_or("", |it| it.spec.class.as_str());
+        *by_class.entry((team.as_str(), class)).or_insert(0) += 1;
+    }
     let rows = scheduler.queue().waiting_by_team().map(|(team, waiting)| {
+        let of_team = by_class.iter().filter(|((it, _), _)| *it == team.as_str());
+        let classes: Vec<_> =
+            of_team.map(|((_, class), count)| format!("{class}:{count}")).collect();
         json!({
             "team": team,
             "waiting": waiting,
+            "by_class": classes.join(" "),
             "quota_used_permille": scheduler.queue().share_permille(team),
             "jobs_open": core.state.jobs.open_of(team),
         })
--- a/src/policy/order.rs
+++ b/src/policy/order.rs
@@ -180,6 +180,11 @@
         self.tasks.is_empty()
     }
 
+    /// Returns every waiting task with its team, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (&CompactString, TaskId)> {
+        self.tasks.iter().map(|(task, (team, _))| (team, *task))
+    }
+
     /// Returns the tasks waiting by team.
     pub fn waiting_by_team(&self) -> impl Iterator<Item = (&CompactString, usize)> {
         self.teams.iter().map(|(name, it)| (name, it.waiting.len()))
