Do not count a class's endpoints for every quick request; remove a dead queue method

Cause: found by reading the change again. Change: the question stops at the first open endpoint; slots are summed only for a request that has to wait. Not measured.

--- a/src/entry/core/admission.rs
+++ b/src/entry/core/admission.rs
@@ -121,7 +121,7 @@
                 format_compact!("team {} has {most} requests open here, its most", quick.team);
             return Err(refusal_until(ErrorKind::TeamShareExceeded, detail, 100));
         }
-        if self.endpoints.capacity_of(&quick.quick.class).0 == 0 {
+        if !self.endpoints.has_open(&quick.quick.class) {
             let detail = format_compact!("class {} has no endpoint now", quick.quick.class);
             return Err(refusal_until(ErrorKind::NoEndpoint, detail, 1_000));
         }
@@ -165,7 +165,7 @@
         let team = quick.team.clone();
         let waiting = Waiting { key, deadline_ms: quick.deadline_ms };
         let answer_ms = self.endpoints.answer_ms_of(&class);
-        let (_, slots) = self.endpoints.capacity_of(&class);
+        let slots = self.endpoints.slots_of(&class);
         let len_max = self.options.settings.queue_max as usize;
         let queued = self.lines.get(&class).map_or(0, |it| it.queue.len());
         let wait_ms = admission::expected_wait_ms(queued, slots, answer_ms);
--- a/src/entry/core/attempts.rs
+++ b/src/entry/core/attempts.rs
@@ -354,7 +354,7 @@
         }
         self.metrics.retried(reason);
         quick.stage = Stage::Waiting;
-        if self.endpoints.capacity_of(&quick.quick.class).0 == 0 {
+        if !self.endpoints.has_open(&quick.quick.class) {
             self.give_up(now, key, ErrorKind::NoEndpoint)
         } else if !self.try_begin(now, key) {
             self.enqueue(now, key);
--- a/src/entry/endpoints.rs
+++ b/src/entry/endpoints.rs
@@ -88,14 +88,14 @@
         self.by_id.get(&id).copied()
     }
 
-    /// Returns the endpoints of a class that take requests, and their slots.
-    pub(super) fn capacity_of(&self, class: &str) -> (usize, u32) {
-        let open = self
-            .of_class(class)
-            .iter()
-            .filter_map(|it| self.endpoints.get(*it))
-            .filter(|it| !it.leaving);
-        open.fold((0, 0), |(count, slots), it| (count + 1, slots + it.slots))
+    /// Returns whether any endpoint of a class takes requests.
+    pub(super) fn has_open(&self, class: &str) -> bool {
+        self.open_of(class).next().is_some()
+    }
+
+    /// Returns the slots of a class's endpoints that take requests.
+    pub(super) fn slots_of(&self, class: &str) -> u32 {
+        self.open_of(class).map(|it| it.slots).sum()
     }
 
     /// Returns the mean answer time estimated of a class.
@@ -192,6 +192,11 @@
         }
     }
 
+    fn open_of(&self, class: &str) -> impl Iterator<Item = &Endpoint> {
+        let endpoints = self.of_class(class).iter().filter_map(|it| self.endpoints.get(*it));
+        endpoints.filter(|it| !it.leaving)
+    }
+
     fn of_class(&self, class: &str) -> &[EndpointKey] {
         self.by_class.get(class).map_or(&[], Vec::as_slice)
     }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -125,23 +125,6 @@
         }
     }
 
-    /// Takes out the requests that can no longer be answered by their deadline.
-    pub fn drop_late(&mut self, now_ms: u64, answer_ms: u64) -> Vec<Waiting<K>> {
-        let mut late = Vec::new();
-        for list in self.teams.values_mut() {
-            list.retain(|it| {
-                let in_time = now_ms + answer_ms < it.deadline_ms;
-                if !in_time {
-                    late.push(*it);
-                }
-                in_time
-            });
-        }
-        self.teams.retain(|_, list| !list.is_empty());
-        self.len -= late.len();
-        late
-    }
-
     /// Takes one request out.
     pub fn remove(&mut self, key: K) {
         for list in self.teams.values_mut() {
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -26,6 +26,12 @@
     DiskWrite::Append(indexes.map(entry).collect())
 }
 
+fn snapshot_at_8() -> Snapshot {
+    let data = vec![7; 1_000];
+    let members = Membership::default();
+    Snapshot { index: 8, term: 1, members, checksum: checksum(&data), data }
+}
+
 /// Makes a folder with ten entries, each synced by itself, and returns the path of its log.
 fn ten_entries(folder: &Path) -> std::path::PathBuf {
     let (mut disk, _) = open(folder).unwrap();
@@ -56,14 +62,7 @@
     let folder = tempfile::tempdir().unwrap();
     ten_entries(folder.path());
     let (mut disk, _) = open(folder.path()).unwrap();
-    let data = vec![7; 1_000];
-    let snapshot = Snapshot {
-        index: 8,
-        term: 1,
-        members: Membership::default(),
-        checksum: checksum(&data),
-        data,
-    };
+    let snapshot = snapshot_at_8();
     disk.write(&[DiskWrite::Snapshot(Arc::new(snapshot.clone())), append(9..=10)]).unwrap();
     drop(disk);
     let (_, recovered) = open(folder.path()).unwrap();
@@ -130,14 +129,7 @@
 fn corrupt_snapshot_is_refused() {
     let folder = tempfile::tempdir().unwrap();
     let (mut disk, _) = open(folder.path()).unwrap();
-    let data = vec![7; 1_000];
-    let snapshot = Snapshot {
-        index: 8,
-        term: 1,
-        members: Membership::default(),
-        checksum: checksum(&data),
-        data,
-    };
+    let snapshot = snapshot_at_8();
     disk.write(&[DiskWrite::Snapshot(Arc::new(snapshot))]).unwrap();
     drop(disk);
     let path = folder.path().join("snapshot-8");
