--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -35,11 +35,23 @@
 
 /// Starts logging to standard error; `ASPENRAIL_LOG` overrides the level.
 pub(super) fn start(level: &str) {
+    start_to(level, std::io::stderr);
+}
+
+/// Starts logging to standard output; `ASPENRAIL_LOG` overrides the level.
+pub fn start_to_stdout(level: &str) {
+    start_to(level, std::io::stdout);
+}
+
+fn start_to<W>(level: &str, writer: W)
+where
+    W: for<'a> tracing_subscriber::fmt::MakeWriter<'a> + Send + Sync + 'static,
+{
     let filter = std::env::var("ASPENRAIL_LOG").unwrap_or_else(|_| format!("{level},h2=warn"));
     let filter = tracing_subscriber::EnvFilter::new(filter);
     let subscriber = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(writer)
         .with_ansi(false)
         .event_format(KeyValueLine);
     // Fails only where logging was started before, as in `dev`.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,7 +6,7 @@
 mod arguments;
 mod bench;
 mod dev;
-mod logs;
+pub mod logs;
 mod operator;
 mod roles;
 mod standin;
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -217,7 +217,7 @@
             Err(format!("'{text}' is not an IP address with port, such as 10.0.0.1:7000"))
         }
         "#/definitions/Role" if text.parse::<Role>().is_err() => {
-            Err(format!("'{text}' is not a role; roles are entry, agent, control"))
+            Err(format!("'{text}' is not a role; roles are entry, agent, control, gateway, node, dispatch"))
         }
         "#/definitions/Text" if text.is_empty() => Err("must not be empty".to_owned()),
         _ => Ok(Value::from(text)),
@@ -272,6 +272,9 @@
         (Role::Entry, "entry", it.entry.is_some()),
         (Role::Agent, "agent", it.agent.is_some()),
         (Role::Control, "control", it.control.is_some()),
+        (Role::Gateway, "gateway", it.gateway.is_some()),
+        (Role::Node, "node", it.node.is_some()),
+        (Role::Dispatch, "dispatch", it.dispatch.is_some()),
     ];
     for (role, section, present) in sections {
         match (roles.contains(&role), present) {
@@ -294,6 +297,8 @@
     listens.extend(it.entry.as_ref().map(|it| ("entry", it.listen)));
     listens.extend(it.agent.as_ref().map(|it| ("agent", it.listen)));
     listens.extend(it.control.as_ref().map(|it| ("control", it.listen)));
+    listens.extend(it.gateway.as_ref().map(|it| ("gateway", it.listen)));
+    listens.extend(it.node.as_ref().map(|it| ("node", it.listen)));
     for (at, (section, address)) in listens.iter().enumerate() {
         if let Some((other, _)) =
             listens[..at].iter().find(|(_, it)| it == address && it.port() != 0)
@@ -318,6 +323,9 @@
     if let Some(control) = &it.control {
         check_control(file, control, &mut problems);
     }
+    if let Some(dispatch) = &it.dispatch {
+        check_dispatch(file, dispatch, &mut problems);
+    }
     for (section, key, path) in [
         ("entry", "teams_file", it.entry.as_ref().map(|it| &it.teams_file)),
         ("control", "operators_file", it.control.as_ref().map(|it| &it.operators_file)),
@@ -329,18 +337,39 @@
     if problems.is_empty() { Ok(it.clone()) } else { Err(problems) }
 }
 
-fn check_control(
+fn check_dispatch(
     file: &str,
-    it: &crate::schema::settings::ControlSettings,
+    it: &crate::schema::settings::DispatchSettings,
+    problems: &mut Vec<Problem>,
+) {
+    check_election(file, "dispatch", it.election_timeout_ms, it.heartbeat_ms, problems);
+    if !Path::new(it.data_folder.as_str()).is_dir() {
+        let message = format!("there is no folder '{}'", it.data_folder);
+        problems.push(problem(file, "dispatch", "data_folder", &message));
+    }
+}
+
+fn check_election(
+    file: &str,
+    section: &str,
+    election_timeout_ms: u32,
+    heartbeat_ms: u32,
     problems: &mut Vec<Problem>,
 ) {
-    if it.election_timeout_ms < it.heartbeat_ms * 3 {
+    if election_timeout_ms < heartbeat_ms * 3 {
         let message = format!(
-            "{} is less than three heartbeats of {} ms: a single lost one would depose the leader",
-            it.election_timeout_ms, it.heartbeat_ms
+            "{election_timeout_ms} is less than three heartbeats of {heartbeat_ms} ms: a single lost one would depose the leader"
         );
-        problems.push(problem(file, "control", "election_timeout_ms", &message));
+        problems.push(problem(file, section, "election_timeout_ms", &message));
     }
+}
+
+fn check_control(
+    file: &str,
+    it: &crate::schema::settings::ControlSettings,
+    problems: &mut Vec<Problem>,
+) {
+    check_election(file, "control", it.election_timeout_ms, it.heartbeat_ms, problems);
     if it.lease_ms < it.election_timeout_ms * 3 {
         let message = format!(
             "{} is less than three election timeouts of {} ms: a change of leader would cost agents their leases",
--- a/src/control/client.rs
+++ b/src/control/client.rs
@@ -5,7 +5,10 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use crate::{control::state::Outcome, prelude::*};
+use crate::{
+    control::{finder::Finder, state::Outcome},
+    prelude::*,
+};
 
 /// Time after which an operation without an answer is sent to the next control process.
 const RESEND_MS: u64 = 400;
@@ -25,9 +28,7 @@
 #[derive(Clone, Debug)]
 pub struct ControlClient<T> {
     reply_to: SocketAddr,
-    controls: Vec<SocketAddr>,
-    target: usize,
-    leader: Option<SocketAddr>,
+    finder: Finder,
     calls: HashMap<u64, Call<T>>,
     next_id: u64,
     outbox: Vec<(SocketAddr, Message)>,
@@ -39,9 +40,7 @@
     pub fn new(reply_to: SocketAddr, controls: Vec<SocketAddr>, boot: u64) -> ControlClient<T> {
         ControlClient {
             reply_to,
-            target: boot as usize % controls.len().max(1),
-            controls,
-            leader: None,
+            finder: Finder::new(controls, boot),
             calls: HashMap::new(),
             next_id: boot,
             outbox: Vec::new(),
@@ -50,21 +49,17 @@
 
     /// Returns the process that is thought to lead, or the next one to try.
     pub fn target(&self) -> Option<SocketAddr> {
-        self.leader.or_else(|| self.controls.get(self.target).copied())
+        self.finder.target()
     }
 
     /// Learns who leads.
     pub fn set_leader(&mut self, leader: Option<SocketAddr>) {
-        match leader {
-            Some(_) => self.leader = leader,
-            None => self.try_next(),
-        }
+        self.finder.set_leader(leader);
     }
 
     /// Turns to the next control process, since the current one is silent or does not lead.
     pub fn try_next(&mut self) {
-        self.leader = None;
-        self.target = (self.target + 1) % self.controls.len().max(1);
+        self.finder.try_next();
     }
 
     /// Returns the operations under way.
@@ -117,7 +112,7 @@
             .collect();
         due.sort_unstable();
         due.retain(|it| !ended.contains(it));
-        if !due.is_empty() && self.leader.is_some() {
+        if !due.is_empty() && self.finder.leader().is_some() {
             // The leader owed an answer to one of these.
             self.try_next();
         }
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -1,7 +1,9 @@
 //! One member of a control group, without its I/O.
 
+mod keeper;
 mod operations;
 mod reports;
+mod workflows;
 
 use std::{
     collections::{BTreeMap, HashSet},
@@ -13,6 +15,7 @@
     control::{
         client::ControlClient,
         directory::Directory,
+        dispatch::{DispatchOptions, Dispatcher},
         log::{Applied, DiskWrite, Raft, RaftOptions, Recovered},
         reconcile,
         scheduler::{Scheduler, SchedulerOptions},
@@ -47,6 +50,10 @@
     pub settings: ControlSettings,
     /// Random number of this process.
     pub boot: u64,
+    /// How workflows are dispatched, where this group does.
+    pub dispatch: Option<DispatchOptions>,
+    /// Voters that the group keeps by itself; 0 leaves its membership to operators.
+    pub voters: usize,
 }
 
 /// What a member is told.
@@ -66,6 +73,8 @@
         number: u64,
     },
     DiskFull(bool),
+    /// Other control addresses, from changed settings.
+    Controls(Vec<SocketAddr>),
     Tick,
     /// A planned stop: leadership is handed over.
     Stop,
@@ -99,6 +108,7 @@
     pub sessions: Sessions,
     pub directory: Directory,
     pub scheduler: Scheduler,
+    pub dispatcher: Option<Dispatcher>,
     /// Events proposed and not applied, so that each is proposed once.
     proposed: HashSet<(TaskId, u32, std::mem::Discriminant<TaskEvent>)>,
     expire_at_ms: u64,
@@ -114,6 +124,9 @@
     waiting: BTreeMap<u64, (u64, ReplyTo)>,
     /// Where members not in the membership known here were heard from.
     heard_from: BTreeMap<MemberId, SocketAddr>,
+    /// Workflow calls that wait for their entry: its term, and whom to answer.
+    calls_waiting: BTreeMap<u64, (u64, workflows::CallReply)>,
+    keeper: keeper::Keeper,
     client: ControlClient<u64>,
     disk_full: bool,
     effects: Vec<Effect>,
@@ -142,6 +155,8 @@
             leading: None,
             waiting: BTreeMap::new(),
             heard_from: BTreeMap::new(),
+            calls_waiting: BTreeMap::new(),
+            keeper: keeper::Keeper::default(),
             client,
             disk_full: false,
             effects: Vec::new(),
@@ -179,7 +194,7 @@
     pub fn next_tick_ms(&self) -> u64 {
         let raft_ms = self.raft.next_tick_ms();
         let leading_ms = self.leading.as_ref().map_or(u64::MAX, |it| it.tick_at_ms);
-        raft_ms.min(leading_ms).min(self.client.next_tick_ms().unwrap_or(u64::MAX))
+        raft_ms.min(leading_ms).min(self.keeper_tick_ms()).min(self.client.next_tick_ms().unwrap_or(u64::MAX))
     }
 
     /// Takes the effects of the inputs so far.
@@ -200,6 +215,7 @@
             }
             Input::Persisted { number } => self.raft.persisted(now, number),
             Input::DiskFull(it) => self.disk_full = it,
+            Input::Controls(it) => self.options.controls = it,
             Input::Tick => self.tick(now),
             Input::Stop => self.raft.hand_over(now),
         }
@@ -211,6 +227,7 @@
         self.raft.flush(now);
         self.apply(now)?;
         self.follow_leadership(now);
+        self.turn_dispatcher(now);
         if self.raft.snapshot_index() + u64::from(self.options.settings.snapshot_entries)
             < self.state.index()
         {
@@ -245,6 +262,7 @@
         if self.raft.has_lease(now) {
             self.lead(now);
         }
+        self.tick_keeper(now);
         if let Some(it) = &mut self.leading {
             it.tick_at_ms = now.mono_ms + LEADER_TICK_MS;
         }
@@ -297,6 +315,9 @@
             }
             Message::AgentHeartbeat(it) => self.on_agent_heartbeat(now, it),
             Message::EntryHeartbeat(it) => self.on_entry_heartbeat(now, &it),
+            Message::WorkflowCall(it) => self.on_workflow_call(now, it),
+            Message::NodeReport(it) => self.on_node_report(now, it),
+            Message::Join(it) => self.on_join(now, it),
             Message::ConfigFetch(it) => {
                 let update = Message::ConfigUpdate(self.state.configuration.clone());
                 self.effects.push(Effect::Send { to: it.reply_to, message: update });
@@ -337,6 +358,9 @@
             }
             return;
         };
+        if let Command::Workflow(it) = command {
+            return self.apply_workflow(now, entry, it);
+        }
         let mut changes = Vec::new();
         let outcome = self.state.apply(entry.index, entry.time_ms, command, &mut changes);
         if let Some(leading) = &mut self.leading {
@@ -371,6 +395,9 @@
                     sessions: Sessions::take_over(&self.state, now, held_ms(settings)),
                     directory: Directory::new(self.raft.term()),
                     scheduler: Scheduler::new(&self.state, scheduler),
+                    dispatcher: self.options.dispatch.map(|it| {
+                        Dispatcher::new(it, &self.state.workflows, self.raft.term(), now)
+                    }),
                     proposed: HashSet::new(),
                     expire_at_ms: now.mono_ms + EXPIRE_MS,
                     tick_at_ms: now.mono_ms,
@@ -387,6 +414,9 @@
             }
             _ => (),
         }
+        if !self.raft.is_leader() && !self.calls_waiting.is_empty() {
+            self.abandon_calls();
+        }
         if !self.raft.is_leader() && !self.waiting.is_empty() {
             for (_, to) in std::mem::take(&mut self.waiting).into_values() {
                 self.answer_not_leader(to);
--- /dev/null
+++ b/src/control/core/workflows.rs
@@ -0,0 +1,154 @@
+//! Workflows as a member of the group sees them: requests, reports and the dispatcher's turns.
+
+use std::net::SocketAddr;
+
+use crate::{
+    control::{
+        core::{ControlCore, Effect},
+        dispatch::{Dispatcher, Verdict},
+    },
+    prelude::*,
+};
+
+/// Whom the answer to a workflow request goes to.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallReply {
+    pub address: SocketAddr,
+    pub id: u64,
+}
+
+impl ControlCore {
+    /// Returns where the members of the group are.
+    pub(super) fn member_addresses(&self) -> Vec<SocketAddr> {
+        let members = self.raft.members();
+        members.voters.iter().chain(&members.learners).map(|it| it.address).collect()
+    }
+
+    pub(super) fn on_workflow_call(&mut self, now: Now, it: WorkflowCall) {
+        let to = CallReply { address: it.reply_to, id: it.id };
+        if !self.raft.has_lease(now) || self.leading.is_none() {
+            return self.answer_call(to, WorkflowOutcome::NotLeader(self.leader_address()));
+        }
+        match Dispatcher::decide(&self.state.workflows, it.request, now) {
+            Verdict::Answer(outcome) => self.answer_call(to, outcome),
+            Verdict::Propose(_) if self.disk_full => {
+                tracing::warn!(event = "proposal_refused", cause = "disk_full", call = to.id);
+                self.answer_call(to, WorkflowOutcome::Busy(FULL_PAUSE_MS));
+            }
+            Verdict::Propose(command) => self.propose_workflow(now, command, Some(to)),
+        }
+    }
+
+    pub(super) fn on_node_report(&mut self, now: Now, it: NodeReport) {
+        if !self.raft.has_lease(now) || self.leading.is_none() {
+            let message = Message::NotLeader(self.leader_address());
+            self.effects.push(Effect::Send { to: it.node, message });
+            return;
+        }
+        let members = self.member_addresses();
+        if let Some(leading) = &mut self.leading
+            && let Some(dispatcher) = &mut leading.dispatcher
+        {
+            dispatcher.on_report(&self.state.workflows, it, &members, now);
+        }
+    }
+
+    /// Applies a change of the workflows, and answers who waits for it.
+    pub(super) fn apply_workflow(
+        &mut self,
+        now: Now,
+        entry: &LogEntry,
+        command: &WorkflowCommand,
+    ) {
+        let outcome = self.state.apply_workflow(entry.index, entry.time_ms, command);
+        log_applied(command, entry, &outcome);
+        let members = self.member_addresses();
+        if let Some(leading) = &mut self.leading
+            && let Some(dispatcher) = &mut leading.dispatcher
+        {
+            dispatcher.note_applied(&self.state.workflows, command, &members, now);
+        }
+        if let Some((term, to)) = self.calls_waiting.remove(&entry.index) {
+            let outcome = match term == entry.term {
+                true => outcome,
+                false => WorkflowOutcome::NotLeader(self.leader_address()),
+            };
+            self.answer_call(to, outcome);
+        }
+    }
+
+    /// Lets the dispatcher plan, and carries out what it wants.
+    pub(super) fn turn_dispatcher(&mut self, now: Now) {
+        if !self.raft.has_lease(now) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else { return };
+        let Some(dispatcher) = &mut leading.dispatcher else { return };
+        if dispatcher.next_tick_ms() <= now.mono_ms {
+            dispatcher.tick(&self.state.workflows, now);
+        }
+        let step = dispatcher.finish_turn(&self.state.workflows, now);
+        for (to, message) in step.messages {
+            self.effects.push(Effect::Send { to, message });
+        }
+        for command in step.commands {
+            self.propose_workflow(now, command, None);
+        }
+        self.raft.flush(now);
+    }
+
+    /// Tells clients that wait that this member no longer leads; a new leader may still commit
+    /// what they asked for.
+    pub(super) fn abandon_calls(&mut self) {
+        for (_, to) in std::mem::take(&mut self.calls_waiting).into_values() {
+            self.answer_call(to, WorkflowOutcome::Interrupted);
+        }
+    }
+
+    fn propose_workflow(&mut self, now: Now, command: WorkflowCommand, to: Option<CallReply>) {
+        let is_begin = matches!(command, WorkflowCommand::Begin(_));
+        match (self.raft.propose(now, EntryBody::Command(Command::Workflow(command))), to) {
+            (Ok(index), Some(to)) => {
+                self.calls_waiting.insert(index, (self.raft.term(), to));
+            }
+            (Ok(_), None) => (),
+            (Err(error), Some(to)) => {
+                tracing::info!(event = "proposal_refused", call = to.id, cause = ?error);
+                self.answer_call(to, WorkflowOutcome::NotLeader(self.leader_address()));
+            }
+            (Err(error), None) => {
+                tracing::info!(event = "proposal_refused", cause = ?error);
+                if let Some(leading) = &mut self.leading
+                    && let Some(dispatcher) = leading.dispatcher.as_mut().filter(|_| is_begin)
+                {
+                    dispatcher.note_unproposed();
+                }
+            }
+        }
+    }
+
+    fn answer_call(&mut self, to: CallReply, outcome: WorkflowOutcome) {
+        let answer = WorkflowAnswer { id: to.id, members: self.member_addresses(), outcome };
+        self.effects.push(Effect::Send { to: to.address, message: Message::WorkflowAnswer(answer) });
+    }
+}
+
+/// Time after which a client may ask again while the disk is full.
+const FULL_PAUSE_MS: u64 = 2_000;
+
+/// Writes the line of a change that clients or operators asked for.
+fn log_applied(command: &WorkflowCommand, entry: &LogEntry, outcome: &WorkflowOutcome) {
+    let (index, term) = (entry.index, entry.term);
+    match command {
+        WorkflowCommand::Install(it) => {
+            tracing::info!(event = "queues_installed", version = it.version, queues = it.queues.len(), index, term);
+        }
+        WorkflowCommand::Submit(it) => {
+            tracing::info!(event = "workflow_accepted", workflow = %format_args!("{:016x}", it.id.0), queue = %it.queue, steps = it.spec.steps.len(), index, term);
+        }
+        WorkflowCommand::Cancel(id) => {
+            tracing::info!(event = "workflow_cancelled", workflow = %format_args!("{:016x}", id.0), outcome = ?outcome, index, term);
+        }
+        _ => (),
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/mod.rs
@@ -0,0 +1,173 @@
+//! What the leader does about workflows: it takes the nodes' reports, grants leases, places runs
+//! and turns what the ledger holds into orders.
+
+mod orders;
+mod plan;
+mod requests;
+mod sessions;
+
+use crate::{control::state::Workflows, prelude::*};
+
+pub use self::{
+    orders::run_name,
+    requests::Verdict,
+    plan::{PlanOptions, chain_ms},
+    sessions::Session,
+};
+use self::sessions::Sessions;
+
+/// How often workflows that ended long ago are forgotten.
+const FORGET_INTERVAL_MS: u64 = 10_000;
+
+/// What the dispatcher is told by the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct DispatchOptions {
+    /// Time for which a node may let its worker run without a word from the leader.
+    pub lease_ms: u64,
+    /// Share by which a worker's clock may be slow, in percent, and the time a call may take.
+    pub lease_slack_percent: u64,
+    pub lease_margin_ms: u64,
+    /// Silence after which nothing new is placed on a worker.
+    pub silent_ms: u64,
+    /// Time for which the phase of an ended workflow is kept.
+    pub retention_ms: u64,
+    pub plan: PlanOptions,
+}
+
+/// What a turn of the dispatcher leads to.
+#[derive(Debug, Default)]
+pub struct Step {
+    pub commands: Vec<WorkflowCommand>,
+    pub messages: Vec<(std::net::SocketAddr, Message)>,
+}
+
+/// The leader's side of workflows.
+#[derive(Debug)]
+pub struct Dispatcher {
+    options: DispatchOptions,
+    term: u64,
+    sessions: Sessions,
+    /// Runs proposed and not yet in the ledger; the next plan waits for them.
+    begin_in_flight: bool,
+    is_dirty: bool,
+    plan_at_ms: u64,
+    forget_at_ms: u64,
+    step: Step,
+}
+
+impl Dispatcher {
+    /// Takes over from an earlier leader, whose leases may run for their full time.
+    pub fn new(
+        options: DispatchOptions,
+        workflows: &Workflows,
+        term: u64,
+        now: Now,
+    ) -> Dispatcher {
+        Dispatcher {
+            options,
+            term,
+            sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms()),
+            begin_in_flight: false,
+            is_dirty: true,
+            plan_at_ms: now.mono_ms,
+            forget_at_ms: now.mono_ms + FORGET_INTERVAL_MS,
+            step: Step::default(),
+        }
+    }
+
+    /// Returns when [`Dispatcher::tick`] has something to do.
+    pub fn next_tick_ms(&self) -> u64 {
+        let expiry_ms = self.sessions.next_expiry_ms();
+        self.plan_at_ms.min(expiry_ms).min(self.forget_at_ms)
+    }
+
+    /// Lets time pass: leases expire, and occurrences become due.
+    pub fn tick(&mut self, workflows: &Workflows, now: Now) {
+        self.expire(workflows, now);
+        if self.forget_at_ms <= now.mono_ms {
+            self.forget_at_ms = now.mono_ms + FORGET_INTERVAL_MS;
+            let before_ms = now.wall_ms.saturating_sub(self.options.retention_ms);
+            self.step.commands.push(WorkflowCommand::Forget(before_ms));
+        }
+        if self.plan_at_ms <= now.mono_ms {
+            self.is_dirty = true;
+        }
+    }
+
+    /// Plans if anything changed, and returns what is to be proposed and sent.
+    pub fn finish_turn(&mut self, workflows: &Workflows, now: Now) -> Step {
+        if self.is_dirty && !self.begin_in_flight {
+            self.is_dirty = false;
+            self.plan_at_ms = now.mono_ms + self.options.plan.interval_ms;
+            let usable = self.sessions.usable(workflows, self.term, self.options.silent_ms, now);
+            let runs = plan::plan(workflows, &usable, &self.options.plan, now);
+            if !runs.is_empty() {
+                self.begin_in_flight = true;
+                self.step.commands.push(WorkflowCommand::Begin(runs));
+            }
+        }
+        std::mem::take(&mut self.step)
+    }
+
+    /// Takes in a command that the ledger has just applied.
+    pub fn note_applied(
+        &mut self,
+        workflows: &Workflows,
+        command: &WorkflowCommand,
+        members: &[std::net::SocketAddr],
+        now: Now,
+    ) {
+        self.is_dirty = true;
+        match command {
+            WorkflowCommand::Begin(runs) => {
+                self.begin_in_flight = false;
+                let mut workers: Vec<_> = runs.iter().map(|it| it.worker).collect();
+                workers.sort_unstable();
+                workers.dedup();
+                for it in workers {
+                    self.send_orders(workflows, it, members);
+                }
+            }
+            WorkflowCommand::Enrol(it) => {
+                self.sessions.drop_missing(workflows);
+                if let Some(id) = workflows.workers().find(it.node, &it.name) {
+                    tracing::info!(event = "worker_enrolled", worker = %it.name, id = %id, node = %it.node, service = %it.service, kind = %it.kind, rack = %it.rack);
+                    self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms());
+                    self.send_grant(workflows, id, members, now);
+                }
+            }
+            WorkflowCommand::Finish(it) => {
+                self.send_grant(workflows, it.worker, members, now);
+                self.stop_superfluous(workflows, it, members);
+            }
+            WorkflowCommand::Dismiss(_) => self.sessions.drop_missing(workflows),
+            WorkflowCommand::Cancel(id) => self.stop_cancelled(workflows, *id, members),
+            _ => (),
+        }
+    }
+
+    /// Learns that runs proposed did not come into the ledger.
+    pub fn note_unproposed(&mut self) {
+        self.begin_in_flight = false;
+    }
+
+    /// Dismisses workers whose lease is over: what ran there has been killed by now.
+    fn expire(&mut self, workflows: &Workflows, now: Now) {
+        for id in self.sessions.take_expired(now.mono_ms) {
+            let Some(worker) = workflows.workers().get(id) else { continue };
+            let heard_ms = self.sessions.get(id).map_or(0, |it| it.heard_ms);
+            tracing::warn!(event = "worker_lost", worker = %worker.name, node = %worker.node, runs = worker.runs.len(), silent_ms = now.mono_ms.saturating_sub(heard_ms), cause = "lease_expired");
+            let ends = self.sessions.lapsed_ends(id, worker);
+            let finish = FinishRuns { worker: id, cursor: worker.cursor, ends };
+            self.step.commands.push(WorkflowCommand::Finish(finish));
+            self.step.commands.push(WorkflowCommand::Dismiss(id));
+        }
+    }
+}
+
+impl DispatchOptions {
+    /// Returns how long a lease granted now may last by the slowest clock allowed.
+    pub fn held_ms(&self) -> u64 {
+        self.lease_ms + self.lease_ms * self.lease_slack_percent / 100 + self.lease_margin_ms
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/plan.rs
@@ -0,0 +1,222 @@
+//! The next runs to begin: which tasks, in what order, and where.
+
+use std::collections::HashMap;
+
+use crate::{
+    control::{
+        dispatch::sessions::Usable,
+        state::{Occurrence, Workflow, Workflows, add, fits, reserve_of, subtract},
+    },
+    policy::urgency::{Claim, Urgency, urgency},
+    prelude::*,
+};
+
+/// What the planner is told by the settings.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanOptions {
+    /// Longest pause between two plans: occurrences become due and slack shrinks by itself.
+    pub interval_ms: u64,
+}
+
+/// A step with tasks that could begin.
+struct Candidate<'a> {
+    urgency: Urgency,
+    id: WorkflowId,
+    workflow: &'a Workflow,
+    occurrence: usize,
+    step: usize,
+}
+
+/// What is left on a worker while a plan is made.
+struct Room<'a> {
+    usable: Usable<'a>,
+    free: Resources,
+    filler_millicores: u32,
+}
+
+impl Room<'_> {
+    /// Returns the processor that neither reservations nor fillers have taken.
+    fn idle_millicores(&self) -> u32 {
+        self.free.cpu_millicores.saturating_sub(self.filler_millicores)
+    }
+}
+
+/// Returns the runs to begin now.
+pub(super) fn plan(
+    workflows: &Workflows,
+    usable: &[Usable<'_>],
+    _options: &PlanOptions,
+    now: Now,
+) -> Vec<RunPlacement> {
+    let mut rooms: Vec<_> = usable
+        .iter()
+        .map(|it| Room {
+            usable: *it,
+            free: subtract(it.worker.capacity, it.worker.used),
+            filler_millicores: it.worker.filler_millicores,
+        })
+        .collect();
+    let mut res = Vec::new();
+    for candidate in candidates(workflows, now) {
+        place_step(workflows, &candidate, &mut rooms, &mut res);
+    }
+    res
+}
+
+/// Returns the steps that could begin, most urgent first.
+fn candidates(workflows: &Workflows, now: Now) -> Vec<Candidate<'_>> {
+    let mut res = Vec::new();
+    for (id, workflow) in workflows.active() {
+        let Some(queue) = workflows.queue(&workflow.queue) else { continue };
+        let tails_ms = tails_ms(&workflow.spec);
+        let chain_ms = tails_ms.iter().copied().max().unwrap_or(0);
+        for (at, occurrence) in workflow.occurrences.iter().enumerate() {
+            let due_ms = workflow.due_ms(at);
+            if now.wall_ms < due_ms {
+                break;
+            }
+            if occurrence.is_done() {
+                continue;
+            }
+            let objective_ms = chain_ms * u64::from(queue.stretch_percent) / 100 + queue.target_ms;
+            for step in ready_steps(workflow, occurrence) {
+                let claim = Claim {
+                    priority: queue.priority,
+                    is_lasting: workflow.spec.steps[step].lasting,
+                    due_by_ms: workflow.accepted_ms.max(due_ms) + objective_ms,
+                    remaining_ms: tails_ms[step],
+                };
+                let urgency = urgency(claim, now.wall_ms);
+                res.push(Candidate { urgency, id, workflow, occurrence: at, step });
+            }
+        }
+    }
+    res.sort_by_key(|it| (it.urgency, it.id, it.occurrence, it.step));
+    res
+}
+
+/// Returns the steps of an occurrence that have tasks to begin.
+fn ready_steps(workflow: &Workflow, occurrence: &Occurrence) -> Vec<usize> {
+    let steps = workflow.spec.steps.iter().zip(&occurrence.steps).enumerate();
+    let ready = steps.filter(|(_, (step, state))| {
+        !state.is_done()
+            && state.tasks.iter().any(|it| !it.is_done && it.runs.is_empty())
+            && workflow.is_step_ready(occurrence, step)
+    });
+    ready.map(|(at, _)| at).collect()
+}
+
+/// Returns for each step the longest chain of declared run times that begins with it.
+fn tails_ms(spec: &WorkflowSpec) -> Vec<u64> {
+    let mut res: Vec<u64> = spec.steps.iter().map(|it| it.estimate_ms).collect();
+    // Steps wait for earlier ones only, so later tails are known first.
+    for at in (0..spec.steps.len()).rev() {
+        for before in &spec.steps[at].after {
+            let before = *before as usize;
+            res[before] = res[before].max(spec.steps[before].estimate_ms + res[at]);
+        }
+    }
+    res
+}
+
+/// Returns the longest chain of declared run times of a workflow.
+pub fn chain_ms(spec: &WorkflowSpec) -> u64 {
+    tails_ms(spec).into_iter().max().unwrap_or(0)
+}
+
+fn place_step(
+    workflows: &Workflows,
+    candidate: &Candidate<'_>,
+    rooms: &mut [Room<'_>],
+    res: &mut Vec<RunPlacement>,
+) {
+    let Candidate { id, workflow, occurrence, step: at, .. } = *candidate;
+    let Some(queue) = workflows.queue(&workflow.queue) else { return };
+    let step = &workflow.spec.steps[at];
+    let state = &workflow.occurrences[occurrence].steps[at];
+    let mut counts = counts_of(step, state);
+    let waiting = state.tasks.iter().enumerate().filter(|(_, it)| !it.is_done && it.runs.is_empty());
+    let waiting: Vec<_> = waiting.collect();
+    if step.gang && waiting.len() < state.tasks.len() {
+        // Members of an earlier run are still ending.
+        return;
+    }
+    let from = res.len();
+    let gang_run = state.tasks.iter().map(|it| it.last_run).max().unwrap_or(0) + 1;
+    for (index, task) in waiting {
+        let Some(room) = choose(step, queue, &counts, rooms) else {
+            if step.gang {
+                undo(step, rooms, res, from);
+            }
+            return;
+        };
+        take(step, room);
+        let worker = room.usable.id;
+        *counts.entry(worker).or_insert(0) += 1;
+        let task_ref = TaskRef {
+            workflow: id,
+            occurrence: occurrence as u32,
+            step: at as u32,
+            index: index as u32,
+        };
+        let run = if step.gang { gang_run } else { task.last_run + 1 };
+        res.push(RunPlacement { run: RunRef { task: task_ref, run }, worker });
+    }
+}
+
+/// Returns how many runs of a step each worker has, where that is bounded.
+fn counts_of(
+    step: &WorkflowStep,
+    state: &crate::control::state::StepState,
+) -> HashMap<WorkerId, u32> {
+    let mut res = HashMap::new();
+    if 0 < step.per_worker_max {
+        for run in state.tasks.iter().flat_map(|it| &it.runs) {
+            *res.entry(run.worker).or_insert(0) += 1;
+        }
+    }
+    res
+}
+
+/// Returns the best worker for one task of a step.
+fn choose<'a, 'b>(
+    step: &WorkflowStep,
+    queue: &Queue,
+    counts: &HashMap<WorkerId, u32>,
+    rooms: &'a mut [Room<'b>],
+) -> Option<&'a mut Room<'b>> {
+    let reserve = reserve_of(step);
+    let is_fit = |it: &&mut Room<'_>| {
+        let worker = it.usable.worker;
+        let below_max = step.per_worker_max == 0
+            || counts.get(&it.usable.id).copied().unwrap_or(0) < step.per_worker_max;
+        worker.service == queue.service
+            && below_max
+            && (step.required_label.is_empty() || step.required_label == worker.kind)
+            && fits(reserve, it.free)
+            && (!step.filler || step.need.cpu_millicores <= it.idle_millicores())
+    };
+    rooms.iter_mut().filter(is_fit).max_by_key(|it| {
+        let is_near = !step.data_rack.is_empty() && it.usable.worker.rack == step.data_rack;
+        (is_near, it.idle_millicores(), it.free.memory_mib)
+    })
+}
+
+fn take(step: &WorkflowStep, room: &mut Room<'_>) {
+    room.free = subtract(room.free, reserve_of(step));
+    if step.filler {
+        room.filler_millicores += step.need.cpu_millicores;
+    }
+}
+
+/// Takes back the placements of a gang that did not fit whole.
+fn undo(step: &WorkflowStep, rooms: &mut [Room<'_>], res: &mut Vec<RunPlacement>, from: usize) {
+    for placed in res.drain(from..) {
+        if let Some(room) = rooms.iter_mut().find(|it| it.usable.id == placed.worker) {
+            room.free = add(room.free, reserve_of(step));
+            if step.filler {
+                room.filler_millicores -= step.need.cpu_millicores;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/requests.rs
@@ -0,0 +1,110 @@
+//! Clients' and operators' requests, answered by the leader.
+
+use crate::{
+    control::state::{Workflows, WorkflowError, check_queues, check_spec},
+    control::dispatch::Dispatcher,
+    prelude::*,
+};
+
+/// What a request leads to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Answered from the state.
+    Answer(WorkflowOutcome),
+    /// Answered with what the ledger says of this command.
+    Propose(WorkflowCommand),
+}
+
+impl Dispatcher {
+    /// Decides on a request.
+    pub fn decide(workflows: &Workflows, request: WorkflowRequest, now: Now) -> Verdict {
+        match request {
+            WorkflowRequest::Ping => Verdict::Answer(WorkflowOutcome::Pong),
+            WorkflowRequest::ReadConfig => Verdict::Answer(match workflows.config() {
+                Some(it) => WorkflowOutcome::Config((**it).clone()),
+                None => WorkflowOutcome::NoConfig,
+            }),
+            WorkflowRequest::Install(it) => match check_queues(&it) {
+                Ok(()) => Verdict::Propose(WorkflowCommand::Install(it)),
+                Err(WorkflowError(why)) => {
+                    tracing::info!(event = "queues_refused", version = it.version, why = %why);
+                    Verdict::Answer(WorkflowOutcome::Invalid(why))
+                }
+            },
+            WorkflowRequest::Submit(it) => submit(workflows, it, now),
+            WorkflowRequest::Inspect(it) => Verdict::Answer(inspect(workflows, &it)),
+            WorkflowRequest::Cancel(it) => match find(workflows, &it) {
+                Ok((_, Some(id))) if workflows.get(id).is_some() => {
+                    Verdict::Propose(WorkflowCommand::Cancel(id))
+                }
+                Ok((_, Some(_))) => Verdict::Answer(WorkflowOutcome::Gone),
+                Ok((_, None)) => Verdict::Answer(WorkflowOutcome::NotFound),
+                Err(it) => Verdict::Answer(it),
+            },
+        }
+    }
+}
+
+fn submit(workflows: &Workflows, it: WorkflowSubmission, now: Now) -> Verdict {
+    let (queue, id) = match find(workflows, &it.target) {
+        Ok((queue, Some(id))) => (queue, id),
+        Ok((_, None)) => return Verdict::Answer(WorkflowOutcome::NotFound),
+        Err(it) => return Verdict::Answer(it),
+    };
+    if workflows.get(id).is_some() {
+        return Verdict::Answer(WorkflowOutcome::Accepted);
+    }
+    if let Err(WorkflowError(why)) = check_spec(&it.spec) {
+        return Verdict::Answer(WorkflowOutcome::Invalid(why));
+    }
+    Verdict::Propose(WorkflowCommand::Submit(SubmitWorkflow {
+        id,
+        queue: queue.name.clone(),
+        spec: it.spec,
+        accepted_ms: now.wall_ms,
+    }))
+}
+
+fn inspect(workflows: &Workflows, it: &WorkflowTarget) -> WorkflowOutcome {
+    match find(workflows, it) {
+        Ok((_, Some(id))) => match workflows.get(id) {
+            Some(it) => WorkflowOutcome::Phase(it.phase()),
+            None => WorkflowOutcome::Gone,
+        },
+        Ok((queue, None)) => {
+            let waits = |it: &&crate::control::state::Workflow| {
+                it.queue == queue.name && it.phase() == WorkflowPhase::Queued
+            };
+            let count = workflows.active().map(|(_, it)| it).filter(waits).count();
+            WorkflowOutcome::Pending(count as u64)
+        }
+        Err(it) => it,
+    }
+}
+
+/// Returns the queue of a place, and the workflow that the rest of the path names, if any.
+fn find<'a>(
+    workflows: &'a Workflows,
+    it: &WorkflowTarget,
+) -> Result<(&'a Queue, Option<WorkflowId>), WorkflowOutcome> {
+    if workflows.config().is_none() {
+        return Err(WorkflowOutcome::NoConfig);
+    }
+    let Some(queue) = workflows.queue_at(&it.host, &it.path) else {
+        return Err(WorkflowOutcome::NotFound);
+    };
+    match &it.path[queue.path_prefix.len()..] {
+        "" => Ok((queue, None)),
+        rest => match parse_id(rest) {
+            Some(id) => Ok((queue, Some(id))),
+            None => Err(WorkflowOutcome::Invalid(format_compact!(
+                "'{rest}' is no workflow id; 16 hexadecimal digits are"
+            ))),
+        },
+    }
+}
+
+fn parse_id(text: &str) -> Option<WorkflowId> {
+    let is_hex = text.len() == 16 && text.bytes().all(|it| it.is_ascii_hexdigit());
+    is_hex.then(|| u64::from_str_radix(text, 16).ok().map(WorkflowId)).flatten()
+}
--- a/src/control/log/disk.rs
+++ b/src/control/log/disk.rs
@@ -21,6 +21,15 @@
 
 const FORMAT: u32 = 1;
 
+/// Identities of members that join; founders that are known by their address lie above.
+const JOINER_IDS: std::ops::Range<u64> = 1 << 20..1 << 52;
+
+/// Returns the identity of a founder that all founders derive from its address.
+fn founder_id(address: std::net::SocketAddr) -> MemberId {
+    let digest = crate::util::digest_of(&[address.to_string().as_bytes()]);
+    MemberId((1 << 52) | (digest & ((1 << 52) - 1)))
+}
+
 /// Which disk this is, written once by `aspenrail init`.
 ///
 /// A disk that was lost comes back under a new identity: its votes and acknowledgements are
@@ -80,6 +89,38 @@
         replace_file(folder, "identity", &text)
     }
 
+    /// Reads the identity of a data folder, or makes one for a folder that has none.
+    ///
+    /// A process among the `founders` founds the group with them under an identity that all of
+    /// them know from its address; any other gets one that nobody has had before, and joins.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the folder cannot be read or written.
+    pub fn read_or_make(
+        folder: &Path,
+        place: Place,
+        own: std::net::SocketAddr,
+        founders: &[std::net::SocketAddr],
+    ) -> Result<Identity> {
+        if folder.join("identity").exists() {
+            return Identity::read(folder);
+        }
+        let founder = |it: &std::net::SocketAddr| Member { id: founder_id(*it), address: *it };
+        let identity = match founders.contains(&own) {
+            true => {
+                let founders = founders.iter().map(founder).collect();
+                Identity { member: founder_id(own), place, founders }
+            }
+            false => {
+                let member = MemberId(fastrand::u64(JOINER_IDS));
+                Identity { member, place, founders: Vec::new() }
+            }
+        };
+        identity.create(folder)?;
+        Ok(identity)
+    }
+
     /// Reads the identity of a data folder.
     ///
     /// # Errors
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,8 @@
 pub mod client;
 mod core;
 mod directory;
+pub mod dispatch;
+pub mod finder;
 pub mod log;
 mod reconcile;
 mod scheduler;
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -11,6 +11,7 @@
 mod task;
 mod vms;
 mod watches;
+mod workflows;
 
 use std::collections::BTreeMap;
 
@@ -23,6 +24,10 @@
     task::{Placement, STEPS, Step, Task, transition},
     vms::{NOTHING, Session, Vm, Vms, add, fits, subtract},
     watches::{Watch, Watches},
+    workflows::{
+        Occurrence, StepState, TaskRun, Worker, Workers, Workflow, WorkflowError, Workflows, check_queues,
+        check_spec,         reserve_of,
+    },
 };
 
 /// What a command changed, for indexes that are kept beside the state.
@@ -48,6 +53,7 @@
     pub jobs: Jobs,
     pub claims: Claims,
     pub watches: Watches,
+    pub workflows: Workflows,
 }
 
 impl State {
@@ -67,6 +73,7 @@
             jobs: Jobs::default(),
             claims: Claims::default(),
             watches: Watches::default(),
+            workflows: Workflows::default(),
         }
     }
 
@@ -114,9 +121,25 @@
             Command::DeleteWatch(it) => self.watches.delete(it),
             Command::Publish(it) => self.watches.publish(it, time_ms),
             Command::Expire(it) => self.expire(it),
+            // Its own outcome goes to its caller by [`State::apply_workflow`].
+            Command::Workflow(it) => {
+                self.workflows.apply(it, time_ms);
+                Ok(Reply::Done)
+            }
         }
     }
 
+    /// Applies a change of the workflows at `index`.
+    pub fn apply_workflow(
+        &mut self,
+        index: u64,
+        time_ms: u64,
+        command: &WorkflowCommand,
+    ) -> WorkflowOutcome {
+        self.touch(index, time_ms);
+        self.workflows.apply(command, time_ms)
+    }
+
     /// Notes an entry that changes nothing here.
     pub fn touch(&mut self, index: u64, time_ms: u64) {
         self.index = index;
--- /dev/null
+++ b/src/control/state/workflows/check.rs
@@ -0,0 +1,68 @@
+//! What a workflow must be to be accepted.
+
+use crate::prelude::*;
+
+/// Most tasks of one occurrence, so that one workflow cannot fill the state.
+const TASKS_MAX: u64 = 10_000;
+
+/// Most steps of a workflow.
+const STEPS_MAX: usize = 1_000;
+
+/// Most tasks of all occurrences together.
+const RUNS_MAX: u64 = 100_000;
+
+/// Why a workflow is refused.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkflowError(pub CompactString);
+
+/// Checks a workflow.
+///
+/// # Errors
+///
+/// Returns what is wrong, with the bad value.
+pub fn check_spec(spec: &WorkflowSpec) -> Result<(), WorkflowError> {
+    let fail = |why: CompactString| Err(WorkflowError(why));
+    if spec.steps.is_empty() || STEPS_MAX < spec.steps.len() {
+        return fail(format_compact!("{} steps; 1 to {STEPS_MAX} are accepted", spec.steps.len()));
+    }
+    let mut tasks = 0_u64;
+    for (at, step) in spec.steps.iter().enumerate() {
+        if step.count == 0 {
+            return fail(format_compact!("step {at} has no tasks"));
+        }
+        if let Some(it) = step.after.iter().find(|it| at <= **it as usize) {
+            return fail(format_compact!("step {at} waits for step {it}, which is not an earlier one"));
+        }
+        tasks += u64::from(step.count);
+    }
+    let all = tasks * u64::from(spec.repeat_count.max(1));
+    if TASKS_MAX < tasks || RUNS_MAX < all {
+        return fail(format_compact!(
+            "{tasks} tasks in {} occurrences; {TASKS_MAX} in one and {RUNS_MAX} in all are accepted",
+            spec.repeat_count.max(1)
+        ));
+    }
+    Ok(())
+}
+
+/// Checks a configuration of queues.
+///
+/// # Errors
+///
+/// Returns what is wrong, with the queue and the bad value.
+pub fn check_queues(config: &QueueConfig) -> Result<(), WorkflowError> {
+    let fail = |why: CompactString| Err(WorkflowError(why));
+    let mut places = std::collections::BTreeSet::new();
+    for it in &config.queues {
+        if !config.services.contains(&it.service) {
+            return fail(format_compact!("queue {} names unknown service '{}'", it.name, it.service));
+        }
+        if it.timeout_ms == 0 {
+            return fail(format_compact!("queue {} has a timeout of 0 ms", it.name));
+        }
+        if !places.insert((&it.host, &it.path_prefix)) {
+            return fail(format_compact!("{}{} is the place of two queues", it.host, it.path_prefix));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/control/state/workflows/mod.rs
@@ -0,0 +1,216 @@
+//! The workflows of the group: jobs of steps, the runs of their tasks, and the workers they are
+//! placed on.
+//!
+//! A run is in this ledger from before its worker is told to start it until its end is taken
+//! from the worker's list, so that a new leader knows of everything that may run anywhere.
+
+mod check;
+mod task;
+mod workers;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use crate::prelude::*;
+
+pub use self::{
+    check::{WorkflowError, check_queues, check_spec},
+    task::{Occurrence, StepState, TaskRun, Workflow, reserve_of},
+    workers::{Worker, Workers},
+};
+
+/// Failed runs allowed where the queue of a workflow is no longer configured.
+const ATTEMPTS_WITHOUT_QUEUE: u32 = 3;
+
+/// Queues, workflows and workers.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct Workflows {
+    config: Option<Arc<QueueConfig>>,
+    workflows: BTreeMap<WorkflowId, Workflow>,
+    /// Workflows that are not at their end.
+    active: BTreeSet<WorkflowId>,
+    workers: Workers,
+}
+
+impl Workflows {
+    /// Returns the queues in force.
+    pub fn config(&self) -> Option<&Arc<QueueConfig>> {
+        self.config.as_ref()
+    }
+
+    /// Returns the queue that a workflow was submitted to, while it is configured.
+    pub fn queue(&self, name: &str) -> Option<&Queue> {
+        self.config.as_ref()?.queues.iter().find(|it| it.name == name)
+    }
+
+    /// Returns the queue that serves a place: the longest prefix of the path on the host.
+    pub fn queue_at(&self, host: &str, path: &str) -> Option<&Queue> {
+        let matching = |it: &&Queue| it.host == host && path.starts_with(it.path_prefix.as_str());
+        let queues = &self.config.as_ref()?.queues;
+        queues.iter().filter(matching).max_by_key(|it| it.path_prefix.len())
+    }
+
+    /// Returns a workflow.
+    pub fn get(&self, id: WorkflowId) -> Option<&Workflow> {
+        self.workflows.get(&id)
+    }
+
+    /// Returns the workflows that are not at their end.
+    pub fn active(&self) -> impl Iterator<Item = (WorkflowId, &Workflow)> {
+        self.active.iter().filter_map(|id| Some((*id, self.workflows.get(id)?)))
+    }
+
+    /// Returns how many workflows are known.
+    pub fn len(&self) -> usize {
+        self.workflows.len()
+    }
+
+    /// Returns whether no workflow is known.
+    pub fn is_empty(&self) -> bool {
+        self.workflows.is_empty()
+    }
+
+    /// Returns the workers.
+    pub fn workers(&self) -> &Workers {
+        &self.workers
+    }
+
+    /// Returns the step of a task.
+    pub fn step_of(&self, task: TaskRef) -> Option<&WorkflowStep> {
+        self.workflows.get(&task.workflow)?.spec.steps.get(task.step as usize)
+    }
+
+    /// Returns whether a run has nothing left to do: its task is done, or its workflow at its end.
+    pub fn is_superfluous(&self, run: RunRef) -> bool {
+        let Some(workflow) = self.workflows.get(&run.task.workflow) else { return true };
+        !workflow.is_active() || workflow.task(run.task).is_none_or(|it| it.is_done)
+    }
+
+    /// Applies a command.
+    pub fn apply(&mut self, command: &WorkflowCommand, time_ms: u64) -> WorkflowOutcome {
+        match command {
+            WorkflowCommand::Install(it) => self.install(it),
+            WorkflowCommand::Submit(it) => self.submit(it),
+            WorkflowCommand::Cancel(id) => self.cancel(*id, time_ms),
+            WorkflowCommand::Begin(runs) => self.begin(runs),
+            WorkflowCommand::Finish(it) => self.finish(it, time_ms),
+            WorkflowCommand::Void(it) => self.void(it),
+            WorkflowCommand::Enrol(it) => self.enrol(it),
+            WorkflowCommand::Dismiss(id) => self.dismiss(*id),
+            WorkflowCommand::Forget(before_ms) => self.forget(*before_ms),
+        }
+    }
+
+    fn install(&mut self, it: &QueueConfig) -> WorkflowOutcome {
+        let is_newer = self.config.as_ref().is_none_or(|old| old.version < it.version);
+        if is_newer {
+            self.config = Some(Arc::new(it.clone()));
+        }
+        WorkflowOutcome::Accepted
+    }
+
+    fn submit(&mut self, it: &SubmitWorkflow) -> WorkflowOutcome {
+        if !self.workflows.contains_key(&it.id) {
+            self.workflows.insert(it.id, Workflow::new(it));
+            self.active.insert(it.id);
+        }
+        WorkflowOutcome::Accepted
+    }
+
+    fn cancel(&mut self, id: WorkflowId, time_ms: u64) -> WorkflowOutcome {
+        let Some(workflow) = self.workflows.get_mut(&id) else { return WorkflowOutcome::Gone };
+        workflow.end(WorkflowPhase::Cancelled, time_ms);
+        self.active.remove(&id);
+        WorkflowOutcome::Accepted
+    }
+
+    /// Notes runs that are about to be ordered; one that no longer makes sense is passed over.
+    fn begin(&mut self, runs: &[RunPlacement]) -> WorkflowOutcome {
+        for it in runs {
+            let Some(workflow) = self.workflows.get_mut(&it.run.task.workflow) else { continue };
+            let Some(worker) = self.workers.get_mut(it.worker) else { continue };
+            let spec = workflow.spec.clone();
+            if workflow.is_active()
+                && let Some(step) = spec.steps.get(it.run.task.step as usize)
+                && workflow.begin(it.run, it.worker)
+            {
+                worker.add(it.run, step);
+            }
+        }
+        WorkflowOutcome::Accepted
+    }
+
+    fn finish(&mut self, it: &FinishRuns, time_ms: u64) -> WorkflowOutcome {
+        let Some(worker) = self.workers.get_mut(it.worker) else { return WorkflowOutcome::Gone };
+        worker.cursor = worker.cursor.max(it.cursor);
+        for end in &it.ends {
+            self.finish_run(it.worker, end, time_ms);
+        }
+        WorkflowOutcome::Accepted
+    }
+
+    fn finish_run(&mut self, worker: WorkerId, end: &RunEnd, time_ms: u64) {
+        let id = end.run.task.workflow;
+        self.release(worker, end.run);
+        let attempts_max = self.attempts_max_of(id);
+        let Some(workflow) = self.workflows.get_mut(&id) else { return };
+        if let Some(phase) = workflow.finish(worker, end, attempts_max) {
+            workflow.end(phase, time_ms);
+            self.active.remove(&id);
+        }
+    }
+
+    fn attempts_max_of(&self, id: WorkflowId) -> u32 {
+        let queue = self.workflows.get(&id).and_then(|it| self.queue(&it.queue));
+        queue.map_or(ATTEMPTS_WITHOUT_QUEUE, |it| it.attempts_max.max(1))
+    }
+
+    fn void(&mut self, it: &VoidRuns) -> WorkflowOutcome {
+        for run in &it.runs {
+            self.release(it.worker, *run);
+            if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
+                workflow.void(it.worker, *run);
+            }
+        }
+        WorkflowOutcome::Accepted
+    }
+
+    fn release(&mut self, worker: WorkerId, run: RunRef) {
+        // A workflow is kept for as long as a run of it may be anywhere.
+        let Some(workflow) = self.workflows.get(&run.task.workflow) else { return };
+        let Some(step) = workflow.spec.steps.get(run.task.step as usize) else { return };
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.remove(run, step);
+        }
+    }
+
+    /// Takes in a new lifetime; what ran on an earlier one beside the same node is over.
+    fn enrol(&mut self, it: &EnrolWorker) -> WorkflowOutcome {
+        if self.workers.find(it.node, &it.name).is_some() {
+            return WorkflowOutcome::Accepted;
+        }
+        for id in self.workers.beside(it.node) {
+            self.dismiss(id);
+        }
+        self.workers.enrol(it);
+        WorkflowOutcome::Accepted
+    }
+
+    fn dismiss(&mut self, id: WorkerId) -> WorkflowOutcome {
+        let Some(worker) = self.workers.remove(id) else { return WorkflowOutcome::Gone };
+        for run in worker.runs {
+            if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
+                workflow.void(id, run);
+            }
+        }
+        WorkflowOutcome::Accepted
+    }
+
+    fn forget(&mut self, before_ms: u64) -> WorkflowOutcome {
+        self.workflows
+            .retain(|_, it| it.is_active() || before_ms <= it.ended_ms || it.has_live_runs());
+        WorkflowOutcome::Accepted
+    }
+}
--- /dev/null
+++ b/src/control/state/workflows/task.rs
@@ -0,0 +1,231 @@
+//! One workflow: its steps, their tasks and the runs of these.
+
+use std::sync::Arc;
+
+use crate::prelude::*;
+
+/// A run and the worker that it is on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct TaskRun {
+    pub run: u32,
+    pub worker: WorkerId,
+}
+
+/// One task of a step.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Task {
+    pub is_done: bool,
+    /// Runs that ended by the task's or the worker's fault.
+    pub failures: u32,
+    /// Highest run number given so far.
+    pub last_run: u32,
+    /// Runs that may be on a worker.
+    pub runs: Vec<TaskRun>,
+    /// Progress saved by an earlier run, or empty.
+    pub checkpoint: CompactString,
+}
+
+/// The tasks of a step in one occurrence.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct StepState {
+    pub tasks: Vec<Task>,
+    pub done_count: u32,
+}
+
+impl StepState {
+    /// Returns whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        self.done_count as usize == self.tasks.len()
+    }
+}
+
+/// One occurrence of a workflow.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Occurrence {
+    pub steps: Vec<StepState>,
+}
+
+impl Occurrence {
+    /// Returns whether all tasks of all steps are done.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(StepState::is_done)
+    }
+}
+
+/// A workflow that was accepted.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Workflow {
+    pub queue: CompactString,
+    pub spec: Arc<WorkflowSpec>,
+    pub accepted_ms: u64,
+    pub occurrences: Vec<Occurrence>,
+    /// Whether a run was ever placed.
+    pub has_begun: bool,
+    /// How it ended, once it has.
+    end: Option<WorkflowPhase>,
+    pub ended_ms: u64,
+}
+
+impl Workflow {
+    pub(super) fn new(it: &SubmitWorkflow) -> Workflow {
+        let steps = || {
+            let tasks = |step: &WorkflowStep| vec![Task::default(); step.count as usize];
+            let states = it.spec.steps.iter().map(|it| StepState { tasks: tasks(it), done_count: 0 });
+            Occurrence { steps: states.collect() }
+        };
+        Workflow {
+            queue: it.queue.clone(),
+            spec: Arc::new(it.spec.clone()),
+            accepted_ms: it.accepted_ms,
+            occurrences: (0..it.spec.repeat_count.max(1)).map(|_| steps()).collect(),
+            has_begun: false,
+            end: None,
+            ended_ms: 0,
+        }
+    }
+
+    /// Returns whether it is not at its end.
+    pub fn is_active(&self) -> bool {
+        self.end.is_none()
+    }
+
+    /// Returns where it stands.
+    pub fn phase(&self) -> WorkflowPhase {
+        match self.end {
+            Some(it) => it,
+            None if self.has_begun => WorkflowPhase::Running,
+            None => WorkflowPhase::Queued,
+        }
+    }
+
+    /// Returns a task.
+    pub fn task(&self, it: TaskRef) -> Option<&Task> {
+        let steps = &self.occurrences.get(it.occurrence as usize)?.steps;
+        steps.get(it.step as usize)?.tasks.get(it.index as usize)
+    }
+
+    /// Returns when an occurrence is due, by the time of day.
+    pub fn due_ms(&self, occurrence: usize) -> u64 {
+        match self.spec.repeat_count {
+            0 => 0,
+            _ => self.spec.first_run_ms + occurrence as u64 * self.spec.interval_ms,
+        }
+    }
+
+    /// Returns whether all steps that a step waits for are done.
+    pub fn is_step_ready(&self, occurrence: &Occurrence, step: &WorkflowStep) -> bool {
+        step.after.iter().all(|it| occurrence.steps.get(*it as usize).is_some_and(StepState::is_done))
+    }
+
+    /// Returns whether a run of it may be on a worker.
+    pub fn has_live_runs(&self) -> bool {
+        let steps = self.occurrences.iter().flat_map(|it| &it.steps);
+        steps.flat_map(|it| &it.tasks).any(|it| !it.runs.is_empty())
+    }
+
+    fn task_mut(&mut self, it: TaskRef) -> Option<&mut Task> {
+        let steps = &mut self.occurrences.get_mut(it.occurrence as usize)?.steps;
+        steps.get_mut(it.step as usize)?.tasks.get_mut(it.index as usize)
+    }
+
+    pub(super) fn end(&mut self, phase: WorkflowPhase, time_ms: u64) {
+        if self.end.is_none() {
+            self.end = Some(phase);
+            self.ended_ms = time_ms;
+        }
+    }
+
+    /// Notes a run; returns whether it makes sense: a new number for a task that needs it.
+    pub(super) fn begin(&mut self, run: RunRef, worker: WorkerId) -> bool {
+        let Some(step) = self.spec.steps.get(run.task.step as usize) else { return false };
+        let copies_max = if step.duplicates { 2 } else { 1 };
+        let Some(task) = self.task_mut(run.task) else { return false };
+        if task.is_done || run.run <= task.last_run || copies_max <= task.runs.len() {
+            return false;
+        }
+        task.last_run = run.run;
+        task.runs.push(TaskRun { run: run.run, worker });
+        self.has_begun = true;
+        true
+    }
+
+    pub(super) fn void(&mut self, worker: WorkerId, run: RunRef) {
+        if let Some(task) = self.task_mut(run.task) {
+            task.runs.retain(|it| (it.run, it.worker) != (run.run, worker));
+        }
+    }
+
+    /// Takes in the end of a run; returns how the workflow ends by it, if it does.
+    pub(super) fn finish(
+        &mut self,
+        worker: WorkerId,
+        end: &RunEnd,
+        attempts_max: u32,
+    ) -> Option<WorkflowPhase> {
+        self.void(worker, end.run);
+        let spec = self.spec.clone();
+        let step = spec.steps.get(end.run.task.step as usize)?;
+        if !end.checkpoint.is_empty() {
+            self.keep_checkpoint(step, end);
+        }
+        match end.outcome {
+            RunOutcome::Done if !step.lasting => self.note_done(step, end.run.task),
+            RunOutcome::Failed => return self.note_failed(step, end.run.task, attempts_max),
+            _ => return None,
+        }
+        self.occurrences.iter().all(Occurrence::is_done).then_some(WorkflowPhase::Completed)
+    }
+
+    fn keep_checkpoint(&mut self, step: &WorkflowStep, end: &RunEnd) {
+        let at = end.run.task;
+        // The progress of a gang is one, whichever member tells it.
+        let indexes = if step.gang { 0..step.count } else { at.index..at.index + 1 };
+        for index in indexes {
+            if let Some(task) = self.task_mut(TaskRef { index, ..at }) {
+                task.checkpoint = end.checkpoint.clone();
+            }
+        }
+    }
+
+    fn note_done(&mut self, step: &WorkflowStep, at: TaskRef) {
+        let Some(occurrence) = self.occurrences.get_mut(at.occurrence as usize) else { return };
+        let Some(state) = occurrence.steps.get_mut(at.step as usize) else { return };
+        // One such end stands for all members of a gang.
+        let indexes = if step.gang { 0..step.count } else { at.index..at.index + 1 };
+        for index in indexes {
+            if let Some(task) = state.tasks.get_mut(index as usize)
+                && !task.is_done
+            {
+                task.is_done = true;
+                state.done_count += 1;
+            }
+        }
+    }
+
+    fn note_failed(
+        &mut self,
+        step: &WorkflowStep,
+        at: TaskRef,
+        attempts_max: u32,
+    ) -> Option<WorkflowPhase> {
+        let task = self.task_mut(at)?;
+        task.failures += 1;
+        if step.lasting || task.is_done {
+            return None;
+        }
+        let failures = match step.gang {
+            false => task.failures,
+            true => {
+                let state = self.occurrences.get(at.occurrence as usize)?.steps.get(at.step as usize)?;
+                state.tasks.iter().map(|it| it.failures).sum()
+            }
+        };
+        (attempts_max <= failures).then_some(WorkflowPhase::Failed)
+    }
+}
+
+/// Returns what one task of a step takes from its worker.
+pub fn reserve_of(step: &WorkflowStep) -> Resources {
+    let cpu_millicores = if step.filler { 0 } else { step.need.cpu_millicores };
+    Resources { cpu_millicores, ..step.need }
+}
--- /dev/null
+++ b/src/control/state/workflows/workers.rs
@@ -0,0 +1,120 @@
+//! The workers' lifetimes and what is placed on each.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use crate::{
+    control::state::{NOTHING, add, fits, reserve_of, subtract},
+    prelude::*,
+};
+
+/// One lifetime of a worker.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Worker {
+    pub name: CompactString,
+    /// The node process beside it.
+    pub node: SocketAddr,
+    pub service: CompactString,
+    pub zone: CompactString,
+    pub kind: CompactString,
+    pub rack: CompactString,
+    pub capacity: Resources,
+    /// Sum of what its runs reserve.
+    pub used: Resources,
+    /// Processor that fillers among its runs would use, beside what is reserved.
+    pub filler_millicores: u32,
+    pub runs: BTreeSet<RunRef>,
+    /// Ends up to here are in the ledger.
+    pub cursor: u64,
+}
+
+impl Worker {
+    /// Returns whether `need` fits beside what is placed here.
+    pub fn has_room_for(&self, need: Resources) -> bool {
+        fits(add(self.used, need), self.capacity)
+    }
+
+    pub(super) fn add(&mut self, run: RunRef, step: &WorkflowStep) {
+        if self.runs.insert(run) {
+            self.used = add(self.used, reserve_of(step));
+            self.filler_millicores += filler_millicores(step);
+        }
+    }
+
+    pub(super) fn remove(&mut self, run: RunRef, step: &WorkflowStep) {
+        if self.runs.remove(&run) {
+            self.used = subtract(self.used, reserve_of(step));
+            self.filler_millicores -= filler_millicores(step);
+        }
+    }
+}
+
+/// All workers that may run something.
+#[derive(Clone, Debug, Default, serde::Serialize, serde::Deserialize)]
+pub struct Workers {
+    workers: BTreeMap<WorkerId, Worker>,
+    last_id: u64,
+}
+
+impl Workers {
+    /// Returns a worker.
+    pub fn get(&self, id: WorkerId) -> Option<&Worker> {
+        self.workers.get(&id)
+    }
+
+    /// Returns the lifetime with a name beside a node.
+    pub fn find(&self, node: SocketAddr, name: &str) -> Option<WorkerId> {
+        self.iter().find(|(_, it)| it.node == node && it.name == name).map(|(id, _)| id)
+    }
+
+    /// Returns all workers.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerId, &Worker)> {
+        self.workers.iter().map(|(id, it)| (*id, it))
+    }
+
+    /// Returns how many workers there are.
+    pub fn len(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Returns whether there is no worker.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    pub(super) fn beside(&self, node: SocketAddr) -> Vec<WorkerId> {
+        self.iter().filter(|(_, it)| it.node == node).map(|(id, _)| id).collect()
+    }
+
+    pub(super) fn get_mut(&mut self, id: WorkerId) -> Option<&mut Worker> {
+        self.workers.get_mut(&id)
+    }
+
+    pub(super) fn remove(&mut self, id: WorkerId) -> Option<Worker> {
+        self.workers.remove(&id)
+    }
+
+    pub(super) fn enrol(&mut self, it: &EnrolWorker) {
+        self.last_id += 1;
+        let worker = Worker {
+            name: it.name.clone(),
+            node: it.node,
+            service: it.service.clone(),
+            zone: it.zone.clone(),
+            kind: it.kind.clone(),
+            rack: it.rack.clone(),
+            capacity: it.capacity,
+            used: NOTHING,
+            filler_millicores: 0,
+            runs: BTreeSet::new(),
+            cursor: 0,
+        };
+        self.workers.insert(WorkerId(self.last_id), worker);
+    }
+}
+
+fn filler_millicores(step: &WorkflowStep) -> u32 {
+    if step.filler { step.need.cpu_millicores } else { 0 }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,317 @@
+//! The gateway: takes clients' and operators' requests about workflows to the leader.
+//!
+//! It keeps nothing that must last. A request is sent again, to the next control process, until
+//! somebody answers or its time is up: submissions carry their own identity and configurations
+//! their version, so that a repetition does no harm.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use crate::{control::finder::Finder, prelude::*};
+
+/// What a gateway is told by the settings.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// Where other processes reach this one.
+    pub address: SocketAddr,
+    pub controls: Vec<SocketAddr>,
+    /// Random number of this process, from which its calls are numbered.
+    pub boot: u64,
+    /// Time after which an unanswered call is sent to the next control process.
+    pub resend_ms: u64,
+    /// Pause after an answer that names no leader, as while one is elected.
+    pub election_pause_ms: u64,
+    /// Longest time that a request waits for a leader.
+    pub give_up_ms: u64,
+    /// Interval at which an idle gateway makes sure that it still reaches a leader.
+    pub probe_ms: u64,
+    /// Requests under way before new ones are refused.
+    pub calls_max: usize,
+}
+
+/// What a gateway is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A request; `wait_ms` is how long its client waits.
+    Request {
+        token: u64,
+        request: WorkflowRequest,
+        wait_ms: u64,
+    },
+    Message(Box<Message>),
+    /// Other control addresses, from changed settings.
+    Controls(Vec<SocketAddr>),
+    Tick,
+    /// A planned stop.
+    Stop,
+}
+
+/// The final answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    Told(WorkflowOutcome),
+    /// It was not taken and never will be; the time after which to ask again.
+    NotTaken { cause: Cause, retry_after_ms: u64 },
+    /// No answer came; it may have been taken.
+    Unknown,
+}
+
+/// Why a request was given up on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    NoLeader,
+    NoConfig,
+    Busy,
+    TooManyCalls,
+}
+
+/// What a gateway wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Send { to: SocketAddr, message: Message },
+    Answer { token: u64, answer: Answer },
+}
+
+struct Call {
+    token: u64,
+    request: WorkflowRequest,
+    began_ms: u64,
+    deadline_ms: u64,
+    next_ms: u64,
+    sends: u32,
+    /// A sending that nobody has answered yet, so that it may have been taken.
+    unanswered: u32,
+    /// The leader that took it lost its place before the change was committed.
+    is_interrupted: bool,
+    sent_to: Option<SocketAddr>,
+}
+
+/// The token of the gateway's own probe.
+const PROBE: u64 = u64::MAX;
+
+/// A gateway, without its I/O.
+pub struct GatewayCore {
+    options: GatewayOptions,
+    finder: Finder,
+    calls: BTreeMap<u64, Call>,
+    next_id: u64,
+    led_ms: Option<u64>,
+    probe_at_ms: u64,
+    is_stopping: bool,
+    effects: Vec<Effect>,
+}
+
+impl GatewayCore {
+    /// Makes a gateway that knows no leader yet.
+    pub fn new(options: GatewayOptions) -> GatewayCore {
+        GatewayCore {
+            finder: Finder::new(options.controls.clone(), options.boot),
+            calls: BTreeMap::new(),
+            next_id: options.boot,
+            led_ms: None,
+            probe_at_ms: 0,
+            is_stopping: false,
+            effects: Vec::new(),
+            options,
+        }
+    }
+
+    /// Returns whether a leader was heard lately, and no stop is under way.
+    pub fn is_ready(&self, now: Now) -> bool {
+        let limit_ms = self.options.probe_ms * 3;
+        !self.is_stopping && self.led_ms.is_some_and(|it| now.mono_ms < it + limit_ms)
+    }
+
+    /// Returns whether no client waits.
+    pub fn is_drained(&self) -> bool {
+        self.calls.values().all(|it| it.token == PROBE)
+    }
+
+    /// Takes the effects of the inputs so far.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns when the next [`Input::Tick`] is due.
+    pub fn next_tick_ms(&self) -> u64 {
+        let calls = self.calls.values().map(|it| it.next_ms.min(it.deadline_ms)).min();
+        calls.unwrap_or(u64::MAX).min(self.probe_at_ms)
+    }
+
+    /// Takes in one input.
+    pub fn handle(&mut self, now: Now, input: Input) {
+        match input {
+            Input::Request { token, request, wait_ms } => self.begin(now, token, request, wait_ms),
+            Input::Message(it) => self.on_message(now, *it),
+            Input::Controls(it) => self.finder.set_seeds(it),
+            Input::Tick => self.tick(now),
+            Input::Stop => self.is_stopping = true,
+        }
+    }
+
+    fn begin(&mut self, now: Now, token: u64, request: WorkflowRequest, wait_ms: u64) {
+        if self.options.calls_max <= self.calls.len() {
+            let answer = Answer::NotTaken {
+                cause: Cause::TooManyCalls,
+                retry_after_ms: self.options.resend_ms,
+            };
+            tracing::warn!(event = "request_refused", token, cause = "too_many_calls", calls = self.calls.len());
+            return self.effects.push(Effect::Answer { token, answer });
+        }
+        self.next_id = self.next_id.wrapping_add(1);
+        let call = Call {
+            token,
+            request,
+            began_ms: now.mono_ms,
+            deadline_ms: now.mono_ms + wait_ms.min(self.options.give_up_ms),
+            next_ms: now.mono_ms,
+            sends: 0,
+            unanswered: 0,
+            is_interrupted: false,
+            sent_to: None,
+        };
+        self.calls.insert(self.next_id, call);
+        self.send(now, self.next_id);
+    }
+
+    fn on_message(&mut self, now: Now, message: Message) {
+        match message {
+            Message::WorkflowAnswer(it) => self.on_answer(now, it),
+            Message::NotLeader(hint) => self.finder.set_leader(hint),
+            _ => (),
+        }
+    }
+
+    fn on_answer(&mut self, now: Now, it: WorkflowAnswer) {
+        self.finder.set_members(&it.members);
+        let Some(call) = self.calls.get_mut(&it.id) else { return };
+        call.unanswered = call.unanswered.saturating_sub(1);
+        if it.outcome == WorkflowOutcome::Interrupted {
+            call.is_interrupted = true;
+            call.next_ms = now.mono_ms + self.options.election_pause_ms;
+            return self.finder.try_next();
+        }
+        if let WorkflowOutcome::NotLeader(hint) = it.outcome {
+            let pause_ms = if hint.is_some() { 0 } else { self.options.election_pause_ms };
+            call.next_ms = now.mono_ms + pause_ms;
+            let is_same = hint.is_some() && hint == call.sent_to;
+            self.finder.set_leader(hint.filter(|_| !is_same));
+            if pause_ms == 0 {
+                self.send(now, it.id);
+            }
+            return;
+        }
+        if self.led_ms.is_none() {
+            tracing::info!(event = "leader_found", leader = ?call.sent_to);
+        }
+        self.led_ms = Some(now.mono_ms);
+        self.finder.set_leader(call.sent_to.or(self.finder.leader()));
+        let answer = match it.outcome {
+            WorkflowOutcome::NoConfig => {
+                Answer::NotTaken { cause: Cause::NoConfig, retry_after_ms: self.options.resend_ms }
+            }
+            WorkflowOutcome::Busy(retry_after_ms) => {
+                Answer::NotTaken { cause: Cause::Busy, retry_after_ms }
+            }
+            told => Answer::Told(told),
+        };
+        self.end(now, it.id, answer);
+    }
+
+    fn end(&mut self, now: Now, id: u64, answer: Answer) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        if call.token == PROBE {
+            return;
+        }
+        log_ended(&call, now, &answer);
+        self.effects.push(Effect::Answer { token: call.token, answer });
+    }
+
+    fn tick(&mut self, now: Now) {
+        if self.probe_at_ms <= now.mono_ms {
+            self.probe_at_ms = now.mono_ms + self.options.probe_ms;
+            if !self.calls.values().any(|it| it.token == PROBE) {
+                self.begin(now, PROBE, WorkflowRequest::Ping, u64::MAX);
+            }
+        }
+        let over: Vec<_> =
+            self.calls.iter().filter(|(_, it)| it.deadline_ms <= now.mono_ms).map(|(id, _)| *id).collect();
+        for id in over {
+            let is_unsure = self.calls.get(&id).is_some_and(|it| it.may_have_been_taken());
+            let answer = match is_unsure {
+                true => Answer::Unknown,
+                false => Answer::NotTaken {
+                    cause: Cause::NoLeader,
+                    retry_after_ms: self.options.give_up_ms / 2,
+                },
+            };
+            self.end(now, id, answer);
+        }
+        let due: Vec<_> =
+            self.calls.iter().filter(|(_, it)| it.next_ms <= now.mono_ms).map(|(id, _)| *id).collect();
+        let silent = self.finder.leader().filter(|leader| {
+            due.iter().any(|id| {
+                self.calls.get(id).is_some_and(|it| 0 < it.unanswered && it.sent_to == Some(*leader))
+            })
+        });
+        if let Some(leader) = silent {
+            tracing::warn!(event = "leader_silent", leader = %leader, calls = due.len());
+            self.finder.try_next();
+        } else if !due.is_empty() && self.finder.leader().is_none() {
+            self.finder.try_next();
+        }
+        for id in due {
+            self.send(now, id);
+        }
+    }
+
+    fn send(&mut self, now: Now, id: u64) {
+        let Some(to) = self.finder.target() else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.next_ms = now.mono_ms + self.options.resend_ms;
+        call.sends += 1;
+        call.unanswered += 1;
+        call.sent_to = Some(to);
+        let message = Message::WorkflowCall(WorkflowCall {
+            id,
+            reply_to: self.options.address,
+            request: call.request.clone(),
+        });
+        self.effects.push(Effect::Send { to, message });
+    }
+}
+
+impl Call {
+    fn may_have_been_taken(&self) -> bool {
+        let changes = matches!(
+            self.request,
+            WorkflowRequest::Submit(_) | WorkflowRequest::Cancel(_) | WorkflowRequest::Install(_)
+        );
+        changes && (self.is_interrupted || 0 < self.unanswered)
+    }
+}
+
+fn log_ended(call: &Call, now: Now, answer: &Answer) {
+    let took_ms = now.mono_ms - call.began_ms;
+    let (kind, target) = match &call.request {
+        WorkflowRequest::Submit(it) => ("submit", it.target.path.as_str()),
+        WorkflowRequest::Inspect(it) => ("inspect", it.path.as_str()),
+        WorkflowRequest::Cancel(it) => ("cancel", it.path.as_str()),
+        WorkflowRequest::Install(_) => ("install", ""),
+        WorkflowRequest::ReadConfig => ("read_config", ""),
+        WorkflowRequest::Ping => ("ping", ""),
+    };
+    match answer {
+        Answer::Told(WorkflowOutcome::Config(it)) => {
+            tracing::info!(event = "request_answered", kind, version = it.version, took_ms, sends = call.sends);
+        }
+        Answer::Told(outcome) => {
+            tracing::info!(event = "request_answered", kind, target, outcome = ?outcome, took_ms, sends = call.sends);
+        }
+        Answer::NotTaken { cause, .. } => {
+            tracing::warn!(event = "request_refused", kind, target, cause = ?cause, took_ms, sends = call.sends, leader = ?call.sent_to);
+        }
+        Answer::Unknown => {
+            tracing::warn!(event = "request_unknown", kind, target, took_ms, sends = call.sends, leader = ?call.sent_to);
+        }
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,11 +8,13 @@
 pub mod caller;
 pub mod client;
 pub mod local;
+mod outgoing;
 mod server;
 mod tokens;
 
 pub use self::{
     answer::HttpAnswer,
-    server::{HttpRequest, Pending, ServerOptions, start_server},
+    outgoing::{HttpCall, HttpReply, OutgoingError, OutgoingPool},
+    server::{HttpRequest, Pending, ServerOptions, start_local_server, start_server},
     tokens::Tokens,
 };
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -135,17 +135,9 @@
 where
     H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer> + Clone + Send + 'static,
 {
+    let listener = listen(options.listen)?;
     let cannot =
         || Error::new(ErrorKind::Internal, format_compact!("cannot listen on {}", options.listen));
-    let domain = socket2::Domain::for_address(options.listen);
-    let socket =
-        socket2::Socket::new(domain, socket2::Type::STREAM, None).change_context_lazy(cannot)?;
-    // A process that restarts takes its address back at once.
-    socket.set_reuse_address(true).change_context_lazy(cannot)?;
-    socket.set_nonblocking(true).change_context_lazy(cannot)?;
-    socket.bind(&options.listen.into()).change_context_lazy(cannot)?;
-    socket.listen(1024).change_context_lazy(cannot)?;
-    let listener = std::net::TcpListener::from(socket);
     for _ in 0..options.threads {
         let listener = listener.try_clone().change_context_lazy(cannot)?;
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -162,13 +154,45 @@
     Ok(())
 }
 
+/// Starts a server on the current thread, whose [`tokio::task::LocalSet`] carries it; otherwise as
+/// [`start_server`].
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be listened on.
+///
+/// # Panics
+///
+/// Panics outside of a local set.
+pub fn start_local_server<H>(options: ServerOptions, pending: &Pending, handle: H) -> Result<()>
+where
+    H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer> + Clone + 'static,
+{
+    let listener = listen(options.listen)?;
+    tokio::task::spawn_local(accept(listener, options, pending.clone(), handle));
+    Ok(())
+}
+
+fn listen(address: SocketAddr) -> Result<std::net::TcpListener> {
+    let cannot = || Error::new(ErrorKind::Internal, format_compact!("cannot listen on {address}"));
+    let domain = socket2::Domain::for_address(address);
+    let socket =
+        socket2::Socket::new(domain, socket2::Type::STREAM, None).change_context_lazy(cannot)?;
+    // A process that restarts takes its address back at once.
+    socket.set_reuse_address(true).change_context_lazy(cannot)?;
+    socket.set_nonblocking(true).change_context_lazy(cannot)?;
+    socket.bind(&address.into()).change_context_lazy(cannot)?;
+    socket.listen(1024).change_context_lazy(cannot)?;
+    Ok(std::net::TcpListener::from(socket))
+}
+
 async fn accept<H>(
     listener: std::net::TcpListener,
     options: ServerOptions,
     pending: Pending,
     handle: H,
 ) where
-    H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer> + Clone + Send + 'static,
+    H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer> + Clone + 'static,
 {
     let listener = match TcpListener::from_std(listener) {
         Ok(it) => it,
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -63,11 +63,7 @@
         metrics: Arc<Metrics>,
         sink: S,
     ) -> Result<Link> {
-        let cannot = || {
-            Error::new(ErrorKind::Internal, format_compact!("cannot listen on {}", options.listen))
-        };
-        let listener = std::net::TcpListener::bind(options.listen).change_context_lazy(cannot)?;
-        listener.set_nonblocking(true).change_context_lazy(cannot)?;
+        let listener = listen(options.listen)?;
         // The queue to the thread is emptied at once into the bounded queues of the peers.
         let (outgoing, incoming) = mpsc::unbounded_channel();
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -78,13 +74,7 @@
             })?;
         let carry = move || {
             let local = tokio::task::LocalSet::new();
-            local.block_on(&runtime, async move {
-                let options = Arc::new(options);
-                let serving =
-                    server::serve(listener, options.clone(), metrics.clone(), sink.clone());
-                tokio::task::spawn_local(serving);
-                client::route(incoming, options, metrics, sink).await;
-            });
+            local.block_on(&runtime, carry_all(listener, incoming, options, metrics, sink));
         };
         thread::Builder::new().name("link".to_owned()).spawn(carry).change_context_lazy(|| {
             Error::new(ErrorKind::Internal, "cannot start the links' thread")
@@ -92,9 +82,50 @@
         Ok(Link { outgoing })
     }
 
+    /// Starts listening on the current thread, whose [`tokio::task::LocalSet`] carries all links.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be listened on.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a local set.
+    pub fn start_local<S: LinkSink>(
+        options: LinkOptions,
+        metrics: Arc<Metrics>,
+        sink: S,
+    ) -> Result<Link> {
+        let listener = listen(options.listen)?;
+        let (outgoing, incoming) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(carry_all(listener, incoming, options, metrics, sink));
+        Ok(Link { outgoing })
+    }
+
     /// Sends a message; it is dropped and counted where the peer cannot be reached in time.
     pub fn send(&self, to: SocketAddr, envelope: Envelope) {
         // Fails only once the thread has ended with its process.
         let _ = self.outgoing.send((to, envelope));
     }
 }
+
+fn listen(address: SocketAddr) -> Result<std::net::TcpListener> {
+    let cannot =
+        || Error::new(ErrorKind::Internal, format_compact!("cannot listen on {address}"));
+    let res = std::net::TcpListener::bind(address).change_context_lazy(cannot)?;
+    res.set_nonblocking(true).change_context_lazy(cannot)?;
+    Ok(res)
+}
+
+async fn carry_all<S: LinkSink>(
+    listener: std::net::TcpListener,
+    incoming: mpsc::UnboundedReceiver<(SocketAddr, Envelope)>,
+    options: LinkOptions,
+    metrics: Arc<Metrics>,
+    sink: S,
+) {
+    let options = Arc::new(options);
+    let serving = server::serve(listener, options.clone(), metrics.clone(), sink.clone());
+    tokio::task::spawn_local(serving);
+    client::route(incoming, options, metrics, sink).await;
+}
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -68,8 +68,17 @@
 pub const LINK_DROP_REASONS: [&str; 3] = ["queue_full", "no_connection", "too_large"];
 
 /// What is counted of the state.
-pub const STATE_GAUGES: [&str; 7] =
-    ["vms", "jobs", "tasks", "waiting", "claims", "watches", "log_entries"];
+pub const STATE_GAUGES: [&str; 9] = [
+    "vms",
+    "jobs",
+    "tasks",
+    "waiting",
+    "claims",
+    "watches",
+    "workflows",
+    "workers",
+    "log_entries",
+];
 
 impl Metrics {
     /// Makes the metrics of a process, all at zero.
@@ -164,6 +173,13 @@
         })
     }
 
+    /// Sets gauges of the state; each name is one of [`STATE_GAUGES`].
+    pub fn set_state(&self, rows: &[(&'static str, usize)]) {
+        for (table, rows) in rows {
+            self.state.with_label_values(&[table]).set(*rows as i64);
+        }
+    }
+
     /// Counts a refusal.
     pub fn refused(&self, kind: ErrorKind) {
         self.refusals.with_label_values(&[&kind.to_string()]).inc();
--- /dev/null
+++ b/src/node/calls.rs
@@ -0,0 +1,80 @@
+//! Calls of a worker, and what they come back with.
+
+use crate::prelude::*;
+
+/// One call of the worker beside this node.
+#[derive(Clone, Debug)]
+pub struct WorkerCall {
+    /// The lifetime that it is meant for; any other must refuse it.
+    pub worker: CompactString,
+    /// Term of the leader on whose word the call is made; the worker refuses older ones.
+    pub token: u64,
+    pub action: Action,
+}
+
+/// What a worker is asked to do.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Prolongs the lease of all that runs, takes note of ends, and lists what runs.
+    Hold {
+        /// On the worker's clock; without it nothing is prolonged.
+        lease_until_ms: Option<u64>,
+        ack_cursor: u64,
+        /// Longest wait for an end.
+        wait_ms: u64,
+    },
+    Start { run: RunRef, payload: CompactString, checkpoint: CompactString, lease_until_ms: u64 },
+    Stop { run: RunRef },
+    /// Lets a task work at a share of its speed.
+    Pace { run: RunRef, percent: u32 },
+}
+
+/// How a call ended.
+#[derive(Clone, Debug)]
+pub enum CallResult {
+    Held { clock_ms: u64, running: Vec<RunningTask>, ended: Vec<EndedRun> },
+    Done { clock_ms: u64 },
+    Refused { clock_ms: u64, cause: Refused },
+    /// Another lifetime of the worker answered.
+    OtherLifetime,
+    /// The worker did nothing, and says that it cannot.
+    Unhealthy,
+    /// The worker cannot read the call; a repetition would not help.
+    Invalid(CompactString),
+    /// Nobody listens there any more.
+    NobodyThere,
+    /// No answer: it may have been carried out, or may yet be.
+    NoAnswer,
+}
+
+/// Why a worker refused a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// A leader of a later term has spoken.
+    Fenced,
+    /// A run with this number or a higher one was there already.
+    Superseded,
+    /// The lease in the call is over.
+    Late,
+    Room,
+    /// Its ticket is missing or no longer valid.
+    Ticket,
+}
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Announcement {
+    /// Name of this lifetime.
+    pub name: CompactString,
+    pub service: CompactString,
+    pub zone: CompactString,
+    pub kind: CompactString,
+    pub rack: CompactString,
+    pub capacity: Resources,
+    pub draining: bool,
+    /// Least time that is left while it drains.
+    pub remaining_ms: u64,
+    pub clock_ms: u64,
+    /// Rises with each announcement of a lifetime.
+    pub sequence: u64,
+}
--- /dev/null
+++ b/src/node/mod.rs
@@ -0,0 +1,259 @@
+//! The node process beside a worker: carries the leader's orders to it and its word to the
+//! leader.
+//!
+//! A node decides nothing about other VMs. It holds the worker's lease only on the leader's
+//! word, repeats what got no answer, makes sure that an order it gives up on can never be
+//! carried out late, and slows fillers by itself, since that must not wait for a leader.
+
+mod calls;
+mod orders;
+mod worker;
+
+use std::net::SocketAddr;
+
+use crate::{control::finder::Finder, prelude::*};
+
+use self::worker::Lifetime;
+pub use self::calls::{Action, Announcement, CallResult, Refused, WorkerCall};
+
+/// What a node is told by the settings.
+#[derive(Clone, Debug)]
+pub struct NodeOptions {
+    /// Where other processes reach this one.
+    pub address: SocketAddr,
+    pub controls: Vec<SocketAddr>,
+    /// Random number of this process.
+    pub boot: u64,
+    /// Interval of reports while nothing happens.
+    pub report_ms: u64,
+    /// Pause before an order without an answer is given again.
+    pub retry_ms: u64,
+    /// Longest wait of the worker for an end, in one call.
+    pub hold_wait_ms: u64,
+    /// The same while fillers work beside tasks that serve, whose tails must be watched.
+    pub watch_wait_ms: u64,
+    /// Silence of the worker after which its lease is no longer asked for.
+    pub worker_silent_ms: u64,
+}
+
+/// What a node is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    Announced(Announcement),
+    /// A lifetime of the worker has left.
+    Left(CompactString),
+    Message(Box<Message>),
+    CallEnded {
+        id: u64,
+        result: CallResult,
+    },
+    /// Other control addresses, from changed settings.
+    Controls(Vec<SocketAddr>),
+    Tick,
+    /// A planned stop.
+    Stop,
+}
+
+/// What a node wants done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Send { to: SocketAddr, message: Message },
+    Call { id: u64, call: WorkerCall },
+}
+
+/// A node, without its I/O.
+pub struct NodeCore {
+    options: NodeOptions,
+    finder: Finder,
+    term: u64,
+    worker: Option<Lifetime>,
+    /// Lifetimes that are over; a late announcement of one is passed over.
+    past: Vec<CompactString>,
+    next_call: u64,
+    report_number: u64,
+    report_at_ms: u64,
+    granted_ms: u64,
+    unanswered_reports: u32,
+    is_dirty: bool,
+    effects: Vec<Effect>,
+}
+
+/// Lifetimes remembered as over.
+const PAST_MAX: usize = 64;
+
+/// Reports without an answer after which another control process is tried.
+const SILENT_REPORTS: u32 = 2;
+
+impl NodeCore {
+    /// Makes a node that knows neither its worker nor a leader.
+    pub fn new(options: NodeOptions) -> NodeCore {
+        NodeCore {
+            finder: Finder::new(options.controls.clone(), options.boot),
+            term: 0,
+            worker: None,
+            past: Vec::new(),
+            next_call: 0,
+            report_number: 0,
+            report_at_ms: 0,
+            granted_ms: 0,
+            unanswered_reports: 0,
+            is_dirty: true,
+            effects: Vec::new(),
+            options,
+        }
+    }
+
+    /// Takes the effects of the inputs so far.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns when the next [`Input::Tick`] is due.
+    pub fn next_tick_ms(&self) -> u64 {
+        let mut res = self.report_at_ms;
+        if let Some(it) = self.worker.as_ref().filter(|it| 0 < self.term && !it.is_gone) {
+            if it.hold.is_none() {
+                res = res.min(it.hold_at_ms);
+            }
+            let idle = it.orders.values().filter(|it| it.call.is_none());
+            res = res.min(idle.map(|it| it.next_ms).min().unwrap_or(u64::MAX));
+        }
+        res
+    }
+
+    /// Takes in one input.
+    pub fn handle(&mut self, now: Now, input: Input) {
+        match input {
+            Input::Announced(it) => self.on_announced(now, it),
+            Input::Left(name) => self.on_left(&name),
+            Input::Message(it) => self.on_message(now, *it),
+            Input::CallEnded { id, result } => self.on_call_ended(now, id, result),
+            Input::Controls(it) => self.finder.set_seeds(it),
+            Input::Tick | Input::Stop => (),
+        }
+        self.make_calls(now);
+        if self.is_dirty || self.report_at_ms <= now.mono_ms {
+            self.report(now);
+        }
+    }
+
+    fn on_announced(&mut self, now: Now, it: Announcement) {
+        if self.past.contains(&it.name) {
+            return;
+        }
+        match &mut self.worker {
+            Some(known) if known.announcement.name == it.name => {
+                if it.sequence <= known.announcement.sequence {
+                    return;
+                }
+                if it.draining && !known.announcement.draining {
+                    tracing::info!(event = "worker_draining", worker = %it.name, remaining_ms = it.remaining_ms);
+                    self.is_dirty = true;
+                }
+                known.hear(it.clock_ms, now);
+                known.announcement = it;
+            }
+            _ => self.begin_lifetime(now, it),
+        }
+    }
+
+    fn begin_lifetime(&mut self, now: Now, it: Announcement) {
+        if let Some(old) = self.worker.take() {
+            tracing::info!(event = "worker_replaced", worker = %old.announcement.name, by = %it.name, runs = old.running.len());
+            self.forget_lifetime(old.announcement.name);
+        }
+        tracing::info!(event = "worker_seen", worker = %it.name, service = %it.service, kind = %it.kind, rack = %it.rack, cpu_millicores = it.capacity.cpu_millicores, memory_mib = it.capacity.memory_mib);
+        self.worker = Some(Lifetime::new(it, now));
+        self.is_dirty = true;
+    }
+
+    fn forget_lifetime(&mut self, name: CompactString) {
+        if PAST_MAX <= self.past.len() {
+            self.past.remove(0);
+        }
+        self.past.push(name);
+    }
+
+    fn on_left(&mut self, name: &str) {
+        if let Some(it) = self.worker.as_mut().filter(|it| it.announcement.name == name) {
+            tracing::info!(event = "worker_left", worker = name, runs = it.running.len());
+            it.is_gone = true;
+            self.is_dirty = true;
+        }
+    }
+
+    fn on_message(&mut self, now: Now, message: Message) {
+        match message {
+            Message::NodeGrant(it) => self.on_grant(now, it),
+            Message::NotLeader(hint) => {
+                let leader = self.finder.leader();
+                self.finder.set_leader(hint.filter(|it| Some(*it) != leader));
+                self.report_at_ms = now.mono_ms + if hint.is_some() { 0 } else { REDIRECT_PAUSE_MS };
+            }
+            _ => (),
+        }
+    }
+
+    fn on_grant(&mut self, now: Now, it: NodeGrant) {
+        if it.term < self.term {
+            tracing::info!(event = "grant_ignored", term = it.term, newer_term = self.term);
+            return;
+        }
+        if self.term < it.term {
+            tracing::info!(event = "leader_found", term = it.term, leader = ?self.finder.target());
+            self.term = it.term;
+            if let Some(worker) = &mut self.worker {
+                // The new leader needs the lists under its own term.
+                worker.hold = None;
+                worker.hold_at_ms = now.mono_ms;
+            }
+        }
+        self.granted_ms = now.mono_ms;
+        self.unanswered_reports = 0;
+        self.finder.set_members(&it.members);
+        self.finder.set_leader(self.finder.target());
+        let Some(worker) = self.worker.as_mut().filter(|known| known.announcement.name == it.worker)
+        else {
+            return;
+        };
+        if 0 < it.sent_ms {
+            worker.lease_until_ms = worker.lease_until_ms.max(it.sent_ms + it.lease_ms);
+        }
+        if worker.ack_cursor < it.ack_cursor {
+            worker.ack_cursor = it.ack_cursor;
+            worker.ended.retain(|cursor, _| it.ack_cursor < *cursor);
+            worker.hold_at_ms = worker.hold_at_ms.min(now.mono_ms);
+        }
+        worker.take_orders(now, it.orders);
+    }
+
+    /// Reports to the leader, or to the process that may know it.
+    fn report(&mut self, now: Now) {
+        self.report_at_ms = now.mono_ms + self.options.report_ms;
+        if SILENT_REPORTS <= self.unanswered_reports {
+            if let Some(it) = self.finder.leader() {
+                tracing::warn!(event = "leader_silent", leader = %it, reports = self.unanswered_reports);
+            }
+            self.finder.try_next();
+            self.unanswered_reports = 0;
+        }
+        self.is_dirty = false;
+        let Some(to) = self.finder.target() else { return };
+        self.unanswered_reports += 1;
+        self.report_number += 1;
+        let silent_ms = self.options.worker_silent_ms;
+        // A worker that is silent gets no longer lease: what it does is not known.
+        let fresh = |it: &&Lifetime| it.is_gone || now.mono_ms < it.heard_ms + silent_ms;
+        let report = NodeReport {
+            node: self.options.address,
+            boot: self.options.boot,
+            number: self.report_number,
+            sent_ms: now.mono_ms,
+            worker: self.worker.as_ref().filter(fresh).map(Lifetime::report),
+        };
+        self.effects.push(Effect::Send { to, message: Message::NodeReport(report) });
+    }
+}
+
+/// Pause after a control process that names no leader, as while one is elected.
+const REDIRECT_PAUSE_MS: u64 = 60;
--- /dev/null
+++ b/src/node/orders.rs
@@ -0,0 +1,274 @@
+//! Orders on their way to the worker, and what comes back.
+
+use crate::{
+    node::{
+        NodeCore,
+        calls::{Action, CallResult, Refused, WorkerCall},
+        worker::{Lifetime, Order, Pending},
+    },
+    prelude::*,
+};
+
+/// Pause between two holds while ends wait for the leader's word.
+const ACK_PAUSE_MS: u64 = 100;
+
+/// Tries after which a worker that cannot start a run is given up on.
+const UNHEALTHY_TRIES_MAX: u32 = 3;
+
+/// Time for which nobody must listen at a worker's address before it counts as gone: two tries.
+const GONE_AFTER_MS: u64 = 200;
+
+impl Lifetime {
+    /// Takes in the leader's orders; what is known or under way already changes nothing.
+    pub(super) fn take_orders(&mut self, now: Now, orders: Vec<RunOrder>) {
+        for it in orders {
+            match it {
+                RunOrder::Start(it) => self.take_start(now, it),
+                RunOrder::Stop(run) => self.take_stop(now, run),
+                RunOrder::Role(it) => drop(self.roles.insert(it.run, it.role)),
+            }
+        }
+    }
+
+    fn take_start(&mut self, now: Now, it: StartRun) {
+        self.roles.insert(it.run, it.role);
+        let is_known = self.knows(it.run)
+            || self.orders.contains_key(&it.run)
+            || self.refused.contains_key(&it.run);
+        if is_known {
+            return;
+        }
+        if self.announcement.draining {
+            self.refused.insert(it.run, RefusalCause::Leaving);
+            return;
+        }
+        let order = Order::Start { payload: it.payload, checkpoint: it.checkpoint };
+        self.orders.insert(it.run, Pending::new(order, now));
+    }
+
+    fn take_stop(&mut self, now: Now, run: RunRef) {
+        let is_stopping = self
+            .orders
+            .get(&run)
+            .is_some_and(|it| matches!(it.order, Order::Stop { .. }));
+        let has_ended = self.ended.values().any(|it| it.run == run);
+        if is_stopping || has_ended || self.refused.contains_key(&run) {
+            return;
+        }
+        // A run that never begins lists no end, so the leader is told that it was refused.
+        let is_running = self.running.iter().any(|it| it.run == run);
+        let refused = if is_running { None } else { Some(RefusalCause::Superseded) };
+        self.orders.insert(run, Pending::new(Order::Stop { refused }, now));
+    }
+}
+
+impl Pending {
+    fn new(order: Order, now: Now) -> Pending {
+        Pending { order, call: None, next_ms: now.mono_ms, attempts: 0, may_be_late: false }
+    }
+}
+
+impl NodeCore {
+    /// Makes the calls that are due.
+    pub(super) fn make_calls(&mut self, now: Now) {
+        let Some(worker) = &mut self.worker else { return };
+        if worker.is_gone || self.term == 0 {
+            return;
+        }
+        let lease = worker.lease_by_worker_ms(now);
+        let mut calls = Vec::new();
+        let mut call = |action: Action, next_call: &mut u64| {
+            *next_call += 1;
+            calls.push((*next_call, action));
+            *next_call
+        };
+        if worker.hold.is_none() && worker.hold_at_ms <= now.mono_ms {
+            let watches = worker.worst_tail_percent().is_some() && worker.fillers().next().is_some();
+            let wait_ms = match worker.listed_term == self.term {
+                false => 0,
+                true if watches => self.options.watch_wait_ms,
+                true => self.options.hold_wait_ms,
+            };
+            let ack_cursor = worker.ack_cursor;
+            let action = Action::Hold { lease_until_ms: lease, ack_cursor, wait_ms };
+            worker.hold = Some(call(action, &mut self.next_call));
+        }
+        for (run, pending) in &mut worker.orders {
+            if pending.call.is_some() || now.mono_ms < pending.next_ms {
+                continue;
+            }
+            let action = match (&pending.order, lease) {
+                (Order::Stop { .. }, _) => Action::Stop { run: *run },
+                (Order::Start { payload, checkpoint }, Some(lease_until_ms)) => Action::Start {
+                    run: *run,
+                    payload: payload.clone(),
+                    checkpoint: checkpoint.clone(),
+                    lease_until_ms,
+                },
+                (Order::Start { .. }, None) => {
+                    // Nothing may run without a lease; the next grant brings one.
+                    pending.next_ms = now.mono_ms + self.options.retry_ms;
+                    continue;
+                }
+            };
+            pending.attempts += 1;
+            pending.call = Some(call(action, &mut self.next_call));
+        }
+        let percent = worker.pacer.percent();
+        let to_pace: Vec<_> = worker
+            .fillers()
+            .filter(|it| worker.paces.get(it).copied().unwrap_or(100) != percent)
+            .filter(|it| !worker.pace_calls.values().any(|(run, _)| run == it))
+            .collect();
+        for run in to_pace {
+            let id = call(Action::Pace { run, percent }, &mut self.next_call);
+            worker.pace_calls.insert(id, (run, percent));
+        }
+        let name = worker.announcement.name.clone();
+        for (id, action) in calls {
+            let call = WorkerCall { worker: name.clone(), token: self.term, action };
+            self.effects.push(super::Effect::Call { id, call });
+        }
+    }
+
+    pub(super) fn on_call_ended(&mut self, now: Now, id: u64, result: CallResult) {
+        let Some(worker) = &mut self.worker else { return };
+        match &result {
+            CallResult::Held { clock_ms, .. }
+            | CallResult::Done { clock_ms }
+            | CallResult::Refused { clock_ms, .. } => worker.hear(*clock_ms, now),
+            CallResult::NobodyThere => {
+                let since_ms = *worker.missing_since_ms.get_or_insert(now.mono_ms);
+                if since_ms + GONE_AFTER_MS <= now.mono_ms && !worker.is_gone {
+                    tracing::warn!(event = "worker_gone", worker = %worker.announcement.name, cause = "nobody_listens", missing_ms = now.mono_ms - since_ms);
+                    worker.is_gone = true;
+                    self.is_dirty = true;
+                }
+            }
+            _ => (),
+        }
+        if worker.hold == Some(id) {
+            return self.on_hold_ended(now, result);
+        }
+        if let Some((run, percent)) = worker.pace_calls.remove(&id) {
+            if matches!(result, CallResult::Done { .. }) {
+                worker.paces.insert(run, percent);
+            }
+            return;
+        }
+        let found = worker.orders.iter().find(|(_, it)| it.call == Some(id)).map(|(run, _)| *run);
+        match found {
+            Some(run) => self.on_order_ended(now, run, result),
+            // A stop has taken the place of the start that this call was for, or the call is a
+            // hold of an earlier term.
+            None => self.on_late_result(now, result),
+        }
+    }
+
+    fn on_late_result(&mut self, now: Now, result: CallResult) {
+        if let (CallResult::Held { ended, .. }, Some(worker)) = (result, &mut self.worker) {
+            // Its list of what runs may be old by now, but an end stays an end.
+            for it in ended.into_iter().filter(|it| worker.ack_cursor < it.cursor) {
+                worker.ended.insert(it.cursor, it.end);
+                self.is_dirty = true;
+            }
+            worker.hold_at_ms = worker.hold_at_ms.min(now.mono_ms);
+        }
+    }
+
+    fn on_hold_ended(&mut self, now: Now, result: CallResult) {
+        let Some(worker) = &mut self.worker else { return };
+        worker.hold = None;
+        let CallResult::Held { running, ended, .. } = result else {
+            worker.hold_at_ms = now.mono_ms + self.options.retry_ms;
+            match &result {
+                CallResult::NoAnswer | CallResult::NobodyThere => (),
+                other => {
+                    tracing::warn!(event = "hold_refused", worker = %worker.announcement.name, term = self.term, outcome = ?other);
+                }
+            }
+            return;
+        };
+        let was_listed = worker.listed_term == self.term;
+        let saved = |list: &[RunningTask]| -> u64 {
+            list.iter().map(|it| it.checkpoint.len() as u64).sum::<u64>() + list.len() as u64
+        };
+        let before = saved(&worker.running);
+        worker.running = running;
+        worker.listed_term = self.term;
+        let live: std::collections::HashSet<_> = worker.running.iter().map(|it| it.run).collect();
+        worker.paces.retain(|run, _| live.contains(run));
+        let pending = &worker.orders;
+        worker.roles.retain(|run, _| live.contains(run) || pending.contains_key(run));
+        let known = worker.ended.len();
+        for it in ended.into_iter().filter(|it| worker.ack_cursor < it.cursor) {
+            worker.ended.insert(it.cursor, it.end);
+        }
+        let has_news = known < worker.ended.len();
+        self.is_dirty |= has_news || !was_listed || before != saved(&worker.running);
+        let worst = worker.worst_tail_percent();
+        let before_percent = worker.pacer.percent();
+        worker.pacer.observe(worst, now.mono_ms);
+        if before_percent != worker.pacer.percent() {
+            tracing::info!(event = "fillers_paced", worker = %worker.announcement.name, percent = worker.pacer.percent(), from_percent = before_percent, worst_tail_percent = ?worst, fillers = worker.fillers().count());
+        }
+        // Ends not yet noted would be listed again at once.
+        let pause_ms = if worker.ended.is_empty() { 0 } else { ACK_PAUSE_MS };
+        worker.hold_at_ms = now.mono_ms + pause_ms;
+    }
+
+    fn on_order_ended(&mut self, now: Now, run: RunRef, result: CallResult) {
+        let Some(worker) = &mut self.worker else { return };
+        let Some(pending) = worker.orders.get_mut(&run) else { return };
+        pending.call = None;
+        pending.next_ms = now.mono_ms + self.options.retry_ms;
+        let is_start = matches!(pending.order, Order::Start { .. });
+        match result {
+            CallResult::Done { .. } if is_start => {
+                worker.orders.remove(&run);
+                if !worker.knows(run) {
+                    let checkpoint = CompactString::default();
+                    let task = RunningTask { run, checkpoint, progress_percent: 0, load: 0 };
+                    worker.running.push(task);
+                }
+            }
+            CallResult::Done { .. } => {
+                if let Some(Pending { order: Order::Stop { refused: Some(cause) }, .. }) =
+                    worker.orders.remove(&run)
+                {
+                    worker.refused.insert(run, cause);
+                    self.is_dirty = true;
+                }
+                worker.hold_at_ms = worker.hold_at_ms.min(now.mono_ms);
+            }
+            CallResult::Refused { cause: Refused::Room, .. } if is_start => {
+                pending.bar(RefusalCause::Room, now);
+            }
+            CallResult::Refused { cause: Refused::Superseded, .. } if is_start => {
+                pending.bar(RefusalCause::Superseded, now);
+            }
+            CallResult::Refused { cause: Refused::Ticket, .. } | CallResult::Invalid(_)
+                if is_start =>
+            {
+                tracing::warn!(event = "start_impossible", run = %crate::control::dispatch::run_name(run), outcome = ?result);
+                pending.bar(RefusalCause::Unhealthy, now);
+            }
+            CallResult::Unhealthy if is_start && UNHEALTHY_TRIES_MAX <= pending.attempts => {
+                pending.bar(RefusalCause::Unhealthy, now);
+            }
+            CallResult::NoAnswer => pending.may_be_late = true,
+            _ => (),
+        }
+        self.make_calls(now);
+    }
+}
+
+impl Pending {
+    /// Gives up on a start: the run is stopped first, so that an earlier call that got no
+    /// answer can never begin it.
+    fn bar(&mut self, cause: RefusalCause, now: Now) {
+        self.order = Order::Stop { refused: Some(cause) };
+        self.attempts = 0;
+        self.next_ms = now.mono_ms;
+    }
+}
--- /dev/null
+++ b/src/node/worker.rs
@@ -0,0 +1,155 @@
+//! What a node knows of the worker beside it.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{node::calls::Announcement, policy::pacing::Pacer, prelude::*};
+
+/// A reading of the worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClockSample {
+    pub clock_ms: u64,
+    /// When it was received, by the clock of this node.
+    pub at_ms: u64,
+}
+
+/// An order on its way to the worker.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    pub order: Order,
+    /// The call under way, if any.
+    pub call: Option<u64>,
+    pub next_ms: u64,
+    pub attempts: u32,
+    /// A start that got no answer may still be carried out.
+    pub may_be_late: bool,
+}
+
+/// What an order is for.
+#[derive(Clone, Debug)]
+pub(super) enum Order {
+    Start {
+        payload: CompactString,
+        checkpoint: CompactString,
+    },
+    /// Ends the run, or bars it from beginning; then it is refused for this cause, if any.
+    Stop {
+        refused: Option<RefusalCause>,
+    },
+}
+
+/// One lifetime of the worker.
+#[derive(Debug)]
+pub(super) struct Lifetime {
+    pub announcement: Announcement,
+    pub clock: ClockSample,
+    /// Last word from the worker itself.
+    pub heard_ms: u64,
+    /// Term under which the lists were last read.
+    pub listed_term: u64,
+    pub running: Vec<RunningTask>,
+    pub ended: BTreeMap<u64, RunEnd>,
+    pub ack_cursor: u64,
+    pub lease_until_ms: u64,
+    pub orders: BTreeMap<RunRef, Pending>,
+    pub refused: BTreeMap<RunRef, RefusalCause>,
+    pub roles: HashMap<RunRef, TaskRole>,
+    pub pacer: Pacer,
+    /// Share that each filler was last told, and the call that tells it.
+    pub paces: HashMap<RunRef, u32>,
+    pub pace_calls: HashMap<u64, (RunRef, u32)>,
+    pub hold: Option<u64>,
+    pub hold_at_ms: u64,
+    /// When nobody was found at the worker's address first, with nothing heard since.
+    pub missing_since_ms: Option<u64>,
+    pub is_gone: bool,
+}
+
+impl Lifetime {
+    pub(super) fn new(announcement: Announcement, now: Now) -> Lifetime {
+        Lifetime {
+            clock: ClockSample { clock_ms: announcement.clock_ms, at_ms: now.mono_ms },
+            announcement,
+            heard_ms: now.mono_ms,
+            listed_term: 0,
+            running: Vec::new(),
+            ended: BTreeMap::new(),
+            ack_cursor: 0,
+            lease_until_ms: 0,
+            orders: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            roles: HashMap::new(),
+            pacer: Pacer::default(),
+            paces: HashMap::new(),
+            pace_calls: HashMap::new(),
+            hold: None,
+            hold_at_ms: now.mono_ms,
+            missing_since_ms: None,
+            is_gone: false,
+        }
+    }
+
+    /// Takes in a word from the worker.
+    pub(super) fn hear(&mut self, clock_ms: u64, now: Now) {
+        self.clock = ClockSample { clock_ms, at_ms: now.mono_ms };
+        self.heard_ms = now.mono_ms;
+        self.missing_since_ms = None;
+    }
+
+    /// Returns the end of the lease by the worker's clock, or nothing when it is over.
+    ///
+    /// The reading was made before it arrived, so this is never later than the lease.
+    pub(super) fn lease_by_worker_ms(&self, now: Now) -> Option<u64> {
+        let valid = now.mono_ms < self.lease_until_ms;
+        valid.then(|| self.clock.clock_ms + (self.lease_until_ms - self.clock.at_ms))
+    }
+
+    /// Returns whether a run is listed, as running or ended.
+    pub(super) fn knows(&self, run: RunRef) -> bool {
+        self.running.iter().any(|it| it.run == run) || self.ended.values().any(|it| it.run == run)
+    }
+
+    /// Returns the worst share of its bound that the tail latency of a serving task has.
+    pub(super) fn worst_tail_percent(&self) -> Option<u32> {
+        let percent = |it: &RunningTask| match self.roles.get(&it.run) {
+            Some(TaskRole::Serving(target_ms)) => {
+                Some((u64::from(it.load) * 100 / (*target_ms).max(1)) as u32)
+            }
+            _ => None,
+        };
+        self.running.iter().filter_map(percent).max()
+    }
+
+    pub(super) fn fillers(&self) -> impl Iterator<Item = RunRef> {
+        let is_filler = |it: &&RunningTask| self.roles.get(&it.run) == Some(&TaskRole::Filler);
+        self.running.iter().filter(is_filler).map(|it| it.run)
+    }
+
+    pub(super) fn report(&self) -> WorkerReport {
+        let it = &self.announcement;
+        let roles_missing = self.running.iter().any(|it| !self.roles.contains_key(&it.run));
+        WorkerReport {
+            name: it.name.clone(),
+            service: it.service.clone(),
+            zone: it.zone.clone(),
+            kind: it.kind.clone(),
+            rack: it.rack.clone(),
+            capacity: it.capacity,
+            draining: it.draining,
+            remaining_ms: it.remaining_ms,
+            gone: self.is_gone,
+            term: self.listed_term,
+            running: self.running.clone(),
+            ended: self
+                .ended
+                .iter()
+                .map(|(cursor, end)| EndedRun { cursor: *cursor, end: end.clone() })
+                .collect(),
+            refused: self
+                .refused
+                .iter()
+                .map(|(run, cause)| RefusedRun { run: *run, cause: *cause })
+                .collect(),
+            roles_missing,
+        }
+    }
+}
--- a/src/runtime/adapters.rs
+++ b/src/runtime/adapters.rs
@@ -120,7 +120,7 @@
         let state = core.state();
         let waiting = core.scheduler().map_or(0, |it| it.queue().len());
         let log_entries = core.raft().last_index() - core.raft().snapshot_index();
-        for (table, rows) in [
+        self.metrics.set_state(&[
             ("vms", state.vms.len()),
             ("jobs", state.jobs.len()),
             ("tasks", state.jobs.task_count()),
@@ -128,9 +128,7 @@
             ("claims", state.claims.len()),
             ("watches", state.watches.len()),
             ("log_entries", log_entries as usize),
-        ] {
-            self.metrics.state.with_label_values(&[table]).set(rows as i64);
-        }
+        ]);
     }
 }
 
--- a/src/runtime/disk.rs
+++ b/src/runtime/disk.rs
@@ -13,7 +13,6 @@
     control::log::{Disk, DiskWrite},
     metrics::Metrics,
     prelude::*,
-    runtime::process::Event,
 };
 
 /// Pause in the writes after which the log is marked as durable up to here.
@@ -24,6 +23,18 @@
 
 type Job = (u64, Vec<DiskWrite>);
 
+/// Takes in the word of the disk; called on its thread.
+pub(super) trait DiskSink: Send + 'static {
+    /// All writes up to `number` are durable.
+    fn persisted(&self, number: u64);
+
+    /// The free space is below or again above what new work needs.
+    fn space_changed(&self, is_full: bool);
+
+    /// A write failed; what is on the disk is not known.
+    fn failed(&self, report: error_stack::Report<Error>);
+}
+
 /// The sending side of the disk's thread.
 pub(super) struct DiskWriter {
     jobs: Option<Sender<Job>>,
@@ -36,15 +47,15 @@
     /// # Errors
     ///
     /// Returns an error when it cannot be started.
-    pub(super) fn start(
+    pub(super) fn start<S: DiskSink>(
         disk: Disk,
         metrics: Arc<Metrics>,
-        events: Sender<Event>,
+        sink: S,
     ) -> Result<DiskWriter> {
         let (jobs, receiver) = crossbeam_channel::unbounded();
         let thread = thread::Builder::new()
             .name("disk".to_owned())
-            .spawn(move || write_all(disk, &receiver, &metrics, &events))
+            .spawn(move || write_all(disk, &receiver, &metrics, &sink))
             .change_context_lazy(|| {
                 Error::new(ErrorKind::Internal, "cannot start the disk's thread")
             })?;
@@ -69,7 +80,7 @@
     }
 }
 
-fn write_all(mut disk: Disk, jobs: &Receiver<Job>, metrics: &Metrics, events: &Sender<Event>) {
+fn write_all<S: DiskSink>(mut disk: Disk, jobs: &Receiver<Job>, metrics: &Metrics, sink: &S) {
     let mut marked = true;
     let mut was_full = false;
     let mut looked: Option<Instant> = None;
@@ -79,7 +90,7 @@
             let is_full = disk.is_full();
             if is_full != was_full {
                 tracing::warn!(event = "disk_space", is_full);
-                let _ = events.send(Event::DiskFull(is_full));
+                sink.space_changed(is_full);
             }
             was_full = is_full;
         }
@@ -91,7 +102,7 @@
                     marked = true;
                     match disk.mark() {
                         Ok(()) => continue,
-                        Err(report) => return fail(events, report),
+                        Err(report) => return sink.failed(report),
                     }
                 }
                 Err(RecvTimeoutError::Disconnected) => {
@@ -111,12 +122,8 @@
         metrics.disk_syncs.inc();
         marked = false;
         if let Err(report) = disk.write(&writes) {
-            return fail(events, report);
+            return sink.failed(report);
         }
-        let _ = events.send(Event::Persisted(number));
+        sink.persisted(number);
     }
 }
-
-fn fail(events: &Sender<Event>, report: error_stack::Report<Error>) {
-    let _ = events.send(Event::DiskFailed(report));
-}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -10,8 +10,10 @@
 mod process;
 mod role;
 mod signals;
+mod single;
 
 pub use self::{
     process::{Ending, Event, Process, ProcessHandle},
-    signals::forward_signals,
+    signals::{forward_signals, forward_signals_to},
+    single::{Platform, SingleHandle, SingleProcess},
 };
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -28,7 +28,7 @@
             AgentAdapter, ControlAdapter, EntryAdapter, Loopback, Sending, executor_caller,
             worker_caller,
         },
-        disk::DiskWriter,
+        disk::{DiskSink, DiskWriter},
         edges::Edge,
         pool::Pool,
         role::{Adapter, RoleActor, RoleCore, RoleStatus},
@@ -131,6 +131,20 @@
     }
 }
 
+impl DiskSink for Sender<Event> {
+    fn persisted(&self, number: u64) {
+        let _ = self.send(Event::Persisted(number));
+    }
+
+    fn space_changed(&self, is_full: bool) {
+        let _ = self.send(Event::DiskFull(is_full));
+    }
+
+    fn failed(&self, report: error_stack::Report<Error>) {
+        let _ = self.send(Event::DiskFailed(report));
+    }
+}
+
 impl Process {
     /// Makes a process from checked settings.
     pub fn new(settings: Settings) -> Process {
@@ -233,6 +247,8 @@
                     controls: link.control.clone(),
                     settings: settings.clone(),
                     boot: fastrand::u64(..),
+                    dispatch: None,
+                    voters: 0,
                 };
                 let adapter = ControlAdapter {
                     sending: sending.clone(),
@@ -392,7 +408,10 @@
             Message::Raft(_)
             | Message::ControlRequest(_)
             | Message::AgentHeartbeat(_)
-            | Message::EntryHeartbeat(_) => {
+            | Message::EntryHeartbeat(_)
+            | Message::WorkflowCall(_)
+            | Message::NodeReport(_)
+            | Message::Join(_) => {
                 self.to_control(control::Input::Message { from, message })
             }
             Message::ConfigFetch(_) if self.control.is_some() => {
@@ -413,6 +432,8 @@
             | Message::EntryHeartbeatReply(_) => {
                 self.to_entry(entry::Input::Message { from, in_force, message })
             }
+            // Their roles run in processes of their own kind.
+            Message::WorkflowAnswer(_) | Message::NodeGrant(_) => (),
             // Each role knows its own by the id, and passes over the others'.
             Message::ControlReply(_) | Message::NotLeader(_) | Message::ConfigUpdate(_) => {
                 self.to_control(control::Input::Message { from, message: message.clone() });
--- a/src/runtime/role.rs
+++ b/src/runtime/role.rs
@@ -14,6 +14,8 @@
     agent::{self, AgentCore},
     control::{self, ControlCore},
     entry::{self, EntryCore},
+    gateway::{self, GatewayCore},
+    node::{self, NodeCore},
     prelude::*,
     util::Clock,
 };
@@ -229,3 +231,71 @@
         !self.raft().is_leader() || self.raft().members().voters.len() < 2
     }
 }
+
+impl RoleCore for GatewayCore {
+    type Input = gateway::Input;
+    type Effect = gateway::Effect;
+
+    fn tick() -> gateway::Input {
+        gateway::Input::Tick
+    }
+
+    fn handle(&mut self, now: Now, input: gateway::Input) -> Result<()> {
+        self.handle(now, input);
+        Ok(())
+    }
+
+    fn take_effects(&mut self) -> Vec<gateway::Effect> {
+        self.take_effects()
+    }
+
+    fn next_tick_ms(&self) -> u64 {
+        self.next_tick_ms()
+    }
+
+    fn in_force(&self) -> Revision {
+        Revision(0)
+    }
+
+    fn is_ready(&self) -> bool {
+        self.is_ready(Clock.now())
+    }
+
+    fn is_drained(&self) -> bool {
+        self.is_drained()
+    }
+}
+
+impl RoleCore for NodeCore {
+    type Input = node::Input;
+    type Effect = node::Effect;
+
+    fn tick() -> node::Input {
+        node::Input::Tick
+    }
+
+    fn handle(&mut self, now: Now, input: node::Input) -> Result<()> {
+        self.handle(now, input);
+        Ok(())
+    }
+
+    fn take_effects(&mut self) -> Vec<node::Effect> {
+        self.take_effects()
+    }
+
+    fn next_tick_ms(&self) -> u64 {
+        self.next_tick_ms()
+    }
+
+    fn in_force(&self) -> Revision {
+        Revision(0)
+    }
+
+    fn is_ready(&self) -> bool {
+        true
+    }
+
+    fn is_drained(&self) -> bool {
+        true
+    }
+}
--- a/src/runtime/signals.rs
+++ b/src/runtime/signals.rs
@@ -5,7 +5,10 @@
 use error_stack::ResultExt;
 use signal_hook::{consts, iterator::Signals};
 
-use crate::{prelude::*, runtime::process::ProcessHandle};
+use crate::{
+    prelude::*,
+    runtime::{process::ProcessHandle, single::SingleHandle},
+};
 
 /// Forwards SIGTERM and SIGINT to a process: the first begins a planned stop, the second ends
 /// it at once.
@@ -26,3 +29,31 @@
     thread::Builder::new().name("signals".to_owned()).spawn(forward).change_context_lazy(cannot)?;
     Ok(())
 }
+
+/// Forwards SIGTERM and SIGINT as [`forward_signals`], and SIGHUP, at which the settings are read
+/// again.
+///
+/// # Errors
+///
+/// Returns an error when the handler cannot be installed.
+pub fn forward_signals_to(handle: SingleHandle) -> Result<()> {
+    let cannot = || Error::new(ErrorKind::Internal, "cannot handle signals");
+    let mut signals = Signals::new([consts::SIGTERM, consts::SIGINT, consts::SIGHUP])
+        .change_context_lazy(cannot)?;
+    let forward = move || {
+        let mut stops = 0;
+        for signal in signals.forever() {
+            tracing::info!(event = "signal", signal);
+            match signal {
+                consts::SIGHUP => handle.reload(),
+                _ if stops == 0 => {
+                    stops += 1;
+                    handle.stop();
+                }
+                _ => handle.kill(),
+            }
+        }
+    };
+    thread::Builder::new().name("signals".to_owned()).spawn(forward).change_context_lazy(cannot)?;
+    Ok(())
+}
--- /dev/null
+++ b/src/runtime/single.rs
@@ -0,0 +1,752 @@
+//! A process for small VMs: every core, link and HTTP edge on one thread.
+//!
+//! Only the disk has a thread of its own, since a sync blocks. On a fraction of a processor each
+//! hand-over between threads costs a wake-up that nothing is gained by.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use error_stack::ResultExt;
+use stakker::{ActorOwn, Stakker, actor_new, call, ret_shutdown};
+use tokio::sync::mpsc;
+
+use crate::{
+    config::load_settings,
+    control::{
+        self, ControlCore, ControlOptions,
+        dispatch::{DispatchOptions, PlanOptions},
+        log::{Disk, Identity},
+    },
+    gateway::{self, GatewayCore, GatewayOptions},
+    http::{
+        HttpAnswer, HttpCall, HttpReply, HttpRequest, OutgoingError, OutgoingPool, Pending,
+        ServerOptions, start_local_server,
+    },
+    link::{Link, LinkEvent, LinkOptions, LinkSink},
+    metrics::Metrics,
+    node::{self, CallResult, NodeCore, NodeOptions, WorkerCall},
+    prelude::*,
+    runtime::{
+        disk::{DiskSink, DiskWriter},
+        process::Ending,
+        role::{Adapter, RoleActor, RoleCore, RoleStatus},
+    },
+    schema::{
+        PROTOCOL_VERSION,
+        settings::{ControlSettings, DispatchSettings, GatewaySettings, NodeSettings, Settings},
+    },
+    util::{Clock, Place},
+};
+
+/// Longest wait for an event.
+const WAIT_MAX: Duration = Duration::from_secs(1);
+
+/// Interval at which a stopping process looks whether it may end.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+
+/// Events taken in before the actors run.
+const BATCH: usize = 256;
+
+/// Shortest time for which a stopping edge still answers: a balancer looks once a second and
+/// takes two misses.
+const EDGE_STOP_MIN: Duration = Duration::from_millis(2_500);
+
+/// Largest body of a readiness probe or a request for metrics.
+const SMALL_BODY_BYTES: usize = 64 * 1024;
+
+/// Largest headers of such a request.
+const SMALL_HEADERS_BYTES: usize = 16 * 1024;
+
+/// Translates between the product and what the platform speaks; it decides nothing.
+pub trait Platform: Clone + 'static {
+    /// Reads a client's request, and how long the client waits; or answers it at once.
+    fn client_request(&self, it: &HttpRequest) -> Result<(WorkflowRequest, u64), HttpAnswer>;
+
+    /// Reads an operator's request, as [`Platform::client_request`].
+    fn operator_request(&self, it: &HttpRequest) -> Result<(WorkflowRequest, u64), HttpAnswer>;
+
+    /// Writes the answer to either.
+    fn answer(&self, it: &gateway::Answer) -> HttpAnswer;
+
+    /// Writes the answer to a request that could not be read.
+    fn refusal(&self, it: &Refusal) -> HttpAnswer;
+
+    /// Answers a balancer's probe.
+    fn readiness(&self, it: &HttpRequest, is_ready: bool) -> HttpAnswer;
+
+    /// Reads what a worker says to its node, with the answer to it; or only answers it.
+    fn worker_request(&self, it: &HttpRequest) -> Result<(node::Input, HttpAnswer), HttpAnswer>;
+
+    /// Writes a call of a worker.
+    fn worker_call(&self, it: &WorkerCall, timeout_ms: u64) -> HttpCall;
+
+    /// Reads what came back.
+    fn worker_result(
+        &self,
+        call: &WorkerCall,
+        reply: Result<HttpReply, OutgoingError>,
+    ) -> CallResult;
+}
+
+/// What the thread is told.
+#[derive(Debug)]
+enum Event {
+    Link(LinkEvent),
+    Gateway(gateway::Input),
+    Node(node::Input),
+    Persisted(u64),
+    DiskFull(bool),
+    DiskFailed(error_stack::Report<Error>),
+    Stop,
+    Kill,
+    Reload,
+}
+
+/// Hands events to the thread of a process.
+#[derive(Clone, Debug)]
+pub struct SingleHandle {
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl SingleHandle {
+    // Sending fails only once the process has ended; there is nobody left to tell.
+
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        let _ = self.events.send(Event::Stop);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&self) {
+        let _ = self.events.send(Event::Kill);
+    }
+
+    /// Reads the settings again.
+    pub fn reload(&self) {
+        let _ = self.events.send(Event::Reload);
+    }
+
+    fn post(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+}
+
+impl LinkSink for SingleHandle {
+    fn accept(&self, event: LinkEvent) {
+        self.post(Event::Link(event));
+    }
+}
+
+impl DiskSink for SingleHandle {
+    fn persisted(&self, number: u64) {
+        self.post(Event::Persisted(number));
+    }
+
+    fn space_changed(&self, is_full: bool) {
+        self.post(Event::DiskFull(is_full));
+    }
+
+    fn failed(&self, report: error_stack::Report<Error>) {
+        self.post(Event::DiskFailed(report));
+    }
+}
+
+type Loopback = Rc<RefCell<VecDeque<(SocketAddr, Message)>>>;
+
+/// The sending side of the process's links.
+#[derive(Clone)]
+struct Sending {
+    link: Link,
+    own: SocketAddr,
+    loopback: Loopback,
+}
+
+impl Sending {
+    fn send(&self, to: SocketAddr, message: Message) {
+        if to == self.own {
+            self.loopback.borrow_mut().push_back((to, message));
+        } else {
+            self.link.send(to, Envelope { in_force: Revision(0), message });
+        }
+    }
+}
+
+struct GatewayAdapter<P: Platform> {
+    sending: Sending,
+    pending: Pending,
+    platform: P,
+    is_stopping: Rc<Cell<bool>>,
+}
+
+impl<P: Platform> Adapter<GatewayCore> for GatewayAdapter<P> {
+    fn carry(&mut self, effect: gateway::Effect, _in_force: Revision) {
+        match effect {
+            gateway::Effect::Send { to, message } => self.sending.send(to, message),
+            gateway::Effect::Answer { token, answer } => {
+                let mut answer = self.platform.answer(&answer);
+                if self.is_stopping.get() {
+                    // The next request of this client has to go to another process.
+                    answer.headers.push(("Connection", "close".to_owned()));
+                }
+                self.pending.answer(token, answer);
+            }
+        }
+    }
+
+    fn observe(&mut self, _core: &GatewayCore) {}
+}
+
+struct NodeAdapter<P: Platform> {
+    sending: Sending,
+    platform: P,
+    pool: OutgoingPool,
+    timeout_ms: u64,
+    handle: SingleHandle,
+}
+
+impl<P: Platform> Adapter<NodeCore> for NodeAdapter<P> {
+    fn carry(&mut self, effect: node::Effect, _in_force: Revision) {
+        match effect {
+            node::Effect::Send { to, message } => self.sending.send(to, message),
+            node::Effect::Call { id, call } => {
+                let (pool, platform) = (self.pool.clone(), self.platform.clone());
+                let (handle, timeout_ms) = (self.handle.clone(), self.timeout_ms);
+                tokio::task::spawn_local(async move {
+                    let reply = pool.call(platform.worker_call(&call, timeout_ms)).await;
+                    let result = platform.worker_result(&call, reply);
+                    handle.post(Event::Node(node::Input::CallEnded { id, result }));
+                });
+            }
+        }
+    }
+
+    fn observe(&mut self, _core: &NodeCore) {}
+}
+
+struct MemberAdapter {
+    sending: Sending,
+    disk: DiskWriter,
+    metrics: Arc<Metrics>,
+}
+
+impl Adapter<ControlCore> for MemberAdapter {
+    fn carry(&mut self, effect: control::Effect, _in_force: Revision) {
+        match effect {
+            control::Effect::Send { to, message } => self.sending.send(to, message),
+            control::Effect::Write { number, writes } => self.disk.submit(number, writes),
+            // Operations come over links only: this process has no edge of the older interface.
+            control::Effect::Answer { .. } => (),
+        }
+    }
+
+    fn observe(&mut self, core: &ControlCore) {
+        let state = core.state();
+        let log_entries = core.raft().last_index() - core.raft().snapshot_index();
+        let rows = [
+            ("workflows", state.workflows.len()),
+            ("workers", state.workflows.workers().len()),
+            ("log_entries", log_entries as usize),
+        ];
+        self.metrics.set_state(&rows);
+    }
+}
+
+/// A process with one thread, ready to run.
+pub struct SingleProcess<P: Platform> {
+    settings: Settings,
+    settings_file: PathBuf,
+    platform: P,
+    metrics: Arc<Metrics>,
+    handle: SingleHandle,
+    events: mpsc::UnboundedReceiver<Event>,
+}
+
+type CoreOwn<C, A> = ActorOwn<RoleActor<C, A>>;
+
+struct Actors<P: Platform> {
+    gateway: Option<CoreOwn<GatewayCore, GatewayAdapter<P>>>,
+    node: Option<CoreOwn<NodeCore, NodeAdapter<P>>>,
+    member: Option<CoreOwn<ControlCore, MemberAdapter>>,
+    statuses: Vec<Arc<RoleStatus>>,
+    is_stopping: Rc<Cell<bool>>,
+}
+
+impl<P: Platform> SingleProcess<P> {
+    /// Makes a process from checked settings and the file that they come from.
+    pub fn new(settings: Settings, settings_file: PathBuf, platform: P) -> SingleProcess<P> {
+        let (sender, events) = mpsc::unbounded_channel();
+        let handle = SingleHandle { events: sender };
+        SingleProcess { settings, settings_file, platform, metrics: Metrics::new(), handle, events }
+    }
+
+    /// Returns a handle to stop it by.
+    pub fn handle(&self) -> SingleHandle {
+        self.handle.clone()
+    }
+
+    /// Runs the process until it is stopped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when it cannot start.
+    pub fn run(self) -> Result<Ending> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .change_context_lazy(|| Error::new(ErrorKind::Internal, "cannot start the runtime"))?;
+        tokio::task::LocalSet::new().block_on(&runtime, self.run_local())
+    }
+
+    async fn run_local(mut self) -> Result<Ending> {
+        let process = self.settings.process.clone();
+        let link_settings = &self.settings.link;
+        // What a member kept is read before anything is listened on.
+        let disk = match &self.settings.dispatch {
+            Some(it) => Some(self.open_disk(it)?),
+            None => None,
+        };
+        let options = LinkOptions {
+            hello: Hello {
+                version: PROTOCOL_VERSION,
+                process: process.name.clone(),
+                region: process.region,
+                group: process.group,
+                address: link_settings.listen,
+            },
+            listen: link_settings.listen,
+            queue_messages: link_settings.queue_messages as usize,
+            frame_max_bytes: link_settings.frame_max_bytes as usize,
+        };
+        let link = Link::start_local(options, self.metrics.clone(), self.handle.clone())?;
+        let loopback = Loopback::default();
+        let sending = Sending { link, own: link_settings.listen, loopback: loopback.clone() };
+        let mut stakker = Stakker::new(Instant::now());
+        let actors = self.start_roles(&mut stakker, disk, &sending)?;
+        tracing::info!(event = "started", process = %process.name, zone = %process.zone, link = %self.settings.link.listen, roles = ?process.roles);
+        let ending = self.turn(&mut stakker, &actors, &loopback).await;
+        tracing::info!(event = "ended", process = %process.name, ending = ?ending);
+        Ok(ending)
+    }
+
+    /// Opens the data folder, after giving it an identity if it has none.
+    fn open_disk(&self, settings: &DispatchSettings) -> Result<OpenDisk> {
+        let folder = Path::new(settings.data_folder.as_str());
+        let process = &self.settings.process;
+        let place = Place { region: process.region as u8, group: process.group as u8 };
+        let founders = match settings.first_start {
+            0 => Vec::new(),
+            _ => control_links(&self.settings),
+        };
+        let identity =
+            Identity::read_or_make(folder, place, self.settings.link.listen, &founders)?;
+        let (disk, recovered) = Disk::open(folder, &identity, settings.free_min_bytes.into())?;
+        tracing::info!(event = "disk_opened", member = %identity.member, founders = identity.founders.len(), entries = recovered.entries.len(), term = recovered.hard.term);
+        Ok(OpenDisk { disk, recovered, identity })
+    }
+
+    fn start_roles(
+        &self,
+        stakker: &mut Stakker,
+        disk: Option<OpenDisk>,
+        sending: &Sending,
+    ) -> Result<Actors<P>> {
+        let mut statuses = Vec::new();
+        let mut status = || {
+            let res = Arc::new(RoleStatus::default());
+            statuses.push(res.clone());
+            res
+        };
+        let is_stopping = Rc::new(Cell::new(false));
+        let controls = control_links(&self.settings);
+        let member = match (&self.settings.dispatch, disk) {
+            (Some(settings), Some(it)) => {
+                let adapter = MemberAdapter {
+                    sending: sending.clone(),
+                    disk: DiskWriter::start(it.disk, self.metrics.clone(), self.handle.clone())?,
+                    metrics: self.metrics.clone(),
+                };
+                let options = self.control_options(settings, &it.identity, &controls);
+                let core = ControlCore::new(options, it.recovered, Clock.now())?;
+                Some(start_actor(stakker, core, adapter, status()))
+            }
+            _ => None,
+        };
+        let node = match &self.settings.node {
+            Some(settings) => {
+                let adapter = NodeAdapter {
+                    sending: sending.clone(),
+                    platform: self.platform.clone(),
+                    pool: OutgoingPool::new(settings.worker),
+                    timeout_ms: settings.call_timeout_ms.into(),
+                    handle: self.handle.clone(),
+                };
+                let core = NodeCore::new(node_options(settings, sending.own, &controls));
+                let status = status();
+                self.start_worker_edge(settings)?;
+                self.start_metrics(settings.metrics_listen)?;
+                Some(start_actor(stakker, core, adapter, status))
+            }
+            None => None,
+        };
+        let gateway = match &self.settings.gateway {
+            Some(settings) => {
+                let pending = Pending::default();
+                let adapter = GatewayAdapter {
+                    sending: sending.clone(),
+                    pending: pending.clone(),
+                    platform: self.platform.clone(),
+                    is_stopping: is_stopping.clone(),
+                };
+                let core = GatewayCore::new(gateway_options(settings, sending.own, &controls));
+                let status = status();
+                self.start_gateway_edge(settings, &pending)?;
+                self.start_readiness(settings.readiness_listen, status.clone())?;
+                self.start_metrics(settings.metrics_listen)?;
+                Some(start_actor(stakker, core, adapter, status))
+            }
+            None => None,
+        };
+        Ok(Actors { gateway, node, member, statuses, is_stopping })
+    }
+
+    fn control_options(
+        &self,
+        settings: &DispatchSettings,
+        identity: &Identity,
+        controls: &[SocketAddr],
+    ) -> ControlOptions {
+        let lease_ms = settings.lease_ms.min(settings.lease_max_ms);
+        ControlOptions {
+            place: identity.place,
+            member: identity.member,
+            address: self.settings.link.listen,
+            controls: controls.to_vec(),
+            settings: member_settings(settings, self.settings.link.listen),
+            boot: fastrand::u64(..),
+            dispatch: Some(DispatchOptions {
+                lease_ms: lease_ms.into(),
+                lease_slack_percent: settings.lease_slack_percent.into(),
+                lease_margin_ms: settings.lease_margin_ms.into(),
+                silent_ms: settings.silent_ms.into(),
+                retention_ms: u64::from(settings.retention_s) * 1_000,
+                plan: PlanOptions { interval_ms: settings.plan_interval_ms.into() },
+            }),
+            voters: settings.losses_tolerated as usize * 2 + 1,
+        }
+    }
+
+    fn start_gateway_edge(&self, settings: &GatewaySettings, pending: &Pending) -> Result<()> {
+        let options = ServerOptions {
+            listen: settings.listen,
+            threads: 1,
+            body_max_bytes: settings.body_max_bytes as usize,
+            headers_max_bytes: settings.headers_max_bytes as usize,
+        };
+        let (platform, handle) = (self.platform.clone(), self.handle.clone());
+        let metrics = self.metrics.clone();
+        let is_for_operators = self.settings.dispatch.is_some();
+        start_local_server(options, pending, move |token, it| {
+            let it = match it {
+                Ok(it) => it,
+                Err(it) => {
+                    metrics.refused(it.kind);
+                    tracing::info!(event = "request_unreadable", kind = %it.kind, detail = %it.detail);
+                    return Some(platform.refusal(&it));
+                }
+            };
+            let parsed = match is_for_operators {
+                true => platform.operator_request(&it),
+                false => platform.client_request(&it),
+            };
+            match parsed {
+                Ok((request, wait_ms)) => {
+                    metrics.requests.inc();
+                    let input = gateway::Input::Request { token, request, wait_ms };
+                    handle.post(Event::Gateway(input));
+                    None
+                }
+                Err(answer) => {
+                    metrics.refused(ErrorKind::BadRequest);
+                    tracing::info!(event = "request_unreadable", path = %it.path, status = answer.status);
+                    Some(answer)
+                }
+            }
+        })
+    }
+
+    fn start_worker_edge(&self, settings: &NodeSettings) -> Result<()> {
+        let (platform, handle) = (self.platform.clone(), self.handle.clone());
+        start_local_server(small(settings.listen), &Pending::default(), move |_, it| {
+            let it = match it {
+                Ok(it) => it,
+                Err(it) => return Some(platform.refusal(&it)),
+            };
+            match platform.worker_request(&it) {
+                Ok((input, answer)) => {
+                    handle.post(Event::Node(input));
+                    Some(answer)
+                }
+                Err(answer) => {
+                    tracing::info!(event = "request_unreadable", path = %it.path, status = answer.status);
+                    Some(answer)
+                }
+            }
+        })
+    }
+
+    fn start_readiness(&self, listen: SocketAddr, status: Arc<RoleStatus>) -> Result<()> {
+        let platform = self.platform.clone();
+        start_local_server(small(listen), &Pending::default(), move |_, it| match it {
+            Ok(it) => Some(platform.readiness(&it, status.is_ready())),
+            Err(it) => Some(platform.refusal(&it)),
+        })
+    }
+
+    fn start_metrics(&self, listen: SocketAddr) -> Result<()> {
+        let metrics = self.metrics.clone();
+        start_local_server(small(listen), &Pending::default(), move |_, _| {
+            Some(HttpAnswer::text(200, "text/plain; version=0.0.4", metrics.render()))
+        })
+    }
+
+    /// Takes in events and lets the actors run, until the process ends.
+    async fn turn(
+        &mut self,
+        stakker: &mut Stakker,
+        actors: &Actors<P>,
+        loopback: &Loopback,
+    ) -> Ending {
+        let mut stopping: Option<Instant> = None;
+        stakker.run(Instant::now(), false);
+        while stakker.not_shutdown() {
+            let longest = if stopping.is_some() { STOP_LOOK } else { WAIT_MAX };
+            let mut batch = Vec::new();
+            if loopback.borrow().is_empty() {
+                let wait = stakker.next_wait_max(Instant::now(), longest, false);
+                tokio::select! {
+                    biased;
+                    first = self.events.recv() => batch.extend(first),
+                    () = tokio::time::sleep(wait) => (),
+                }
+            }
+            while batch.len() < BATCH
+                && let Ok(it) = self.events.try_recv()
+            {
+                batch.push(it);
+            }
+            for (from, message) in std::mem::take(&mut *loopback.borrow_mut()) {
+                actors.deliver(from, message);
+            }
+            for event in batch {
+                match event {
+                    Event::Kill => return Ending::CutOff,
+                    Event::DiskFailed(report) => {
+                        // What the disk holds is not known; only a restart reads it back.
+                        tracing::error!(event = "disk_failed", error = %format_args!("{report:#}"));
+                        return Ending::Failed;
+                    }
+                    Event::Stop => {
+                        stopping.get_or_insert_with(Instant::now);
+                        actors.stop();
+                    }
+                    Event::Reload => self.reload(actors),
+                    it => actors.dispatch(it),
+                }
+            }
+            stakker.run(Instant::now(), false);
+            let Some(since) = stopping else { continue };
+            let drain_max = Duration::from_millis(self.settings.process.drain_max_ms.into());
+            let drained = actors.statuses.iter().all(|it| it.is_drained());
+            let least = match self.settings.gateway.is_some() && self.settings.dispatch.is_none() {
+                true => EDGE_STOP_MIN,
+                false => Duration::ZERO,
+            };
+            match since.elapsed() {
+                elapsed if drained && least <= elapsed => return Ending::Drained,
+                elapsed if drain_max <= elapsed => return Ending::CutOff,
+                _ => (),
+            }
+        }
+        Ending::Failed
+    }
+
+    /// Reads the settings again; only the control addresses can change while it runs.
+    fn reload(&mut self, actors: &Actors<P>) {
+        match load_settings(&self.settings_file) {
+            Ok(it) => {
+                let controls = control_links(&it);
+                tracing::info!(event = "settings_reloaded", controls = ?controls);
+                actors.set_controls(&controls);
+            }
+            Err(problems) => {
+                let all: Vec<_> = problems.iter().map(ToString::to_string).collect();
+                tracing::error!(event = "settings_refused", problems = %all.join("; "));
+            }
+        }
+    }
+}
+
+struct OpenDisk {
+    disk: Disk,
+    recovered: control::log::Recovered,
+    identity: Identity,
+}
+
+impl<P: Platform> Actors<P> {
+    fn dispatch(&self, event: Event) {
+        match event {
+            Event::Link(LinkEvent::Message { from, envelope }) => {
+                self.deliver(from, envelope.message)
+            }
+            Event::Gateway(it) => self.to_gateway(it),
+            Event::Node(it) => self.to_node(it),
+            Event::Persisted(number) => self.to_member(control::Input::Persisted { number }),
+            Event::DiskFull(it) => self.to_member(control::Input::DiskFull(it)),
+            Event::Link(LinkEvent::Lost { peer }) => {
+                tracing::debug!(event = "link_lost", %peer);
+            }
+            Event::DiskFailed(_) | Event::Stop | Event::Kill | Event::Reload => (),
+        }
+    }
+
+    fn deliver(&self, from: SocketAddr, message: Message) {
+        match message {
+            Message::WorkflowAnswer(_) => {
+                self.to_gateway(gateway::Input::Message(Box::new(message)))
+            }
+            Message::NodeGrant(_) | Message::NotLeader(_) => {
+                self.to_node(node::Input::Message(Box::new(message)))
+            }
+            message => self.to_member(control::Input::Message { from, message }),
+        }
+    }
+
+    fn set_controls(&self, controls: &[SocketAddr]) {
+        self.to_gateway(gateway::Input::Controls(controls.to_vec()));
+        self.to_node(node::Input::Controls(controls.to_vec()));
+        self.to_member(control::Input::Controls(controls.to_vec()));
+    }
+
+    fn stop(&self) {
+        self.is_stopping.set(true);
+        self.to_gateway(gateway::Input::Stop);
+        self.to_node(node::Input::Stop);
+        self.to_member(control::Input::Stop);
+    }
+
+    fn to_gateway(&self, input: gateway::Input) {
+        if let Some(it) = &self.gateway {
+            call!([it], input(input));
+        }
+    }
+
+    fn to_node(&self, input: node::Input) {
+        if let Some(it) = &self.node {
+            call!([it], input(input));
+        }
+    }
+
+    fn to_member(&self, input: control::Input) {
+        if let Some(it) = &self.member {
+            call!([it], input(input));
+        }
+    }
+}
+
+fn start_actor<C: RoleCore, A: Adapter<C>>(
+    stakker: &mut Stakker,
+    core: C,
+    adapter: A,
+    status: Arc<RoleStatus>,
+) -> ActorOwn<RoleActor<C, A>> {
+    let actor = actor_new!(stakker, RoleActor<C, A>, ret_shutdown!(stakker));
+    call!([actor], <RoleActor<C, A>>::init(core, adapter, status));
+    actor
+}
+
+/// Returns the link addresses of the control processes that the settings name.
+fn control_links(settings: &Settings) -> Vec<SocketAddr> {
+    let port = settings.link.control_port as u16;
+    let link = |it: &SocketAddr| match port {
+        0 => *it,
+        _ => SocketAddr::new(it.ip(), port),
+    };
+    settings.link.control.iter().map(link).collect()
+}
+
+fn small(listen: SocketAddr) -> ServerOptions {
+    ServerOptions {
+        listen,
+        threads: 1,
+        body_max_bytes: SMALL_BODY_BYTES,
+        headers_max_bytes: SMALL_HEADERS_BYTES,
+    }
+}
+
+fn gateway_options(
+    settings: &GatewaySettings,
+    address: SocketAddr,
+    controls: &[SocketAddr],
+) -> GatewayOptions {
+    GatewayOptions {
+        address,
+        controls: controls.to_vec(),
+        boot: fastrand::u64(..) >> 1,
+        resend_ms: settings.resend_ms.into(),
+        election_pause_ms: settings.election_pause_ms.into(),
+        give_up_ms: settings.give_up_ms.into(),
+        probe_ms: settings.probe_ms.into(),
+        calls_max: settings.calls_max as usize,
+    }
+}
+
+fn node_options(
+    settings: &NodeSettings,
+    address: SocketAddr,
+    controls: &[SocketAddr],
+) -> NodeOptions {
+    NodeOptions {
+        address,
+        controls: controls.to_vec(),
+        boot: fastrand::u64(..),
+        report_ms: settings.report_ms.into(),
+        retry_ms: settings.retry_ms.into(),
+        hold_wait_ms: settings.hold_wait_ms.into(),
+        watch_wait_ms: settings.watch_wait_ms.into(),
+        worker_silent_ms: settings.worker_silent_ms.into(),
+    }
+}
+
+/// Returns the settings of a member of a group that keeps no work of the older kind: what they
+/// bound is never reached.
+fn member_settings(settings: &DispatchSettings, address: SocketAddr) -> ControlSettings {
+    ControlSettings {
+        claim_retention_ms: 0,
+        claims_max: 1,
+        data_folder: settings.data_folder.clone(),
+        election_timeout_ms: settings.election_timeout_ms,
+        free_min_bytes: settings.free_min_bytes.into(),
+        heartbeat_ms: settings.heartbeat_ms,
+        job_retention_ms: 0,
+        jobs_max: 1,
+        lease_margin_ms: settings.lease_margin_ms,
+        lease_ms: settings.lease_ms,
+        listen: address,
+        operators_file: CompactString::default(),
+        quarantine_ms: 0,
+        snapshot_entries: settings.snapshot_entries,
+        task_failures_max: 1,
+        tasks_max: 1,
+        vm_failures_max: 1,
+        vms_max: 1,
+        watch_events_max: 1,
+        watches_max: 1,
+    }
+}
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -466,6 +466,7 @@
     Publish(PublishCommand),
     VmFlags(VmFlagsCommand),
     Expire(ExpireCommand),
+    Workflow(WorkflowCommand),
 }
 impl ::std::convert::From<&Self> for Command {
     fn from(value: &Command) -> Self {
@@ -542,6 +543,11 @@
         Self::Expire(value)
     }
 }
+impl ::std::convert::From<WorkflowCommand> for Command {
+    fn from(value: WorkflowCommand) -> Self {
+        Self::Workflow(value)
+    }
+}
 ///The result of a completed task.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -755,6 +761,19 @@
         value.clone()
     }
 }
+///An end that a worker lists.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndedRun {
+    pub cursor: u64,
+    pub end: RunEnd,
+}
+impl ::std::convert::From<&EndedRun> for EndedRun {
+    fn from(value: &EndedRun) -> Self {
+        value.clone()
+    }
+}
 ///One endpoint announced under an agent's session.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -797,6 +816,25 @@
         value.clone()
     }
 }
+///A lifetime of a worker announces itself.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EnrolWorker {
+    pub capacity: Resources,
+    pub kind: ::compact_str::CompactString,
+    pub name: ::compact_str::CompactString,
+    ///The node process beside it.
+    pub node: ::std::net::SocketAddr,
+    pub rack: ::compact_str::CompactString,
+    pub service: ::compact_str::CompactString,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&EnrolWorker> for EnrolWorker {
+    fn from(value: &EnrolWorker) -> Self {
+        value.clone()
+    }
+}
 ///The content of a log entry.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1157,6 +1195,20 @@
         value.clone()
     }
 }
+///Ends that a worker listed up to a cursor.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FinishRuns {
+    pub cursor: u64,
+    pub ends: ::std::vec::Vec<RunEnd>,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&FinishRuns> for FinishRuns {
+    fn from(value: &FinishRuns) -> Self {
+        value.clone()
+    }
+}
 ///The first frame of a link.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1424,6 +1476,11 @@
     ConfigFetch(ConfigFetch),
     ConfigUpdate(Configuration),
     NotLeader(::std::option::Option<::std::net::SocketAddr>),
+    Join(Member),
+    WorkflowCall(WorkflowCall),
+    WorkflowAnswer(WorkflowAnswer),
+    NodeReport(NodeReport),
+    NodeGrant(NodeGrant),
 }
 impl ::std::convert::From<&Self> for Message {
     fn from(value: &Message) -> Self {
@@ -1495,6 +1552,31 @@
         Self::NotLeader(value)
     }
 }
+impl ::std::convert::From<Member> for Message {
+    fn from(value: Member) -> Self {
+        Self::Join(value)
+    }
+}
+impl ::std::convert::From<WorkflowCall> for Message {
+    fn from(value: WorkflowCall) -> Self {
+        Self::WorkflowCall(value)
+    }
+}
+impl ::std::convert::From<WorkflowAnswer> for Message {
+    fn from(value: WorkflowAnswer) -> Self {
+        Self::WorkflowAnswer(value)
+    }
+}
+impl ::std::convert::From<NodeReport> for Message {
+    fn from(value: NodeReport) -> Self {
+        Self::NodeReport(value)
+    }
+}
+impl ::std::convert::From<NodeGrant> for Message {
+    fn from(value: NodeGrant) -> Self {
+        Self::NodeGrant(value)
+    }
+}
 ///Messages between the processes of aspenrail, and the commands of its replicated log.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1521,6 +1603,43 @@
         Self(value)
     }
 }
+///Answers a report: lease, cursor and orders.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeGrant {
+    pub ack_cursor: u64,
+    pub lease_ms: u64,
+    pub members: ::std::vec::Vec<::std::net::SocketAddr>,
+    pub number: u64,
+    pub orders: ::std::vec::Vec<RunOrder>,
+    ///Echo of the clock in the report, from which the lease counts; 0 grants none.
+    pub sent_ms: u64,
+    pub term: u64,
+    ///Lifetime that the orders are for.
+    pub worker: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&NodeGrant> for NodeGrant {
+    fn from(value: &NodeGrant) -> Self {
+        value.clone()
+    }
+}
+///A node reports to the leader and asks for its lease.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeReport {
+    pub boot: u64,
+    pub node: ::std::net::SocketAddr,
+    pub number: u64,
+    pub sent_ms: u64,
+    pub worker: ::std::option::Option<WorkerReport>,
+}
+impl ::std::convert::From<&NodeReport> for NodeReport {
+    fn from(value: &NodeReport) -> Self {
+        value.clone()
+    }
+}
 ///Opens a new session for a VM's agent, superseding any older one.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1633,6 +1752,48 @@
         Self::View(value)
     }
 }
+///A queue for workflows, found by host and path.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Queue {
+    ///Failed runs after which a task has failed.
+    pub attempts_max: u32,
+    pub host: ::compact_str::CompactString,
+    pub name: ::compact_str::CompactString,
+    pub path_prefix: ::compact_str::CompactString,
+    ///0 comes first.
+    pub priority: u32,
+    pub service: ::compact_str::CompactString,
+    ///Share of the longest chain of work within which a workflow should complete.
+    pub stretch_percent: u32,
+    ///Added to that.
+    pub target_ms: u64,
+    ///Longest time for one request.
+    pub timeout_ms: u64,
+}
+impl ::std::convert::From<&Queue> for Queue {
+    fn from(value: &Queue) -> Self {
+        value.clone()
+    }
+}
+///The queues in force; the highest version wins.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct QueueConfig {
+    ///The document as the operator sent it.
+    pub document: ::serde_bytes::ByteBuf,
+    pub queues: ::std::vec::Vec<Queue>,
+    ///Pools of workers that queues may name.
+    pub services: ::std::vec::Vec<::compact_str::CompactString>,
+    pub version: u64,
+}
+impl ::std::convert::From<&QueueConfig> for QueueConfig {
+    fn from(value: &QueueConfig) -> Self {
+        value.clone()
+    }
+}
 ///A message between control members.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1714,6 +1875,85 @@
         value.clone()
     }
 }
+///Why a worker refused a run for good.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum RefusalCause {
+    #[serde(rename = "room")]
+    Room,
+    #[serde(rename = "superseded")]
+    Superseded,
+    #[serde(rename = "unhealthy")]
+    Unhealthy,
+    #[serde(rename = "leaving")]
+    Leaving,
+}
+impl ::std::convert::From<&Self> for RefusalCause {
+    fn from(value: &RefusalCause) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for RefusalCause {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Room => f.write_str("room"),
+            Self::Superseded => f.write_str("superseded"),
+            Self::Unhealthy => f.write_str("unhealthy"),
+            Self::Leaving => f.write_str("leaving"),
+        }
+    }
+}
+impl ::std::str::FromStr for RefusalCause {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "room" => Ok(Self::Room),
+            "superseded" => Ok(Self::Superseded),
+            "unhealthy" => Ok(Self::Unhealthy),
+            "leaving" => Ok(Self::Leaving),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for RefusalCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for RefusalCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RefusalCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A run that the worker refused and will not begin.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RefusedRun {
+    pub cause: RefusalCause,
+    pub run: RunRef,
+}
+impl ::std::convert::From<&RefusedRun> for RefusedRun {
+    fn from(value: &RefusedRun) -> Self {
+        value.clone()
+    }
+}
 ///What a successful operation answers.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1905,6 +2145,177 @@
         value.parse()
     }
 }
+///The end of a run.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunEnd {
+    pub checkpoint: ::compact_str::CompactString,
+    pub outcome: RunOutcome,
+    pub run: RunRef,
+}
+impl ::std::convert::From<&RunEnd> for RunEnd {
+    fn from(value: &RunEnd) -> Self {
+        value.clone()
+    }
+}
+///An order for a worker.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum RunOrder {
+    Start(StartRun),
+    Stop(RunRef),
+    Role(RunRole),
+}
+impl ::std::convert::From<&Self> for RunOrder {
+    fn from(value: &RunOrder) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<StartRun> for RunOrder {
+    fn from(value: StartRun) -> Self {
+        Self::Start(value)
+    }
+}
+impl ::std::convert::From<RunRef> for RunOrder {
+    fn from(value: RunRef) -> Self {
+        Self::Stop(value)
+    }
+}
+impl ::std::convert::From<RunRole> for RunOrder {
+    fn from(value: RunRole) -> Self {
+        Self::Role(value)
+    }
+}
+///How a run ended.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum RunOutcome {
+    #[serde(rename = "done")]
+    Done,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(rename = "stopped")]
+    Stopped,
+    #[serde(rename = "lapsed")]
+    Lapsed,
+    #[serde(rename = "broken")]
+    Broken,
+    #[serde(rename = "alone")]
+    Alone,
+}
+impl ::std::convert::From<&Self> for RunOutcome {
+    fn from(value: &RunOutcome) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for RunOutcome {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Done => f.write_str("done"),
+            Self::Failed => f.write_str("failed"),
+            Self::Stopped => f.write_str("stopped"),
+            Self::Lapsed => f.write_str("lapsed"),
+            Self::Broken => f.write_str("broken"),
+            Self::Alone => f.write_str("alone"),
+        }
+    }
+}
+impl ::std::str::FromStr for RunOutcome {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "done" => Ok(Self::Done),
+            "failed" => Ok(Self::Failed),
+            "stopped" => Ok(Self::Stopped),
+            "lapsed" => Ok(Self::Lapsed),
+            "broken" => Ok(Self::Broken),
+            "alone" => Ok(Self::Alone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for RunOutcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for RunOutcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for RunOutcome {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A run and the worker it is placed on.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunPlacement {
+    pub run: RunRef,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&RunPlacement> for RunPlacement {
+    fn from(value: &RunPlacement) -> Self {
+        value.clone()
+    }
+}
+///One run of a task; run numbers begin at 1 and rise with each start.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunRef {
+    pub run: u32,
+    pub task: TaskRef,
+}
+impl ::std::convert::From<&RunRef> for RunRef {
+    fn from(value: &RunRef) -> Self {
+        value.clone()
+    }
+}
+///Tells what a run is.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunRole {
+    pub role: TaskRole,
+    pub run: RunRef,
+}
+impl ::std::convert::From<&RunRole> for RunRole {
+    fn from(value: &RunRole) -> Self {
+        value.clone()
+    }
+}
+///A run that a worker lists as running.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunningTask {
+    pub checkpoint: ::compact_str::CompactString,
+    ///Tail latency in ms of a task that serves, else millicores in use.
+    pub load: u32,
+    pub progress_percent: u32,
+    pub run: RunRef,
+}
+impl ::std::convert::From<&RunningTask> for RunningTask {
+    fn from(value: &RunningTask) -> Self {
+        value.clone()
+    }
+}
 ///Why a session ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2160,6 +2571,21 @@
         value.clone()
     }
 }
+///Starts a run.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct StartRun {
+    pub checkpoint: ::compact_str::CompactString,
+    pub payload: ::compact_str::CompactString,
+    pub role: TaskRole,
+    pub run: RunRef,
+}
+impl ::std::convert::From<&StartRun> for StartRun {
+    fn from(value: &StartRun) -> Self {
+        value.clone()
+    }
+}
 ///A kept answer to a non-idempotent request.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2190,6 +2616,21 @@
         value.clone()
     }
 }
+///Accepts a workflow.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmitWorkflow {
+    pub accepted_ms: u64,
+    pub id: WorkflowId,
+    pub queue: ::compact_str::CompactString,
+    pub spec: WorkflowSpec,
+}
+impl ::std::convert::From<&SubmitWorkflow> for SubmitWorkflow {
+    fn from(value: &SubmitWorkflow) -> Self {
+        value.clone()
+    }
+}
 ///What an agent is to do with a task's incarnation.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2403,6 +2844,21 @@
         value.parse()
     }
 }
+///A task of a workflow.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TaskRef {
+    pub index: u32,
+    pub occurrence: u32,
+    pub step: u32,
+    pub workflow: WorkflowId,
+}
+impl ::std::convert::From<&TaskRef> for TaskRef {
+    fn from(value: &TaskRef) -> Self {
+        value.clone()
+    }
+}
 ///An agent's report on one task.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2420,10 +2876,28 @@
         value.clone()
     }
 }
-///All that an agent needs to start a task.
-#[derive(Clone, Debug, PartialEq)]
+///What a task is to its neighbours.
+#[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
-#[serde(deny_unknown_fields)]
+pub enum TaskRole {
+    Plain,
+    Filler,
+    Serving(u64),
+}
+impl ::std::convert::From<&Self> for TaskRole {
+    fn from(value: &TaskRole) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for TaskRole {
+    fn from(value: u64) -> Self {
+        Self::Serving(value)
+    }
+}
+///All that an agent needs to start a task.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct TaskStart {
     pub checkpoint: ::compact_str::CompactString,
     pub class: ::compact_str::CompactString,
@@ -2640,6 +3114,19 @@
         self.0.fmt(f)
     }
 }
+///Runs that were never begun and never will be.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VoidRuns {
+    pub runs: ::std::vec::Vec<RunRef>,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&VoidRuns> for VoidRuns {
+    fn from(value: &VoidRuns) -> Self {
+        value.clone()
+    }
+}
 ///Answers a vote request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2755,3 +3242,461 @@
         value.clone()
     }
 }
+///One lifetime of a worker, numbered when it is enrolled.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct WorkerId(pub u64);
+impl ::std::ops::Deref for WorkerId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<WorkerId> for u64 {
+    fn from(value: WorkerId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&WorkerId> for WorkerId {
+    fn from(value: &WorkerId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for WorkerId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for WorkerId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for WorkerId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for WorkerId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for WorkerId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for WorkerId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///What a node knows of its worker.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerReport {
+    pub capacity: Resources,
+    pub draining: bool,
+    pub ended: ::std::vec::Vec<EndedRun>,
+    ///It has left for good.
+    pub gone: bool,
+    pub kind: ::compact_str::CompactString,
+    pub name: ::compact_str::CompactString,
+    pub rack: ::compact_str::CompactString,
+    pub refused: ::std::vec::Vec<RefusedRun>,
+    pub remaining_ms: u64,
+    ///The node does not know what some runs are.
+    pub roles_missing: bool,
+    pub running: ::std::vec::Vec<RunningTask>,
+    pub service: ::compact_str::CompactString,
+    ///Term of the leader under which the lists were read; 0 before.
+    pub term: u64,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&WorkerReport> for WorkerReport {
+    fn from(value: &WorkerReport) -> Self {
+        value.clone()
+    }
+}
+///Answers a call.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkflowAnswer {
+    pub id: u64,
+    ///Where the members of the control group are.
+    pub members: ::std::vec::Vec<::std::net::SocketAddr>,
+    pub outcome: WorkflowOutcome,
+}
+impl ::std::convert::From<&WorkflowAnswer> for WorkflowAnswer {
+    fn from(value: &WorkflowAnswer) -> Self {
+        value.clone()
+    }
+}
+///A request on its way to the leader.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkflowCall {
+    pub id: u64,
+    pub reply_to: ::std::net::SocketAddr,
+    pub request: WorkflowRequest,
+}
+impl ::std::convert::From<&WorkflowCall> for WorkflowCall {
+    fn from(value: &WorkflowCall) -> Self {
+        value.clone()
+    }
+}
+///A change of the workflows.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum WorkflowCommand {
+    Install(QueueConfig),
+    Submit(SubmitWorkflow),
+    Cancel(WorkflowId),
+    Begin(::std::vec::Vec<RunPlacement>),
+    Finish(FinishRuns),
+    Void(VoidRuns),
+    Enrol(EnrolWorker),
+    Dismiss(WorkerId),
+    Forget(u64),
+}
+impl ::std::convert::From<&Self> for WorkflowCommand {
+    fn from(value: &WorkflowCommand) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<QueueConfig> for WorkflowCommand {
+    fn from(value: QueueConfig) -> Self {
+        Self::Install(value)
+    }
+}
+impl ::std::convert::From<SubmitWorkflow> for WorkflowCommand {
+    fn from(value: SubmitWorkflow) -> Self {
+        Self::Submit(value)
+    }
+}
+impl ::std::convert::From<WorkflowId> for WorkflowCommand {
+    fn from(value: WorkflowId) -> Self {
+        Self::Cancel(value)
+    }
+}
+impl ::std::convert::From<::std::vec::Vec<RunPlacement>> for WorkflowCommand {
+    fn from(value: ::std::vec::Vec<RunPlacement>) -> Self {
+        Self::Begin(value)
+    }
+}
+impl ::std::convert::From<FinishRuns> for WorkflowCommand {
+    fn from(value: FinishRuns) -> Self {
+        Self::Finish(value)
+    }
+}
+impl ::std::convert::From<VoidRuns> for WorkflowCommand {
+    fn from(value: VoidRuns) -> Self {
+        Self::Void(value)
+    }
+}
+impl ::std::convert::From<EnrolWorker> for WorkflowCommand {
+    fn from(value: EnrolWorker) -> Self {
+        Self::Enrol(value)
+    }
+}
+impl ::std::convert::From<WorkerId> for WorkflowCommand {
+    fn from(value: WorkerId) -> Self {
+        Self::Dismiss(value)
+    }
+}
+impl ::std::convert::From<u64> for WorkflowCommand {
+    fn from(value: u64) -> Self {
+        Self::Forget(value)
+    }
+}
+///Identity of a workflow, chosen by its client.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(transparent)]
+pub struct WorkflowId(pub u64);
+impl ::std::ops::Deref for WorkflowId {
+    type Target = u64;
+    fn deref(&self) -> &u64 {
+        &self.0
+    }
+}
+impl ::std::convert::From<WorkflowId> for u64 {
+    fn from(value: WorkflowId) -> Self {
+        value.0
+    }
+}
+impl ::std::convert::From<&WorkflowId> for WorkflowId {
+    fn from(value: &WorkflowId) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<u64> for WorkflowId {
+    fn from(value: u64) -> Self {
+        Self(value)
+    }
+}
+impl ::std::str::FromStr for WorkflowId {
+    type Err = <u64 as ::std::str::FromStr>::Err;
+    fn from_str(value: &str) -> ::std::result::Result<Self, Self::Err> {
+        Ok(Self(value.parse()?))
+    }
+}
+impl ::std::convert::TryFrom<&str> for WorkflowId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &str) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&String> for WorkflowId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: &String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<String> for WorkflowId {
+    type Error = <u64 as ::std::str::FromStr>::Err;
+    fn try_from(value: String) -> ::std::result::Result<Self, Self::Error> {
+        value.parse()
+    }
+}
+impl ::std::fmt::Display for WorkflowId {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+///The answer to a request.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum WorkflowOutcome {
+    Accepted,
+    Gone,
+    NotFound,
+    NoConfig,
+    Pong,
+    Interrupted,
+    Phase(WorkflowPhase),
+    Pending(u64),
+    Config(QueueConfig),
+    Invalid(::compact_str::CompactString),
+    Busy(u64),
+    NotLeader(::std::option::Option<::std::net::SocketAddr>),
+}
+impl ::std::convert::From<&Self> for WorkflowOutcome {
+    fn from(value: &WorkflowOutcome) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<WorkflowPhase> for WorkflowOutcome {
+    fn from(value: WorkflowPhase) -> Self {
+        Self::Phase(value)
+    }
+}
+impl ::std::convert::From<QueueConfig> for WorkflowOutcome {
+    fn from(value: QueueConfig) -> Self {
+        Self::Config(value)
+    }
+}
+impl ::std::convert::From<::compact_str::CompactString> for WorkflowOutcome {
+    fn from(value: ::compact_str::CompactString) -> Self {
+        Self::Invalid(value)
+    }
+}
+impl ::std::convert::From<::std::option::Option<::std::net::SocketAddr>>
+for WorkflowOutcome {
+    fn from(value: ::std::option::Option<::std::net::SocketAddr>) -> Self {
+        Self::NotLeader(value)
+    }
+}
+///Where a workflow stands.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum WorkflowPhase {
+    #[serde(rename = "queued")]
+    Queued,
+    #[serde(rename = "running")]
+    Running,
+    #[serde(rename = "completed")]
+    Completed,
+    #[serde(rename = "failed")]
+    Failed,
+    #[serde(rename = "cancelled")]
+    Cancelled,
+}
+impl ::std::convert::From<&Self> for WorkflowPhase {
+    fn from(value: &WorkflowPhase) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for WorkflowPhase {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Queued => f.write_str("queued"),
+            Self::Running => f.write_str("running"),
+            Self::Completed => f.write_str("completed"),
+            Self::Failed => f.write_str("failed"),
+            Self::Cancelled => f.write_str("cancelled"),
+        }
+    }
+}
+impl ::std::str::FromStr for WorkflowPhase {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "queued" => Ok(Self::Queued),
+            "running" => Ok(Self::Running),
+            "completed" => Ok(Self::Completed),
+            "failed" => Ok(Self::Failed),
+            "cancelled" => Ok(Self::Cancelled),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for WorkflowPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for WorkflowPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for WorkflowPhase {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///What a client or operator asks.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum WorkflowRequest {
+    ReadConfig,
+    Ping,
+    Submit(WorkflowSubmission),
+    Inspect(WorkflowTarget),
+    Cancel(WorkflowTarget),
+    Install(QueueConfig),
+}
+impl ::std::convert::From<&Self> for WorkflowRequest {
+    fn from(value: &WorkflowRequest) -> Self {
+        value.clone()
+    }
+}
+impl ::std::convert::From<WorkflowSubmission> for WorkflowRequest {
+    fn from(value: WorkflowSubmission) -> Self {
+        Self::Submit(value)
+    }
+}
+impl ::std::convert::From<QueueConfig> for WorkflowRequest {
+    fn from(value: QueueConfig) -> Self {
+        Self::Install(value)
+    }
+}
+///What a client submits.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkflowSpec {
+    ///Time of day of the first occurrence.
+    pub first_run_ms: u64,
+    pub interval_ms: u64,
+    ///Passed on to the worker unread.
+    pub payload: ::compact_str::CompactString,
+    ///Occurrences; 0 is one, at once.
+    pub repeat_count: u32,
+    pub steps: ::std::vec::Vec<WorkflowStep>,
+}
+impl ::std::convert::From<&WorkflowSpec> for WorkflowSpec {
+    fn from(value: &WorkflowSpec) -> Self {
+        value.clone()
+    }
+}
+///A step of a workflow: tasks that need the same.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkflowStep {
+    ///Earlier steps that must be done first.
+    pub after: ::std::vec::Vec<u32>,
+    ///Saves progress as it runs.
+    pub checkpoints: bool,
+    ///Tasks of the step.
+    pub count: u32,
+    ///Rack that holds the data, or empty.
+    pub data_rack: ::compact_str::CompactString,
+    ///Copies of a task may run at once.
+    pub duplicates: bool,
+    ///Declared run time of a task; often far off.
+    pub estimate_ms: u64,
+    ///Uses only capacity that other tasks leave unused.
+    pub filler: bool,
+    ///All tasks run together or not at all.
+    pub gang: bool,
+    ///What the tasks run; equal images behave alike.
+    pub image: ::compact_str::CompactString,
+    ///Runs until the workflow is cancelled.
+    pub lasting: bool,
+    ///What one task reserves.
+    pub need: Resources,
+    ///Most tasks of the step on one worker; 0 is no limit.
+    pub per_worker_max: u32,
+    ///Kind that the worker must have, or empty.
+    pub required_label: ::compact_str::CompactString,
+    ///A gang that is slow across racks.
+    pub same_rack: bool,
+    ///Bound on the tail latency of a task that serves; 0 is none.
+    pub tail_target_ms: u64,
+    ///Tasks that may be away at once by our doing; 0 is no promise.
+    pub unavailable_max: u32,
+}
+impl ::std::convert::From<&WorkflowStep> for WorkflowStep {
+    fn from(value: &WorkflowStep) -> Self {
+        value.clone()
+    }
+}
+///A workflow and the place that its client names.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkflowSubmission {
+    pub spec: WorkflowSpec,
+    pub target: WorkflowTarget,
+}
+impl ::std::convert::From<&WorkflowSubmission> for WorkflowSubmission {
+    fn from(value: &WorkflowSubmission) -> Self {
+        value.clone()
+    }
+}
+///The place that a client names.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkflowTarget {
+    pub host: ::compact_str::CompactString,
+    pub path: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&WorkflowTarget> for WorkflowTarget {
+    fn from(value: &WorkflowTarget) -> Self {
+        value.clone()
+    }
+}
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -118,6 +118,45 @@
         value.clone()
     }
 }
+///The dispatch role: a control process for workflows, in a group that keeps its membership by itself.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DispatchSettings {
+    ///Folder of the log and the snapshots.
+    pub data_folder: ::compact_str::CompactString,
+    ///Least silence of the leader after which another stands for election; the most is twice that.
+    pub election_timeout_ms: u32,
+    ///1 while the whole installation starts for the first time, with empty disks: the control addresses of [link] then found the group.
+    pub first_start: u32,
+    ///Free space on the disk below which new work is refused.
+    pub free_min_bytes: u32,
+    ///Interval of the leader's heartbeats to the other members.
+    pub heartbeat_ms: u32,
+    ///Time that a call may take beyond the end of a lease.
+    pub lease_margin_ms: u32,
+    ///Longest lease that workers accept; a longer one is cut down to it.
+    pub lease_max_ms: u32,
+    ///Time for which a worker runs on without a word from the leader.
+    pub lease_ms: u32,
+    ///Share by which a worker's clock may be slow.
+    pub lease_slack_percent: u32,
+    ///Control processes that may be lost at once; the group keeps twice that and one voters.
+    pub losses_tolerated: u32,
+    ///Longest pause between two plans.
+    pub plan_interval_ms: u32,
+    ///Time for which the state of an ended workflow is kept.
+    pub retention_s: u32,
+    ///Silence of a node after which nothing new is placed there.
+    pub silent_ms: u32,
+    ///Log entries after which a snapshot is taken.
+    pub snapshot_entries: u32,
+}
+impl ::std::convert::From<&DispatchSettings> for DispatchSettings {
+    fn from(value: &DispatchSettings) -> Self {
+        value.clone()
+    }
+}
 ///The entry role.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -151,6 +190,37 @@
         value.clone()
     }
 }
+///The gateway role: takes requests about workflows to the leader.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    ///Largest body accepted.
+    pub body_max_bytes: u32,
+    ///Requests under way before new ones are refused.
+    pub calls_max: u32,
+    ///Pause after an answer that names no leader.
+    pub election_pause_ms: u32,
+    ///Longest time that a request waits for a leader.
+    pub give_up_ms: u32,
+    ///Largest headers accepted.
+    pub headers_max_bytes: u32,
+    ///Address of the edge for clients, or for operators beside a control process.
+    pub listen: ::std::net::SocketAddr,
+    ///Address of the metrics.
+    pub metrics_listen: ::std::net::SocketAddr,
+    ///Interval at which a gateway makes sure that it reaches a leader.
+    pub probe_ms: u32,
+    ///Address where a balancer asks whether this process can serve.
+    pub readiness_listen: ::std::net::SocketAddr,
+    ///Time after which an unanswered request is sent to the next control process.
+    pub resend_ms: u32,
+}
+impl ::std::convert::From<&GatewaySettings> for GatewaySettings {
+    fn from(value: &GatewaySettings) -> Self {
+        value.clone()
+    }
+}
 ///The links between the processes of the system.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -158,6 +228,8 @@
 pub struct LinkSettings {
     ///Addresses of control processes; a dead one among several is survived.
     pub control: ::std::vec::Vec<::std::net::SocketAddr>,
+    ///Port of the links of control processes, where their addresses name another; 0 takes the addresses as they stand.
+    pub control_port: u32,
     ///Largest message accepted from a peer.
     pub frame_max_bytes: u32,
     ///Address where other processes reach this one.
@@ -170,6 +242,35 @@
         value.clone()
     }
 }
+///The node role: the process beside one worker.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    ///Time that the worker has to answer a call.
+    pub call_timeout_ms: u32,
+    ///Longest wait of the worker for an end, in one call.
+    pub hold_wait_ms: u32,
+    ///Address where the worker announces itself.
+    pub listen: ::std::net::SocketAddr,
+    ///Address of the metrics.
+    pub metrics_listen: ::std::net::SocketAddr,
+    ///Interval of reports to the leader while nothing happens.
+    pub report_ms: u32,
+    ///Pause before an order without an answer is given again.
+    pub retry_ms: u32,
+    ///The same while fillers work beside tasks that serve.
+    pub watch_wait_ms: u32,
+    ///Address of the worker.
+    pub worker: ::std::net::SocketAddr,
+    ///Silence of the worker after which its lease is no longer asked for.
+    pub worker_silent_ms: u32,
+}
+impl ::std::convert::From<&NodeSettings> for NodeSettings {
+    fn from(value: &NodeSettings) -> Self {
+        value.clone()
+    }
+}
 ///What this process is and where it stands.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -207,6 +308,12 @@
     Agent,
     #[serde(rename = "control")]
     Control,
+    #[serde(rename = "gateway")]
+    Gateway,
+    #[serde(rename = "node")]
+    Node,
+    #[serde(rename = "dispatch")]
+    Dispatch,
 }
 impl ::std::convert::From<&Self> for Role {
     fn from(value: &Role) -> Self {
@@ -219,6 +326,9 @@
             Self::Entry => f.write_str("entry"),
             Self::Agent => f.write_str("agent"),
             Self::Control => f.write_str("control"),
+            Self::Gateway => f.write_str("gateway"),
+            Self::Node => f.write_str("node"),
+            Self::Dispatch => f.write_str("dispatch"),
         }
     }
 }
@@ -231,6 +341,9 @@
             "entry" => Ok(Self::Entry),
             "agent" => Ok(Self::Agent),
             "control" => Ok(Self::Control),
+            "gateway" => Ok(Self::Gateway),
+            "node" => Ok(Self::Node),
+            "dispatch" => Ok(Self::Dispatch),
             _ => Err("invalid value".into()),
         }
     }
@@ -266,8 +379,11 @@
 pub struct Settings {
     pub agent: ::std::option::Option<AgentSettings>,
     pub control: ::std::option::Option<ControlSettings>,
+    pub dispatch: ::std::option::Option<DispatchSettings>,
     pub entry: ::std::option::Option<EntrySettings>,
+    pub gateway: ::std::option::Option<GatewaySettings>,
     pub link: LinkSettings,
+    pub node: ::std::option::Option<NodeSettings>,
     pub process: ProcessSettings,
 }
 impl ::std::convert::From<&Settings> for Settings {
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -17,13 +17,28 @@
     "Revision",
     "RequestId",
     "EndpointId",
+    "WorkflowId",
+    "WorkerId",
+    "TaskRef",
+    "RunRef",
 ];
 
 /// Types that have an empty value.
 const DEFAULTED: &[&str] = &["Membership"];
 
 /// Plain types that are cheap to copy and compare.
-const COPIED: &[&str] = &["Resources", "Usage", "Load", "VoteRequest", "VoteReply", "TimeoutNow"];
+const COPIED: &[&str] = &[
+    "Resources",
+    "Usage",
+    "Load",
+    "VoteRequest",
+    "VoteReply",
+    "TimeoutNow",
+    "RunOutcome",
+    "WorkflowPhase",
+    "TaskRole",
+    "RefusalCause",
+];
 
 fn generate(schema_text: &str) -> String {
     let mut settings = TypeSpaceSettings::default();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -32,7 +32,7 @@
     bad_address = { "127.0.0.1:7004", "localhost:7004", "[agent] worker: 'localhost:7004' is not an IP address with port" },
     address_twice = { "listen = 127.0.0.1:7003", "listen = 127.0.0.1:7000", "127.0.0.1:7000 is the address of [link] too" },
     control_twice = { "127.0.0.1:7002", "127.0.0.1:7001", "[link] control: 127.0.0.1:7001 stands twice" },
-    unknown_role = { "roles = agent", "roles = agent, king", "[process] roles: 'king' is not a role; roles are entry, agent, control" },
+    unknown_role = { "roles = agent", "roles = agent, king", "[process] roles: 'king' is not a role; roles are entry, agent, control, gateway, node, dispatch" },
     role_without_section = { "roles = agent", "roles = agent, entry", "[entry]: the role is played but its section is missing" },
     section_without_role = { "[agent]", "[control]\nlisten = 127.0.0.1:7009\ndata_folder = /\noperators_file = /x\n[agent]", "[control]: the section is there but the role is not played" },
     unknown_section = { "[agent]", "[agents]\na = 1\n[agent]", "[agents]: unknown section" },
