--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -5,7 +5,8 @@
 use crate::{
     control::{
         core::{ControlCore, Effect},
-        dispatch::{Dispatcher, Verdict},
+        dispatch::{Dispatcher, Verdict, run_name},
+        state::State,
     },
     prelude::*,
 };
@@ -61,7 +62,10 @@
         command: &WorkflowCommand,
     ) {
         let outcome = self.state.apply_workflow(entry.index, entry.time_ms, command);
-        log_applied(command, entry, &outcome);
+        if self.leading.is_some() {
+            // Once for the group, by the member that decides.
+            log_applied(&self.state, command, entry, &outcome);
+        }
         let members = self.member_addresses();
         if let Some(leading) = &mut self.leading
             && let Some(dispatcher) = &mut leading.dispatcher
@@ -136,8 +140,13 @@
 /// Time after which a client may ask again while the disk is full.
 const FULL_PAUSE_MS: u64 = 2_000;
 
-/// Writes the line of a change that clients or operators asked for.
-fn log_applied(command: &WorkflowCommand, entry: &LogEntry, outcome: &WorkflowOutcome) {
+/// Writes the lines of a change: one for what a client or operator asked for, one for each run.
+fn log_applied(
+    state: &State,
+    command: &WorkflowCommand,
+    entry: &LogEntry,
+    outcome: &WorkflowOutcome,
+) {
     let (index, term) = (entry.index, entry.term);
     match command {
         WorkflowCommand::Install(it) => {
@@ -149,6 +158,20 @@
         WorkflowCommand::Cancel(id) => {
             tracing::info!(event = "workflow_cancelled", workflow = %format_args!("{:016x}", id.0), outcome = ?outcome, index, term);
         }
+        WorkflowCommand::Begin(runs) => {
+            for it in runs {
+                let worker = state.workflows.workers().get(it.worker).map(|it| it.name.as_str());
+                tracing::info!(event = "run_placed", run = %run_name(it.run), worker, index, term);
+            }
+        }
+        WorkflowCommand::Finish(it) => {
+            for end in &it.ends {
+                let workflow = state.workflows.get(end.run.task.workflow);
+                let phase = workflow.map(|it| it.phase());
+                let age_ms = workflow.map(|it| entry.time_ms.saturating_sub(it.accepted_ms));
+                tracing::info!(event = "run_ended", run = %run_name(end.run), worker = it.worker.0, outcome = ?end.outcome, cursor = it.cursor, phase = ?phase, age_ms = ?age_ms, index, term);
+            }
+        }
         _ => (),
     }
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -6,7 +6,11 @@
 mod requests;
 mod sessions;
 
-use crate::{control::state::Workflows, prelude::*};
+use crate::{
+    control::state::Workflows,
+    policy::harm::{Filler, Harm, Serving},
+    prelude::*,
+};
 
 pub use self::{
     orders::run_name,
@@ -47,11 +51,13 @@
     options: DispatchOptions,
     term: u64,
     sessions: Sessions,
+    harm: Harm,
     /// Runs proposed and not yet in the ledger; the next plan waits for them.
     begin_in_flight: bool,
     is_dirty: bool,
     plan_at_ms: u64,
     forget_at_ms: u64,
+    occupancy_at_ms: u64,
     step: Step,
 }
 
@@ -67,10 +73,12 @@
             options,
             term,
             sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms()),
+            harm: Harm::default(),
             begin_in_flight: false,
             is_dirty: true,
             plan_at_ms: now.mono_ms,
             forget_at_ms: now.mono_ms + FORGET_INTERVAL_MS,
+            occupancy_at_ms: now.mono_ms + OCCUPANCY_INTERVAL_MS,
             step: Step::default(),
         }
     }
@@ -89,6 +97,10 @@
             let before_ms = now.wall_ms.saturating_sub(self.options.retention_ms);
             self.step.commands.push(WorkflowCommand::Forget(before_ms));
         }
+        if self.occupancy_at_ms <= now.mono_ms {
+            self.occupancy_at_ms = now.mono_ms + OCCUPANCY_INTERVAL_MS;
+            log_occupancy(workflows);
+        }
         if self.plan_at_ms <= now.mono_ms {
             self.is_dirty = true;
         }
@@ -100,7 +112,7 @@
             self.is_dirty = false;
             self.plan_at_ms = now.mono_ms + self.options.plan.interval_ms;
             let usable = self.sessions.usable(workflows, self.term, self.options.silent_ms, now);
-            let runs = plan::plan(workflows, &usable, &self.options.plan, now);
+            let runs = plan::plan(workflows, &usable, &self.harm, now);
             if !runs.is_empty() {
                 self.begin_in_flight = true;
                 self.step.commands.push(WorkflowCommand::Begin(runs));
@@ -151,6 +163,26 @@
         self.begin_in_flight = false;
     }
 
+    /// Learns from a report what its fillers do to its serving tasks.
+    fn learn_harm(&mut self, workflows: &Workflows, report: &WorkerReport) {
+        let mut serving = Vec::new();
+        let mut fillers = Vec::new();
+        for task in &report.running {
+            match workflows.step_of(task.run.task) {
+                Some(it) if it.filler => fillers.push(Filler {
+                    image: it.image.clone(),
+                    cores: f64::from(task.load) / 1_000.0,
+                }),
+                Some(it) if 0 < it.tail_target_ms => serving.push(Serving {
+                    image: it.image.clone(),
+                    tail_percent: f64::from(task.load) * 100.0 / it.tail_target_ms as f64,
+                }),
+                _ => (),
+            }
+        }
+        self.harm.observe(&serving, &fillers);
+    }
+
     /// Dismisses workers whose lease is over: what ran there has been killed by now.
     fn expire(&mut self, workflows: &Workflows, now: Now) {
         for id in self.sessions.take_expired(now.mono_ms) {
@@ -171,3 +203,28 @@
         self.lease_ms + self.lease_ms * self.lease_slack_percent / 100 + self.lease_margin_ms
     }
 }
+
+/// Interval of the line on how full the workers are.
+const OCCUPANCY_INTERVAL_MS: u64 = 5_000;
+
+/// Writes how full the workers are.
+fn log_occupancy(workflows: &Workflows) {
+    let workers = || workflows.workers().iter().map(|(_, it)| it);
+    let cores = |of: fn(&crate::control::state::Worker) -> u32| -> u64 {
+        workers().map(|it| u64::from(of(it))).sum::<u64>() / 1_000
+    };
+    let memory_gib = |of: fn(&crate::control::state::Worker) -> u32| -> u64 {
+        workers().map(|it| u64::from(of(it))).sum::<u64>() / 1_024
+    };
+    tracing::info!(
+        event = "occupancy",
+        workers = workers().count(),
+        workflows = workflows.active().count(),
+        runs = workers().map(|it| it.runs.len()).sum::<usize>(),
+        cores = cores(|it| it.capacity.cpu_millicores),
+        reserved_cores = cores(|it| it.used.cpu_millicores),
+        filler_cores = cores(|it| it.filler_millicores),
+        memory_gib = memory_gib(|it| it.capacity.memory_mib),
+        reserved_gib = memory_gib(|it| it.used.memory_mib),
+    );
+}
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -42,8 +42,10 @@
             tracing::info!(event = "worker_draining", worker = %seen.name, node = %report.node, remaining_ms = seen.remaining_ms);
         }
         let is_gone = seen.gone;
+        let fresh = seen.clone();
         session.report = Some(seen);
         self.is_dirty = true;
+        self.learn_harm(workflows, &fresh);
         self.take_ends(workflows, id);
         self.take_refusals(workflows, id);
         if is_gone {
@@ -96,6 +98,8 @@
             number,
             sent_ms: 0,
             term: self.term,
+            token: 0,
+            is_complete: false,
             lease_ms: 0,
             worker: CompactString::default(),
             ack_cursor: 0,
@@ -143,15 +147,15 @@
     ) {
         let Some(worker) = workflows.workers().get(id) else { return };
         let Some(session) = self.sessions.get(id) else { return };
-        let orders = match &session.report {
-            Some(it) if it.term == self.term => orders_for(workflows, worker, it),
-            // What runs there is not known yet.
-            _ => Vec::new(),
-        };
+        let listed = session.report.as_ref().filter(|it| it.term == self.term);
+        // Without a list of this term it is not known yet what runs there.
+        let orders = listed.map(|it| orders_for(workflows, worker, it)).unwrap_or_default();
         let grant = NodeGrant {
             number: session.number,
             sent_ms,
             term: self.term,
+            token: token(self.term, id),
+            is_complete: listed.is_some(),
             lease_ms: self.options.lease_ms,
             worker: worker.name.clone(),
             ack_cursor: worker.cursor,
@@ -242,6 +246,17 @@
     }
 }
 
+/// Bits of a token that count enrolments within a term.
+const ENROLMENT_BITS: u32 = 24;
+
+/// Returns the token for calls of a worker.
+///
+/// A later leader fences an earlier one. Within a term, a worker that was given up and enrols
+/// anew gets a higher token, so that a call from before its lease ran out does nothing there.
+fn token(term: u64, worker: WorkerId) -> u64 {
+    (term << ENROLMENT_BITS) | (worker.0 & ((1 << ENROLMENT_BITS) - 1))
+}
+
 fn enrolment(node: SocketAddr, it: &WorkerReport) -> EnrolWorker {
     EnrolWorker {
         name: it.name.clone(),
--- a/src/control/dispatch/plan.rs
+++ b/src/control/dispatch/plan.rs
@@ -7,7 +7,10 @@
         dispatch::sessions::Usable,
         state::{Occurrence, Workflow, Workflows, add, fits, reserve_of, subtract},
     },
-    policy::urgency::{Claim, Urgency, urgency},
+    policy::{
+        harm::{Filler, Harm},
+        urgency::{Claim, Urgency, urgency},
+    },
     prelude::*,
 };
 
@@ -27,11 +30,23 @@
     step: usize,
 }
 
+/// Share of its reservation that a task which serves is taken to use, in percent. Serving tasks
+/// reserve for their peaks; what fillers find missing shows in their progress, not in harm.
+const SERVING_USE_PERCENT: u32 = 60;
+
+/// Pace of the fillers on a worker below which it gets no more of them.
+const FILLER_PACE_MIN_PERCENT: u32 = 60;
+
+/// Tail, in percent of its bound, that a further filler may lead a serving task to.
+const TAIL_MAX_PERCENT: f64 = 80.0;
+
 /// What is left on a worker while a plan is made.
 struct Room<'a> {
     usable: Usable<'a>,
     free: Resources,
     filler_millicores: u32,
+    /// Tails to expect of the images that serve here, in percent of their bounds.
+    tails: Vec<(CompactString, f64)>,
 }
 
 impl Room<'_> {
@@ -39,13 +54,34 @@
     fn idle_millicores(&self) -> u32 {
         self.free.cpu_millicores.saturating_sub(self.filler_millicores)
     }
+
+    /// Returns the processor that a further filler would find unused at the present pace.
+    fn unused_millicores(&self) -> u32 {
+        let serving = self.usable.worker.serving_millicores;
+        let unused = self.free.cpu_millicores + serving * (100 - SERVING_USE_PERCENT) / 100;
+        let left = unused.saturating_sub(self.filler_millicores);
+        left * self.usable.report.filler_percent / 100
+    }
+
+    fn takes_filler(&self, step: &WorkflowStep, harm: &Harm) -> bool {
+        FILLER_PACE_MIN_PERCENT <= self.usable.report.filler_percent
+            && step.need.cpu_millicores <= self.unused_millicores()
+            && (self.tails.is_empty() || self.worst_tail_with(step, harm) <= TAIL_MAX_PERCENT)
+    }
+
+    /// Returns the worst tail to expect with a further filler, in percent of its bound.
+    fn worst_tail_with(&self, step: &WorkflowStep, harm: &Harm) -> f64 {
+        let cores = f64::from(step.need.cpu_millicores) / 1_000.0;
+        let with = |(image, tail): &(CompactString, f64)| tail + harm.of(image, &step.image) * cores;
+        self.tails.iter().map(with).fold(0.0, f64::max)
+    }
 }
 
 /// Returns the runs to begin now.
 pub(super) fn plan(
     workflows: &Workflows,
     usable: &[Usable<'_>],
-    _options: &PlanOptions,
+    harm: &Harm,
     now: Now,
 ) -> Vec<RunPlacement> {
     let mut rooms: Vec<_> = usable
@@ -54,11 +90,12 @@
             usable: *it,
             free: subtract(it.worker.capacity, it.worker.used),
             filler_millicores: it.worker.filler_millicores,
+            tails: tails(workflows, it, harm),
         })
         .collect();
     let mut res = Vec::new();
     for candidate in candidates(workflows, now) {
-        place_step(workflows, &candidate, &mut rooms, &mut res);
+        place_step(workflows, &candidate, &mut rooms, harm, &mut res);
     }
     res
 }
@@ -128,6 +165,7 @@
     workflows: &Workflows,
     candidate: &Candidate<'_>,
     rooms: &mut [Room<'_>],
+    harm: &Harm,
     res: &mut Vec<RunPlacement>,
 ) {
     let Candidate { id, workflow, occurrence, step: at, .. } = *candidate;
@@ -144,13 +182,13 @@
     let from = res.len();
     let gang_run = state.tasks.iter().map(|it| it.last_run).max().unwrap_or(0) + 1;
     for (index, task) in waiting {
-        let Some(room) = choose(step, queue, &counts, rooms) else {
+        let Some(room) = choose(step, queue, &counts, rooms, harm) else {
             if step.gang {
                 undo(step, rooms, res, from);
             }
             return;
         };
-        take(step, room);
+        take(step, room, harm);
         let worker = room.usable.id;
         *counts.entry(worker).or_insert(0) += 1;
         let task_ref = TaskRef {
@@ -184,6 +222,7 @@
     queue: &Queue,
     counts: &HashMap<WorkerId, u32>,
     rooms: &'a mut [Room<'b>],
+    harm: &Harm,
 ) -> Option<&'a mut Room<'b>> {
     let reserve = reserve_of(step);
     let is_fit = |it: &&mut Room<'_>| {
@@ -194,21 +233,54 @@
             && below_max
             && (step.required_label.is_empty() || step.required_label == worker.kind)
             && fits(reserve, it.free)
-            && (!step.filler || step.need.cpu_millicores <= it.idle_millicores())
+            && (!step.filler || it.takes_filler(step, harm))
     };
     rooms.iter_mut().filter(is_fit).max_by_key(|it| {
         let is_near = !step.data_rack.is_empty() && it.usable.worker.rack == step.data_rack;
-        (is_near, it.idle_millicores(), it.free.memory_mib)
+        let serving = i64::from(it.usable.worker.serving_millicores);
+        let preference = match step.filler {
+            // Where nobody serves a filler harms nobody.
+            true => -(it.worst_tail_with(step, harm) * 1_000.0) as i64,
+            // What reserves is packed, so that some workers are left without tasks that serve.
+            false => serving - i64::from(it.idle_millicores()),
+        };
+        (is_near, preference)
     })
 }
 
-fn take(step: &WorkflowStep, room: &mut Room<'_>) {
+fn take(step: &WorkflowStep, room: &mut Room<'_>, harm: &Harm) {
     room.free = subtract(room.free, reserve_of(step));
     if step.filler {
         room.filler_millicores += step.need.cpu_millicores;
+        let cores = f64::from(step.need.cpu_millicores) / 1_000.0;
+        for (image, tail) in &mut room.tails {
+            *tail += harm.of(image, &step.image) * cores;
+        }
     }
 }
 
+/// Returns the tails to expect on a worker with the fillers placed there at full pace, but never
+/// less than what is reported, in percent of their bounds.
+fn tails(workflows: &Workflows, it: &Usable<'_>, harm: &Harm) -> Vec<(CompactString, f64)> {
+    let fillers: Vec<_> = it
+        .worker
+        .runs
+        .iter()
+        .filter_map(|run| workflows.step_of(run.task))
+        .filter(|step| step.filler)
+        .map(|step| Filler {
+            image: step.image.clone(),
+            cores: f64::from(step.need.cpu_millicores) / 1_000.0,
+        })
+        .collect();
+    let tail = |task: &RunningTask| {
+        let step = workflows.step_of(task.run.task).filter(|it| 0 < it.tail_target_ms)?;
+        let reported = f64::from(task.load) * 100.0 / step.tail_target_ms as f64;
+        Some((step.image.clone(), reported.max(harm.predict(&step.image, &fillers))))
+    };
+    it.report.running.iter().filter_map(tail).collect()
+}
+
 /// Takes back the placements of a gang that did not fit whole.
 fn undo(step: &WorkflowStep, rooms: &mut [Room<'_>], res: &mut Vec<RunPlacement>, from: usize) {
     for placed in res.drain(from..) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -111,7 +111,7 @@
     /// Returns when the next [`Input::Tick`] is due.
     pub fn next_tick_ms(&self) -> u64 {
         let mut res = self.report_at_ms;
-        if let Some(it) = self.worker.as_ref().filter(|it| 0 < self.term && !it.is_gone) {
+        if let Some(it) = self.worker.as_ref().filter(|it| 0 < it.token && !it.is_gone) {
             if it.hold.is_none() {
                 res = res.min(it.hold_at_ms);
             }
@@ -216,6 +216,7 @@
         else {
             return;
         };
+        worker.token = worker.token.max(it.token);
         if 0 < it.sent_ms {
             worker.lease_until_ms = worker.lease_until_ms.max(it.sent_ms + it.lease_ms);
         }
@@ -224,6 +225,9 @@
             worker.ended.retain(|cursor, _| it.ack_cursor < *cursor);
             worker.hold_at_ms = worker.hold_at_ms.min(now.mono_ms);
         }
+        if it.is_complete {
+            worker.withdraw_starts(now, &it.orders);
+        }
         worker.take_orders(now, it.orders);
     }
 
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -19,6 +19,31 @@
 const GONE_AFTER_MS: u64 = 200;
 
 impl Lifetime {
+    /// Withdraws starts that a complete list of the leader's no longer holds: it gave up on this
+    /// worker meanwhile, and may have begun the task elsewhere.
+    pub(super) fn withdraw_starts(&mut self, now: Now, orders: &[RunOrder]) {
+        let listed: std::collections::HashSet<_> = orders
+            .iter()
+            .filter_map(|it| match it {
+                RunOrder::Start(it) => Some(it.run),
+                _ => None,
+            })
+            .collect();
+        let withdrawn: Vec<_> = self
+            .orders
+            .iter()
+            .filter(|(run, it)| matches!(it.order, Order::Start { .. }) && !listed.contains(run))
+            // What is listed here was told to the leader, which is why it is not ordered again.
+            .filter(|(run, _)| !self.knows(**run))
+            .map(|(run, _)| *run)
+            .collect();
+        for run in withdrawn {
+            if let Some(pending) = self.orders.get_mut(&run) {
+                pending.bar(RefusalCause::Superseded, now);
+            }
+        }
+    }
+
     /// Takes in the leader's orders; what is known or under way already changes nothing.
     pub(super) fn take_orders(&mut self, now: Now, orders: Vec<RunOrder>) {
         for it in orders {
@@ -30,6 +55,29 @@
         }
     }
 
+    /// Settles what became of runs that were told to stop before they were known to run; returns
+    /// whether the leader must hear of one.
+    pub(super) fn settle_barred(&mut self, list_call: u64) -> bool {
+        let barred: Vec<_> = self
+            .orders
+            .iter()
+            .filter_map(|(run, it)| match it.order {
+                Order::Barred { cause, after_call } if after_call < list_call => Some((*run, cause)),
+                _ => None,
+            })
+            .filter(|(run, _)| !self.running.iter().any(|it| it.run == *run))
+            .collect();
+        let mut res = false;
+        for (run, cause) in barred {
+            self.orders.remove(&run);
+            // One that did run lists its own end.
+            if !self.knows(run) && self.refused.insert(run, cause).is_none() {
+                res = true;
+            }
+        }
+        res
+    }
+
     fn take_start(&mut self, now: Now, it: StartRun) {
         self.roles.insert(it.run, it.role);
         let is_known = self.knows(it.run)
@@ -50,7 +98,7 @@
         let is_stopping = self
             .orders
             .get(&run)
-            .is_some_and(|it| matches!(it.order, Order::Stop { .. }));
+            .is_some_and(|it| !matches!(it.order, Order::Start { .. }));
         let has_ended = self.ended.values().any(|it| it.run == run);
         if is_stopping || has_ended || self.refused.contains_key(&run) {
             return;
@@ -72,7 +120,7 @@
     /// Makes the calls that are due.
     pub(super) fn make_calls(&mut self, now: Now) {
         let Some(worker) = &mut self.worker else { return };
-        if worker.is_gone || self.term == 0 {
+        if worker.is_gone || worker.token == 0 {
             return;
         }
         let lease = worker.lease_by_worker_ms(now);
@@ -98,6 +146,7 @@
                 continue;
             }
             let action = match (&pending.order, lease) {
+                (Order::Barred { .. }, _) => continue,
                 (Order::Stop { .. }, _) => Action::Stop { run: *run },
                 (Order::Start { payload, checkpoint }, Some(lease_until_ms)) => Action::Start {
                     run: *run,
@@ -124,9 +173,9 @@
             let id = call(Action::Pace { run, percent }, &mut self.next_call);
             worker.pace_calls.insert(id, (run, percent));
         }
-        let name = worker.announcement.name.clone();
+        let (name, token) = (worker.announcement.name.clone(), worker.token);
         for (id, action) in calls {
-            let call = WorkerCall { worker: name.clone(), token: self.term, action };
+            let call = WorkerCall { worker: name.clone(), token, action };
             self.effects.push(super::Effect::Call { id, call });
         }
     }
@@ -148,7 +197,7 @@
             _ => (),
         }
         if worker.hold == Some(id) {
-            return self.on_hold_ended(now, result);
+            return self.on_hold_ended(now, id, result);
         }
         if let Some((run, percent)) = worker.pace_calls.remove(&id) {
             if matches!(result, CallResult::Done { .. }) {
@@ -176,7 +225,7 @@
         }
     }
 
-    fn on_hold_ended(&mut self, now: Now, result: CallResult) {
+    fn on_hold_ended(&mut self, now: Now, id: u64, result: CallResult) {
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
         let CallResult::Held { running, ended, .. } = result else {
@@ -205,10 +254,12 @@
             worker.ended.insert(it.cursor, it.end);
         }
         let has_news = known < worker.ended.len();
+        self.is_dirty |= worker.settle_barred(id);
         self.is_dirty |= has_news || !was_listed || before != saved(&worker.running);
         let worst = worker.worst_tail_percent();
         let before_percent = worker.pacer.percent();
-        worker.pacer.observe(worst, now.mono_ms);
+        let has_fillers = worker.fillers().next().is_some();
+        worker.pacer.observe(worst, has_fillers, now.mono_ms);
         if before_percent != worker.pacer.percent() {
             tracing::info!(event = "fillers_paced", worker = %worker.announcement.name, percent = worker.pacer.percent(), from_percent = before_percent, worst_tail_percent = ?worst, fillers = worker.fillers().count());
         }
@@ -233,11 +284,13 @@
                 }
             }
             CallResult::Done { .. } => {
-                if let Some(Pending { order: Order::Stop { refused: Some(cause) }, .. }) =
-                    worker.orders.remove(&run)
-                {
-                    worker.refused.insert(run, cause);
-                    self.is_dirty = true;
+                match pending.order {
+                    Order::Stop { refused: Some(cause) } => {
+                        pending.order = Order::Barred { cause, after_call: self.next_call };
+                        // The hold under way may have been answered before the stop.
+                        worker.hold = None;
+                    }
+                    _ => drop(worker.orders.remove(&run)),
                 }
                 worker.hold_at_ms = worker.hold_at_ms.min(now.mono_ms);
             }
@@ -268,6 +321,7 @@
     /// answer can never begin it.
     fn bar(&mut self, cause: RefusalCause, now: Now) {
         self.order = Order::Stop { refused: Some(cause) };
+        self.call = None;
         self.attempts = 0;
         self.next_ms = now.mono_ms;
     }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -35,6 +35,12 @@
     Stop {
         refused: Option<RefusalCause>,
     },
+    /// The worker was told to stop the run; whether it ever ran shows in the next list, read by
+    /// a call numbered above `after_call`.
+    Barred {
+        cause: RefusalCause,
+        after_call: u64,
+    },
 }
 
 /// One lifetime of the worker.
@@ -49,6 +55,8 @@
     pub running: Vec<RunningTask>,
     pub ended: BTreeMap<u64, RunEnd>,
     pub ack_cursor: u64,
+    /// Token for calls, from the newest grant.
+    pub token: u64,
     pub lease_until_ms: u64,
     pub orders: BTreeMap<RunRef, Pending>,
     pub refused: BTreeMap<RunRef, RefusalCause>,
@@ -74,6 +82,7 @@
             running: Vec::new(),
             ended: BTreeMap::new(),
             ack_cursor: 0,
+            token: 0,
             lease_until_ms: 0,
             orders: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -149,6 +158,7 @@
                 .iter()
                 .map(|(run, cause)| RefusedRun { run: *run, cause: *cause })
                 .collect(),
+            filler_percent: self.pacer.percent(),
             roles_missing,
         }
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod estimate;
 pub mod feedback;
+pub mod harm;
 pub mod interference;
 pub mod order;
 pub mod pacing;
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1609,6 +1609,8 @@
 #[serde(deny_unknown_fields)]
 pub struct NodeGrant {
     pub ack_cursor: u64,
+    ///Whether orders lists every run that is to begin.
+    pub is_complete: bool,
     pub lease_ms: u64,
     pub members: ::std::vec::Vec<::std::net::SocketAddr>,
     pub number: u64,
@@ -1616,6 +1618,8 @@
     ///Echo of the clock in the report, from which the lease counts; 0 grants none.
     pub sent_ms: u64,
     pub term: u64,
+    ///Token for calls of the worker; rises with the term and with each enrolment.
+    pub token: u64,
     ///Lifetime that the orders are for.
     pub worker: ::compact_str::CompactString,
 }
@@ -3305,6 +3309,8 @@
     pub capacity: Resources,
     pub draining: bool,
     pub ended: ::std::vec::Vec<EndedRun>,
+    ///Pace of the fillers.
+    pub filler_percent: u32,
     ///It has left for good.
     pub gone: bool,
     pub kind: ::compact_str::CompactString,
