--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -52,6 +52,7 @@
     term: u64,
     sessions: Sessions,
     harm: Harm,
+    idle_since: plan::IdleSince,
     /// Runs proposed and not yet in the ledger; the next plan waits for them.
     begin_in_flight: bool,
     is_dirty: bool,
@@ -74,6 +75,7 @@
             term,
             sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms()),
             harm: Harm::default(),
+            idle_since: plan::IdleSince::default(),
             begin_in_flight: false,
             is_dirty: true,
             plan_at_ms: now.mono_ms,
@@ -112,7 +114,7 @@
             self.is_dirty = false;
             self.plan_at_ms = now.mono_ms + self.options.plan.interval_ms;
             let usable = self.sessions.usable(workflows, self.term, self.options.silent_ms, now);
-            let runs = plan::plan(workflows, &usable, &self.harm, now);
+            let runs = plan::plan(workflows, &usable, &self.harm, &mut self.idle_since, now);
             if !runs.is_empty() {
                 self.begin_in_flight = true;
                 self.step.commands.push(WorkflowCommand::Begin(runs));
--- a/src/control/dispatch/plan.rs
+++ b/src/control/dispatch/plan.rs
@@ -1,6 +1,6 @@
 //! The next runs to begin: which tasks, in what order, and where.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::{
     control::{
@@ -40,6 +40,17 @@
 /// Tail, in percent of its bound, that a further filler may lead a serving task to.
 const TAIL_MAX_PERCENT: f64 = 80.0;
 
+/// Time for which a workflow with nothing running waits for a place where its fillers harm nobody.
+/// Half of the three seconds within which work must begin while most of the room is free.
+const IDLE_MAX_MS: u64 = 1_500;
+
+/// Share of the reserved processor, in percent, up to which a workflow is not kept idle for the
+/// sake of tails; the pace of fillers guards these then.
+const IDLE_ROOM_PERCENT: u64 = 60;
+
+/// Since when workflows have had nothing running though a step of theirs could begin.
+pub(super) type IdleSince = HashMap<WorkflowId, u64>;
+
 /// What is left on a worker while a plan is made.
 struct Room<'a> {
     usable: Usable<'a>,
@@ -82,6 +93,7 @@
     workflows: &Workflows,
     usable: &[Usable<'_>],
     harm: &Harm,
+    idle_since: &mut IdleSince,
     now: Now,
 ) -> Vec<RunPlacement> {
     let mut rooms: Vec<_> = usable
@@ -94,12 +106,34 @@
         })
         .collect();
     let mut res = Vec::new();
-    for candidate in candidates(workflows, now) {
-        place_step(workflows, &candidate, &mut rooms, harm, &mut res);
+    let candidates = candidates(workflows, now);
+    for candidate in &candidates {
+        place_step(workflows, candidate, &mut rooms, Some(harm), &mut res);
+    }
+    let placed: HashSet<_> = res.iter().map(|it| it.run.task.workflow).collect();
+    let is_idle =
+        |it: &&Candidate<'_>| !placed.contains(&it.id) && !it.workflow.has_live_runs();
+    let idle: Vec<_> = candidates.iter().filter(is_idle).collect();
+    let ids: HashSet<_> = idle.iter().map(|it| it.id).collect();
+    idle_since.retain(|id, _| ids.contains(id));
+    let has_room = has_idle_room(usable);
+    for candidate in idle {
+        let since_ms = *idle_since.entry(candidate.id).or_insert(now.mono_ms);
+        if has_room && since_ms + IDLE_MAX_MS <= now.mono_ms {
+            place_step(workflows, candidate, &mut rooms, None, &mut res);
+        }
     }
     res
 }
 
+/// Returns whether so little is reserved that nothing may be kept idle.
+fn has_idle_room(usable: &[Usable<'_>]) -> bool {
+    let sum = |of: fn(&Usable<'_>) -> u32| usable.iter().map(|it| u64::from(of(it))).sum::<u64>();
+    let used = sum(|it| it.worker.used.cpu_millicores);
+    let capacity = sum(|it| it.worker.capacity.cpu_millicores);
+    used * 100 <= capacity * IDLE_ROOM_PERCENT
+}
+
 /// Returns the steps that could begin, most urgent first.
 fn candidates(workflows: &Workflows, now: Now) -> Vec<Candidate<'_>> {
     let mut res = Vec::new();
@@ -165,7 +199,7 @@
     workflows: &Workflows,
     candidate: &Candidate<'_>,
     rooms: &mut [Room<'_>],
-    harm: &Harm,
+    harm: Option<&Harm>,
     res: &mut Vec<RunPlacement>,
 ) {
     let Candidate { id, workflow, occurrence, step: at, .. } = *candidate;
@@ -199,6 +233,10 @@
         };
         let run = if step.gang { gang_run } else { task.last_run + 1 };
         res.push(RunPlacement { run: RunRef { task: task_ref, run }, worker });
+        if harm.is_none() && !step.gang {
+            // One that runs is enough not to be idle.
+            return;
+        }
     }
 }
 
@@ -222,9 +260,10 @@
     queue: &Queue,
     counts: &HashMap<WorkerId, u32>,
     rooms: &'a mut [Room<'b>],
-    harm: &Harm,
+    harm: Option<&Harm>,
 ) -> Option<&'a mut Room<'b>> {
     let reserve = reserve_of(step);
+    let unknown = Harm::default();
     let is_fit = |it: &&mut Room<'_>| {
         let worker = it.usable.worker;
         let below_max = step.per_worker_max == 0
@@ -233,14 +272,14 @@
             && below_max
             && (step.required_label.is_empty() || step.required_label == worker.kind)
             && fits(reserve, it.free)
-            && (!step.filler || it.takes_filler(step, harm))
+            && (!step.filler || harm.is_none_or(|harm| it.takes_filler(step, harm)))
     };
     rooms.iter_mut().filter(is_fit).max_by_key(|it| {
         let is_near = !step.data_rack.is_empty() && it.usable.worker.rack == step.data_rack;
         let serving = i64::from(it.usable.worker.serving_millicores);
         let preference = match step.filler {
             // Where nobody serves a filler harms nobody.
-            true => -(it.worst_tail_with(step, harm) * 1_000.0) as i64,
+            true => -(it.worst_tail_with(step, harm.unwrap_or(&unknown)) * 1_000.0) as i64,
             // What reserves is packed, so that some workers are left without tasks that serve.
             false => serving - i64::from(it.idle_millicores()),
         };
@@ -248,12 +287,13 @@
     })
 }
 
-fn take(step: &WorkflowStep, room: &mut Room<'_>, harm: &Harm) {
+fn take(step: &WorkflowStep, room: &mut Room<'_>, harm: Option<&Harm>) {
     room.free = subtract(room.free, reserve_of(step));
     if step.filler {
         room.filler_millicores += step.need.cpu_millicores;
         let cores = f64::from(step.need.cpu_millicores) / 1_000.0;
         for (image, tail) in &mut room.tails {
+            let Some(harm) = harm else { break };
             *tail += harm.of(image, &step.image) * cores;
         }
     }
