Ask for a leader before sending what cannot be taken back

Cause of answers 504 for requests that had reached nobody: a gateway sent submissions to silent control processes, after which it could not say that they were not taken, and held them for half of their time. While no leader is known it now keeps them unsent, probes, and refuses them in truth after park_ms.

--- a/src/bench/capacity.rs
+++ b/src/bench/capacity.rs
@@ -158,8 +158,8 @@
         controls: vec![address],
         settings: settings(address),
         boot: 7,
-            dispatch: None,
-            voters: 0,
+        dispatch: None,
+        voters: 0,
     };
     let mut core =
         ControlCore::new(options, recovered, now(0)).expect("an empty disk holds no snapshot");
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -216,9 +216,9 @@
         "#/definitions/Address" if text.parse::<SocketAddr>().is_err() => {
             Err(format!("'{text}' is not an IP address with port, such as 10.0.0.1:7000"))
         }
-        "#/definitions/Role" if text.parse::<Role>().is_err() => {
-            Err(format!("'{text}' is not a role; roles are entry, agent, control, gateway, node, dispatch"))
-        }
+        "#/definitions/Role" if text.parse::<Role>().is_err() => Err(format!(
+            "'{text}' is not a role; roles are entry, agent, control, gateway, node, dispatch"
+        )),
         "#/definitions/Text" if text.is_empty() => Err("must not be empty".to_owned()),
         _ => Ok(Value::from(text)),
     }
--- a/src/control/core/keeper.rs
+++ b/src/control/core/keeper.rs
@@ -91,7 +91,9 @@
             Ok(index) => {
                 tracing::info!(event = "membership_changed", change = ?change, cause, index, term = self.raft.term());
             }
-            Err(error) => tracing::debug!(event = "membership_kept", change = ?change, cause, ?error),
+            Err(error) => {
+                tracing::debug!(event = "membership_kept", change = ?change, cause, ?error)
+            }
         }
     }
 
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -194,7 +194,10 @@
     pub fn next_tick_ms(&self) -> u64 {
         let raft_ms = self.raft.next_tick_ms();
         let leading_ms = self.leading.as_ref().map_or(u64::MAX, |it| it.tick_at_ms);
-        raft_ms.min(leading_ms).min(self.keeper_tick_ms()).min(self.client.next_tick_ms().unwrap_or(u64::MAX))
+        raft_ms
+            .min(leading_ms)
+            .min(self.keeper_tick_ms())
+            .min(self.client.next_tick_ms().unwrap_or(u64::MAX))
     }
 
     /// Takes the effects of the inputs so far.
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -55,12 +55,7 @@
     }
 
     /// Applies a change of the workflows, and answers who waits for it.
-    pub(super) fn apply_workflow(
-        &mut self,
-        now: Now,
-        entry: &LogEntry,
-        command: &WorkflowCommand,
-    ) {
+    pub(super) fn apply_workflow(&mut self, now: Now, entry: &LogEntry, command: &WorkflowCommand) {
         let outcome = self.state.apply_workflow(entry.index, entry.time_ms, command);
         if self.leading.is_some() {
             // Once for the group, by the member that decides.
@@ -133,7 +128,8 @@
 
     fn answer_call(&mut self, to: CallReply, outcome: WorkflowOutcome) {
         let answer = WorkflowAnswer { id: to.id, members: self.member_addresses(), outcome };
-        self.effects.push(Effect::Send { to: to.address, message: Message::WorkflowAnswer(answer) });
+        self.effects
+            .push(Effect::Send { to: to.address, message: Message::WorkflowAnswer(answer) });
     }
 }
 
@@ -150,7 +146,13 @@
     let (index, term) = (entry.index, entry.term);
     match command {
         WorkflowCommand::Install(it) => {
-            tracing::info!(event = "queues_installed", version = it.version, queues = it.queues.len(), index, term);
+            tracing::info!(
+                event = "queues_installed",
+                version = it.version,
+                queues = it.queues.len(),
+                index,
+                term
+            );
         }
         WorkflowCommand::Submit(it) => {
             tracing::info!(event = "workflow_accepted", workflow = %format_args!("{:016x}", it.id.0), queue = %it.queue, steps = it.spec.steps.len(), index, term);
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -12,13 +12,13 @@
     prelude::*,
 };
 
+use self::sessions::Sessions;
 pub use self::{
     orders::run_name,
-    requests::Verdict,
     plan::{PlanOptions, chain_ms},
+    requests::Verdict,
     sessions::Session,
 };
-use self::sessions::Sessions;
 
 /// How often workflows that ended long ago are forgotten.
 const FORGET_INTERVAL_MS: u64 = 10_000;
@@ -64,12 +64,7 @@
 
 impl Dispatcher {
     /// Takes over from an earlier leader, whose leases may run for their full time.
-    pub fn new(
-        options: DispatchOptions,
-        workflows: &Workflows,
-        term: u64,
-        now: Now,
-    ) -> Dispatcher {
+    pub fn new(options: DispatchOptions, workflows: &Workflows, term: u64, now: Now) -> Dispatcher {
         Dispatcher {
             options,
             term,
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -19,7 +19,7 @@
         members: &[SocketAddr],
         now: Now,
     ) {
-        let Some(seen) = report.worker else {
+        let Some(seen) = report.workers.into_iter().next() else {
             return self.send_empty_grant(report.node, report.number, members);
         };
         let Some(id) = workflows.workers().find(report.node, &seen.name) else {
@@ -189,9 +189,8 @@
         members: &[SocketAddr],
     ) {
         let ended: HashSet<_> = finish.ends.iter().map(|it| it.run.task.workflow).collect();
-        let is_hit = |run: &&RunRef| {
-            ended.contains(&run.task.workflow) && workflows.is_superfluous(**run)
-        };
+        let is_hit =
+            |run: &&RunRef| ended.contains(&run.task.workflow) && workflows.is_superfluous(**run);
         let ids: Vec<_> = workflows
             .workers()
             .iter()
--- a/src/control/dispatch/plan.rs
+++ b/src/control/dispatch/plan.rs
@@ -83,7 +83,8 @@
     /// Returns the worst tail to expect with a further filler, in percent of its bound.
     fn worst_tail_with(&self, step: &WorkflowStep, harm: &Harm) -> f64 {
         let cores = f64::from(step.need.cpu_millicores) / 1_000.0;
-        let with = |(image, tail): &(CompactString, f64)| tail + harm.of(image, &step.image) * cores;
+        let with =
+            |(image, tail): &(CompactString, f64)| tail + harm.of(image, &step.image) * cores;
         self.tails.iter().map(with).fold(0.0, f64::max)
     }
 }
@@ -111,8 +112,7 @@
         place_step(workflows, candidate, &mut rooms, Some(harm), &mut res);
     }
     let placed: HashSet<_> = res.iter().map(|it| it.run.task.workflow).collect();
-    let is_idle =
-        |it: &&Candidate<'_>| !placed.contains(&it.id) && !it.workflow.has_live_runs();
+    let is_idle = |it: &&Candidate<'_>| !placed.contains(&it.id) && !it.workflow.has_live_runs();
     let idle: Vec<_> = candidates.iter().filter(is_idle).collect();
     let ids: HashSet<_> = idle.iter().map(|it| it.id).collect();
     idle_since.retain(|id, _| ids.contains(id));
@@ -207,7 +207,8 @@
     let step = &workflow.spec.steps[at];
     let state = &workflow.occurrences[occurrence].steps[at];
     let mut counts = counts_of(step, state);
-    let waiting = state.tasks.iter().enumerate().filter(|(_, it)| !it.is_done && it.runs.is_empty());
+    let waiting =
+        state.tasks.iter().enumerate().filter(|(_, it)| !it.is_done && it.runs.is_empty());
     let waiting: Vec<_> = waiting.collect();
     if step.gang && waiting.len() < state.tasks.len() {
         // Members of an earlier run are still ending.
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -1,8 +1,8 @@
 //! Clients' and operators' requests, answered by the leader.
 
 use crate::{
-    control::state::{Workflows, WorkflowError, check_queues, check_spec},
     control::dispatch::Dispatcher,
+    control::state::{WorkflowError, Workflows, check_queues, check_spec},
     prelude::*,
 };
 
--- a/src/control/finder.rs
+++ b/src/control/finder.rs
@@ -56,7 +56,8 @@
 
     /// Takes other seeds from changed settings.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
-        let fresh: Vec<_> = seeds.iter().filter(|it| !self.controls.contains(it)).copied().collect();
+        let fresh: Vec<_> =
+            seeds.iter().filter(|it| !self.controls.contains(it)).copied().collect();
         self.controls.extend(fresh);
         self.seeds = seeds;
     }
--- a/src/control/state/workflows/check.rs
+++ b/src/control/state/workflows/check.rs
@@ -31,7 +31,9 @@
             return fail(format_compact!("step {at} has no tasks"));
         }
         if let Some(it) = step.after.iter().find(|it| at <= **it as usize) {
-            return fail(format_compact!("step {at} waits for step {it}, which is not an earlier one"));
+            return fail(format_compact!(
+                "step {at} waits for step {it}, which is not an earlier one"
+            ));
         }
         tasks += u64::from(step.count);
     }
@@ -55,13 +57,21 @@
     let mut places = std::collections::BTreeSet::new();
     for it in &config.queues {
         if !config.services.contains(&it.service) {
-            return fail(format_compact!("queue {} names unknown service '{}'", it.name, it.service));
+            return fail(format_compact!(
+                "queue {} names unknown service '{}'",
+                it.name,
+                it.service
+            ));
         }
         if it.timeout_ms == 0 {
             return fail(format_compact!("queue {} has a timeout of 0 ms", it.name));
         }
         if !places.insert((&it.host, &it.path_prefix)) {
-            return fail(format_compact!("{}{} is the place of two queues", it.host, it.path_prefix));
+            return fail(format_compact!(
+                "{}{} is the place of two queues",
+                it.host,
+                it.path_prefix
+            ));
         }
     }
     Ok(())
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -9,7 +9,7 @@
 mod workers;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
     sync::Arc,
 };
 
@@ -112,8 +112,8 @@
     }
 
     fn submit(&mut self, it: &SubmitWorkflow) -> WorkflowOutcome {
-        if !self.workflows.contains_key(&it.id) {
-            self.workflows.insert(it.id, Workflow::new(it));
+        if let Entry::Vacant(entry) = self.workflows.entry(it.id) {
+            entry.insert(Workflow::new(it));
             self.active.insert(it.id);
         }
         WorkflowOutcome::Accepted
--- a/src/control/state/workflows/task.rs
+++ b/src/control/state/workflows/task.rs
@@ -70,7 +70,8 @@
     pub(super) fn new(it: &SubmitWorkflow) -> Workflow {
         let steps = || {
             let tasks = |step: &WorkflowStep| vec![Task::default(); step.count as usize];
-            let states = it.spec.steps.iter().map(|it| StepState { tasks: tasks(it), done_count: 0 });
+            let states =
+                it.spec.steps.iter().map(|it| StepState { tasks: tasks(it), done_count: 0 });
             Occurrence { steps: states.collect() }
         };
         Workflow {
@@ -114,7 +115,9 @@
 
     /// Returns whether all steps that a step waits for are done.
     pub fn is_step_ready(&self, occurrence: &Occurrence, step: &WorkflowStep) -> bool {
-        step.after.iter().all(|it| occurrence.steps.get(*it as usize).is_some_and(StepState::is_done))
+        step.after
+            .iter()
+            .all(|it| occurrence.steps.get(*it as usize).is_some_and(StepState::is_done))
     }
 
     /// Returns whether a run of it may be on a worker.
@@ -216,7 +219,8 @@
         let failures = match step.gang {
             false => task.failures,
             true => {
-                let state = self.occurrences.get(at.occurrence as usize)?.steps.get(at.step as usize)?;
+                let state =
+                    self.occurrences.get(at.occurrence as usize)?.steps.get(at.step as usize)?;
                 state.tasks.iter().map(|it| it.failures).sum()
             }
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,8 +20,10 @@
     pub resend_ms: u64,
     /// Pause after an answer that names no leader, as while one is elected.
     pub election_pause_ms: u64,
-    /// Longest time that a request waits for a leader.
+    /// Longest time that a request waits for an answer.
     pub give_up_ms: u64,
+    /// Longest time that a request waits unsent while no leader is known.
+    pub park_ms: u64,
     /// Interval at which an idle gateway makes sure that it still reaches a leader.
     pub probe_ms: u64,
     /// Requests under way before new ones are refused.
@@ -50,7 +52,10 @@
 pub enum Answer {
     Told(WorkflowOutcome),
     /// It was not taken and never will be; the time after which to ask again.
-    NotTaken { cause: Cause, retry_after_ms: u64 },
+    NotTaken {
+        cause: Cause,
+        retry_after_ms: u64,
+    },
     /// No answer came; it may have been taken.
     Unknown,
 }
@@ -75,6 +80,7 @@
     token: u64,
     request: WorkflowRequest,
     began_ms: u64,
+    wait_ms: u64,
     deadline_ms: u64,
     next_ms: u64,
     sends: u32,
@@ -95,6 +101,8 @@
     calls: BTreeMap<u64, Call>,
     next_id: u64,
     led_ms: Option<u64>,
+    /// Since when the leader has owed an answer, or none has been known.
+    leaderless_since_ms: Option<u64>,
     probe_at_ms: u64,
     is_stopping: bool,
     effects: Vec<Effect>,
@@ -108,6 +116,7 @@
             calls: BTreeMap::new(),
             next_id: options.boot,
             led_ms: None,
+            leaderless_since_ms: Some(0),
             probe_at_ms: 0,
             is_stopping: false,
             effects: Vec::new(),
@@ -154,7 +163,12 @@
                 cause: Cause::TooManyCalls,
                 retry_after_ms: self.options.resend_ms,
             };
-            tracing::warn!(event = "request_refused", token, cause = "too_many_calls", calls = self.calls.len());
+            tracing::warn!(
+                event = "request_refused",
+                token,
+                cause = "too_many_calls",
+                calls = self.calls.len()
+            );
             return self.effects.push(Effect::Answer { token, answer });
         }
         self.next_id = self.next_id.wrapping_add(1);
@@ -162,6 +176,7 @@
             token,
             request,
             began_ms: now.mono_ms,
+            wait_ms,
             deadline_ms: now.mono_ms + wait_ms.min(self.options.give_up_ms),
             next_ms: now.mono_ms,
             sends: 0,
@@ -170,7 +185,32 @@
             sent_to: None,
         };
         self.calls.insert(self.next_id, call);
-        self.send(now, self.next_id);
+        if token == PROBE || self.leaderless_since_ms.is_none() {
+            self.send(now, self.next_id);
+        } else {
+            self.park(now, self.next_id);
+        }
+    }
+
+    /// Keeps a call unsent while no leader is known: it can be refused as not taken in truth,
+    /// where one sent to a silent process could not.
+    fn park(&mut self, now: Now, id: u64) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.deadline_ms = call.deadline_ms.min(now.mono_ms + self.options.park_ms);
+        call.next_ms = u64::MAX;
+        self.probe_at_ms = self.probe_at_ms.min(now.mono_ms);
+    }
+
+    /// Sends what waited for a leader.
+    fn send_parked(&mut self, now: Now) {
+        let parked: Vec<_> =
+            self.calls.iter().filter(|(_, it)| it.next_ms == u64::MAX).map(|(id, _)| *id).collect();
+        for id in parked {
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.deadline_ms = call.deadline_ms.max(call.began_ms + self.options.give_up_ms.min(call.wait_ms));
+            }
+            self.send(now, id);
+        }
     }
 
     fn on_message(&mut self, now: Now, message: Message) {
@@ -188,23 +228,26 @@
         if it.outcome == WorkflowOutcome::Interrupted {
             call.is_interrupted = true;
             call.next_ms = now.mono_ms + self.options.election_pause_ms;
-            return self.finder.try_next();
+            self.finder.try_next();
+            return self.lose_leader(now);
         }
         if let WorkflowOutcome::NotLeader(hint) = it.outcome {
             let pause_ms = if hint.is_some() { 0 } else { self.options.election_pause_ms };
             call.next_ms = now.mono_ms + pause_ms;
             let is_same = hint.is_some() && hint == call.sent_to;
             self.finder.set_leader(hint.filter(|_| !is_same));
-            if pause_ms == 0 {
-                self.send(now, it.id);
+            if self.finder.leader().is_none() {
+                self.lose_leader(now);
             }
-            return;
-        }
-        if self.led_ms.is_none() {
-            tracing::info!(event = "leader_found", leader = ?call.sent_to);
+            return self.resend_elsewhere(now, it.id, pause_ms);
         }
+        let leader = call.sent_to.or(self.finder.leader());
         self.led_ms = Some(now.mono_ms);
-        self.finder.set_leader(call.sent_to.or(self.finder.leader()));
+        self.finder.set_leader(leader);
+        if let Some(since_ms) = self.leaderless_since_ms.take() {
+            tracing::info!(event = "leader_found", leader = ?leader, after_ms = now.mono_ms - since_ms);
+            self.send_parked(now);
+        }
         let answer = match it.outcome {
             WorkflowOutcome::NoConfig => {
                 Answer::NotTaken { cause: Cause::NoConfig, retry_after_ms: self.options.resend_ms }
@@ -217,6 +260,25 @@
         self.end(now, it.id, answer);
     }
 
+    /// Sends a call on to the leader named in an answer, or keeps it until one is known.
+    fn resend_elsewhere(&mut self, now: Now, id: u64, pause_ms: u64) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        match (self.finder.leader(), call.token) {
+            (Some(_), _) => self.send(now, id),
+            (None, PROBE) => call.next_ms = now.mono_ms + pause_ms.max(1),
+            (None, _) if call.may_have_been_taken() => (),
+            (None, _) => self.park(now, id),
+        }
+    }
+
+    fn lose_leader(&mut self, now: Now) {
+        if self.leaderless_since_ms.is_none() {
+            tracing::warn!(event = "leader_lost", calls = self.calls.len());
+            self.leaderless_since_ms = Some(now.mono_ms);
+            self.probe_at_ms = now.mono_ms;
+        }
+    }
+
     fn end(&mut self, now: Now, id: u64, answer: Answer) {
         let Some(call) = self.calls.remove(&id) else { return };
         if call.token == PROBE {
@@ -232,9 +294,16 @@
             if !self.calls.values().any(|it| it.token == PROBE) {
                 self.begin(now, PROBE, WorkflowRequest::Ping, u64::MAX);
             }
+            if self.leaderless_since_ms.is_some() {
+                self.probe_at_ms = now.mono_ms + self.options.election_pause_ms;
+            }
         }
-        let over: Vec<_> =
-            self.calls.iter().filter(|(_, it)| it.deadline_ms <= now.mono_ms).map(|(id, _)| *id).collect();
+        let over: Vec<_> = self
+            .calls
+            .iter()
+            .filter(|(_, it)| it.deadline_ms <= now.mono_ms)
+            .map(|(id, _)| *id)
+            .collect();
         for id in over {
             let is_unsure = self.calls.get(&id).is_some_and(|it| it.may_have_been_taken());
             let answer = match is_unsure {
@@ -246,6 +315,12 @@
             };
             self.end(now, id, answer);
         }
+        self.resend_due(now);
+    }
+
+    /// Sends again what got no answer. While no leader is known only probes are sent, to one
+    /// control process after the other.
+    fn resend_due(&mut self, now: Now) {
         let due: Vec<_> =
             self.calls.iter().filter(|(_, it)| it.next_ms <= now.mono_ms).map(|(id, _)| *id).collect();
         let silent = self.finder.leader().filter(|leader| {
@@ -256,18 +331,27 @@
         if let Some(leader) = silent {
             tracing::warn!(event = "leader_silent", leader = %leader, calls = due.len());
             self.finder.try_next();
+            self.lose_leader(now);
         } else if !due.is_empty() && self.finder.leader().is_none() {
             self.finder.try_next();
         }
         for id in due {
-            self.send(now, id);
+            let is_probe = self.calls.get(&id).is_some_and(|it| it.token == PROBE);
+            if is_probe || self.leaderless_since_ms.is_none() {
+                self.send(now, id);
+            } else if let Some(call) = self.calls.get_mut(&id) {
+                // It waits for a leader with what has not been sent yet.
+                call.next_ms = u64::MAX;
+            }
         }
     }
 
     fn send(&mut self, now: Now, id: u64) {
         let Some(to) = self.finder.target() else { return };
         let Some(call) = self.calls.get_mut(&id) else { return };
-        call.next_ms = now.mono_ms + self.options.resend_ms;
+        let is_search = call.token == PROBE && self.leaderless_since_ms.is_some();
+        let pause_ms = if is_search { self.options.election_pause_ms } else { self.options.resend_ms };
+        call.next_ms = now.mono_ms + pause_ms;
         call.sends += 1;
         call.unanswered += 1;
         call.sent_to = Some(to);
@@ -302,7 +386,13 @@
     };
     match answer {
         Answer::Told(WorkflowOutcome::Config(it)) => {
-            tracing::info!(event = "request_answered", kind, version = it.version, took_ms, sends = call.sends);
+            tracing::info!(
+                event = "request_answered",
+                kind,
+                version = it.version,
+                took_ms,
+                sends = call.sends
+            );
         }
         Answer::Told(outcome) => {
             tracing::info!(event = "request_answered", kind, target, outcome = ?outcome, took_ms, sends = call.sends);
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -110,8 +110,7 @@
 }
 
 fn listen(address: SocketAddr) -> Result<std::net::TcpListener> {
-    let cannot =
-        || Error::new(ErrorKind::Internal, format_compact!("cannot listen on {address}"));
+    let cannot = || Error::new(ErrorKind::Internal, format_compact!("cannot listen on {address}"));
     let res = std::net::TcpListener::bind(address).change_context_lazy(cannot)?;
     res.set_nonblocking(true).change_context_lazy(cannot)?;
     Ok(res)
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -68,17 +68,8 @@
 pub const LINK_DROP_REASONS: [&str; 3] = ["queue_full", "no_connection", "too_large"];
 
 /// What is counted of the state.
-pub const STATE_GAUGES: [&str; 9] = [
-    "vms",
-    "jobs",
-    "tasks",
-    "waiting",
-    "claims",
-    "watches",
-    "workflows",
-    "workers",
-    "log_entries",
-];
+pub const STATE_GAUGES: [&str; 9] =
+    ["vms", "jobs", "tasks", "waiting", "claims", "watches", "workflows", "workers", "log_entries"];
 
 impl Metrics {
     /// Makes the metrics of a process, all at zero.
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -23,18 +23,37 @@
         /// Longest wait for an end.
         wait_ms: u64,
     },
-    Start { run: RunRef, payload: CompactString, checkpoint: CompactString, lease_until_ms: u64 },
-    Stop { run: RunRef },
+    Start {
+        run: RunRef,
+        payload: CompactString,
+        checkpoint: CompactString,
+        lease_until_ms: u64,
+    },
+    Stop {
+        run: RunRef,
+    },
     /// Lets a task work at a share of its speed.
-    Pace { run: RunRef, percent: u32 },
+    Pace {
+        run: RunRef,
+        percent: u32,
+    },
 }
 
 /// How a call ended.
 #[derive(Clone, Debug)]
 pub enum CallResult {
-    Held { clock_ms: u64, running: Vec<RunningTask>, ended: Vec<EndedRun> },
-    Done { clock_ms: u64 },
-    Refused { clock_ms: u64, cause: Refused },
+    Held {
+        clock_ms: u64,
+        running: Vec<RunningTask>,
+        ended: Vec<EndedRun>,
+    },
+    Done {
+        clock_ms: u64,
+    },
+    Refused {
+        clock_ms: u64,
+        cause: Refused,
+    },
     /// Another lifetime of the worker answered.
     OtherLifetime,
     /// The worker did nothing, and says that it cannot.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,8 +13,8 @@
 
 use crate::{control::finder::Finder, prelude::*};
 
-use self::worker::Lifetime;
 pub use self::calls::{Action, Announcement, CallResult, Refused, WorkerCall};
+use self::worker::Lifetime;
 
 /// What a node is told by the settings.
 #[derive(Clone, Debug)]
@@ -188,7 +188,8 @@
             Message::NotLeader(hint) => {
                 let leader = self.finder.leader();
                 self.finder.set_leader(hint.filter(|it| Some(*it) != leader));
-                self.report_at_ms = now.mono_ms + if hint.is_some() { 0 } else { REDIRECT_PAUSE_MS };
+                self.report_at_ms =
+                    now.mono_ms + if hint.is_some() { 0 } else { REDIRECT_PAUSE_MS };
             }
             _ => (),
         }
@@ -212,7 +213,8 @@
         self.unanswered_reports = 0;
         self.finder.set_members(&it.members);
         self.finder.set_leader(self.finder.target());
-        let Some(worker) = self.worker.as_mut().filter(|known| known.announcement.name == it.worker)
+        let Some(worker) =
+            self.worker.as_mut().filter(|known| known.announcement.name == it.worker)
         else {
             return;
         };
@@ -253,7 +255,7 @@
             boot: self.options.boot,
             number: self.report_number,
             sent_ms: now.mono_ms,
-            worker: self.worker.as_ref().filter(fresh).map(Lifetime::report),
+            workers: self.worker.iter().filter(fresh).map(Lifetime::report).collect(),
         };
         self.effects.push(Effect::Send { to, message: Message::NodeReport(report) });
     }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -62,7 +62,9 @@
             .orders
             .iter()
             .filter_map(|(run, it)| match it.order {
-                Order::Barred { cause, after_call } if after_call < list_call => Some((*run, cause)),
+                Order::Barred { cause, after_call } if after_call < list_call => {
+                    Some((*run, cause))
+                }
                 _ => None,
             })
             .filter(|(run, _)| !self.running.iter().any(|it| it.run == *run))
@@ -95,10 +97,8 @@
     }
 
     fn take_stop(&mut self, now: Now, run: RunRef) {
-        let is_stopping = self
-            .orders
-            .get(&run)
-            .is_some_and(|it| !matches!(it.order, Order::Start { .. }));
+        let is_stopping =
+            self.orders.get(&run).is_some_and(|it| !matches!(it.order, Order::Start { .. }));
         let has_ended = self.ended.values().any(|it| it.run == run);
         if is_stopping || has_ended || self.refused.contains_key(&run) {
             return;
@@ -131,7 +131,8 @@
             *next_call
         };
         if worker.hold.is_none() && worker.hold_at_ms <= now.mono_ms {
-            let watches = worker.worst_tail_percent().is_some() && worker.fillers().next().is_some();
+            let watches =
+                worker.worst_tail_percent().is_some() && worker.fillers().next().is_some();
             let wait_ms = match worker.listed_term == self.term {
                 false => 0,
                 true if watches => self.options.watch_wait_ms,
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -411,9 +411,7 @@
             | Message::EntryHeartbeat(_)
             | Message::WorkflowCall(_)
             | Message::NodeReport(_)
-            | Message::Join(_) => {
-                self.to_control(control::Input::Message { from, message })
-            }
+            | Message::Join(_) => self.to_control(control::Input::Message { from, message }),
             Message::ConfigFetch(_) if self.control.is_some() => {
                 self.to_control(control::Input::Message { from, message })
             }
--- a/src/runtime/single.rs
+++ b/src/runtime/single.rs
@@ -344,8 +344,7 @@
             0 => Vec::new(),
             _ => control_links(&self.settings),
         };
-        let identity =
-            Identity::read_or_make(folder, place, self.settings.link.listen, &founders)?;
+        let identity = Identity::read_or_make(folder, place, self.settings.link.listen, &founders)?;
         let (disk, recovered) = Disk::open(folder, &identity, settings.free_min_bytes.into())?;
         tracing::info!(event = "disk_opened", member = %identity.member, founders = identity.founders.len(), entries = recovered.entries.len(), term = recovered.hard.term);
         Ok(OpenDisk { disk, recovered, identity })
@@ -702,6 +701,7 @@
         resend_ms: settings.resend_ms.into(),
         election_pause_ms: settings.election_pause_ms.into(),
         give_up_ms: settings.give_up_ms.into(),
+        park_ms: settings.park_ms.into(),
         probe_ms: settings.probe_ms.into(),
         calls_max: settings.calls_max as usize,
     }
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1637,7 +1637,8 @@
     pub node: ::std::net::SocketAddr,
     pub number: u64,
     pub sent_ms: u64,
-    pub worker: ::std::option::Option<WorkerReport>,
+    ///What is known of the worker beside it, if anything.
+    pub workers: ::std::vec::Vec<WorkerReport>,
 }
 impl ::std::convert::From<&NodeReport> for NodeReport {
     fn from(value: &NodeReport) -> Self {
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -201,7 +201,7 @@
     pub calls_max: u32,
     ///Pause after an answer that names no leader.
     pub election_pause_ms: u32,
-    ///Longest time that a request waits for a leader.
+    ///Longest time that a request waits for an answer.
     pub give_up_ms: u32,
     ///Largest headers accepted.
     pub headers_max_bytes: u32,
@@ -209,6 +209,8 @@
     pub listen: ::std::net::SocketAddr,
     ///Address of the metrics.
     pub metrics_listen: ::std::net::SocketAddr,
+    ///Longest time that a request waits unsent while no leader is known.
+    pub park_ms: u32,
     ///Interval at which a gateway makes sure that it reaches a leader.
     pub probe_ms: u32,
     ///Address where a balancer asks whether this process can serve.
--- a/tests/promises/world/mod.rs
+++ b/tests/promises/world/mod.rs
@@ -211,8 +211,8 @@
                     controls,
                     settings: control_settings(),
                     boot,
-            dispatch: None,
-            voters: 0,
+                    dispatch: None,
+                    voters: 0,
                 };
                 let recovered = disk.crash(0);
                 *core = Some(Box::new(ControlCore::new(options, recovered, now).unwrap()));
