--- a/src/control/dispatch/plan.rs
+++ b/src/control/dispatch/plan.rs
@@ -156,6 +156,7 @@
                     is_lasting: workflow.spec.steps[step].lasting,
                     due_by_ms: workflow.accepted_ms.max(due_ms) + objective_ms,
                     remaining_ms: tails_ms[step],
+                    work_core_ms: work_core_ms(workflow, occurrence),
                 };
                 let urgency = urgency(claim, now.wall_ms);
                 res.push(Candidate { urgency, id, workflow, occurrence: at, step });
@@ -190,6 +191,16 @@
     res
 }
 
+/// Returns the processor time that an occurrence still needs, by declared run times.
+fn work_core_ms(workflow: &Workflow, occurrence: &Occurrence) -> u64 {
+    let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
+    let left = steps.map(|(step, state)| {
+        let tasks = u64::from(step.count - state.done_count.min(step.count));
+        tasks * step.estimate_ms * u64::from(step.need.cpu_millicores) / 1_000
+    });
+    left.sum()
+}
+
 /// Returns the longest chain of declared run times of a workflow.
 pub fn chain_ms(spec: &WorkflowSpec) -> u64 {
     tails_ms(spec).into_iter().max().unwrap_or(0)
--- a/src/policy/urgency.rs
+++ b/src/policy/urgency.rs
@@ -14,13 +14,15 @@
     pub due_by_ms: u64,
     /// Longest chain of run times from this step on.
     pub remaining_ms: u64,
+    /// Processor time that the whole workflow still needs, by declared run times.
+    pub work_core_ms: u64,
 }
 
 /// The place of a step in the order; the least begins first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
     class: u32,
-    slack_ms: i64,
+    rank: i64,
 }
 
 /// Returns the place of a step in the order.
@@ -34,5 +36,5 @@
         true => 0,
         false => 1 + claim.priority * 2 + late,
     };
-    Urgency { class, slack_ms }
+    Urgency { class, rank: claim.work_core_ms as i64 }
 }
