--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -102,7 +102,7 @@
             is_complete: false,
             lease_ms: 0,
             worker: CompactString::default(),
-            ack_cursor: 0,
+            acked_cursor: 0,
             orders: Vec::new(),
             members: members.to_vec(),
         };
@@ -158,7 +158,7 @@
             is_complete: listed.is_some(),
             lease_ms: self.options.lease_ms,
             worker: worker.name.clone(),
-            ack_cursor: worker.cursor,
+            acked_cursor: worker.cursor,
             orders,
             members: members.to_vec(),
         };
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -19,7 +19,7 @@
     Hold {
         /// On the worker's clock; without it nothing is prolonged.
         lease_until_ms: Option<u64>,
-        ack_cursor: u64,
+        acked_cursor: u64,
         /// Longest wait for an end.
         wait_ms: u64,
     },
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -222,9 +222,9 @@
         if 0 < it.sent_ms {
             worker.lease_until_ms = worker.lease_until_ms.max(it.sent_ms + it.lease_ms);
         }
-        if worker.ack_cursor < it.ack_cursor {
-            worker.ack_cursor = it.ack_cursor;
-            worker.ended.retain(|cursor, _| it.ack_cursor < *cursor);
+        if worker.acked_cursor < it.acked_cursor {
+            worker.acked_cursor = it.acked_cursor;
+            worker.ended.retain(|cursor, _| it.acked_cursor < *cursor);
             worker.hold_at_ms = worker.hold_at_ms.min(now.mono_ms);
         }
         if it.is_complete {
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -138,8 +138,8 @@
                 true if watches => self.options.watch_wait_ms,
                 true => self.options.hold_wait_ms,
             };
-            let ack_cursor = worker.ack_cursor;
-            let action = Action::Hold { lease_until_ms: lease, ack_cursor, wait_ms };
+            let acked_cursor = worker.acked_cursor;
+            let action = Action::Hold { lease_until_ms: lease, acked_cursor, wait_ms };
             worker.hold = Some(call(action, &mut self.next_call));
         }
         for (run, pending) in &mut worker.orders {
@@ -218,7 +218,7 @@
     fn on_late_result(&mut self, now: Now, result: CallResult) {
         if let (CallResult::Held { ended, .. }, Some(worker)) = (result, &mut self.worker) {
             // Its list of what runs may be old by now, but an end stays an end.
-            for it in ended.into_iter().filter(|it| worker.ack_cursor < it.cursor) {
+            for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
                 worker.ended.insert(it.cursor, it.end);
                 self.is_dirty = true;
             }
@@ -251,7 +251,7 @@
         let pending = &worker.orders;
         worker.roles.retain(|run, _| live.contains(run) || pending.contains_key(run));
         let known = worker.ended.len();
-        for it in ended.into_iter().filter(|it| worker.ack_cursor < it.cursor) {
+        for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
             worker.ended.insert(it.cursor, it.end);
         }
         let has_news = known < worker.ended.len();
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -54,7 +54,7 @@
     pub listed_term: u64,
     pub running: Vec<RunningTask>,
     pub ended: BTreeMap<u64, RunEnd>,
-    pub ack_cursor: u64,
+    pub acked_cursor: u64,
     /// Token for calls, from the newest grant.
     pub token: u64,
     pub lease_until_ms: u64,
@@ -81,7 +81,7 @@
             listed_term: 0,
             running: Vec::new(),
             ended: BTreeMap::new(),
-            ack_cursor: 0,
+            acked_cursor: 0,
             token: 0,
             lease_until_ms: 0,
             orders: BTreeMap::new(),
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1608,7 +1608,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeGrant {
-    pub ack_cursor: u64,
+    pub acked_cursor: u64,
     ///Whether orders lists every run that is to begin.
     pub is_complete: bool,
     pub lease_ms: u64,
--- /dev/null
+++ b/tests/platform/executor.rs
@@ -0,0 +1,121 @@
+//! A stand-in executor: it speaks the platform's protocol, and runs nothing but clocks.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use aspenrail::http::{HttpAnswer, HttpRequest, Pending, ServerOptions, start_server};
+use serde_json::{Value, json};
+
+/// Which lifetime this is.
+pub const NAME: &str = "executor-1";
+
+#[derive(Default)]
+struct State {
+    running: BTreeMap<(String, u64), Instant>,
+    ended: Vec<(u64, String, u64)>,
+    highest: BTreeMap<String, u64>,
+    next: u64,
+    token: u64,
+    work: Duration,
+}
+
+/// A handle to the stand-in.
+#[derive(Clone)]
+pub struct Executor {
+    state: Arc<Mutex<State>>,
+    began: Instant,
+}
+
+impl Executor {
+    pub fn start(listen: SocketAddr) -> Executor {
+        let state = State { work: Duration::from_millis(50), next: 1, ..State::default() };
+        let res = Executor { state: Arc::new(Mutex::new(state)), began: Instant::now() };
+        let options = ServerOptions {
+            listen,
+            threads: 1,
+            body_max_bytes: 1 << 20,
+            headers_max_bytes: 1 << 14,
+        };
+        let own = res.clone();
+        start_server(options, &Pending::default(), move |_, it| Some(own.answer(&it.unwrap())))
+            .unwrap();
+        res
+    }
+
+    pub fn set_work(&self, work: Duration) {
+        self.state.lock().unwrap().work = work;
+    }
+
+    pub fn done(&self) -> u64 {
+        self.state.lock().unwrap().next - 1
+    }
+
+    pub fn clock_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn answer(&self, it: &HttpRequest) -> HttpAnswer {
+        let clock_ms = self.clock_ms();
+        if it.header("X-Aspenrail-Expect-Instance") != Some(NAME) {
+            return HttpAnswer::json(421, &json!({}));
+        }
+        let body: Value = serde_json::from_slice(&it.body).unwrap();
+        let mut state = self.state.lock().unwrap();
+        let token = body["fencing_token"].as_u64().unwrap();
+        if token < state.token {
+            return HttpAnswer::json(409, &json!({"clock_ms": clock_ms, "reason": "fence"}));
+        }
+        state.token = token;
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let run = body["run"].as_u64().unwrap_or(0);
+        match it.path.as_str() {
+            "/-/hold" => hold(&mut state, &body, clock_ms),
+            "/-/run-start" if run <= state.highest.get(&task).copied().unwrap_or(0) => {
+                let reason = if state.running.contains_key(&(task, run)) {
+                    return HttpAnswer::json(200, &json!({"clock_ms": clock_ms}));
+                } else {
+                    "old"
+                };
+                HttpAnswer::json(409, &json!({"clock_ms": clock_ms, "reason": reason}))
+            }
+            "/-/run-start" => {
+                let ends = Instant::now() + state.work;
+                state.highest.insert(task.clone(), run);
+                state.running.insert((task, run), ends);
+                HttpAnswer::json(200, &json!({"clock_ms": clock_ms}))
+            }
+            "/-/run-stop" => {
+                state.running.remove(&(task.clone(), run));
+                state.highest.insert(task, run);
+                HttpAnswer::json(200, &json!({"clock_ms": clock_ms}))
+            }
+            _ => HttpAnswer::json(404, &json!({})),
+        }
+    }
+}
+
+fn hold(state: &mut State, body: &Value, clock_ms: u64) -> HttpAnswer {
+    let now = Instant::now();
+    let over: Vec<_> =
+        state.running.iter().filter(|(_, ends)| **ends <= now).map(|(it, _)| it.clone()).collect();
+    for (task, run) in over {
+        state.running.remove(&(task.clone(), run));
+        let number = state.next;
+        state.next += 1;
+        state.ended.push((number, task, run));
+    }
+    let acked = body["ack_cursor"].as_u64().unwrap();
+    state.ended.retain(|(number, _, _)| acked < *number);
+    let running: Vec<_> =
+        state.running.keys().map(|(task, run)| json!([task, run, "", 1])).collect();
+    let ended: Vec<_> = state
+        .ended
+        .iter()
+        .map(|(number, task, run)| json!([number, task, run, "done", ""]))
+        .collect();
+    HttpAnswer::json(200, &json!({"clock_ms": clock_ms, "running": running, "ended": ended}))
+}
--- /dev/null
+++ b/tests/platform/installation.rs
@@ -0,0 +1,223 @@
+//! Processes of the binary on loopback, each with settings as the templates in deploy/ make them.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use aspenrail::{http::client::new_client, standin::layout::free_addresses};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::executor::{Executor, NAME};
+
+/// Far longer than any step takes.
+const STEP_MAX: Duration = Duration::from_secs(60);
+
+/// An installation; its processes end with it.
+pub struct Installation {
+    pub executor: Executor,
+    front: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
+    control: SocketAddr,
+    control_files: Vec<PathBuf>,
+    controls: Vec<Child>,
+    entry: Child,
+    node: Child,
+    is_over: Arc<AtomicBool>,
+    client: ureq::Agent,
+    _folder: tempfile::TempDir,
+}
+
+impl Installation {
+    pub fn start(members: usize) -> Installation {
+        let folder = tempfile::tempdir().unwrap();
+        let a = free_addresses(members * 2 + 7).unwrap();
+        let links = &a[..members];
+        let seeds = links.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
+        let head = |name: &str, roles: &str, link: SocketAddr| {
+            format!(
+                "[process]\nname = {name}\nroles = {roles}\nzone = z\n[link]\nlisten = {link}\ncontrol = {seeds}\n"
+            )
+        };
+        let [front, readiness, metrics, entry_link, node_link, node_listen, worker] =
+            a[members * 2..]
+        else {
+            unreachable!()
+        };
+        let control_files: Vec<_> = (0..members)
+            .map(|at| {
+                let data = folder.path().join(format!("data-{at}"));
+                fs::create_dir(&data).unwrap();
+                let text = format!(
+                    "{}[gateway]\nlisten = {}\n[dispatch]\ndata_folder = {}\nfirst_start = 1\nlosses_tolerated = {}\nfree_min_bytes = 0\n",
+                    head(&format!("control-{at}"), "gateway, dispatch", links[at]),
+                    a[members + at],
+                    data.display(),
+                    members / 2,
+                );
+                write(folder.path(), &format!("control-{at}.ini"), &text)
+            })
+            .collect();
+        let entry = format!(
+            "{}[gateway]\nlisten = {front}\nreadiness_listen = {readiness}\nmetrics_listen = {metrics}\n",
+            head("entry", "gateway", entry_link)
+        );
+        let node = format!(
+            "{}[node]\nlisten = {node_listen}\nworker = {worker}\nhold_wait_ms = 20\n",
+            head("node", "node", node_link)
+        );
+        let controls = control_files.iter().map(|it| spawn(it)).collect();
+        let entry = spawn(&write(folder.path(), "entry.ini", &entry));
+        let node = spawn(&write(folder.path(), "node.ini", &node));
+        let executor = Executor::start(worker);
+        let res = Installation {
+            executor,
+            front,
+            readiness,
+            metrics,
+            control: a[members],
+            control_files,
+            controls,
+            entry,
+            node,
+            is_over: Arc::default(),
+            client: new_client(4),
+            _folder: folder,
+        };
+        res.announce(node_listen);
+        wait("the entry to be ready", || res.readiness() == 200);
+        res
+    }
+
+    /// Sends the stand-in's reports about itself until the installation is over.
+    fn announce(&self, node: SocketAddr) {
+        let (is_over, executor) = (self.is_over.clone(), self.executor.clone());
+        thread::spawn(move || {
+            let client = new_client(1);
+            for sequence in 1.. {
+                if is_over.load(Ordering::Relaxed) {
+                    return;
+                }
+                let body = json!({"service": "pool", "zone": "z", "state": "ready", "slots": 8,
+                    "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
+                    "clock_ms": executor.clock_ms(), "sequence": sequence});
+                // Fails while the node is not up yet; the next one follows.
+                let _ = client.put(format!("http://{node}/-/instances/{NAME}")).send_json(&body);
+                thread::sleep(Duration::from_millis(200));
+            }
+        });
+    }
+
+    pub fn config(&self, version: u64, service: &str, timeout_ms: u64) -> Value {
+        json!({"version": version, "services": [{"name": "pool"}], "limits": {},
+            "routes": [{"name": "q", "host": self.front.ip().to_string(), "path_prefix": "/q/",
+                "service": service, "timeout_ms": timeout_ms, "max_attempts": 3, "stretch": 1.5,
+                "target_completion_ms": 250, "priority": 0}]})
+    }
+
+    pub fn install(&self, version: u64) {
+        let body = self.config(version, "pool", 3_000);
+        wait("a configuration to be accepted", || {
+            self.operator("PUT", "/-/config", &body).0 == 200
+        });
+    }
+
+    pub fn client(&self, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        self.call(self.front, method, path, body)
+    }
+
+    pub fn operator(&self, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        self.call(self.control, method, path, body)
+    }
+
+    pub fn readiness(&self) -> u16 {
+        self.call(self.readiness, "GET", "/-/readyz", &Value::Null).0
+    }
+
+    pub fn metrics(&self) -> String {
+        let url = format!("http://{}/metrics", self.metrics);
+        self.client.get(url).call().unwrap().body_mut().read_to_string().unwrap()
+    }
+
+    fn call(&self, to: SocketAddr, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        let text = if body.is_null() { String::new() } else { body.to_string() };
+        let request =
+            http::Request::builder().method(method).uri(format!("http://{to}{path}")).body(text);
+        match self.client.run(request.unwrap()) {
+            Ok(mut it) => {
+                let text = it.body_mut().read_to_string().unwrap_or_default();
+                (it.status().as_u16(), serde_json::from_str(&text).unwrap_or(Value::Null))
+            }
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    pub fn wait_for(&self, path: &str, state: &str) {
+        wait(state, || self.client("GET", path, &Value::Null) == (200, json!({"state": state})));
+    }
+
+    pub fn restart_control(&mut self) {
+        for child in &mut self.controls {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+        self.controls = self.control_files.iter().map(|it| spawn(it)).collect();
+    }
+
+    pub fn signal_entry(&self) {
+        let id = Pid::from_raw(self.entry.id() as i32).unwrap();
+        kill_process(id, Signal::TERM).unwrap();
+    }
+
+    pub fn wait_unready(&self) {
+        wait("the entry to be unready", || self.readiness() != 200);
+    }
+
+    pub fn entry_exit_code(&mut self) -> Option<i32> {
+        self.entry.wait().unwrap().code()
+    }
+}
+
+impl Drop for Installation {
+    fn drop(&mut self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        for child in self.controls.iter_mut().chain([&mut self.entry, &mut self.node]) {
+            // One that has ended already is what was wanted.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn write(folder: &Path, name: &str, text: &str) -> PathBuf {
+    let path = folder.join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn spawn(settings: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_aspenrail"))
+        .arg("serve")
+        .env("ASPENRAIL_SETTINGS", settings)
+        .stdout(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+fn wait(what: &str, mut is_so: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !is_so() {
+        assert!(began.elapsed() < STEP_MAX, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,95 @@
+//! The whole path in separate processes: an entry, a node and control members with the platform's
+//! translation, against a stand-in executor of our own that speaks its protocol over HTTP.
+#![allow(clippy::unwrap_used)]
+
+mod executor;
+mod installation;
+
+use std::time::Duration;
+
+use installation::Installation;
+use serde_json::{Value, json};
+
+#[test]
+fn a_submission_is_taken_run_and_shown_as_completed() {
+    let it = Installation::start(3);
+    it.install(1);
+    let body =
+        json!({"spec": "x", "steps": [{"count": 3, "cpu": 500}, {"count": 2, "after": [0]}]});
+    assert_eq!(it.client("POST", "/q/00000000000000aa", &body).0, 200);
+    it.wait_for("/q/00000000000000aa", "completed");
+    assert_eq!(it.executor.done(), 5);
+    let (status, pending) = it.client("GET", "/q/", &Value::Null);
+    assert_eq!((status, pending), (200, json!({"pending": 0})));
+}
+
+#[test]
+fn bad_input_gets_its_answer_and_harms_nobody() {
+    let it = Installation::start(1);
+    let valid = json!({"spec": "x", "steps": [{"count": 1}]});
+    assert_eq!(it.client("POST", "/q/00000000000000aa", &valid).0, 503, "no configuration yet");
+    it.install(1);
+    for (method, path, body, expected) in [
+        ("POST", "/q/00000000000000aa", json!({"spec": "x"}), 400),
+        ("POST", "/q/00000000000000aa", json!({"steps": []}), 400),
+        ("POST", "/q/00000000000000aa", json!({"steps": [{"count": 1, "after": [3]}]}), 400),
+        ("POST", "/q/not-an-id", valid.clone(), 400),
+        ("POST", "/other/00000000000000aa", valid.clone(), 404),
+        ("GET", "/q/00000000000000aa", Value::Null, 410),
+        ("DELETE", "/q/00000000000000aa", Value::Null, 410),
+        ("PATCH", "/q/00000000000000aa", valid.clone(), 405),
+        ("GET", "/-/config", Value::Null, 404),
+    ] {
+        assert_eq!(it.client(method, path, &body).0, expected, "{method} {path} {body}");
+    }
+    let large = json!({"spec": "x".repeat(2_000_000), "steps": [{"count": 1}]});
+    assert_eq!(it.client("POST", "/q/00000000000000aa", &large).0, 413);
+    assert_eq!(it.client("POST", "/q/00000000000000aa", &valid).0, 200);
+    it.wait_for("/q/00000000000000aa", "completed");
+}
+
+#[test]
+fn configurations_are_checked_kept_and_read_back_whole() {
+    let it = Installation::start(3);
+    it.install(4);
+    for bad in [json!({"version": 5}), it.config(5, "unknown", 3_000), it.config(5, "pool", 0)] {
+        assert_eq!(it.operator("PUT", "/-/config", &bad).0, 400, "{bad}");
+    }
+    assert_eq!(it.operator("PUT", "/-/config", &it.config(2, "pool", 9)).0, 200);
+    assert_eq!(it.operator("GET", "/-/config", &Value::Null), (200, it.config(4, "pool", 3_000)));
+    let mut asks = it.config(6, "pool", 3_000);
+    asks["routes"][0]["advice"] = json!({"decision_ms": 1});
+    assert_eq!(it.operator("PUT", "/-/config", &asks).0, 422);
+    let wave = json!({"wave": 1, "machines": [], "deadline_s": 1, "max_count": 1});
+    assert_eq!(it.operator("POST", "/-/wave-start", &wave).0, 422);
+}
+
+#[test]
+fn work_survives_a_kill_of_every_control_process() {
+    let mut it = Installation::start(3);
+    it.install(1);
+    let body =
+        json!({"spec": "x", "steps": [{"count": 2, "cpu": 100}, {"count": 2, "after": [0]}]});
+    it.executor.set_work(Duration::from_millis(1_500));
+    assert_eq!(it.client("POST", "/q/00000000000000bb", &body).0, 200);
+    it.restart_control();
+    it.wait_for("/q/00000000000000bb", "completed");
+    assert_eq!(it.executor.done(), 4);
+}
+
+#[test]
+fn planned_stops_end_with_code_0_and_readiness_says_so_first() {
+    let mut it = Installation::start(3);
+    it.install(1);
+    assert_eq!(it.readiness(), 200);
+    it.signal_entry();
+    it.wait_unready();
+    assert_eq!(it.entry_exit_code(), Some(0));
+}
+
+#[test]
+fn metrics_are_served() {
+    let it = Installation::start(1);
+    it.install(1);
+    assert!(it.metrics().contains("aspenrail_requests_total"));
+}
--- a/tests/workflows/faults.rs
+++ b/tests/workflows/faults.rs
@@ -46,7 +46,9 @@
     for id in accepted {
         match world.phase(id) {
             Some(WorkflowPhase::Completed | WorkflowPhase::Failed) => (),
-            other => world.rules.broken.push(format!("workflow {id} was accepted and is {other:?}")),
+            other => {
+                world.rules.broken.push(format!("workflow {id} was accepted and is {other:?}"))
+            }
         }
     }
     world
@@ -221,6 +223,7 @@
 }
 
 fn leader_of(world: &World) -> usize {
-    let leads = |it: &crate::world::Member| it.core.as_ref().is_some_and(|it| it.raft().is_leader());
+    let leads =
+        |it: &crate::world::Member| it.core.as_ref().is_some_and(|it| it.raft().is_leader());
     world.members.iter().position(leads).unwrap()
 }
--- a/tests/workflows/gateway.rs
+++ b/tests/workflows/gateway.rs
@@ -32,10 +32,7 @@
     let token = world.submit(7, spec(vec![step(1, 1, &[])]), QUICK);
     world.run_for(950);
     let answer = world.answers.get(&token);
-    assert!(
-        matches!(answer, Some(Answer::NotTaken { cause: Cause::NoLeader, .. })),
-        "{answer:?}"
-    );
+    assert!(matches!(answer, Some(Answer::NotTaken { cause: Cause::NoLeader, .. })), "{answer:?}");
     world.run_for(10_000);
     assert_eq!(world.phase(7), None, "it was told not to be taken");
     assert_eq!(world.rules.starts, 0);
@@ -76,10 +73,7 @@
     }
     let token = world.request(WorkflowRequest::ReadConfig);
     world.run_for(300);
-    assert_eq!(
-        world.answers.get(&token),
-        Some(&Answer::Told(WorkflowOutcome::Config(queues(5))))
-    );
+    assert_eq!(world.answers.get(&token), Some(&Answer::Told(WorkflowOutcome::Config(queues(5)))));
 }
 
 #[yare::parameterized(
@@ -95,7 +89,9 @@
     let token = world.request(WorkflowRequest::Install(config));
     world.run_for(300);
     match world.answers.get(&token) {
-        Some(Answer::Told(WorkflowOutcome::Invalid(why))) => assert!(why.contains(expected), "{why}"),
+        Some(Answer::Told(WorkflowOutcome::Invalid(why))) => {
+            assert!(why.contains(expected), "{why}")
+        }
         other => panic!("{other:?}"),
     }
     let token = world.request(WorkflowRequest::ReadConfig);
@@ -123,10 +119,11 @@
 fn a_cancelled_workflow_stops_and_stays_cancelled() {
     let mut world = World::new(8, 3, 1);
     world.install_queue();
-    world.submit(7, spec(vec![step(2, 1, &[]), step(2, 1, &[0])]), Nature {
-        work_ms: 3_000,
-        fails_every: 0,
-    });
+    world.submit(
+        7,
+        spec(vec![step(2, 1, &[]), step(2, 1, &[0])]),
+        Nature { work_ms: 3_000, fails_every: 0 },
+    );
     world.run_for(1_000);
     world.request(WorkflowRequest::Cancel(target(7)));
     world.run_for(6_000);
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -189,8 +189,7 @@
         for task in workflow.occurrences.iter().flat_map(|it| &it.steps).flat_map(|it| &it.tasks) {
             for run in &task.runs {
                 live += 1;
-                *cores.entry(run.worker).or_insert(0) +=
-                    workflow.spec.steps[0].need.cpu_millicores;
+                *cores.entry(run.worker).or_insert(0) += workflow.spec.steps[0].need.cpu_millicores;
             }
         }
     }
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -14,10 +14,8 @@
     reports: Vec<NodeReport>,
 }
 
-const RUN: RunRef = RunRef {
-    run: 1,
-    task: TaskRef { index: 0, occurrence: 0, step: 0, workflow: WorkflowId(7) },
-};
+const RUN: RunRef =
+    RunRef { run: 1, task: TaskRef { index: 0, occurrence: 0, step: 0, workflow: WorkflowId(7) } };
 
 impl Alone {
     fn new() -> Alone {
@@ -70,7 +68,7 @@
             is_complete,
             lease_ms: 4_000,
             worker: "worker".into(),
-            ack_cursor: 0,
+            acked_cursor: 0,
             orders,
             members: vec![address(0)],
         }))));
@@ -188,7 +186,7 @@
         is_complete: true,
         lease_ms: 4_000,
         worker: "worker".into(),
-        ack_cursor: 0,
+        acked_cursor: 0,
         orders: vec![start()],
         members: Vec::new(),
     };
@@ -221,7 +219,7 @@
         is_complete: false,
         lease_ms: 4_000,
         worker: "worker".into(),
-        ack_cursor: 0,
+        acked_cursor: 0,
         orders: Vec::new(),
         members: Vec::new(),
     };
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -31,15 +31,15 @@
         };
         for before in &spec.steps[run.task.step as usize].after {
             let count = spec.steps[*before as usize].count;
-            let all = (0..count).all(|index| {
-                self.done.contains(&TaskRef { step: *before, index, ..run.task })
-            });
+            let all = (0..count)
+                .all(|index| self.done.contains(&TaskRef { step: *before, index, ..run.task }));
             if !all {
                 self.broken.push(format!("{now_ms}: {run:?} starts before step {before} is done"));
             }
         }
         if let Some((other, place)) = self.live.get(&run.task) {
-            self.broken.push(format!("{now_ms}: {run:?} starts on {worker}, {other:?} runs on {place}"));
+            self.broken
+                .push(format!("{now_ms}: {run:?} starts on {worker}, {other:?} runs on {place}"));
         }
         if self.noted_done.contains(&run.task) {
             self.broken.push(format!("{now_ms}: {run:?} starts again though it was done"));
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -100,8 +100,12 @@
             }
             return;
         }
-        let over: Vec<_> =
-            self.running.iter().filter(|(_, it)| it.ends_ms <= now_ms).map(|(run, _)| *run).collect();
+        let over: Vec<_> = self
+            .running
+            .iter()
+            .filter(|(_, it)| it.ends_ms <= now_ms)
+            .map(|(run, _)| *run)
+            .collect();
         for run in over {
             let fails_every = nature[&run.task.workflow.0].fails_every;
             let fails = 0 < fails_every && (run.run + run.task.index).is_multiple_of(fails_every);
@@ -135,9 +139,9 @@
         }
         self.token = call.token;
         match &call.action {
-            Action::Hold { lease_until_ms, ack_cursor, .. } => {
+            Action::Hold { lease_until_ms, acked_cursor, .. } => {
                 self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.unwrap_or(0));
-                self.acked = self.acked.max(*ack_cursor);
+                self.acked = self.acked.max(*acked_cursor);
                 let acked = self.acked;
                 for it in self.ended.iter().filter(|it| it.cursor <= acked) {
                     rules.taken_note_of(it.end.run, it.end.outcome);
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -108,7 +108,10 @@
         let founders: Vec<_> = controls
             .iter()
             .enumerate()
-            .map(|(at, it)| aspenrail::prelude::Member { id: MemberId(at as u64 + 1), address: *it })
+            .map(|(at, it)| aspenrail::prelude::Member {
+                id: MemberId(at as u64 + 1),
+                address: *it,
+            })
             .collect();
         for at in 0..members {
             let recovered = Recovered {
@@ -263,7 +266,8 @@
                 let now_ms = self.now_ms;
                 let worker = &mut self.nodes[vm].worker;
                 if !worker.up {
-                    return self.push(100, Event::Result { vm, boot, id, result: CallResult::NoAnswer });
+                    return self
+                        .push(100, Event::Result { vm, boot, id, result: CallResult::NoAnswer });
                 }
                 let result = worker.handle(&call, now_ms, &self.nature, &mut self.rules);
                 if answered {
@@ -340,7 +344,10 @@
                     if is_order && self.random.u32(0..100) < self.late_percent {
                         let late_ms = self.random.u64(1_000..8_000);
                         self.push(late_ms, Event::Call { vm, boot, id, call, answered: false });
-                        self.push(500, Event::Result { vm, boot, id, result: CallResult::NoAnswer });
+                        self.push(
+                            500,
+                            Event::Result { vm, boot, id, result: CallResult::NoAnswer },
+                        );
                     } else {
                         self.push(1, Event::Call { vm, boot, id, call, answered: true });
                     }
@@ -353,7 +360,9 @@
         for effect in self.gateway.take_effects() {
             match effect {
                 gateway::Effect::Send { to, message } => self.send(address(100), to, message),
-                gateway::Effect::Answer { token, answer } => drop(self.answers.insert(token, answer)),
+                gateway::Effect::Answer { token, answer } => {
+                    drop(self.answers.insert(token, answer))
+                }
             }
         }
     }
