--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -1,6 +1,11 @@
 //! Logs: one line of key=value pairs for each event.
 
-use std::fmt;
+use std::{
+    fmt, io,
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
 
 use tracing::{Event, Subscriber};
 use tracing_subscriber::{
@@ -39,8 +44,43 @@
 }
 
 /// Starts logging to standard output; `ASPENRAIL_LOG` overrides the level.
+///
+/// A reader that is slow never holds the process up: lines that find no room are dropped, and
+/// how many were is written once there is room again.
 pub fn start_to_stdout(level: &str) {
-    start_to(level, std::io::stdout);
+    let stdout = io::stdout();
+    let opened = fcntl_getfl(&stdout).and_then(|it| fcntl_setfl(&stdout, it | OFlags::NONBLOCK));
+    start_to(level, || DroppingStdout);
+    if let Err(error) = opened {
+        tracing::warn!(event = "log_may_block", %error);
+    }
+}
+
+/// Lines dropped since the last one that found room.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Standard output that drops what it cannot take at once.
+struct DroppingStdout;
+
+impl io::Write for DroppingStdout {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let dropped = DROPPED.load(Ordering::Relaxed);
+        if 0 < dropped {
+            let note = format!("level=warn event=\"log_lines_dropped\" count={dropped}\n");
+            if rustix::io::write(io::stdout(), note.as_bytes()).is_ok() {
+                DROPPED.fetch_sub(dropped, Ordering::Relaxed);
+            }
+        }
+        if rustix::io::write(io::stdout(), line).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        // A line cut short is not completed: the rest would wait for the reader.
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 fn start_to<W>(level: &str, writer: W)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,10 @@
 //! [`runtime`] puts cores into actors and carries out their effects: messages over [`link`],
 //! requests over [`http`], writes to a [`control::log::Disk`].
 //!
+//! Workflows, jobs of steps on the users' platform, have roles of their own: a [`gateway`] takes
+//! requests to the leader, a [`node`] stands beside each worker, and the leader's
+//! [`control::dispatch`] places what the ledger in [`control::state`] holds.
+//!
 //! What must hold whatever anybody decides stands in [`control::state`], a function of the log
 //! alone; what is decided stands in [`policy`], functions over plain data. Messages, log commands
 //! and settings are generated from schema files into [`schema`]; [`config`] reads and checks
