Stop giving work to workers that fail or stall what they start

Cause: a worker that fails everything is soon idle, draws all work to itself and uses up the attempts of sound workflows; a task that stands still on a worker was waited for until its lease was the worker's own.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -6,9 +6,14 @@
 mod requests;
 mod sessions;
 
+use std::collections::HashSet;
+
 use crate::{
     control::state::Workflows,
-    policy::harm::{Filler, Harm, Serving},
+    policy::{
+        harm::{Filler, Harm, Serving},
+        soundness::Progress,
+    },
     prelude::*,
 };
 
@@ -146,6 +151,7 @@
                 }
             }
             WorkflowCommand::Finish(it) => {
+                self.judge_worker(workflows, it, now);
                 self.send_grant(workflows, it.worker, members, now);
                 self.stop_superfluous(workflows, it, members);
             }
@@ -180,6 +186,50 @@
         self.harm.observe(&serving, &fillers);
     }
 
+    /// Learns from ends whether a worker can be trusted with more.
+    fn judge_worker(&mut self, workflows: &Workflows, it: &FinishRuns, now: Now) {
+        let Some(session) = self.sessions.get_mut(it.worker) else { return };
+        for end in &it.ends {
+            match end.outcome {
+                RunOutcome::Done => session.soundness.note_done(),
+                RunOutcome::Failed => {
+                    let workflow = end.run.task.workflow;
+                    if session.soundness.note_failed(workflow, now.mono_ms) {
+                        let worker = workflows.workers().get(it.worker);
+                        let worker = worker.map(|it| it.name.as_str());
+                        tracing::warn!(event = "worker_shunned", worker, cause = "failures", run = %run_name(end.run));
+                    }
+                }
+                _ => (),
+            }
+        }
+    }
+
+    /// Notes the progress of what should move on a worker, and marks what stands still.
+    ///
+    /// Lasting tasks have none, fillers may wait for processor, and a gang waits for its members.
+    fn watch_progress(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let Some(report) = &session.report else { return };
+        let live: HashSet<_> = report.running.iter().map(|it| it.run).collect();
+        session.progress.retain(|run, _| live.contains(run));
+        session.stalled.retain(|run| live.contains(run));
+        for task in &report.running {
+            let Some(step) = workflows.step_of(task.run.task) else { continue };
+            if step.lasting || step.filler || step.gang {
+                continue;
+            }
+            let first = Progress::new(task.progress_percent, now.mono_ms);
+            let progress = session.progress.entry(task.run).or_insert(first);
+            let stands = progress.observe(task.progress_percent, step.estimate_ms, now.mono_ms);
+            if stands && session.stalled.insert(task.run) {
+                let workflow = task.run.task.workflow;
+                let is_shunned = session.soundness.note_failed(workflow, now.mono_ms);
+                tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent, is_shunned);
+            }
+        }
+    }
+
     /// Dismisses workers whose lease is over: what ran there has been killed by now.
     fn expire(&mut self, workflows: &Workflows, now: Now) {
         for id in self.sessions.take_expired(now.mono_ms) {
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -46,6 +46,7 @@
         session.report = Some(seen);
         self.is_dirty = true;
         self.learn_harm(workflows, &fresh);
+        self.watch_progress(workflows, id, now);
         self.take_ends(workflows, id);
         self.take_refusals(workflows, id);
         if is_gone {
@@ -149,7 +150,9 @@
         let Some(session) = self.sessions.get(id) else { return };
         let listed = session.report.as_ref().filter(|it| it.term == self.term);
         // Without a list of this term it is not known yet what runs there.
-        let orders = listed.map(|it| orders_for(workflows, worker, it)).unwrap_or_default();
+        let orders = listed
+            .map(|it| orders_for(workflows, worker, it, &session.stalled))
+            .unwrap_or_default();
         let grant = NodeGrant {
             number: session.number,
             sent_ms,
@@ -204,13 +207,19 @@
 }
 
 /// Returns the orders that bring what a worker runs to what the ledger holds.
-fn orders_for(workflows: &Workflows, worker: &Worker, report: &WorkerReport) -> Vec<RunOrder> {
+fn orders_for(
+    workflows: &Workflows,
+    worker: &Worker,
+    report: &WorkerReport,
+    stalled: &HashSet<RunRef>,
+) -> Vec<RunOrder> {
     let running: HashSet<_> = report.running.iter().map(|it| it.run).collect();
     let ended: HashSet<_> = report.ended.iter().map(|it| it.end.run).collect();
     let mut res = Vec::new();
     for run in &worker.runs {
         match running.contains(run) {
             _ if workflows.is_superfluous(*run) => res.push(RunOrder::Stop(*run)),
+            true if stalled.contains(run) => res.push(RunOrder::Stop(*run)),
             true if report.roles_missing => {
                 let role = role_of(workflows, run.task);
                 res.push(RunOrder::Role(RunRole { run: *run, role }));
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -1,9 +1,13 @@
 //! The leader's view of each worker: its lease and what its node reported last.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
+};
 
 use crate::{
     control::state::{Worker, Workflows},
+    policy::soundness::{Progress, Soundness},
     prelude::*,
 };
 
@@ -19,6 +23,11 @@
     pub number: u64,
     pub sent_ms: u64,
     pub report: Option<WorkerReport>,
+    pub soundness: Soundness,
+    /// Progress of runs that should move, by the reports.
+    pub progress: HashMap<RunRef, Progress>,
+    /// Runs that stand still and are told to stop.
+    pub stalled: HashSet<RunRef>,
     /// Highest end proposed for the ledger.
     pub proposed_cursor: u64,
     /// A dismissal was proposed.
@@ -57,6 +66,9 @@
             number: 0,
             sent_ms: 0,
             report: None,
+            soundness: Soundness::default(),
+            progress: HashMap::new(),
+            stalled: HashSet::new(),
             proposed_cursor: 0,
             is_ending: false,
         };
@@ -121,6 +133,7 @@
             let is_fit = report.term == term
                 && !report.draining
                 && !it.is_ending
+                && it.soundness.is_trusted(now.mono_ms)
                 && now.mono_ms < it.heard_ms + silent_ms;
             is_fit.then_some(Usable { id: *id, worker, report })
         };
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,4 +15,5 @@
 pub mod preemption;
 pub mod retry;
 pub mod routing;
+pub mod soundness;
 pub mod urgency;
--- a/tests/workflows/faults.rs
+++ b/tests/workflows/faults.rs
@@ -209,6 +209,31 @@
     assert_eq!(world.answers.get(&token), Some(&Answer::Told(WorkflowOutcome::Accepted)));
 }
 
+#[test]
+fn a_worker_that_fails_everything_does_not_use_up_the_attempts_of_all() {
+    let mut world = World::new(9, 3, 4);
+    world.install_queue();
+    world.nodes[0].worker.fails_all = true;
+    for id in 1..=30 {
+        world.submit(id, spec(vec![step(2, 1, &[])]), QUICK);
+        world.run_for(150);
+    }
+    world.run_for(5_000);
+    let failed = (1..=30).filter(|id| world.phase(*id) == Some(WorkflowPhase::Failed)).count();
+    assert!(failed <= 2, "{failed} of 30 workflows failed by one worker of four");
+}
+
+#[test]
+fn what_stands_still_begins_elsewhere() {
+    let mut world = World::new(10, 3, 2);
+    world.install_queue();
+    world.submit(7, spec(vec![step(8, 1, &[])]), QUICK);
+    world.nodes[0].worker.stalls = true;
+    world.run_for(9_000);
+    assert_eq!(world.phase(7), Some(WorkflowPhase::Completed));
+    assert!(world.rules.broken.is_empty(), "{:#?}", world.rules.broken);
+}
+
 #[test]
 fn a_draining_worker_gets_nothing_new() {
     let mut world = World::new(8, 3, 2);
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -22,9 +22,16 @@
 
 #[derive(Debug)]
 struct Running {
+    began_ms: u64,
     ends_ms: u64,
 }
 
+impl Running {
+    fn progress_percent(&self, now_ms: u64) -> u32 {
+        ((now_ms - self.began_ms) * 100 / (self.ends_ms - self.began_ms).max(1)) as u32
+    }
+}
+
 /// One VM's worker, over all its lifetimes.
 #[derive(Debug)]
 pub struct FakeWorker {
@@ -33,6 +40,10 @@
     pub up: bool,
     pub sequence: u64,
     pub draining: bool,
+    /// What runs here stands still.
+    pub stalls: bool,
+    /// What runs here fails, whatever it is.
+    pub fails_all: bool,
     token: u64,
     lease_until_ms: u64,
     running: BTreeMap<RunRef, Running>,
@@ -50,6 +61,8 @@
             up: true,
             sequence: 0,
             draining: false,
+            stalls: false,
+            fails_all: false,
             token: 0,
             lease_until_ms: 0,
             running: BTreeMap::new(),
@@ -108,7 +121,8 @@
             .collect();
         for run in over {
             let fails_every = nature[&run.task.workflow.0].fails_every;
-            let fails = 0 < fails_every && (run.run + run.task.index).is_multiple_of(fails_every);
+            let fails = self.fails_all
+                || 0 < fails_every && (run.run + run.task.index).is_multiple_of(fails_every);
             let outcome = if fails { RunOutcome::Failed } else { RunOutcome::Done };
             self.end(run, outcome, rules);
         }
@@ -147,10 +161,11 @@
                     rules.taken_note_of(it.end.run, it.end.outcome);
                 }
                 self.ended.retain(|it| acked < it.cursor);
-                let running = self.running.keys().map(|run| RunningTask {
+                let stalls = self.stalls;
+                let running = self.running.iter().map(|(run, it)| RunningTask {
                     run: *run,
                     checkpoint: CompactString::default(),
-                    progress_percent: 50,
+                    progress_percent: if stalls { 0 } else { it.progress_percent(now_ms) },
                     load: 0,
                 });
                 CallResult::Held { clock_ms, running: running.collect(), ended: self.ended.clone() }
@@ -191,7 +206,7 @@
         self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
         self.highest.insert(run.task, run.run);
         let work_ms = nature[&run.task.workflow.0].work_ms;
-        self.running.insert(run, Running { ends_ms: now_ms + work_ms });
+        self.running.insert(run, Running { began_ms: now_ms, ends_ms: now_ms + work_ms });
         rules.started(run, &self.name(), now_ms);
         CallResult::Done { clock_ms }
     }
