--- a/src/control/dispatch/plan.rs
+++ b/src/control/dispatch/plan.rs
@@ -41,8 +41,9 @@
 const TAIL_MAX_PERCENT: f64 = 80.0;
 
 /// Time for which a workflow with nothing running waits for a place where its fillers harm nobody.
-/// Half of the three seconds within which work must begin while most of the room is free.
-const IDLE_MAX_MS: u64 = 1_500;
+/// A third of the three seconds within which work must begin while most of the room is free; the
+/// silence of a worker that held the last run takes another part of them.
+const IDLE_MAX_MS: u64 = 1_000;
 
 /// Share of the reserved processor, in percent, up to which a workflow is not kept idle for the
 /// sake of tails; the pace of fillers guards these then.
@@ -111,8 +112,10 @@
     for candidate in &candidates {
         place_step(workflows, candidate, &mut rooms, Some(harm), &mut res);
     }
+    // What is placed on a worker that is silent may no longer run.
+    let heard: HashSet<_> = usable.iter().map(|it| it.id).collect();
     let placed: HashSet<_> = res.iter().map(|it| it.run.task.workflow).collect();
-    let is_idle = |it: &&Candidate<'_>| !placed.contains(&it.id) && !it.workflow.has_live_runs();
+    let is_idle = |it: &&Candidate<'_>| !placed.contains(&it.id) && !it.workflow.has_run_on(&heard);
     let idle: Vec<_> = candidates.iter().filter(is_idle).collect();
     let ids: HashSet<_> = idle.iter().map(|it| it.id).collect();
     idle_since.retain(|id, _| ids.contains(id));
--- a/src/control/state/workflows/task.rs
+++ b/src/control/state/workflows/task.rs
@@ -1,6 +1,6 @@
 //! One workflow: its steps, their tasks and the runs of these.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
 use crate::prelude::*;
 
@@ -122,8 +122,17 @@
 
     /// Returns whether a run of it may be on a worker.
     pub fn has_live_runs(&self) -> bool {
+        self.runs().next().is_some()
+    }
+
+    /// Returns whether a run of it may be on one of some workers.
+    pub fn has_run_on(&self, workers: &HashSet<WorkerId>) -> bool {
+        self.runs().any(|it| workers.contains(&it.worker))
+    }
+
+    fn runs(&self) -> impl Iterator<Item = &TaskRun> {
         let steps = self.occurrences.iter().flat_map(|it| &it.steps);
-        steps.flat_map(|it| &it.tasks).any(|it| !it.runs.is_empty())
+        steps.flat_map(|it| &it.tasks).flat_map(|it| &it.runs)
     }
 
     fn task_mut(&mut self, it: TaskRef) -> Option<&mut Task> {
