Let an entry end only after a second without requests; shun workers whose tasks stand still

It now ends once no request has come for 1 s. A stalled task began again on the same worker, which was idlest; one stall now costs the trust.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -223,9 +223,8 @@
             let progress = session.progress.entry(task.run).or_insert(first);
             let stands = progress.observe(task.progress_percent, step.estimate_ms, now.mono_ms);
             if stands && session.stalled.insert(task.run) {
-                let workflow = task.run.task.workflow;
-                let is_shunned = session.soundness.note_failed(workflow, now.mono_ms);
-                tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent, is_shunned);
+                session.soundness.note_stalled(now.mono_ms);
+                tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent);
             }
         }
     }
--- a/src/policy/soundness.rs
+++ b/src/policy/soundness.rs
@@ -44,7 +44,7 @@
         *self = Soundness::default();
     }
 
-    /// Learns that a run of a workflow failed or stalled; returns whether that ends the trust.
+    /// Learns that a run of a workflow failed; returns whether that ends the trust.
     pub fn note_failed(&mut self, workflow: WorkflowId, now_ms: u64) -> bool {
         if self.failed.contains(&workflow) {
             return false;
@@ -55,10 +55,21 @@
         }
         // One more failure after the pause is enough for the next one.
         self.failed.remove(0);
+        self.shun(now_ms);
+        true
+    }
+
+    /// Learns that a run stood still, which no task does by itself.
+    pub fn note_stalled(&mut self, now_ms: u64) {
+        if self.is_trusted(now_ms) {
+            self.shun(now_ms);
+        }
+    }
+
+    fn shun(&mut self, now_ms: u64) {
         let pause_ms = (PAUSE_MS << self.pauses.min(8)).min(PAUSE_MAX_MS);
         self.pauses += 1;
         self.shunned_until_ms = now_ms + pause_ms;
-        true
     }
 }
 
--- a/src/runtime/single.rs
+++ b/src/runtime/single.rs
@@ -58,6 +58,13 @@
 /// takes two misses.
 const EDGE_STOP_MIN: Duration = Duration::from_millis(2_500);
 
+/// Time without a new request after which a stopping process may end: clients that hold a
+/// connection open still send on it, and answers need a moment to leave.
+const EDGE_QUIET: Duration = Duration::from_millis(1_000);
+
+/// The same beside a control process, whose operators ask again elsewhere.
+const MEMBER_QUIET: Duration = Duration::from_millis(200);
+
 /// Largest body of a readiness probe or a request for metrics.
 const SMALL_BODY_BYTES: usize = 64 * 1024;
 
@@ -276,6 +283,8 @@
     member: Option<CoreOwn<ControlCore, MemberAdapter>>,
     statuses: Vec<Arc<RoleStatus>>,
     is_stopping: Rc<Cell<bool>>,
+    /// When the newest request came.
+    asked: Rc<Cell<Instant>>,
 }
 
 impl<P: Platform> SingleProcess<P> {
@@ -363,6 +372,7 @@
             res
         };
         let is_stopping = Rc::new(Cell::new(false));
+        let asked = Rc::new(Cell::new(Instant::now()));
         let controls = control_links(&self.settings);
         let member = match (&self.settings.dispatch, disk) {
             (Some(settings), Some(it)) => {
@@ -405,14 +415,14 @@
                 };
                 let core = GatewayCore::new(gateway_options(settings, sending.own, &controls));
                 let status = status();
-                self.start_gateway_edge(settings, &pending)?;
+                self.start_gateway_edge(settings, &pending, asked.clone())?;
                 self.start_readiness(settings.readiness_listen, status.clone())?;
                 self.start_metrics(settings.metrics_listen)?;
                 Some(start_actor(stakker, core, adapter, status))
             }
             None => None,
         };
-        Ok(Actors { gateway, node, member, statuses, is_stopping })
+        Ok(Actors { gateway, node, member, statuses, is_stopping, asked })
     }
 
     fn control_options(
@@ -441,7 +451,12 @@
         }
     }
 
-    fn start_gateway_edge(&self, settings: &GatewaySettings, pending: &Pending) -> Result<()> {
+    fn start_gateway_edge(
+        &self,
+        settings: &GatewaySettings,
+        pending: &Pending,
+        asked: Rc<Cell<Instant>>,
+    ) -> Result<()> {
         let options = ServerOptions {
             listen: settings.listen,
             threads: 1,
@@ -452,6 +467,7 @@
         let metrics = self.metrics.clone();
         let is_for_operators = self.settings.dispatch.is_some();
         start_local_server(options, pending, move |token, it| {
+            asked.set(Instant::now());
             let it = match it {
                 Ok(it) => it,
                 Err(it) => {
@@ -563,10 +579,12 @@
             let Some(since) = stopping else { continue };
             let drain_max = Duration::from_millis(self.settings.process.drain_max_ms.into());
             let drained = actors.statuses.iter().all(|it| it.is_drained());
-            let least = match self.settings.gateway.is_some() && self.settings.dispatch.is_none() {
-                true => EDGE_STOP_MIN,
-                false => Duration::ZERO,
+            let (least, quiet) = match (&self.settings.gateway, &self.settings.dispatch) {
+                (None, _) => (Duration::ZERO, Duration::ZERO),
+                (Some(_), None) => (EDGE_STOP_MIN, EDGE_QUIET),
+                (Some(_), Some(_)) => (MEMBER_QUIET, MEMBER_QUIET),
             };
+            let drained = drained && quiet <= actors.asked.get().elapsed();
             match since.elapsed() {
                 elapsed if drained && least <= elapsed => return Ending::Drained,
                 elapsed if drain_max <= elapsed => return Ending::CutOff,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -87,6 +87,19 @@
     assert_eq!(it.entry_exit_code(), Some(0));
 }
 
+#[test]
+fn a_stopping_entry_answers_what_still_comes() {
+    let mut it = Installation::start(1);
+    it.install(1);
+    it.signal_entry();
+    let began = std::time::Instant::now();
+    while began.elapsed() < Duration::from_millis(3_500) {
+        assert_eq!(it.client("GET", "/q/00000000000000aa", &Value::Null).0, 410);
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(it.entry_exit_code(), Some(0));
+}
+
 #[test]
 fn metrics_are_served() {
     let it = Installation::start(1);
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -113,6 +113,9 @@
             }
             return;
         }
+        if self.stalls {
+            return;
+        }
         let over: Vec<_> = self
             .running
             .iter()
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -166,7 +166,7 @@
         member.boot = options.boot;
         let recovered = member.disk.crash(0);
         member.core = Some(Box::new(ControlCore::new(options, recovered, now).unwrap()));
-        self.to_member(at, control::Input::Tick);
+        self.tell_member(at, control::Input::Tick);
     }
 
     /// Kills a member; `wiped` loses its disk, and it comes back under a new identity.
@@ -239,14 +239,14 @@
         let now = self.now();
         for at in 0..self.members.len() {
             if self.members[at].core.as_ref().is_some_and(|it| it.next_tick_ms() <= now.mono_ms) {
-                self.to_member(at, control::Input::Tick);
+                self.tell_member(at, control::Input::Tick);
             }
         }
         for vm in 0..self.nodes.len() {
             let worker = &mut self.nodes[vm].worker;
             worker.tick(now.mono_ms, &self.nature, &mut self.rules);
             if self.nodes[vm].core.as_ref().is_some_and(|it| it.next_tick_ms() <= now.mono_ms) {
-                self.to_node(vm, node::Input::Tick);
+                self.tell_node(vm, node::Input::Tick);
             }
         }
         if self.gateway.next_tick_ms() <= now.mono_ms {
@@ -260,7 +260,7 @@
             Event::Deliver { to, from, message } => self.deliver(to, from, *message),
             Event::Synced { process, boot, number } if self.members[process].boot == boot => {
                 self.members[process].disk.sync(number);
-                self.to_member(process, control::Input::Persisted { number });
+                self.tell_member(process, control::Input::Persisted { number });
             }
             Event::Call { vm, boot, id, call, answered } => {
                 let now_ms = self.now_ms;
@@ -275,14 +275,14 @@
                 }
             }
             Event::Result { vm, boot, id, result } if self.nodes[vm].boot == boot => {
-                self.to_node(vm, node::Input::CallEnded { id, result });
+                self.tell_node(vm, node::Input::CallEnded { id, result });
             }
             Event::Announce { vm } => {
                 self.push(ANNOUNCE_MS, Event::Announce { vm });
                 if self.nodes[vm].worker.up {
                     let now_ms = self.now_ms;
                     let it = self.nodes[vm].worker.announce(now_ms);
-                    self.to_node(vm, node::Input::Announced(it));
+                    self.tell_node(vm, node::Input::Announced(it));
                 }
             }
             Event::Restart { process } if process < 100 => self.start_member(process),
@@ -303,8 +303,8 @@
                 self.gateway.handle(now, gateway::Input::Message(Box::new(message)));
                 self.carry_gateway();
             }
-            it if 200 <= it => self.to_node(it - 200, node::Input::Message(Box::new(message))),
-            it => self.to_member(it, control::Input::Message { from, message }),
+            it if 200 <= it => self.tell_node(it - 200, node::Input::Message(Box::new(message))),
+            it => self.tell_member(it, control::Input::Message { from, message }),
         }
     }
 
@@ -313,7 +313,7 @@
         self.push(delay_ms, Event::Deliver { to, from, message: Box::new(message) });
     }
 
-    fn to_member(&mut self, at: usize, input: control::Input) {
+    fn tell_member(&mut self, at: usize, input: control::Input) {
         let now = self.now();
         let Some(core) = &mut self.members[at].core else { return };
         core.handle(now, input).unwrap();
@@ -331,7 +331,7 @@
         }
     }
 
-    fn to_node(&mut self, vm: usize, input: node::Input) {
+    fn tell_node(&mut self, vm: usize, input: node::Input) {
         let now = self.now();
         let boot = self.nodes[vm].boot;
         let Some(core) = &mut self.nodes[vm].core else { return };
