--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -91,6 +91,9 @@
     sent_to: Option<SocketAddr>,
 }
 
+/// Stands for the time of the first tick until it comes.
+const NOT_BEGUN_MS: u64 = u64::MAX;
+
 /// The token of the gateway's own probe.
 const PROBE: u64 = u64::MAX;
 
@@ -116,7 +119,7 @@
             calls: BTreeMap::new(),
             next_id: options.boot,
             led_ms: None,
-            leaderless_since_ms: Some(0),
+            leaderless_since_ms: Some(NOT_BEGUN_MS),
             probe_at_ms: 0,
             is_stopping: false,
             effects: Vec::new(),
@@ -246,7 +249,7 @@
         self.led_ms = Some(now.mono_ms);
         self.finder.set_leader(leader);
         if let Some(since_ms) = self.leaderless_since_ms.take() {
-            tracing::info!(event = "leader_found", leader = ?leader, after_ms = now.mono_ms - since_ms);
+            tracing::info!(event = "leader_found", leader = ?leader, after_ms = now.mono_ms.saturating_sub(since_ms));
             self.send_parked(now);
         }
         let answer = match it.outcome {
@@ -290,6 +293,9 @@
     }
 
     fn tick(&mut self, now: Now) {
+        if self.leaderless_since_ms == Some(NOT_BEGUN_MS) {
+            self.leaderless_since_ms = Some(now.mono_ms);
+        }
         if self.probe_at_ms <= now.mono_ms {
             self.probe_at_ms = now.mono_ms + self.options.probe_ms;
             if !self.calls.values().any(|it| it.token == PROBE) {
