--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -69,11 +69,35 @@
     TooManyCalls,
 }
 
+impl Cause {
+    /// All causes, for counters that exist from the start.
+    pub const ALL: [Cause; 4] =
+        [Cause::NoLeader, Cause::NoConfig, Cause::Busy, Cause::TooManyCalls];
+
+    /// Returns the label of its counter.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::NoLeader => "no_leader",
+            Cause::NoConfig => "no_config",
+            Cause::Busy => "busy",
+            Cause::TooManyCalls => "too_many_calls",
+        }
+    }
+}
+
 /// What a gateway wants done.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    Send { to: SocketAddr, message: Message },
-    Answer { token: u64, answer: Answer },
+    Send {
+        to: SocketAddr,
+        message: Message,
+    },
+    /// The answer to a request that waited for `took_ms`.
+    Answer {
+        token: u64,
+        answer: Answer,
+        took_ms: u64,
+    },
 }
 
 struct Call {
@@ -172,7 +196,7 @@
                 cause = "too_many_calls",
                 calls = self.calls.len()
             );
-            return self.effects.push(Effect::Answer { token, answer });
+            return self.effects.push(Effect::Answer { token, answer, took_ms: 0 });
         }
         self.next_id = self.next_id.wrapping_add(1);
         let call = Call {
@@ -289,7 +313,8 @@
             return;
         }
         log_ended(&call, now, &answer);
-        self.effects.push(Effect::Answer { token: call.token, answer });
+        let took_ms = now.mono_ms - call.began_ms;
+        self.effects.push(Effect::Answer { token: call.token, answer, took_ms });
     }
 
     fn tick(&mut self, now: Now) {
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -10,7 +10,7 @@
     Registry, TextEncoder,
 };
 
-use crate::{error::ANSWERS, policy::retry::RetryReason, prelude::*};
+use crate::{error::ANSWERS, gateway::Cause, policy::retry::RetryReason, prelude::*};
 
 /// Why an answer was not passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +43,8 @@
     retries: IntCounterVec,
     dropped: IntCounterVec,
     answers: HistogramVec,
+    gateway_refusals: IntCounterVec,
+    gateway_answers: HistogramVec,
     link_dropped: IntCounterVec,
     pub requests: IntCounter,
     pub ejections: IntCounter,
@@ -67,6 +69,9 @@
 /// Why a message between processes was not sent.
 pub const LINK_DROP_REASONS: [&str; 3] = ["queue_full", "no_connection", "too_large"];
 
+/// How a request ends in a gateway.
+pub const GATEWAY_ENDS: [&str; 3] = ["told", "not_taken", "unknown"];
+
 /// What is counted of the state.
 pub const STATE_GAUGES: [&str; 9] =
     ["vms", "jobs", "tasks", "waiting", "claims", "watches", "workflows", "workers", "log_entries"];
@@ -109,6 +114,20 @@
         );
         let answers = HistogramVec::new(options.buckets(ANSWER_BUCKETS.to_vec()), &["class"])?;
         registry.register(Box::new(answers.clone()))?;
+        let gateway_refusals = counters(
+            "aspenrail_gateway_refusals_total",
+            "Requests about workflows that were not taken, by cause.",
+            "cause",
+        )?;
+        Cause::ALL.iter().for_each(|it| drop(gateway_refusals.with_label_values(&[it.as_str()])));
+        let options = HistogramOpts::new(
+            "aspenrail_gateway_answer_seconds",
+            "Time of a request about workflows in the gateway, by its end.",
+        );
+        let gateway_answers =
+            HistogramVec::new(options.buckets(ANSWER_BUCKETS.to_vec()), &["end"])?;
+        registry.register(Box::new(gateway_answers.clone()))?;
+        GATEWAY_ENDS.iter().for_each(|it| drop(gateway_answers.with_label_values(&[it])));
         let in_force_revision =
             IntGauge::new("aspenrail_in_force_revision", "Configuration revision in force here.")?;
         registry.register(Box::new(in_force_revision.clone()))?;
@@ -123,6 +142,8 @@
             retries,
             dropped,
             answers,
+            gateway_refusals,
+            gateway_answers,
             link_dropped,
             requests: counter("aspenrail_requests_total", "Requests taken in at the edges.")?,
             ejections: counter(
@@ -191,6 +212,16 @@
         self.dropped.with_label_values(&[reason.as_str()]).inc();
     }
 
+    /// Counts a request about workflows that was not taken.
+    pub fn gateway_refused(&self, cause: Cause) {
+        self.gateway_refusals.with_label_values(&[cause.as_str()]).inc();
+    }
+
+    /// Counts the end of a request in a gateway; `end` is one of [`GATEWAY_ENDS`].
+    pub fn gateway_answered(&self, end: &'static str, seconds: f64) {
+        self.gateway_answers.with_label_values(&[end]).observe(seconds);
+    }
+
     /// Counts a message that was not sent; `reason` is one of [`LINK_DROP_REASONS`].
     pub fn link_dropped(&self, reason: &'static str) {
         self.link_dropped.with_label_values(&[reason]).inc();
--- a/src/runtime/single/adapters.rs
+++ b/src/runtime/single/adapters.rs
@@ -48,13 +48,29 @@
     pub pending: Pending,
     pub platform: P,
     pub is_stopping: Rc<Cell<bool>>,
+    pub metrics: Arc<Metrics>,
+}
+
+impl<P: Platform> GatewayAdapter<P> {
+    fn count(&self, answer: &gateway::Answer, took_ms: u64) {
+        let end = match answer {
+            gateway::Answer::Told(_) => "told",
+            gateway::Answer::NotTaken { cause, .. } => {
+                self.metrics.gateway_refused(*cause);
+                "not_taken"
+            }
+            gateway::Answer::Unknown => "unknown",
+        };
+        self.metrics.gateway_answered(end, took_ms as f64 / 1_000.0);
+    }
 }
 
 impl<P: Platform> Adapter<GatewayCore> for GatewayAdapter<P> {
     fn carry(&mut self, effect: gateway::Effect, _in_force: Revision) {
         match effect {
             gateway::Effect::Send { to, message } => self.sending.send(to, message),
-            gateway::Effect::Answer { token, answer } => {
+            gateway::Effect::Answer { token, answer, took_ms } => {
+                self.count(&answer, took_ms);
                 let mut answer = self.platform.answer(&answer);
                 if self.is_stopping.get() {
                     // The next request of this client has to go to another process.
--- a/src/runtime/single/mod.rs
+++ b/src/runtime/single/mod.rs
@@ -312,6 +312,7 @@
                     pending: pending.clone(),
                     platform: self.platform.clone(),
                     is_stopping: is_stopping.clone(),
+                    metrics: self.metrics.clone(),
                 };
                 let core = GatewayCore::new(gateway_options(settings, sending.own, &controls));
                 let status = status();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -104,5 +104,12 @@
 fn metrics_are_served() {
     let it = Installation::start(1);
     it.install(1);
-    assert!(it.metrics().contains("aspenrail_requests_total"));
+    it.client("GET", "/q/00000000000000aa", &Value::Null);
+    let metrics = it.metrics();
+    for line in [
+        "aspenrail_gateway_answer_seconds_count{end=\"told\"} 1",
+        "aspenrail_gateway_refusals_total{cause=\"no_leader\"} 0",
+    ] {
+        assert!(metrics.contains(line), "{line} is missing in:\n{metrics}");
+    }
 }
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -360,7 +360,7 @@
         for effect in self.gateway.take_effects() {
             match effect {
                 gateway::Effect::Send { to, message } => self.send(address(100), to, message),
-                gateway::Effect::Answer { token, answer } => {
+                gateway::Effect::Answer { token, answer, .. } => {
                     drop(self.answers.insert(token, answer))
                 }
             }
