Slow no filler whose cost is negligible

Cause: beside a task with no room left, a filler that takes next to nothing was cut to nothing like any other, so that whole workers stood still (18 of cores wanted, 6 allowed, with costs near zero). Costs up to 10 % of headroom, less than one reading shows, now slow nobody; a task over its bound first halts those that take from it, and all after two seconds.

--- a/src/control/dispatch/plan/rooms.rs
+++ b/src/control/dispatch/plan/rooms.rs
@@ -7,7 +7,10 @@
         dispatch::sessions::Usable,
         state::{Workflows, add, fits, reserve_of, subtract},
     },
-    policy::harm::{Filler, Harm, LoadGroup},
+    policy::{
+        harm::{Filler, Harm, LoadGroup},
+        pacing::NEGLIGIBLE_PERCENT,
+    },
     prelude::*,
 };
 
@@ -22,9 +25,6 @@
 /// Share of its speed below which a filler is rather kept waiting.
 const SPEED_MIN: f64 = 0.5;
 
-/// Cost of a filler, in percent of headroom, that counts as none.
-const COST_NONE_PERCENT: f64 = 5.0;
-
 /// An image that serves on a worker.
 #[derive(Debug)]
 struct Served {
@@ -105,7 +105,7 @@
         let processor =
             f64::from(self.unused_millicores()) / f64::from(step.need.cpu_millicores.max(1));
         let pace = |it: &Served| match harm.cost_percent(&it.image, &step.image) * cores(step) {
-            cost if cost <= COST_NONE_PERCENT => 1.0,
+            cost if cost <= NEGLIGIBLE_PERCENT => 1.0,
             cost => it.room_percent / cost,
         };
         self.served.iter().map(pace).fold(processor, f64::min).clamp(0.0, 1.0)
@@ -133,7 +133,7 @@
             // Where it is fast, then where it costs least, then where most is unused.
             (true, _) => [
                 (self.speed_of(step, harm) * 10.0) as i64,
-                -(self.cost_of(step, harm) / COST_NONE_PERCENT) as i64,
+                -(self.cost_of(step, harm) / NEGLIGIBLE_PERCENT) as i64,
                 i64::from(self.unused_millicores()),
             ],
             // Images keep to few workers each, so that a filler that harms one finds others.
@@ -142,7 +142,7 @@
                 let taken = harm.taken_percent(&step.image, &self.fillers);
                 let own_millicores = own.map_or(0, |it| i64::from(it.millicores));
                 let is_empty = i64::from(self.served.is_empty());
-                [-(taken / (10.0 * COST_NONE_PERCENT)) as i64, own_millicores + is_empty, packed]
+                [-(taken / (5.0 * NEGLIGIBLE_PERCENT)) as i64, own_millicores + is_empty, packed]
             }
             // What only reserves is packed, so that some workers are left to fillers.
             _ => [packed, 0, 0],
--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -40,8 +40,17 @@
 /// goes at full speed lie between two thirds and one and a tenth of it.
 const ROUGH_SHARE: f64 = 0.6;
 
-/// Time over the bound after which fillers stand still; harm may last two to three times that.
-const OVER_MAX_MS: u64 = 1_500;
+/// What a filler at full speed may take from a task without ever being slowed for it: less than
+/// a single reading shows.
+pub const NEGLIGIBLE_PERCENT: f64 = 10.0;
+
+/// Time over the bound after which those fillers stand still that take from the task. What a
+/// halt leads to shows half a second later.
+const OVER_MAX_MS: u64 = 1_000;
+
+/// Time over the bound after which all fillers stand still, since costs are told wrong; harm may
+/// last twice that.
+const OVER_LONG_MS: u64 = 2_000;
 
 /// Time for which they then stand still: two readings that do not overlap.
 const HALT_MS: u64 = 1_000;
@@ -82,6 +91,13 @@
     }
 }
 
+impl FillerReading {
+    /// Returns what it takes from a serving task at full speed.
+    fn taken_percent(&self, at: usize) -> f64 {
+        self.costs_percent[at] * self.need_cores
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Track {
     rest_percent: f64,
@@ -112,17 +128,22 @@
             .enumerate()
             .map(|(at, it)| self.room_percent(at, it, fillers, now_ms))
             .collect();
-        let is_over_long = self
-            .tracks
-            .values()
-            .any(|it| it.over_since_ms.is_some_and(|since_ms| since_ms + OVER_MAX_MS <= now_ms));
-        if is_over_long {
+        let over_ms = |it: &ServingReading| {
+            let since_ms = self.tracks.get(&it.run).and_then(|it| it.over_since_ms);
+            since_ms.map_or(0, |since_ms| now_ms - since_ms)
+        };
+        if serving.iter().any(|it| OVER_LONG_MS <= over_ms(it)) {
             self.halted_until_ms = now_ms + HALT_MS;
         }
-        let paces = match now_ms < self.halted_until_ms {
-            true => vec![0.0; fillers.len()],
-            false => share_out(&rooms, fillers),
-        };
+        let mut paces = share_out(&rooms, fillers);
+        for (at, _) in serving.iter().enumerate().filter(|(_, it)| OVER_MAX_MS <= over_ms(it)) {
+            let takes = |it: &FillerReading| NEGLIGIBLE_PERCENT < it.taken_percent(at);
+            let taking = fillers.iter().zip(&mut paces).filter(|(it, _)| takes(it));
+            taking.for_each(|(_, pace)| *pace = 0.0);
+        }
+        if now_ms < self.halted_until_ms {
+            paces.fill(0.0);
+        }
         let paces: HashMap<_, _> = fillers
             .iter()
             .zip(paces)
@@ -166,8 +187,8 @@
         let before = self.percent(it.run);
         let wanted = (wanted * 100.0) as u32 / GRAIN_PERCENT * GRAIN_PERCENT;
         let is_known = self.paces.contains_key(&it.run);
-        let costs_anything = it.costs_percent.iter().any(|cost| 1.0 <= cost * it.need_cores);
-        match is_known && costs_anything {
+        let takes = (0..it.costs_percent.len()).any(|at| NEGLIGIBLE_PERCENT < it.taken_percent(at));
+        match is_known && takes {
             true => wanted.min(before + RAISE_PERCENT),
             false => wanted,
         }
@@ -182,8 +203,8 @@
 fn share_out(rooms: &[f64], fillers: &[FillerReading]) -> Vec<f64> {
     let mut paces = vec![1.0; fillers.len()];
     for (at, room) in rooms.iter().enumerate() {
-        let cost = |it: &FillerReading| it.costs_percent[at] * it.need_cores;
-        let taken: f64 = fillers.iter().zip(&paces).map(|(it, pace)| cost(it) * pace).sum();
+        let taken = |it: &FillerReading| it.taken_percent(at);
+        let taken: f64 = fillers.iter().zip(&paces).map(|(it, pace)| taken(it) * pace).sum();
         let mut excess = taken - room;
         let mut order: Vec<_> = (0..fillers.len()).collect();
         order.sort_by(|a, b| {
@@ -191,10 +212,13 @@
             other.total_cmp(one).then(b.cmp(a))
         });
         for index in order {
-            let cost = cost(&fillers[index]);
-            if excess <= 0.0 || cost <= 0.0 {
+            let cost = fillers[index].taken_percent(at);
+            if excess <= 0.0 {
                 break;
             }
+            if cost <= NEGLIGIBLE_PERCENT {
+                continue;
+            }
             let cut = paces[index].min(excess / cost);
             paces[index] -= cut;
             excess -= cut * cost;
