--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -269,6 +269,7 @@
                     let checkpoint = CompactString::default();
                     let task = RunningTask { run, checkpoint, progress_percent: 0, load: 0 };
                     worker.running.push(task);
+                    worker.pace_newcomer(now);
                 }
             }
             CallResult::Done { .. } => {
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -184,6 +184,18 @@
     /// Decides anew how fast each filler may work.
     pub(super) fn pace(&mut self, now: Now) {
         self.read_usages(now);
+        self.decide_paces(|pacer, serving, fillers| pacer.observe(serving, fillers, now.mono_ms));
+    }
+
+    /// Decides how fast a filler may work that has just begun, from what was last read.
+    pub(super) fn pace_newcomer(&mut self, now: Now) {
+        self.decide_paces(|pacer, serving, fillers| pacer.share_out(serving, fillers, now.mono_ms));
+    }
+
+    fn decide_paces(
+        &mut self,
+        decide: impl FnOnce(&mut Pacer, &[ServingReading], &[FillerReading]),
+    ) {
         let (readings, fillers) = {
             let serving = self.serving();
             let images: Vec<_> = serving.iter().map(|(_, image)| *image).collect();
@@ -192,7 +204,7 @@
         };
         let sum = |pacer: &Pacer| fillers.iter().map(|it| pacer.percent(it.run)).sum::<u32>();
         let before = sum(&self.pacer);
-        self.pacer.observe(&readings, &fillers, now.mono_ms);
+        decide(&mut self.pacer, &readings, &fillers);
         let after = sum(&self.pacer);
         if before != after {
             let least = readings.iter().map(|it| it.headroom_percent).fold(f64::MAX, f64::min);
--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -106,6 +106,34 @@
     over_since_ms: Option<u64>,
 }
 
+impl Track {
+    fn new(rest_percent: f64, now_ms: u64) -> Track {
+        Track { rest_percent, fall_percent_per_s: 0.0, at_ms: now_ms, over_since_ms: None }
+    }
+
+    /// Takes in a headroom, and what fillers took of it.
+    fn observe(&mut self, headroom_percent: f64, taken_percent: f64, now_ms: u64) {
+        let rest_percent = headroom_percent + taken_percent;
+        if self.at_ms < now_ms {
+            let passed_s = (now_ms - self.at_ms) as f64 / 1_000.0;
+            let fall = (self.rest_percent - rest_percent) / passed_s;
+            self.fall_percent_per_s += (fall - self.fall_percent_per_s) * FALL_GAIN;
+            self.rest_percent = rest_percent;
+            self.at_ms = now_ms;
+        }
+        self.over_since_ms = match headroom_percent < BOUND_PERCENT {
+            true => Some(self.over_since_ms.unwrap_or(now_ms)),
+            false => None,
+        };
+    }
+
+    /// Returns what fillers may take by the time that paces work.
+    fn room_percent(&self) -> f64 {
+        let fall = self.fall_percent_per_s.clamp(0.0, FALL_MAX_PERCENT);
+        (self.rest_percent - fall * AHEAD_MS / 1_000.0 - AIM_PERCENT).max(0.0)
+    }
+}
+
 /// The paces of the fillers on one worker.
 #[derive(Clone, Debug, Default)]
 pub struct Pacer {
@@ -123,11 +151,25 @@
     /// Takes in a reading of all that serves and fills.
     pub fn observe(&mut self, serving: &[ServingReading], fillers: &[FillerReading], now_ms: u64) {
         self.tracks.retain(|run, _| serving.iter().any(|it| it.run == *run));
-        let rooms: Vec<_> = serving
-            .iter()
-            .enumerate()
-            .map(|(at, it)| self.room_percent(at, it, fillers, now_ms))
-            .collect();
+        for (at, it) in serving.iter().enumerate() {
+            let taken: f64 = fillers.iter().map(|it| it.costs_percent[at] * it.used_cores).sum();
+            let first = Track::new(it.headroom_percent + taken, now_ms);
+            let track = self.tracks.entry(it.run).or_insert(first);
+            track.observe(it.headroom_percent, taken, now_ms);
+        }
+        self.share_out(serving, fillers, now_ms);
+    }
+
+    /// Shares out anew what the last reading left, as when a filler has begun since.
+    pub fn share_out(
+        &mut self,
+        serving: &[ServingReading],
+        fillers: &[FillerReading],
+        now_ms: u64,
+    ) {
+        let track = |it: &ServingReading| self.tracks.get(&it.run);
+        let rooms: Vec<_> =
+            serving.iter().map(|it| track(it).map_or(0.0, Track::room_percent)).collect();
         let over_ms = |it: &ServingReading| {
             let since_ms = self.tracks.get(&it.run).and_then(|it| it.over_since_ms);
             since_ms.map_or(0, |since_ms| now_ms - since_ms)
@@ -135,7 +177,7 @@
         if serving.iter().any(|it| OVER_LONG_MS <= over_ms(it)) {
             self.halted_until_ms = now_ms + HALT_MS;
         }
-        let mut paces = share_out(&rooms, fillers);
+        let mut paces = paces_within(&rooms, fillers);
         for (at, _) in serving.iter().enumerate().filter(|(_, it)| OVER_MAX_MS <= over_ms(it)) {
             let takes = |it: &FillerReading| NEGLIGIBLE_PERCENT < it.taken_percent(at);
             let taking = fillers.iter().zip(&mut paces).filter(|(it, _)| takes(it));
@@ -152,37 +194,6 @@
         self.paces = paces;
     }
 
-    /// Returns what fillers may take of a serving task's headroom by the time that paces work.
-    fn room_percent(
-        &mut self,
-        at: usize,
-        it: &ServingReading,
-        fillers: &[FillerReading],
-        now_ms: u64,
-    ) -> f64 {
-        let taken: f64 = fillers.iter().map(|it| it.costs_percent[at] * it.used_cores).sum();
-        let rest_percent = it.headroom_percent + taken;
-        let track = self.tracks.entry(it.run).or_insert(Track {
-            rest_percent,
-            fall_percent_per_s: 0.0,
-            at_ms: now_ms,
-            over_since_ms: None,
-        });
-        if track.at_ms < now_ms {
-            let passed_s = (now_ms - track.at_ms) as f64 / 1_000.0;
-            let fall = (track.rest_percent - rest_percent) / passed_s;
-            track.fall_percent_per_s += (fall - track.fall_percent_per_s) * FALL_GAIN;
-            track.rest_percent = rest_percent;
-            track.at_ms = now_ms;
-        }
-        track.over_since_ms = match it.headroom_percent < BOUND_PERCENT {
-            true => Some(track.over_since_ms.unwrap_or(now_ms)),
-            false => None,
-        };
-        let fall = track.fall_percent_per_s.clamp(0.0, FALL_MAX_PERCENT);
-        (rest_percent - fall * AHEAD_MS / 1_000.0 - AIM_PERCENT).max(0.0)
-    }
-
     fn step_towards(&self, it: &FillerReading, wanted: f64) -> u32 {
         let before = self.percent(it.run);
         let wanted = (wanted * 100.0) as u32 / GRAIN_PERCENT * GRAIN_PERCENT;
@@ -200,7 +211,7 @@
 /// Of those that take from a task that is short of room, the ones that take most for their cores
 /// are slowed first, so that the least work is given up; among equals the later ones, so that
 /// the earlier ones end soon.
-fn share_out(rooms: &[f64], fillers: &[FillerReading]) -> Vec<f64> {
+fn paces_within(rooms: &[f64], fillers: &[FillerReading]) -> Vec<f64> {
     let mut paces = vec![1.0; fillers.len()];
     for (at, room) in rooms.iter().enumerate() {
         let taken = |it: &FillerReading| it.taken_percent(at);
