--- a/src/policy/harm.rs
+++ b/src/policy/harm.rs
@@ -10,7 +10,7 @@
 //! task of a step that fillers take least from tells it, now or a moment ago; what others have
 //! less is their fillers' doing, whatever the load does meanwhile.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use crate::prelude::*;
 
@@ -25,9 +25,9 @@
 /// How far a cost wanders in a second (standard deviation).
 const WANDER_PERCENT: f64 = 1.0;
 
-/// How rough one reading of a headroom is (standard deviation): tails come in whole milliseconds,
-/// and sibling tasks differ by 3 % of their load.
-const READING_DEVIATION_PERCENT: f64 = 25.0;
+/// How rough one reading of a headroom is, as a share of it (standard deviation): tails come in
+/// whole milliseconds, and sibling tasks differ by 3 % of their load.
+const READING_DEVIATION: f64 = 0.1;
 
 /// How far a load drifts from its reference in a second, in percent of headroom.
 const DRIFT_PERCENT_PER_S: f64 = 40.0;
@@ -59,7 +59,10 @@
 /// Time after which the rest of a step that is not seen is forgotten.
 const REST_KEPT_MS: u64 = 30_000;
 
-/// Steps and pairs remembered.
+/// Images of fillers remembered for each image that serves: estimates take the square of it.
+const IMAGES_MAX: usize = 32;
+
+/// Steps and serving images remembered.
 const REMEMBERED_MAX: usize = 10_000;
 
 /// Returns what a service has left: 100 at its bound, 200 with half the tail of its bound.
@@ -106,27 +109,90 @@
     at_ms: u64,
 }
 
-/// An estimate of what a core of a filler costs a serving task.
-#[derive(Clone, Copy, Debug)]
-struct Cost {
-    percent: f64,
-    /// Square of how far it may be from the truth.
-    variance: f64,
+/// What a core of each image of fillers costs one image that serves: a Kalman filter, since
+/// several images share the blame for one reading, and only their mixture over time tells them
+/// apart.
+#[derive(Clone, Debug, Default)]
+struct Costs {
+    images: Vec<CompactString>,
+    /// By image, in percent of headroom a core.
+    means: Vec<f64>,
+    /// How estimates may be off together: a square, row by row in the order of the images.
+    covariances: Vec<Vec<f64>>,
+    seen_ms: Vec<u64>,
     at_ms: u64,
 }
 
-impl Cost {
-    fn unknown(now_ms: u64) -> Cost {
-        let variance = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
-        Cost { percent: UNKNOWN_PERCENT, variance, at_ms: now_ms }
+impl Costs {
+    fn get(&self, image: &str) -> Option<f64> {
+        let at = self.images.iter().position(|it| it == image)?;
+        Some(self.means[at])
+    }
+
+    /// Returns the place of an image; the one not seen for longest makes way where there are too
+    /// many.
+    fn place_of(&mut self, image: &CompactString, now_ms: u64) -> usize {
+        if let Some(at) = self.images.iter().position(|it| it == image) {
+            return at;
+        }
+        if IMAGES_MAX <= self.images.len()
+            && let Some(at) = (0..self.images.len()).min_by_key(|at| self.seen_ms[*at])
+        {
+            self.remove(at);
+        }
+        self.images.push(image.clone());
+        self.means.push(UNKNOWN_PERCENT);
+        self.seen_ms.push(now_ms);
+        self.covariances.iter_mut().for_each(|row| row.push(0.0));
+        let mut row = vec![0.0; self.images.len()];
+        row[self.images.len() - 1] = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
+        self.covariances.push(row);
+        self.images.len() - 1
+    }
+
+    fn remove(&mut self, at: usize) {
+        self.images.remove(at);
+        self.means.remove(at);
+        self.seen_ms.remove(at);
+        self.covariances.remove(at);
+        self.covariances.iter_mut().for_each(|row| {
+            row.remove(at);
+        });
     }
 
     /// Lets time pass, in which the truth may have changed.
     fn age(&mut self, now_ms: u64) {
         let passed_s = now_ms.saturating_sub(self.at_ms) as f64 / 1_000.0;
-        let most = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
-        self.variance = (self.variance + WANDER_PERCENT * WANDER_PERCENT * passed_s).min(most);
         self.at_ms = now_ms;
+        let most = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
+        for at in 0..self.images.len() {
+            let variance = &mut self.covariances[at][at];
+            *variance = (*variance + WANDER_PERCENT * WANDER_PERCENT * passed_s).min(most);
+        }
+    }
+
+    /// Moves the costs of fillers by what is missing beside what they were known to take.
+    fn blame(&mut self, fillers: &[Filler], missing_percent: f64, noise: f64, now_ms: u64) {
+        self.age(now_ms);
+        let mut cores = vec![0.0; self.images.len()];
+        for it in fillers {
+            let at = self.place_of(&it.image, now_ms);
+            self.seen_ms[at] = now_ms;
+            cores.resize(self.images.len(), 0.0);
+            cores[at] += it.cores;
+        }
+        let dot = |row: &Vec<f64>| row.iter().zip(&cores).map(|(a, b)| a * b).sum::<f64>();
+        let spread: Vec<f64> = self.covariances.iter().map(dot).collect();
+        let doubt = noise + spread.iter().zip(&cores).map(|(a, b)| a * b).sum::<f64>();
+        for (at, mean) in self.means.iter_mut().enumerate() {
+            let moved = *mean + spread[at] / doubt * missing_percent;
+            *mean = moved.clamp(0.0, COST_MAX_PERCENT);
+        }
+        for (row_at, row) in self.covariances.iter_mut().enumerate() {
+            for (at, it) in row.iter_mut().enumerate() {
+                *it -= spread[row_at] * spread[at] / doubt;
+            }
+        }
     }
 }
 
@@ -136,15 +202,15 @@
     rests: HashMap<LoadGroup, Rest>,
     /// When tasks were last over their bounds.
     overloaded_ms: HashMap<RunRef, u64>,
-    /// By image of the serving task, then of the filler.
-    costs: HashMap<CompactString, HashMap<CompactString, Cost>>,
+    /// By image of the serving task.
+    costs: HashMap<CompactString, Costs>,
 }
 
 impl Harm {
     /// Returns what a core of `filler` takes from `serving`, in percent of headroom.
     pub fn cost_percent(&self, serving: &str, filler: &str) -> f64 {
         let known = self.costs.get(serving).and_then(|it| it.get(filler));
-        known.map_or(UNKNOWN_PERCENT, |it| it.percent)
+        known.unwrap_or(UNKNOWN_PERCENT)
     }
 
     /// Returns the headroom that the tasks of a step have with no filler beside them.
@@ -184,9 +250,13 @@
             if known.cores + ALIKE_CORES < cores {
                 let missing_percent = known.headroom_percent - headroom_percent;
                 let drift_percent = DRIFT_PERCENT_PER_S * (now_ms - known.at_ms) as f64 / 1_000.0;
-                let noise = READING_DEVIATION_PERCENT * READING_DEVIATION_PERCENT
-                    + drift_percent * drift_percent;
-                return self.blame(&it.image, fillers, missing_percent, noise, now_ms);
+                let rough_percent = known.headroom_percent * READING_DEVIATION;
+                let noise = rough_percent * rough_percent + drift_percent * drift_percent;
+                if self.costs.len() < REMEMBERED_MAX || self.costs.contains_key(&it.image) {
+                    let costs = self.costs.entry(it.image.clone()).or_default();
+                    costs.blame(fillers, missing_percent, noise, now_ms);
+                }
+                return;
             }
             let change = newest.headroom_percent - known.headroom_percent;
             newest.headroom_percent = known.headroom_percent + change * REFERENCE_GAIN;
@@ -195,45 +265,4 @@
             self.rests.insert(group, newest);
         }
     }
-
-    /// Moves the costs of fillers by what is missing beside what they were known to take.
-    ///
-    /// A Kalman filter without covariances: what is known least, and used most, moves most.
-    fn blame(
-        &mut self,
-        serving: &CompactString,
-        fillers: &[Filler],
-        missing_percent: f64,
-        noise: f64,
-        now_ms: u64,
-    ) {
-        if REMEMBERED_MAX <= self.costs.len() && !self.costs.contains_key(serving) {
-            return;
-        }
-        let costs = self.costs.entry(serving.clone()).or_default();
-        let by_image = cores_by_image(fillers);
-        let mut doubt = noise;
-        for (image, cores) in &by_image {
-            if costs.len() < REMEMBERED_MAX || costs.contains_key(*image) {
-                let cost = costs.entry((*image).clone()).or_insert(Cost::unknown(now_ms));
-                cost.age(now_ms);
-                doubt += cost.variance * cores * cores;
-            }
-        }
-        for (image, cores) in by_image {
-            let Some(cost) = costs.get_mut(image) else { continue };
-            let gain = cost.variance * cores / doubt;
-            cost.percent = (cost.percent + gain * missing_percent).clamp(0.0, COST_MAX_PERCENT);
-            cost.variance *= 1.0 - gain * cores;
-        }
-    }
-}
-
-/// Returns the cores that the fillers of each image use.
-fn cores_by_image(fillers: &[Filler]) -> BTreeMap<&CompactString, f64> {
-    let mut res = BTreeMap::new();
-    for it in fillers {
-        *res.entry(&it.image).or_insert(0.0) += it.cores;
-    }
-    res
 }
