--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -24,6 +24,9 @@
 /// How often workflows that ended long ago are forgotten.
 const FORGET_INTERVAL_MS: u64 = 10_000;
 
+/// How often what was learned is handed on: a new leader starts some seconds behind.
+const LEARN_INTERVAL_MS: u64 = 3_000;
+
 /// What the dispatcher is told by the settings.
 #[derive(Clone, Copy, Debug)]
 pub struct DispatchOptions {
@@ -60,6 +63,7 @@
     plan_at_ms: u64,
     forget_at_ms: u64,
     occupancy_at_ms: u64,
+    learn_at_ms: u64,
     step: Step,
 }
 
@@ -70,13 +74,14 @@
             options,
             term,
             sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms()),
-            harm: Harm::default(),
+            harm: Harm::with_known(workflows.costs(), now.mono_ms),
             idle_since: plan::IdleSince::default(),
             begin_in_flight: false,
             is_dirty: true,
             plan_at_ms: now.mono_ms,
             forget_at_ms: now.mono_ms + FORGET_INTERVAL_MS,
             occupancy_at_ms: now.mono_ms + OCCUPANCY_INTERVAL_MS,
+            learn_at_ms: now.mono_ms + LEARN_INTERVAL_MS,
             step: Step::default(),
         }
     }
@@ -95,6 +100,13 @@
             let before_ms = now.wall_ms.saturating_sub(self.options.retention_ms);
             self.step.commands.push(WorkflowCommand::Forget(before_ms));
         }
+        if self.learn_at_ms <= now.mono_ms {
+            self.learn_at_ms = now.mono_ms + LEARN_INTERVAL_MS;
+            let known = self.harm.known();
+            if known != workflows.costs() {
+                self.step.commands.push(WorkflowCommand::Learn(known));
+            }
+        }
         if self.occupancy_at_ms <= now.mono_ms {
             self.occupancy_at_ms = now.mono_ms + OCCUPANCY_INTERVAL_MS;
             log_occupancy(workflows);
@@ -151,7 +163,8 @@
                 if let Some(id) = workflows.workers().find(it.node, &it.name) {
                     tracing::info!(event = "worker_enrolled", worker = %it.name, id = %id, node = %it.node, service = %it.service, kind = %it.kind, rack = %it.rack);
                     self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms());
-                    self.send_grant(workflows, id, members, now);
+                    // Its token lets the node read the lists that everything else waits for.
+                    self.send_orders(workflows, id, members);
                 }
             }
             WorkflowCommand::Finish(it) => {
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -32,6 +32,8 @@
     /// Workflows that are not at their end.
     active: BTreeSet<WorkflowId>,
     workers: Workers,
+    /// What leaders have learned of images beside each other.
+    costs: Vec<ImageCost>,
 }
 
 impl Workflows {
@@ -72,6 +74,11 @@
         self.workflows.is_empty()
     }
 
+    /// Returns what leaders have learned of images beside each other.
+    pub fn costs(&self) -> &[ImageCost] {
+        &self.costs
+    }
+
     /// Returns the workers.
     pub fn workers(&self) -> &Workers {
         &self.workers
@@ -100,6 +107,10 @@
             WorkflowCommand::Enrol(it) => self.enrol(it),
             WorkflowCommand::Dismiss(id) => self.dismiss(*id),
             WorkflowCommand::Forget(before_ms) => self.forget(*before_ms),
+            WorkflowCommand::Learn(costs) => {
+                self.costs = costs.clone();
+                WorkflowOutcome::Accepted
+            }
         }
     }
 
--- a/src/policy/harm.rs
+++ b/src/policy/harm.rs
@@ -22,6 +22,12 @@
 /// 1 and some 10.
 const UNKNOWN_DEVIATION_PERCENT: f64 = 5.0;
 
+/// How far a cost may be off that an earlier leader had learned (standard deviation).
+const KNOWN_DEVIATION_PERCENT: f64 = 2.0;
+
+/// Pairs handed on to the next leader: some 20 KB in the log.
+const KNOWN_MAX: usize = 1_000;
+
 /// How far a cost wanders in a second (standard deviation).
 const WANDER_PERCENT: f64 = 1.0;
 
@@ -207,6 +213,37 @@
 }
 
 impl Harm {
+    /// Takes over what an earlier leader had learned.
+    pub fn with_known(costs: &[ImageCost], now_ms: u64) -> Harm {
+        let mut res = Harm::default();
+        for it in costs {
+            let own = res.costs.entry(it.serving.clone()).or_default();
+            own.at_ms = now_ms;
+            let at = own.place_of(&it.filler, now_ms);
+            own.means[at] = f64::from(it.headroom_percent);
+            own.covariances[at][at] = KNOWN_DEVIATION_PERCENT * KNOWN_DEVIATION_PERCENT;
+        }
+        res
+    }
+
+    /// Returns what the next leader is to know, pair by pair.
+    pub fn known(&self) -> Vec<ImageCost> {
+        let mut res = Vec::new();
+        let mut serving: Vec<_> = self.costs.iter().collect();
+        serving.sort_by_key(|(image, _)| *image);
+        for (serving, costs) in serving {
+            for (filler, percent) in costs.images.iter().zip(&costs.means) {
+                if KNOWN_MAX <= res.len() {
+                    return res;
+                }
+                let headroom_percent = percent.round() as f32;
+                let (serving, filler) = (serving.clone(), filler.clone());
+                res.push(ImageCost { serving, filler, headroom_percent });
+            }
+        }
+        res
+    }
+
     /// Returns what a core of `filler` takes from `serving`, in percent of headroom.
     pub fn cost_percent(&self, serving: &str, filler: &str) -> f64 {
         let known = self.costs.get(serving).and_then(|it| it.get(filler));
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -3421,6 +3421,7 @@
     Enrol(EnrolWorker),
     Dismiss(WorkerId),
     Forget(u64),
+    Learn(::std::vec::Vec<ImageCost>),
 }
 impl ::std::convert::From<&Self> for WorkflowCommand {
     fn from(value: &WorkflowCommand) -> Self {
@@ -3472,6 +3473,11 @@
         Self::Forget(value)
     }
 }
+impl ::std::convert::From<::std::vec::Vec<ImageCost>> for WorkflowCommand {
+    fn from(value: ::std::vec::Vec<ImageCost>) -> Self {
+        Self::Learn(value)
+    }
+}
 ///Identity of a workflow, chosen by its client.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -1,12 +1,13 @@
 //! The leader's placing and moving of fillers, by its reports alone.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use aspenrail::{
     control::{
         dispatch::{DispatchOptions, Dispatcher, PlanOptions},
         state::Workflows,
     },
+    policy::harm::Harm,
     prelude::*,
 };
 
@@ -21,6 +22,8 @@
     now_ms: u64,
     number: u64,
     stops: Vec<RunRef>,
+    /// Newest grant for each node.
+    grants: BTreeMap<SocketAddr, NodeGrant>,
 }
 
 fn node(worker: u64) -> SocketAddr {
@@ -54,7 +57,14 @@
         };
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
         let dispatcher = Dispatcher::new(options, &workflows, 1, now);
-        let mut res = Leader { workflows, dispatcher, now_ms: 1_000, number: 0, stops: Vec::new() };
+        let mut res = Leader {
+            workflows,
+            dispatcher,
+            now_ms: 1_000,
+            number: 0,
+            stops: Vec::new(),
+            grants: BTreeMap::new(),
+        };
         (1..=workers).for_each(|it| res.join(it));
         res
     }
@@ -124,8 +134,9 @@
     fn settle(&mut self) {
         loop {
             let step = self.dispatcher.finish_turn(&self.workflows, &[], self.now());
-            for (_, message) in step.messages {
+            for (to, message) in step.messages {
                 let Message::NodeGrant(it) = message else { continue };
+                self.grants.insert(to, it.clone());
                 self.stops.extend(it.orders.iter().filter_map(|it| match it {
                     RunOrder::Stop(run) => Some(*run),
                     _ => None,
@@ -159,6 +170,33 @@
     }
 }
 
+#[test]
+fn a_worker_that_enrols_is_told_its_token_at_once() {
+    let mut leader = Leader::new(0);
+    leader.report(1, &[]);
+    let grant = &leader.grants[&node(1)];
+    assert_eq!(grant.worker, "worker-1");
+    assert!(0 < grant.token && grant.sent_ms == 0, "a token, and no lease yet: {grant:?}");
+}
+
+#[test]
+fn what_a_leader_learned_of_images_is_known_to_the_next_one() {
+    let mut leader = Leader::new(2);
+    leader.submit(1, vec![service("web", 2, 40)]);
+    leader.submit(2, vec![filler("heavy", 1, 8, 1_000)]);
+    let beside = leader.workers_of(2, 2)[0];
+    let other = 3 - beside;
+    // With eight cores of the filler beside it, the service has a third of what its sibling has.
+    leader.pass(6_000, &[(other, &[(1, 17)]), (beside, &[(1, 40), (2, 8_000)])]);
+    leader.dispatcher.tick(&leader.workflows, leader.now());
+    leader.settle();
+    let known = leader.workflows.costs().to_vec();
+    let cost = known.iter().find(|it| it.serving == "web" && it.filler == "heavy").unwrap();
+    assert!((14.0..28.0).contains(&cost.headroom_percent), "{cost:?}; the truth is 21");
+    let next = Harm::with_known(leader.workflows.costs(), 7_000);
+    assert_eq!(next.cost_percent("web", "heavy"), f64::from(cost.headroom_percent));
+}
+
 #[test]
 fn images_that_serve_keep_to_few_workers() {
     let mut leader = Leader::new(4);
