Take configurations with queues that need tickets, and refuse only these queues

Cause: one such queue made a whole valid configuration be refused, so that no other queue was served; the users' page calls it valid. Its submissions are now refused with 503 and a time to come back, and kept nowhere.

--- a/src/control/dispatch/plan/moves.rs
+++ b/src/control/dispatch/plan/moves.rs
@@ -108,7 +108,7 @@
     let movable = Movable {
         estimate_ms: step.estimate_ms,
         progress_percent: it.progress_percent,
-        saves_progress: step.checkpoints,
+        checkpoints: step.checkpoints,
         share_here: it.share,
     };
     let is_better =
--- a/src/control/dispatch/plan/rooms.rs
+++ b/src/control/dispatch/plan/rooms.rs
@@ -14,9 +14,10 @@
     prelude::*,
 };
 
-/// Share of its reservation that a task which serves is taken to use, in percent. Serving tasks
+/// Share of its reservation that a task which serves is taken to use, in percent: the mean load that
+/// tails told on the users' VMs. Serving tasks
 /// reserve for their peaks; what fillers find missing shows in their speed, not in harm.
-const SERVING_USE_PERCENT: u32 = 60;
+const SERVING_USE_PERCENT: u32 = 45;
 
 /// Headroom, in percent, down to which fillers may be placed beside a serving task. It lies
 /// above what the pacer keeps, so that what is placed need not be slowed at once.
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -54,6 +54,9 @@
     if workflows.get(id).is_some() {
         return Verdict::Answer(WorkflowOutcome::Accepted);
     }
+    if queue.needs_ticket {
+        return Verdict::Answer(WorkflowOutcome::Unserved);
+    }
     if let Err(WorkflowError(why)) = check_spec(&it.spec) {
         return Verdict::Answer(WorkflowOutcome::Invalid(why));
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -67,12 +67,14 @@
     NoConfig,
     Busy,
     TooManyCalls,
+    /// The queue asks for what no process serves.
+    Unserved,
 }
 
 impl Cause {
     /// All causes, for counters that exist from the start.
-    pub const ALL: [Cause; 4] =
-        [Cause::NoLeader, Cause::NoConfig, Cause::Busy, Cause::TooManyCalls];
+    pub const ALL: [Cause; 5] =
+        [Cause::NoLeader, Cause::NoConfig, Cause::Busy, Cause::TooManyCalls, Cause::Unserved];
 
     /// Returns the label of its counter.
     pub fn as_str(self) -> &'static str {
@@ -81,6 +83,7 @@
             Cause::NoConfig => "no_config",
             Cause::Busy => "busy",
             Cause::TooManyCalls => "too_many_calls",
+            Cause::Unserved => "unserved",
         }
     }
 }
@@ -283,6 +286,9 @@
             WorkflowOutcome::Busy(retry_after_ms) => {
                 Answer::NotTaken { cause: Cause::Busy, retry_after_ms }
             }
+            WorkflowOutcome::Unserved => {
+                Answer::NotTaken { cause: Cause::Unserved, retry_after_ms: UNSERVED_PAUSE_MS }
+            }
             told => Answer::Told(told),
         };
         self.end(now, it.id, answer);
@@ -444,3 +450,7 @@
         }
     }
 }
+
+/// Time after which a client may ask a queue again that is not served: operators change that, and
+/// no sooner.
+const UNSERVED_PAUSE_MS: u64 = 30_000;
--- a/src/policy/mobility.rs
+++ b/src/policy/mobility.rs
@@ -47,7 +47,7 @@
     pub estimate_ms: u64,
     pub progress_percent: u32,
     /// Whether what it has done moves with it.
-    pub saves_progress: bool,
+    pub checkpoints: bool,
     pub share_here: f64,
 }
 
@@ -57,7 +57,7 @@
     let left = f64::from(100_u32.saturating_sub(it.progress_percent).max(5)) / 100.0;
     let whole_ms = it.estimate_ms.max(1) as f64;
     let here_ms = whole_ms * left / it.share_here.max(0.02);
-    let left_there = if it.saves_progress { left } else { 1.0 };
+    let left_there = if it.checkpoints { left } else { 1.0 };
     let there_ms = MOVE_MS + whole_ms * left_there / share_there.max(0.02);
     there_ms < here_ms * (1.0 - SAVED_MIN)
 }
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1796,6 +1796,8 @@
     pub attempts_max: u32,
     pub host: ::compact_str::CompactString,
     pub name: ::compact_str::CompactString,
+    ///Whether its tasks need tickets of a policy service, which are not served yet.
+    pub needs_ticket: bool,
     pub path_prefix: ::compact_str::CompactString,
     ///0 comes first.
     pub priority: u32,
@@ -3543,6 +3545,7 @@
     NoConfig,
     Pong,
     Interrupted,
+    Unserved,
     Phase(WorkflowPhase),
     Pending(u64),
     Config(QueueConfig),
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -412,6 +412,7 @@
         timeout_ms: 3_000,
         stretch_percent: 150,
         target_ms: 250,
+        needs_ticket: false,
     };
     QueueConfig {
         version,
