--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -17,10 +17,7 @@
     prelude::*,
 };
 
-use self::{
-    moves::Waiting,
-    rooms::{Care, Room, choose},
-};
+use self::rooms::{Care, Room, choose};
 
 /// What the planner is told by the settings.
 #[derive(Clone, Copy, Debug)]
@@ -90,36 +87,10 @@
             place_step(workflows, candidate, &mut rooms, harm, Care::Anywhere, &mut runs);
         }
     }
-    let waiting = waiting(workflows, &candidates, &runs);
-    let moves = moves::moves(workflows, slow, &waiting, &mut rooms, harm);
+    let moves = moves::moves(workflows, slow, &mut rooms, harm);
     Plan { runs, moves }
 }
 
-/// Returns the fillers that wait and found no place, most urgent first.
-///
-/// Those bound to a number on a worker are left out: whether one makes room says little of them.
-fn waiting<'a>(
-    workflows: &'a Workflows,
-    candidates: &[Candidate<'a>],
-    placed: &[RunPlacement],
-) -> Vec<Waiting<'a>> {
-    let mut counts: HashMap<_, usize> = HashMap::new();
-    for it in placed.iter().map(|it| it.run.task) {
-        *counts.entry((it.workflow, it.occurrence, it.step)).or_insert(0) += 1;
-    }
-    let wait = |it: &Candidate<'a>| {
-        let step = &it.workflow.spec.steps[it.step];
-        let state = &it.workflow.occurrences[it.occurrence].steps[it.step];
-        let begun = counts.get(&(it.id, it.occurrence as u32, it.step as u32));
-        let count = state.tasks.iter().filter(|it| !it.is_done && it.runs.is_empty()).count()
-            - begun.copied().unwrap_or(0);
-        let queue = workflows.queue(&it.workflow.queue)?;
-        let is_free = step.filler && !step.gang && step.per_worker_max == 0 && 0 < count;
-        is_free.then_some(Waiting { step, queue, count })
-    };
-    candidates.iter().filter_map(wait).collect()
-}
-
 /// Returns whether so little is reserved that nothing may be kept idle.
 fn has_idle_room(usable: &[Usable<'_>]) -> bool {
     let sum = |of: fn(&Usable<'_>) -> u32| usable.iter().map(|it| u64::from(of(it))).sum::<u64>();
