--- a/src/control/dispatch/plan/rooms.rs
+++ b/src/control/dispatch/plan/rooms.rs
@@ -21,7 +21,7 @@
 
 /// Headroom, in percent, down to which fillers may be placed beside a serving task. It lies
 /// above what the pacer keeps, so that what is placed need not be slowed at once.
-const HEADROOM_MIN_PERCENT: f64 = 130.0;
+const HEADROOM_MIN_PERCENT: f64 = 120.0;
 
 /// Share of its speed below which a filler is rather kept waiting.
 const SPEED_MIN: f64 = 0.5;
--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -9,9 +9,9 @@
 
 use crate::prelude::*;
 
-/// Headroom that a serving task is left with: a tail of 83 % of its bound. The rest is for loads
+/// Headroom that a serving task is left with: a tail of 91 % of its bound. The rest is for loads
 /// that rise faster than readings show.
-const AIM_PERCENT: f64 = 120.0;
+const AIM_PERCENT: f64 = 110.0;
 
 /// Headroom below which a task is over its bound.
 const BOUND_PERCENT: f64 = 100.0;
