Split fillers from the node's worker and costs from harm; keep only the newest costs; mix up no images where there are too many

A filter that remembers 32 images moved the places of others when one made way in the midst of a reading; found by reading, with a test. A node kept the costs of every pair that it was ever told.

--- a/src/control/state/workflows/workers.rs
+++ b/src/control/state/workflows/workers.rs
@@ -25,8 +25,6 @@
     pub used: Resources,
     /// Processor that fillers among its runs would use, beside what is reserved.
     pub filler_millicores: u32,
-    /// Part of what is reserved that tasks reserve which serve, and seldom use whole.
-    pub serving_millicores: u32,
     pub runs: BTreeSet<RunRef>,
     /// Ends up to here are in the ledger.
     pub cursor: u64,
@@ -42,7 +40,6 @@
         if self.runs.insert(run) {
             self.used = add(self.used, reserve_of(step));
             self.filler_millicores += filler_millicores(step);
-            self.serving_millicores += serving_millicores(step);
         }
     }
 
@@ -50,7 +47,6 @@
         if self.runs.remove(&run) {
             self.used = subtract(self.used, reserve_of(step));
             self.filler_millicores -= filler_millicores(step);
-            self.serving_millicores -= serving_millicores(step);
         }
     }
 }
@@ -112,7 +108,6 @@
             capacity: it.capacity,
             used: NOTHING,
             filler_millicores: 0,
-            serving_millicores: 0,
             runs: BTreeSet::new(),
             cursor: 0,
         };
@@ -123,7 +118,3 @@
 fn filler_millicores(step: &WorkflowStep) -> u32 {
     if step.filler { step.need.cpu_millicores } else { 0 }
 }
-
-fn serving_millicores(step: &WorkflowStep) -> u32 {
-    if 0 < step.tail_target_ms && !step.filler { step.need.cpu_millicores } else { 0 }
-}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 //! carried out late, and slows fillers by itself, since that must not wait for a leader.
 
 mod calls;
+mod fillers;
 mod orders;
 mod worker;
 
@@ -227,9 +228,9 @@
             worker.ended.retain(|cursor, _| it.acked_cursor < *cursor);
             worker.hold_at_ms = worker.hold_at_ms.min(now.mono_ms);
         }
-        for it in it.costs {
-            let cost_percent = f64::from(it.headroom_percent);
-            worker.costs.insert((it.serving, it.filler), cost_percent);
+        if !it.costs.is_empty() {
+            let cost = |it: ImageCost| ((it.serving, it.filler), f64::from(it.headroom_percent));
+            worker.costs = it.costs.into_iter().map(cost).collect();
         }
         if it.is_complete {
             worker.withdraw_starts(now, &it.orders);
--- a/src/policy/harm.rs
+++ b/src/policy/harm/mod.rs
@@ -10,27 +10,18 @@
 //! task of a step that fillers take least from tells it, now or a moment ago; what others have
 //! less is their fillers' doing, whatever the load does meanwhile.
 
+mod costs;
+
 use std::collections::HashMap;
 
 use crate::prelude::*;
 
-/// What a core of a pair not seen yet is taken to cost, in percent of headroom: four fillers of
-/// eight cores halve what a service at half load has left.
-pub const UNKNOWN_PERCENT: f64 = 4.0;
-
-/// How far a pair may lie from that (standard deviation): on the users' VMs most pairs cost about
-/// 1 and some 10.
-const UNKNOWN_DEVIATION_PERCENT: f64 = 5.0;
-
-/// How far a cost may be off that an earlier leader had learned (standard deviation).
-const KNOWN_DEVIATION_PERCENT: f64 = 2.0;
+use self::costs::Costs;
+pub use self::costs::UNKNOWN_PERCENT;
 
 /// Pairs handed on to the next leader: some 20 KB in the log.
 const KNOWN_MAX: usize = 1_000;
 
-/// How far a cost wanders in a second (standard deviation).
-const WANDER_PERCENT: f64 = 1.0;
-
 /// How rough one reading of a headroom is, as a share of it (standard deviation): tails come in
 /// whole milliseconds, and sibling tasks differ by 3 % of their load.
 const READING_DEVIATION: f64 = 0.1;
@@ -44,9 +35,6 @@
 /// Headroom is cut at this: a service that is idle says little of one at work.
 const HEADROOM_MAX_PERCENT: f64 = 1_000.0;
 
-/// Largest cost of a core.
-const COST_MAX_PERCENT: f64 = 100.0;
-
 /// Age up to which a reading tells the load of its step; loads swing over many seconds.
 const REFERENCE_MS: u64 = 2_000;
 
@@ -65,9 +53,6 @@
 /// Time after which the rest of a step that is not seen is forgotten.
 const REST_KEPT_MS: u64 = 30_000;
 
-/// Images of fillers remembered for each image that serves: estimates take the square of it.
-const IMAGES_MAX: usize = 32;
-
 /// Steps and serving images remembered.
 const REMEMBERED_MAX: usize = 10_000;
 
@@ -115,93 +100,6 @@
     at_ms: u64,
 }
 
-/// What a core of each image of fillers costs one image that serves: a Kalman filter, since
-/// several images share the blame for one reading, and only their mixture over time tells them
-/// apart.
-#[derive(Clone, Debug, Default)]
-struct Costs {
-    images: Vec<CompactString>,
-    /// By image, in percent of headroom a core.
-    means: Vec<f64>,
-    /// How estimates may be off together: a square, row by row in the order of the images.
-    covariances: Vec<Vec<f64>>,
-    seen_ms: Vec<u64>,
-    at_ms: u64,
-}
-
-impl Costs {
-    fn get(&self, image: &str) -> Option<f64> {
-        let at = self.images.iter().position(|it| it == image)?;
-        Some(self.means[at])
-    }
-
-    /// Returns the place of an image; the one not seen for longest makes way where there are too
-    /// many.
-    fn place_of(&mut self, image: &CompactString, now_ms: u64) -> usize {
-        if let Some(at) = self.images.iter().position(|it| it == image) {
-            return at;
-        }
-        if IMAGES_MAX <= self.images.len()
-            && let Some(at) = (0..self.images.len()).min_by_key(|at| self.seen_ms[*at])
-        {
-            self.remove(at);
-        }
-        self.images.push(image.clone());
-        self.means.push(UNKNOWN_PERCENT);
-        self.seen_ms.push(now_ms);
-        self.covariances.iter_mut().for_each(|row| row.push(0.0));
-        let mut row = vec![0.0; self.images.len()];
-        row[self.images.len() - 1] = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
-        self.covariances.push(row);
-        self.images.len() - 1
-    }
-
-    fn remove(&mut self, at: usize) {
-        self.images.remove(at);
-        self.means.remove(at);
-        self.seen_ms.remove(at);
-        self.covariances.remove(at);
-        self.covariances.iter_mut().for_each(|row| {
-            row.remove(at);
-        });
-    }
-
-    /// Lets time pass, in which the truth may have changed.
-    fn age(&mut self, now_ms: u64) {
-        let passed_s = now_ms.saturating_sub(self.at_ms) as f64 / 1_000.0;
-        self.at_ms = now_ms;
-        let most = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
-        for at in 0..self.images.len() {
-            let variance = &mut self.covariances[at][at];
-            *variance = (*variance + WANDER_PERCENT * WANDER_PERCENT * passed_s).min(most);
-        }
-    }
-
-    /// Moves the costs of fillers by what is missing beside what they were known to take.
-    fn blame(&mut self, fillers: &[Filler], missing_percent: f64, noise: f64, now_ms: u64) {
-        self.age(now_ms);
-        let mut cores = vec![0.0; self.images.len()];
-        for it in fillers {
-            let at = self.place_of(&it.image, now_ms);
-            self.seen_ms[at] = now_ms;
-            cores.resize(self.images.len(), 0.0);
-            cores[at] += it.cores;
-        }
-        let dot = |row: &Vec<f64>| row.iter().zip(&cores).map(|(a, b)| a * b).sum::<f64>();
-        let spread: Vec<f64> = self.covariances.iter().map(dot).collect();
-        let doubt = noise + spread.iter().zip(&cores).map(|(a, b)| a * b).sum::<f64>();
-        for (at, mean) in self.means.iter_mut().enumerate() {
-            let moved = *mean + spread[at] / doubt * missing_percent;
-            *mean = moved.clamp(0.0, COST_MAX_PERCENT);
-        }
-        for (row_at, row) in self.covariances.iter_mut().enumerate() {
-            for (at, it) in row.iter_mut().enumerate() {
-                *it -= spread[row_at] * spread[at] / doubt;
-            }
-        }
-    }
-}
-
 /// What is known of images beside each other.
 #[derive(Clone, Debug, Default)]
 pub struct Harm {
@@ -218,10 +116,7 @@
         let mut res = Harm::default();
         for it in costs {
             let own = res.costs.entry(it.serving.clone()).or_default();
-            own.at_ms = now_ms;
-            let at = own.place_of(&it.filler, now_ms);
-            own.means[at] = f64::from(it.headroom_percent);
-            own.covariances[at][at] = KNOWN_DEVIATION_PERCENT * KNOWN_DEVIATION_PERCENT;
+            own.set_known(&it.filler, f64::from(it.headroom_percent), now_ms);
         }
         res
     }
@@ -232,7 +127,7 @@
         let mut serving: Vec<_> = self.costs.iter().collect();
         serving.sort_by_key(|(image, _)| *image);
         for (serving, costs) in serving {
-            for (filler, percent) in costs.images.iter().zip(&costs.means) {
+            for (filler, percent) in costs.iter() {
                 if KNOWN_MAX <= res.len() {
                     return res;
                 }
--- a/tests/fillers.rs
+++ b/tests/fillers.rs
@@ -155,6 +155,26 @@
     assert!(light < 3.0, "{light}");
 }
 
+#[test]
+fn more_images_than_are_remembered_mix_nothing_up() {
+    let mut harm = Harm::default();
+    for at in 0..200_u64 {
+        let now_ms = at * 250;
+        let serving = |index: u32, headroom_percent: f64| Serving {
+            run: run(1, index),
+            image: "web".into(),
+            headroom_percent,
+        };
+        let other = Filler { image: format_compact!("other-{at}"), cores: 3.0 };
+        let heavy = Filler { image: "heavy".into(), cores: 6.0 };
+        harm.observe(&[serving(0, 270.0)], &[], now_ms);
+        harm.observe(&[serving(1, 270.0 - 6.0 * 12.0)], &[heavy, other], now_ms);
+    }
+    let heavy = harm.cost_percent("web", "heavy");
+    assert!((9.0..13.0).contains(&heavy), "{heavy}");
+    assert!(harm.known().len() <= 32, "{}", harm.known().len());
+}
+
 #[test]
 fn a_queue_that_is_worked_off_is_not_blamed_on_what_runs_then() {
     let mut harm = Harm::default();
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -3,15 +3,12 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use aspenrail::{
-    control::{
-        dispatch::{DispatchOptions, Dispatcher, PlanOptions},
-        state::Workflows,
-    },
+    control::{dispatch::Dispatcher, state::Workflows},
     policy::harm::Harm,
     prelude::*,
 };
 
-use crate::world::{queues, spec, step};
+use crate::world::{dispatch_options, queues, spec, step};
 
 const MEMORY_MIB: u32 = 10_000;
 
@@ -47,16 +44,8 @@
     fn new(workers: u64) -> Leader {
         let mut workflows = Workflows::default();
         workflows.apply(&WorkflowCommand::Install(queues(1)), 1);
-        let options = DispatchOptions {
-            lease_ms: 4_000,
-            lease_slack_percent: 3,
-            lease_margin_ms: 300,
-            silent_ms: 1_200,
-            retention_ms: 300_000,
-            plan: PlanOptions { interval_ms: 250 },
-        };
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
-        let dispatcher = Dispatcher::new(options, &workflows, 1, now);
+        let dispatcher = Dispatcher::new(dispatch_options(), &workflows, 1, now);
         let mut res = Leader {
             workflows,
             dispatcher,
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -151,14 +151,7 @@
             controls: self.controls(),
             settings: control_settings(),
             boot: self.random.u64(..),
-            dispatch: Some(DispatchOptions {
-                lease_ms: 4_000,
-                lease_slack_percent: 3,
-                lease_margin_ms: 300,
-                silent_ms: 1_200,
-                retention_ms: 300_000,
-                plan: PlanOptions { interval_ms: 250 },
-            }),
+            dispatch: Some(dispatch_options()),
             voters: 3,
         };
         let now = self.now();
@@ -401,6 +394,17 @@
     WorkflowTarget { host: "host".into(), path: format_compact!("/queue/{id:016x}") }
 }
 
+pub fn dispatch_options() -> DispatchOptions {
+    DispatchOptions {
+        lease_ms: 4_000,
+        lease_slack_percent: 3,
+        lease_margin_ms: 300,
+        silent_ms: 1_200,
+        retention_ms: 300_000,
+        plan: PlanOptions { interval_ms: 250 },
+    }
+}
+
 pub fn queues(version: u64) -> QueueConfig {
     let queue = Queue {
         name: "queue".into(),
