Halt fillers by parts of the time that harm may last, which the settings tell

Cause: the times were constants that fit a bound of four seconds; a deployment with a shorter one would have been harmed past it. At four seconds nothing changes. Magic numbers of moves have names.

--- a/src/control/dispatch/plan/rooms.rs
+++ b/src/control/dispatch/plan/rooms.rs
@@ -14,9 +14,9 @@
     prelude::*,
 };
 
-/// Share of its reservation that a task which serves is taken to use, in percent: the mean load that
-/// tails told on the users' VMs. Serving tasks
-/// reserve for their peaks; what fillers find missing shows in their speed, not in harm.
+/// Share of its reservation that a task which serves is taken to use, in percent: the mean load
+/// that tails told on the users' VMs. Serving tasks reserve for their peaks; what fillers find
+/// missing shows in their speed, not in harm.
 const SERVING_USE_PERCENT: u32 = 45;
 
 /// Headroom, in percent, down to which fillers may be placed beside a serving task. It lies
@@ -26,6 +26,10 @@
 /// Share of its speed below which a filler is rather kept waiting.
 const SPEED_MIN: f64 = 0.5;
 
+/// Headroom that fillers may take of a serving task placed by the same plan: what one at half load
+/// leaves above the least.
+const UNSEEN_ROOM_PERCENT: f64 = 120.0;
+
 /// An image that serves on a worker.
 #[derive(Debug)]
 struct Served {
@@ -177,9 +181,6 @@
     }
 }
 
-/// Room beside a serving task that is placed by the same plan.
-const UNSEEN_ROOM_PERCENT: f64 = 120.0;
-
 /// How much a worker is wanted for a task; the largest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Preference {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -35,6 +35,8 @@
     pub watch_wait_ms: u64,
     /// Silence of the worker after which its lease is no longer asked for.
     pub worker_silent_ms: u64,
+    /// Time for which fillers may keep a serving task over its bound.
+    pub harm_max_ms: u64,
 }
 
 /// What a node is told.
@@ -164,7 +166,7 @@
             self.forget_lifetime(old.announcement.name);
         }
         tracing::info!(event = "worker_seen", worker = %it.name, service = %it.service, kind = %it.kind, rack = %it.rack, cpu_millicores = it.capacity.cpu_millicores, memory_mib = it.capacity.memory_mib);
-        self.worker = Some(Lifetime::new(it, now));
+        self.worker = Some(Lifetime::new(it, self.options.harm_max_ms, now));
         self.is_dirty = true;
     }
 
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -81,7 +81,7 @@
 }
 
 impl Lifetime {
-    pub(super) fn new(announcement: Announcement, now: Now) -> Lifetime {
+    pub(super) fn new(announcement: Announcement, harm_max_ms: u64, now: Now) -> Lifetime {
         Lifetime {
             clock: ClockSample { clock_ms: announcement.clock_ms, at_ms: now.mono_ms },
             announcement,
@@ -95,7 +95,7 @@
             orders: BTreeMap::new(),
             refused: BTreeMap::new(),
             roles: HashMap::new(),
-            pacer: Pacer::default(),
+            pacer: Pacer::new(harm_max_ms),
             usages: HashMap::new(),
             costs: HashMap::new(),
             paces: HashMap::new(),
--- a/src/policy/mobility.rs
+++ b/src/policy/mobility.rs
@@ -15,6 +15,12 @@
 /// Part of the time left that a move must save, so that rough readings move nothing.
 const SAVED_MIN: f64 = 0.3;
 
+/// Least part of a task that is taken to be left, since declared times may be far too short.
+const LEFT_MIN_PERCENT: u32 = 5;
+
+/// Least share of its speed that a filler is taken to have, so that no time is endless.
+const SHARE_MIN: f64 = 0.02;
+
 /// The speed of one filler on one worker, as a share of what it reaches alone.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Speed {
@@ -53,11 +59,11 @@
 
 /// Returns whether a run ends sooner by going on elsewhere at `share_there` of its speed.
 pub fn is_worth_moving(it: Movable, share_there: f64) -> bool {
-    // Declared times may be far too short, and a run that has not ended has something left.
-    let left = f64::from(100_u32.saturating_sub(it.progress_percent).max(5)) / 100.0;
+    let left_percent = 100_u32.saturating_sub(it.progress_percent).max(LEFT_MIN_PERCENT);
+    let left = f64::from(left_percent) / 100.0;
     let whole_ms = it.estimate_ms.max(1) as f64;
-    let here_ms = whole_ms * left / it.share_here.max(0.02);
+    let here_ms = whole_ms * left / it.share_here.max(SHARE_MIN);
     let left_there = if it.checkpoints { left } else { 1.0 };
-    let there_ms = MOVE_MS + whole_ms * left_there / share_there.max(0.02);
+    let there_ms = MOVE_MS + whole_ms * left_there / share_there.max(SHARE_MIN);
     there_ms < here_ms * (1.0 - SAVED_MIN)
 }
--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -3,7 +3,8 @@
 //! Each serving task has a headroom (`policy/harm.rs`), of which each filler takes a share in
 //! proportion to its pace. The pacer adds what fillers took to the reading, follows how that
 //! falls, and lets the fillers work that cost least, down to a margin above the bound. A task
-//! that stays over its bound all the same halts every filler: its costs are not known yet.
+//! that stays over its bound all the same halts the fillers that are known to take from it, and
+//! then every one: costs are not known yet.
 
 use std::collections::HashMap;
 
@@ -44,13 +45,12 @@
 /// a single reading shows.
 pub const NEGLIGIBLE_PERCENT: f64 = 10.0;
 
-/// Time over the bound after which those fillers stand still that take from the task. What a
-/// halt leads to shows half a second later.
-const OVER_MAX_MS: u64 = 1_000;
+/// Part of the time for which harm may last after which those fillers stand still that take from
+/// the task. What a halt leads to shows half a second later.
+const OVER_PART: u64 = 4;
 
-/// Time over the bound after which all fillers stand still, since costs are told wrong; harm may
-/// last twice that.
-const OVER_LONG_MS: u64 = 2_000;
+/// The same after which all fillers stand still, since costs are told wrong.
+const OVER_LONG_PART: u64 = 2;
 
 /// Time for which they then stand still: two readings that do not overlap.
 const HALT_MS: u64 = 1_000;
@@ -135,14 +135,21 @@
 }
 
 /// The paces of the fillers on one worker.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Pacer {
+    /// Time for which fillers may keep a serving task over its bound.
+    harm_max_ms: u64,
     tracks: HashMap<RunRef, Track>,
     paces: HashMap<RunRef, u32>,
     halted_until_ms: u64,
 }
 
 impl Pacer {
+    /// Makes a pacer of fillers that may do harm for `harm_max_ms` on end.
+    pub fn new(harm_max_ms: u64) -> Pacer {
+        Pacer { harm_max_ms, tracks: HashMap::new(), paces: HashMap::new(), halted_until_ms: 0 }
+    }
+
     /// Returns the share of its speed at which a filler may work.
     pub fn percent(&self, filler: RunRef) -> u32 {
         self.paces.get(&filler).copied().unwrap_or(100)
@@ -174,11 +181,12 @@
             let since_ms = self.tracks.get(&it.run).and_then(|it| it.over_since_ms);
             since_ms.map_or(0, |since_ms| now_ms - since_ms)
         };
-        if serving.iter().any(|it| OVER_LONG_MS <= over_ms(it)) {
+        if serving.iter().any(|it| self.harm_max_ms / OVER_LONG_PART <= over_ms(it)) {
             self.halted_until_ms = now_ms + HALT_MS;
         }
+        let over_max_ms = self.harm_max_ms / OVER_PART;
         let mut paces = paces_within(&rooms, fillers);
-        for (at, _) in serving.iter().enumerate().filter(|(_, it)| OVER_MAX_MS <= over_ms(it)) {
+        for (at, _) in serving.iter().enumerate().filter(|(_, it)| over_max_ms <= over_ms(it)) {
             let takes = |it: &FillerReading| NEGLIGIBLE_PERCENT < it.taken_percent(at);
             let taking = fillers.iter().zip(&mut paces).filter(|(it, _)| takes(it));
             taking.for_each(|(_, pace)| *pace = 0.0);
--- a/src/runtime/single/options.rs
+++ b/src/runtime/single/options.rs
@@ -69,6 +69,7 @@
         hold_wait_ms: settings.hold_wait_ms.into(),
         watch_wait_ms: settings.watch_wait_ms.into(),
         worker_silent_ms: settings.worker_silent_ms.into(),
+        harm_max_ms: settings.harm_max_ms.into(),
     }
 }
 
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -251,6 +251,8 @@
 pub struct NodeSettings {
     ///Time that the worker has to answer a call.
     pub call_timeout_ms: u32,
+    ///Time for which fillers may keep a serving task over its bound; they are halted well before.
+    pub harm_max_ms: u32,
     ///Longest wait of the worker for an end, in one call.
     pub hold_wait_ms: u32,
     ///Address where the worker announces itself.
--- a/tests/fillers.rs
+++ b/tests/fillers.rs
@@ -30,9 +30,12 @@
 
 const FILLER_CORES: f64 = 10.0;
 
+/// Four seconds, as on the users' VMs.
+const HARM_MAX_MS: u64 = 4_000;
+
 impl Beside {
     fn new(cost_percent: f64, told_percent: f64) -> Beside {
-        let (pacer, usage) = (Pacer::default(), Usage::default());
+        let (pacer, usage) = (Pacer::new(HARM_MAX_MS), Usage::default());
         Beside { pacer, usage, now_ms: 1_000, rest_percent: 250.0, cost_percent, told_percent }
     }
 
@@ -91,6 +94,23 @@
     assert_eq!(it.pace(), 0);
 }
 
+#[yare::parameterized(
+    short = { 1_000 },
+    usual = { 4_000 },
+    long = { 20_000 },
+)]
+fn all_fillers_are_halted_within_half_the_time_that_harm_may_last(harm_max_ms: u64) {
+    let mut it = Beside::new(0.0, 0.0);
+    (it.pacer, it.rest_percent) = (Pacer::new(harm_max_ms), 60.0);
+    let began_ms = it.now_ms;
+    while it.pace() != 0 && it.now_ms < began_ms + harm_max_ms {
+        it.read();
+    }
+    // A reading more, since the first one is made after the harm began.
+    let halted_after_ms = it.now_ms - began_ms;
+    assert!(halted_after_ms <= harm_max_ms / 2 + 2 * 270, "{halted_after_ms}");
+}
+
 #[test]
 fn a_filler_that_comes_later_begins_at_full_speed() {
     let mut it = Beside::new(25.0, 25.0);
@@ -110,7 +130,7 @@
         used_cores: 0.0,
         costs_percent: vec![cost],
     };
-    let mut pacer = Pacer::default();
+    let mut pacer = Pacer::new(HARM_MAX_MS);
     pacer.observe(&[serving], &[filler(0, 20.0), filler(1, 1.0), filler(2, 1.0)], 1_000);
     assert!(pacer.percent(run(2, 0)) < 20, "{pacer:?}");
     assert_eq!((pacer.percent(run(2, 1)), pacer.percent(run(2, 2))), (100, 100));
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -28,6 +28,7 @@
             hold_wait_ms: 1_000,
             watch_wait_ms: 250,
             worker_silent_ms: 2_500,
+            harm_max_ms: 4_000,
         };
         let node = NodeCore::new(options);
         let mut res = Alone { node, now_ms: 1_000, calls: Vec::new(), reports: Vec::new() };
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -183,6 +183,7 @@
             hold_wait_ms: 0,
             watch_wait_ms: 0,
             worker_silent_ms: 2_500,
+            harm_max_ms: 4_000,
         };
         self.nodes[vm].boot = options.boot;
         self.nodes[vm].core = Some(NodeCore::new(options));
