--- a/src/control/dispatch/plan/rooms.rs
+++ b/src/control/dispatch/plan/rooms.rs
@@ -39,6 +39,13 @@
     millicores: u32,
 }
 
+impl Served {
+    /// Returns what a filler takes from its headroom at full speed.
+    fn taken_by(&self, filler: &WorkflowStep, harm: &Harm) -> f64 {
+        harm.cost_percent(&self.image, &filler.image) * cores(filler)
+    }
+}
+
 /// What is left on one worker.
 pub(super) struct Room<'a> {
     pub usable: Usable<'a>,
@@ -89,7 +96,7 @@
         self.filler_millicores += step.need.cpu_millicores;
         self.fillers.push(Filler { image: step.image.clone(), cores });
         for it in &mut self.served {
-            it.room_percent -= harm.cost_percent(&it.image, &step.image) * cores;
+            it.room_percent -= it.taken_by(step, harm);
         }
     }
 
@@ -109,7 +116,7 @@
     pub(super) fn speed_of(&self, step: &WorkflowStep, harm: &Harm) -> f64 {
         let processor =
             f64::from(self.unused_millicores()) / f64::from(step.need.cpu_millicores.max(1));
-        let pace = |it: &Served| match harm.cost_percent(&it.image, &step.image) * cores(step) {
+        let pace = |it: &Served| match it.taken_by(step, harm) {
             cost if cost <= NEGLIGIBLE_PERCENT => 1.0,
             cost => it.room_percent / cost,
         };
@@ -118,11 +125,11 @@
 
     /// Returns what a further filler would take from all images that serve here.
     fn cost_of(&self, step: &WorkflowStep, harm: &Harm) -> f64 {
-        let cost = |it: &Served| harm.cost_percent(&it.image, &step.image) * cores(step);
+        let cost = |it: &Served| it.taken_by(step, harm);
         self.served.iter().map(cost).sum()
     }
 
-    pub(super) fn holds(&self, step: &WorkflowStep, queue: &Queue, placed: u32) -> bool {
+    fn holds(&self, step: &WorkflowStep, queue: &Queue, placed: u32) -> bool {
         let worker = self.usable.worker;
         worker.service == queue.service
             && (step.per_worker_max == 0 || placed < step.per_worker_max)
@@ -175,7 +182,7 @@
                 self.fillers.remove(at);
             }
             for it in &mut self.served {
-                it.room_percent += harm.cost_percent(&it.image, &step.image) * cores(step);
+                it.room_percent += it.taken_by(step, harm);
             }
         }
     }
