--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -13,27 +13,27 @@
 const MEMORY_MIB: u32 = 10_000;
 
 /// A leader with workers of 64 cores, each of which reports what it is made to.
-struct Leader {
-    workflows: Workflows,
+pub struct Leader {
+    pub workflows: Workflows,
     dispatcher: Dispatcher,
-    now_ms: u64,
+    pub now_ms: u64,
     number: u64,
-    stops: Vec<RunRef>,
+    pub stops: Vec<RunRef>,
     /// Newest grant for each node.
-    grants: BTreeMap<SocketAddr, NodeGrant>,
+    pub grants: BTreeMap<SocketAddr, NodeGrant>,
 }
 
-fn node(worker: u64) -> SocketAddr {
+pub fn node(worker: u64) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1_000 + worker as u16))
 }
 
-fn service(image: &str, count: u32, cores: u32) -> WorkflowStep {
+pub fn service(image: &str, count: u32, cores: u32) -> WorkflowStep {
     let mut res = step(count, cores, &[]);
     (res.lasting, res.tail_target_ms, res.image) = (true, 50, image.into());
     res
 }
 
-fn filler(image: &str, count: u32, cores: u32, memory_mib: u32) -> WorkflowStep {
+pub fn filler(image: &str, count: u32, cores: u32, memory_mib: u32) -> WorkflowStep {
     let mut res = step(count, cores, &[]);
     (res.filler, res.checkpoints, res.image) = (true, true, image.into());
     res.need.memory_mib = memory_mib;
@@ -41,7 +41,7 @@
 }
 
 impl Leader {
-    fn new(workers: u64) -> Leader {
+    pub fn new(workers: u64) -> Leader {
         let mut workflows = Workflows::default();
         workflows.apply(&WorkflowCommand::Install(queues(1)), 1);
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
@@ -58,11 +58,11 @@
         res
     }
 
-    fn now(&self) -> Now {
+    pub fn now(&self) -> Now {
         Now { mono_ms: self.now_ms, wall_ms: self.now_ms }
     }
 
-    fn submit(&mut self, id: u64, steps: Vec<WorkflowStep>) {
+    pub fn submit(&mut self, id: u64, steps: Vec<WorkflowStep>) {
         let submit = SubmitWorkflow {
             id: WorkflowId(id),
             queue: "queue".into(),
@@ -86,12 +86,18 @@
 
     /// Reports what a worker runs, with the load of each.
     fn report(&mut self, worker: u64, loads: &[(u64, u32)]) {
-        self.number += 1;
         let running = self.runs_on(worker).into_iter().map(|run| {
             let load = loads.iter().find(|(id, _)| WorkflowId(*id) == run.task.workflow);
             let load = load.map_or(0, |(_, load)| *load);
             RunningTask { run, checkpoint: "saved".into(), progress_percent: 40, load }
         });
+        let running = running.collect();
+        self.tell(worker, running, Vec::new());
+    }
+
+    /// Reports what a worker runs and what has ended there.
+    pub fn tell(&mut self, worker: u64, running: Vec<RunningTask>, ended: Vec<EndedRun>) {
+        self.number += 1;
         let report = WorkerReport {
             name: format_compact!("worker-{worker}"),
             service: "pool".into(),
@@ -103,8 +109,8 @@
             remaining_ms: 0,
             gone: false,
             term: 1,
-            running: running.collect(),
-            ended: Vec::new(),
+            running,
+            ended,
             refused: Vec::new(),
             roles_missing: false,
         };
@@ -138,7 +144,7 @@
         }
     }
 
-    fn runs_on(&self, worker: u64) -> Vec<RunRef> {
+    pub fn runs_on(&self, worker: u64) -> Vec<RunRef> {
         let name = format_compact!("worker-{worker}");
         let id = self.workflows.workers().find(node(worker), &name);
         let worker = id.and_then(|it| self.workflows.workers().get(it));
@@ -219,3 +225,16 @@
     leader.pass(3_000, &[(1, &[(1, 20), (2, 8_000)]), (2, &[(1, 20), (2, 8_000)])]);
     assert!(leader.stops.is_empty(), "{:?}", leader.stops);
 }
+
+#[test]
+fn a_filler_begins_only_where_a_service_leaves_it_its_full_speed() {
+    let mut leader = Leader::new(1);
+    leader.submit(1, vec![service("web", 1, 40)]);
+    // A tail of 30 of 50 ms: 166 % of headroom, of which a filler not known may take 32.
+    leader.pass(2_000, &[(1, &[(1, 30)])]);
+    leader.submit(2, vec![filler("batch", 1, 8, 1_000)]);
+    leader.pass(2_000, &[(1, &[(1, 30)])]);
+    assert!(leader.workers_of(2, 1).is_empty(), "it would be halted as the load rises");
+    leader.pass(2_000, &[(1, &[(1, 15)])]);
+    assert_eq!(leader.workers_of(2, 1), [1]);
+}
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -5,6 +5,7 @@
 //! `ASPENRAIL_SEEDS` says how many.
 #![allow(clippy::unwrap_used)]
 
+mod colocation;
 #[path = "../promises/disk.rs"]
 #[allow(dead_code)]
 mod disk;
