--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -192,6 +192,14 @@
     assert_eq!(next.cost_percent("web", "heavy"), f64::from(cost.headroom_percent));
 }
 
+#[test]
+fn a_busy_leader_is_woken_to_hand_on_what_it_learned() {
+    let mut leader = Leader::new(1);
+    // Reports push the next plan ahead each time.
+    leader.pass(4_000, &[(1, &[])]);
+    assert!(leader.dispatcher.next_tick_ms() <= leader.now_ms, "it is due after 3 s");
+}
+
 #[test]
 fn images_that_serve_keep_to_few_workers() {
     let mut leader = Leader::new(4);
