--- a/tests/workflows/colocation.rs
+++ b/tests/workflows/colocation.rs
@@ -44,8 +44,8 @@
 /// handed in is more than the workers can do beside their services.
 const IN_TIME_MIN_PERCENT: f64 = 62.0;
 
-/// What a core of a filler takes from a service, in percent of headroom, by the ends of their
-/// names: kinds a and b each suffer from the fillers of their kind, and none from kind c.
+/// What a core of a filler takes from a service, in percent of headroom, by the first letters of
+/// their names: services of kinds a and b suffer from fillers of their kind; kind c is mild to all.
 fn true_cost_percent(service: &str, filler: &str) -> f64 {
     match service.as_bytes()[0] == filler.as_bytes()[0] {
         true => 8.0,
