Let a stopping entry end only after a slow answer has left

Quiet is now counted from the last request or answer. The test froze all control processes under a stopping entry and got no answer before; it gets 503 now.

--- a/src/runtime/single/adapters.rs
+++ b/src/runtime/single/adapters.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Instant,
 };
 
 use crate::{
@@ -48,6 +49,8 @@
     pub pending: Pending,
     pub platform: P,
     pub is_stopping: Rc<Cell<bool>>,
+    /// When the newest request came, or the newest answer was given.
+    pub served: Rc<Cell<Instant>>,
     pub metrics: Arc<Metrics>,
 }
 
@@ -71,6 +74,7 @@
             gateway::Effect::Send { to, message } => self.sending.send(to, message),
             gateway::Effect::Answer { token, answer, took_ms } => {
                 self.count(&answer, took_ms);
+                self.served.set(Instant::now());
                 let mut answer = self.platform.answer(&answer);
                 if self.is_stopping.get() {
                     // The next request of this client has to go to another process.
--- a/src/runtime/single/mod.rs
+++ b/src/runtime/single/mod.rs
@@ -64,8 +64,9 @@
 /// takes two misses.
 const EDGE_STOP_MIN: Duration = Duration::from_millis(2_500);
 
-/// Time without a new request after which a stopping process may end: clients that hold a
-/// connection open still send on it, and answers need a moment to leave.
+/// Time without a request or an answer after which a stopping process may end: clients that hold
+/// a connection open still send on it, and answers need a moment to leave. Counted from requests
+/// alone, it cut off the answer to one that had waited a second for a silent leader.
 const EDGE_QUIET: Duration = Duration::from_millis(1_000);
 
 /// The same beside a control process, whose operators ask again elsewhere.
@@ -183,8 +184,8 @@
     member: Option<CoreOwn<ControlCore, MemberAdapter>>,
     statuses: Vec<Arc<RoleStatus>>,
     is_stopping: Rc<Cell<bool>>,
-    /// When the newest request came.
-    asked: Rc<Cell<Instant>>,
+    /// When the newest request came, or the newest answer was given.
+    served: Rc<Cell<Instant>>,
 }
 
 impl<P: Platform> SingleProcess<P> {
@@ -272,7 +273,7 @@
             res
         };
         let is_stopping = Rc::new(Cell::new(false));
-        let asked = Rc::new(Cell::new(Instant::now()));
+        let served = Rc::new(Cell::new(Instant::now()));
         let controls = control_links(&self.settings);
         let member = match (&self.settings.dispatch, disk) {
             (Some(settings), Some(it)) => {
@@ -312,18 +313,19 @@
                     pending: pending.clone(),
                     platform: self.platform.clone(),
                     is_stopping: is_stopping.clone(),
+                    served: served.clone(),
                     metrics: self.metrics.clone(),
                 };
                 let core = GatewayCore::new(gateway_options(settings, sending.own, &controls));
                 let status = status();
-                self.start_gateway_edge(settings, &pending, asked.clone())?;
+                self.start_gateway_edge(settings, &pending, served.clone())?;
                 self.start_readiness(settings.readiness_listen, status.clone())?;
                 self.start_metrics(settings.metrics_listen)?;
                 Some(start_actor(stakker, core, adapter, status))
             }
             None => None,
         };
-        Ok(Actors { gateway, node, member, statuses, is_stopping, asked })
+        Ok(Actors { gateway, node, member, statuses, is_stopping, served })
     }
 
     fn control_options(
@@ -356,7 +358,7 @@
         &self,
         settings: &GatewaySettings,
         pending: &Pending,
-        asked: Rc<Cell<Instant>>,
+        served: Rc<Cell<Instant>>,
     ) -> Result<()> {
         let options = ServerOptions {
             listen: settings.listen,
@@ -368,7 +370,7 @@
         let metrics = self.metrics.clone();
         let is_for_operators = self.settings.dispatch.is_some();
         start_local_server(options, pending, move |token, it| {
-            asked.set(Instant::now());
+            served.set(Instant::now());
             let it = match it {
                 Ok(it) => it,
                 Err(it) => {
@@ -485,7 +487,7 @@
                 (Some(_), None) => (EDGE_STOP_MIN, EDGE_QUIET),
                 (Some(_), Some(_)) => (MEMBER_QUIET, MEMBER_QUIET),
             };
-            let drained = drained && quiet <= actors.asked.get().elapsed();
+            let drained = drained && quiet <= actors.served.get().elapsed();
             match since.elapsed() {
                 elapsed if drained && least <= elapsed => return Ending::Drained,
                 elapsed if drain_max <= elapsed => return Ending::CutOff,
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -174,6 +174,13 @@
         self.controls = self.control_files.iter().map(|it| spawn(it)).collect();
     }
 
+    /// Lets all control processes stand still; they end with the installation.
+    pub fn freeze_control(&self) {
+        for it in &self.controls {
+            kill_process(Pid::from_raw(it.id() as i32).unwrap(), Signal::STOP).unwrap();
+        }
+    }
+
     pub fn signal_entry(&self) {
         let id = Pid::from_raw(self.entry.id() as i32).unwrap();
         kill_process(id, Signal::TERM).unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -117,6 +117,19 @@
     assert_eq!(it.entry_exit_code(), Some(0));
 }
 
+#[test]
+fn a_stopping_entry_ends_only_after_a_slow_answer_has_left() {
+    let mut it = Installation::start(3);
+    it.install(1);
+    it.signal_entry();
+    // The request comes near the least time for which a stopping entry serves, and what it waits
+    // for takes longer than the second without requests after which one ends.
+    std::thread::sleep(Duration::from_millis(2_000));
+    it.freeze_control();
+    assert_eq!(it.client("GET", "/q/00000000000000aa", &Value::Null).0, 503);
+    assert_eq!(it.entry_exit_code(), Some(0));
+}
+
 #[test]
 fn metrics_are_served() {
     let it = Installation::start(1);
