--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -88,12 +88,13 @@
         if is_known {
             return;
         }
+        let order = Order::Start { payload: it.payload, checkpoint: it.checkpoint };
+        let mut pending = Pending::new(order, now);
         if self.announcement.draining {
-            self.refused.insert(it.run, RefusalCause::Leaving);
-            return;
+            // This process may have just started, with a call of the one before it on its way.
+            pending.bar(RefusalCause::Leaving, now);
         }
-        let order = Order::Start { payload: it.payload, checkpoint: it.checkpoint };
-        self.orders.insert(it.run, Pending::new(order, now));
+        self.orders.insert(it.run, pending);
     }
 
     fn take_stop(&mut self, now: Now, run: RunRef) {
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod ledger;
 mod node;
+mod node_restarts;
 mod rules;
 mod worker;
 mod world;
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -19,6 +19,11 @@
 
 impl Alone {
     fn new() -> Alone {
+        Alone::beside(false)
+    }
+
+    /// Makes a node that has just started beside a worker.
+    fn beside(draining: bool) -> Alone {
         let options = NodeOptions {
             address: address(200),
             controls: vec![address(0)],
@@ -39,7 +44,7 @@
             kind: "a".into(),
             rack: "r".into(),
             capacity: CAPACITY,
-            draining: false,
+            draining,
             remaining_ms: 0,
             clock_ms: 50_000,
             sequence: 1,
@@ -174,6 +179,23 @@
     assert!(alone.calls.iter().any(|(_, it)| is_stop(it)));
 }
 
+#[test]
+fn a_start_for_a_leaving_worker_is_barred_before_the_leader_hears_of_it() {
+    // The node has just started: a call of the process before it may still be on its way.
+    let mut alone = Alone::beside(true);
+    alone.grant(false, Vec::new());
+    alone.list(Vec::new());
+    alone.grant(true, vec![start()]);
+    assert_eq!(alone.refused(), [], "an earlier call might still begin it");
+    let stop = alone.take_call(is_stop);
+    alone.end(stop, CallResult::Done { clock_ms: 50_200 });
+    let newest = alone.calls.iter().rposition(|(_, it)| is_hold(it)).unwrap();
+    let (id, _) = alone.calls.remove(newest);
+    alone.end(id, CallResult::Held { clock_ms: 50_300, running: Vec::new(), ended: Vec::new() });
+    assert_eq!(alone.refused(), [RefusalCause::Leaving]);
+    assert!(!alone.calls.iter().any(|(_, it)| is_start(it)), "{:?}", alone.calls);
+}
+
 #[test]
 fn nothing_starts_without_a_lease() {
     let mut alone = Alone::new();
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -15,6 +15,7 @@
     attempts_max: u32,
     pub starts: u32,
     starts_by_worker: BTreeMap<CompactString, u32>,
+    began: BTreeSet<RunRef>,
     pub broken: Vec<String>,
 }
 
@@ -25,6 +26,7 @@
 
     pub fn started(&mut self, run: RunRef, worker: &str, now_ms: u64) {
         self.starts += 1;
+        self.began.insert(run);
         *self.starts_by_worker.entry(worker.into()).or_insert(0) += 1;
         let Some(spec) = self.submitted.get(&run.task.workflow.0) else {
             return self.broken.push(format!("{now_ms}: {run:?} starts, and nobody asked for it"));
@@ -54,6 +56,11 @@
         self.starts_by_worker.get(worker).copied().unwrap_or(0)
     }
 
+    /// Returns whether a worker ever began a run.
+    pub fn has_started(&self, run: RunRef) -> bool {
+        self.began.contains(&run)
+    }
+
     pub fn ended(&mut self, run: RunRef, outcome: RunOutcome) {
         if self.live.get(&run.task).is_some_and(|(it, _)| *it == run) {
             self.live.remove(&run.task);
