--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -238,7 +238,7 @@
             let data = self.state.to_bytes()?;
             self.raft.compact(data);
         }
-        if let Some((number, writes)) = self.raft.take_writes() {
+        if let Some((number, writes)) = self.raft.take_writes(now) {
             self.effects.push(Effect::Write { number, writes });
         }
         for message in self.raft.take_messages() {
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -4,22 +4,24 @@
 mod orders;
 mod plan;
 mod requests;
+mod rooms;
 mod sessions;
+mod watch;
 
-use std::collections::HashSet;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use crate::{
     control::state::Workflows,
-    policy::{
-        harm::{Filler, Harm, Serving, headroom_percent},
-        mobility::Speed,
-        soundness::Progress,
-    },
+    policy::harm::{Filler, Harm, Serving, headroom_percent},
     prelude::*,
 };
 
-use self::sessions::Sessions;
 pub use self::{orders::run_name, plan::PlanOptions, requests::Verdict, sessions::Session};
+use self::{
+    rooms::Rooms,
+    sessions::{Sessions, SlowRun, Usable},
+    watch::{Watch, Work},
+};
 
 /// How often workflows that ended long ago are forgotten.
 const FORGET_INTERVAL_MS: u64 = 10_000;
@@ -27,6 +29,13 @@
 /// How often what was learned is handed on: a new leader starts some seconds behind.
 const LEARN_INTERVAL_MS: u64 = 3_000;
 
+/// Shortest pause between two plans; what changes meanwhile is planned for together. A commit
+/// takes as long, so that callers hardly wait longer for it.
+const PLAN_PAUSE_MS: u64 = 10;
+
+/// Pause after which a plan is made for changed loads alone, where something waits for room.
+const LOAD_PAUSE_MS: u64 = 100;
+
 /// What the dispatcher is told by the settings.
 #[derive(Clone, Copy, Debug)]
 pub struct DispatchOptions {
@@ -46,7 +55,7 @@
 #[derive(Debug, Default)]
 pub struct Step {
     pub commands: Vec<WorkflowCommand>,
-    pub messages: Vec<(std::net::SocketAddr, Message)>,
+    pub messages: Vec<(SocketAddr, Message)>,
 }
 
 /// The leader's side of workflows.
@@ -56,10 +65,11 @@
     term: u64,
     sessions: Sessions,
     harm: Harm,
+    rooms: Rooms,
     idle_since: plan::IdleSince,
     /// Runs proposed and not yet in the ledger; the next plan waits for them.
     begin_in_flight: bool,
-    is_dirty: bool,
+    planned_ms: u64,
     plan_at_ms: u64,
     forget_at_ms: u64,
     occupancy_at_ms: u64,
@@ -70,14 +80,17 @@
 impl Dispatcher {
     /// Takes over from an earlier leader, whose leases may run for their full time.
     pub fn new(options: DispatchOptions, workflows: &Workflows, term: u64, now: Now) -> Dispatcher {
+        let mut rooms = Rooms::default();
+        workflows.workers().iter().for_each(|(id, _)| rooms.note_changed(id));
         Dispatcher {
             options,
             term,
             sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms()),
             harm: Harm::with_known(workflows.costs(), now.mono_ms),
+            rooms,
             idle_since: plan::IdleSince::default(),
             begin_in_flight: false,
-            is_dirty: true,
+            planned_ms: 0,
             plan_at_ms: now.mono_ms,
             forget_at_ms: now.mono_ms + FORGET_INTERVAL_MS,
             occupancy_at_ms: now.mono_ms + OCCUPANCY_INTERVAL_MS,
@@ -88,8 +101,10 @@
 
     /// Returns when [`Dispatcher::tick`] has something to do.
     pub fn next_tick_ms(&self) -> u64 {
+        // While runs are on their way into the ledger, the plan waits for these.
+        let plan_at_ms = if self.begin_in_flight { u64::MAX } else { self.plan_at_ms };
         let expiry_ms = self.sessions.next_expiry_ms();
-        self.plan_at_ms.min(expiry_ms).min(self.forget_at_ms).min(self.learn_at_ms)
+        plan_at_ms.min(expiry_ms).min(self.forget_at_ms).min(self.learn_at_ms)
     }
 
     /// Lets time pass: leases expire, and occurrences become due.
@@ -111,50 +126,53 @@
             self.occupancy_at_ms = now.mono_ms + OCCUPANCY_INTERVAL_MS;
             log_occupancy(workflows);
         }
-        if self.plan_at_ms <= now.mono_ms {
-            self.is_dirty = true;
-        }
     }
 
     /// Plans if anything changed, and returns what is to be proposed and sent.
-    pub fn finish_turn(
-        &mut self,
-        workflows: &Workflows,
-        members: &[std::net::SocketAddr],
-        now: Now,
-    ) -> Step {
-        if self.is_dirty && !self.begin_in_flight {
-            self.is_dirty = false;
-            self.plan_at_ms = now.mono_ms + self.options.plan.interval_ms;
-            let usable = self.sessions.usable(workflows, self.term, self.options.silent_ms, now);
-            let slow = self.sessions.slow_runs(&usable, now);
-            let basis = plan::Basis { workflows, usable, slow, harm: &self.harm };
-            let plan = plan::plan(&basis, &mut self.idle_since, now);
-            if !plan.runs.is_empty() {
-                self.begin_in_flight = true;
-                self.step.commands.push(WorkflowCommand::Begin(plan.runs));
-            }
-            self.evict(workflows, &plan.moves, members);
+    pub fn finish_turn(&mut self, workflows: &Workflows, members: &[SocketAddr], now: Now) -> Step {
+        if self.plan_at_ms <= now.mono_ms && !self.begin_in_flight {
+            self.plan(workflows, members, now);
         }
         std::mem::take(&mut self.step)
     }
 
+    fn plan(&mut self, workflows: &Workflows, members: &[SocketAddr], now: Now) {
+        self.planned_ms = now.mono_ms;
+        self.plan_at_ms = now.mono_ms + self.options.plan.interval_ms;
+        let basis = plan::Basis {
+            workflows,
+            sessions: &self.sessions,
+            rooms: &mut self.rooms,
+            harm: &mut self.harm,
+            usable: Usable { term: self.term, silent_ms: self.options.silent_ms, now },
+        };
+        let plan = plan::plan(basis, &mut self.idle_since);
+        if !plan.runs.is_empty() {
+            self.begin_in_flight = true;
+            self.step.commands.push(WorkflowCommand::Begin(plan.runs));
+        }
+        self.evict(workflows, &plan.moves, members);
+    }
+
+    /// Asks for a plan, `pause_ms` after the last one at the earliest.
+    fn want_plan(&mut self, pause_ms: u64) {
+        self.plan_at_ms = self.plan_at_ms.min(self.planned_ms + pause_ms);
+    }
+
     /// Takes in a command that the ledger has just applied.
     pub fn note_applied(
         &mut self,
         workflows: &Workflows,
         command: &WorkflowCommand,
-        members: &[std::net::SocketAddr],
+        members: &[SocketAddr],
         now: Now,
     ) {
-        self.is_dirty = true;
         match command {
             WorkflowCommand::Begin(runs) => {
                 self.begin_in_flight = false;
-                let mut workers: Vec<_> = runs.iter().map(|it| it.worker).collect();
-                workers.sort_unstable();
-                workers.dedup();
+                let workers: BTreeSet<_> = runs.iter().map(|it| it.worker).collect();
                 for it in workers {
+                    self.rooms.note_changed(it);
                     self.send_orders(workflows, it, members);
                 }
             }
@@ -163,45 +181,82 @@
                 if let Some(id) = workflows.workers().find(it.node, &it.name) {
                     tracing::info!(event = "worker_enrolled", worker = %it.name, id = %id, node = %it.node, service = %it.service, kind = %it.kind, rack = %it.rack);
                     self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms());
+                    self.rooms.note_changed(id);
                     // Its token lets the node read the lists that everything else waits for.
                     self.send_orders(workflows, id, members);
                 }
+                self.rooms.note_missing(workflows);
+                self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Finish(it) => {
                 self.judge_worker(workflows, it, now);
+                self.rooms.note_changed(it.worker);
                 self.send_grant(workflows, it.worker, members, now);
-                self.stop_superfluous(workflows, it, members);
+                for it in workflows.superfluous_on(it) {
+                    self.send_orders(workflows, it, members);
+                }
+                self.want_plan(PLAN_PAUSE_MS);
+            }
+            WorkflowCommand::Void(it) => {
+                self.rooms.note_changed(it.worker);
+                self.want_plan(PLAN_PAUSE_MS);
+            }
+            WorkflowCommand::Dismiss(id) => {
+                self.sessions.drop_missing(workflows);
+                self.rooms.note_changed(*id);
+                self.want_plan(PLAN_PAUSE_MS);
             }
-            WorkflowCommand::Dismiss(_) => self.sessions.drop_missing(workflows),
             WorkflowCommand::Cancel(id) => self.stop_cancelled(workflows, *id, members),
-            _ => (),
+            WorkflowCommand::Submit(_) | WorkflowCommand::Install(_) => {
+                self.want_plan(PLAN_PAUSE_MS)
+            }
+            WorkflowCommand::Forget(_) | WorkflowCommand::Learn(_) => (),
         }
     }
 
     /// Learns that runs proposed did not come into the ledger.
     pub fn note_unproposed(&mut self) {
         self.begin_in_flight = false;
+        self.want_plan(PLAN_PAUSE_MS);
     }
 
-    /// Learns from a report what its fillers do to its serving tasks.
-    fn learn_harm(&mut self, workflows: &Workflows, report: &WorkerReport, now: Now) {
+    /// Takes in what a worker runs: how far each run is, what stands still or is slow, and what
+    /// fillers do to the tasks that serve beside them.
+    fn take_running(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let Some(report) = &session.report else { return };
         let mut serving = Vec::new();
         let mut fillers = Vec::new();
+        session.slow.clear();
         for task in &report.running {
-            match workflows.step_of(task.run.task) {
-                Some(it) if it.filler => fillers.push(Filler {
-                    image: it.image.clone(),
-                    cores: f64::from(task.load) / 1_000.0,
-                }),
+            let watch = session
+                .watched
+                .entry(task.run)
+                .or_insert_with(|| Watch::new(workflows, &mut self.harm, task, now.mono_ms));
+            watch.listed_in = session.number;
+            if watch.observe(task, now.mono_ms) && !watch.evicted {
+                watch.evicted = true;
+                session.soundness.note_stalled(now.mono_ms);
+                tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent);
+            }
+            if let Some(share) = watch.slow_share(now.mono_ms) {
+                let progress_percent = task.progress_percent;
+                session.slow.push(SlowRun { run: task.run, worker: id, share, progress_percent });
+            }
+            match watch.work {
+                Some(Work::Filler { image, .. }) => {
+                    fillers.push(Filler { image, cores: f64::from(task.load) / 1_000.0 });
+                }
                 // A task that has just begun has no tail yet.
-                Some(it) if 0 < it.tail_target_ms && 0 < task.load => serving.push(Serving {
-                    run: task.run,
-                    image: it.image.clone(),
-                    headroom_percent: headroom_percent(task.load, it.tail_target_ms),
-                }),
+                Some(Work::Serving { image, target_ms }) if 0 < task.load => {
+                    let headroom_percent = headroom_percent(task.load, target_ms);
+                    serving.push(Serving { run: task.run, image, headroom_percent });
+                }
                 _ => (),
             }
         }
+        let number = session.number;
+        session.watched.retain(|_, it| it.listed_in == number);
         self.harm.observe(&serving, &fillers, now.mono_ms);
     }
 
@@ -225,16 +280,13 @@
     }
 
     /// Tells workers to stop fillers that are to go on elsewhere.
-    fn evict(
-        &mut self,
-        workflows: &Workflows,
-        moves: &[sessions::SlowRun],
-        members: &[std::net::SocketAddr],
-    ) {
-        let mut workers = std::collections::BTreeSet::new();
+    fn evict(&mut self, workflows: &Workflows, moves: &[SlowRun], members: &[SocketAddr]) {
+        let mut workers = BTreeSet::new();
         for it in moves {
             let Some(session) = self.sessions.get_mut(it.worker) else { continue };
-            session.evicted.insert(it.run);
+            if !session.evict(it.run) {
+                continue;
+            }
             workers.insert(it.worker);
             let worker = workflows.workers().get(it.worker).map(|it| it.name.as_str());
             tracing::info!(event = "filler_moved", run = %run_name(it.run), worker, speed_percent = (it.share * 100.0) as u32, progress_percent = it.progress_percent);
@@ -244,35 +296,6 @@
         }
     }
 
-    /// Notes the progress of what should move on a worker, and marks what stands still.
-    ///
-    /// Lasting tasks have none, fillers may wait for processor, and a gang waits for its members.
-    fn watch_progress(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
-        let Some(session) = self.sessions.get_mut(id) else { return };
-        let Some(report) = &session.report else { return };
-        let live: HashSet<_> = report.running.iter().map(|it| it.run).collect();
-        session.progress.retain(|run, _| live.contains(run));
-        session.speeds.retain(|run, _| live.contains(run));
-        session.evicted.retain(|run| live.contains(run));
-        for task in &report.running {
-            let Some(step) = workflows.step_of(task.run.task) else { continue };
-            if step.filler && !step.gang && !step.lasting {
-                let speed = session.speeds.entry(task.run).or_insert(Speed::new(now.mono_ms));
-                speed.observe(f64::from(task.load) / f64::from(step.need.cpu_millicores.max(1)));
-            }
-            if step.lasting || step.filler || step.gang {
-                continue;
-            }
-            let first = Progress::new(task.progress_percent, now.mono_ms);
-            let progress = session.progress.entry(task.run).or_insert(first);
-            let stands = progress.observe(task.progress_percent, step.estimate_ms, now.mono_ms);
-            if stands && session.evicted.insert(task.run) {
-                session.soundness.note_stalled(now.mono_ms);
-                tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent);
-            }
-        }
-    }
-
     /// Dismisses workers whose lease is over: what ran there has been killed by now.
     fn expire(&mut self, workflows: &Workflows, now: Now) {
         for id in self.sessions.take_expired(now.mono_ms) {
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -7,10 +7,9 @@
 
 use crate::{
     control::{
-        dispatch::Dispatcher,
+        dispatch::{Dispatcher, LOAD_PAUSE_MS, PLAN_PAUSE_MS, sessions::Session},
         state::{Worker, Workflows},
     },
-    policy::harm::Harm,
     prelude::*,
 };
 
@@ -37,39 +36,48 @@
             // Overtaken by a newer one, or too late to renew anything.
             return;
         }
-        let was_draining = session.report.as_ref().is_some_and(|it| it.draining);
+        let before = session.report.as_ref().map(|it| (it.draining, it.term));
+        let is_other_node = session.boot != report.boot;
         session.boot = report.boot;
         session.number = report.number;
         session.sent_ms = report.sent_ms;
         session.heard_ms = now.mono_ms;
-        if seen.draining && !was_draining {
+        if is_other_node {
+            session.told_costs.clear();
+        }
+        if seen.draining && !before.is_some_and(|(draining, _)| draining) {
             tracing::info!(event = "worker_draining", worker = %seen.name, node = %report.node, remaining_ms = seen.remaining_ms);
         }
         let is_gone = seen.gone;
-        let fresh = seen.clone();
+        let is_as_before = before == Some((seen.draining, seen.term));
         session.report = Some(seen);
-        self.is_dirty = true;
-        self.learn_harm(workflows, &fresh, now);
-        self.watch_progress(workflows, id, now);
-        self.take_ends(workflows, id);
+        // Loads alone change what fits only for what waits for room or is slow.
+        self.want_plan(if is_as_before { LOAD_PAUSE_MS } else { PLAN_PAUSE_MS });
+        self.take_running(workflows, id, now);
+        let has_ends = self.take_ends(workflows, id);
         self.take_refusals(workflows, id);
         if is_gone {
             return self.dismiss_leaver(workflows, id);
         }
-        self.send_grant(workflows, id, members, now);
+        // Ends are answered once they are in the ledger, a commit later: one answer in place of
+        // two. If that takes long, the next report is answered at once.
+        if !has_ends {
+            self.send_grant(workflows, id, members, now);
+        }
     }
 
-    /// Proposes the ends that the ledger does not hold yet.
-    fn take_ends(&mut self, workflows: &Workflows, id: WorkerId) {
-        let Some(worker) = workflows.workers().get(id) else { return };
-        let Some(session) = self.sessions.get_mut(id) else { return };
-        let Some(report) = &session.report else { return };
+    /// Proposes the ends that the ledger does not hold yet; returns whether there are any.
+    fn take_ends(&mut self, workflows: &Workflows, id: WorkerId) -> bool {
+        let Some(worker) = workflows.workers().get(id) else { return false };
+        let Some(session) = self.sessions.get_mut(id) else { return false };
+        let Some(report) = &session.report else { return false };
         let from = session.proposed_cursor.max(worker.cursor);
         let fresh: Vec<_> = report.ended.iter().filter(|it| from < it.cursor).collect();
-        let Some(cursor) = fresh.iter().map(|it| it.cursor).max() else { return };
+        let Some(cursor) = fresh.iter().map(|it| it.cursor).max() else { return false };
         session.proposed_cursor = cursor;
         let ends = fresh.into_iter().map(|it| it.end.clone()).collect();
         self.step.commands.push(WorkflowCommand::Finish(FinishRuns { worker: id, cursor, ends }));
+        true
     }
 
     /// Proposes to take back the runs that the worker will never begin.
@@ -155,10 +163,9 @@
         let Some(session) = self.sessions.get(id) else { return };
         let listed = session.report.as_ref().filter(|it| it.term == self.term);
         // Without a list of this term it is not known yet what runs there.
-        let orders = listed
-            .map(|it| orders_for(workflows, worker, it, &session.evicted))
-            .unwrap_or_default();
-        let grant = NodeGrant {
+        let orders =
+            listed.map(|it| orders_for(workflows, worker, it, session)).unwrap_or_default();
+        let mut grant = NodeGrant {
             number: session.number,
             sent_ms,
             term: self.term,
@@ -168,10 +175,20 @@
             worker: worker.name.clone(),
             acked_cursor: worker.cursor,
             orders,
-            costs: costs_on(workflows, worker, &self.harm),
+            costs: Vec::new(),
             members: members.to_vec(),
         };
-        self.step.messages.push((session.node, Message::NodeGrant(grant)));
+        let node = session.node;
+        let costs = self.rooms.get(workflows, &mut self.harm, id).map(|it| it.costs(&self.harm));
+        if let (Some(costs), Some(session)) = (costs, self.sessions.get_mut(id))
+            && (session.told_ms + TOLD_AGAIN_MS <= session.heard_ms
+                || differ(&costs, &session.told_costs))
+        {
+            session.told_costs = costs.clone();
+            session.told_ms = session.heard_ms;
+            grant.costs = costs;
+        }
+        self.step.messages.push((node, Message::NodeGrant(grant)));
     }
 
     /// Tells the workers of a cancelled workflow at once.
@@ -181,35 +198,28 @@
         id: WorkflowId,
         members: &[SocketAddr],
     ) {
-        let runs_it = |worker: &Worker| worker.runs.iter().any(|it| it.task.workflow == id);
-        let ids: Vec<_> =
-            workflows.workers().iter().filter(|(_, it)| runs_it(it)).map(|(id, _)| id).collect();
-        for it in ids {
+        let Some(workflow) = workflows.get(id) else { return };
+        let workers: BTreeSet<_> = workflow.runs().map(|it| it.worker).collect();
+        for it in workers {
             self.send_orders(workflows, it, members);
         }
     }
+}
 
-    /// Tells workers whose runs came to nothing by an end elsewhere: copies, and the rest of a
-    /// workflow that has failed.
-    pub(super) fn stop_superfluous(
-        &mut self,
-        workflows: &Workflows,
-        finish: &FinishRuns,
-        members: &[SocketAddr],
-    ) {
-        let ended: HashSet<_> = finish.ends.iter().map(|it| it.run.task.workflow).collect();
-        let is_hit =
-            |run: &&RunRef| ended.contains(&run.task.workflow) && workflows.is_superfluous(**run);
-        let ids: Vec<_> = workflows
-            .workers()
-            .iter()
-            .filter(|(id, it)| *id != finish.worker && it.runs.iter().any(|run| is_hit(&run)))
-            .map(|(id, _)| id)
-            .collect();
-        for it in ids {
-            self.send_orders(workflows, it, members);
-        }
-    }
+/// Least change of a cost, in percent of headroom a core, that a node is told: a tenth of what
+/// alike images differ by.
+const TOLD_CHANGE_PERCENT: f32 = 0.2;
+
+/// Interval at which a node is told costs anew, since a link that breaks may lose what it was told.
+const TOLD_AGAIN_MS: u64 = 2_000;
+
+/// Returns whether a node is to be told costs anew.
+fn differ(costs: &[ImageCost], told: &[ImageCost]) -> bool {
+    let is_same = |(a, b): (&ImageCost, &ImageCost)| {
+        (a.serving == b.serving && a.filler == b.filler)
+            && (a.headroom_percent - b.headroom_percent).abs() < TOLD_CHANGE_PERCENT
+    };
+    costs.len() != told.len() || !costs.iter().zip(told).all(is_same)
 }
 
 /// Returns the orders that bring what a worker runs to what the ledger holds.
@@ -217,15 +227,14 @@
     workflows: &Workflows,
     worker: &Worker,
     report: &WorkerReport,
-    evicted: &HashSet<RunRef>,
+    session: &Session,
 ) -> Vec<RunOrder> {
-    let running: HashSet<_> = report.running.iter().map(|it| it.run).collect();
     let ended: HashSet<_> = report.ended.iter().map(|it| it.end.run).collect();
     let mut res = Vec::new();
     for run in &worker.runs {
-        match running.contains(run) {
+        match session.watched.contains_key(run) {
             _ if workflows.is_superfluous(*run) => res.push(RunOrder::Stop(*run)),
-            true if evicted.contains(run) => res.push(RunOrder::Stop(*run)),
+            true if session.is_evicted(*run) => res.push(RunOrder::Stop(*run)),
             true if report.roles_missing => {
                 let role = role_of(workflows, run.task);
                 res.push(RunOrder::Role(RunRole { run: *run, role }));
@@ -236,8 +245,8 @@
         }
     }
     // A run that the ledger has given up must not go on here while it begins elsewhere.
-    let strays = running.iter().filter(|it| !worker.runs.contains(it));
-    res.extend(strays.map(|it| RunOrder::Stop(*it)));
+    let strays = report.running.iter().filter(|it| !worker.runs.contains(&it.run));
+    res.extend(strays.map(|it| RunOrder::Stop(it.run)));
     res
 }
 
@@ -265,22 +274,6 @@
     }
 }
 
-/// Returns what the fillers on a worker cost the images that serve there.
-fn costs_on(workflows: &Workflows, worker: &Worker, harm: &Harm) -> Vec<ImageCost> {
-    let steps = || worker.runs.iter().filter_map(|it| workflows.step_of(it.task));
-    let images = |is_wanted: fn(&&WorkflowStep) -> bool| -> BTreeSet<&CompactString> {
-        steps().filter(is_wanted).map(|it| &it.image).collect()
-    };
-    let fillers = images(|it| it.filler);
-    let serving = images(|it| 0 < it.tail_target_ms && !it.filler);
-    let cost = |serving: &CompactString, filler: &CompactString| ImageCost {
-        serving: serving.clone(),
-        filler: filler.clone(),
-        headroom_percent: harm.cost_percent(serving, filler) as f32,
-    };
-    serving.iter().flat_map(|it| fillers.iter().map(|filler| cost(it, filler))).collect()
-}
-
 /// Bits of a token that count enrolments within a term.
 const ENROLMENT_BITS: u32 = 24;
 
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -1,14 +1,20 @@
 //! The next runs to begin: which tasks, in what order, and where.
+//!
+//! A plan looks at the steps that could begin and at the rooms that are kept, never at all
+//! workflows or all runs.
 
 mod moves;
-mod rooms;
+mod placing;
 
 use std::collections::{HashMap, HashSet};
 
 use crate::{
     control::{
-        dispatch::sessions::{SlowRun, Usable},
-        state::{Occurrence, StepState, Workflow, Workflows},
+        dispatch::{
+            rooms::{Care, Room, Rooms},
+            sessions::{Sessions, SlowRun, Usable},
+        },
+        state::{Occurrence, StepRef, Workflow, Workflows},
     },
     policy::{
         harm::Harm,
@@ -17,7 +23,7 @@
     prelude::*,
 };
 
-use self::rooms::{Care, Room, choose};
+use self::placing::Placing;
 
 /// What the planner is told by the settings.
 #[derive(Clone, Copy, Debug)]
@@ -29,10 +35,8 @@
 /// A step with tasks that could begin.
 struct Candidate<'a> {
     urgency: Urgency,
-    id: WorkflowId,
+    at: StepRef,
     workflow: &'a Workflow,
-    occurrence: usize,
-    step: usize,
 }
 
 /// Time for which a workflow with nothing running waits for a place where its fillers harm nobody.
@@ -58,89 +62,92 @@
 /// What a plan is made from.
 pub(super) struct Basis<'a> {
     pub workflows: &'a Workflows,
-    pub usable: Vec<Usable<'a>>,
-    /// Fillers that are slow, and may move.
-    pub slow: Vec<SlowRun>,
-    pub harm: &'a Harm,
+    pub sessions: &'a Sessions,
+    pub rooms: &'a mut Rooms,
+    pub harm: &'a mut Harm,
+    pub usable: Usable,
 }
 
 /// Returns the runs to begin now, and those to move.
-pub(super) fn plan(basis: &Basis<'_>, idle_since: &mut IdleSince, now: Now) -> Plan {
-    let Basis { workflows, usable, slow, harm } = basis;
-    let mut rooms: Vec<_> = usable.iter().map(|it| Room::new(workflows, *it, harm)).collect();
-    let mut runs = Vec::new();
+pub(super) fn plan(basis: Basis<'_>, idle_since: &mut IdleSince) -> Plan {
+    let Basis { workflows, sessions, rooms, harm, usable } = basis;
+    let now = usable.now;
     let candidates = candidates(workflows, now);
-    for candidate in &candidates {
-        place_step(workflows, candidate, &mut rooms, harm, Care::KeepTails, &mut runs);
+    let slow = sessions.slow_runs(workflows, usable);
+    if candidates.is_empty() && slow.is_empty() {
+        idle_since.clear();
+        return Plan::default();
     }
-    // What is placed on a worker that is silent may no longer run.
-    let heard: HashSet<_> = usable.iter().map(|it| it.id).collect();
-    let placed: HashSet<_> = runs.iter().map(|it| it.run.task.workflow).collect();
-    let is_idle = |it: &&Candidate<'_>| !placed.contains(&it.id) && !it.workflow.has_run_on(&heard);
-    let idle: Vec<_> = candidates.iter().filter(is_idle).collect();
-    let ids: HashSet<_> = idle.iter().map(|it| it.id).collect();
+    rooms.refresh(workflows, harm, now);
+    let mut placing = Placing::new(workflows, rooms.usable(sessions, usable), harm);
+    for it in &candidates {
+        placing.place(it.at, it.workflow, Care::KeepTails);
+    }
+    let idle = idle(&candidates, &placing);
+    let ids: HashSet<_> = idle.iter().map(|it| it.at.workflow).collect();
     idle_since.retain(|id, _| ids.contains(id));
-    let has_room = has_idle_room(usable);
-    for candidate in idle {
-        let since_ms = *idle_since.entry(candidate.id).or_insert(now.mono_ms);
+    let has_room = has_idle_room(workflows, placing.rooms());
+    for it in idle {
+        let since_ms = *idle_since.entry(it.at.workflow).or_insert(now.mono_ms);
         if has_room && since_ms + IDLE_MAX_MS <= now.mono_ms {
-            place_step(workflows, candidate, &mut rooms, harm, Care::Anywhere, &mut runs);
+            placing.place(it.at, it.workflow, Care::Anywhere);
         }
     }
-    let moves = moves::moves(workflows, slow, &mut rooms, harm);
+    let moves = moves::moves(&slow, &mut placing);
+    let (runs, touched) = placing.finish();
+    touched.into_iter().for_each(|it| rooms.note_changed(it));
     Plan { runs, moves }
 }
 
+/// Returns the candidates of workflows that run nowhere, nor will by this plan.
+fn idle<'a, 'b>(
+    candidates: &'a [Candidate<'b>],
+    placing: &Placing<'_, '_>,
+) -> Vec<&'a Candidate<'b>> {
+    // What is placed on a worker that is silent may no longer run.
+    let heard: HashSet<_> = placing.rooms().iter().map(|it| it.id).collect();
+    let placed: HashSet<_> = placing.runs().iter().map(|it| it.run.task.workflow).collect();
+    let is_idle =
+        |it: &&Candidate<'_>| !placed.contains(&it.at.workflow) && !it.workflow.has_run_on(&heard);
+    candidates.iter().filter(is_idle).collect()
+}
+
 /// Returns whether so little is reserved that nothing may be kept idle.
-fn has_idle_room(usable: &[Usable<'_>]) -> bool {
-    let sum = |of: fn(&Usable<'_>) -> u32| usable.iter().map(|it| u64::from(of(it))).sum::<u64>();
-    let used = sum(|it| it.worker.used.cpu_millicores);
-    let capacity = sum(|it| it.worker.capacity.cpu_millicores);
+fn has_idle_room(workflows: &Workflows, rooms: &[&mut Room]) -> bool {
+    let workers = || rooms.iter().filter_map(|it| workflows.workers().get(it.id));
+    let used: u64 = workers().map(|it| u64::from(it.used.cpu_millicores)).sum();
+    let capacity: u64 = workers().map(|it| u64::from(it.capacity.cpu_millicores)).sum();
     used * 100 <= capacity * IDLE_ROOM_PERCENT
 }
 
 /// Returns the steps that could begin, most urgent first.
 fn candidates(workflows: &Workflows, now: Now) -> Vec<Candidate<'_>> {
-    let mut res = Vec::new();
-    for (id, workflow) in workflows.active() {
-        let Some(queue) = workflows.queue(&workflow.queue) else { continue };
-        let tails_ms = tails_ms(&workflow.spec);
-        let chain_ms = tails_ms.iter().copied().max().unwrap_or(0);
-        for (at, occurrence) in workflow.occurrences.iter().enumerate() {
-            let due_ms = workflow.due_ms(at);
-            if now.wall_ms < due_ms {
-                break;
-            }
-            if occurrence.is_done() {
-                continue;
-            }
-            let objective_ms = chain_ms * u64::from(queue.stretch_percent) / 100 + queue.target_ms;
-            for step in ready_steps(workflow, occurrence) {
-                let claim = Claim {
-                    priority: queue.priority,
-                    is_lasting: workflow.spec.steps[step].lasting,
-                    due_by_ms: workflow.accepted_ms.max(due_ms) + objective_ms,
-                    remaining_ms: tails_ms[step],
-                    work_core_ms: work_core_ms(workflow, occurrence),
-                };
-                let urgency = urgency(claim, now.wall_ms);
-                res.push(Candidate { urgency, id, workflow, occurrence: at, step });
-            }
-        }
-    }
-    res.sort_by_key(|it| (it.urgency, it.id, it.occurrence, it.step));
+    let ready = workflows.ready_steps();
+    let mut res: Vec<_> = ready.filter_map(|it| candidate(workflows, it, now)).collect();
+    res.sort_by_key(|it| (it.urgency, it.at));
     res
 }
 
-/// Returns the steps of an occurrence that have tasks to begin.
-fn ready_steps(workflow: &Workflow, occurrence: &Occurrence) -> Vec<usize> {
-    let steps = workflow.spec.steps.iter().zip(&occurrence.steps).enumerate();
-    let ready = steps.filter(|(_, (step, state))| {
-        !state.is_done()
-            && state.tasks.iter().any(|it| !it.is_done && it.runs.is_empty())
-            && workflow.is_step_ready(occurrence, step)
-    });
-    ready.map(|(at, _)| at).collect()
+fn candidate(workflows: &Workflows, at: StepRef, now: Now) -> Option<Candidate<'_>> {
+    let workflow = workflows.get(at.workflow)?;
+    let queue = workflows.queue(&workflow.queue)?;
+    let due_ms = workflow.due_ms(at.occurrence as usize);
+    if now.wall_ms < due_ms {
+        return None;
+    }
+    let occurrence = workflow.occurrences.get(at.occurrence as usize)?;
+    let tails_ms = tails_ms(&workflow.spec);
+    let chain_ms = tails_ms.iter().copied().max().unwrap_or(0);
+    let objective_ms = chain_ms * u64::from(queue.stretch_percent) / 100 + queue.target_ms;
+    let step = at.step as usize;
+    let claim = Claim {
+        priority: queue.priority,
+        is_lasting: workflow.spec.steps.get(step)?.lasting,
+        due_by_ms: workflow.accepted_ms.max(due_ms) + objective_ms,
+        remaining_ms: tails_ms[step],
+        work_core_ms: work_core_ms(workflow, occurrence),
+    };
+    Some(Candidate { urgency: urgency(claim, now.wall_ms), at, workflow })
 }
 
 /// Returns for each step the longest chain of declared run times that begins with it.
@@ -165,76 +172,3 @@
     });
     left.sum()
 }
-
-fn place_step(
-    workflows: &Workflows,
-    candidate: &Candidate<'_>,
-    rooms: &mut [Room<'_>],
-    harm: &Harm,
-    care: Care,
-    res: &mut Vec<RunPlacement>,
-) {
-    let Candidate { id, workflow, occurrence, step: at, .. } = *candidate;
-    let Some(queue) = workflows.queue(&workflow.queue) else { return };
-    let step = &workflow.spec.steps[at];
-    let state = &workflow.occurrences[occurrence].steps[at];
-    let mut counts = counts_of(step, state);
-    let waiting =
-        state.tasks.iter().enumerate().filter(|(_, it)| !it.is_done && it.runs.is_empty());
-    let waiting: Vec<_> = waiting.collect();
-    if step.gang && waiting.len() < state.tasks.len() {
-        // Members of an earlier run are still ending.
-        return;
-    }
-    let from = res.len();
-    let gang_run = state.tasks.iter().map(|it| it.last_run).max().unwrap_or(0) + 1;
-    for (index, task) in waiting {
-        let Some(room) = choose(step, queue, &counts, rooms, harm, care) else {
-            if step.gang {
-                undo(step, rooms, harm, res, from);
-            }
-            return;
-        };
-        room.take(step, harm);
-        let worker = room.usable.id;
-        *counts.entry(worker).or_insert(0) += 1;
-        let task_ref = TaskRef {
-            workflow: id,
-            occurrence: occurrence as u32,
-            step: at as u32,
-            index: index as u32,
-        };
-        let run = if step.gang { gang_run } else { task.last_run + 1 };
-        res.push(RunPlacement { run: RunRef { task: task_ref, run }, worker });
-        if care == Care::Anywhere && !step.gang {
-            // One that runs is enough not to be idle.
-            return;
-        }
-    }
-}
-
-/// Returns how many runs of a step each worker has, where that is bounded.
-fn counts_of(step: &WorkflowStep, state: &StepState) -> HashMap<WorkerId, u32> {
-    let mut res = HashMap::new();
-    if 0 < step.per_worker_max {
-        for run in state.tasks.iter().flat_map(|it| &it.runs) {
-            *res.entry(run.worker).or_insert(0) += 1;
-        }
-    }
-    res
-}
-
-/// Takes back the placements of a gang that did not fit whole.
-fn undo(
-    step: &WorkflowStep,
-    rooms: &mut [Room<'_>],
-    harm: &Harm,
-    res: &mut Vec<RunPlacement>,
-    from: usize,
-) {
-    for placed in res.drain(from..) {
-        if let Some(room) = rooms.iter_mut().find(|it| it.usable.id == placed.worker) {
-            room.give_back(step, harm);
-        }
-    }
-}
--- /dev/null
+++ b/src/control/dispatch/plan/placing.rs
@@ -0,0 +1,245 @@
+//! Tasks of steps put into rooms, one step after the other.
+
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+
+use crate::{
+    control::{
+        dispatch::{
+            rooms::{Asked, Care, Preference, Room},
+            watch::Work,
+        },
+        state::{StepRef, StepState, Workflow, Workflows},
+    },
+    policy::harm::{Harm, images::ImageKey},
+    prelude::*,
+};
+
+/// A plan while it is made.
+pub(super) struct Placing<'a, 'r> {
+    workflows: &'a Workflows,
+    rooms: Vec<&'r mut Room>,
+    harm: &'a mut Harm,
+    runs: Vec<RunPlacement>,
+    touched: BTreeSet<WorkerId>,
+    /// Needs for which no room was left: rooms only shrink while a plan is made, so that whoever
+    /// needs as much need not look again. In overload most of what waits is of few kinds.
+    unmet: Vec<Unmet>,
+}
+
+/// A need for which no room was left.
+#[derive(Clone, Debug, PartialEq)]
+struct Unmet {
+    service: CompactString,
+    label: CompactString,
+    filler: Option<ImageKey>,
+    reserve: Resources,
+    filler_millicores: u32,
+}
+
+impl Unmet {
+    fn new(asked: &Asked<'_>) -> Unmet {
+        let (filler, filler_millicores) = match asked.work {
+            Work::Filler { image, millicores } => (Some(image), millicores),
+            _ => (None, 0),
+        };
+        Unmet {
+            service: asked.queue.service.clone(),
+            label: asked.step.required_label.clone(),
+            filler,
+            reserve: asked.reserve,
+            filler_millicores,
+        }
+    }
+
+    /// Returns whether what finds no room for this finds none for `other`.
+    fn rules_out(&self, other: &Unmet) -> bool {
+        self.filler == other.filler
+            && self.service == other.service
+            && (self.label.is_empty() || self.label == other.label)
+            && self.filler_millicores <= other.filler_millicores
+            && self.reserve.cpu_millicores <= other.reserve.cpu_millicores
+            && self.reserve.memory_mib <= other.reserve.memory_mib
+            && self.reserve.accelerators <= other.reserve.accelerators
+    }
+}
+
+impl<'a, 'r> Placing<'a, 'r> {
+    pub(super) fn new(
+        workflows: &'a Workflows,
+        rooms: Vec<&'r mut Room>,
+        harm: &'a mut Harm,
+    ) -> Placing<'a, 'r> {
+        let (runs, touched, unmet) = (Vec::new(), BTreeSet::new(), Vec::new());
+        Placing { workflows, rooms, harm, runs, touched, unmet }
+    }
+
+    pub(super) fn workflows(&self) -> &'a Workflows {
+        self.workflows
+    }
+
+    pub(super) fn rooms(&self) -> &[&'r mut Room] {
+        &self.rooms
+    }
+
+    pub(super) fn runs(&self) -> &[RunPlacement] {
+        &self.runs
+    }
+
+    /// Returns the runs to begin, and the workers whose rooms no longer match the ledger.
+    pub(super) fn finish(self) -> (Vec<RunPlacement>, BTreeSet<WorkerId>) {
+        (self.runs, self.touched)
+    }
+
+    /// Places the tasks of a step that wait, as far as there is room.
+    pub(super) fn place(&mut self, at: StepRef, workflow: &Workflow, care: Care) {
+        let Some(queue) = self.workflows.queue(&workflow.queue) else { return };
+        let Some(step) = workflow.spec.steps.get(at.step as usize) else { return };
+        let Some(state) = state_of(workflow, at) else { return };
+        let asked = Asked::new(step, queue, self.harm);
+        let need = Unmet::new(&asked);
+        if care == Care::KeepTails && self.unmet.iter().any(|it| it.rules_out(&need)) {
+            return;
+        }
+        let waiting: Vec<_> = state
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, it)| !it.is_done && it.runs.is_empty())
+            .map(|(index, it)| (index as u32, it.last_run + 1))
+            .collect();
+        match step.gang {
+            // Members of an earlier run are still ending.
+            true if waiting.len() < state.tasks.len() => (),
+            true => self.place_gang(at, &asked, state, &waiting, care),
+            false => {
+                // One that runs is enough not to be idle.
+                let most = if care == Care::Anywhere { 1 } else { usize::MAX };
+                let most = most.min(waiting.len());
+                let placed = self.place_tasks(at, &asked, state, &waiting[..most], care);
+                if placed < most && care == Care::KeepTails && step.per_worker_max == 0 {
+                    self.unmet.push(need);
+                }
+            }
+        }
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(
+        &mut self,
+        at: StepRef,
+        asked: &Asked<'_>,
+        state: &StepState,
+        waiting: &[(u32, u32)],
+        care: Care,
+    ) {
+        let run = waiting.iter().map(|(_, run)| *run).max().unwrap_or(1);
+        let members: Vec<_> = waiting.iter().map(|(index, _)| (*index, run)).collect();
+        let from = self.runs.len();
+        if self.place_tasks(at, asked, state, &members, care) == members.len() {
+            return;
+        }
+        for placed in self.runs.split_off(from) {
+            if let Some(room) = self.rooms.iter_mut().find(|it| it.id == placed.worker) {
+                room.give_back(asked, self.harm);
+            }
+        }
+    }
+
+    /// Places tasks, each with its run number, until there is no room; returns how many.
+    ///
+    /// What is placed changes one room only, so the offers of the others stand.
+    fn place_tasks(
+        &mut self,
+        at: StepRef,
+        asked: &Asked<'_>,
+        state: &StepState,
+        tasks: &[(u32, u32)],
+        care: Care,
+    ) -> usize {
+        let mut counts = counts_of(asked.step, state);
+        let mut offers = self.offers(asked, &counts, care);
+        for (placed, (index, run)) in tasks.iter().enumerate() {
+            let Some((_, best)) = offers.pop() else { return placed };
+            let room = &mut self.rooms[best];
+            room.take(asked, self.harm);
+            self.touched.insert(room.id);
+            let count = counts.entry(room.id).or_insert(0);
+            *count += 1;
+            let task = TaskRef {
+                workflow: at.workflow,
+                occurrence: at.occurrence,
+                step: at.step,
+                index: *index,
+            };
+            self.runs.push(RunPlacement { run: RunRef { task, run: *run }, worker: room.id });
+            if let Some(it) = room.offer(asked, *count, care, self.harm) {
+                offers.push((it, best));
+            }
+        }
+        tasks.len()
+    }
+
+    fn offers(
+        &self,
+        asked: &Asked<'_>,
+        counts: &HashMap<WorkerId, u32>,
+        care: Care,
+    ) -> BinaryHeap<(Preference, usize)> {
+        let offer = |(at, room): (usize, &&'r mut Room)| {
+            let placed = counts.get(&room.id).copied().unwrap_or(0);
+            Some((room.offer(asked, placed, care, self.harm)?, at))
+        };
+        self.rooms.iter().enumerate().filter_map(offer).collect()
+    }
+
+    /// Returns the best worker for one more task of a step, and the speed that it has there.
+    pub(super) fn best_for(
+        &mut self,
+        at: StepRef,
+        workflow: &'a Workflow,
+        care: Care,
+    ) -> Option<Found<'a>> {
+        let queue = self.workflows.queue(&workflow.queue)?;
+        let state = state_of(workflow, at)?;
+        let step = workflow.spec.steps.get(at.step as usize)?;
+        let asked = Asked::new(step, queue, self.harm);
+        let (_, room) = self.offers(&asked, &counts_of(step, state), care).pop()?;
+        let speed = match asked.work {
+            Work::Filler { image, millicores } => {
+                self.rooms[room].speed_of(image, millicores, self.harm)
+            }
+            _ => 1.0,
+        };
+        Some(Found { room, worker: self.rooms[room].id, speed, asked })
+    }
+
+    /// Keeps what was found for a run that is to move there.
+    pub(super) fn keep(&mut self, it: &Found<'_>) {
+        let room = &mut self.rooms[it.room];
+        room.take(&it.asked, self.harm);
+        self.touched.insert(room.id);
+    }
+}
+
+/// A worker that would take one more task.
+pub(super) struct Found<'a> {
+    room: usize,
+    pub worker: WorkerId,
+    pub speed: f64,
+    asked: Asked<'a>,
+}
+
+fn state_of(workflow: &Workflow, at: StepRef) -> Option<&StepState> {
+    workflow.occurrences.get(at.occurrence as usize)?.steps.get(at.step as usize)
+}
+
+/// Returns how many runs of a step each worker has, where that is bounded.
+fn counts_of(step: &WorkflowStep, state: &StepState) -> HashMap<WorkerId, u32> {
+    let mut res = HashMap::new();
+    if 0 < step.per_worker_max {
+        for run in state.tasks.iter().flat_map(|it| &it.runs) {
+            *res.entry(run.worker).or_insert(0) += 1;
+        }
+    }
+    res
+}
--- /dev/null
+++ b/src/control/dispatch/rooms.rs
@@ -0,0 +1,372 @@
+//! What is left on each worker, kept from plan to plan.
+//!
+//! A room is made anew only for a worker whose runs have changed. What serves there and what
+//! fillers take from it is read again at a pace of its own, since reports bring it each half
+//! second at most: on 240 workers a plan that made all rooms anew took most of the leader's time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    control::{
+        dispatch::{
+            sessions::{Sessions, Usable},
+            watch::Work,
+        },
+        state::{Worker, Workflows, add, fits, reserve_of, subtract},
+    },
+    policy::{
+        harm::{Filler, Harm, LoadGroup, images::ImageKey},
+        pacing::NEGLIGIBLE_PERCENT,
+    },
+    prelude::*,
+};
+
+/// Share of its reservation that a task which serves is taken to use, in percent: the mean load
+/// that tails told on the users' VMs. Serving tasks reserve for their peaks; what fillers find
+/// missing shows in their speed, not in harm.
+const SERVING_USE_PERCENT: u32 = 45;
+
+/// Headroom, in percent, down to which fillers may be placed beside a serving task. It lies far
+/// above what the pacer keeps: loads change over seconds and a filler stays for some, so what is
+/// placed closer is soon halted and holds up its workflow.
+///
+/// Over 24 played days, 120 and a speed of 0.5 left 753 of 5,661 two-second slots of services
+/// unserved and 998 of 1,811 batch workflows in time; 160 and 0.9 left 579 and 1,052, with the
+/// costs of alike images.
+const HEADROOM_MIN_PERCENT: f64 = 160.0;
+
+/// Share of its speed below which a filler is rather kept waiting, since it would hold up the
+/// rest of its step where it is, and harm what serves there meanwhile.
+const SPEED_MIN: f64 = 0.9;
+
+/// Headroom that a serving task placed by the same plan is taken to have: what one at half load
+/// leaves.
+const UNSEEN_REST_PERCENT: f64 = 280.0;
+
+/// Interval at which loads and costs are read anew into all rooms: a fifth of that at which a
+/// worker reports.
+const READ_INTERVAL_MS: u64 = 100;
+
+/// What a task needs, with its image by key.
+#[derive(Clone, Copy)]
+pub(super) struct Asked<'a> {
+    pub step: &'a WorkflowStep,
+    pub queue: &'a Queue,
+    pub work: Work,
+    pub reserve: Resources,
+}
+
+impl<'a> Asked<'a> {
+    pub(super) fn new(step: &'a WorkflowStep, queue: &'a Queue, harm: &mut Harm) -> Asked<'a> {
+        Asked { step, queue, work: Work::of(step, harm), reserve: reserve_of(step) }
+    }
+}
+
+/// An image that serves on a worker.
+#[derive(Clone, Debug, PartialEq)]
+struct Served {
+    image: ImageKey,
+    /// Loads that its tasks share, by the step that they are of.
+    groups: Vec<LoadGroup>,
+    /// Headroom with no filler beside it, of the load that leaves least.
+    rest_percent: f64,
+    /// What the fillers here take from it at full speed.
+    taken_percent: f64,
+    millicores: u32,
+}
+
+impl Served {
+    /// Returns the headroom that further fillers may take.
+    fn room_percent(&self) -> f64 {
+        self.rest_percent - HEADROOM_MIN_PERCENT - self.taken_percent
+    }
+
+    fn read(&mut self, fillers: &[Filler], harm: &Harm) {
+        let rests = self.groups.iter().map(|it| harm.rest_percent(*it));
+        self.rest_percent = rests.fold(f64::MAX, f64::min);
+        self.taken_percent = harm.taken_percent(self.image, fillers);
+    }
+}
+
+/// What is left on one worker.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Room {
+    pub id: WorkerId,
+    service: CompactString,
+    kind: CompactString,
+    rack: CompactString,
+    free: Resources,
+    /// One for each image: together, what its runs use at full speed.
+    fillers: Vec<Filler>,
+    filler_millicores: u32,
+    served: Vec<Served>,
+}
+
+impl Room {
+    pub(super) fn new(
+        workflows: &Workflows,
+        id: WorkerId,
+        worker: &Worker,
+        harm: &mut Harm,
+    ) -> Room {
+        let mut res = Room {
+            id,
+            service: worker.service.clone(),
+            kind: worker.kind.clone(),
+            rack: worker.rack.clone(),
+            free: subtract(worker.capacity, worker.used),
+            fillers: Vec::new(),
+            filler_millicores: worker.filler_millicores,
+            served: Vec::new(),
+        };
+        for run in &worker.runs {
+            let Some(step) = workflows.step_of(run.task) else { continue };
+            match Work::of(step, harm) {
+                Work::Serving { image, .. } => {
+                    let served = res.served_of(image);
+                    served.millicores += step.need.cpu_millicores;
+                    let group = LoadGroup::of(run.task);
+                    if !served.groups.contains(&group) {
+                        served.groups.push(group);
+                    }
+                }
+                Work::Filler { image, millicores } => res.note_filler(image, cores(millicores)),
+                Work::Plain => (),
+            }
+        }
+        res.read(harm);
+        res
+    }
+
+    /// Reads loads and costs anew.
+    fn read(&mut self, harm: &Harm) {
+        for it in &mut self.served {
+            it.read(&self.fillers, harm);
+        }
+    }
+
+    fn served_of(&mut self, image: ImageKey) -> &mut Served {
+        let found = self.served.iter().position(|it| it.image == image);
+        let at = found.unwrap_or_else(|| {
+            self.served.push(Served {
+                image,
+                groups: Vec::new(),
+                rest_percent: f64::MAX,
+                taken_percent: 0.0,
+                millicores: 0,
+            });
+            self.served.len() - 1
+        });
+        &mut self.served[at]
+    }
+
+    /// Notes processor that fillers of an image use beside what is here; negative for less.
+    fn note_filler(&mut self, image: ImageKey, cores: f64) {
+        match self.fillers.iter_mut().find(|it| it.image == image) {
+            Some(it) => it.cores += cores,
+            None => self.fillers.push(Filler { image, cores }),
+        }
+    }
+
+    /// Returns the processor that neither reservations nor fillers have taken.
+    fn idle_millicores(&self) -> u32 {
+        self.free.cpu_millicores.saturating_sub(self.filler_millicores)
+    }
+
+    /// Returns the processor that a further filler would find unused.
+    fn unused_millicores(&self) -> u32 {
+        let serving: u32 = self.served.iter().map(|it| it.millicores).sum();
+        let unused = self.free.cpu_millicores + serving / 100 * (100 - SERVING_USE_PERCENT);
+        unused.saturating_sub(self.filler_millicores)
+    }
+
+    /// Returns the share of its speed that a further filler would reach.
+    pub(super) fn speed_of(&self, image: ImageKey, millicores: u32, harm: &Harm) -> f64 {
+        let processor = f64::from(self.unused_millicores()) / f64::from(millicores.max(1));
+        let pace = |it: &Served| match harm.cost_percent(it.image, image) * cores(millicores) {
+            cost if cost <= NEGLIGIBLE_PERCENT => 1.0,
+            cost => it.room_percent() / cost,
+        };
+        self.served.iter().map(pace).fold(processor, f64::min).clamp(0.0, 1.0)
+    }
+
+    /// Returns what a further filler would take from all images that serve here.
+    fn cost_of(&self, image: ImageKey, millicores: u32, harm: &Harm) -> f64 {
+        let costs = self.served.iter().map(|it| harm.cost_percent(it.image, image));
+        costs.sum::<f64>() * cores(millicores)
+    }
+
+    fn holds(&self, asked: &Asked<'_>, placed: u32) -> bool {
+        let step = asked.step;
+        fits(asked.reserve, self.free)
+            && (step.per_worker_max == 0 || placed < step.per_worker_max)
+            && (step.required_label.is_empty() || step.required_label == self.kind)
+            && self.service == asked.queue.service
+    }
+
+    /// Returns how much the worker is wanted for a task, or nothing if it cannot take it.
+    pub(super) fn offer(
+        &self,
+        asked: &Asked<'_>,
+        placed: u32,
+        care: Care,
+        harm: &Harm,
+    ) -> Option<Preference> {
+        if !self.holds(asked, placed) {
+            return None;
+        }
+        let step = asked.step;
+        let serving: u32 = self.served.iter().map(|it| it.millicores).sum();
+        let packed = i64::from(serving) - i64::from(self.idle_millicores());
+        let rank = match asked.work {
+            // Where it is fast, then where it costs least, then where most is unused.
+            Work::Filler { image, millicores } => {
+                let speed = self.speed_of(image, millicores, harm);
+                if care == Care::KeepTails && speed < SPEED_MIN {
+                    return None;
+                }
+                [
+                    (speed * 10.0) as i64,
+                    -(self.cost_of(image, millicores, harm) / NEGLIGIBLE_PERCENT) as i64,
+                    i64::from(self.unused_millicores()),
+                ]
+            }
+            // Images keep to few workers each, so that a filler that harms one finds others.
+            Work::Serving { image, .. } => {
+                let own = self.served.iter().find(|it| it.image == image);
+                let taken = harm.taken_percent(image, &self.fillers);
+                let own_millicores = own.map_or(0, |it| i64::from(it.millicores));
+                let is_empty = i64::from(self.served.is_empty());
+                [-(taken / (5.0 * NEGLIGIBLE_PERCENT)) as i64, own_millicores + is_empty, packed]
+            }
+            // What only reserves is packed, so that some workers are left to fillers.
+            Work::Plain => [packed, 0, 0],
+        };
+        let is_near = !step.data_rack.is_empty() && self.rack == step.data_rack;
+        Some(Preference { is_near, rank })
+    }
+
+    pub(super) fn take(&mut self, asked: &Asked<'_>, harm: &Harm) {
+        self.free = subtract(self.free, asked.reserve);
+        match asked.work {
+            Work::Filler { image, millicores } => {
+                self.filler_millicores += millicores;
+                self.change_fillers(image, cores(millicores), harm);
+            }
+            Work::Serving { image, .. } => {
+                let taken_percent = harm.taken_percent(image, &self.fillers);
+                let served = self.served_of(image);
+                served.rest_percent = served.rest_percent.min(UNSEEN_REST_PERCENT);
+                served.taken_percent = taken_percent;
+                served.millicores += asked.step.need.cpu_millicores;
+            }
+            Work::Plain => (),
+        }
+    }
+
+    /// Takes back a placement of a gang that did not fit whole.
+    pub(super) fn give_back(&mut self, asked: &Asked<'_>, harm: &Harm) {
+        self.free = add(self.free, asked.reserve);
+        if let Work::Filler { image, millicores } = asked.work {
+            self.filler_millicores -= millicores;
+            self.change_fillers(image, -cores(millicores), harm);
+        }
+    }
+
+    fn change_fillers(&mut self, image: ImageKey, cores: f64, harm: &Harm) {
+        self.note_filler(image, cores);
+        for it in &mut self.served {
+            it.taken_percent += harm.cost_percent(it.image, image) * cores;
+        }
+    }
+
+    /// Returns what each image of fillers here takes from each image that serves.
+    pub(super) fn costs(&self, harm: &Harm) -> Vec<ImageCost> {
+        let cost = |serving: ImageKey, filler: ImageKey| ImageCost {
+            serving: harm.image_name(serving).clone(),
+            filler: harm.image_name(filler).clone(),
+            headroom_percent: harm.cost_percent(serving, filler) as f32,
+        };
+        let pairs = self
+            .served
+            .iter()
+            .flat_map(|it| self.fillers.iter().map(move |filler| (it.image, filler.image)));
+        pairs.map(|(serving, filler)| cost(serving, filler)).collect()
+    }
+}
+
+/// How much a worker is wanted for a task; the largest is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Preference {
+    is_near: bool,
+    rank: [i64; 3],
+}
+
+/// Whether a filler may be placed where it is slow or harms tails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Care {
+    KeepTails,
+    Anywhere,
+}
+
+/// The rooms of all workers in the ledger.
+#[derive(Debug, Default)]
+pub(super) struct Rooms {
+    rooms: BTreeMap<WorkerId, Room>,
+    /// Workers whose runs have changed since their rooms were made.
+    stale: BTreeSet<WorkerId>,
+    read_at_ms: u64,
+}
+
+impl Rooms {
+    /// Takes note of a worker whose runs have changed.
+    pub(super) fn note_changed(&mut self, id: WorkerId) {
+        self.stale.insert(id);
+    }
+
+    /// Takes note of workers that another lifetime has taken the place of.
+    pub(super) fn note_missing(&mut self, workflows: &Workflows) {
+        let missing = self.rooms.keys().filter(|it| workflows.workers().get(**it).is_none());
+        self.stale.extend(missing);
+    }
+
+    /// Returns the room of a worker as the ledger has it.
+    pub(super) fn get(
+        &mut self,
+        workflows: &Workflows,
+        harm: &mut Harm,
+        id: WorkerId,
+    ) -> Option<&Room> {
+        if self.stale.remove(&id) {
+            self.make(workflows, harm, id);
+        }
+        self.rooms.get(&id)
+    }
+
+    /// Brings all rooms up to what the ledger and the reports say.
+    pub(super) fn refresh(&mut self, workflows: &Workflows, harm: &mut Harm, now: Now) {
+        for id in std::mem::take(&mut self.stale) {
+            self.make(workflows, harm, id);
+        }
+        if self.read_at_ms <= now.mono_ms {
+            self.read_at_ms = now.mono_ms + READ_INTERVAL_MS;
+            self.rooms.values_mut().for_each(|it| it.read(harm));
+        }
+    }
+
+    /// Returns the rooms of the workers that new runs may be placed on.
+    pub(super) fn usable(&mut self, sessions: &Sessions, usable: Usable) -> Vec<&mut Room> {
+        self.rooms.values_mut().filter(|it| sessions.is_usable(it.id, usable)).collect()
+    }
+
+    fn make(&mut self, workflows: &Workflows, harm: &mut Harm, id: WorkerId) {
+        match workflows.workers().get(id) {
+            Some(worker) => drop(self.rooms.insert(id, Room::new(workflows, id, worker, harm))),
+            None => drop(self.rooms.remove(&id)),
+        }
+    }
+}
+
+fn cores(millicores: u32) -> f64 {
+    f64::from(millicores) / 1_000.0
+}
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -1,16 +1,16 @@
 //! The leader's view of each worker: its lease and what its node reported last.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
 };
 
 use crate::{
-    control::state::{Worker, Workflows},
-    policy::{
-        mobility::Speed,
-        soundness::{Progress, Soundness},
+    control::{
+        dispatch::watch::Watch,
+        state::{Worker, Workflows},
     },
+    policy::soundness::Soundness,
     prelude::*,
 };
 
@@ -27,26 +27,19 @@
     pub sent_ms: u64,
     pub report: Option<WorkerReport>,
     pub soundness: Soundness,
-    /// Progress of runs that should move, by the reports.
-    pub progress: HashMap<RunRef, Progress>,
-    /// Speeds of fillers, by the reports.
-    pub speeds: HashMap<RunRef, Speed>,
-    /// Runs that stand still, or go on elsewhere, and are told to stop.
-    pub evicted: HashSet<RunRef>,
+    /// The runs that the newest report lists.
+    pub watched: HashMap<RunRef, Watch>,
+    /// Those of them that are fillers and slow.
+    pub slow: Vec<SlowRun>,
+    /// Costs that the node was last told, and when.
+    pub told_costs: Vec<ImageCost>,
+    pub told_ms: u64,
     /// Highest end proposed for the ledger.
     pub proposed_cursor: u64,
     /// A dismissal was proposed.
     pub is_ending: bool,
 }
 
-/// A worker that new runs may be placed on.
-#[derive(Clone, Copy, Debug)]
-pub struct Usable<'a> {
-    pub id: WorkerId,
-    pub worker: &'a Worker,
-    pub report: &'a WorkerReport,
-}
-
 /// A filler that works slowly where it is.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SlowRun {
@@ -61,6 +54,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Sessions {
     sessions: BTreeMap<WorkerId, Session>,
+    /// No lease is over before this. A lease is only ever prolonged, so that all of them are
+    /// looked at once a lease, and not at each event.
+    expiry_bound_ms: u64,
 }
 
 impl Sessions {
@@ -82,13 +78,18 @@
             sent_ms: 0,
             report: None,
             soundness: Soundness::default(),
-            progress: HashMap::new(),
-            speeds: HashMap::new(),
-            evicted: HashSet::new(),
+            watched: HashMap::new(),
+            slow: Vec::new(),
+            told_costs: Vec::new(),
+            told_ms: 0,
             proposed_cursor: 0,
             is_ending: false,
         };
         self.sessions.entry(id).or_insert(session);
+        self.expiry_bound_ms = match self.sessions.len() {
+            1 => held_until_ms,
+            _ => self.expiry_bound_ms.min(held_until_ms),
+        };
     }
 
     pub(super) fn get(&self, id: WorkerId) -> Option<&Session> {
@@ -103,21 +104,27 @@
         self.sessions.retain(|id, _| workflows.workers().get(*id).is_some());
     }
 
+    /// Returns when a lease may be over; nothing is by then where all were prolonged meanwhile.
     pub(super) fn next_expiry_ms(&self) -> u64 {
-        let open = self.sessions.values().filter(|it| !it.is_ending);
-        open.map(|it| it.held_until_ms).min().unwrap_or(u64::MAX)
+        if self.sessions.is_empty() { u64::MAX } else { self.expiry_bound_ms }
     }
 
     pub(super) fn take_expired(&mut self, now_ms: u64) -> Vec<WorkerId> {
-        let expired = |it: &Session| !it.is_ending && it.held_until_ms <= now_ms;
-        let ids: Vec<_> =
-            self.sessions.iter().filter(|(_, it)| expired(it)).map(|(id, _)| *id).collect();
-        for id in &ids {
-            if let Some(it) = self.sessions.get_mut(id) {
-                it.is_ending = true;
+        if now_ms < self.next_expiry_ms() {
+            return Vec::new();
+        }
+        let mut res = Vec::new();
+        self.expiry_bound_ms = u64::MAX;
+        for (id, it) in self.sessions.iter_mut().filter(|(_, it)| !it.is_ending) {
+            match it.held_until_ms <= now_ms {
+                true => {
+                    it.is_ending = true;
+                    res.push(*id);
+                }
+                false => self.expiry_bound_ms = self.expiry_bound_ms.min(it.held_until_ms),
             }
         }
-        ids
+        res
     }
 
     /// Returns the ends of all runs of a worker that is lost, with what they last saved.
@@ -135,45 +142,57 @@
         worker.runs.iter().map(end).collect()
     }
 
-    /// Returns the fillers that are slow on workers that can be told to stop them.
-    pub(super) fn slow_runs(&self, usable: &[Usable<'_>], now: Now) -> Vec<SlowRun> {
-        let mut res = Vec::new();
-        for it in usable {
-            let Some(session) = self.sessions.get(&it.id) else { continue };
-            for task in &it.report.running {
-                let speed = session.speeds.get(&task.run);
-                if let Some(share) = speed.and_then(|it| it.slow_share(now.mono_ms))
-                    && it.worker.runs.contains(&task.run)
-                    && !session.evicted.contains(&task.run)
-                {
-                    let progress_percent = task.progress_percent;
-                    res.push(SlowRun { run: task.run, worker: it.id, share, progress_percent });
-                }
-            }
-        }
-        // The slowest hold up their workflows longest.
+    /// Returns the fillers that are slow on workers that can be told to stop them, the slowest
+    /// first, which hold up their workflows longest.
+    pub(super) fn slow_runs(&self, workflows: &Workflows, is_usable: Usable) -> Vec<SlowRun> {
+        let usable = self.sessions.iter().filter(|(_, it)| it.is_usable(is_usable));
+        let placed = |it: &SlowRun| {
+            let worker = workflows.workers().get(it.worker);
+            worker.is_some_and(|worker| worker.runs.contains(&it.run))
+        };
+        let mut res: Vec<_> = usable.flat_map(|(_, it)| it.slow_now()).filter(placed).collect();
         res.sort_by(|a, b| a.share.total_cmp(&b.share));
         res
     }
 
-    /// Returns the workers that were heard of lately under this term and are not leaving.
-    pub(super) fn usable<'a>(
-        &'a self,
-        workflows: &'a Workflows,
-        term: u64,
-        silent_ms: u64,
-        now: Now,
-    ) -> Vec<Usable<'a>> {
-        let usable = |(id, it): (&WorkerId, &'a Session)| {
-            let report = it.report.as_ref()?;
-            let worker = workflows.workers().get(*id)?;
-            let is_fit = report.term == term
-                && !report.draining
-                && !it.is_ending
-                && it.soundness.is_trusted(now.mono_ms)
-                && now.mono_ms < it.heard_ms + silent_ms;
-            is_fit.then_some(Usable { id: *id, worker, report })
-        };
-        self.sessions.iter().filter_map(usable).collect()
+    /// Returns whether new runs may be placed on a worker.
+    pub(super) fn is_usable(&self, id: WorkerId, usable: Usable) -> bool {
+        self.get(id).is_some_and(|it| it.is_usable(usable))
+    }
+}
+
+/// What makes a worker fit for new runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Usable {
+    pub term: u64,
+    /// Silence after which nothing new is placed on it.
+    pub silent_ms: u64,
+    pub now: Now,
+}
+
+impl Session {
+    /// Returns whether it was heard of lately under this term and is not leaving.
+    fn is_usable(&self, it: Usable) -> bool {
+        let reports = |report: &WorkerReport| report.term == it.term && !report.draining;
+        self.report.as_ref().is_some_and(reports)
+            && !self.is_ending
+            && self.soundness.is_trusted(it.now.mono_ms)
+            && it.now.mono_ms < self.heard_ms + it.silent_ms
+    }
+
+    fn slow_now(&self) -> impl Iterator<Item = SlowRun> {
+        let is_told = |run: RunRef| self.watched.get(&run).is_none_or(|it| it.evicted);
+        self.slow.iter().copied().filter(move |it| !is_told(it.run))
+    }
+
+    /// Marks a run that the worker is told to stop; returns whether it was not marked before.
+    pub(super) fn evict(&mut self, run: RunRef) -> bool {
+        let watch = self.watched.get_mut(&run);
+        watch.is_some_and(|it| !std::mem::replace(&mut it.evicted, true))
+    }
+
+    /// Returns whether a run that is listed is told to stop.
+    pub(super) fn is_evicted(&self, run: RunRef) -> bool {
+        self.watched.get(&run).is_some_and(|it| it.evicted)
     }
 }
--- /dev/null
+++ b/src/control/dispatch/watch.rs
@@ -0,0 +1,91 @@
+//! What the leader watches of each run that a worker lists.
+
+use crate::{
+    control::state::Workflows,
+    policy::{
+        harm::{Harm, images::ImageKey},
+        mobility::Speed,
+        soundness::Progress,
+    },
+    prelude::*,
+};
+
+/// What a run is, by the workflow that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Work {
+    /// Serves users of its own under a bound.
+    Serving { image: ImageKey, target_ms: u64 },
+    /// Takes processor that others leave.
+    Filler { image: ImageKey, millicores: u32 },
+    /// Runs on what it reserved.
+    Plain,
+}
+
+impl Work {
+    pub(super) fn of(step: &WorkflowStep, harm: &mut Harm) -> Work {
+        match step.filler {
+            true => Work::Filler {
+                image: harm.image(&step.image),
+                millicores: step.need.cpu_millicores,
+            },
+            false if 0 < step.tail_target_ms => {
+                Work::Serving { image: harm.image(&step.image), target_ms: step.tail_target_ms }
+            }
+            false => Work::Plain,
+        }
+    }
+}
+
+/// One run that a worker lists.
+#[derive(Clone, Copy, Debug)]
+pub struct Watch {
+    /// Nothing for a run of no workflow that is known.
+    pub work: Option<Work>,
+    /// Its declared run time, where it should make progress: it does not last, has its processor
+    /// to itself, and waits for no other member of a gang.
+    estimate_ms: Option<u64>,
+    /// It is a filler that may go on elsewhere.
+    can_move: bool,
+    progress: Progress,
+    speed: Speed,
+    /// It stands still, or goes on elsewhere, and is told to stop.
+    pub evicted: bool,
+    /// Number of the newest report that lists it.
+    pub listed_in: u64,
+}
+
+impl Watch {
+    /// Begins to watch a run with the first report that lists it.
+    pub(super) fn new(
+        workflows: &Workflows,
+        harm: &mut Harm,
+        task: &RunningTask,
+        now_ms: u64,
+    ) -> Watch {
+        let step = workflows.step_of(task.run.task);
+        let can_judge = |it: &&WorkflowStep| !it.lasting && !it.gang;
+        Watch {
+            work: step.map(|it| Work::of(it, harm)),
+            estimate_ms: step.filter(can_judge).filter(|it| !it.filler).map(|it| it.estimate_ms),
+            can_move: step.filter(can_judge).is_some_and(|it| it.filler),
+            progress: Progress::new(task.progress_percent, now_ms),
+            speed: Speed::new(now_ms),
+            evicted: false,
+            listed_in: 0,
+        }
+    }
+
+    /// Takes in a row of a report; returns whether the run stands still.
+    pub(super) fn observe(&mut self, task: &RunningTask, now_ms: u64) -> bool {
+        if let (true, Some(Work::Filler { millicores, .. })) = (self.can_move, self.work) {
+            self.speed.observe(f64::from(task.load) / f64::from(millicores.max(1)));
+        }
+        let estimate_ms = self.estimate_ms;
+        estimate_ms.is_some_and(|it| self.progress.observe(task.progress_percent, it, now_ms))
+    }
+
+    /// Returns the share of its speed that a filler has, once that is known to be low.
+    pub(super) fn slow_share(&self, now_ms: u64) -> Option<f64> {
+        self.speed.slow_share(now_ms).filter(|_| self.can_move)
+    }
+}
--- a/src/control/log/raft/mod.rs
+++ b/src/control/log/raft/mod.rs
@@ -54,6 +54,10 @@
     Snapshot(Arc<Snapshot>),
 }
 
+/// Longest time for which a leader gathers entries while its disk syncs: a little more than a sync
+/// takes on the users' disks, so that a slower disk of the leader's own holds up no others.
+const GATHERED_MS: u64 = 8;
+
 /// One member of a control group.
 pub struct Raft {
     id: MemberId,
@@ -95,6 +99,9 @@
     first_sent_ms: Option<u64>,
     catch_up_index: Option<u64>,
     pending: Vec<DiskWrite>,
+    /// When a leader last let go of what it had gathered, and up to which entry.
+    flushed_ms: u64,
+    flushed_index: u64,
     written: u64,
     durable: u64,
     durable_index: u64,
@@ -150,6 +157,8 @@
             first_sent_ms: None,
             catch_up_index: None,
             pending: Vec::new(),
+            flushed_ms: 0,
+            flushed_index: 0,
             written: 0,
             durable: 0,
             durable_index: last_index,
@@ -231,7 +240,21 @@
 
     /// Returns the time of the next call of [`Raft::tick`].
     pub fn next_tick_ms(&self) -> u64 {
-        if self.is_leader() { self.heartbeat_at_ms } else { self.election_at_ms }
+        match self.is_leader() {
+            true if self.pending.is_empty() => self.heartbeat_at_ms,
+            true => self.heartbeat_at_ms.min(self.flushed_ms + GATHERED_MS),
+            false => self.election_at_ms,
+        }
+    }
+
+    /// Returns whether a leader keeps what it appends for the end of the sync under way.
+    ///
+    /// Its disk takes up nothing before that in any case, and what goes out together costs one
+    /// message and one sync of each member.
+    fn gathers(&self, now: Now) -> bool {
+        self.is_leader()
+            && !self.in_flight.is_empty()
+            && now.mono_ms < self.flushed_ms + GATHERED_MS
     }
 
     /// Lets time pass.
@@ -269,9 +292,10 @@
     }
 
     /// Sends what [`Raft::propose`] appended; called once per turn, so that the proposals of a
-    /// turn travel and are synced together.
+    /// turn, and of all turns during one sync, travel and are synced together.
     pub fn flush(&mut self, now: Now) {
-        if self.is_leader() {
+        if self.is_leader() && !self.gathers(now) {
+            self.flushed_index = self.last_index();
             let ids: Vec<_> = self.progress.keys().copied().collect();
             for id in ids {
                 self.send_entries(now, id);
@@ -301,11 +325,12 @@
         }
     }
 
-    /// Takes the writes of this turn with their number; [`Raft::persisted`] is to be told it.
-    pub fn take_writes(&mut self) -> Option<(u64, Vec<DiskWrite>)> {
-        if self.pending.is_empty() {
+    /// Takes the writes gathered so far with their number; [`Raft::persisted`] is to be told it.
+    pub fn take_writes(&mut self, now: Now) -> Option<(u64, Vec<DiskWrite>)> {
+        if self.pending.is_empty() || self.gathers(now) {
             return None;
         }
+        self.flushed_ms = now.mono_ms;
         self.written += 1;
         self.in_flight.push_back((self.written, self.last_index()));
         Some((self.written, std::mem::take(&mut self.pending)))
--- a/src/control/log/raft/replication.rs
+++ b/src/control/log/raft/replication.rs
@@ -175,7 +175,9 @@
             progress.next_index =
                 (it.match_index + 1).clamp(progress.match_index + 1, last_index + 1);
         }
-        self.send_entries(now, from);
+        if self.progress.get(&from).is_some_and(|it| it.next_index <= self.flushed_index) {
+            self.send_entries(now, from);
+        }
         if self.handing_over_since_ms.is_some() && !self.handed_over {
             self.try_hand_over(now);
         }
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -25,8 +25,8 @@
     vms::{NOTHING, Session, Vm, Vms, add, fits, subtract},
     watches::{Watch, Watches},
     workflows::{
-        Occurrence, StepState, TaskRun, Worker, Workers, Workflow, WorkflowError, Workflows,
-        check_queues, check_spec, reserve_of,
+        Occurrence, StepRef, StepState, TaskRun, Worker, Workers, Workflow, WorkflowError,
+        Workflows, check_queues, check_spec, reserve_of,
     },
 };
 
@@ -164,12 +164,14 @@
     /// Returns an error when the bytes are no state of this version.
     pub fn from_bytes(data: &[u8]) -> Result<State> {
         let decoded = bincode::serde::decode_from_slice(data, bincode::config::standard());
-        decoded.map(|(it, _)| it).map_err(|it| {
+        let (mut res, _): (State, usize) = decoded.map_err(|it| {
             Error::report(
                 ErrorKind::Internal,
                 format_compact!("cannot decode the state of a snapshot: {it}"),
             )
-        })
+        })?;
+        res.workflows.rebuild_index();
+        Ok(res)
     }
 
     /// Checks what must always hold, from scratch.
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -5,6 +5,7 @@
 //! from the worker's list, so that a new leader knows of everything that may run anywhere.
 
 mod check;
+mod index;
 mod task;
 mod workers;
 
@@ -17,6 +18,7 @@
 
 pub use self::{
     check::{WorkflowError, check_queues, check_spec},
+    index::StepRef,
     task::{Occurrence, StepState, TaskRun, Workflow, reserve_of},
     workers::{Worker, Workers},
 };
@@ -34,6 +36,8 @@
     workers: Workers,
     /// What leaders have learned of images beside each other.
     costs: Vec<ImageCost>,
+    #[serde(skip)]
+    index: index::Index,
 }
 
 impl Workflows {
@@ -42,11 +46,6 @@
         self.config.as_ref()
     }
 
-    /// Returns the queue that a workflow was submitted to, while it is configured.
-    pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.config.as_ref()?.queues.iter().find(|it| it.name == name)
-    }
-
     /// Returns the queue that serves a place: the longest prefix of the path on the host.
     pub fn queue_at(&self, host: &str, path: &str) -> Option<&Queue> {
         let matching = |it: &&Queue| it.host == host && path.starts_with(it.path_prefix.as_str());
@@ -95,6 +94,22 @@
         !workflow.is_active() || workflow.task(run.task).is_none_or(|it| it.is_done)
     }
 
+    /// Returns the workers with runs that came to nothing by ends elsewhere: other runs of a task
+    /// that is done, and all of a workflow that is at its end.
+    pub fn superfluous_on(&self, finish: &FinishRuns) -> BTreeSet<WorkerId> {
+        let mut res = BTreeSet::new();
+        for end in &finish.ends {
+            let at = end.run.task;
+            let Some(workflow) = self.workflows.get(&at.workflow) else { continue };
+            match workflow.is_active() {
+                true => res.extend(workflow.runs_of_done(at)),
+                false => res.extend(workflow.runs().map(|it| it.worker)),
+            }
+        }
+        res.remove(&finish.worker);
+        res
+    }
+
     /// Applies a command.
     pub fn apply(&mut self, command: &WorkflowCommand, time_ms: u64) -> WorkflowOutcome {
         match command {
@@ -118,6 +133,7 @@
         let is_newer = self.config.as_ref().is_none_or(|old| old.version < it.version);
         if is_newer {
             self.config = Some(Arc::new(it.clone()));
+            self.index_queues();
         }
         WorkflowOutcome::Accepted
     }
@@ -126,6 +142,7 @@
         if let Entry::Vacant(entry) = self.workflows.entry(it.id) {
             entry.insert(Workflow::new(it));
             self.active.insert(it.id);
+            self.index_workflow(it.id);
         }
         WorkflowOutcome::Accepted
     }
@@ -134,6 +151,7 @@
         let Some(workflow) = self.workflows.get_mut(&id) else { return WorkflowOutcome::Gone };
         workflow.end(WorkflowPhase::Cancelled, time_ms);
         self.active.remove(&id);
+        self.index_workflow(id);
         WorkflowOutcome::Accepted
     }
 
@@ -148,6 +166,7 @@
                 && workflow.begin(it.run, it.worker)
             {
                 worker.add(it.run, step);
+                self.index_step(StepRef::of(it.run.task));
             }
         }
         WorkflowOutcome::Accepted
@@ -167,9 +186,13 @@
         self.release(worker, end.run);
         let attempts_max = self.attempts_max_of(id);
         let Some(workflow) = self.workflows.get_mut(&id) else { return };
-        if let Some(phase) = workflow.finish(worker, end, attempts_max) {
-            workflow.end(phase, time_ms);
-            self.active.remove(&id);
+        match workflow.finish(worker, end, attempts_max) {
+            Some(phase) => {
+                workflow.end(phase, time_ms);
+                self.active.remove(&id);
+                self.index_workflow(id);
+            }
+            None => self.index_after(StepRef::of(end.run.task)),
         }
     }
 
@@ -183,6 +206,7 @@
             self.release(it.worker, *run);
             if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
                 workflow.void(it.worker, *run);
+                self.index_step(StepRef::of(run.task));
             }
         }
         WorkflowOutcome::Accepted
@@ -214,6 +238,7 @@
         for run in worker.runs {
             if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
                 workflow.void(id, run);
+                self.index_step(StepRef::of(run.task));
             }
         }
         WorkflowOutcome::Accepted
--- a/src/control/state/workflows/task.rs
+++ b/src/control/state/workflows/task.rs
@@ -130,7 +130,19 @@
         self.runs().any(|it| workers.contains(&it.worker))
     }
 
-    fn runs(&self) -> impl Iterator<Item = &TaskRun> {
+    /// Returns the workers of other runs of a task that is done; of its whole step if it is a gang.
+    pub(super) fn runs_of_done(&self, at: TaskRef) -> impl Iterator<Item = WorkerId> {
+        let occurrence = self.occurrences.get(at.occurrence as usize);
+        let state = occurrence.and_then(|it| it.steps.get(at.step as usize));
+        let is_gang = self.spec.steps.get(at.step as usize).is_some_and(|it| it.gang);
+        let tasks = state.into_iter().flat_map(|it| it.tasks.iter().enumerate());
+        let done =
+            tasks.filter(move |(index, it)| it.is_done && (is_gang || *index == at.index as usize));
+        done.flat_map(|(_, it)| it.runs.iter().map(|it| it.worker))
+    }
+
+    /// Returns its runs that may be on a worker.
+    pub fn runs(&self) -> impl Iterator<Item = &TaskRun> {
         let steps = self.occurrences.iter().flat_map(|it| &it.steps);
         steps.flat_map(|it| &it.tasks).flat_map(|it| &it.runs)
     }
--- a/src/control/state/workflows/workers.rs
+++ b/src/control/state/workflows/workers.rs
@@ -1,7 +1,7 @@
 //! The workers' lifetimes and what is placed on each.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
 };
 
@@ -56,6 +56,9 @@
 pub struct Workers {
     workers: BTreeMap<WorkerId, Worker>,
     last_id: u64,
+    /// The lifetimes beside each node: one, but for an instant while another enrols.
+    #[serde(skip)]
+    by_node: HashMap<SocketAddr, Vec<WorkerId>>,
 }
 
 impl Workers {
@@ -66,7 +69,8 @@
 
     /// Returns the lifetime with a name beside a node.
     pub fn find(&self, node: SocketAddr, name: &str) -> Option<WorkerId> {
-        self.iter().find(|(_, it)| it.node == node && it.name == name).map(|(id, _)| id)
+        let beside = self.by_node.get(&node)?;
+        beside.iter().copied().find(|id| self.get(*id).is_some_and(|it| it.name == name))
     }
 
     /// Returns all workers.
@@ -85,7 +89,7 @@
     }
 
     pub(super) fn beside(&self, node: SocketAddr) -> Vec<WorkerId> {
-        self.iter().filter(|(_, it)| it.node == node).map(|(id, _)| id).collect()
+        self.by_node.get(&node).cloned().unwrap_or_default()
     }
 
     pub(super) fn get_mut(&mut self, id: WorkerId) -> Option<&mut Worker> {
@@ -93,7 +97,21 @@
     }
 
     pub(super) fn remove(&mut self, id: WorkerId) -> Option<Worker> {
-        self.workers.remove(&id)
+        let res = self.workers.remove(&id)?;
+        if let Some(beside) = self.by_node.get_mut(&res.node) {
+            beside.retain(|it| *it != id);
+            if beside.is_empty() {
+                self.by_node.remove(&res.node);
+            }
+        }
+        Some(res)
+    }
+
+    pub(super) fn rebuild_index(&mut self) {
+        self.by_node = HashMap::new();
+        for (id, it) in &self.workers {
+            self.by_node.entry(it.node).or_default().push(*id);
+        }
     }
 
     pub(super) fn enrol(&mut self, it: &EnrolWorker) {
@@ -111,7 +129,9 @@
             runs: BTreeSet::new(),
             cursor: 0,
         };
-        self.workers.insert(WorkerId(self.last_id), worker);
+        let id = WorkerId(self.last_id);
+        self.by_node.entry(worker.node).or_default().push(id);
+        self.workers.insert(id, worker);
     }
 }
 
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -234,23 +234,20 @@
             return;
         };
         let was_listed = worker.listed_term == self.term;
-        let saved = |list: &[RunningTask]| -> u64 {
-            list.iter().map(|it| it.checkpoint.len() as u64).sum::<u64>() + list.len() as u64
-        };
-        let before = saved(&worker.running);
-        worker.running = running;
+        let known = worker.ended.len();
+        for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
+            worker.ended.insert(it.cursor, it.end);
+        }
+        worker.take_list(running, id);
         worker.listed_term = self.term;
         let live: std::collections::HashSet<_> = worker.running.iter().map(|it| it.run).collect();
         worker.paces.retain(|run, _| live.contains(run));
         let pending = &worker.orders;
         worker.roles.retain(|run, _| live.contains(run) || pending.contains_key(run));
-        let known = worker.ended.len();
-        for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
-            worker.ended.insert(it.cursor, it.end);
-        }
         let has_news = known < worker.ended.len();
         self.is_dirty |= worker.settle_barred(id);
-        self.is_dirty |= has_news || !was_listed || before != saved(&worker.running);
+        // What was saved and how far each run is goes with the next report.
+        self.is_dirty |= has_news || !was_listed;
         worker.pace(now);
         // Ends not yet noted would be listed again at once.
         let pause_ms = if worker.ended.is_empty() { 0 } else { ACK_PAUSE_MS };
@@ -270,6 +267,7 @@
                     let checkpoint = CompactString::default();
                     let task = RunningTask { run, checkpoint, progress_percent: 0, load: 0 };
                     worker.running.push(task);
+                    worker.begun.insert(run, self.next_call);
                     worker.pace_newcomer(now);
                 }
             }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -57,6 +57,9 @@
     /// Term under which the lists were last read.
     pub listed_term: u64,
     pub running: Vec<RunningTask>,
+    /// Runs whose start was answered, with the newest call by then: a list asked for earlier may
+    /// not show them yet.
+    pub begun: HashMap<RunRef, u64>,
     pub ended: BTreeMap<u64, RunEnd>,
     pub acked_cursor: u64,
     /// Token for calls, from the newest grant.
@@ -88,6 +91,7 @@
             heard_ms: now.mono_ms,
             listed_term: 0,
             running: Vec::new(),
+            begun: HashMap::new(),
             ended: BTreeMap::new(),
             acked_cursor: 0,
             token: 0,
@@ -127,6 +131,20 @@
         self.running.iter().any(|it| it.run == run) || self.ended.values().any(|it| it.run == run)
     }
 
+    /// Takes in a list that the worker gave to a call; what began after that call was made is kept,
+    /// though the list may not show it yet.
+    pub(super) fn take_list(&mut self, mut listed: Vec<RunningTask>, call: u64) {
+        self.begun.retain(|_, after_call| call <= *after_call);
+        let is_new = |it: &RunningTask| {
+            self.begun.contains_key(&it.run)
+                && !listed.iter().any(|other| other.run == it.run)
+                && !self.ended.values().any(|other| other.run == it.run)
+        };
+        let kept: Vec<_> = self.running.iter().filter(|it| is_new(it)).cloned().collect();
+        listed.extend(kept);
+        self.running = listed;
+    }
+
     /// Returns a running task as the leader is told of it, with what a filler uses on the whole.
     fn reported(&self, it: &RunningTask) -> RunningTask {
         let usage = self.usages.get(&it.run);
--- a/src/policy/harm/alike.rs
+++ b/src/policy/harm/alike.rs
@@ -6,9 +6,9 @@
 //! never seen is told by the rows and columns that agree with its own where both are known. Where
 //! none agrees, what remains is the pair's own readings and the cost of an unknown pair.
 
-use crate::{
-    policy::harm::costs::{UNKNOWN_DEVIATION_PERCENT, UNKNOWN_PERCENT},
-    prelude::*,
+use crate::policy::harm::{
+    costs::{UNKNOWN_DEVIATION_PERCENT, UNKNOWN_PERCENT},
+    images::ImageKey,
 };
 
 /// How far the costs of images that behave alike lie apart (variance, in percent squared): those
@@ -31,47 +31,68 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Readings {
     /// Images that serve.
-    pub serving: Vec<CompactString>,
+    pub serving: Vec<ImageKey>,
     /// Images of fillers.
-    pub fillers: Vec<CompactString>,
+    pub fillers: Vec<ImageKey>,
     /// By image that serves, then by image of fillers; nothing for pairs not seen.
     pub pairs: Vec<Vec<Option<Evidence>>>,
 }
 
-/// Costs of all pairs of images that are known.
+/// Costs of all pairs of images that were compared: a dense table, with the place of each image
+/// in it by key, so that a cost is read without comparing names.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Estimates {
-    serving: Vec<CompactString>,
-    fillers: Vec<CompactString>,
+    /// By key of an image: its row, if it serves and was compared.
+    rows: Vec<Option<u16>>,
+    /// By key of an image: its column, if it fills and was compared.
+    columns: Vec<Option<u16>>,
     costs_percent: Vec<Vec<f64>>,
+    /// By column: the mean of those compared, and of the cost of an unknown pair.
+    means_percent: Vec<f64>,
 }
 
 impl Estimates {
     /// Returns the estimates that follow from readings.
     pub fn new(readings: Readings) -> Estimates {
         let costs_percent = costs_percent(&readings);
-        Estimates { serving: readings.serving, fillers: readings.fillers, costs_percent }
+        let mean = |column: usize| {
+            let sum: f64 = costs_percent.iter().map(|row| row[column]).sum();
+            (UNKNOWN_PERCENT + sum) / (1.0 + costs_percent.len() as f64)
+        };
+        Estimates {
+            rows: places(&readings.serving),
+            columns: places(&readings.fillers),
+            means_percent: (0..readings.fillers.len()).map(mean).collect(),
+            costs_percent,
+        }
     }
 
     /// Returns what a core of `filler` takes from `serving`, in percent of headroom, if both were
     /// compared with others.
-    pub fn get(&self, serving: &str, filler: &str) -> Option<f64> {
-        let column = self.column(filler)?;
-        let row = self.serving.iter().position(|it| it == serving)?;
-        Some(self.costs_percent[row][column])
+    pub fn get(&self, serving: ImageKey, filler: ImageKey) -> Option<f64> {
+        let column = place(&self.columns, filler)?;
+        Some(self.costs_percent[place(&self.rows, serving)?][column])
     }
 
     /// Returns what a core of `filler` takes from a service of which nothing is known: the mean of
     /// those that were compared. Returns nothing for a filler that none of them was seen with.
-    pub fn mean_percent(&self, filler: &str) -> Option<f64> {
-        let column = self.column(filler)?;
-        let sum: f64 = self.costs_percent.iter().map(|row| row[column]).sum();
-        Some((UNKNOWN_PERCENT + sum) / (1.0 + self.costs_percent.len() as f64))
+    pub fn mean_percent(&self, filler: ImageKey) -> Option<f64> {
+        Some(self.means_percent[place(&self.columns, filler)?])
     }
+}
 
-    fn column(&self, filler: &str) -> Option<usize> {
-        self.fillers.iter().position(|it| it == filler)
+/// Returns by key where each of some images stands in their list.
+fn places(images: &[ImageKey]) -> Vec<Option<u16>> {
+    let length = images.iter().map(|it| it.index() + 1).max().unwrap_or(0);
+    let mut res = vec![None; length];
+    for (at, it) in images.iter().enumerate() {
+        res[it.index()] = u16::try_from(at).ok();
     }
+    res
+}
+
+fn place(places: &[Option<u16>], image: ImageKey) -> Option<usize> {
+    places.get(image.index()).copied().flatten().map(usize::from)
 }
 
 fn costs_percent(readings: &Readings) -> Vec<Vec<f64>> {
--- a/src/policy/harm/costs.rs
+++ b/src/policy/harm/costs.rs
@@ -1,9 +1,6 @@
 //! What fillers cost one image that serves, by a filter over readings.
 
-use crate::{
-    policy::harm::{Filler, alike::Evidence},
-    prelude::*,
-};
+use crate::policy::harm::{Filler, alike::Evidence, images::ImageKey};
 
 /// What a core of a pair not seen yet is taken to cost, in percent of headroom: four fillers of
 /// eight cores halve what a service at half load has left.
@@ -37,7 +34,7 @@
 /// apart.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Costs {
-    images: Vec<CompactString>,
+    images: Vec<ImageKey>,
     /// By image, in percent of headroom a core.
     means: Vec<f64>,
     /// How estimates may be off together: a square, row by row in the order of the images.
@@ -47,14 +44,14 @@
 }
 
 impl Costs {
-    pub(super) fn get(&self, image: &str) -> Option<f64> {
-        let at = self.images.iter().position(|it| it == image)?;
+    pub(super) fn get(&self, image: ImageKey) -> Option<f64> {
+        let at = self.images.iter().position(|it| *it == image)?;
         Some(self.means[at])
     }
 
     /// Returns what readings tell of an image, without what was taken for likely before.
-    pub(super) fn evidence(&self, image: &str) -> Option<Evidence> {
-        let at = self.images.iter().position(|it| it == image)?;
+    pub(super) fn evidence(&self, image: ImageKey) -> Option<Evidence> {
+        let at = self.images.iter().position(|it| *it == image)?;
         let unknown = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
         let variance = self.covariances[at][at];
         let precision = 1.0 / variance - 1.0 / unknown;
@@ -69,8 +66,8 @@
 
     /// Returns the place of an image; the one not seen for longest makes way where there are too
     /// many.
-    fn place_of(&mut self, image: &CompactString, now_ms: u64) -> usize {
-        if let Some(at) = self.images.iter().position(|it| it == image) {
+    fn place_of(&mut self, image: ImageKey, now_ms: u64) -> usize {
+        if let Some(at) = self.images.iter().position(|it| *it == image) {
             return at;
         }
         if IMAGES_MAX <= self.images.len()
@@ -78,7 +75,7 @@
         {
             self.remove(at);
         }
-        self.images.push(image.clone());
+        self.images.push(image);
         self.means.push(UNKNOWN_PERCENT);
         self.seen_ms.push(now_ms);
         self.covariances.iter_mut().for_each(|row| row.push(0.0));
@@ -89,7 +86,7 @@
     }
 
     /// Takes over what an earlier leader had learned of an image.
-    pub(super) fn set_known(&mut self, image: &CompactString, percent: f64, now_ms: u64) {
+    pub(super) fn set_known(&mut self, image: ImageKey, percent: f64, now_ms: u64) {
         self.at_ms = now_ms;
         let at = self.place_of(image, now_ms);
         self.means[at] = percent;
@@ -97,8 +94,8 @@
     }
 
     /// Returns all images with their costs.
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&CompactString, f64)> {
-        self.images.iter().zip(self.means.iter().copied())
+    pub(super) fn iter(&self) -> impl Iterator<Item = (ImageKey, f64)> {
+        self.images.iter().copied().zip(self.means.iter().copied())
     }
 
     fn remove(&mut self, at: usize) {
@@ -132,7 +129,7 @@
     ) {
         self.age(now_ms);
         for it in fillers {
-            let at = self.place_of(&it.image, now_ms);
+            let at = self.place_of(it.image, now_ms);
             self.seen_ms[at] = now_ms;
         }
         // Placed first: an image that makes way moves the places of others.
--- a/src/policy/harm/mod.rs
+++ b/src/policy/harm/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod alike;
 mod costs;
+pub mod images;
 
 use std::{cmp::Reverse, collections::HashMap};
 
@@ -21,6 +22,7 @@
 use self::{
     alike::{Estimates, Readings},
     costs::Costs,
+    images::{ImageKey, Images},
 };
 
 /// Pairs handed on to the next leader: some 20 KB in the log.
@@ -88,17 +90,17 @@
 }
 
 /// A task that serves, as reported.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Serving {
     pub run: RunRef,
-    pub image: CompactString,
+    pub image: ImageKey,
     pub headroom_percent: f64,
 }
 
 /// A filler beside it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Filler {
-    pub image: CompactString,
+    pub image: ImageKey,
     /// Processor that it uses, or would.
     pub cores: f64,
 }
@@ -114,14 +116,17 @@
 /// What is known of images beside each other.
 #[derive(Clone, Debug, Default)]
 pub struct Harm {
+    images: Images,
     rests: HashMap<LoadGroup, Rest>,
     /// When tasks were last over their bounds.
     overloaded_ms: HashMap<RunRef, u64>,
     /// By image of the serving task.
-    costs: HashMap<CompactString, Costs>,
+    costs: HashMap<ImageKey, Costs>,
     /// What images that behave alike add to that.
     estimates: Estimates,
     compared_ms: u64,
+    /// Rises with each comparison.
+    version: u64,
 }
 
 impl Harm {
@@ -129,24 +134,36 @@
     pub fn with_known(costs: &[ImageCost], now_ms: u64) -> Harm {
         let mut res = Harm::default();
         for it in costs {
-            let own = res.costs.entry(it.serving.clone()).or_default();
-            own.set_known(&it.filler, f64::from(it.headroom_percent), now_ms);
+            let (serving, filler) = (res.image(&it.serving), res.image(&it.filler));
+            let own = res.costs.entry(serving).or_default();
+            own.set_known(filler, f64::from(it.headroom_percent), now_ms);
         }
         res
     }
 
+    /// Returns the key of an image.
+    pub fn image(&mut self, name: &str) -> ImageKey {
+        self.images.key(name)
+    }
+
+    /// Returns the name of an image.
+    pub fn image_name(&self, key: ImageKey) -> &CompactString {
+        self.images.name(key)
+    }
+
     /// Returns what the next leader is to know, pair by pair.
     pub fn known(&self) -> Vec<ImageCost> {
         let mut res = Vec::new();
         let mut serving: Vec<_> = self.costs.iter().collect();
-        serving.sort_by_key(|(image, _)| *image);
+        serving.sort_by_key(|(image, _)| self.images.name(**image));
         for (serving, costs) in serving {
             for (filler, percent) in costs.iter() {
                 if KNOWN_MAX <= res.len() {
                     return res;
                 }
                 let headroom_percent = percent.round() as f32;
-                let (serving, filler) = (serving.clone(), filler.clone());
+                let serving = self.images.name(*serving).clone();
+                let filler = self.images.name(filler).clone();
                 res.push(ImageCost { serving, filler, headroom_percent });
             }
         }
@@ -154,7 +171,7 @@
     }
 
     /// Returns what a core of `filler` takes from `serving`, in percent of headroom.
-    pub fn cost_percent(&self, serving: &str, filler: &str) -> f64 {
+    pub fn cost_percent(&self, serving: ImageKey, filler: ImageKey) -> f64 {
         let told = self.estimates.get(serving, filler);
         let read = || self.read_cost_percent(serving, filler);
         let mean = || self.estimates.mean_percent(filler);
@@ -162,8 +179,13 @@
     }
 
     /// Returns the same by readings of this pair alone, if there are any.
-    fn read_cost_percent(&self, serving: &str, filler: &str) -> Option<f64> {
-        self.costs.get(serving).and_then(|it| it.get(filler))
+    fn read_cost_percent(&self, serving: ImageKey, filler: ImageKey) -> Option<f64> {
+        self.costs.get(&serving).and_then(|it| it.get(filler))
+    }
+
+    /// Returns a number that changes when costs do.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// Returns the headroom that the tasks of a step have with no filler beside them.
@@ -172,8 +194,8 @@
     }
 
     /// Returns what `fillers` take from `serving` together, in percent of headroom.
-    pub fn taken_percent(&self, serving: &str, fillers: &[Filler]) -> f64 {
-        fillers.iter().map(|it| self.cost_percent(serving, &it.image) * it.cores).sum()
+    pub fn taken_percent(&self, serving: ImageKey, fillers: &[Filler]) -> f64 {
+        fillers.iter().map(|it| self.cost_percent(serving, it.image) * it.cores).sum()
     }
 
     /// Learns from what was reported of one VM.
@@ -188,23 +210,24 @@
         if self.compared_ms + COMPARED_MS <= now_ms {
             self.compared_ms = now_ms;
             self.estimates = Estimates::new(self.readings());
+            self.version += 1;
         }
     }
 
     /// Returns what readings tell of the images seen last.
     fn readings(&self) -> Readings {
         let mut rows: Vec<_> = self.costs.iter().collect();
-        rows.sort_by_key(|(image, it)| (Reverse(it.changed_ms()), *image));
+        rows.sort_by_key(|(image, it)| (Reverse(it.changed_ms()), **image));
         rows.truncate(COMPARED_MAX);
         let mut fillers = Vec::new();
         for (image, _) in rows.iter().flat_map(|(_, it)| it.iter()) {
-            if !fillers.contains(image) && fillers.len() < COMPARED_MAX {
-                fillers.push(image.clone());
+            if !fillers.contains(&image) && fillers.len() < COMPARED_MAX {
+                fillers.push(image);
             }
         }
-        let pairs = rows.iter().map(|(_, it)| fillers.iter().map(|image| it.evidence(image)));
+        let pairs = rows.iter().map(|(_, it)| fillers.iter().map(|image| it.evidence(*image)));
         Readings {
-            serving: rows.iter().map(|(image, _)| (*image).clone()).collect(),
+            serving: rows.iter().map(|(image, _)| **image).collect(),
             pairs: pairs.map(Iterator::collect).collect(),
             fillers,
         }
@@ -220,7 +243,7 @@
             return;
         }
         // By readings alone, since the filter compares its own forecast with what it is told.
-        let read = |filler: &Filler| self.read_cost_percent(&it.image, &filler.image);
+        let read = |filler: &Filler| self.read_cost_percent(it.image, filler.image);
         let cost = |filler: &Filler| read(filler).unwrap_or(UNKNOWN_PERCENT);
         let taken_percent: f64 = fillers.iter().map(|it| cost(it) * it.cores).sum();
         let headroom_percent = it.headroom_percent + taken_percent;
@@ -233,7 +256,7 @@
                 let rough_percent = known.headroom_percent * READING_DEVIATION;
                 let noise = rough_percent * rough_percent + drift_percent * drift_percent;
                 if self.costs.len() < REMEMBERED_MAX || self.costs.contains_key(&it.image) {
-                    let costs = self.costs.entry(it.image.clone()).or_default();
+                    let costs = self.costs.entry(it.image).or_default();
                     costs.blame(fillers, missing_percent, noise, now_ms);
                 }
                 return;
--- a/tests/fillers.rs
+++ b/tests/fillers.rs
@@ -6,6 +6,7 @@
         harm::{
             Filler, Harm, LoadGroup, Serving,
             alike::{Estimates, Evidence, Readings},
+            images::{ImageKey, Images},
         },
         mobility::{Movable, Speed, is_worth_moving},
         pacing::{FillerReading, Pacer, ServingReading, Usage},
@@ -160,12 +161,13 @@
         let noise = (random.f64() - 0.5) * 30.0;
         let (heavy, light) = (random.f64() * 6.0, random.f64() * 6.0);
         let fillers = [
-            Filler { image: "heavy".into(), cores: heavy },
-            Filler { image: "light".into(), cores: light },
+            Filler { image: harm.image("heavy"), cores: heavy },
+            Filler { image: harm.image("light"), cores: light },
         ];
+        let image = harm.image("web");
         let serving = |index: u32, headroom_percent: f64| Serving {
             run: run(1, index),
-            image: "web".into(),
+            image,
             headroom_percent,
         };
         let rest = 270.0 + swing;
@@ -173,7 +175,7 @@
         let beside = rest - 12.0 * heavy - 0.5 * light + noise;
         harm.observe(&[serving(1, beside)], &fillers, now_ms);
     }
-    let (heavy, light) = (harm.cost_percent("web", "heavy"), harm.cost_percent("web", "light"));
+    let (heavy, light) = (cost(&mut harm, "web", "heavy"), cost(&mut harm, "web", "light"));
     assert!((8.0..16.0).contains(&heavy), "{heavy}");
     assert!(light < 3.0, "{light}");
 }
@@ -183,28 +185,45 @@
     let mut harm = Harm::default();
     for at in 0..200_u64 {
         let now_ms = at * 250;
+        let image = harm.image("web");
         let serving = |index: u32, headroom_percent: f64| Serving {
             run: run(1, index),
-            image: "web".into(),
+            image,
             headroom_percent,
         };
-        let other = Filler { image: format_compact!("other-{at}"), cores: 3.0 };
-        let heavy = Filler { image: "heavy".into(), cores: 6.0 };
+        let other = Filler { image: harm.image(&format!("other-{at}")), cores: 3.0 };
+        let heavy = Filler { image: harm.image("heavy"), cores: 6.0 };
         harm.observe(&[serving(0, 270.0)], &[], now_ms);
         harm.observe(&[serving(1, 270.0 - 6.0 * 12.0)], &[heavy, other], now_ms);
     }
-    let heavy = harm.cost_percent("web", "heavy");
+    let heavy = cost(&mut harm, "web", "heavy");
     assert!((9.0..13.0).contains(&heavy), "{heavy}");
     assert!(harm.known().len() <= 32, "{}", harm.known().len());
 }
 
+/// What a core of a filler takes from a service, by their names.
+fn cost(harm: &mut Harm, serving: &str, filler: &str) -> f64 {
+    let (serving, filler) = (harm.image(serving), harm.image(filler));
+    harm.cost_percent(serving, filler)
+}
+
+/// Keys of a service and a filler among some services, numbered as [`readings`] does.
+fn keys(services: u32, service: u32, filler: u32) -> (ImageKey, ImageKey) {
+    let mut images = Images::default();
+    let services: Vec<_> = (0..services).map(|it| images.key(&format!("service-{it}"))).collect();
+    let fillers: Vec<_> = (0..=filler).map(|it| images.key(&format!("filler-{it}"))).collect();
+    (services[service as usize], fillers[filler as usize])
+}
+
 /// Readings of services by fillers, row by row; a negative cost stands for a pair not seen.
 fn readings(costs_percent: &[&[f64]]) -> Readings {
     let evidence = |it: &f64| (0.0 <= *it).then_some(Evidence { mean: *it, variance: 1.0 });
-    let names = |kind: &str, count| (0..count).map(|it| format_compact!("{kind}-{it}")).collect();
+    let mut images = Images::default();
+    let mut keys =
+        |kind: &str, count| (0..count).map(|it| images.key(&format!("{kind}-{it}"))).collect();
     Readings {
-        serving: names("service", costs_percent.len()),
-        fillers: names("filler", costs_percent[0].len()),
+        serving: keys("service", costs_percent.len()),
+        fillers: keys("filler", costs_percent[0].len()),
         pairs: costs_percent.iter().map(|row| row.iter().map(evidence).collect()).collect(),
     }
 }
@@ -226,7 +245,8 @@
         &[0.5, 1.0, 1.0, 8.0, 9.0, 8.0],
         &[-1.0, 0.5, 0.5, 7.0, 8.0, 9.0],
     ]));
-    let cost = it.get(&format!("service-{service}"), &format!("filler-{filler}")).unwrap();
+    let (service, filler) = keys(4, service, filler);
+    let cost = it.get(service, filler).unwrap();
     assert!((least..most).contains(&cost), "{cost} of {least} to {most}");
 }
 
@@ -234,13 +254,15 @@
 fn pairs_that_have_nothing_in_common_tell_nothing_of_each_other() {
     let rows: [&[f64]; 3] = [&[9.0, 0.5, 9.0, -1.0], &[0.5, 9.0, 0.5, 9.0], &[9.0, 9.0, 0.5, 0.5]];
     let it = Estimates::new(readings(&rows));
-    let seen = it.get("service-0", "filler-0").unwrap();
+    let (service, first) = keys(3, 0, 0);
+    let seen = it.get(service, first).unwrap();
     assert!((7.0..=9.5).contains(&seen), "{seen}; 9 was read");
-    let not_seen = it.get("service-0", "filler-3").unwrap();
+    let not_seen = it.get(service, keys(3, 0, 3).1).unwrap();
     assert!((2.5..6.0).contains(&not_seen), "{not_seen}; an unknown pair is taken to cost 4");
-    assert_eq!(it.get("service-0", "never seen"), None);
-    assert_eq!(it.mean_percent("never seen"), None);
-    let mean = it.mean_percent("filler-0").unwrap();
+    let never_seen = keys(3, 0, 9).1;
+    assert_eq!(it.get(service, never_seen), None);
+    assert_eq!(it.mean_percent(never_seen), None);
+    let mean = it.mean_percent(first).unwrap();
     assert!((4.0..7.0).contains(&mean), "{mean}; 9, 0.5 and 9 were read");
 }
 
@@ -248,33 +270,36 @@
 fn what_one_service_showed_of_two_fillers_warns_another_of_the_second() {
     let mut harm = Harm::default();
     // Fillers a and b are dear to the web service. The mail service has met only a so far.
-    let beside = |image: &str, cores| vec![Filler { image: image.into(), cores }];
+    let (web, mail) = (harm.image("web"), harm.image("mail"));
+    let (a, b) = (harm.image("a"), harm.image("b"));
+    let beside = |image, cores| vec![Filler { image, cores }];
     for step in 1..40 {
         let now_ms = step * 500;
-        let read = |workflow, image: &str, headroom_percent| {
-            vec![Serving { run: run(workflow, 0), image: image.into(), headroom_percent }]
+        let read = |workflow, image, headroom_percent| {
+            vec![Serving { run: run(workflow, 0), image, headroom_percent }]
         };
-        harm.observe(&read(1, "web", 300.0), &[], now_ms);
-        let sibling = |workflow, image: &str, headroom_percent| {
-            vec![Serving { run: run(workflow, 1), image: image.into(), headroom_percent }]
+        harm.observe(&read(1, web, 300.0), &[], now_ms);
+        let sibling = |workflow, image, headroom_percent| {
+            vec![Serving { run: run(workflow, 1), image, headroom_percent }]
         };
-        let filler = if step % 2 == 0 { "a" } else { "b" };
-        harm.observe(&sibling(1, "web", 220.0), &beside(filler, 8.0), now_ms);
-        harm.observe(&read(2, "mail", 250.0), &[], now_ms);
-        harm.observe(&sibling(2, "mail", 170.0), &beside("a", 8.0), now_ms);
+        let filler = if step % 2 == 0 { a } else { b };
+        harm.observe(&sibling(1, web, 220.0), &beside(filler, 8.0), now_ms);
+        harm.observe(&read(2, mail, 250.0), &[], now_ms);
+        harm.observe(&sibling(2, mail, 170.0), &beside(a, 8.0), now_ms);
     }
-    let warned = harm.cost_percent("mail", "b");
+    let warned = cost(&mut harm, "mail", "b");
     assert!((6.0..12.0).contains(&warned), "{warned}; the truth is 10");
 }
 
 #[test]
 fn a_queue_that_is_worked_off_is_not_blamed_on_what_runs_then() {
     let mut harm = Harm::default();
-    let serving =
-        |headroom_percent: f64| Serving { run: run(1, 0), image: "web".into(), headroom_percent };
+    let image = harm.image("web");
+    let serving = |headroom_percent: f64| Serving { run: run(1, 0), image, headroom_percent };
     let group = LoadGroup::of(run(1, 0).task);
     harm.observe(&[serving(250.0)], &[], 1_000);
-    harm.observe(&[serving(20.0)], &[Filler { image: "batch".into(), cores: 8.0 }], 1_250);
+    let batch = harm.image("batch");
+    harm.observe(&[serving(20.0)], &[Filler { image: batch, cores: 8.0 }], 1_250);
     let before = harm.rest_percent(group);
     // The fillers are gone, and the tail falls only slowly.
     harm.observe(&[serving(110.0)], &[], 1_500);
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -69,6 +69,8 @@
             spec: spec(steps),
             accepted_ms: self.now_ms,
         };
+        // Two plans are not made in the same moment.
+        self.now_ms += 20;
         self.apply(WorkflowCommand::Submit(submit));
         self.settle();
     }
@@ -188,8 +190,9 @@
     let known = leader.workflows.costs().to_vec();
     let cost = known.iter().find(|it| it.serving == "web" && it.filler == "heavy").unwrap();
     assert!((14.0..28.0).contains(&cost.headroom_percent), "{cost:?}; the truth is 21");
-    let next = Harm::with_known(leader.workflows.costs(), 7_000);
-    assert_eq!(next.cost_percent("web", "heavy"), f64::from(cost.headroom_percent));
+    let mut next = Harm::with_known(leader.workflows.costs(), 7_000);
+    let (web, heavy) = (next.image("web"), next.image("heavy"));
+    assert_eq!(next.cost_percent(web, heavy), f64::from(cost.headroom_percent));
 }
 
 #[test]
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use aspenrail::{
-    control::state::{WorkflowError, Workflows, check_spec},
+    control::state::{State, StepRef, WorkflowError, Workflows, check_spec},
     prelude::*,
+    util::Place,
 };
 
 use crate::world::{queues, spec, step};
@@ -199,3 +200,81 @@
     let listed: usize = ledger.workers().iter().map(|(_, it)| it.runs.len()).sum();
     assert_eq!(listed, live);
 }
+
+/// Random commands on workflows of several steps, gangs, copies and occurrences: what the indexes
+/// find is what a walk over everything finds, also after a snapshot.
+#[test]
+fn ready_steps_and_workers_are_found_as_by_a_walk() {
+    let mut random = fastrand::Rng::with_seed(23);
+    let mut state = State::new(Place { region: 1, group: 1 });
+    let mut applied = 0;
+    let mut apply = |state: &mut State, command: WorkflowCommand| {
+        applied += 1;
+        state.apply_workflow(applied, applied, &command);
+        assert_eq!(state.workflows.ready_steps().collect::<Vec<_>>(), walked(&state.workflows));
+    };
+    apply(&mut state, WorkflowCommand::Install(queues(1)));
+    for it in 0..4_u16 {
+        apply(&mut state, enrol_beside(it));
+    }
+    for id in 1..=9 {
+        let mut steps =
+            vec![step(3, 1, &[]), step(2, 1, &[0]), step(2, 1, &[]), step(1, 1, &[1, 2])];
+        (steps[0].gang, steps[2].duplicates) = (id % 3 == 0, id % 2 == 0);
+        let mut spec = spec(steps);
+        spec.repeat_count = id as u32 % 3;
+        apply(&mut state, submit(id, spec));
+    }
+    for _ in 0..4_000 {
+        let (id, index) = (random.u64(1..=9), random.u32(0..3));
+        let mut at = run(id, random.u32(0..4), index, random.u32(1..40));
+        at.task.occurrence = random.u32(0..2);
+        let worker = random.u64(1..=8);
+        let outcomes = [RunOutcome::Done, RunOutcome::Failed, RunOutcome::Lapsed];
+        let command = match random.u32(0..12) {
+            0..=4 => begin(worker, &[at]),
+            5..=8 => finish(worker, 1, at, outcomes[random.usize(0..3)]),
+            9 => WorkflowCommand::Void(VoidRuns { worker: WorkerId(worker), runs: vec![at] }),
+            10 => enrol_beside(random.u16(0..4)),
+            _ if random.u32(0..40) == 0 => WorkflowCommand::Cancel(WorkflowId(id)),
+            _ if random.u32(0..40) == 0 => WorkflowCommand::Dismiss(WorkerId(worker)),
+            _ => WorkflowCommand::Forget(random.u64(0..400)),
+        };
+        apply(&mut state, command);
+        for (id, worker) in state.workflows.workers().iter() {
+            assert_eq!(state.workflows.workers().find(worker.node, &worker.name), Some(id));
+        }
+    }
+    let restored = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
+    assert_eq!(restored.workflows.ready_steps().collect::<Vec<_>>(), walked(&state.workflows));
+    assert!(restored.workflows.queue("queue").is_some());
+    let (id, worker) = state.workflows.workers().iter().next().unwrap();
+    assert_eq!(restored.workflows.workers().find(worker.node, &worker.name), Some(id));
+}
+
+fn enrol_beside(port: u16) -> WorkflowCommand {
+    let mut command = enrol(&format!("w-{port}"));
+    if let WorkflowCommand::Enrol(enrol) = &mut command {
+        enrol.node.set_port(1_200 + port);
+    }
+    command
+}
+
+/// The steps that could begin, by a walk over all workflows.
+fn walked(workflows: &Workflows) -> Vec<StepRef> {
+    let mut res = Vec::new();
+    for (id, workflow) in workflows.active() {
+        for (occurrence, states) in workflow.occurrences.iter().enumerate() {
+            for (at, state) in states.steps.iter().enumerate() {
+                let after = &workflow.spec.steps[at].after;
+                let is_free = after.iter().all(|it| states.steps[*it as usize].is_done());
+                let waits = state.tasks.iter().any(|it| !it.is_done && it.runs.is_empty());
+                if is_free && waits {
+                    let (occurrence, step) = (occurrence as u32, at as u32);
+                    res.push(StepRef { workflow: id, occurrence, step });
+                }
+            }
+        }
+    }
+    res
+}
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -196,6 +196,26 @@
     assert!(!alone.calls.iter().any(|(_, it)| is_start(it)), "{:?}", alone.calls);
 }
 
+#[test]
+fn a_run_that_began_after_a_list_was_asked_for_is_kept() {
+    let mut alone = Alone::new();
+    alone.grant(false, Vec::new());
+    alone.list(Vec::new());
+    alone.grant(true, vec![start()]);
+    // The list was asked for before the start, and its answer comes after that of the start.
+    let hold = alone.take_call(is_hold);
+    let begun = alone.take_call(is_start);
+    alone.end(begun, CallResult::Done { clock_ms: 50_200 });
+    alone.end(hold, CallResult::Held { clock_ms: 50_150, running: Vec::new(), ended: Vec::new() });
+    alone.pass(600);
+    let listed = alone.reports.last().unwrap().workers[0].running.iter().map(|it| it.run);
+    assert_eq!(listed.collect::<Vec<_>>(), [RUN], "the leader would order it anew, or elsewhere");
+    // A later list shows what is true.
+    alone.list(Vec::new());
+    alone.pass(600);
+    assert!(alone.reports.last().unwrap().workers[0].running.is_empty());
+}
+
 #[test]
 fn nothing_starts_without_a_lease() {
     let mut alone = Alone::new();
--- a/tests/workflows/node_restarts.rs
+++ b/tests/workflows/node_restarts.rs
@@ -24,8 +24,17 @@
 #[derive(Debug)]
 enum Event {
     /// A call reaches the worker; its answer may get lost.
-    Call { boot: u64, id: u64, call: WorkerCall, answered: bool },
-    Result { boot: u64, id: u64, result: CallResult },
+    Call {
+        boot: u64,
+        id: u64,
+        call: WorkerCall,
+        answered: bool,
+    },
+    Result {
+        boot: u64,
+        id: u64,
+        result: CallResult,
+    },
     Grant(NodeGrant),
 }
 
