--- /dev/null
+++ b/src/bench/dispatch.rs
@@ -0,0 +1,312 @@
+//! What the leader of workflows costs by the number of workers and of tasks that wait.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    control::{
+        dispatch::{DispatchOptions, Dispatcher, PlanOptions},
+        state::Workflows,
+    },
+    link::{Frames, encode_frame},
+    prelude::*,
+};
+
+/// Images of lasting services and of fillers: as many as on the users' largest deployment.
+const SERVICES: u64 = 16;
+const FILLERS: u64 = 30;
+
+/// Serving tasks and fillers on each worker: two thirds of its cores reserved, most of the rest
+/// filled.
+const SERVING_PER_WORKER: u32 = 3;
+const FILLERS_PER_WORKER: u32 = 3;
+
+/// Tasks of one waiting step: the users' mean width of batch work.
+const STEP_WIDTH: u32 = 40;
+
+/// Interval of a node's reports.
+const REPORT_MS: u64 = 500;
+
+/// Far more than any frame takes here.
+const FRAME_MAX_BYTES: usize = 1 << 20;
+
+/// Rounds of reports from all workers that are measured.
+const ROUNDS: u32 = 20;
+
+/// What one case measured, each as the median and as what 99 of 100 stay below.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub workers: u64,
+    pub waiting: u32,
+    /// Time to decode a report, take it in and encode its answer, without a plan.
+    pub report_us: (f64, f64),
+    /// Time of a turn that makes a plan while everything waits.
+    pub plan_us: (f64, f64),
+}
+
+/// Measures every pair of the sizes and prints a table.
+pub fn run(workers: &[u64], waiting: &[u32]) {
+    println!("workers waiting report_us_p50 report_us_p99 plan_us_p50 plan_us_p99");
+    for waiting in waiting {
+        for workers in workers {
+            let it = measure(*workers, *waiting);
+            println!(
+                "{} {} {:.1} {:.1} {:.0} {:.0}",
+                it.workers, it.waiting, it.report_us.0, it.report_us.1, it.plan_us.0, it.plan_us.1
+            );
+        }
+    }
+}
+
+/// Measures one case.
+pub fn measure(workers: u64, waiting: u32) -> Case {
+    let mut leader = Leader::new(workers);
+    // Services first, then fillers, while tails are low enough for these.
+    for id in 0..SERVICES {
+        let count = (workers as u32 * SERVING_PER_WORKER).div_ceil(SERVICES as u32);
+        leader.submit(id + 1, service(id, count));
+    }
+    leader.report_all(LOW_TAIL_MS);
+    leader.report_all(LOW_TAIL_MS);
+    for id in 0..FILLERS {
+        let count = (workers as u32 * FILLERS_PER_WORKER).div_ceil(FILLERS as u32);
+        leader.submit(100 + id, filler(id, count));
+    }
+    leader.report_all(HIGH_TAIL_MS);
+    // Now nothing more fits beside the services.
+    for id in 0..u64::from(waiting.div_ceil(STEP_WIDTH)) {
+        leader.submit(1_000 + id, filler(id % FILLERS, STEP_WIDTH));
+    }
+    leader.report_all(HIGH_TAIL_MS);
+    leader.reports = Vec::new();
+    leader.plans = Vec::new();
+    for _ in 0..ROUNDS {
+        leader.report_all(HIGH_TAIL_MS);
+    }
+    let report_us = percentiles_us(&mut leader.reports);
+    let plan_us = percentiles_us(&mut leader.plans);
+    Case { workers, waiting, report_us, plan_us }
+}
+
+/// Tails of services with room for fillers, and without.
+const LOW_TAIL_MS: u32 = 12;
+const HIGH_TAIL_MS: u32 = 40;
+const TARGET_MS: u64 = 50;
+
+struct Leader {
+    workflows: Workflows,
+    dispatcher: Dispatcher,
+    now_ms: u64,
+    number: u64,
+    workers: u64,
+    reports: Vec<Duration>,
+    plans: Vec<Duration>,
+}
+
+impl Leader {
+    fn new(workers: u64) -> Leader {
+        let mut workflows = Workflows::default();
+        workflows.apply(&WorkflowCommand::Install(queues()), 1);
+        let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
+        let options = DispatchOptions {
+            lease_ms: 4_000,
+            lease_slack_percent: 3,
+            lease_margin_ms: 300,
+            silent_ms: 1_200,
+            retention_ms: 300_000,
+            plan: PlanOptions { interval_ms: 250 },
+        };
+        let dispatcher = Dispatcher::new(options, &workflows, 1, now);
+        let (reports, plans) = (Vec::new(), Vec::new());
+        let mut res =
+            Leader { workflows, dispatcher, now_ms: 1_000, number: 0, workers, reports, plans };
+        res.report_all(0);
+        res.report_all(0);
+        res
+    }
+
+    fn now(&self) -> Now {
+        Now { mono_ms: self.now_ms, wall_ms: self.now_ms }
+    }
+
+    fn submit(&mut self, id: u64, step: WorkflowStep) {
+        let spec = WorkflowSpec {
+            payload: "work".into(),
+            steps: vec![step],
+            repeat_count: 0,
+            first_run_ms: 0,
+            interval_ms: 0,
+        };
+        let accepted_ms = self.now_ms;
+        self.now_ms += 10;
+        let id = WorkflowId(id);
+        self.apply(WorkflowCommand::Submit(SubmitWorkflow {
+            id,
+            queue: "queue".into(),
+            spec,
+            accepted_ms,
+        }));
+        self.turn();
+    }
+
+    fn apply(&mut self, command: WorkflowCommand) {
+        self.workflows.apply(&command, self.now_ms);
+        self.dispatcher.note_applied(&self.workflows, &command, &[], self.now());
+    }
+
+    /// Lets every worker report once, spread over the interval of reports.
+    fn report_all(&mut self, tail_ms: u32) {
+        for worker in 1..=self.workers {
+            self.now_ms +=
+                u64::from(worker.is_multiple_of(self.workers.div_ceil(REPORT_MS).max(1)))
+                    * (REPORT_MS / self.workers).max(1);
+            self.report(worker, tail_ms);
+        }
+    }
+
+    fn report(&mut self, worker: u64, tail_ms: u32) {
+        self.number += 1;
+        let report = Message::NodeReport(NodeReport {
+            node: node(worker),
+            boot: 1,
+            number: self.number,
+            sent_ms: self.now_ms,
+            workers: vec![self.report_of(worker, tail_ms)],
+        });
+        let Ok(frame) = encode_frame(&report, FRAME_MAX_BYTES) else { return };
+        let began = Instant::now();
+        let mut frames = Frames::new(FRAME_MAX_BYTES);
+        frames.push(&frame);
+        // What was just encoded is read back.
+        let Ok(Some(Message::NodeReport(report))) = frames.next_frame() else { return };
+        self.dispatcher.on_report(&self.workflows, report, &[], self.now());
+        self.reports.push(began.elapsed());
+        self.turn();
+    }
+
+    fn report_of(&self, worker: u64, tail_ms: u32) -> WorkerReport {
+        let name = format_compact!("worker-{worker}");
+        let id = self.workflows.workers().find(node(worker), &name);
+        let placed = id.and_then(|it| self.workflows.workers().get(it));
+        let running = placed.iter().flat_map(|it| &it.runs).map(|run| {
+            let is_filler = self.workflows.step_of(run.task).is_some_and(|it| it.filler);
+            let load = if is_filler { 3_000 } else { tail_ms };
+            RunningTask {
+                run: *run,
+                checkpoint: "0bb87a21d94b".into(),
+                progress_percent: 100,
+                load,
+            }
+        });
+        WorkerReport {
+            name,
+            service: "pool".into(),
+            zone: "zone".into(),
+            kind: "a".into(),
+            rack: "rack".into(),
+            capacity: Resources { cpu_millicores: 64_000, memory_mib: 250_000, accelerators: 0 },
+            draining: false,
+            remaining_ms: 0,
+            gone: false,
+            term: 1,
+            running: running.collect(),
+            ended: Vec::new(),
+            refused: Vec::new(),
+            roles_missing: false,
+        }
+    }
+
+    /// Ends a turn; what it wants in the ledger is there at once.
+    fn turn(&mut self) {
+        loop {
+            let plans = self.dispatcher.plans();
+            let began = Instant::now();
+            let step = self.dispatcher.finish_turn(&self.workflows, &[], self.now());
+            if plans < self.dispatcher.plans() {
+                self.plans.push(began.elapsed());
+            }
+            for (_, message) in &step.messages {
+                let began = Instant::now();
+                // Encoded as for the link; only the time counts here.
+                let _ = encode_frame(message, FRAME_MAX_BYTES);
+                if let Some(it) = self.reports.last_mut() {
+                    *it += began.elapsed();
+                }
+            }
+            if step.commands.is_empty() {
+                return;
+            }
+            step.commands.into_iter().for_each(|it| self.apply(it));
+        }
+    }
+}
+
+fn node(worker: u64) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + worker as u16))
+}
+
+fn queues() -> QueueConfig {
+    let queue = Queue {
+        name: "queue".into(),
+        host: "host".into(),
+        path_prefix: "/queue/".into(),
+        service: "pool".into(),
+        priority: 0,
+        attempts_max: 3,
+        timeout_ms: 3_000,
+        stretch_percent: 150,
+        target_ms: 250,
+        needs_ticket: false,
+    };
+    let document = serde_bytes::ByteBuf::new();
+    QueueConfig { version: 1, queues: vec![queue], services: vec!["pool".into()], document }
+}
+
+fn service(image: u64, count: u32) -> WorkflowStep {
+    let need = Resources { cpu_millicores: 13_000, memory_mib: 26_000, accelerators: 0 };
+    WorkflowStep {
+        lasting: true,
+        tail_target_ms: TARGET_MS,
+        image: format_compact!("service-{image}"),
+        ..step(count, need)
+    }
+}
+
+fn filler(image: u64, count: u32) -> WorkflowStep {
+    let need = Resources { cpu_millicores: 7_000, memory_mib: 13_000, accelerators: 0 };
+    let image = format_compact!("filler-{image}");
+    WorkflowStep { filler: true, checkpoints: true, image, ..step(count, need) }
+}
+
+fn step(count: u32, need: Resources) -> WorkflowStep {
+    WorkflowStep {
+        count,
+        need,
+        estimate_ms: 2_700,
+        after: Vec::new(),
+        gang: false,
+        same_rack: false,
+        required_label: CompactString::default(),
+        data_rack: CompactString::default(),
+        per_worker_max: 0,
+        duplicates: false,
+        lasting: false,
+        image: CompactString::default(),
+        tail_target_ms: 0,
+        filler: false,
+        unavailable_max: 0,
+        checkpoints: false,
+    }
+}
+
+/// Returns the median and what 99 of 100 stay below, in microseconds.
+fn percentiles_us(times: &mut [Duration]) -> (f64, f64) {
+    times.sort_unstable();
+    let at = |percent: usize| {
+        let it = times.get((times.len() * percent / 100).min(times.len().saturating_sub(1)));
+        it.map_or(0.0, |it| it.as_secs_f64() * 1e6)
+    };
+    (at(50), at(99))
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -3,6 +3,7 @@
 pub mod batch;
 pub mod capacity;
 pub mod commits;
+pub mod dispatch;
 
 /// Returns the resident memory of this process in bytes.
 pub fn resident_bytes() -> u64 {
--- a/src/cli/bench.rs
+++ b/src/cli/bench.rs
@@ -20,6 +20,9 @@
       commits a second by batch size on the disk that holds DIR, and recovery by log length
   batch [--seeds 5] [--seconds 3600] [--only VARIANT]
       what each decision about batch work earns, in virtual time
+  dispatch [--workers 30,100,300,1000,2000] [--waiting 100,1000,20000]
+      what the leader of workflows costs for each report and each plan, by workers and by tasks
+      that wait for room
   quick [--seconds 5]
       quick requests through one entry beside direct calls of the same endpoints, then with one
       slow, one failing and one leaving endpoint
@@ -66,6 +69,19 @@
             bench::batch::run(seeds, seconds, only.as_deref());
             Ok(())
         }
+        Some("dispatch") => {
+            let workers: Vec<u64> = arguments.list("--workers")?;
+            let waiting: Vec<u32> = arguments.list("--waiting")?;
+            arguments.finish()?;
+            let workers =
+                if workers.is_empty() { vec![30, 100, 300, 1_000, 2_000] } else { workers };
+            let waiting = if waiting.is_empty() { vec![100, 1_000, 20_000] } else { waiting };
+            if workers.iter().any(|it| !(1..=60_000).contains(it)) {
+                return Err(Failure::Usage("--workers: each is 1 to 60000".to_owned()));
+            }
+            bench::dispatch::run(&workers, &waiting);
+            Ok(())
+        }
         Some("quick") => {
             let seconds = arguments.optional("--seconds")?.unwrap_or(5);
             arguments.finish()?;
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -71,6 +71,7 @@
     begin_in_flight: bool,
     planned_ms: u64,
     plan_at_ms: u64,
+    plans: u64,
     forget_at_ms: u64,
     occupancy_at_ms: u64,
     learn_at_ms: u64,
@@ -91,6 +92,7 @@
             idle_since: plan::IdleSince::default(),
             begin_in_flight: false,
             planned_ms: 0,
+            plans: 0,
             plan_at_ms: now.mono_ms,
             forget_at_ms: now.mono_ms + FORGET_INTERVAL_MS,
             occupancy_at_ms: now.mono_ms + OCCUPANCY_INTERVAL_MS,
@@ -107,6 +109,11 @@
         plan_at_ms.min(expiry_ms).min(self.forget_at_ms).min(self.learn_at_ms)
     }
 
+    /// Returns how many plans were made so far.
+    pub fn plans(&self) -> u64 {
+        self.plans
+    }
+
     /// Lets time pass: leases expire, and occurrences become due.
     pub fn tick(&mut self, workflows: &Workflows, now: Now) {
         self.expire(workflows, now);
@@ -137,6 +144,7 @@
     }
 
     fn plan(&mut self, workflows: &Workflows, members: &[SocketAddr], now: Now) {
+        self.plans += 1;
         self.planned_ms = now.mono_ms;
         self.plan_at_ms = now.mono_ms + self.options.plan.interval_ms;
         let basis = plan::Basis {
--- a/src/control/dispatch/plan/moves.rs
+++ b/src/control/dispatch/plan/moves.rs
@@ -4,10 +4,7 @@
 //! its whole workflow while other workers could run it at full speed.
 
 use crate::{
-    control::{
-        dispatch::{rooms::Care, sessions::SlowRun},
-        state::StepRef,
-    },
+    control::{dispatch::sessions::SlowRun, state::StepRef},
     policy::mobility::{Movable, is_worth_moving},
 };
 
@@ -34,7 +31,7 @@
 fn moves_one(it: &SlowRun, placing: &mut Placing<'_, '_>) -> Option<()> {
     let workflow = placing.workflows().get(it.run.task.workflow)?;
     let step = workflow.spec.steps.get(it.run.task.step as usize)?;
-    let found = placing.best_for(StepRef::of(it.run.task), workflow, Care::KeepTails)?;
+    let found = placing.best_for(StepRef::of(it.run.task), workflow)?;
     let movable = Movable {
         estimate_ms: step.estimate_ms,
         progress_percent: it.progress_percent,
--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -193,17 +193,22 @@
     }
 
     /// Returns the best worker for one more task of a step, and the speed that it has there.
-    pub(super) fn best_for(
-        &mut self,
-        at: StepRef,
-        workflow: &'a Workflow,
-        care: Care,
-    ) -> Option<Found<'a>> {
+    pub(super) fn best_for(&mut self, at: StepRef, workflow: &'a Workflow) -> Option<Found<'a>> {
         let queue = self.workflows.queue(&workflow.queue)?;
         let state = state_of(workflow, at)?;
         let step = workflow.spec.steps.get(at.step as usize)?;
         let asked = Asked::new(step, queue, self.harm);
-        let (_, room) = self.offers(&asked, &counts_of(step, state), care).pop()?;
+        let need = Unmet::new(&asked);
+        if self.unmet.iter().any(|it| it.rules_out(&need)) {
+            return None;
+        }
+        let Some((_, room)) = self.offers(&asked, &counts_of(step, state), Care::KeepTails).pop()
+        else {
+            if step.per_worker_max == 0 {
+                self.unmet.push(need);
+            }
+            return None;
+        };
         let speed = match asked.work {
             Work::Filler { image, millicores } => {
                 self.rooms[room].speed_of(image, millicores, self.harm)
