Bound what the log of a control member keeps in memory and sends into a cut

Cause: a member that did not answer was sent up to 8,192 entries ahead, configurations of 400 KB among them, and a log of configurations was kept whole until 20,000 entries. Tests: 100 configurations into a cut were 40 MB sent and are under 6; 300 in a row stay under 33 MB.

--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -231,8 +231,9 @@
         self.apply(now)?;
         self.follow_leadership(now);
         self.turn_dispatcher(now);
-        if self.raft.snapshot_index() + u64::from(self.options.settings.snapshot_entries)
-            < self.state.index()
+        let snapshot_entries = u64::from(self.options.settings.snapshot_entries);
+        if self.raft.snapshot_index() + snapshot_entries < self.state.index()
+            || self.raft.is_heavy()
         {
             // Encoding runs on the core's thread; docs/CAPACITY.md has what it costs.
             let data = self.state.to_bytes()?;
--- a/src/control/log/options.rs
+++ b/src/control/log/options.rs
@@ -12,6 +12,10 @@
     pub window_entries: u64,
     /// Entries kept behind a snapshot for members that lag a little.
     pub retained_entries: u64,
+    /// Memory that they may take; a member that needs more gets the snapshot.
+    pub retained_bytes: usize,
+    /// Memory of entries at which a snapshot is taken.
+    pub snapshot_bytes: usize,
     pub chunk_bytes: usize,
     /// Seed of the election jitter.
     pub seed: u64,
@@ -25,6 +29,9 @@
             batch_entries: 512,
             window_entries: 8_192,
             retained_entries: 2_000,
+            // A sixth and a third of what users want a control process to take at most.
+            retained_bytes: 16 << 20,
+            snapshot_bytes: 32 << 20,
             chunk_bytes: 256 * 1024,
             seed: 1,
         }
--- a/src/control/log/raft/mod.rs
+++ b/src/control/log/raft/mod.rs
@@ -20,7 +20,7 @@
     control::log::{
         options::RaftOptions,
         progress::Progress,
-        record::{DiskWrite, HardState, Recovered, Snapshot},
+        record::{DiskWrite, HardState, Recovered, Snapshot, weight_bytes},
     },
     prelude::*,
 };
@@ -69,6 +69,8 @@
     leader: Option<MemberId>,
     /// Entries behind the snapshot point, oldest first.
     entries: VecDeque<Arc<LogEntry>>,
+    /// About how much memory these take.
+    entries_bytes: usize,
     /// Index and term of the entry before the first of `entries`.
     base_index: u64,
     base_term: u64,
@@ -133,6 +135,7 @@
             hard: recovered.hard,
             role: Role::Follower,
             leader: None,
+            entries_bytes: recovered.entries.iter().map(weight_bytes).sum(),
             entries: recovered.entries.into_iter().map(Arc::new).collect(),
             base_index,
             base_term,
@@ -202,6 +205,11 @@
         self.snapshot.as_ref().map_or(0, |it| it.index)
     }
 
+    /// Returns about how much memory the entries kept take.
+    pub fn entries_bytes(&self) -> usize {
+        self.entries_bytes
+    }
+
     /// Returns, for the leader, how far a member's log is known to match, how long ago it
     /// answered, and the configuration revision in force there.
     pub fn progress_of(&self, id: MemberId, now: Now) -> Option<(u64, u64, Revision)> {
@@ -325,6 +333,12 @@
         }
     }
 
+    /// Returns whether the entries kept take so much memory that a snapshot is due.
+    pub fn is_heavy(&self) -> bool {
+        self.options.snapshot_bytes <= self.entries_bytes
+            && self.snapshot_index() < self.applied_index
+    }
+
     /// Takes the writes gathered so far with their number; [`Raft::persisted`] is to be told it.
     pub fn take_writes(&mut self, now: Now) -> Option<(u64, Vec<DiskWrite>)> {
         if self.pending.is_empty() || self.gathers(now) {
--- a/src/control/log/raft/replication.rs
+++ b/src/control/log/raft/replication.rs
@@ -3,15 +3,22 @@
 use std::sync::Arc;
 
 use crate::{
-    control::log::{raft::Raft, record::DiskWrite},
+    control::log::{
+        raft::Raft,
+        record::{DiskWrite, weight_bytes},
+    },
     prelude::*,
 };
 
+/// Entries of one append, in memory: a configuration of a thousand queues is half of it.
+const BATCH_BYTES: usize = 1 << 20;
+
 impl Raft {
     pub(super) fn append(&mut self, entry: Arc<LogEntry>) {
         if let EntryBody::Members(it) = &entry.body {
             self.memberships.push_back((entry.index, it.clone()));
         }
+        self.entries_bytes += weight_bytes(&entry);
         self.entries.push_back(entry.clone());
         match self.pending.last_mut() {
             Some(DiskWrite::Append(list)) => list.push(entry),
@@ -20,7 +27,10 @@
     }
 
     pub(super) fn truncate_from(&mut self, index: u64) {
-        self.entries.truncate((index - self.base_index - 1) as usize);
+        let kept = (index - self.base_index - 1) as usize;
+        let cut: usize = self.entries.iter().skip(kept).map(|it| weight_bytes(it)).sum();
+        self.entries_bytes -= cut;
+        self.entries.truncate(kept);
         while 1 < self.memberships.len()
             && self.memberships.back().is_some_and(|(at, _)| index <= *at)
         {
@@ -62,10 +72,22 @@
             return self.send_chunk(now, to);
         };
         let in_window = it.next_index <= it.match_index + self.options.window_entries;
-        let limit = if in_window { self.options.batch_entries } else { 0 };
+        // To a member that does not answer, entries would only pile up on the way: on a day with
+        // a split of the group they took most of the leader's memory. Its next answer to an
+        // empty append tells from where on it needs them.
+        let since_ms = it.heard_ms.max(self.led_since_ms);
+        let is_silent = since_ms + self.options.election_timeout_ms <= now.mono_ms;
+        let limit = if in_window && !is_silent { self.options.batch_entries } else { 0 };
         let first = (it.next_index - self.base_index - 1) as usize;
+        let mut bytes = 0;
+        let fits = |it: &&Arc<LogEntry>| {
+            let before_bytes = bytes;
+            bytes += weight_bytes(it);
+            before_bytes < BATCH_BYTES
+        };
         let entries: Vec<_> =
-            self.entries.iter().skip(first).take(limit).map(|it| (**it).clone()).collect();
+            self.entries.iter().skip(first).take(limit).take_while(fits).collect();
+        let entries: Vec<_> = entries.into_iter().map(|it| (**it).clone()).collect();
         if let Some(it) = self.progress.get_mut(&to) {
             it.next_index += entries.len() as u64;
         }
--- a/src/control/log/raft/snapshots.rs
+++ b/src/control/log/raft/snapshots.rs
@@ -5,7 +5,7 @@
 use crate::{
     control::log::{
         raft::Raft,
-        record::{DiskWrite, Snapshot},
+        record::{DiskWrite, Snapshot, weight_bytes},
     },
     prelude::*,
     util::checksum,
@@ -21,8 +21,11 @@
         self.pending.push(DiskWrite::Snapshot(snapshot.clone()));
         self.snapshot = Some(snapshot);
         let keep_from = index.saturating_sub(self.options.retained_entries);
-        while self.base_index < keep_from {
+        while self.base_index < keep_from
+            || (self.base_index < index && self.options.retained_bytes < self.entries_bytes)
+        {
             let Some(it) = self.entries.pop_front() else { break };
+            self.entries_bytes -= weight_bytes(&it);
             self.base_index = it.index;
             self.base_term = it.term;
         }
@@ -118,6 +121,7 @@
     pub(super) fn install_snapshot(&mut self, snapshot: Snapshot) {
         let snapshot = Arc::new(snapshot);
         self.entries.clear();
+        self.entries_bytes = 0;
         self.base_index = snapshot.index;
         self.base_term = snapshot.term;
         self.commit_index = snapshot.index;
--- a/src/control/log/record.rs
+++ b/src/control/log/record.rs
@@ -161,3 +161,27 @@
         .any(|it| offset < it.durable_bytes as usize);
     if vouched { Tail::Corrupt } else { Tail::Torn }
 }
+
+/// Returns about how much memory an entry takes; exact where it is large.
+pub(super) fn weight_bytes(entry: &LogEntry) -> usize {
+    let EntryBody::Command(Command::Workflow(it)) = &entry.body else { return ENTRY_BYTES };
+    let more = match it {
+        WorkflowCommand::Install(it) => {
+            let text = |it: &Queue| it.name.len() + it.host.len() + it.path_prefix.len();
+            let queues: usize = it.queues.iter().map(text).sum();
+            it.document.len() + queues + it.queues.len() * size_of::<Queue>()
+        }
+        WorkflowCommand::Submit(it) => {
+            it.spec.payload.len() + it.spec.steps.len() * size_of::<WorkflowStep>()
+        }
+        WorkflowCommand::Begin(it) => it.len() * size_of::<RunPlacement>(),
+        WorkflowCommand::Finish(it) => it.ends.len() * size_of::<RunEnd>(),
+        WorkflowCommand::Void(it) => it.runs.len() * size_of::<RunRef>(),
+        WorkflowCommand::Learn(it) => it.len() * size_of::<ImageCost>(),
+        _ => 0,
+    };
+    ENTRY_BYTES + more
+}
+
+/// Memory of an entry without what its command lists.
+const ENTRY_BYTES: usize = 200;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -73,8 +73,18 @@
 pub const GATEWAY_ENDS: [&str; 3] = ["told", "not_taken", "unknown"];
 
 /// What is counted of the state.
-pub const STATE_GAUGES: [&str; 9] =
-    ["vms", "jobs", "tasks", "waiting", "claims", "watches", "workflows", "workers", "log_entries"];
+pub const STATE_GAUGES: [&str; 10] = [
+    "vms",
+    "jobs",
+    "tasks",
+    "waiting",
+    "claims",
+    "watches",
+    "workflows",
+    "workers",
+    "log_entries",
+    "log_bytes",
+];
 
 impl Metrics {
     /// Makes the metrics of a process, all at zero.
--- a/src/runtime/single/adapters.rs
+++ b/src/runtime/single/adapters.rs
@@ -138,6 +138,7 @@
             ("workflows", state.workflows.len()),
             ("workers", state.workflows.workers().len()),
             ("log_entries", log_entries as usize),
+            ("log_bytes", core.raft().entries_bytes()),
         ];
         self.metrics.set_state(&rows);
     }
--- a/tests/log_gathering.rs
+++ b/tests/log_gathering.rs
@@ -1,4 +1,4 @@
-//! What a leader appends while its disk syncs goes out together.
+//! What a leader appends while its disk syncs goes out together, and what it keeps stays bounded.
 #![allow(clippy::unwrap_used)]
 
 use aspenrail::{
@@ -12,6 +12,10 @@
     members: Vec<Raft>,
     /// Messages that carried entries, from the leader.
     appends: usize,
+    /// A member that hears nothing.
+    cut: Option<u64>,
+    /// Bytes of configurations in messages to it.
+    to_cut_bytes: usize,
     /// Numbers of the leader's writes that are not durable yet.
     syncing: Vec<u64>,
 }
@@ -31,7 +35,14 @@
             Raft::new(MemberId(it), recovered.clone(), options, now)
         };
         let members = (1..=3).map(new).collect();
-        let mut res = Group { now_ms: 10_000, members, appends: 0, syncing: Vec::new() };
+        let mut res = Group {
+            now_ms: 10_000,
+            members,
+            appends: 0,
+            cut: None,
+            to_cut_bytes: 0,
+            syncing: Vec::new(),
+        };
         while !res.members[0].is_leader() {
             res.now_ms += 10;
             let now = res.now();
@@ -70,6 +81,10 @@
                 {
                     self.appends += 1;
                 }
+                if self.cut == Some(it.to.0) {
+                    self.to_cut_bytes += documents_bytes(&it);
+                    continue;
+                }
                 let to = it.to.0 as usize - 1;
                 self.members[to].step(now, it);
                 if 0 < to
@@ -91,7 +106,11 @@
     }
 
     fn propose(&mut self) {
-        let body = EntryBody::Command(Command::Workflow(WorkflowCommand::Forget(1)));
+        self.propose_command(WorkflowCommand::Forget(1));
+    }
+
+    fn propose_command(&mut self, command: WorkflowCommand) {
+        let body = EntryBody::Command(Command::Workflow(command));
         let now = self.now();
         self.members[0].propose(now, body).unwrap();
         self.turn();
@@ -124,3 +143,63 @@
     let last_index = group.members[0].last_index();
     assert_eq!(group.members[0].commit_index(), last_index, "the two others suffice");
 }
+
+const DOCUMENT_BYTES: usize = 400_000;
+
+/// A configuration as large as users send.
+fn large_configuration(version: u64) -> WorkflowCommand {
+    let document = serde_bytes::ByteBuf::from(vec![b'x'; DOCUMENT_BYTES]);
+    let (queues, services) = (Vec::new(), Vec::new());
+    WorkflowCommand::Install(QueueConfig { version, queues, services, document })
+}
+
+fn documents_bytes(it: &RaftMessage) -> usize {
+    let RaftBody::Append(append) = &it.body else { return 0 };
+    let document = |it: &LogEntry| match &it.body {
+        EntryBody::Command(Command::Workflow(WorkflowCommand::Install(it))) => it.document.len(),
+        _ => 0,
+    };
+    append.entries.iter().map(document).sum()
+}
+
+#[test]
+fn a_member_that_does_not_answer_is_sent_little_and_catches_up_after() {
+    let mut group = Group::new();
+    group.cut = Some(3);
+    // Ten seconds of a configuration each 100 ms.
+    for version in 1..=100 {
+        group.now_ms += 100;
+        let now = group.now();
+        group.members[0].tick(now);
+        group.propose_command(large_configuration(version));
+        group.sync();
+    }
+    let most = 15 * DOCUMENT_BYTES;
+    assert!(group.to_cut_bytes < most, "{} bytes were sent into the cut", group.to_cut_bytes);
+    group.cut = None;
+    for _ in 0..200 {
+        group.now_ms += 100;
+        let now = group.now();
+        group.members[0].tick(now);
+        group.turn();
+        group.sync();
+    }
+    assert_eq!(group.members[2].last_index(), group.members[0].last_index());
+}
+
+#[test]
+fn large_entries_are_given_up_for_a_snapshot_before_they_fill_the_memory() {
+    let mut group = Group::new();
+    for version in 1..=300 {
+        group.now_ms += 10;
+        group.propose_command(large_configuration(version));
+        group.sync();
+        drop(group.members[0].take_applied());
+        if group.members[0].is_heavy() {
+            group.members[0].compact(vec![0; DOCUMENT_BYTES]);
+        }
+        let bytes = group.members[0].entries_bytes();
+        assert!(bytes <= 33 << 20, "{bytes} bytes are kept after version {version}");
+    }
+    assert!(0 < group.members[0].snapshot_index());
+}
