--- a/src/control/log/progress.rs
+++ b/src/control/log/progress.rs
@@ -9,6 +9,8 @@
     pub acked_sent_ms: u64,
     /// The leader's clock at the newest answer.
     pub heard_ms: u64,
+    /// The same when it began to look after this member.
+    pub known_ms: u64,
     /// Offset of the snapshot chunk under way, while one is.
     pub snapshot_offset_bytes: Option<u64>,
     pub chunk_sent_ms: u64,
@@ -16,18 +18,24 @@
 }
 
 impl Progress {
-    pub(super) fn new(next_index: u64) -> Progress {
+    pub(super) fn new(next_index: u64, now_ms: u64) -> Progress {
         Progress {
             match_index: 0,
             next_index,
             acked_sent_ms: 0,
             heard_ms: 0,
+            known_ms: now_ms,
             snapshot_offset_bytes: None,
             chunk_sent_ms: 0,
             in_force: 0,
         }
     }
 
+    /// Returns for how long the member has not answered.
+    pub(super) fn silent_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.heard_ms.max(self.known_ms))
+    }
+
     pub(super) fn acknowledge(&mut self, match_index: u64) {
         self.match_index = self.match_index.max(match_index);
         self.next_index = self.next_index.max(self.match_index + 1);
--- a/src/control/log/raft/election.rs
+++ b/src/control/log/raft/election.rs
@@ -88,7 +88,7 @@
         self.handing_over_since_ms = None;
         self.handed_over = false;
         self.progress.clear();
-        self.refresh_progress();
+        self.refresh_progress(now);
         // Nothing of earlier terms counts as committed until an entry of this term is.
         if self.propose(now, EntryBody::Noop).is_ok() {
             self.broadcast(now);
--- a/src/control/log/raft/membership.rs
+++ b/src/control/log/raft/membership.rs
@@ -87,7 +87,7 @@
             ));
         }
         let res = self.propose(now, EntryBody::Members(members))?;
-        self.refresh_progress();
+        self.refresh_progress(now);
         Ok(res)
     }
 
@@ -123,7 +123,7 @@
         values.get(values.len() / 2).copied().unwrap_or(0)
     }
 
-    pub(super) fn refresh_progress(&mut self) {
+    pub(super) fn refresh_progress(&mut self, now: Now) {
         let members = self.members().clone();
         let ids: BTreeSet<_> =
             members.voters.iter().chain(&members.learners).map(|it| it.id).collect();
@@ -131,7 +131,7 @@
         let next_index = self.last_index() + 1;
         for id in ids {
             if id != self.id {
-                self.progress.entry(id).or_insert_with(|| Progress::new(next_index));
+                self.progress.entry(id).or_insert_with(|| Progress::new(next_index, now.mono_ms));
             }
         }
     }
--- a/src/control/log/raft/mod.rs
+++ b/src/control/log/raft/mod.rs
@@ -217,7 +217,7 @@
             return Some((self.durable_index, 0, self.in_force));
         }
         let it = self.progress.get(&id)?;
-        Some((it.match_index, now.mono_ms.saturating_sub(it.heard_ms), Revision(it.in_force)))
+        Some((it.match_index, it.silent_ms(now.mono_ms), Revision(it.in_force)))
     }
 
     /// Sets the configuration revision told to the leader.
--- a/src/control/log/raft/replication.rs
+++ b/src/control/log/raft/replication.rs
@@ -75,8 +75,7 @@
         // To a member that does not answer, entries would only pile up on the way: on a day with
         // a split of the group they took most of the leader's memory. Its next answer to an
         // empty append tells from where on it needs them.
-        let since_ms = it.heard_ms.max(self.led_since_ms);
-        let is_silent = since_ms + self.options.election_timeout_ms <= now.mono_ms;
+        let is_silent = self.options.election_timeout_ms <= it.silent_ms(now.mono_ms);
         let limit = if in_window && !is_silent { self.options.batch_entries } else { 0 };
         let first = (it.next_index - self.base_index - 1) as usize;
         let mut bytes = 0;
--- a/tests/log_gathering.rs
+++ b/tests/log_gathering.rs
@@ -187,6 +187,17 @@
     assert_eq!(group.members[2].last_index(), group.members[0].last_index());
 }
 
+#[test]
+fn a_learner_just_added_is_not_taken_for_silent() {
+    let mut group = Group::new();
+    let learner = Member { id: MemberId(4), address: ([127, 0, 0, 1], 1_004).into() };
+    let now = group.now();
+    group.members[0].change_members(now, MemberChange::Add(learner)).unwrap();
+    group.now_ms += 200;
+    let (_, silent_ms, _) = group.members[0].progress_of(MemberId(4), group.now()).unwrap();
+    assert_eq!(silent_ms, 200, "it was removed before it could answer");
+}
+
 #[test]
 fn large_entries_are_given_up_for_a_snapshot_before_they_fill_the_memory() {
     let mut group = Group::new();
