--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -114,6 +114,15 @@
         self.plans
     }
 
+    /// Checks that the rooms kept are those that the ledger gives, by a walk over all workers.
+    ///
+    /// # Errors
+    ///
+    /// Returns what differs.
+    pub fn audit(&mut self, workflows: &Workflows) -> Result<(), String> {
+        self.rooms.audit(workflows, &mut self.harm)
+    }
+
     /// Lets time pass: leases expire, and occurrences become due.
     pub fn tick(&mut self, workflows: &Workflows, now: Now) {
         self.expire(workflows, now);
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -14,7 +14,7 @@
             rooms::{Care, Room, Rooms},
             sessions::{Sessions, SlowRun, Usable},
         },
-        state::{Occurrence, StepRef, Workflow, Workflows},
+        state::{Occurrence, Workflow, Workflows},
     },
     policy::{
         harm::Harm,
--- a/src/control/dispatch/plan/moves.rs
+++ b/src/control/dispatch/plan/moves.rs
@@ -4,8 +4,9 @@
 //! its whole workflow while other workers could run it at full speed.
 
 use crate::{
-    control::{dispatch::sessions::SlowRun, state::StepRef},
+    control::dispatch::sessions::SlowRun,
     policy::mobility::{Movable, is_worth_moving},
+    prelude::*,
 };
 
 use super::placing::Placing;
--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -8,7 +8,7 @@
             rooms::{Asked, Care, Preference, Room},
             watch::Work,
         },
-        state::{StepRef, StepState, Workflow, Workflows},
+        state::{StepState, Workflow, Workflows},
     },
     policy::harm::{Harm, images::ImageKey},
     prelude::*,
--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -15,7 +15,7 @@
         state::{Worker, Workflows, add, fits, reserve_of, subtract},
     },
     policy::{
-        harm::{Filler, Harm, LoadGroup, images::ImageKey},
+        harm::{Filler, Harm, images::ImageKey},
         pacing::NEGLIGIBLE_PERCENT,
     },
     prelude::*,
@@ -67,7 +67,7 @@
 struct Served {
     image: ImageKey,
     /// Loads that its tasks share, by the step that they are of.
-    groups: Vec<LoadGroup>,
+    groups: Vec<StepRef>,
     /// Headroom with no filler beside it, of the load that leaves least.
     rest_percent: f64,
     /// What the fillers here take from it at full speed.
@@ -125,7 +125,7 @@
                 Work::Serving { image, .. } => {
                     let served = res.served_of(image);
                     served.millicores += step.need.cpu_millicores;
-                    let group = LoadGroup::of(run.task);
+                    let group = StepRef::of(run.task);
                     if !served.groups.contains(&group) {
                         served.groups.push(group);
                     }
@@ -359,6 +359,29 @@
         self.rooms.values_mut().filter(|it| sessions.is_usable(it.id, usable)).collect()
     }
 
+    /// Checks that what is kept is what would be made anew.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first room that is not.
+    pub(super) fn audit(&self, workflows: &Workflows, harm: &mut Harm) -> Result<(), String> {
+        for (id, worker) in workflows.workers().iter().filter(|(id, _)| !self.stale.contains(id)) {
+            let made = Room::new(workflows, id, worker, harm);
+            let kept = self.rooms.get(&id).cloned().map(|mut it| {
+                it.read(harm);
+                it
+            });
+            if kept.as_ref() != Some(&made) {
+                return Err(format!("worker {id}: {kept:?} is kept for {made:?}"));
+            }
+        }
+        let gone = |id: &&WorkerId| workflows.workers().get(**id).is_none();
+        match self.rooms.keys().filter(|it| !self.stale.contains(it)).find(gone) {
+            Some(id) => Err(format!("a room is kept of worker {id}, which is gone")),
+            None => Ok(()),
+        }
+    }
+
     fn make(&mut self, workflows: &Workflows, harm: &mut Harm, id: WorkerId) {
         match workflows.workers().get(id) {
             Some(worker) => drop(self.rooms.insert(id, Room::new(workflows, id, worker, harm))),
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -25,8 +25,8 @@
     vms::{NOTHING, Session, Vm, Vms, add, fits, subtract},
     watches::{Watch, Watches},
     workflows::{
-        Occurrence, StepRef, StepState, TaskRun, Worker, Workers, Workflow, WorkflowError,
-        Workflows, check_queues, check_spec, reserve_of,
+        Occurrence, StepState, TaskRun, Worker, Workers, Workflow, WorkflowError, Workflows,
+        check_queues, check_spec, reserve_of,
     },
 };
 
--- a/src/control/state/workflows/index.rs
+++ b/src/control/state/workflows/index.rs
@@ -10,21 +10,6 @@
     prelude::*,
 };
 
-/// A step of a workflow in one occurrence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct StepRef {
-    pub workflow: WorkflowId,
-    pub occurrence: u32,
-    pub step: u32,
-}
-
-impl StepRef {
-    /// Returns the step of a task.
-    pub fn of(it: TaskRef) -> StepRef {
-        StepRef { workflow: it.workflow, occurrence: it.occurrence, step: it.step }
-    }
-}
-
 /// The indexes beside the workflows.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Index {
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -18,7 +18,6 @@
 
 pub use self::{
     check::{WorkflowError, check_queues, check_spec},
-    index::StepRef,
     task::{Occurrence, StepState, TaskRun, Workflow, reserve_of},
     workers::{Worker, Workers},
 };
--- a/src/policy/harm/mod.rs
+++ b/src/policy/harm/mod.rs
@@ -74,21 +74,6 @@
     (target_ms as f64 * 100.0 / f64::from(tail_ms.max(1))).min(HEADROOM_MAX_PERCENT)
 }
 
-/// The tasks that share one load: those of a step in one occurrence.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LoadGroup {
-    pub workflow: WorkflowId,
-    pub occurrence: u32,
-    pub step: u32,
-}
-
-impl LoadGroup {
-    /// Returns the group of a task.
-    pub fn of(it: TaskRef) -> LoadGroup {
-        LoadGroup { workflow: it.workflow, occurrence: it.occurrence, step: it.step }
-    }
-}
-
 /// A task that serves, as reported.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Serving {
@@ -117,7 +102,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Harm {
     images: Images,
-    rests: HashMap<LoadGroup, Rest>,
+    rests: HashMap<StepRef, Rest>,
     /// When tasks were last over their bounds.
     overloaded_ms: HashMap<RunRef, u64>,
     /// By image of the serving task.
@@ -125,8 +110,6 @@
     /// What images that behave alike add to that.
     estimates: Estimates,
     compared_ms: u64,
-    /// Rises with each comparison.
-    version: u64,
 }
 
 impl Harm {
@@ -183,13 +166,8 @@
         self.costs.get(&serving).and_then(|it| it.get(filler))
     }
 
-    /// Returns a number that changes when costs do.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
     /// Returns the headroom that the tasks of a step have with no filler beside them.
-    pub fn rest_percent(&self, group: LoadGroup) -> f64 {
+    pub fn rest_percent(&self, group: StepRef) -> f64 {
         self.rests.get(&group).map_or(UNKNOWN_REST_PERCENT, |it| it.headroom_percent)
     }
 
@@ -210,7 +188,6 @@
         if self.compared_ms + COMPARED_MS <= now_ms {
             self.compared_ms = now_ms;
             self.estimates = Estimates::new(self.readings());
-            self.version += 1;
         }
     }
 
@@ -235,7 +212,7 @@
 
     fn observe_one(&mut self, it: &Serving, fillers: &[Filler], now_ms: u64) {
         let cores = fillers.iter().map(|it| it.cores).sum();
-        let group = LoadGroup::of(it.run.task);
+        let group = StepRef::of(it.run.task);
         let works_off_queue = self.overloaded_ms.contains_key(&it.run);
         if it.headroom_percent < OVERLOADED_PERCENT {
             self.overloaded_ms.insert(it.run, now_ms);
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -4,4 +4,4 @@
 
 pub use crate::error::{Error, ErrorKind, Refusal, Result, refusal, refusal_until};
 pub use crate::schema::messages::*;
-pub use crate::util::Now;
+pub use crate::util::{Now, StepRef};
--- a/tests/fillers.rs
+++ b/tests/fillers.rs
@@ -4,7 +4,7 @@
 use aspenrail::{
     policy::{
         harm::{
-            Filler, Harm, LoadGroup, Serving,
+            Filler, Harm, Serving,
             alike::{Estimates, Evidence, Readings},
             images::{ImageKey, Images},
         },
@@ -296,7 +296,7 @@
     let mut harm = Harm::default();
     let image = harm.image("web");
     let serving = |headroom_percent: f64| Serving { run: run(1, 0), image, headroom_percent };
-    let group = LoadGroup::of(run(1, 0).task);
+    let group = StepRef::of(run(1, 0).task);
     harm.observe(&[serving(250.0)], &[], 1_000);
     let batch = harm.image("batch");
     harm.observe(&[serving(20.0)], &[Filler { image: batch, cores: 8.0 }], 1_250);
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -139,6 +139,8 @@
                     _ => None,
                 }));
             }
+            // The rooms that plans are made from are those that a walk over everything gives.
+            self.dispatcher.audit(&self.workflows).unwrap();
             if step.commands.is_empty() {
                 return;
             }
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use aspenrail::{
-    control::state::{State, StepRef, WorkflowError, Workflows, check_spec},
+    control::state::{State, WorkflowError, Workflows, check_spec},
     prelude::*,
     util::Place,
 };
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -95,6 +95,13 @@
         self.end(id, CallResult::Held { clock_ms: 50_100, running, ended: Vec::new() });
     }
 
+    /// Answers the newest call for a list: nothing runs, and nothing has ended.
+    fn list_newest(&mut self) {
+        let newest = self.calls.iter().rposition(|(_, it)| is_hold(it)).unwrap();
+        let (id, _) = self.calls.remove(newest);
+        self.end(id, CallResult::Held { clock_ms: 50_300, running: Vec::new(), ended: Vec::new() });
+    }
+
     fn pass(&mut self, time_ms: u64) {
         self.now_ms += time_ms;
         self.input(Input::Tick);
@@ -144,9 +151,7 @@
     let stop = alone.take_call(is_stop);
     alone.end(stop, CallResult::Done { clock_ms: 50_200 });
     assert_eq!(alone.refused(), [], "the list that proves it was not read yet");
-    let newest = alone.calls.iter().rposition(|(_, it)| is_hold(it)).unwrap();
-    let (id, _) = alone.calls.remove(newest);
-    alone.end(id, CallResult::Held { clock_ms: 50_300, running: Vec::new(), ended: Vec::new() });
+    alone.list_newest();
     assert_eq!(alone.refused(), [RefusalCause::Superseded]);
 }
 
@@ -189,9 +194,7 @@
     assert_eq!(alone.refused(), [], "an earlier call might still begin it");
     let stop = alone.take_call(is_stop);
     alone.end(stop, CallResult::Done { clock_ms: 50_200 });
-    let newest = alone.calls.iter().rposition(|(_, it)| is_hold(it)).unwrap();
-    let (id, _) = alone.calls.remove(newest);
-    alone.end(id, CallResult::Held { clock_ms: 50_300, running: Vec::new(), ended: Vec::new() });
+    alone.list_newest();
     assert_eq!(alone.refused(), [RefusalCause::Leaving]);
     assert!(!alone.calls.iter().any(|(_, it)| is_start(it)), "{:?}", alone.calls);
 }
