--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -33,7 +33,7 @@
 /// takes as long, so that callers hardly wait longer for it.
 const PLAN_PAUSE_MS: u64 = 10;
 
-/// Pause after which a plan is made for changed loads alone, where something waits for room.
+/// The same for changed loads alone, which matter only to what waits for room or is slow.
 const LOAD_PAUSE_MS: u64 = 100;
 
 /// What the dispatcher is told by the settings.
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Plans if anything changed, and returns what is to be proposed and sent.
+    /// Plans if that is due, and returns what is to be proposed and sent.
     pub fn finish_turn(&mut self, workflows: &Workflows, members: &[SocketAddr], now: Now) -> Step {
         if self.plan_at_ms <= now.mono_ms && !self.begin_in_flight {
             self.plan(workflows, members, now);
@@ -317,8 +317,10 @@
     fn expire(&mut self, workflows: &Workflows, now: Now) {
         for id in self.sessions.take_expired(now.mono_ms) {
             let Some(worker) = workflows.workers().get(id) else { continue };
-            let heard_ms = self.sessions.get(id).map_or(0, |it| it.heard_ms);
-            tracing::warn!(event = "worker_lost", worker = %worker.name, node = %worker.node, runs = worker.runs.len(), silent_ms = now.mono_ms.saturating_sub(heard_ms), cause = "lease_expired");
+            // Nothing for one that this leader has never heard.
+            let heard_ms = self.sessions.get(id).map(|it| it.heard_ms).filter(|it| 0 < *it);
+            let silent_ms = heard_ms.map(|it| now.mono_ms.saturating_sub(it));
+            tracing::warn!(event = "worker_lost", worker = %worker.name, node = %worker.node, runs = worker.runs.len(), silent_ms = ?silent_ms, cause = "lease_expired");
             let ends = self.sessions.lapsed_ends(id, worker);
             let finish = FinishRuns { worker: id, cursor: worker.cursor, ends };
             self.step.commands.push(WorkflowCommand::Finish(finish));
