Copy the entries of an append once; state what a silent member costs as it was measured

Without the rule the test sends 40 MB into the cut, run just now; with it under 6. An append's entries were collected twice. Behaviour is unchanged.

--- a/src/control/log/raft/replication.rs
+++ b/src/control/log/raft/replication.rs
@@ -72,9 +72,10 @@
             return self.send_chunk(now, to);
         };
         let in_window = it.next_index <= it.match_index + self.options.window_entries;
-        // To a member that does not answer, entries would only pile up on the way: on a day with
-        // a split of the group they took most of the leader's memory. Its next answer to an
-        // empty append tells from where on it needs them.
+        // To a member that does not answer, entries would only pile up on the way: 100
+        // configurations of 400 KB in ten seconds are 40 MB without this rule and under 6 with it
+        // (tests/log_gathering.rs). Its next answer to an empty append tells from where on it
+        // needs them.
         let is_silent = self.options.election_timeout_ms <= it.silent_ms(now.mono_ms);
         let limit = if in_window && !is_silent { self.options.batch_entries } else { 0 };
         let first = (it.next_index - self.base_index - 1) as usize;
@@ -84,9 +85,14 @@
             bytes += weight_bytes(it);
             before_bytes < BATCH_BYTES
         };
-        let entries: Vec<_> =
-            self.entries.iter().skip(first).take(limit).take_while(fits).collect();
-        let entries: Vec<_> = entries.into_iter().map(|it| (**it).clone()).collect();
+        let entries: Vec<_> = self
+            .entries
+            .iter()
+            .skip(first)
+            .take(limit)
+            .take_while(fits)
+            .map(|it| (**it).clone())
+            .collect();
         if let Some(it) = self.progress.get_mut(&to) {
             it.next_index += entries.len() as u64;
         }
