--- a/src/bench/dispatch.rs
+++ b/src/bench/dispatch.rs
@@ -215,6 +215,7 @@
             ended: Vec::new(),
             refused: Vec::new(),
             roles_missing: false,
+            faded: Vec::new(),
         }
     }
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -35,6 +35,7 @@
   aspenrail configure --based-on N --key K --change JSON
   aspenrail member add ID@ADDR | promote ID | remove ID
   aspenrail drain VM [--undo]
+  aspenrail evacuate ZONE [--undo]
 
 TRYING OUT
   aspenrail stand-in layout|worker|executor|load [--help]
@@ -106,7 +107,9 @@
             Ok(())
         }
         "dev" => dev::run(arguments),
-        "status" | "show" | "configure" | "member" | "drain" => operator::run(&command, arguments),
+        "status" | "show" | "configure" | "member" | "drain" | "evacuate" => {
+            operator::run(&command, arguments)
+        }
         "stand-in" => standin::run(arguments),
         "bench" => bench::run(arguments),
         "help" => {
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -17,13 +17,16 @@
 
   aspenrail status
   aspenrail show VIEW         configuration, history, teams, classes, vms, endpoints, jobs, leases,
-                              members, queue, dead_letters
+                              members, queue, dead_letters, evacuations
   aspenrail configure --based-on N --key K --change JSON
                               CHANGE is {\"PutTeam\":{...}}, {\"PutClass\":{...}},
                               {\"DeleteTeam\":NAME} or {\"DeleteClass\":NAME}; N is the revision that
                               you saw; a resend with the same key gets the first answer
   aspenrail member add ID@ADDR | promote ID | remove ID
   aspenrail drain VM [--undo]
+  aspenrail evacuate ZONE [--undo]
+                              nothing more is begun in the availability zone, or it is taken back;
+                              show evacuations lists the zones out of use, with who and since when
 ";
 
 /// What an operator command needs to reach control.
@@ -71,6 +74,14 @@
             arguments.finish()?;
             operator.post("members", &json!(change))?
         }
+        "evacuate" => {
+            let undo = arguments.flag("--undo");
+            let zone = arguments.word("the availability zone")?;
+            arguments.finish()?;
+            let seen = operator.get("evacuations")?;
+            let body = json!({"zone": zone, "evacuated": !undo, "based_on": seen["revision"]});
+            operator.post("evacuations", &body)?
+        }
         _ => {
             let undo = arguments.flag("--undo");
             let vm_name = arguments.word("the VM")?;
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -363,7 +363,13 @@
             return;
         };
         if let Command::Workflow(it) = command {
-            return self.apply_workflow(now, entry, it);
+            let outcome = self.apply_workflow(now, entry, it);
+            match waiting {
+                Some((term, to)) if term == entry.term => self.answer(to, reply_of(outcome)),
+                Some((_, to)) => self.answer_not_leader(to),
+                None => (),
+            }
+            return;
         }
         let mut changes = Vec::new();
         let outcome = self.state.apply(entry.index, entry.time_ms, command, &mut changes);
@@ -472,6 +478,17 @@
     }
 }
 
+/// Returns what an operator is told of a change of zones.
+fn reply_of(outcome: WorkflowOutcome) -> Outcome {
+    match outcome {
+        WorkflowOutcome::Stale => Err(refusal(
+            ErrorKind::RevisionConflict,
+            "other zones were taken out of use or back meanwhile: read the list and ask again",
+        )),
+        _ => Ok(Reply::Done),
+    }
+}
+
 /// Returns how long a lease granted now keeps its tasks from being placed anew.
 fn held_ms(settings: &ControlSettings) -> u64 {
     u64::from(settings.lease_ms) + u64::from(settings.lease_margin_ms)
--- a/src/control/core/operations.rs
+++ b/src/control/core/operations.rs
@@ -6,7 +6,7 @@
     control::{
         core::{ControlCore, Effect, PROPOSALS_MAX, ReplyTo, WATCH_READ_MAX},
         log::ProposeError,
-        state::Outcome,
+        state::{Outcome, WorkflowError},
         views,
     },
     prelude::*,
@@ -48,6 +48,7 @@
                 }
                 Err(error) => self.answer_unproposed(to, error),
             },
+            (_, Operation::Evacuate(it)) => self.evacuate(now, it, to),
             (_, Operation::Drain(it)) => match self.state.vms.by_name(&it.vm_name) {
                 Some(vm) => {
                     let flags = VmFlagsCommand {
@@ -65,6 +66,21 @@
         }
     }
 
+    /// Takes an availability zone out of use or back, on the ground that the operator saw.
+    fn evacuate(&mut self, now: Now, it: EvacuateRequest, to: ReplyTo) {
+        let evacuations = self.state.workflows.evacuations();
+        if let Err(WorkflowError(why)) = evacuations.check(&it) {
+            return self.answer(to, Err(refusal(ErrorKind::BadRequest, why)));
+        }
+        let change = EvacuateZone {
+            zone: it.zone,
+            evacuated: it.evacuated,
+            by: it.by,
+            based_on: it.based_on.unwrap_or(evacuations.revision),
+        };
+        self.propose_for_client(now, Command::Workflow(WorkflowCommand::Evacuate(change)), to);
+    }
+
     /// Checks the limits that are settings, and proposes.
     pub(super) fn propose_for_client(&mut self, now: Now, mut command: Command, to: ReplyTo) {
         if let Command::CreateWatch(it) = &mut command {
--- a/src/control/core/reports.rs
+++ b/src/control/core/reports.rs
@@ -56,7 +56,8 @@
         seen.in_force = it.in_force;
         seen.usage = it.usage;
         seen.held_until_ms = now.mono_ms + held_ms(&self.options.settings);
-        leading.directory.set(it.session, it.reply_to, vm, &it.endpoints);
+        let is_evacuated = self.state.workflows.evacuations().contains(&vm.zone);
+        leading.directory.set(it.session, it.reply_to, vm, is_evacuated, &it.endpoints);
         let age_ms = u64::from(it.usage.age_ms);
         let mut events =
             leading.scheduler.note_endpoints(&self.state, vm, &it.endpoints, age_ms, now);
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -6,7 +6,7 @@
     control::{
         core::{ControlCore, Effect},
         dispatch::{Dispatcher, Verdict, run_name},
-        state::State,
+        state::{Change, State},
     },
     prelude::*,
 };
@@ -55,7 +55,12 @@
     }
 
     /// Applies a change of the workflows, and answers who waits for it.
-    pub(super) fn apply_workflow(&mut self, now: Now, entry: &LogEntry, command: &WorkflowCommand) {
+    pub(super) fn apply_workflow(
+        &mut self,
+        now: Now,
+        entry: &LogEntry,
+        command: &WorkflowCommand,
+    ) -> WorkflowOutcome {
         let outcome = self.state.apply_workflow(entry.index, entry.time_ms, command);
         if self.leading.is_some() {
             // Once for the group, by the member that decides.
@@ -67,13 +72,18 @@
         {
             dispatcher.note_applied(&self.state.workflows, command, &members, now);
         }
+        if let (WorkflowCommand::Evacuate(it), Some(leading)) = (command, &mut self.leading) {
+            let in_zone = self.state.vms.iter().filter(|vm| vm.zone == it.zone);
+            in_zone.for_each(|vm| leading.scheduler.note(&self.state, Change::Vm(vm.id)));
+        }
         if let Some((term, to)) = self.calls_waiting.remove(&entry.index) {
-            let outcome = match term == entry.term {
-                true => outcome,
+            let answer = match term == entry.term {
+                true => outcome.clone(),
                 false => WorkflowOutcome::NotLeader(self.leader_address()),
             };
-            self.answer_call(to, outcome);
+            self.answer_call(to, answer);
         }
+        outcome
     }
 
     /// Lets the dispatcher plan, and carries out what it wants.
@@ -161,6 +171,11 @@
         WorkflowCommand::Cancel(id) => {
             tracing::info!(event = "workflow_cancelled", workflow = %format_args!("{:016x}", id.0), outcome = ?outcome, index, term);
         }
+        WorkflowCommand::Evacuate(it) => {
+            let workers = state.workflows.workers().iter();
+            let workers = workers.filter(|(_, worker)| worker.zone == it.zone).count();
+            tracing::info!(event = "zone_changed", zone = %it.zone, evacuated = it.evacuated, by = %it.by, based_on = it.based_on, workers, outcome = ?outcome, index, term);
+        }
         WorkflowCommand::Begin(runs) => {
             for it in runs {
                 let worker = state.workflows.workers().get(it.worker).map(|it| it.name.as_str());
--- a/src/control/directory.rs
+++ b/src/control/directory.rs
@@ -46,6 +46,7 @@
         session: SessionId,
         agent: SocketAddr,
         vm: &Vm,
+        is_evacuated: bool,
         reports: &[EndpointReport],
     ) {
         for it in reports {
@@ -56,7 +57,7 @@
                 zone: vm.zone.clone(),
                 class: it.class.clone(),
                 slots: it.slots,
-                leaving: it.leaving || vm.draining,
+                leaving: it.leaving || vm.draining || is_evacuated,
             };
             if self.endpoints.get(&key(id)).is_none_or(|(known, _)| *known != endpoint) {
                 self.version += 1;
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -224,6 +224,10 @@
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Cancel(id) => self.stop_cancelled(workflows, *id, members),
+            WorkflowCommand::Evacuate(it) => {
+                self.withdraw_starts(workflows, &it.zone, members);
+                self.want_plan(PLAN_PAUSE_MS);
+            }
             WorkflowCommand::Submit(_) | WorkflowCommand::Install(_) => {
                 self.want_plan(PLAN_PAUSE_MS)
             }
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -23,13 +23,19 @@
         now: Now,
     ) {
         let Some(seen) = report.workers.into_iter().next() else {
-            return self.send_empty_grant(report.node, report.number, members);
+            return self.send_empty_grant(workflows, report.node, report.number, members);
         };
         let Some(id) = workflows.workers().find(report.node, &seen.name) else {
-            if !seen.gone {
-                self.step.commands.push(WorkflowCommand::Enrol(enrolment(report.node, &seen)));
+            match workflows.is_foreign(&seen.service) {
+                _ if seen.gone => (),
+                true => {
+                    tracing::debug!(event = "worker_foreign", worker = %seen.name, node = %report.node, service = %seen.service);
+                }
+                false => {
+                    self.step.commands.push(WorkflowCommand::Enrol(enrolment(report.node, &seen)));
+                }
             }
-            return self.send_empty_grant(report.node, report.number, members);
+            return self.send_empty_grant(workflows, report.node, report.number, members);
         };
         let Some(session) = self.sessions.get_mut(id) else { return };
         if session.is_ending || (session.boot == report.boot && report.number <= session.number) {
@@ -106,7 +112,13 @@
         }
     }
 
-    fn send_empty_grant(&mut self, node: SocketAddr, number: u64, members: &[SocketAddr]) {
+    fn send_empty_grant(
+        &mut self,
+        workflows: &Workflows,
+        node: SocketAddr,
+        number: u64,
+        members: &[SocketAddr],
+    ) {
         let grant = NodeGrant {
             number,
             sent_ms: 0,
@@ -117,6 +129,7 @@
             worker: CompactString::default(),
             acked_cursor: 0,
             orders: Vec::new(),
+            services: services(workflows),
             costs: Vec::new(),
             members: members.to_vec(),
         };
@@ -164,7 +177,7 @@
         let listed = session.report.as_ref().filter(|it| it.term == self.term);
         // Without a list of this term it is not known yet what runs there.
         let orders =
-            listed.map(|it| orders_for(workflows, worker, it, session)).unwrap_or_default();
+            listed.map(|it| orders_for(workflows, id, worker, it, session)).unwrap_or_default();
         let mut grant = NodeGrant {
             number: session.number,
             sent_ms,
@@ -175,6 +188,7 @@
             worker: worker.name.clone(),
             acked_cursor: worker.cursor,
             orders,
+            services: services(workflows),
             costs: Vec::new(),
             members: members.to_vec(),
         };
@@ -191,6 +205,19 @@
         self.step.messages.push((node, Message::NodeGrant(grant)));
     }
 
+    /// Tells the workers of a zone at once that what they have not begun is not to begin.
+    pub(super) fn withdraw_starts(
+        &mut self,
+        workflows: &Workflows,
+        zone: &str,
+        members: &[SocketAddr],
+    ) {
+        let in_zone = workflows.workers().iter().filter(|(_, it)| it.zone == zone);
+        for (id, _) in in_zone.filter(|(_, it)| !it.runs.is_empty()) {
+            self.send_orders(workflows, id, members);
+        }
+    }
+
     /// Tells the workers of a cancelled workflow at once.
     pub(super) fn stop_cancelled(
         &mut self,
@@ -225,11 +252,13 @@
 /// Returns the orders that bring what a worker runs to what the ledger holds.
 fn orders_for(
     workflows: &Workflows,
+    id: WorkerId,
     worker: &Worker,
     report: &WorkerReport,
     session: &Session,
 ) -> Vec<RunOrder> {
     let ended: HashSet<_> = report.ended.iter().map(|it| it.end.run).collect();
+    let is_evacuated = workflows.is_evacuated(id);
     let mut res = Vec::new();
     for run in &worker.runs {
         match session.watched.contains_key(run) {
@@ -241,6 +270,8 @@
             }
             true => (),
             false if ended.contains(run) => (),
+            // Its node bars it from beginning, and then says that it never will.
+            false if is_evacuated => res.push(RunOrder::Stop(*run)),
             false => res.extend(start_order(workflows, *run).map(RunOrder::Start)),
         }
     }
@@ -250,6 +281,11 @@
     res
 }
 
+/// Returns the pools of workers that the configuration names; none before there is one.
+fn services(workflows: &Workflows) -> Vec<CompactString> {
+    workflows.config().map(|it| it.services.clone()).unwrap_or_default()
+}
+
 fn start_order(workflows: &Workflows, run: RunRef) -> Option<StartRun> {
     let workflow = workflows.get(run.task.workflow)?;
     let task = workflow.task(run.task)?;
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -79,7 +79,7 @@
         return Plan::default();
     }
     rooms.refresh(workflows, harm, now);
-    let mut placing = Placing::new(workflows, rooms.usable(sessions, usable), harm);
+    let mut placing = Placing::new(workflows, rooms.usable(workflows, sessions, usable), harm);
     for it in &candidates {
         placing.place(it.at, it.workflow, Care::KeepTails);
     }
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -31,6 +31,8 @@
                     Verdict::Answer(WorkflowOutcome::Invalid(why))
                 }
             },
+            WorkflowRequest::ReadEvacuations => Verdict::Answer(evacuations(workflows)),
+            WorkflowRequest::Evacuate(it) => evacuate(workflows, it),
             WorkflowRequest::Submit(it) => submit(workflows, it, now),
             WorkflowRequest::Inspect(it) => Verdict::Answer(inspect(workflows, &it)),
             WorkflowRequest::Cancel(it) => match find(workflows, &it) {
@@ -45,6 +47,30 @@
     }
 }
 
+fn evacuations(workflows: &Workflows) -> WorkflowOutcome {
+    WorkflowOutcome::Evacuations(workflows.evacuations().clone())
+}
+
+fn evacuate(workflows: &Workflows, it: EvacuateRequest) -> Verdict {
+    if let Err(WorkflowError(why)) = workflows.evacuations().check(&it) {
+        tracing::info!(event = "evacuation_refused", zone = %it.zone, why = %why);
+        return Verdict::Answer(WorkflowOutcome::Invalid(why));
+    }
+    match it.based_on {
+        // Whoever asks is told what it would change, and asks again on that ground.
+        None => Verdict::Answer(evacuations(workflows)),
+        Some(based_on) if based_on != workflows.evacuations().revision => {
+            Verdict::Answer(WorkflowOutcome::Stale)
+        }
+        Some(based_on) => Verdict::Propose(WorkflowCommand::Evacuate(EvacuateZone {
+            zone: it.zone,
+            evacuated: it.evacuated,
+            by: it.by,
+            based_on,
+        })),
+    }
+}
+
 fn submit(workflows: &Workflows, it: WorkflowSubmission, now: Now) -> Verdict {
     let (queue, id) = match find(workflows, &it.target) {
         Ok((queue, Some(id))) => (queue, id),
--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -355,8 +355,14 @@
     }
 
     /// Returns the rooms of the workers that new runs may be placed on.
-    pub(super) fn usable(&mut self, sessions: &Sessions, usable: Usable) -> Vec<&mut Room> {
-        self.rooms.values_mut().filter(|it| sessions.is_usable(it.id, usable)).collect()
+    pub(super) fn usable(
+        &mut self,
+        workflows: &Workflows,
+        sessions: &Sessions,
+        usable: Usable,
+    ) -> Vec<&mut Room> {
+        let is_usable = |id| sessions.is_usable(id, usable) && !workflows.is_evacuated(id);
+        self.rooms.values_mut().filter(|it| is_usable(it.id)).collect()
     }
 
     /// Checks that what is kept is what would be made anew.
--- a/src/control/scheduler/mod.rs
+++ b/src/control/scheduler/mod.rs
@@ -331,7 +331,7 @@
     /// Brings the index in line with a VM's state and what is held there.
     fn refresh_room(&mut self, state: &State, id: VmId) {
         // A VM in quarantine is offered to probes only.
-        let open = state.vms.get(id).filter(|vm| is_open(vm));
+        let open = state.vms.get(id).filter(|vm| is_open(state, vm));
         let room = open.map(|vm| {
             let held =
                 self.held_on.get(&id).into_iter().flatten().filter_map(|it| self.holds.get(it));
@@ -495,8 +495,9 @@
     }
 }
 
-fn is_open(vm: &Vm) -> bool {
-    vm.session.is_some() && !vm.draining && !vm.quarantined
+fn is_open(state: &State, vm: &Vm) -> bool {
+    let is_evacuated = state.workflows.evacuations().contains(&vm.zone);
+    vm.session.is_some() && !vm.draining && !vm.quarantined && !is_evacuated
 }
 
 fn aim_of(tier: Tier) -> Aim {
--- a/src/control/scheduler/urgent.rs
+++ b/src/control/scheduler/urgent.rs
@@ -24,7 +24,8 @@
         let count = if self.options.reserves { count } else { 0 };
         for (at, key) in Reserve::keys().enumerate() {
             let held = self.holds.get(&key).copied();
-            let is_open = held.is_some_and(|it| state.vms.get(it.vm).is_some_and(is_open));
+            let is_open =
+                held.is_some_and(|it| state.vms.get(it.vm).is_some_and(|vm| is_open(state, vm)));
             match held {
                 Some(it) if count <= at || it.need != need || !is_open => {
                     self.release_hold(key);
@@ -61,7 +62,7 @@
         let mut best: Option<(u64, VmId, Vec<TaskId>)> = None;
         for vm in looked_at {
             self.victim_cursor = vm.id;
-            if !is_open(vm) {
+            if !is_open(state, vm) {
                 continue;
             }
             let held =
--- a/src/control/state/jobs.rs
+++ b/src/control/state/jobs.rs
@@ -260,8 +260,8 @@
         if vm.session.as_ref().is_none_or(|session| session.id != it.session) {
             return refused("the VM's session ended");
         }
-        if !vm.has_room_for(need) {
-            return refused("the VM is full, draining or in quarantine");
+        if !vm.has_room_for(need) || self.workflows.evacuations().contains(&vm.zone) {
+            return refused("the VM is full, draining, in quarantine or in a zone out of use");
         }
         self.vms.reserve(it.vm, it.task, need);
         let placement =
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -38,6 +38,9 @@
     Configuration,
 }
 
+/// Evacuations in a snapshot: revision 0, and an empty list.
+const NO_EVACUATIONS: &[u8] = &[0, 0];
+
 /// The outcome of one command.
 pub type Outcome = Result<Reply, Refusal>;
 
@@ -163,7 +166,15 @@
     ///
     /// Returns an error when the bytes are no state of this version.
     pub fn from_bytes(data: &[u8]) -> Result<State> {
-        let decoded = bincode::serde::decode_from_slice(data, bincode::config::standard());
+        let config = bincode::config::standard();
+        let decoded = bincode::serde::decode_from_slice(data, config).or_else(|error| {
+            let bincode::error::DecodeError::UnexpectedEnd { .. } = error else {
+                return Err(error);
+            };
+            // A snapshot of a version without evacuations ends before these.
+            let data = [data, NO_EVACUATIONS].concat();
+            bincode::serde::decode_from_slice(&data, config)
+        });
         let (mut res, _): (State, usize) = decoded.map_err(|it| {
             Error::report(
                 ErrorKind::Internal,
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -8,6 +8,7 @@
 mod index;
 mod task;
 mod workers;
+mod zones;
 
 use std::{
     collections::{BTreeMap, BTreeSet, btree_map::Entry},
@@ -37,6 +38,8 @@
     costs: Vec<ImageCost>,
     #[serde(skip)]
     index: index::Index,
+    /// Last of all that is kept, since snapshots of earlier versions end before it.
+    evacuations: Evacuations,
 }
 
 impl Workflows {
@@ -77,6 +80,22 @@
         &self.costs
     }
 
+    /// Returns the availability zones that are out of use.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns whether a worker stands in a zone that is out of use, where nothing may begin.
+    pub fn is_evacuated(&self, id: WorkerId) -> bool {
+        !self.evacuations.zones.is_empty()
+            && self.workers.get(id).is_some_and(|it| self.evacuations.contains(&it.zone))
+    }
+
+    /// Returns whether a configuration is in force that does not name a pool of workers.
+    pub fn is_foreign(&self, service: &str) -> bool {
+        self.config.as_ref().is_some_and(|it| !it.services.iter().any(|known| known == service))
+    }
+
     /// Returns the workers.
     pub fn workers(&self) -> &Workers {
         &self.workers
@@ -125,6 +144,7 @@
                 self.costs = costs.clone();
                 WorkflowOutcome::Accepted
             }
+            WorkflowCommand::Evacuate(it) => self.evacuations.apply(it, time_ms),
         }
     }
 
@@ -157,6 +177,9 @@
     /// Notes runs that are about to be ordered; one that no longer makes sense is passed over.
     fn begin(&mut self, runs: &[RunPlacement]) -> WorkflowOutcome {
         for it in runs {
+            if self.is_evacuated(it.worker) {
+                continue;
+            }
             let Some(workflow) = self.workflows.get_mut(&it.run.task.workflow) else { continue };
             let Some(worker) = self.workers.get_mut(it.worker) else { continue };
             let spec = workflow.spec.clone();
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -70,10 +70,23 @@
         AdminView::Members => members(core, now),
         AdminView::Queue => queue(core),
         AdminView::DeadLetters => dead_letters(state),
+        AdminView::Evacuations => evacuations(state),
     };
     document(&value)
 }
 
+/// Returns the zones that are out of use, with the VMs and workers that stand there.
+fn evacuations(state: &State) -> Value {
+    let list = state.workflows.evacuations();
+    let row = |it: &Evacuation| {
+        let vms = state.vms.iter().filter(|vm| vm.zone == it.zone).count();
+        let workers = state.workflows.workers().iter().filter(|(_, at)| at.zone == it.zone).count();
+        json!({"zone": it.zone, "by": it.by, "since_ms": it.since_ms, "vms": vms + workers})
+    };
+    let zones: Vec<_> = list.zones.iter().map(row).collect();
+    json!({"revision": list.revision, "zones": zones})
+}
+
 fn document(value: &Value) -> Outcome {
     Ok(Reply::Document(value.to_string().into()))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -279,6 +279,9 @@
             tracing::info!(event = "leader_found", leader = ?leader, after_ms = now.mono_ms.saturating_sub(since_ms));
             self.send_parked(now);
         }
+        if self.asks_again(now, it.id, &it.outcome) {
+            return;
+        }
         let answer = match it.outcome {
             WorkflowOutcome::NoConfig => {
                 Answer::NotTaken { cause: Cause::NoConfig, retry_after_ms: self.options.resend_ms }
@@ -294,6 +297,20 @@
         self.end(now, it.id, answer);
     }
 
+    /// Asks for a change of zones again, on the ground of what they are by now; returns whether
+    /// the answer was one that tells this.
+    fn asks_again(&mut self, now: Now, id: u64, outcome: &WorkflowOutcome) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let WorkflowRequest::Evacuate(request) = &mut call.request else { return false };
+        request.based_on = match outcome {
+            WorkflowOutcome::Evacuations(it) => Some(it.revision),
+            WorkflowOutcome::Stale => None,
+            _ => return false,
+        };
+        self.send(now, id);
+        true
+    }
+
     /// Sends a call on to the leader named in an answer, or keeps it until one is known.
     fn resend_elsewhere(&mut self, now: Now, id: u64, pause_ms: u64) {
         let Some(call) = self.calls.get_mut(&id) else { return };
@@ -411,10 +428,16 @@
 
 impl Call {
     fn may_have_been_taken(&self) -> bool {
-        let changes = matches!(
-            self.request,
-            WorkflowRequest::Submit(_) | WorkflowRequest::Cancel(_) | WorkflowRequest::Install(_)
-        );
+        let changes = match &self.request {
+            WorkflowRequest::Submit(_)
+            | WorkflowRequest::Cancel(_)
+            | WorkflowRequest::Install(_) => true,
+            WorkflowRequest::Evacuate(it) => it.based_on.is_some(),
+            WorkflowRequest::Inspect(_)
+            | WorkflowRequest::ReadConfig
+            | WorkflowRequest::ReadEvacuations
+            | WorkflowRequest::Ping => false,
+        };
         changes && (self.is_interrupted || 0 < self.unanswered)
     }
 }
@@ -427,6 +450,9 @@
         WorkflowRequest::Cancel(it) => ("cancel", it.path.as_str()),
         WorkflowRequest::Install(_) => ("install", ""),
         WorkflowRequest::ReadConfig => ("read_config", ""),
+        WorkflowRequest::ReadEvacuations => ("read_evacuations", ""),
+        WorkflowRequest::Evacuate(it) if it.evacuated => ("evacuate", it.zone.as_str()),
+        WorkflowRequest::Evacuate(it) => ("take_back", it.zone.as_str()),
         WorkflowRequest::Ping => ("ping", ""),
     };
     match answer {
--- a/src/http/admin.rs
+++ b/src/http/admin.rs
@@ -13,6 +13,15 @@
     change: ConfigChange,
 }
 
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZoneBody {
+    zone: CompactString,
+    evacuated: bool,
+    /// Revision of the list that the operator saw; without it the newest.
+    based_on: Option<u64>,
+}
+
 /// Reads an operator's request.
 ///
 /// # Errors
@@ -35,6 +44,10 @@
             let command = ConfigureCommand { based_on, key, operator, change };
             Ok(Operation::Propose(Command::Configure(command)))
         }
+        ("POST", ["v1", "admin", "evacuations"]) => {
+            let ZoneBody { zone, evacuated, based_on } = it.json()?;
+            Ok(Operation::Evacuate(EvacuateRequest { zone, evacuated, by: operator, based_on }))
+        }
         ("POST", ["v1", "admin", "members"]) => Ok(Operation::Membership(it.json()?)),
         ("POST", ["v1", "admin", "drain"]) => Ok(Operation::Drain(it.json()?)),
         ("GET", ["v1", "admin", view]) => {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -11,10 +11,12 @@
 mod outgoing;
 mod server;
 mod tokens;
+mod unescape;
 
 pub use self::{
     answer::HttpAnswer,
     outgoing::{HttpCall, HttpReply, OutgoingError, OutgoingPool},
     server::{HttpRequest, Pending, ServerOptions, start_local_server, start_server},
     tokens::Tokens,
+    unescape::unescape,
 };
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -10,7 +10,9 @@
     Registry, TextEncoder,
 };
 
-use crate::{error::ANSWERS, gateway::Cause, policy::retry::RetryReason, prelude::*};
+use crate::{
+    error::ANSWERS, gateway::Cause, node::Unusable, policy::retry::RetryReason, prelude::*,
+};
 
 /// Why an answer was not passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +46,7 @@
     dropped: IntCounterVec,
     answers: HistogramVec,
     gateway_refusals: IntCounterVec,
+    announcements_passed_over: IntCounterVec,
     gateway_answers: HistogramVec,
     link_dropped: IntCounterVec,
     pub requests: IntCounter,
@@ -73,7 +76,7 @@
 pub const GATEWAY_ENDS: [&str; 3] = ["told", "not_taken", "unknown"];
 
 /// What is counted of the state.
-pub const STATE_GAUGES: [&str; 10] = [
+pub const STATE_GAUGES: [&str; 11] = [
     "vms",
     "jobs",
     "tasks",
@@ -82,6 +85,7 @@
     "watches",
     "workflows",
     "workers",
+    "evacuations",
     "log_entries",
     "log_bytes",
 ];
@@ -130,6 +134,14 @@
             "cause",
         )?;
         Cause::ALL.iter().for_each(|it| drop(gateway_refusals.with_label_values(&[it.as_str()])));
+        let announcements_passed_over = counters(
+            "aspenrail_announcements_passed_over_total",
+            "Announcements of workers that named none for use, by cause.",
+            "cause",
+        )?;
+        Unusable::ALL
+            .iter()
+            .for_each(|it| drop(announcements_passed_over.with_label_values(&[it.as_str()])));
         let options = HistogramOpts::new(
             "aspenrail_gateway_answer_seconds",
             "Time of a request about workflows in the gateway, by its end.",
@@ -153,6 +165,7 @@
             dropped,
             answers,
             gateway_refusals,
+            announcements_passed_over,
             gateway_answers,
             link_dropped,
             requests: counter("aspenrail_requests_total", "Requests taken in at the edges.")?,
@@ -227,6 +240,11 @@
         self.gateway_refusals.with_label_values(&[cause.as_str()]).inc();
     }
 
+    /// Counts an announcement of a worker that named none for use.
+    pub fn announcement_passed_over(&self, cause: Unusable) {
+        self.announcements_passed_over.with_label_values(&[cause.as_str()]).inc();
+    }
+
     /// Counts the end of a request in a gateway; `end` is one of [`GATEWAY_ENDS`].
     pub fn gateway_answered(&self, end: &'static str, seconds: f64) {
         self.gateway_answers.with_label_values(&[end]).observe(seconds);
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -47,6 +47,14 @@
         running: Vec<RunningTask>,
         ended: Vec<EndedRun>,
     },
+    /// As `Held`, with rows that cannot be read: what is not listed may run all the same. The ends
+    /// are those before the first such row, since to acknowledge one is to acknowledge all before.
+    HeldInPart {
+        clock_ms: u64,
+        running: Vec<RunningTask>,
+        ended: Vec<EndedRun>,
+        unreadable: usize,
+    },
     Done {
         clock_ms: u64,
     },
@@ -80,6 +88,39 @@
     Ticket,
 }
 
+/// Why what was said of a worker names none for use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unusable {
+    /// No JSON, or not of this size or encoding.
+    Unreadable,
+    /// Fields are missing, or of another type.
+    Malformed,
+    /// A state that is not known.
+    UnknownState,
+    /// A pool of workers that the configuration does not name.
+    ForeignService,
+}
+
+impl Unusable {
+    /// All causes, for counters that exist from the start.
+    pub const ALL: [Unusable; 4] = [
+        Unusable::Unreadable,
+        Unusable::Malformed,
+        Unusable::UnknownState,
+        Unusable::ForeignService,
+    ];
+
+    /// Returns the label of its counter.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Unusable::Unreadable => "unreadable",
+            Unusable::Malformed => "malformed",
+            Unusable::UnknownState => "unknown_state",
+            Unusable::ForeignService => "foreign_service",
+        }
+    }
+}
+
 /// What a worker says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Announcement {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::{control::finder::Finder, prelude::*};
 
-pub use self::calls::{Action, Announcement, CallResult, Refused, WorkerCall};
+pub use self::calls::{Action, Announcement, CallResult, Refused, Unusable, WorkerCall};
 use self::worker::Lifetime;
 
 /// What a node is told by the settings.
@@ -60,8 +60,16 @@
 /// What a node wants done.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    Send { to: SocketAddr, message: Message },
-    Call { id: u64, call: WorkerCall },
+    Send {
+        to: SocketAddr,
+        message: Message,
+    },
+    Call {
+        id: u64,
+        call: WorkerCall,
+    },
+    /// An announcement was passed over.
+    PassedOver(Unusable),
 }
 
 /// A node, without its I/O.
@@ -70,6 +78,8 @@
     finder: Finder,
     term: u64,
     worker: Option<Lifetime>,
+    /// Pools of workers that the configuration names, as far as it is known.
+    services: Vec<CompactString>,
     /// Lifetimes that are over; a late announcement of one is passed over.
     past: Vec<CompactString>,
     next_call: u64,
@@ -96,6 +106,7 @@
             finder: Finder::new(options.controls.clone(), options.boot),
             term: 0,
             worker: None,
+            services: Vec::new(),
             past: Vec::new(),
             next_call: 0,
             report_number: 0,
@@ -147,6 +158,11 @@
         if self.past.contains(&it.name) {
             return;
         }
+        if !self.services.is_empty() && !self.services.contains(&it.service) {
+            // Whoever wrote it, it must not take the place of the worker that is known.
+            tracing::warn!(event = "announcement_passed_over", worker = %it.name, service = %it.service, cause = Unusable::ForeignService.as_str());
+            return self.effects.push(Effect::PassedOver(Unusable::ForeignService));
+        }
         match &mut self.worker {
             Some(known) if known.announcement.name == it.name => {
                 if it.sequence <= known.announcement.sequence {
@@ -216,6 +232,7 @@
             }
         }
         self.granted_ms = now.mono_ms;
+        self.services = it.services;
         self.unanswered_reports = 0;
         self.finder.set_members(&it.members);
         self.finder.set_leader(self.finder.target());
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -15,6 +15,10 @@
 /// Tries after which a worker that cannot start a run is given up on.
 const UNHEALTHY_TRIES_MAX: u32 = 3;
 
+/// Lists in a row with unreadable rows after which these are passed over: two seconds beside
+/// fillers, and longer than anything that was written in part takes to be whole.
+const GAPS_MAX: u32 = 8;
+
 /// Time for which nobody must listen at a worker's address before it counts as gone: two tries.
 const GONE_AFTER_MS: u64 = 200;
 
@@ -55,6 +59,28 @@
         }
     }
 
+    /// Notes a look at the worker that brought no list.
+    fn note_no_list(&mut self, now: Now, term: u64, retry_ms: u64, result: &CallResult) {
+        self.hold_at_ms = now.mono_ms + retry_ms;
+        match result {
+            CallResult::NoAnswer | CallResult::NobodyThere => (),
+            other => {
+                tracing::warn!(event = "hold_refused", worker = %self.announcement.name, term, outcome = ?other);
+            }
+        }
+    }
+
+    /// Notes a list with rows that cannot be read; returns whether they have been there for so
+    /// long that they must be somebody else's, so that the rest counts as a whole.
+    fn judge_gap(&mut self, unreadable: usize) -> bool {
+        self.gaps += 1;
+        let is_whole = GAPS_MAX <= self.gaps;
+        if self.gaps == 1 || self.gaps == GAPS_MAX {
+            tracing::warn!(event = "rows_unreadable", worker = %self.announcement.name, rows = unreadable, lists = self.gaps, is_whole);
+        }
+        is_whole
+    }
+
     /// Settles what became of runs that were told to stop before they were known to run; returns
     /// whether the leader must hear of one.
     pub(super) fn settle_barred(&mut self, list_call: u64) -> bool {
@@ -179,6 +205,7 @@
         let Some(worker) = &mut self.worker else { return };
         match &result {
             CallResult::Held { clock_ms, .. }
+            | CallResult::HeldInPart { clock_ms, .. }
             | CallResult::Done { clock_ms }
             | CallResult::Refused { clock_ms, .. } => worker.hear(*clock_ms, now),
             CallResult::NobodyThere => {
@@ -210,7 +237,10 @@
     }
 
     fn on_late_result(&mut self, now: Now, result: CallResult) {
-        if let (CallResult::Held { ended, .. }, Some(worker)) = (result, &mut self.worker) {
+        let (CallResult::Held { ended, .. } | CallResult::HeldInPart { ended, .. }) = result else {
+            return;
+        };
+        if let Some(worker) = &mut self.worker {
             // Its list of what runs may be old by now, but an end stays an end.
             for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
                 worker.ended.insert(it.cursor, it.end);
@@ -223,29 +253,34 @@
     fn on_hold_ended(&mut self, now: Now, id: u64, result: CallResult) {
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
-        let CallResult::Held { running, ended, .. } = result else {
-            worker.hold_at_ms = now.mono_ms + self.options.retry_ms;
-            match &result {
-                CallResult::NoAnswer | CallResult::NobodyThere => (),
-                other => {
-                    tracing::warn!(event = "hold_refused", worker = %worker.announcement.name, term = self.term, outcome = ?other);
-                }
+        let (running, ended, is_whole) = match result {
+            CallResult::Held { running, ended, .. } => (running, ended, true),
+            CallResult::HeldInPart { running, ended, unreadable, .. } => {
+                (running, ended, worker.judge_gap(unreadable))
             }
-            return;
+            result => return worker.note_no_list(now, self.term, self.options.retry_ms, &result),
         };
+        if is_whole {
+            worker.gaps = 0;
+        }
         let was_listed = worker.listed_term == self.term;
         let known = worker.ended.len();
         for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
             worker.ended.insert(it.cursor, it.end);
         }
-        worker.take_list(running, id);
-        worker.listed_term = self.term;
+        match is_whole {
+            true => worker.take_list(running, id),
+            false => worker.take_part_of_list(running),
+        }
+        if is_whole {
+            worker.listed_term = self.term;
+            self.is_dirty |= worker.settle_barred(id);
+        }
         let live: std::collections::HashSet<_> = worker.running.iter().map(|it| it.run).collect();
         worker.paces.retain(|run, _| live.contains(run));
         let pending = &worker.orders;
         worker.roles.retain(|run, _| live.contains(run) || pending.contains_key(run));
         let has_news = known < worker.ended.len();
-        self.is_dirty |= worker.settle_barred(id);
         // What was saved and how far each run is goes with the next report.
         self.is_dirty |= has_news || !was_listed;
         worker.pace(now);
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -78,6 +78,8 @@
     pub pace_calls: HashMap<u64, (RunRef, u32)>,
     pub hold: Option<u64>,
     pub hold_at_ms: u64,
+    /// Lists in a row that had rows which cannot be read.
+    pub gaps: u32,
     /// When nobody was found at the worker's address first, with nothing heard since.
     pub missing_since_ms: Option<u64>,
     pub is_gone: bool,
@@ -106,6 +108,7 @@
             pace_calls: HashMap::new(),
             hold: None,
             hold_at_ms: now.mono_ms,
+            gaps: 0,
             missing_since_ms: None,
             is_gone: false,
         }
@@ -145,6 +148,17 @@
         self.running = listed;
     }
 
+    /// Takes in a list with rows that cannot be read: what it does not show may run all the same.
+    pub(super) fn take_part_of_list(&mut self, mut listed: Vec<RunningTask>) {
+        let is_missing = |it: &RunningTask| {
+            !listed.iter().any(|other| other.run == it.run)
+                && !self.ended.values().any(|other| other.run == it.run)
+        };
+        let kept: Vec<_> = self.running.iter().filter(|it| is_missing(it)).cloned().collect();
+        listed.extend(kept);
+        self.running = listed;
+    }
+
     /// Returns a running task as the leader is told of it, with what a filler uses on the whole.
     fn reported(&self, it: &RunningTask) -> RunningTask {
         let usage = self.usages.get(&it.run);
@@ -178,6 +192,7 @@
                 .map(|(run, cause)| RefusedRun { run: *run, cause: *cause })
                 .collect(),
             roles_missing,
+            faded: Vec::new(),
         }
     }
 }
--- a/src/runtime/single/adapters.rs
+++ b/src/runtime/single/adapters.rs
@@ -94,12 +94,14 @@
     pub pool: OutgoingPool,
     pub timeout_ms: u64,
     pub handle: SingleHandle,
+    pub metrics: Arc<Metrics>,
 }
 
 impl<P: Platform> Adapter<NodeCore> for NodeAdapter<P> {
     fn carry(&mut self, effect: node::Effect, _in_force: Revision) {
         match effect {
             node::Effect::Send { to, message } => self.sending.send(to, message),
+            node::Effect::PassedOver(cause) => self.metrics.announcement_passed_over(cause),
             node::Effect::Call { id, call } => {
                 let (pool, platform) = (self.pool.clone(), self.platform.clone());
                 let (handle, timeout_ms) = (self.handle.clone(), self.timeout_ms);
@@ -137,6 +139,7 @@
         let rows = [
             ("workflows", state.workflows.len()),
             ("workers", state.workflows.workers().len()),
+            ("evacuations", state.workflows.evacuations().zones.len()),
             ("log_entries", log_entries as usize),
             ("log_bytes", core.raft().entries_bytes()),
         ];
--- a/src/runtime/single/mod.rs
+++ b/src/runtime/single/mod.rs
@@ -33,7 +33,7 @@
     },
     link::{Link, LinkEvent, LinkOptions, LinkSink},
     metrics::Metrics,
-    node::{self, CallResult, NodeCore, WorkerCall},
+    node::{self, CallResult, NodeCore, Unusable, WorkerCall},
     prelude::*,
     runtime::{
         disk::{DiskSink, DiskWriter},
@@ -90,7 +90,14 @@
     fn readiness(&self, it: &HttpRequest, is_ready: bool) -> HttpAnswer;
 
     /// Reads what a worker says to its node, with the answer to it; or only answers it.
-    fn worker_request(&self, it: &HttpRequest) -> Result<(node::Input, HttpAnswer), HttpAnswer>;
+    ///
+    /// # Errors
+    ///
+    /// Returns why it names no worker for use, with the answer to that.
+    fn worker_request(
+        &self,
+        it: &HttpRequest,
+    ) -> Result<(node::Input, HttpAnswer), (Unusable, HttpAnswer)>;
 
     /// Writes a call of a worker.
     fn worker_call(&self, it: &WorkerCall, timeout_ms: u64) -> HttpCall;
@@ -296,6 +303,7 @@
                     pool: OutgoingPool::new(settings.worker),
                     timeout_ms: settings.call_timeout_ms.into(),
                     handle: self.handle.clone(),
+                    metrics: self.metrics.clone(),
                 };
                 let core = NodeCore::new(node_options(settings, sending.own, &controls));
                 let status = status();
@@ -401,18 +409,23 @@
 
     fn start_worker_edge(&self, settings: &NodeSettings) -> Result<()> {
         let (platform, handle) = (self.platform.clone(), self.handle.clone());
+        let metrics = self.metrics.clone();
         start_local_server(small(settings.listen), &Pending::default(), move |_, it| {
             let it = match it {
                 Ok(it) => it,
-                Err(it) => return Some(platform.refusal(&it)),
+                Err(it) => {
+                    metrics.announcement_passed_over(Unusable::Unreadable);
+                    return Some(platform.refusal(&it));
+                }
             };
             match platform.worker_request(&it) {
                 Ok((input, answer)) => {
                     handle.post(Event::Node(input));
                     Some(answer)
                 }
-                Err(answer) => {
-                    tracing::info!(event = "request_unreadable", path = %it.path, status = answer.status);
+                Err((cause, answer)) => {
+                    metrics.announcement_passed_over(cause);
+                    tracing::info!(event = "announcement_passed_over", path = %it.path, bytes = it.body.len(), cause = cause.as_str(), status = answer.status);
                     Some(answer)
                 }
             }
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -60,6 +60,8 @@
     Queue,
     #[serde(rename = "dead_letters")]
     DeadLetters,
+    #[serde(rename = "evacuations")]
+    Evacuations,
 }
 impl ::std::convert::From<&Self> for AdminView {
     fn from(value: &AdminView) -> Self {
@@ -81,6 +83,7 @@
             Self::Members => f.write_str("members"),
             Self::Queue => f.write_str("queue"),
             Self::DeadLetters => f.write_str("dead_letters"),
+            Self::Evacuations => f.write_str("evacuations"),
         }
     }
 }
@@ -102,6 +105,7 @@
             "members" => Ok(Self::Members),
             "queue" => Ok(Self::Queue),
             "dead_letters" => Ok(Self::DeadLetters),
+            "evacuations" => Ok(Self::Evacuations),
             _ => Err("invalid value".into()),
         }
     }
@@ -1112,6 +1116,66 @@
         value.parse()
     }
 }
+///Takes an availability zone out of use, or back into it.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EvacuateRequest {
+    ///Revision that the change is made on, once it was read; a late copy of an earlier request is told by it.
+    pub based_on: ::std::option::Option<u64>,
+    ///Who asks, for people who read the list.
+    pub by: ::compact_str::CompactString,
+    pub evacuated: bool,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&EvacuateRequest> for EvacuateRequest {
+    fn from(value: &EvacuateRequest) -> Self {
+        value.clone()
+    }
+}
+///Takes an availability zone out of use, or back into it, if no other such change came between.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct EvacuateZone {
+    pub based_on: u64,
+    pub by: ::compact_str::CompactString,
+    pub evacuated: bool,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&EvacuateZone> for EvacuateZone {
+    fn from(value: &EvacuateZone) -> Self {
+        value.clone()
+    }
+}
+///An availability zone out of use: nothing is begun there, what runs goes on.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {
+    pub by: ::compact_str::CompactString,
+    ///Time of day of the log entry.
+    pub since_ms: u64,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&Evacuation> for Evacuation {
+    fn from(value: &Evacuation) -> Self {
+        value.clone()
+    }
+}
+///All zones out of use, and the number of changes so far.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuations {
+    pub revision: u64,
+    pub zones: ::std::vec::Vec<Evacuation>,
+}
+impl ::std::convert::From<&Evacuations> for Evacuations {
+    fn from(value: &Evacuations) -> Self {
+        value.clone()
+    }
+}
 ///Runs a quick request on an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1209,6 +1273,19 @@
         value.clone()
     }
 }
+///Processor that fillers of an image used, over the time that tails are read in.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FillerUse {
+    pub cpu_millicores: u32,
+    pub image: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&FillerUse> for FillerUse {
+    fn from(value: &FillerUse) -> Self {
+        value.clone()
+    }
+}
 ///Ends that a worker listed up to a cursor.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1647,6 +1724,8 @@
     pub orders: ::std::vec::Vec<RunOrder>,
     ///Echo of the clock in the report, from which the lease counts; 0 grants none.
     pub sent_ms: u64,
+    ///Pools of workers that the configuration names; a worker of another one is not for use.
+    pub services: ::std::vec::Vec<::compact_str::CompactString>,
     pub term: u64,
     ///Token for calls of the worker; rises with the term and with each enrolment.
     pub token: u64,
@@ -1701,6 +1780,7 @@
     Query(Query),
     Membership(MemberChange),
     Drain(DrainRequest),
+    Evacuate(EvacuateRequest),
 }
 impl ::std::convert::From<&Self> for Operation {
     fn from(value: &Operation) -> Self {
@@ -1727,6 +1807,11 @@
         Self::Drain(value)
     }
 }
+impl ::std::convert::From<EvacuateRequest> for Operation {
+    fn from(value: EvacuateRequest) -> Self {
+        Self::Evacuate(value)
+    }
+}
 ///Asks what became of an attempt; an attempt not seen by then never runs.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3361,6 +3446,8 @@
     pub capacity: Resources,
     pub draining: bool,
     pub ended: ::std::vec::Vec<EndedRun>,
+    ///What fillers used that have ended within the time over which tails are read.
+    pub faded: ::std::vec::Vec<FillerUse>,
     ///It has left for good.
     pub gone: bool,
     pub kind: ::compact_str::CompactString,
@@ -3424,6 +3511,7 @@
     Dismiss(WorkerId),
     Forget(u64),
     Learn(::std::vec::Vec<ImageCost>),
+    Evacuate(EvacuateZone),
 }
 impl ::std::convert::From<&Self> for WorkflowCommand {
     fn from(value: &WorkflowCommand) -> Self {
@@ -3480,6 +3568,11 @@
         Self::Learn(value)
     }
 }
+impl ::std::convert::From<EvacuateZone> for WorkflowCommand {
+    fn from(value: EvacuateZone) -> Self {
+        Self::Evacuate(value)
+    }
+}
 ///Identity of a workflow, chosen by its client.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3546,12 +3639,14 @@
     Pong,
     Interrupted,
     Unserved,
+    Stale,
     Phase(WorkflowPhase),
     Pending(u64),
     Config(QueueConfig),
     Invalid(::compact_str::CompactString),
     Busy(u64),
     NotLeader(::std::option::Option<::std::net::SocketAddr>),
+    Evacuations(Evacuations),
 }
 impl ::std::convert::From<&Self> for WorkflowOutcome {
     fn from(value: &WorkflowOutcome) -> Self {
@@ -3579,6 +3674,11 @@
         Self::NotLeader(value)
     }
 }
+impl ::std::convert::From<Evacuations> for WorkflowOutcome {
+    fn from(value: Evacuations) -> Self {
+        Self::Evacuations(value)
+    }
+}
 ///Where a workflow stands.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3655,10 +3755,12 @@
 pub enum WorkflowRequest {
     ReadConfig,
     Ping,
+    ReadEvacuations,
     Submit(WorkflowSubmission),
     Inspect(WorkflowTarget),
     Cancel(WorkflowTarget),
     Install(QueueConfig),
+    Evacuate(EvacuateRequest),
 }
 impl ::std::convert::From<&Self> for WorkflowRequest {
     fn from(value: &WorkflowRequest) -> Self {
@@ -3675,6 +3777,11 @@
         Self::Install(value)
     }
 }
+impl ::std::convert::From<EvacuateRequest> for WorkflowRequest {
+    fn from(value: EvacuateRequest) -> Self {
+        Self::Evacuate(value)
+    }
+}
 ///What a client submits.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -21,6 +21,8 @@
     next: u64,
     token: u64,
     work: Duration,
+    /// Lists that still have rows which nobody can read.
+    odd_lists: u32,
 }
 
 /// A handle to the stand-in.
@@ -50,6 +52,11 @@
         self.state.lock().unwrap().work = work;
     }
 
+    /// Puts rows that cannot be read into the next lists.
+    pub fn set_odd_lists(&self, count: u32) {
+        self.state.lock().unwrap().odd_lists = count;
+    }
+
     pub fn done(&self) -> u64 {
         self.state.lock().unwrap().next - 1
     }
@@ -110,12 +117,18 @@
     }
     let acked = body["ack_cursor"].as_u64().unwrap();
     state.ended.retain(|(number, _, _)| acked < *number);
-    let running: Vec<_> =
+    let mut running: Vec<_> =
         state.running.keys().map(|(task, run)| json!([task, run, "", 1])).collect();
-    let ended: Vec<_> = state
+    let mut ended: Vec<_> = state
         .ended
         .iter()
         .map(|(number, task, run)| json!([number, task, run, "done", ""]))
         .collect();
+    if 0 < state.odd_lists {
+        state.odd_lists -= 1;
+        running.clear();
+        running.extend([json!("text"), json!([null, {}, 3]), json!({"task": 1})]);
+        ended.insert(0, json!([1, "0.0.0.0", 1e99, "vanished"]));
+    }
     HttpAnswer::json(200, &json!({"clock_ms": clock_ms, "running": running, "ended": ended}))
 }
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -26,6 +26,8 @@
 pub struct Installation {
     pub executor: Executor,
     front: SocketAddr,
+    node_listen: SocketAddr,
+    node_metrics: SocketAddr,
     readiness: SocketAddr,
     metrics: SocketAddr,
     control: SocketAddr,
@@ -41,7 +43,7 @@
 impl Installation {
     pub fn start(members: usize) -> Installation {
         let folder = tempfile::tempdir().unwrap();
-        let a = free_addresses(members * 2 + 7).unwrap();
+        let a = free_addresses(members * 2 + 8).unwrap();
         let links = &a[..members];
         let seeds = links.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
         let head = |name: &str, roles: &str, link: SocketAddr| {
@@ -49,7 +51,7 @@
                 "[process]\nname = {name}\nroles = {roles}\nzone = z\n[link]\nlisten = {link}\ncontrol = {seeds}\n"
             )
         };
-        let [front, readiness, metrics, entry_link, node_link, node_listen, worker] =
+        let [front, readiness, metrics, entry_link, node_link, node_listen, worker, node_metrics] =
             a[members * 2..]
         else {
             unreachable!()
@@ -73,7 +75,7 @@
             head("entry", "gateway", entry_link)
         );
         let node = format!(
-            "{}[node]\nlisten = {node_listen}\nworker = {worker}\nhold_wait_ms = 20\n",
+            "{}[node]\nlisten = {node_listen}\nworker = {worker}\nhold_wait_ms = 20\nmetrics_listen = {node_metrics}\n",
             head("node", "node", node_link)
         );
         let controls = control_files.iter().map(|it| spawn(it)).collect();
@@ -83,6 +85,8 @@
         let res = Installation {
             executor,
             front,
+            node_listen,
+            node_metrics,
             readiness,
             metrics,
             control: a[members],
@@ -140,6 +144,22 @@
         self.call(self.control, method, path, body)
     }
 
+    /// Sends the node what may be a report of an executor; returns the status of the answer.
+    pub fn report(&self, name: &str, body: &[u8]) -> u16 {
+        let uri = format!("http://{}/-/instances/{name}", self.node_listen);
+        let request = http::Request::builder().method("PUT").uri(uri).body(body);
+        self.client.run(request.unwrap()).map_or(0, |it| it.status().as_u16())
+    }
+
+    /// Returns how many reports the node has passed over.
+    pub fn passed_over(&self) -> u64 {
+        let url = format!("http://{}/metrics", self.node_metrics);
+        let text = self.client.get(url).call().unwrap().body_mut().read_to_string().unwrap();
+        let counts =
+            text.lines().filter(|it| it.starts_with("aspenrail_announcements_passed_over"));
+        counts.filter_map(|it| it.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    }
+
     pub fn readiness(&self) -> u16 {
         self.call(self.readiness, "GET", "/-/readyz", &Value::Null).0
     }
@@ -221,7 +241,7 @@
         .unwrap()
 }
 
-fn wait(what: &str, mut is_so: impl FnMut() -> bool) {
+pub fn wait(what: &str, mut is_so: impl FnMut() -> bool) {
     let began = Instant::now();
     while !is_so() {
         assert!(began.elapsed() < STEP_MAX, "waited in vain for {what}");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod executor;
+mod foreign;
 mod installation;
 
 use std::time::Duration;
@@ -143,3 +144,26 @@
         assert!(metrics.contains(line), "{line} is missing in:\n{metrics}");
     }
 }
+
+#[test]
+fn an_evacuation_holds_after_every_control_process_was_killed() {
+    let mut it = Installation::start(3);
+    it.install(1);
+    // The name of the zone is escaped, as a client may do.
+    assert_eq!(it.operator("POST", "/-/evacuations/%7A", &Value::Null).0, 200);
+    it.restart_control();
+    let zones = || it.operator("GET", "/-/evacuations", &Value::Null).1["zones"][0]["zone"].clone();
+    installation::wait("the list of zones", || zones() == json!("z"));
+    let body = json!({"spec": "x", "steps": [{"count": 2, "cpu": 100}]});
+    installation::wait("a leader", || it.client("POST", "/q/00000000000000ee", &body).0 == 200);
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(
+        it.client("GET", "/q/00000000000000ee", &Value::Null),
+        (200, json!({"state": "queued"}))
+    );
+    assert_eq!(it.operator("DELETE", "/-/evacuations/z", &Value::Null).0, 200);
+    it.wait_for("/q/00000000000000ee", "completed");
+    assert_eq!(it.operator("DELETE", "/-/evacuations/z", &Value::Null).0, 200);
+    assert_eq!(it.operator("POST", "/-/evacuations/", &Value::Null).0, 400);
+    assert_eq!(it.operator("POST", "/-/evacuations/%zz", &Value::Null).0, 400);
+}
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -24,7 +24,7 @@
 ];
 
 /// Types that have an empty value.
-const DEFAULTED: &[&str] = &["Membership"];
+const DEFAULTED: &[&str] = &["Membership", "Evacuations"];
 
 /// Plain types that are cheap to copy and compare.
 const COPIED: &[&str] = &[
--- /dev/null
+++ b/tests/workflows/evacuations.rs
@@ -0,0 +1,208 @@
+//! Availability zones taken out of use and back, under faults.
+
+use aspenrail::{gateway::Answer, prelude::*};
+
+use crate::{
+    faults::disturb,
+    worker::Nature,
+    world::{World, spec, step, zone_of},
+};
+
+/// Seeds that run in CI.
+const SEEDS: std::ops::Range<u64> = 0..10;
+
+/// First seed of the long run.
+const LONG_FROM: u64 = 300_000;
+
+/// Time after the acknowledgement within which a start may still come through, as the users ask.
+const EVACUATE_MS: u64 = 5_000;
+
+const QUICK: Nature = Nature { work_ms: 300, fails_every: 0 };
+
+fn request(zone: &str, evacuated: bool) -> WorkflowRequest {
+    WorkflowRequest::Evacuate(EvacuateRequest {
+        zone: zone.into(),
+        evacuated,
+        by: "test".into(),
+        based_on: None,
+    })
+}
+
+/// Asks until the change is acknowledged, as an operator does, for some time.
+fn change(world: &mut World, zone: &str, evacuated: bool) -> bool {
+    for _ in 0..12 {
+        let token = world.request(request(zone, evacuated));
+        world.run_for(500);
+        if world.answers.get(&token) == Some(&Answer::Told(WorkflowOutcome::Accepted)) {
+            return true;
+        }
+    }
+    false
+}
+
+fn zones_out(world: &mut World) -> Vec<CompactString> {
+    for _ in 0..20 {
+        let token = world.request(WorkflowRequest::ReadEvacuations);
+        world.run_for(500);
+        if let Some(Answer::Told(WorkflowOutcome::Evacuations(it))) = world.answers.get(&token) {
+            return it.zones.iter().map(|it| it.zone.clone()).collect();
+        }
+    }
+    panic!("nobody answers");
+}
+
+/// Plays work and faults while zones go out of use and come back, one after the other or two at
+/// once.
+fn play(seed: u64) -> World {
+    let mut world = World::new(seed, 3, 6);
+    world.install_queue();
+    let mut out: Vec<CompactString> = Vec::new();
+    let mut accepted = Vec::new();
+    for id in 1..=25 {
+        let work_ms = world.random.u64(100..1_500);
+        let steps = vec![step(4, 2, &[]), step(3, 1, &[0])];
+        accepted.push((id, world.submit(id, spec(steps), Nature { work_ms, fails_every: 0 })));
+        disturb(&mut world);
+        let at = world.random.usize(0..3);
+        let zone = zone_of(at);
+        match out.iter().position(|it| *it == zone) {
+            Some(at) if world.random.bool() => {
+                world.rules.zone_closes(&zone, None);
+                out.remove(at);
+                change(&mut world, &zone, false);
+            }
+            None if out.len() < 2 && world.random.bool() && change(&mut world, &zone, true) => {
+                let from_ms = world.now_ms + EVACUATE_MS;
+                world.rules.zone_closes(&zone, Some(from_ms));
+                out.push(zone);
+            }
+            _ => (),
+        }
+        let pause_ms = world.random.u64(200..2_500);
+        world.run_for(pause_ms);
+    }
+    world.cut.clear();
+    world.late_percent = 0;
+    world.run_for(15_000);
+    for zone in &out {
+        let known = zones_out(&mut world);
+        if !known.contains(zone) {
+            world
+                .rules
+                .broken
+                .push(format!("{zone} was taken out of use, and is not in {known:?}"));
+        }
+    }
+    for zone in out {
+        world.rules.zone_closes(&zone, None);
+        assert!(change(&mut world, &zone, false), "nobody takes {zone} back");
+    }
+    world.run_for(25_000);
+    for (id, token) in accepted {
+        if world.answers.get(&token) == Some(&Answer::Told(WorkflowOutcome::Accepted))
+            && world.phase(id) != Some(WorkflowPhase::Completed)
+        {
+            world.rules.broken.push(format!("workflow {id} was accepted and is not done"));
+        }
+    }
+    world
+}
+
+fn assert_unbroken(seed: u64) -> u32 {
+    let world = play(seed);
+    assert!(world.rules.broken.is_empty(), "seed {seed}: {:#?}", world.rules.broken);
+    world.rules.starts
+}
+
+#[test]
+fn nothing_begins_in_a_zone_out_of_use_under_seeded_faults() {
+    let starts: u32 = SEEDS.map(assert_unbroken).sum();
+    assert!(0 < starts);
+}
+
+#[test]
+#[ignore = "long; see the module"]
+fn many_seeds_with_evacuations() {
+    let count = std::env::var("ASPENRAIL_SEEDS").map_or(200, |it| it.parse().unwrap());
+    let starts: u32 = (LONG_FROM..LONG_FROM + count).map(assert_unbroken).sum();
+    println!("{count} seeds from {LONG_FROM}: {starts} starts, 0 rules broken");
+}
+
+#[test]
+fn what_is_ordered_and_not_begun_is_withdrawn_and_done_elsewhere() {
+    let mut world = World::new(11, 3, 3);
+    world.install_queue();
+    // No order comes through: all starts of the workers get no answer, and come late or never.
+    world.late_percent = 100;
+    world.submit(1, spec(vec![step(3, 6, &[])]), QUICK);
+    world.run_for(300);
+    assert!(change(&mut world, "zone-0", true));
+    let from_ms = world.now_ms + EVACUATE_MS;
+    world.rules.zone_closes("zone-0", Some(from_ms));
+    world.late_percent = 0;
+    world.run_for(15_000);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Completed));
+    assert!(world.rules.broken.is_empty(), "{:#?}", world.rules.broken);
+}
+
+#[test]
+fn what_runs_in_a_zone_goes_on_when_that_goes_out_of_use() {
+    let mut world = World::new(12, 3, 1);
+    world.install_queue();
+    world.submit(1, spec(vec![step(1, 1, &[])]), Nature { work_ms: 6_000, fails_every: 0 });
+    world.run_for(1_000);
+    assert!(change(&mut world, "zone-0", true));
+    world.run_for(8_000);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Completed));
+    assert_eq!(world.rules.starts, 1, "it was not begun again");
+}
+
+#[test]
+fn with_all_zones_out_of_use_work_waits_and_goes_on_when_one_is_back() {
+    let mut world = World::new(13, 3, 3);
+    world.install_queue();
+    for vm in 0..3 {
+        assert!(change(&mut world, &zone_of(vm), true));
+    }
+    world.submit(1, spec(vec![step(3, 1, &[])]), QUICK);
+    world.run_for(6_000);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Queued));
+    assert!(change(&mut world, "zone-2", false));
+    world.run_for(3_000);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Completed));
+}
+
+#[test]
+fn evacuations_survive_the_loss_of_all_members_and_of_one_disk() {
+    let mut world = World::new(14, 3, 3);
+    world.install_queue();
+    assert!(change(&mut world, "zone-1", true));
+    (0..3).for_each(|at| world.kill_member(at, 800, at == 1));
+    world.run_for(8_000);
+    assert_eq!(zones_out(&mut world), ["zone-1"]);
+}
+
+#[test]
+fn a_second_evacuation_and_a_withdrawal_of_nothing_change_nothing() {
+    let mut world = World::new(15, 3, 1);
+    world.install_queue();
+    assert!(change(&mut world, "zone-1", true) && change(&mut world, "zone-1", true));
+    assert!(change(&mut world, "nowhere", false));
+    assert_eq!(zones_out(&mut world), ["zone-1"]);
+    assert!(change(&mut world, "zone-1", false) && change(&mut world, "zone-1", false));
+    assert!(zones_out(&mut world).is_empty());
+}
+
+#[yare::parameterized(
+    empty = { "" },
+    control = { "zone\u{7}" },
+    long = { &"z".repeat(201) },
+)]
+fn names_that_cannot_be_zones_are_refused(name: &str) {
+    let mut world = World::new(16, 3, 1);
+    world.install_queue();
+    let token = world.request(request(name, true));
+    world.run_for(500);
+    let answer = world.answers.get(&token);
+    assert!(matches!(answer, Some(Answer::Told(WorkflowOutcome::Invalid(_)))), "{answer:?}");
+}
--- a/tests/workflows/faults.rs
+++ b/tests/workflows/faults.rs
@@ -54,7 +54,8 @@
     world
 }
 
-fn disturb(world: &mut World) {
+/// Does the world one harm, or mends what was done.
+pub fn disturb(world: &mut World) {
     match world.random.u32(0..14) {
         0 | 1 => {
             let at = world.random.usize(0..3);
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -115,6 +115,7 @@
             ended,
             refused: Vec::new(),
             roles_missing: false,
+            faded: Vec::new(),
         };
         let report = NodeReport {
             node: node(worker),
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -278,3 +278,43 @@
     }
     res
 }
+
+fn evacuate(zone: &str, evacuated: bool, based_on: u64) -> WorkflowCommand {
+    let (zone, by) = (zone.into(), "operator".into());
+    WorkflowCommand::Evacuate(EvacuateZone { zone, evacuated, by, based_on })
+}
+
+#[test]
+fn a_late_copy_of_an_earlier_change_of_zones_undoes_nothing() {
+    let mut it = Workflows::default();
+    assert_eq!(it.apply(&evacuate("z", true, 0), 5), WorkflowOutcome::Accepted);
+    assert_eq!(it.apply(&evacuate("z", false, 1), 6), WorkflowOutcome::Accepted);
+    assert_eq!(it.apply(&evacuate("z", true, 2), 7), WorkflowOutcome::Accepted);
+    assert_eq!(it.apply(&evacuate("z", false, 1), 8), WorkflowOutcome::Stale);
+    let expected = Evacuation { zone: "z".into(), by: "operator".into(), since_ms: 7 };
+    assert_eq!(it.evacuations(), &Evacuations { revision: 3, zones: vec![expected] });
+}
+
+#[test]
+fn a_run_is_not_noted_on_a_worker_of_a_zone_out_of_use() {
+    let mut it = ready(spec(vec![step(1, 1, &[])]));
+    it.apply(&evacuate("z", true, 0), 1);
+    it.apply(&begin(1, &[run(7, 0, 0, 1)]), 1);
+    assert!(it.workers().get(WorkerId(1)).unwrap().runs.is_empty());
+    it.apply(&evacuate("z", false, 1), 1);
+    it.apply(&begin(1, &[run(7, 0, 0, 1)]), 1);
+    assert_eq!(it.workers().get(WorkerId(1)).unwrap().runs.len(), 1);
+}
+
+#[test]
+fn zones_out_of_use_are_in_the_snapshot_and_an_older_snapshot_has_none() {
+    let mut state = State::new(Place { region: 1, group: 1 });
+    let older = state.to_bytes().unwrap();
+    state.apply_workflow(1, 9, &evacuate("z", true, 0));
+    let read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
+    assert!(read.workflows.evacuations().contains("z"));
+    // Revision 0 and an empty list take a byte each, at the end.
+    let read = State::from_bytes(&older[..older.len() - 2]).unwrap();
+    assert_eq!(read.workflows.evacuations(), &Evacuations::default());
+    assert!(State::from_bytes(&older[..older.len() - 3]).is_err());
+}
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -9,6 +9,7 @@
 #[path = "../promises/disk.rs"]
 #[allow(dead_code)]
 mod disk;
+mod evacuations;
 mod faults;
 mod fillers;
 mod gateway;
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -1,7 +1,9 @@
 //! A node alone: what it does with orders, answers and grants that come in odd orders.
 
 use aspenrail::{
-    node::{Action, Announcement, CallResult, Effect, Input, NodeCore, NodeOptions, Refused},
+    node::{
+        Action, Announcement, CallResult, Effect, Input, NodeCore, NodeOptions, Refused, Unusable,
+    },
     prelude::*,
 };
 
@@ -14,6 +16,7 @@
     reports: Vec<NodeReport>,
     /// Whom each report was sent to.
     asked: Vec<std::net::SocketAddr>,
+    passed_over: Vec<Unusable>,
 }
 
 const RUN: RunRef =
@@ -39,7 +42,8 @@
         };
         let node = NodeCore::new(options);
         let (calls, reports, asked) = (Vec::new(), Vec::new(), Vec::new());
-        let mut res = Alone { node, now_ms: 1_000, calls, reports, asked };
+        let passed_over = Vec::new();
+        let mut res = Alone { node, now_ms: 1_000, calls, reports, asked, passed_over };
         res.input(Input::Announced(Announcement {
             name: "worker".into(),
             service: "pool".into(),
@@ -65,6 +69,7 @@
                     self.asked.push(to);
                     self.reports.push(it);
                 }
+                Effect::PassedOver(it) => self.passed_over.push(it),
                 Effect::Send { .. } => (),
             }
         }
@@ -82,6 +87,7 @@
             worker: "worker".into(),
             acked_cursor: 0,
             orders,
+            services: Vec::new(),
             costs: Vec::new(),
             members: vec![address(0)],
         }))));
@@ -259,6 +265,7 @@
         worker: "worker".into(),
         acked_cursor: 0,
         orders: vec![start()],
+        services: Vec::new(),
         costs: Vec::new(),
         members: Vec::new(),
     };
@@ -293,6 +300,7 @@
         worker: "worker".into(),
         acked_cursor: 0,
         orders: Vec::new(),
+        services: Vec::new(),
         costs: Vec::new(),
         members: Vec::new(),
     };
@@ -302,3 +310,97 @@
     alone.input(Input::Message(Box::new(Message::NodeGrant(later))));
     assert!(!alone.calls.iter().any(|(_, it)| is_start(it)), "{:?}", alone.calls);
 }
+
+fn announced(name: &str, service: &str, sequence: u64) -> Input {
+    Input::Announced(Announcement {
+        name: name.into(),
+        service: service.into(),
+        zone: "zone".into(),
+        kind: "a".into(),
+        rack: "r".into(),
+        capacity: CAPACITY,
+        draining: false,
+        remaining_ms: 0,
+        clock_ms: 50_050,
+        sequence,
+    })
+}
+
+#[test]
+fn a_worker_of_a_pool_that_no_configuration_names_takes_nobodys_place() {
+    let mut alone = Alone::new();
+    let grant = |services: Vec<CompactString>| NodeGrant {
+        number: 1,
+        sent_ms: 1_000,
+        term: 1,
+        token: 1 << 24,
+        is_complete: false,
+        lease_ms: 4_000,
+        worker: "worker".into(),
+        acked_cursor: 0,
+        orders: Vec::new(),
+        services,
+        costs: Vec::new(),
+        members: Vec::new(),
+    };
+    let tell = |it: NodeGrant| Input::Message(Box::new(Message::NodeGrant(it)));
+    alone.input(tell(grant(vec!["pool".into()])));
+    alone.input(announced("other", "elsewhere", 1));
+    assert_eq!(alone.passed_over, [Unusable::ForeignService]);
+    alone.pass(600);
+    assert_eq!(alone.reports.last().unwrap().workers[0].name, "worker");
+    // The pool is named later, and a new lifetime of it replaces the one before.
+    alone.input(tell(grant(vec!["pool".into(), "elsewhere".into()])));
+    alone.input(announced("other", "elsewhere", 2));
+    alone.pass(600);
+    assert_eq!(alone.reports.last().unwrap().workers[0].name, "other");
+}
+
+#[test]
+fn a_report_of_an_earlier_lifetime_that_comes_late_changes_nothing() {
+    let mut alone = Alone::new();
+    alone.input(announced("newer", "pool", 1));
+    alone.input(announced("worker", "pool", 9));
+    alone.pass(600);
+    assert_eq!(alone.reports.last().unwrap().workers[0].name, "newer");
+}
+
+#[test]
+fn a_list_with_unreadable_rows_ends_no_run_and_proves_no_refusal() {
+    let mut alone = Alone::new();
+    alone.grant(false, Vec::new());
+    alone.list(vec![running()]);
+    let part = |ended: Vec<EndedRun>| CallResult::HeldInPart {
+        clock_ms: 50_100,
+        running: Vec::new(),
+        ended,
+        unreadable: 1,
+    };
+    alone.pass(300);
+    let id = alone.take_call(is_hold);
+    alone.end(id, part(Vec::new()));
+    alone.pass(600);
+    let listed = &alone.reports.last().unwrap().workers[0];
+    assert_eq!(listed.running.iter().map(|it| it.run).collect::<Vec<_>>(), [RUN]);
+    // The end before the unreadable row is told all the same.
+    let end = RunEnd { run: RUN, outcome: RunOutcome::Done, checkpoint: "".into() };
+    let id = alone.take_call(is_hold);
+    alone.end(id, part(vec![EndedRun { cursor: 1, end }]));
+    alone.pass(600);
+    let told = &alone.reports.last().unwrap().workers[0];
+    assert_eq!((told.running.len(), told.ended.len()), (0, 1));
+}
+
+#[test]
+fn rows_that_stay_unreadable_are_passed_over_in_the_end() {
+    let mut alone = Alone::new();
+    alone.grant(false, Vec::new());
+    for _ in 0..8 {
+        let id = alone.take_call(is_hold);
+        let (running, ended) = (Vec::new(), Vec::new());
+        alone.end(id, CallResult::HeldInPart { clock_ms: 50_100, running, ended, unreadable: 2 });
+        alone.pass(300);
+        alone.grant(false, Vec::new());
+    }
+    assert_eq!(alone.reports.last().unwrap().workers[0].term, 1, "the leader may place work again");
+}
--- a/tests/workflows/node_restarts.rs
+++ b/tests/workflows/node_restarts.rs
@@ -158,7 +158,7 @@
             match effect {
                 Effect::Call { id, call } => self.call(id, call),
                 Effect::Send { message: Message::NodeReport(it), .. } => self.answer(&it),
-                Effect::Send { .. } => (),
+                Effect::Send { .. } | Effect::PassedOver(_) => (),
             }
         }
     }
@@ -212,6 +212,7 @@
             worker: seen.name.clone(),
             acked_cursor: 0,
             orders,
+            services: Vec::new(),
             costs: Vec::new(),
             members: vec![address(0)],
         };
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -16,6 +16,8 @@
     pub starts: u32,
     starts_by_worker: BTreeMap<CompactString, u32>,
     began: BTreeSet<RunRef>,
+    /// From when nothing may begin in a zone any more.
+    closed_from_ms: BTreeMap<CompactString, u64>,
     pub broken: Vec<String>,
 }
 
@@ -52,6 +54,21 @@
         self.live.insert(run.task, (run, worker.into()));
     }
 
+    /// Notes that an evacuation was acknowledged, or that the zone is about to be taken back.
+    pub fn zone_closes(&mut self, zone: &str, from_ms: Option<u64>) {
+        match from_ms {
+            Some(it) => drop(self.closed_from_ms.insert(zone.into(), it)),
+            None => drop(self.closed_from_ms.remove(zone)),
+        }
+    }
+
+    /// Checks that a start is not in a zone that has long been out of use.
+    pub fn started_in(&mut self, zone: &str, run: RunRef, now_ms: u64) {
+        if self.closed_from_ms.get(zone).is_some_and(|it| *it < now_ms) {
+            self.broken.push(format!("{now_ms}: {run:?} starts in {zone}, which is out of use"));
+        }
+    }
+
     pub fn starts_on(&self, worker: &str) -> u32 {
         self.starts_by_worker.get(worker).copied().unwrap_or(0)
     }
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -88,7 +88,7 @@
         Announcement {
             name: self.name(),
             service: "pool".into(),
-            zone: format_compact!("zone-{}", self.vm % 3),
+            zone: crate::world::zone_of(self.vm),
             kind: "a".into(),
             rack: format_compact!("rack-{}", self.vm / 2),
             capacity: CAPACITY,
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -263,7 +263,14 @@
                     return self
                         .push(100, Event::Result { vm, boot, id, result: CallResult::NoAnswer });
                 }
+                let starts = self.rules.starts;
                 let result = worker.handle(&call, now_ms, &self.nature, &mut self.rules);
+                if let node::Action::Start { run, .. } = call.action
+                    && answered
+                    && starts < self.rules.starts
+                {
+                    self.rules.started_in(&zone_of(vm), run, now_ms);
+                }
                 if answered {
                     self.push(1, Event::Result { vm, boot, id, result });
                 }
@@ -333,6 +340,7 @@
         for effect in core.take_effects() {
             match effect {
                 node::Effect::Send { to, message } => self.send(address(200 + vm), to, message),
+                node::Effect::PassedOver(_) => (),
                 node::Effect::Call { id, call } => {
                     let is_order = !matches!(call.action, node::Action::Hold { .. });
                     if is_order && self.random.u32(0..100) < self.late_percent {
@@ -391,6 +399,11 @@
     }
 }
 
+/// Returns the availability zone of a VM.
+pub fn zone_of(vm: usize) -> CompactString {
+    format_compact!("zone-{}", vm % 3)
+}
+
 pub fn target(id: u64) -> WorkflowTarget {
     WorkflowTarget { host: "host".into(), path: format_compact!("/queue/{id:016x}") }
 }
