--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     control::state::Workflows,
-    policy::harm::{Filler, Harm, Serving, headroom_percent},
+    policy::harm::{Filler, Harm, Serving, headroom_percent, reference_cores},
     prelude::*,
 };
 
@@ -246,6 +246,8 @@
     fn take_running(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
         let Some(session) = self.sessions.get_mut(id) else { return };
         let Some(report) = &session.report else { return };
+        let capacity_millicores = report.capacity.cpu_millicores;
+        let cores = |millicores| reference_cores(millicores, capacity_millicores);
         let mut serving = Vec::new();
         let mut fillers = Vec::new();
         session.slow.clear();
@@ -266,7 +268,7 @@
             }
             match watch.work {
                 Some(Work::Filler { image, .. }) => {
-                    fillers.push(Filler { image, cores: f64::from(task.load) / 1_000.0 });
+                    fillers.push(Filler { image, cores: cores(task.load) });
                 }
                 // A task that has just begun has no tail yet.
                 Some(Work::Serving { image, target_ms }) if 0 < task.load => {
@@ -276,6 +278,10 @@
                 _ => (),
             }
         }
+        for it in &report.faded {
+            let image = self.harm.image(&it.image);
+            fillers.push(Filler { image, cores: cores(it.cpu_millicores) });
+        }
         let number = session.number;
         session.watched.retain(|_, it| it.listed_in == number);
         self.harm.observe(&serving, &fillers, now.mono_ms);
--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -15,7 +15,7 @@
         state::{Worker, Workflows, add, fits, reserve_of, subtract},
     },
     policy::{
-        harm::{Filler, Harm, images::ImageKey},
+        harm::{Filler, Harm, images::ImageKey, reference_cores},
         pacing::NEGLIGIBLE_PERCENT,
     },
     prelude::*,
@@ -82,7 +82,7 @@
     }
 
     fn read(&mut self, fillers: &[Filler], harm: &Harm) {
-        let rests = self.groups.iter().map(|it| harm.rest_percent(*it));
+        let rests = self.groups.iter().map(|it| harm.rest_percent(self.image, *it));
         self.rest_percent = rests.fold(f64::MAX, f64::min);
         self.taken_percent = harm.taken_percent(self.image, fillers);
     }
@@ -96,6 +96,7 @@
     kind: CompactString,
     rack: CompactString,
     free: Resources,
+    capacity_millicores: u32,
     /// One for each image: together, what its runs use at full speed.
     fillers: Vec<Filler>,
     filler_millicores: u32,
@@ -115,6 +116,7 @@
             kind: worker.kind.clone(),
             rack: worker.rack.clone(),
             free: subtract(worker.capacity, worker.used),
+            capacity_millicores: worker.capacity.cpu_millicores,
             fillers: Vec::new(),
             filler_millicores: worker.filler_millicores,
             served: Vec::new(),
@@ -130,7 +132,7 @@
                         served.groups.push(group);
                     }
                 }
-                Work::Filler { image, millicores } => res.note_filler(image, cores(millicores)),
+                Work::Filler { image, millicores } => res.note_filler(image, res.cores(millicores)),
                 Work::Plain => (),
             }
         }
@@ -138,6 +140,11 @@
         res
     }
 
+    /// Returns processor as costs count it.
+    fn cores(&self, millicores: u32) -> f64 {
+        reference_cores(millicores, self.capacity_millicores)
+    }
+
     /// Reads loads and costs anew.
     fn read(&mut self, harm: &Harm) {
         for it in &mut self.served {
@@ -183,7 +190,7 @@
     /// Returns the share of its speed that a further filler would reach.
     pub(super) fn speed_of(&self, image: ImageKey, millicores: u32, harm: &Harm) -> f64 {
         let processor = f64::from(self.unused_millicores()) / f64::from(millicores.max(1));
-        let pace = |it: &Served| match harm.cost_percent(it.image, image) * cores(millicores) {
+        let pace = |it: &Served| match harm.cost_percent(it.image, image) * self.cores(millicores) {
             cost if cost <= NEGLIGIBLE_PERCENT => 1.0,
             cost => it.room_percent() / cost,
         };
@@ -193,7 +200,7 @@
     /// Returns what a further filler would take from all images that serve here.
     fn cost_of(&self, image: ImageKey, millicores: u32, harm: &Harm) -> f64 {
         let costs = self.served.iter().map(|it| harm.cost_percent(it.image, image));
-        costs.sum::<f64>() * cores(millicores)
+        costs.sum::<f64>() * self.cores(millicores)
     }
 
     fn holds(&self, asked: &Asked<'_>, placed: u32) -> bool {
@@ -251,7 +258,7 @@
         match asked.work {
             Work::Filler { image, millicores } => {
                 self.filler_millicores += millicores;
-                self.change_fillers(image, cores(millicores), harm);
+                self.change_fillers(image, self.cores(millicores), harm);
             }
             Work::Serving { image, .. } => {
                 let taken_percent = harm.taken_percent(image, &self.fillers);
@@ -269,7 +276,7 @@
         self.free = add(self.free, asked.reserve);
         if let Work::Filler { image, millicores } = asked.work {
             self.filler_millicores -= millicores;
-            self.change_fillers(image, -cores(millicores), harm);
+            self.change_fillers(image, -self.cores(millicores), harm);
         }
     }
 
@@ -280,12 +287,13 @@
         }
     }
 
-    /// Returns what each image of fillers here takes from each image that serves.
+    /// Returns what a core of each image of fillers here takes from each image that serves.
     pub(super) fn costs(&self, harm: &Harm) -> Vec<ImageCost> {
+        let core = self.cores(1_000);
         let cost = |serving: ImageKey, filler: ImageKey| ImageCost {
             serving: harm.image_name(serving).clone(),
             filler: harm.image_name(filler).clone(),
-            headroom_percent: harm.cost_percent(serving, filler) as f32,
+            headroom_percent: (harm.cost_percent(serving, filler) * core) as f32,
         };
         let pairs = self
             .served
@@ -395,7 +403,3 @@
         }
     }
 }
-
-fn cores(millicores: u32) -> f64 {
-    f64::from(millicores) / 1_000.0
-}
--- a/src/node/fillers.rs
+++ b/src/node/fillers.rs
@@ -1,10 +1,12 @@
 //! The fillers on a worker: what they use, and how fast each may work.
 
+use std::collections::BTreeMap;
+
 use crate::{
-    node::worker::Lifetime,
+    node::worker::{Lifetime, Used},
     policy::{
-        harm::{UNKNOWN_PERCENT, headroom_percent},
-        pacing::{FillerReading, Pacer, ServingReading},
+        harm::{UNKNOWN_PERCENT, headroom_percent, reference_cores},
+        pacing::{FillerReading, Pacer, ServingReading, Usage},
     },
     prelude::*,
 };
@@ -30,34 +32,71 @@
         self.running.iter().filter_map(reading).collect()
     }
 
-    /// Returns the fillers, with what each costs the tasks that serve.
+    /// Returns the fillers, with what each costs the tasks that serve, and what is left of those
+    /// that have just ended.
     fn fillers(&self, serving: &[&CompactString]) -> Vec<FillerReading> {
-        let reading = |it: &RunningTask| match self.roles.get(&it.run) {
+        let costs = |filler: &CompactString| -> Vec<f64> {
+            serving.iter().map(|image| self.cost_percent(image, filler)).collect()
+        };
+        let running = self.running.iter().filter_map(|it| match self.roles.get(&it.run) {
             Some(TaskRole::Filler(role)) => Some(FillerReading {
                 run: it.run,
                 need_cores: f64::from(role.cpu_millicores) / 1_000.0,
-                used_cores: self.usages.get(&it.run).map_or(0.0, |it| it.cores),
-                costs_percent: serving
-                    .iter()
-                    .map(|image| self.cost_percent(image, &role.image))
-                    .collect(),
+                used_cores: self.usages.get(&it.run).map_or(0.0, |it| it.usage.cores),
+                costs_percent: costs(&role.image),
             }),
             _ => None,
+        });
+        let ended = self.ended_fillers().map(|(run, it)| FillerReading {
+            run,
+            need_cores: 0.0,
+            used_cores: it.usage.cores,
+            costs_percent: costs(&it.image),
+        });
+        running.chain(ended).collect()
+    }
+
+    /// Returns the fillers that have ended, and that tails still tell of.
+    fn ended_fillers(&self) -> impl Iterator<Item = (RunRef, &Used)> {
+        let has_ended = |run: RunRef| !self.running.iter().any(|it| it.run == run);
+        self.usages.iter().map(|(run, it)| (*run, it)).filter(move |(run, _)| has_ended(*run))
+    }
+
+    /// Returns what such fillers used, by image.
+    pub(super) fn faded(&self) -> Vec<FillerUse> {
+        let mut cores: BTreeMap<&CompactString, f64> = BTreeMap::new();
+        for (_, it) in self.ended_fillers() {
+            *cores.entry(&it.image).or_default() += it.usage.cores;
+        }
+        let used = |(image, cores): (&CompactString, f64)| FillerUse {
+            image: image.clone(),
+            cpu_millicores: (cores * 1_000.0) as u32,
         };
-        self.running.iter().filter_map(reading).collect()
+        cores.into_iter().map(used).collect()
+    }
+
+    /// Begins to count what a filler uses that has just begun.
+    pub(super) fn begin_usage(&mut self, run: RunRef, now: Now) {
+        if let Some(TaskRole::Filler(role)) = self.roles.get(&run) {
+            let (image, usage) = (role.image.clone(), Usage::begun(now.mono_ms));
+            self.usages.insert(run, Used { image, usage });
+        }
     }
 
     /// Takes in what fillers were read to use.
     fn read_usages(&mut self, now: Now) {
         let mut usages = std::mem::take(&mut self.usages);
-        usages.retain(|run, _| self.running.iter().any(|it| it.run == *run));
+        usages.values_mut().for_each(|it| it.usage.pass(now.mono_ms));
         for it in &self.running {
             let Some(TaskRole::Filler(role)) = self.roles.get(&it.run) else { continue };
             let told = f64::from(self.paces.get(&it.run).copied().unwrap_or(100)) / 100.0;
             let wanted_cores = f64::from(role.cpu_millicores) / 1_000.0 * told;
             let read_cores = f64::from(it.load) / 1_000.0;
-            usages.entry(it.run).or_default().observe(read_cores, wanted_cores, now.mono_ms);
+            let first = || Used { image: role.image.clone(), usage: Usage::default() };
+            let used = usages.entry(it.run).or_insert_with(first);
+            used.usage.observe(read_cores, wanted_cores, now.mono_ms);
         }
+        usages.retain(|_, it| it.usage.counts());
         self.usages = usages;
     }
 
@@ -108,6 +147,7 @@
 
     fn cost_percent(&self, serving: &CompactString, filler: &CompactString) -> f64 {
         let known = self.costs.get(&(serving.clone(), filler.clone()));
-        known.copied().unwrap_or(UNKNOWN_PERCENT)
+        let core = reference_cores(1_000, self.announcement.capacity.cpu_millicores);
+        known.copied().unwrap_or(UNKNOWN_PERCENT * core)
     }
 }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -303,6 +303,7 @@
                     let task = RunningTask { run, checkpoint, progress_percent: 0, load: 0 };
                     worker.running.push(task);
                     worker.begun.insert(run, self.next_call);
+                    worker.begin_usage(run, now);
                     worker.pace_newcomer(now);
                 }
             }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -47,6 +47,13 @@
     },
 }
 
+/// What a filler of an image uses.
+#[derive(Clone, Debug)]
+pub(super) struct Used {
+    pub image: CompactString,
+    pub usage: Usage,
+}
+
 /// One lifetime of the worker.
 #[derive(Debug)]
 pub(super) struct Lifetime {
@@ -69,8 +76,8 @@
     pub refused: BTreeMap<RunRef, RefusalCause>,
     pub roles: HashMap<RunRef, TaskRole>,
     pub pacer: Pacer,
-    /// What fillers use, over the time that tails are read in.
-    pub usages: HashMap<RunRef, Usage>,
+    /// What fillers use, over the time that tails are read in; those that have just ended too.
+    pub usages: HashMap<RunRef, Used>,
     /// What a core of a filler takes from a serving task, by their images.
     pub costs: HashMap<(CompactString, CompactString), f64>,
     /// Share that each filler was last told, and the call that tells it.
@@ -161,8 +168,8 @@
 
     /// Returns a running task as the leader is told of it, with what a filler uses on the whole.
     fn reported(&self, it: &RunningTask) -> RunningTask {
-        let usage = self.usages.get(&it.run);
-        let load = usage.map_or(it.load, |it| (it.cores * 1_000.0) as u32);
+        let used = self.usages.get(&it.run);
+        let load = used.map_or(it.load, |it| (it.usage.cores * 1_000.0) as u32);
         RunningTask { load, ..it.clone() }
     }
 
@@ -192,7 +199,7 @@
                 .map(|(run, cause)| RefusedRun { run: *run, cause: *cause })
                 .collect(),
             roles_missing,
-            faded: Vec::new(),
+            faded: self.faded(),
         }
     }
 }
--- a/src/policy/harm/alike.rs
+++ b/src/policy/harm/alike.rs
@@ -1,20 +1,23 @@
 //! Costs of pairs that were seldom seen beside each other, told by images that behave alike.
 //!
 //! What fillers and services contend for are a few shared resources of a VM, so images fall into
-//! groups: on the users' VMs each image of fillers costs a service either about 1 or 5 to 10 %
+//! groups: on the users' VMs each image of fillers costs a service either about 1 or 8 to 20 %
 //! of headroom a core, and those that are dear to one service are dear to the same others. A pair that was
 //! never seen is told by the rows and columns that agree with its own where both are known. Where
 //! none agrees, what remains is the pair's own readings and the cost of an unknown pair.
 
 use crate::policy::harm::{
-    costs::{UNKNOWN_DEVIATION_PERCENT, UNKNOWN_PERCENT},
+    filter::{UNKNOWN_DEVIATION_PERCENT, UNKNOWN_PERCENT},
     images::ImageKey,
 };
 
-/// How far the costs of images that behave alike lie apart (variance, in percent squared): those
-/// of one group differ by about 2 % of headroom a core.
+/// How far the costs of images that behave alike lie apart (variance, in percent squared): cheap
+/// ones of one group differ by about 2 % of headroom a core.
 const ALIKE_VARIANCE: f64 = 4.0;
 
+/// Share of a cost that those of its group differ by beside that: dear ones lie between 8 and 20.
+const ALIKE_PART: f64 = 0.25;
+
 /// The same of images that have nothing to do with each other: what an unknown pair may be off.
 const UNLIKE_VARIANCE: f64 = UNKNOWN_DEVIATION_PERCENT * UNKNOWN_DEVIATION_PERCENT;
 
@@ -103,10 +106,10 @@
     let cost = |row: usize, column: usize| {
         let mut mean = WeightedMean::unknown();
         for (other, weight) in row_weights[row].iter().enumerate() {
-            mean.add(pairs[other][column], *weight, ALIKE_VARIANCE);
+            mean.add_alike(pairs[other][column], *weight);
         }
         for (other, weight) in column_weights[column].iter().enumerate() {
-            mean.add(pairs[row][other], *weight, ALIKE_VARIANCE);
+            mean.add_alike(pairs[row][other], *weight);
         }
         mean.add(pairs[row][column], 1.0, 0.0);
         mean.get().max(0.0)
@@ -138,10 +141,17 @@
     let difference = one.mean - other.mean;
     let square = difference * difference;
     let rough = one.variance + other.variance;
-    let (alike, unlike) = (rough + ALIKE_VARIANCE, rough + UNLIKE_VARIANCE);
+    let mean = (one.mean + other.mean) / 2.0;
+    let (alike, unlike) = (rough + alike_variance(mean), rough + UNLIKE_VARIANCE);
     0.5 * ((unlike / alike).ln() - square / alike + square / unlike)
 }
 
+/// Returns how far costs around `mean` lie apart among images that behave alike.
+fn alike_variance(mean: f64) -> f64 {
+    let part = ALIKE_PART * mean.max(0.0);
+    ALIKE_VARIANCE + part * part
+}
+
 /// A mean of costs, each weighted by how exactly it is known.
 #[derive(Clone, Copy, Debug)]
 struct WeightedMean {
@@ -163,6 +173,12 @@
         }
     }
 
+    /// Adds the cost of a pair that is alike by `weight`.
+    fn add_alike(&mut self, it: Option<Evidence>, weight: f64) {
+        let variance = it.map_or(ALIKE_VARIANCE, |it| alike_variance(it.mean));
+        self.add(it, weight, variance);
+    }
+
     fn get(self) -> f64 {
         self.sum / self.precision
     }
--- a/src/policy/harm/mod.rs
+++ b/src/policy/harm/mod.rs
@@ -6,25 +6,31 @@
 //! inverse explains a tail swinging between 13 and 31 ms by load alone to within 3 % (347 half
 //! seconds); shares of the tail itself vary threefold for one pair.
 //!
-//! The tasks of one step serve one load, so they share what they have left without fillers. The
-//! task of a step that fillers take least from tells it, now or a moment ago; what others have
-//! less is their fillers' doing, whatever the load does meanwhile.
+//! What counts is the share of a VM that a filler uses: one pair costs the same on VMs of 16, 32
+//! and 64 cores, by share, and four times as much a core on the smallest as on the largest. So
+//! cores are counted as those of a VM of [`REFERENCE_CORES`].
+//!
+//! The tasks of one step serve one load, so they share what they have left without fillers; what
+//! one has less than its siblings is its fillers' doing, whatever the load does meanwhile.
 
 pub mod alike;
-mod costs;
+mod filter;
 pub mod images;
 
 use std::{cmp::Reverse, collections::HashMap};
 
 use crate::prelude::*;
 
-pub use self::costs::UNKNOWN_PERCENT;
+pub use self::filter::UNKNOWN_PERCENT;
 use self::{
     alike::{Estimates, Readings},
-    costs::Costs,
+    filter::{Filter, Reading, UNKNOWN_REST_PERCENT},
     images::{ImageKey, Images},
 };
 
+/// Cores of the VM that costs are told for. A VM of another size counts its own by share.
+pub const REFERENCE_CORES: f64 = 64.0;
+
 /// Pairs handed on to the next leader: some 20 KB in the log.
 const KNOWN_MAX: usize = 1_000;
 
@@ -32,32 +38,26 @@
 /// whole milliseconds, and sibling tasks differ by 3 % of their load.
 const READING_DEVIATION: f64 = 0.1;
 
-/// How far a load drifts from its reference in a second, in percent of headroom.
-const DRIFT_PERCENT_PER_S: f64 = 40.0;
+/// Time over which a tail is read: a reading that follows another sooner says as much less.
+const READ_MS: u64 = 500;
+
+/// Least time between two readings of a task that are taken for two.
+const READ_MIN_MS: u64 = 50;
 
-/// Headroom without fillers of a step not seen yet: between idle and the bound.
-const UNKNOWN_REST_PERCENT: f64 = 250.0;
+/// Part of the roughness of a reading that doesn't shrink with the headroom, in percent.
+const ROUGH_MIN_PERCENT: f64 = 5.0;
 
 /// Headroom is cut at this: a service that is idle says little of one at work.
 const HEADROOM_MAX_PERCENT: f64 = 1_000.0;
 
-/// Age up to which a reading tells the load of its step; loads swing over many seconds.
-const REFERENCE_MS: u64 = 2_000;
-
-/// Cores of fillers that a newer reading may have more beside it than the one it replaces.
-const ALIKE_CORES: f64 = 1.0;
-
-/// Weight of a newer reading that replaces an alike one: single readings are rough.
-const REFERENCE_GAIN: f64 = 0.5;
-
 /// Headroom of a service that is over its bound, and works off a queue for some time after.
 const OVERLOADED_PERCENT: f64 = 100.0;
 
 /// Time for which its readings then tell of the queue, and not of load and fillers.
 const QUEUE_MS: u64 = 1_000;
 
-/// Time after which the rest of a step that is not seen is forgotten.
-const REST_KEPT_MS: u64 = 30_000;
+/// Time after which a task that is not read is forgotten.
+const READING_KEPT_MS: u64 = 30_000;
 
 /// Interval at which images are compared anew: reports come no more often.
 const COMPARED_MS: u64 = 250;
@@ -66,7 +66,7 @@
 /// each take 0.02 ms.
 const COMPARED_MAX: usize = 32;
 
-/// Steps and serving images remembered.
+/// Tasks and images that serve remembered.
 const REMEMBERED_MAX: usize = 10_000;
 
 /// Returns what a service has left: 100 at its bound, 200 with half the tail of its bound.
@@ -86,27 +86,30 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Filler {
     pub image: ImageKey,
-    /// Processor that it uses, or would.
+    /// Processor that it uses, or would, as of a VM of [`REFERENCE_CORES`].
     pub cores: f64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Rest {
-    headroom_percent: f64,
-    /// Cores that fillers used beside the task it was read of.
-    cores: f64,
+/// Returns processor of a VM as cores of one of [`REFERENCE_CORES`].
+pub fn reference_cores(millicores: u32, capacity_millicores: u32) -> f64 {
+    f64::from(millicores) / f64::from(capacity_millicores.max(1)) * REFERENCE_CORES
+}
+
+/// When a task that serves was read.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastRead {
     at_ms: u64,
+    /// When it was last over its bound.
+    over_ms: Option<u64>,
 }
 
 /// What is known of images beside each other.
 #[derive(Clone, Debug, Default)]
 pub struct Harm {
     images: Images,
-    rests: HashMap<StepRef, Rest>,
-    /// When tasks were last over their bounds.
-    overloaded_ms: HashMap<RunRef, u64>,
+    read: HashMap<RunRef, LastRead>,
     /// By image of the serving task.
-    costs: HashMap<ImageKey, Costs>,
+    filters: HashMap<ImageKey, Filter>,
     /// What images that behave alike add to that.
     estimates: Estimates,
     compared_ms: u64,
@@ -118,7 +121,7 @@
         let mut res = Harm::default();
         for it in costs {
             let (serving, filler) = (res.image(&it.serving), res.image(&it.filler));
-            let own = res.costs.entry(serving).or_default();
+            let own = res.filters.entry(serving).or_default();
             own.set_known(filler, f64::from(it.headroom_percent), now_ms);
         }
         res
@@ -137,10 +140,10 @@
     /// Returns what the next leader is to know, pair by pair.
     pub fn known(&self) -> Vec<ImageCost> {
         let mut res = Vec::new();
-        let mut serving: Vec<_> = self.costs.iter().collect();
+        let mut serving: Vec<_> = self.filters.iter().collect();
         serving.sort_by_key(|(image, _)| self.images.name(**image));
-        for (serving, costs) in serving {
-            for (filler, percent) in costs.iter() {
+        for (serving, filter) in serving {
+            for (filler, percent) in filter.costs() {
                 if KNOWN_MAX <= res.len() {
                     return res;
                 }
@@ -163,12 +166,14 @@
 
     /// Returns the same by readings of this pair alone, if there are any.
     fn read_cost_percent(&self, serving: ImageKey, filler: ImageKey) -> Option<f64> {
-        self.costs.get(&serving).and_then(|it| it.get(filler))
+        self.filters.get(&serving).and_then(|it| it.cost_percent(filler))
     }
 
-    /// Returns the headroom that the tasks of a step have with no filler beside them.
-    pub fn rest_percent(&self, group: StepRef) -> f64 {
-        self.rests.get(&group).map_or(UNKNOWN_REST_PERCENT, |it| it.headroom_percent)
+    /// Returns the headroom that the tasks of a step, which run `serving`, have with no filler
+    /// beside them.
+    pub fn rest_percent(&self, serving: ImageKey, group: StepRef) -> f64 {
+        let filter = self.filters.get(&serving);
+        filter.and_then(|it| it.level_percent(group)).unwrap_or(UNKNOWN_REST_PERCENT)
     }
 
     /// Returns what `fillers` take from `serving` together, in percent of headroom.
@@ -178,10 +183,9 @@
 
     /// Learns from what was reported of one VM.
     pub fn observe(&mut self, serving: &[Serving], fillers: &[Filler], now_ms: u64) {
-        if REMEMBERED_MAX <= self.rests.len() {
-            self.rests.retain(|_, it| now_ms < it.at_ms + REST_KEPT_MS);
+        if REMEMBERED_MAX <= self.read.len() {
+            self.read.retain(|_, it| now_ms < it.at_ms + READING_KEPT_MS);
         }
-        self.overloaded_ms.retain(|_, at_ms| now_ms < *at_ms + QUEUE_MS);
         for it in serving {
             self.observe_one(it, fillers, now_ms);
         }
@@ -193,11 +197,11 @@
 
     /// Returns what readings tell of the images seen last.
     fn readings(&self) -> Readings {
-        let mut rows: Vec<_> = self.costs.iter().collect();
+        let mut rows: Vec<_> = self.filters.iter().collect();
         rows.sort_by_key(|(image, it)| (Reverse(it.changed_ms()), **image));
         rows.truncate(COMPARED_MAX);
         let mut fillers = Vec::new();
-        for (image, _) in rows.iter().flat_map(|(_, it)| it.iter()) {
+        for (image, _) in rows.iter().flat_map(|(_, it)| it.costs()) {
             if !fillers.contains(&image) && fillers.len() < COMPARED_MAX {
                 fillers.push(image);
             }
@@ -211,38 +215,33 @@
     }
 
     fn observe_one(&mut self, it: &Serving, fillers: &[Filler], now_ms: u64) {
-        let cores = fillers.iter().map(|it| it.cores).sum();
-        let group = StepRef::of(it.run.task);
-        let works_off_queue = self.overloaded_ms.contains_key(&it.run);
+        if REMEMBERED_MAX <= self.read.len() && !self.read.contains_key(&it.run) {
+            return;
+        }
+        let read = self.read.entry(it.run).or_default();
+        let passed_ms = now_ms.saturating_sub(std::mem::replace(&mut read.at_ms, now_ms));
+        let works_off_queue = read.over_ms.is_some_and(|at_ms| now_ms < at_ms + QUEUE_MS);
         if it.headroom_percent < OVERLOADED_PERCENT {
-            self.overloaded_ms.insert(it.run, now_ms);
+            read.over_ms = Some(now_ms);
         } else if works_off_queue {
             return;
         }
-        // By readings alone, since the filter compares its own forecast with what it is told.
-        let read = |filler: &Filler| self.read_cost_percent(it.image, filler.image);
-        let cost = |filler: &Filler| read(filler).unwrap_or(UNKNOWN_PERCENT);
-        let taken_percent: f64 = fillers.iter().map(|it| cost(it) * it.cores).sum();
-        let headroom_percent = it.headroom_percent + taken_percent;
-        let mut newest = Rest { headroom_percent, cores, at_ms: now_ms };
-        let known = self.rests.get(&group).copied();
-        if let Some(known) = known.filter(|it| now_ms < it.at_ms + REFERENCE_MS) {
-            if known.cores + ALIKE_CORES < cores {
-                let missing_percent = known.headroom_percent - headroom_percent;
-                let drift_percent = DRIFT_PERCENT_PER_S * (now_ms - known.at_ms) as f64 / 1_000.0;
-                let rough_percent = known.headroom_percent * READING_DEVIATION;
-                let noise = rough_percent * rough_percent + drift_percent * drift_percent;
-                if self.costs.len() < REMEMBERED_MAX || self.costs.contains_key(&it.image) {
-                    let costs = self.costs.entry(it.image).or_default();
-                    costs.blame(fillers, missing_percent, noise, now_ms);
-                }
-                return;
-            }
-            let change = newest.headroom_percent - known.headroom_percent;
-            newest.headroom_percent = known.headroom_percent + change * REFERENCE_GAIN;
-        }
-        if self.rests.len() < REMEMBERED_MAX || known.is_some() {
-            self.rests.insert(group, newest);
+        if REMEMBERED_MAX <= self.filters.len() && !self.filters.contains_key(&it.image) {
+            return;
         }
+        let reading = Reading {
+            group: StepRef::of(it.run.task),
+            headroom_percent: it.headroom_percent,
+            noise: noise(it.headroom_percent, passed_ms),
+            fillers,
+        };
+        self.filters.entry(it.image).or_default().observe(&reading, now_ms);
     }
 }
+
+/// Returns how rough a reading is (variance) that follows another of the same task.
+fn noise(headroom_percent: f64, passed_ms: u64) -> f64 {
+    let deviation_percent = headroom_percent * READING_DEVIATION;
+    let overlap = READ_MS as f64 / passed_ms.clamp(READ_MIN_MS, READ_MS) as f64;
+    deviation_percent * deviation_percent * overlap + ROUGH_MIN_PERCENT * ROUGH_MIN_PERCENT
+}
--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -34,8 +34,11 @@
 /// Paces are rounded down to multiples of this, so that noise changes none.
 const GRAIN_PERCENT: u32 = 10;
 
-/// Time over which a tail is read; it rises and falls this much behind what causes it.
-const TAIL_MS: f64 = 400.0;
+/// Time before a reading of a tail whose load the tail tells of: the half second over which it is
+/// read, and some of what queued before. Over 20,000 readings of 69 VMs, what fillers used in the
+/// 700 ms before explains 29 % of the differences between siblings; what they use at the time, and
+/// without those that have just ended, 17 %.
+const TAIL_MS: u64 = 700;
 
 /// Share of what a filler would use down to which a reading says nothing: readings of one that
 /// goes at full speed lie between two thirds and one and a tenth of it.
@@ -74,20 +77,47 @@
 }
 
 /// What a filler uses, over the time that a tail is read in.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Usage {
     pub cores: f64,
+    pieces: Vec<Piece>,
     at_ms: u64,
 }
 
+/// A time for which a filler used some processor.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Piece {
+    from_ms: u64,
+    to_ms: u64,
+    cores: f64,
+}
+
 impl Usage {
+    /// Makes the usage of a filler that begins now; the default is one that began long ago.
+    pub fn begun(now_ms: u64) -> Usage {
+        Usage { at_ms: now_ms, ..Usage::default() }
+    }
+
     /// Takes in a rough reading, beside what the filler would use at the pace that it was told.
     pub fn observe(&mut self, read_cores: f64, wanted_cores: f64, now_ms: u64) {
         let is_short_of_processor = read_cores < wanted_cores * ROUGH_SHARE;
         let cores = if is_short_of_processor { read_cores } else { wanted_cores };
-        let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.cores += (cores - self.cores) * (1.0 - (-passed_ms / TAIL_MS).exp());
+        self.pieces.push(Piece { from_ms: self.at_ms, to_ms: now_ms, cores });
         self.at_ms = now_ms;
+        self.pass(now_ms);
+    }
+
+    /// Lets time pass after the filler has ended.
+    pub fn pass(&mut self, now_ms: u64) {
+        let since_ms = now_ms.saturating_sub(TAIL_MS);
+        self.pieces.retain(|it| since_ms < it.to_ms);
+        let used = |it: &Piece| it.to_ms.saturating_sub(it.from_ms.max(since_ms)) as f64 * it.cores;
+        self.cores = self.pieces.iter().map(used).sum::<f64>() / TAIL_MS as f64;
+    }
+
+    /// Returns whether tails may still tell of it.
+    pub fn counts(&self) -> bool {
+        !self.pieces.is_empty()
     }
 }
 
--- a/tests/fillers.rs
+++ b/tests/fillers.rs
@@ -7,6 +7,7 @@
             Filler, Harm, Serving,
             alike::{Estimates, Evidence, Readings},
             images::{ImageKey, Images},
+            reference_cores,
         },
         mobility::{Movable, Speed, is_worth_moving},
         pacing::{FillerReading, Pacer, ServingReading, Usage},
@@ -180,6 +181,78 @@
     assert!(light < 3.0, "{light}");
 }
 
+/// Two tasks of one service with mild fillers beside both, read as roughly as on the users' VMs.
+#[test]
+fn rough_readings_alone_make_no_filler_dear() {
+    let mut harm = Harm::default();
+    let mut random = fastrand::Rng::with_seed(7);
+    let fillers = ["one", "two", "three", "four"];
+    for at in 0..80_u64 {
+        let image = harm.image("web");
+        for index in 0..2 {
+            let beside: Vec<_> = fillers
+                .iter()
+                .filter(|_| random.bool())
+                .map(|it| Filler { image: harm.image(it), cores: 7.0 })
+                .collect();
+            let taken: f64 = beside.iter().map(|it| 0.7 * it.cores).sum();
+            let rough = 1.0 + (random.f64() + random.f64() - 1.0) * 0.25;
+            let headroom_percent = (250.0 - taken) * rough;
+            harm.observe(
+                &[Serving { run: run(1, index), image, headroom_percent }],
+                &beside,
+                at * 250,
+            );
+        }
+    }
+    // Half of what an unknown pair is taken to cost; the truth is 0.7.
+    let costs: Vec<_> = fillers.iter().map(|it| cost(&mut harm, "web", it)).collect();
+    let mean = costs.iter().sum::<f64>() / costs.len() as f64;
+    assert!(mean < 2.0, "{mean}: {costs:?}");
+}
+
+#[test]
+fn a_dear_filler_is_told_within_three_seconds_beside_a_rising_load() {
+    let mut harm = Harm::default();
+    let mut random = fastrand::Rng::with_seed(3);
+    // Six tasks of a service on six VMs, four of them with a filler that takes 13 % a core.
+    for at in 0..6_u64 {
+        let image = harm.image("web");
+        let rest = 330.0 - at as f64 * 25.0;
+        for index in 0..6 {
+            let cores = if index < 4 { 7.0 } else { 0.0 };
+            let heavy = Filler { image: harm.image("heavy"), cores };
+            let rough = 1.0 + (random.f64() + random.f64() - 1.0) * 0.25;
+            let headroom_percent = (rest - 13.0 * cores) * rough;
+            let beside = if index < 4 { vec![heavy] } else { Vec::new() };
+            harm.observe(
+                &[Serving { run: run(1, index), image, headroom_percent }],
+                &beside,
+                at * 500,
+            );
+        }
+    }
+    let heavy = cost(&mut harm, "web", "heavy");
+    assert!((9.0..17.0).contains(&heavy), "{heavy}; the truth is 13");
+}
+
+#[test]
+fn a_share_of_a_vm_counts_the_same_on_vms_of_any_size() {
+    assert_eq!(reference_cores(4_000, 16_000), reference_cores(16_000, 64_000));
+    assert_eq!(reference_cores(16_000, 64_000), 16.0);
+}
+
+#[test]
+fn what_a_filler_used_counts_until_tails_no_longer_tell_of_it() {
+    let mut usage = Usage::begun(1_000);
+    usage.observe(2.0, 2.0, 1_350);
+    assert_eq!(usage.cores, 1.0, "half of the 700 ms before a reading");
+    usage.pass(1_875);
+    assert_eq!(usage.cores, 0.5, "it has ended, and a quarter of its time still counts");
+    usage.pass(2_050);
+    assert!(usage.cores == 0.0 && !usage.counts());
+}
+
 #[test]
 fn more_images_than_are_remembered_mix_nothing_up() {
     let mut harm = Harm::default();
@@ -300,10 +373,10 @@
     harm.observe(&[serving(250.0)], &[], 1_000);
     let batch = harm.image("batch");
     harm.observe(&[serving(20.0)], &[Filler { image: batch, cores: 8.0 }], 1_250);
-    let before = harm.rest_percent(group);
+    let before = harm.rest_percent(image, group);
     // The fillers are gone, and the tail falls only slowly.
     harm.observe(&[serving(110.0)], &[], 1_500);
-    assert_eq!(harm.rest_percent(group), before);
+    assert_eq!(harm.rest_percent(image, group), before);
 }
 
 #[yare::parameterized(
--- a/tests/workflows/colocation.rs
+++ b/tests/workflows/colocation.rs
@@ -35,17 +35,18 @@
 /// Minutes played.
 const SEEDS: u64 = 6;
 
-/// Most of the time that services may be over their bounds. It was 2.70 % with costs forgotten
-/// within half a minute, each pair learned alone, and fillers placed at half their speed down to
-/// 120 % of headroom; it is 0.67 %.
-const OVER_MAX_PERCENT: f64 = 1.0;
+/// Most of the time that services may be over their bounds. It was 0.67 % on VMs of 64 cores and
+/// 1.79 % on VMs of 16, with costs told by the core, levels apart from costs, and each estimate cut
+/// at nothing; it is 0.49 and 0.44 %.
+const OVER_MAX_PERCENT: f64 = 0.7;
 
-/// Least part of batch workflows that meet their objective: 67.8 % before, 65.7 % now. What is
-/// handed in is more than the workers can do beside their services.
-const IN_TIME_MIN_PERCENT: f64 = 62.0;
+/// Least part of batch workflows that meet their objective: 65.7 and 62.5 % before, 72.6 and 73.8 %
+/// now. What is handed in is more than the workers can do beside their services.
+const IN_TIME_MIN_PERCENT: f64 = 70.0;
 
-/// What a core of a filler takes from a service, in percent of headroom, by the first letters of
-/// their names: services of kinds a and b suffer from fillers of their kind; kind c is mild to all.
+/// What a core of a VM of 64 takes from a service as a filler, in percent of headroom, by the first
+/// letters of their names: services of kinds a and b suffer from fillers of their kind; kind c is
+/// mild to all.
 fn true_cost_percent(service: &str, filler: &str) -> f64 {
     match service.as_bytes()[0] == filler.as_bytes()[0] {
         true => 8.0,
@@ -93,8 +94,16 @@
         f64::from(self.pacer.percent(run)) / 100.0
     }
 
-    fn tail_ms(&self, serving: &WorkflowStep, fillers: &[Running], now_ms: u64) -> u32 {
-        let cost = |it: &Running| true_cost_percent(&serving.image, &it.1.image) * self.cores(it);
+    fn tail_ms(
+        &self,
+        serving: &WorkflowStep,
+        fillers: &[Running],
+        vm_cores: u32,
+        now_ms: u64,
+    ) -> u32 {
+        let share = 64.0 / f64::from(vm_cores);
+        let cost =
+            |it: &Running| true_cost_percent(&serving.image, &it.1.image) * self.cores(it) * share;
         let taken: f64 = fillers.iter().map(cost).sum();
         let headroom = (rest_percent(&serving.image, now_ms) - taken).max(10.0);
         (TARGET_MS as f64 * 100.0 / headroom) as u32
@@ -145,6 +154,8 @@
 
 struct Hall {
     leader: Leader,
+    /// Cores of each VM. Everything is the same by share of a VM.
+    cores: u32,
     places: Vec<Place>,
     /// Work done for each filler, in milliseconds at full speed.
     done_ms: BTreeMap<TaskRef, f64>,
@@ -154,18 +165,18 @@
 }
 
 impl Hall {
-    fn new() -> Hall {
-        let mut leader = Leader::new(WORKERS);
+    fn new(cores: u32) -> Hall {
+        let mut leader = Leader::of_cores(WORKERS, cores);
         for (id, image) in (1..).zip(["a1", "b1", "a2", "b2"]) {
-            leader.submit(id, vec![service(image, 6, 13)]);
+            leader.submit(id, vec![of_share(service(image, 6, 13), cores)]);
         }
         let places = (0..WORKERS).map(|_| Place::new()).collect();
         let (done_ms, open) = (BTreeMap::new(), BTreeMap::new());
-        Hall { leader, places, done_ms, open, served: Served::default() }
+        Hall { leader, cores, places, done_ms, open, served: Served::default() }
     }
 
     fn submit_batch(&mut self, id: u64, image: &str, count: u32) {
-        let mut step = filler(image, count, 7, 200);
+        let mut step = of_share(filler(image, count, 7, 200), self.cores);
         step.estimate_ms = WORK_MS;
         self.open.insert(id, self.leader.now_ms);
         self.served.batch += 1;
@@ -201,8 +212,10 @@
         let step_of = |run: &RunRef| self.leader.workflows.step_of(run.task).unwrap().clone();
         let all = runs.iter().map(|run| (*run, step_of(run)));
         let (fillers, services): (Vec<_>, Vec<_>) = all.partition(|(_, it)| it.filler);
-        let tails_ms: Vec<_> =
-            services.iter().map(|(_, it)| place.tail_ms(it, &fillers, now_ms)).collect();
+        let tails_ms: Vec<_> = services
+            .iter()
+            .map(|(_, it)| place.tail_ms(it, &fillers, self.cores, now_ms))
+            .collect();
         self.served.readings += tails_ms.len() as u32;
         let is_over = |it: &&u32| TARGET_MS < u64::from(**it);
         self.served.over += tails_ms.iter().filter(is_over).count() as u32;
@@ -229,11 +242,17 @@
     }
 }
 
+/// Returns a step of a VM of 64 cores as one that takes the same share of a smaller VM.
+fn of_share(mut step: WorkflowStep, cores: u32) -> WorkflowStep {
+    step.need.cpu_millicores = step.need.cpu_millicores * cores / 64;
+    step
+}
+
 /// Plays a minute in which as much batch work comes as idle cores could do, and returns what
 /// callers got.
-fn play(seed: u64) -> Served {
+fn play(seed: u64, cores: u32) -> Served {
     let mut random = fastrand::Rng::with_seed(seed);
-    let mut hall = Hall::new();
+    let mut hall = Hall::new(cores);
     let mut id = 100;
     for at_ms in (0..PLAYED_MS).step_by(STEP_MS as usize) {
         // Bursts of twice the usual work for a third of the time.
@@ -248,9 +267,12 @@
     hall.served
 }
 
-#[test]
-fn callers_of_services_and_of_batch_work_are_both_served_in_a_busy_minute() {
-    let all: Vec<_> = (0..SEEDS).map(play).collect();
+#[yare::parameterized(
+    large_vms = { 64 },
+    small_vms = { 16 },
+)]
+fn callers_of_services_and_of_batch_work_are_both_served_in_a_busy_minute(cores: u32) {
+    let all: Vec<_> = (0..SEEDS).map(|seed| play(seed, cores)).collect();
     let sum = |of: fn(&Served) -> u32| all.iter().map(of).sum::<u32>();
     let over = f64::from(sum(|it| it.over)) * 100.0 / f64::from(sum(|it| it.readings));
     let in_time = f64::from(sum(|it| it.in_time)) * 100.0 / f64::from(sum(|it| it.batch));
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -12,8 +12,9 @@
 
 const MEMORY_MIB: u32 = 10_000;
 
-/// A leader with workers of 64 cores, each of which reports what it is made to.
+/// A leader with workers of 64 cores or another number, each of which reports what it is made to.
 pub struct Leader {
+    cores: u32,
     pub workflows: Workflows,
     dispatcher: Dispatcher,
     pub now_ms: u64,
@@ -42,11 +43,17 @@
 
 impl Leader {
     pub fn new(workers: u64) -> Leader {
+        Leader::of_cores(workers, 64)
+    }
+
+    /// Makes a leader of workers with so many cores each.
+    pub fn of_cores(workers: u64, cores: u32) -> Leader {
         let mut workflows = Workflows::default();
         workflows.apply(&WorkflowCommand::Install(queues(1)), 1);
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
         let dispatcher = Dispatcher::new(dispatch_options(), &workflows, 1, now);
         let mut res = Leader {
+            cores,
             workflows,
             dispatcher,
             now_ms: 1_000,
@@ -106,7 +113,11 @@
             zone: "zone".into(),
             kind: "a".into(),
             rack: "rack".into(),
-            capacity: Resources { cpu_millicores: 64_000, memory_mib: MEMORY_MIB, accelerators: 0 },
+            capacity: Resources {
+                cpu_millicores: self.cores * 1_000,
+                memory_mib: MEMORY_MIB,
+                accelerators: 0,
+            },
             draining: false,
             remaining_ms: 0,
             gone: false,
