--- a/tests/workflows/evacuations.rs
+++ b/tests/workflows/evacuations.rs
@@ -145,6 +145,24 @@
     assert!(world.rules.broken.is_empty(), "{:#?}", world.rules.broken);
 }
 
+#[test]
+fn a_node_does_not_go_on_trying_to_begin_what_was_ordered_before() {
+    let mut world = World::new(17, 3, 3);
+    world.install_queue();
+    world.loses_orders = true;
+    // Two tasks fill a worker, so that some are ordered in each zone.
+    world.submit(1, spec(vec![step(6, 7, &[])]), QUICK);
+    world.run_for(300);
+    assert!(change(&mut world, "zone-0", true));
+    let from_ms = world.now_ms + EVACUATE_MS;
+    world.rules.zone_closes("zone-0", Some(from_ms));
+    world.run_for(EVACUATE_MS + 500);
+    world.loses_orders = false;
+    world.run_for(5_000);
+    assert!(world.rules.broken.is_empty(), "{:#?}", world.rules.broken);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Completed));
+}
+
 #[test]
 fn what_runs_in_a_zone_goes_on_when_that_goes_out_of_use() {
     let mut world = World::new(12, 3, 1);
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -74,6 +74,8 @@
     pub cut: BTreeSet<usize>,
     /// Share of workers' calls that get no answer and are carried out late, in percent.
     pub late_percent: u32,
+    /// Orders to workers are lost; looks at them are answered.
+    pub loses_orders: bool,
 }
 
 impl World {
@@ -104,6 +106,7 @@
             next_token: 0,
             cut: BTreeSet::new(),
             late_percent: 0,
+            loses_orders: false,
         };
         let founders: Vec<_> = controls
             .iter()
@@ -343,7 +346,10 @@
                 node::Effect::PassedOver(_) => (),
                 node::Effect::Call { id, call } => {
                     let is_order = !matches!(call.action, node::Action::Hold { .. });
-                    if is_order && self.random.u32(0..100) < self.late_percent {
+                    if is_order && self.loses_orders {
+                        let result = CallResult::NoAnswer;
+                        self.push(500, Event::Result { vm, boot, id, result });
+                    } else if is_order && self.random.u32(0..100) < self.late_percent {
                         let late_ms = self.random.u64(1_000..8_000);
                         self.push(late_ms, Event::Call { vm, boot, id, call, answered: false });
                         self.push(
