--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -47,12 +47,13 @@
         running: Vec<RunningTask>,
         ended: Vec<EndedRun>,
     },
-    /// As `Held`, with rows that cannot be read: what is not listed may run all the same. The ends
-    /// are those before the first such row, since to acknowledge one is to acknowledge all before.
+    /// As `Held`, with rows that cannot be read: what is not listed may run all the same. Ends
+    /// behind such a row stand apart, since to acknowledge one is to acknowledge all before.
     HeldInPart {
         clock_ms: u64,
         running: Vec<RunningTask>,
         ended: Vec<EndedRun>,
+        ended_later: Vec<EndedRun>,
         unreadable: usize,
     },
     Done {
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -73,7 +73,7 @@
     /// Notes a list with rows that cannot be read; returns whether they have been there for so
     /// long that they must be somebody else's, so that the rest counts as a whole.
     fn judge_gap(&mut self, unreadable: usize) -> bool {
-        self.gaps += 1;
+        self.gaps = self.gaps.saturating_add(1);
         let is_whole = GAPS_MAX <= self.gaps;
         if self.gaps == 1 || self.gaps == GAPS_MAX {
             tracing::warn!(event = "rows_unreadable", worker = %self.announcement.name, rows = unreadable, lists = self.gaps, is_whole);
@@ -254,15 +254,19 @@
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
         let (running, ended, is_whole) = match result {
-            CallResult::Held { running, ended, .. } => (running, ended, true),
-            CallResult::HeldInPart { running, ended, unreadable, .. } => {
-                (running, ended, worker.judge_gap(unreadable))
+            CallResult::Held { running, ended, .. } => {
+                worker.gaps = 0;
+                (running, ended, true)
+            }
+            CallResult::HeldInPart { running, mut ended, ended_later, unreadable, .. } => {
+                let is_whole = worker.judge_gap(unreadable);
+                if is_whole {
+                    ended.extend(ended_later);
+                }
+                (running, ended, is_whole)
             }
             result => return worker.note_no_list(now, self.term, self.options.retry_ms, &result),
         };
-        if is_whole {
-            worker.gaps = 0;
-        }
         let was_listed = worker.listed_term == self.term;
         let known = worker.ended.len();
         for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
--- a/tests/platform/foreign.rs
+++ b/tests/platform/foreign.rs
@@ -95,3 +95,11 @@
     it.wait_for("/q/00000000000000a7", "completed");
     assert_eq!(it.executor.done(), 4, "nothing ran twice");
 }
+
+#[test]
+fn a_row_that_stays_unreadable_keeps_no_later_end_from_being_told() {
+    let it = Installation::start(1);
+    it.install(1);
+    it.executor.set_odd_lists(u32::MAX);
+    serves(&it, "00000000000000a8");
+}
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -374,6 +374,7 @@
         clock_ms: 50_100,
         running: Vec::new(),
         ended,
+        ended_later: Vec::new(),
         unreadable: 1,
     };
     alone.pass(300);
@@ -395,12 +396,24 @@
 fn rows_that_stay_unreadable_are_passed_over_in_the_end() {
     let mut alone = Alone::new();
     alone.grant(false, Vec::new());
+    let told = |it: &Alone| it.reports.last().unwrap().workers[0].ended.len();
     for _ in 0..8 {
+        assert_eq!(told(&alone), 0, "to acknowledge it would be to acknowledge what is unreadable");
         let id = alone.take_call(is_hold);
-        let (running, ended) = (Vec::new(), Vec::new());
-        alone.end(id, CallResult::HeldInPart { clock_ms: 50_100, running, ended, unreadable: 2 });
+        let end = RunEnd { run: RUN, outcome: RunOutcome::Done, checkpoint: "".into() };
+        alone.end(
+            id,
+            CallResult::HeldInPart {
+                clock_ms: 50_100,
+                running: Vec::new(),
+                ended: Vec::new(),
+                ended_later: vec![EndedRun { cursor: 5, end }],
+                unreadable: 2,
+            },
+        );
         alone.pass(300);
         alone.grant(false, Vec::new());
     }
     assert_eq!(alone.reports.last().unwrap().workers[0].term, 1, "the leader may place work again");
+    assert_eq!(told(&alone), 1, "and the ends behind the row are told");
 }
