--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -1,6 +1,6 @@
 //! How fast fillers may work beside tasks that serve.
 //!
-//! Each serving task has a headroom (`policy/harm.rs`), of which each filler takes a share in
+//! Each serving task has a headroom (`policy/harm/`), of which each filler takes a share in
 //! proportion to its pace. The pacer adds what fillers took to the reading, follows how that
 //! falls, and lets the fillers work that cost least, down to a margin above the bound. A task
 //! that stays over its bound all the same halts the fillers that are known to take from it, and
