Tell crashes of workers from ends that they announce, with the ages of the runs lost

The leader wrote the same line for both, and nothing said how long the runs had been there: the hypotheses on the incident could not be told apart by the log alone. It now writes worker_lost with a cause (crashed, replaced, lease_expired) and the four runs that began last, each with its age. A worker that ends by its own word is reported as draining.

--- /dev/null
+++ b/src/control/dispatch/losses.rs
@@ -0,0 +1,89 @@
+//! Workers that are lost, and what that says of the runs that were there.
+
+use std::{fmt::Write, net::SocketAddr};
+
+use crate::{
+    control::{
+        dispatch::{Dispatcher, run_name, sessions::Session},
+        state::{Worker, Workflows},
+    },
+    prelude::*,
+};
+
+/// Runs named in the line on a loss: what began last is what most likely caused it.
+const NAMED_MAX: usize = 4;
+
+/// Why a worker is lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Loss {
+    /// Its node finds nobody at its address, and no end was announced.
+    Crashed,
+    /// Another lifetime announced itself in its place, and no end was announced.
+    Replaced,
+    /// It had said that it leaves.
+    Left,
+    /// Nothing was heard of it for a whole lease: it may run on, cut off.
+    LeaseExpired,
+}
+
+impl Loss {
+    fn as_str(self) -> &'static str {
+        match self {
+            Loss::Crashed => "crashed",
+            Loss::Replaced => "replaced",
+            Loss::Left => "left",
+            Loss::LeaseExpired => "lease_expired",
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Gives up a worker: its runs end, and it leaves the ledger.
+    pub(super) fn lose(&mut self, workflows: &Workflows, id: WorkerId, loss: Loss, now: Now) {
+        let Some(worker) = workflows.workers().get(id) else { return };
+        self.log_loss(id, worker, loss, now);
+        let ends = self.sessions.lapsed_ends(id, worker);
+        let finish = FinishRuns { worker: id, cursor: worker.cursor, ends };
+        self.step.commands.push(WorkflowCommand::Finish(finish));
+        self.step.commands.push(WorkflowCommand::Dismiss(id));
+        if let Some(it) = self.sessions.get_mut(id) {
+            it.is_ending = true;
+        }
+    }
+
+    /// Says of the lifetimes that another one beside the same node takes the place of.
+    pub(super) fn log_replaced(&self, workflows: &Workflows, node: SocketAddr, now: Now) {
+        for id in workflows.workers().beside(node) {
+            let session = self.sessions.get(id).filter(|it| !it.is_ending);
+            let Some(report) = session.and_then(|it| it.report.as_ref()) else { continue };
+            let loss = if report.draining { Loss::Left } else { Loss::Replaced };
+            workflows.workers().get(id).into_iter().for_each(|it| self.log_loss(id, it, loss, now));
+        }
+    }
+
+    fn log_loss(&self, id: WorkerId, worker: &Worker, loss: Loss, now: Now) {
+        if loss == Loss::Left {
+            tracing::info!(event = "worker_left", worker = %worker.name, node = %worker.node, runs = worker.runs.len());
+            return;
+        }
+        // Nothing for one that this leader has never heard.
+        let session = self.sessions.get(id);
+        let heard_ms = session.map(|it| it.heard_ms).filter(|it| 0 < *it);
+        let silent_ms = heard_ms.map(|it| now.mono_ms.saturating_sub(it));
+        let youngest = session.map(|it| youngest(it, worker, now)).unwrap_or_default();
+        tracing::warn!(event = "worker_lost", worker = %worker.name, node = %worker.node, runs = worker.runs.len(), silent_ms = ?silent_ms, youngest = %youngest, cause = loss.as_str());
+    }
+}
+
+/// Returns the runs of a worker that began last, each with its age.
+fn youngest(session: &Session, worker: &Worker, now: Now) -> CompactString {
+    let mut ages: Vec<_> = worker.runs.iter().map(|it| (session.age_ms(*it, now), *it)).collect();
+    ages.sort();
+    let mut res = CompactString::default();
+    for (age_ms, run) in ages.into_iter().take(NAMED_MAX) {
+        let comma = if res.is_empty() { "" } else { "," };
+        // Writing to a string cannot fail.
+        let _ = write!(res, "{comma}{}@{age_ms}ms", run_name(run));
+    }
+    res
+}
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! What the leader does about workflows: it takes the nodes' reports, grants leases, places runs
 //! and turns what the ledger holds into orders.
 
+mod losses;
 mod orders;
 mod plan;
 mod requests;
@@ -16,12 +17,13 @@
     prelude::*,
 };
 
-pub use self::{orders::run_name, plan::PlanOptions, requests::Verdict, sessions::Session};
 use self::{
+    losses::Loss,
     rooms::Rooms,
     sessions::{Sessions, SlowRun, Usable},
     watch::{Watch, Work},
 };
+pub use self::{orders::run_name, plan::PlanOptions, requests::Verdict, sessions::Session};
 
 /// How often workflows that ended long ago are forgotten.
 const FORGET_INTERVAL_MS: u64 = 10_000;
@@ -86,7 +88,7 @@
         Dispatcher {
             options,
             term,
-            sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms()),
+            sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms(), now),
             harm: Harm::with_known(workflows.costs(), now.mono_ms),
             rooms,
             idle_since: plan::IdleSince::default(),
@@ -188,6 +190,7 @@
             WorkflowCommand::Begin(runs) => {
                 self.begin_in_flight = false;
                 let workers: BTreeSet<_> = runs.iter().map(|it| it.worker).collect();
+                self.sessions.note_placed(runs, now);
                 for it in workers {
                     self.rooms.note_changed(it);
                     self.send_orders(workflows, it, members);
@@ -197,7 +200,7 @@
                 self.sessions.drop_missing(workflows);
                 if let Some(id) = workflows.workers().find(it.node, &it.name) {
                     tracing::info!(event = "worker_enrolled", worker = %it.name, id = %id, node = %it.node, service = %it.service, kind = %it.kind, rack = %it.rack);
-                    self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms());
+                    self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms(), now);
                     self.rooms.note_changed(id);
                     // Its token lets the node read the lists that everything else waits for.
                     self.send_orders(workflows, id, members);
@@ -207,6 +210,7 @@
             }
             WorkflowCommand::Finish(it) => {
                 self.judge_worker(workflows, it, now);
+                self.sessions.forget_placed(it.worker, it.ends.iter().map(|it| it.run));
                 self.rooms.note_changed(it.worker);
                 self.send_grant(workflows, it.worker, members, now);
                 for it in workflows.superfluous_on(it) {
@@ -215,6 +219,7 @@
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Void(it) => {
+                self.sessions.forget_placed(it.worker, it.runs.iter().copied());
                 self.rooms.note_changed(it.worker);
                 self.want_plan(PLAN_PAUSE_MS);
             }
@@ -326,15 +331,7 @@
     /// Dismisses workers whose lease is over: what ran there has been killed by now.
     fn expire(&mut self, workflows: &Workflows, now: Now) {
         for id in self.sessions.take_expired(now.mono_ms) {
-            let Some(worker) = workflows.workers().get(id) else { continue };
-            // Nothing for one that this leader has never heard.
-            let heard_ms = self.sessions.get(id).map(|it| it.heard_ms).filter(|it| 0 < *it);
-            let silent_ms = heard_ms.map(|it| now.mono_ms.saturating_sub(it));
-            tracing::warn!(event = "worker_lost", worker = %worker.name, node = %worker.node, runs = worker.runs.len(), silent_ms = ?silent_ms, cause = "lease_expired");
-            let ends = self.sessions.lapsed_ends(id, worker);
-            let finish = FinishRuns { worker: id, cursor: worker.cursor, ends };
-            self.step.commands.push(WorkflowCommand::Finish(finish));
-            self.step.commands.push(WorkflowCommand::Dismiss(id));
+            self.lose(workflows, id, Loss::LeaseExpired, now);
         }
     }
 }
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     control::{
-        dispatch::{Dispatcher, LOAD_PAUSE_MS, PLAN_PAUSE_MS, sessions::Session},
+        dispatch::{Dispatcher, LOAD_PAUSE_MS, PLAN_PAUSE_MS, losses::Loss, sessions::Session},
         state::{Worker, Workflows},
     },
     prelude::*,
@@ -32,6 +32,7 @@
                     tracing::debug!(event = "worker_foreign", worker = %seen.name, node = %report.node, service = %seen.service);
                 }
                 false => {
+                    self.log_replaced(workflows, report.node, now);
                     self.step.commands.push(WorkflowCommand::Enrol(enrolment(report.node, &seen)));
                 }
             }
@@ -54,7 +55,7 @@
         if seen.draining && !before.is_some_and(|(draining, _)| draining) {
             tracing::info!(event = "worker_draining", worker = %seen.name, node = %report.node, remaining_ms = seen.remaining_ms);
         }
-        let is_gone = seen.gone;
+        let (is_gone, is_leaving) = (seen.gone, seen.draining);
         let is_as_before = before == Some((seen.draining, seen.term));
         session.report = Some(seen);
         // Loads alone change what fits only for what waits for room or is slow.
@@ -63,7 +64,8 @@
         let has_ends = self.take_ends(workflows, id);
         self.take_refusals(workflows, id);
         if is_gone {
-            return self.dismiss_leaver(workflows, id);
+            let loss = if is_leaving { Loss::Left } else { Loss::Crashed };
+            return self.lose(workflows, id, loss, now);
         }
         // Ends are answered once they are in the ledger, a commit later: one answer in place of
         // two. If that takes long, the next report is answered at once.
@@ -100,18 +102,6 @@
         }
     }
 
-    fn dismiss_leaver(&mut self, workflows: &Workflows, id: WorkerId) {
-        let Some(worker) = workflows.workers().get(id) else { return };
-        tracing::info!(event = "worker_left", worker = %worker.name, node = %worker.node, runs = worker.runs.len());
-        let ends = self.sessions.lapsed_ends(id, worker);
-        let finish = FinishRuns { worker: id, cursor: worker.cursor, ends };
-        self.step.commands.push(WorkflowCommand::Finish(finish));
-        self.step.commands.push(WorkflowCommand::Dismiss(id));
-        if let Some(it) = self.sessions.get_mut(id) {
-            it.is_ending = true;
-        }
-    }
-
     fn send_empty_grant(
         &mut self,
         workflows: &Workflows,
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -34,6 +34,10 @@
     /// Costs that the node was last told, and when.
     pub told_costs: Vec<ImageCost>,
     pub told_ms: u64,
+    /// When this leader began to keep the session; what ran before is older.
+    opened_ms: u64,
+    /// When the runs there that this leader placed came into the ledger.
+    placed_ms: HashMap<RunRef, u64>,
     /// Highest end proposed for the ledger.
     pub proposed_cursor: u64,
     /// A dismissal was proposed.
@@ -60,15 +64,15 @@
 }
 
 impl Sessions {
-    pub(super) fn take_over(workflows: &Workflows, held_until_ms: u64) -> Sessions {
+    pub(super) fn take_over(workflows: &Workflows, held_until_ms: u64, now: Now) -> Sessions {
         let mut res = Sessions::default();
         for (id, worker) in workflows.workers().iter() {
-            res.open(id, worker.node, held_until_ms);
+            res.open(id, worker.node, held_until_ms, now);
         }
         res
     }
 
-    pub(super) fn open(&mut self, id: WorkerId, node: SocketAddr, held_until_ms: u64) {
+    pub(super) fn open(&mut self, id: WorkerId, node: SocketAddr, held_until_ms: u64, now: Now) {
         let session = Session {
             node,
             held_until_ms,
@@ -82,6 +86,8 @@
             slow: Vec::new(),
             told_costs: Vec::new(),
             told_ms: 0,
+            opened_ms: now.mono_ms,
+            placed_ms: HashMap::new(),
             proposed_cursor: 0,
             is_ending: false,
         };
@@ -100,6 +106,24 @@
         self.sessions.get_mut(&id)
     }
 
+    /// Notes when runs came into the ledger.
+    pub(super) fn note_placed(&mut self, runs: &[RunPlacement], now: Now) {
+        for it in runs {
+            if let Some(session) = self.get_mut(it.worker) {
+                session.placed_ms.insert(it.run, now.mono_ms);
+            }
+        }
+    }
+
+    /// Forgets when runs that are over came into the ledger.
+    pub(super) fn forget_placed(&mut self, id: WorkerId, runs: impl Iterator<Item = RunRef>) {
+        if let Some(session) = self.get_mut(id) {
+            for it in runs {
+                session.placed_ms.remove(&it);
+            }
+        }
+    }
+
     pub(super) fn drop_missing(&mut self, workflows: &Workflows) {
         self.sessions.retain(|id, _| workflows.workers().get(*id).is_some());
     }
@@ -180,6 +204,12 @@
             && it.now.mono_ms < self.heard_ms + it.silent_ms
     }
 
+    /// Returns for how long a run has been placed there; at least, if an earlier leader placed it.
+    pub(super) fn age_ms(&self, run: RunRef, now: Now) -> u64 {
+        let since_ms = self.placed_ms.get(&run).copied().unwrap_or(self.opened_ms);
+        now.mono_ms.saturating_sub(since_ms)
+    }
+
     fn slow_now(&self) -> impl Iterator<Item = SlowRun> {
         let is_told = |run: RunRef| self.watched.get(&run).is_none_or(|it| it.evicted);
         self.slow.iter().copied().filter(move |it| !is_told(it.run))
--- a/src/control/state/workflows/workers.rs
+++ b/src/control/state/workflows/workers.rs
@@ -88,7 +88,8 @@
         self.workers.is_empty()
     }
 
-    pub(super) fn beside(&self, node: SocketAddr) -> Vec<WorkerId> {
+    /// Returns the lifetimes beside a node.
+    pub fn beside(&self, node: SocketAddr) -> Vec<WorkerId> {
         self.by_node.get(&node).cloned().unwrap_or_default()
     }
 
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -199,6 +199,8 @@
     fn on_left(&mut self, name: &str) {
         if let Some(it) = self.worker.as_mut().filter(|it| it.announcement.name == name) {
             tracing::info!(event = "worker_left", worker = name, runs = it.running.len());
+            // It said so itself: this is no crash.
+            it.announcement.draining = true;
             it.is_gone = true;
             self.is_dirty = true;
         }
