Give up a task that crashes the workers that start it

Cause: the end of a run with its crashed worker counted for nothing, so that no number of crashes ended its workflow or slowed its next start. The class: a loss that the leader concludes by itself (crash, replacement, silence) is an attempt that no bound counts.

Change: such an end is told apart (crashed, crashed_unseen, lapsed) and held against the task in the replicated state. Odds grow with each crash by how unlikely it was at the rate of crashes without the task; from two crashes and 1,000 on, or at the fourth, its workflow has failed. What was young when its worker crashed begins next on a worker where nothing else begins for a second, a third of the workers at most. One task explains a crash, so that what ran beside it is not suspected. Starts that a node never sent are refused, and a worker that is replaced loses its runs by the same path as one that crashed.

One check is narrowed by a trace: started a task again after its end was taken note of, though the lease lapsed between the two, which the users allow; the stand-in worker now marks such ends.

--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -189,7 +189,33 @@
                 let age_ms = workflow.map(|it| entry.time_ms.saturating_sub(it.accepted_ms));
                 tracing::info!(event = "run_ended", run = %run_name(end.run), worker = it.worker.0, outcome = ?end.outcome, cursor = it.cursor, phase = ?phase, age_ms = ?age_ms, index, term);
             }
+            log_suspects(state, it, entry);
         }
         _ => (),
     }
 }
+
+/// Suspected tasks named after a crash: those that most likely caused it.
+const SUSPECTS_NAMED_MAX: usize = 4;
+
+/// Writes what a crash is held against, and which workflows were given up for it.
+fn log_suspects(state: &State, it: &FinishRuns, entry: &LogEntry) {
+    let (index, term) = (entry.index, entry.term);
+    let suspects = state.workflows.suspects();
+    let mut held: Vec<_> =
+        it.ends.iter().filter_map(|end| Some((suspects.get(end.run.task)?, end))).collect();
+    held.sort_by(|a, b| b.0.odds.total_cmp(&a.0.odds));
+    for (suspicion, end) in held.into_iter().take(SUSPECTS_NAMED_MAX) {
+        tracing::info!(event = "task_suspected", run = %run_name(end.run), losses = suspicion.losses, odds = suspicion.odds as u64, outcome = ?end.outcome, index, term);
+    }
+    let is_lost = |end: &&RunEnd| {
+        let outcomes = [RunOutcome::Crashed, RunOutcome::CrashedUnseen, RunOutcome::Lapsed];
+        outcomes.contains(&end.outcome)
+            && state.workflows.get(end.run.task.workflow).is_some_and(|it| {
+                it.phase() == WorkflowPhase::Failed && it.ended_ms == entry.time_ms
+            })
+    };
+    for end in it.ends.iter().filter(is_lost) {
+        tracing::warn!(event = "workflow_given_up", run = %run_name(end.run), worker = it.worker.0, cause = "crashes_workers", index, term);
+    }
+}
--- a/src/control/dispatch/losses.rs
+++ b/src/control/dispatch/losses.rs
@@ -41,8 +41,9 @@
     /// Gives up a worker: its runs end, and it leaves the ledger.
     pub(super) fn lose(&mut self, workflows: &Workflows, id: WorkerId, loss: Loss, now: Now) {
         let Some(worker) = workflows.workers().get(id) else { return };
-        self.log_loss(id, worker, loss, now);
-        let ends = self.sessions.lapsed_ends(id, worker);
+        self.log_loss(workflows, id, worker, loss, now);
+        let ends = self.sessions.get(id).map(|it| ends_of_lost(it, worker, loss));
+        let ends = ends.unwrap_or_default();
         let finish = FinishRuns { worker: id, cursor: worker.cursor, ends };
         self.step.commands.push(WorkflowCommand::Finish(finish));
         self.step.commands.push(WorkflowCommand::Dismiss(id));
@@ -51,17 +52,17 @@
         }
     }
 
-    /// Says of the lifetimes that another one beside the same node takes the place of.
-    pub(super) fn log_replaced(&self, workflows: &Workflows, node: SocketAddr, now: Now) {
+    /// Gives up the lifetimes that another one beside the same node takes the place of.
+    pub(super) fn lose_replaced(&mut self, workflows: &Workflows, node: SocketAddr, now: Now) {
         for id in workflows.workers().beside(node) {
-            let session = self.sessions.get(id).filter(|it| !it.is_ending);
-            let Some(report) = session.and_then(|it| it.report.as_ref()) else { continue };
-            let loss = if report.draining { Loss::Left } else { Loss::Replaced };
-            workflows.workers().get(id).into_iter().for_each(|it| self.log_loss(id, it, loss, now));
+            let Some(session) = self.sessions.get(id).filter(|it| !it.is_ending) else { continue };
+            let is_leaving = session.report.as_ref().is_some_and(|it| it.draining);
+            let loss = if is_leaving { Loss::Left } else { Loss::Replaced };
+            self.lose(workflows, id, loss, now);
         }
     }
 
-    fn log_loss(&self, id: WorkerId, worker: &Worker, loss: Loss, now: Now) {
+    fn log_loss(&self, workflows: &Workflows, id: WorkerId, worker: &Worker, loss: Loss, now: Now) {
         if loss == Loss::Left {
             tracing::info!(event = "worker_left", worker = %worker.name, node = %worker.node, runs = worker.runs.len());
             return;
@@ -70,14 +71,37 @@
         let session = self.sessions.get(id);
         let heard_ms = session.map(|it| it.heard_ms).filter(|it| 0 < *it);
         let silent_ms = heard_ms.map(|it| now.mono_ms.saturating_sub(it));
-        let youngest = session.map(|it| youngest(it, worker, now)).unwrap_or_default();
+        let youngest = youngest(workflows, worker, now);
         tracing::warn!(event = "worker_lost", worker = %worker.name, node = %worker.node, runs = worker.runs.len(), silent_ms = ?silent_ms, youngest = %youngest, cause = loss.as_str());
     }
 }
 
+/// Returns the ends of all runs of a worker that is lost, with what they last saved.
+///
+/// Only a crash is held against what ran there: a worker that is silent or leaves tells nothing of
+/// its runs. Those that its node never got to begin are not among them, since it says so itself.
+fn ends_of_lost(session: &Session, worker: &Worker, loss: Loss) -> Vec<RunEnd> {
+    let report = session.report.as_ref();
+    let listed = |run: RunRef| report?.running.iter().find(|it| it.run == run);
+    let is_refused =
+        |run: RunRef| report.is_some_and(|it| it.refused.iter().any(|it| it.run == run));
+    let outcome = |run: RunRef| match loss {
+        Loss::Crashed | Loss::Replaced if listed(run).is_some() => RunOutcome::Crashed,
+        Loss::Crashed | Loss::Replaced => RunOutcome::CrashedUnseen,
+        Loss::Left | Loss::LeaseExpired => RunOutcome::Lapsed,
+    };
+    let end = |run: &RunRef| RunEnd {
+        run: *run,
+        outcome: outcome(*run),
+        checkpoint: listed(*run).map(|it| it.checkpoint.clone()).unwrap_or_default(),
+    };
+    worker.runs.iter().filter(|it| !is_refused(**it)).map(end).collect()
+}
+
 /// Returns the runs of a worker that began last, each with its age.
-fn youngest(session: &Session, worker: &Worker, now: Now) -> CompactString {
-    let mut ages: Vec<_> = worker.runs.iter().map(|it| (session.age_ms(*it, now), *it)).collect();
+fn youngest(workflows: &Workflows, worker: &Worker, now: Now) -> CompactString {
+    let age = |it: &RunRef| Some((workflows.suspects().age_ms(*it, now.wall_ms)?, *it));
+    let mut ages: Vec<_> = worker.runs.iter().filter_map(age).collect();
     ages.sort();
     let mut res = CompactString::default();
     for (age_ms, run) in ages.into_iter().take(NAMED_MAX) {
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod requests;
 mod rooms;
 mod sessions;
+mod trials;
 mod watch;
 
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -21,6 +22,7 @@
     losses::Loss,
     rooms::Rooms,
     sessions::{Sessions, SlowRun, Usable},
+    trials::Trials,
     watch::{Watch, Work},
 };
 pub use self::{orders::run_name, plan::PlanOptions, requests::Verdict, sessions::Session};
@@ -68,6 +70,7 @@
     sessions: Sessions,
     harm: Harm,
     rooms: Rooms,
+    trials: Trials,
     idle_since: plan::IdleSince,
     /// Runs proposed and not yet in the ledger; the next plan waits for them.
     begin_in_flight: bool,
@@ -88,9 +91,10 @@
         Dispatcher {
             options,
             term,
-            sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms(), now),
+            sessions: Sessions::take_over(workflows, now.mono_ms + options.held_ms()),
             harm: Harm::with_known(workflows.costs(), now.mono_ms),
             rooms,
+            trials: Trials::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
             begin_in_flight: false,
             planned_ms: 0,
@@ -163,6 +167,7 @@
             sessions: &self.sessions,
             rooms: &mut self.rooms,
             harm: &mut self.harm,
+            trials: self.trials.under_way(now),
             usable: Usable { term: self.term, silent_ms: self.options.silent_ms, now },
         };
         let plan = plan::plan(basis, &mut self.idle_since);
@@ -190,7 +195,7 @@
             WorkflowCommand::Begin(runs) => {
                 self.begin_in_flight = false;
                 let workers: BTreeSet<_> = runs.iter().map(|it| it.worker).collect();
-                self.sessions.note_placed(runs, now);
+                self.trials.note_begun(workflows, runs, now);
                 for it in workers {
                     self.rooms.note_changed(it);
                     self.send_orders(workflows, it, members);
@@ -200,7 +205,7 @@
                 self.sessions.drop_missing(workflows);
                 if let Some(id) = workflows.workers().find(it.node, &it.name) {
                     tracing::info!(event = "worker_enrolled", worker = %it.name, id = %id, node = %it.node, service = %it.service, kind = %it.kind, rack = %it.rack);
-                    self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms(), now);
+                    self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms());
                     self.rooms.note_changed(id);
                     // Its token lets the node read the lists that everything else waits for.
                     self.send_orders(workflows, id, members);
@@ -210,7 +215,6 @@
             }
             WorkflowCommand::Finish(it) => {
                 self.judge_worker(workflows, it, now);
-                self.sessions.forget_placed(it.worker, it.ends.iter().map(|it| it.run));
                 self.rooms.note_changed(it.worker);
                 self.send_grant(workflows, it.worker, members, now);
                 for it in workflows.superfluous_on(it) {
@@ -219,7 +223,6 @@
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Void(it) => {
-                self.sessions.forget_placed(it.worker, it.runs.iter().copied());
                 self.rooms.note_changed(it.worker);
                 self.want_plan(PLAN_PAUSE_MS);
             }
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -32,7 +32,7 @@
                     tracing::debug!(event = "worker_foreign", worker = %seen.name, node = %report.node, service = %seen.service);
                 }
                 false => {
-                    self.log_replaced(workflows, report.node, now);
+                    self.lose_replaced(workflows, report.node, now);
                     self.step.commands.push(WorkflowCommand::Enrol(enrolment(report.node, &seen)));
                 }
             }
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -13,6 +13,7 @@
         dispatch::{
             rooms::{Care, Room, Rooms},
             sessions::{Sessions, SlowRun, Usable},
+            trials::Trials,
         },
         state::{Occurrence, Workflow, Workflows},
     },
@@ -65,12 +66,14 @@
     pub sessions: &'a Sessions,
     pub rooms: &'a mut Rooms,
     pub harm: &'a mut Harm,
+    /// Workers where nothing may begin, since a task is tried there.
+    pub trials: Trials,
     pub usable: Usable,
 }
 
 /// Returns the runs to begin now, and those to move.
 pub(super) fn plan(basis: Basis<'_>, idle_since: &mut IdleSince) -> Plan {
-    let Basis { workflows, sessions, rooms, harm, usable } = basis;
+    let Basis { workflows, sessions, rooms, harm, trials, usable } = basis;
     let now = usable.now;
     let candidates = candidates(workflows, now);
     let slow = sessions.slow_runs(workflows, usable);
@@ -79,7 +82,8 @@
         return Plan::default();
     }
     rooms.refresh(workflows, harm, now);
-    let mut placing = Placing::new(workflows, rooms.usable(workflows, sessions, usable), harm);
+    let mut placing =
+        Placing::new(workflows, rooms.usable(workflows, sessions, usable), harm, trials);
     for it in &candidates {
         placing.place(it.at, it.workflow, Care::KeepTails);
     }
--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -6,6 +6,7 @@
     control::{
         dispatch::{
             rooms::{Asked, Care, Preference, Room},
+            trials::Trials,
             watch::Work,
         },
         state::{StepState, Workflow, Workflows},
@@ -19,6 +20,7 @@
     workflows: &'a Workflows,
     rooms: Vec<&'r mut Room>,
     harm: &'a mut Harm,
+    trials: Trials,
     runs: Vec<RunPlacement>,
     touched: BTreeSet<WorkerId>,
     /// Needs for which no room was left: rooms only shrink while a plan is made, so that whoever
@@ -68,9 +70,10 @@
         workflows: &'a Workflows,
         rooms: Vec<&'r mut Room>,
         harm: &'a mut Harm,
+        trials: Trials,
     ) -> Placing<'a, 'r> {
         let (runs, touched, unmet) = (Vec::new(), BTreeSet::new(), Vec::new());
-        Placing { workflows, rooms, harm, runs, touched, unmet }
+        Placing { workflows, rooms, harm, trials, runs, touched, unmet }
     }
 
     pub(super) fn workflows(&self) -> &'a Workflows {
@@ -115,8 +118,10 @@
                 // One that runs is enough not to be idle.
                 let most = if care == Care::Anywhere { 1 } else { usize::MAX };
                 let most = most.min(waiting.len());
-                let placed = self.place_tasks(at, &asked, state, &waiting[..most], care);
-                if placed < most && care == Care::KeepTails && step.per_worker_max == 0 {
+                let Parted { tried, free } = self.split(at, &waiting[..most]);
+                self.place_tried(at, &asked, state, &tried, care);
+                let placed = self.place_tasks(at, &asked, state, &free, care);
+                if placed < free.len() && care == Care::KeepTails && step.per_worker_max == 0 {
                     self.unmet.push(need);
                 }
             }
@@ -135,9 +140,14 @@
         let run = waiting.iter().map(|(_, run)| *run).max().unwrap_or(1);
         let members: Vec<_> = waiting.iter().map(|(index, _)| (*index, run)).collect();
         let from = self.runs.len();
-        if self.place_tasks(at, asked, state, &members, care) == members.len() {
+        let trials = self.trials.clone();
+        let Parted { tried, free } = self.split(at, &members);
+        let is_placed = self.place_tried(at, asked, state, &tried, care) == tried.len()
+            && self.place_tasks(at, asked, state, &free, care) == free.len();
+        if is_placed {
             return;
         }
+        self.trials = trials;
         for placed in self.runs.split_off(from) {
             if let Some(room) = self.rooms.iter_mut().find(|it| it.id == placed.worker) {
                 room.give_back(asked, self.harm);
@@ -145,6 +155,65 @@
         }
     }
 
+    /// Parts tasks into those that must be tried and the others.
+    fn split(&self, at: StepRef, tasks: &[(u32, u32)]) -> Parted {
+        let suspects = self.workflows.suspects();
+        let must_be_tried = |(index, _): &(u32, u32)| suspects.needs_trial(task_of(at, *index));
+        let (tried, free) = tasks.iter().copied().partition(must_be_tried);
+        Parted { tried, free }
+    }
+
+    /// Places tasks of a workflow that must be tried, on workers with least to lose where nothing
+    /// else begins; returns how many. The others wait until trials under way have ended.
+    ///
+    /// They may share a worker: whichever of them is to blame, their workflow is given up.
+    fn place_tried(
+        &mut self,
+        at: StepRef,
+        asked: &Asked<'_>,
+        state: &StepState,
+        tasks: &[(u32, u32)],
+        care: Care,
+    ) -> usize {
+        let mut counts = counts_of(asked.step, state);
+        let must_wait = self.trials.are_many(self.rooms.len());
+        let mut taken: Vec<usize> = Vec::new();
+        for (placed, (index, run)) in tasks.iter().enumerate() {
+            let count = |it: WorkerId| counts.get(&it).copied().unwrap_or(0);
+            let has_room = |it: &usize| {
+                let room = &self.rooms[*it];
+                room.offer(asked, count(room.id), care, self.harm).is_some()
+            };
+            let shared = taken.iter().copied().find(has_room);
+            let fresh = || self.least_to_lose(asked, &counts, care).filter(|_| !must_wait);
+            let Some(best) = shared.or_else(fresh) else { return placed };
+            let worker = self.rooms[best].id;
+            self.rooms[best].take(asked, self.harm);
+            self.trials.begin(worker);
+            taken.push(best);
+            self.touched.insert(worker);
+            *counts.entry(worker).or_insert(0) += 1;
+            let run = RunRef { task: task_of(at, *index), run: *run };
+            self.runs.push(RunPlacement { run, worker });
+        }
+        tasks.len()
+    }
+
+    /// Returns the worker that would take a task and holds the fewest runs.
+    fn least_to_lose(
+        &self,
+        asked: &Asked<'_>,
+        counts: &HashMap<WorkerId, u32>,
+        care: Care,
+    ) -> Option<usize> {
+        let runs_on = |it: usize| {
+            let worker = self.workflows.workers().get(self.rooms[it].id);
+            worker.map(|it| it.runs.len())
+        };
+        let offers = self.offers(asked, counts, care).into_iter();
+        offers.map(|(_, it)| it).min_by_key(|it| (runs_on(*it), *it))
+    }
+
     /// Places tasks, each with its run number, until there is no room; returns how many.
     ///
     /// What is placed changes one room only, so the offers of the others stand.
@@ -165,13 +234,8 @@
             self.touched.insert(room.id);
             let count = counts.entry(room.id).or_insert(0);
             *count += 1;
-            let task = TaskRef {
-                workflow: at.workflow,
-                occurrence: at.occurrence,
-                step: at.step,
-                index: *index,
-            };
-            self.runs.push(RunPlacement { run: RunRef { task, run: *run }, worker: room.id });
+            let run = RunRef { task: task_of(at, *index), run: *run };
+            self.runs.push(RunPlacement { run, worker: room.id });
             if let Some(it) = room.offer(asked, *count, care, self.harm) {
                 offers.push((it, best));
             }
@@ -186,6 +250,9 @@
         care: Care,
     ) -> BinaryHeap<(Preference, usize)> {
         let offer = |(at, room): (usize, &&'r mut Room)| {
+            if self.trials.contains(room.id) {
+                return None;
+            }
             let placed = counts.get(&room.id).copied().unwrap_or(0);
             Some((room.offer(asked, placed, care, self.harm)?, at))
         };
@@ -226,6 +293,12 @@
     }
 }
 
+/// Tasks to place, each by its index with the number of its next run.
+struct Parted {
+    tried: Vec<(u32, u32)>,
+    free: Vec<(u32, u32)>,
+}
+
 /// A worker that would take one more task.
 pub(super) struct Found<'a> {
     room: usize,
@@ -234,6 +307,10 @@
     asked: Asked<'a>,
 }
 
+fn task_of(at: StepRef, index: u32) -> TaskRef {
+    TaskRef { workflow: at.workflow, occurrence: at.occurrence, step: at.step, index }
+}
+
 fn state_of(workflow: &Workflow, at: StepRef) -> Option<&StepState> {
     workflow.occurrences.get(at.occurrence as usize)?.steps.get(at.step as usize)
 }
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -6,10 +6,7 @@
 };
 
 use crate::{
-    control::{
-        dispatch::watch::Watch,
-        state::{Worker, Workflows},
-    },
+    control::{dispatch::watch::Watch, state::Workflows},
     policy::soundness::Soundness,
     prelude::*,
 };
@@ -34,10 +31,6 @@
     /// Costs that the node was last told, and when.
     pub told_costs: Vec<ImageCost>,
     pub told_ms: u64,
-    /// When this leader began to keep the session; what ran before is older.
-    opened_ms: u64,
-    /// When the runs there that this leader placed came into the ledger.
-    placed_ms: HashMap<RunRef, u64>,
     /// Highest end proposed for the ledger.
     pub proposed_cursor: u64,
     /// A dismissal was proposed.
@@ -64,15 +57,15 @@
 }
 
 impl Sessions {
-    pub(super) fn take_over(workflows: &Workflows, held_until_ms: u64, now: Now) -> Sessions {
+    pub(super) fn take_over(workflows: &Workflows, held_until_ms: u64) -> Sessions {
         let mut res = Sessions::default();
         for (id, worker) in workflows.workers().iter() {
-            res.open(id, worker.node, held_until_ms, now);
+            res.open(id, worker.node, held_until_ms);
         }
         res
     }
 
-    pub(super) fn open(&mut self, id: WorkerId, node: SocketAddr, held_until_ms: u64, now: Now) {
+    pub(super) fn open(&mut self, id: WorkerId, node: SocketAddr, held_until_ms: u64) {
         let session = Session {
             node,
             held_until_ms,
@@ -86,8 +79,6 @@
             slow: Vec::new(),
             told_costs: Vec::new(),
             told_ms: 0,
-            opened_ms: now.mono_ms,
-            placed_ms: HashMap::new(),
             proposed_cursor: 0,
             is_ending: false,
         };
@@ -106,24 +97,6 @@
         self.sessions.get_mut(&id)
     }
 
-    /// Notes when runs came into the ledger.
-    pub(super) fn note_placed(&mut self, runs: &[RunPlacement], now: Now) {
-        for it in runs {
-            if let Some(session) = self.get_mut(it.worker) {
-                session.placed_ms.insert(it.run, now.mono_ms);
-            }
-        }
-    }
-
-    /// Forgets when runs that are over came into the ledger.
-    pub(super) fn forget_placed(&mut self, id: WorkerId, runs: impl Iterator<Item = RunRef>) {
-        if let Some(session) = self.get_mut(id) {
-            for it in runs {
-                session.placed_ms.remove(&it);
-            }
-        }
-    }
-
     pub(super) fn drop_missing(&mut self, workflows: &Workflows) {
         self.sessions.retain(|id, _| workflows.workers().get(*id).is_some());
     }
@@ -151,21 +124,6 @@
         res
     }
 
-    /// Returns the ends of all runs of a worker that is lost, with what they last saved.
-    pub(super) fn lapsed_ends(&self, id: WorkerId, worker: &Worker) -> Vec<RunEnd> {
-        let report = self.get(id).and_then(|it| it.report.as_ref());
-        let saved_by = |run: RunRef| {
-            let running = &report?.running;
-            running.iter().find(|it| it.run == run).map(|it| it.checkpoint.clone())
-        };
-        let end = |run: &RunRef| RunEnd {
-            run: *run,
-            outcome: RunOutcome::Lapsed,
-            checkpoint: saved_by(*run).unwrap_or_default(),
-        };
-        worker.runs.iter().map(end).collect()
-    }
-
     /// Returns the fillers that are slow on workers that can be told to stop them, the slowest
     /// first, which hold up their workflows longest.
     pub(super) fn slow_runs(&self, workflows: &Workflows, is_usable: Usable) -> Vec<SlowRun> {
@@ -204,12 +162,6 @@
             && it.now.mono_ms < self.heard_ms + it.silent_ms
     }
 
-    /// Returns for how long a run has been placed there; at least, if an earlier leader placed it.
-    pub(super) fn age_ms(&self, run: RunRef, now: Now) -> u64 {
-        let since_ms = self.placed_ms.get(&run).copied().unwrap_or(self.opened_ms);
-        now.mono_ms.saturating_sub(since_ms)
-    }
-
     fn slow_now(&self) -> impl Iterator<Item = SlowRun> {
         let is_told = |run: RunRef| self.watched.get(&run).is_none_or(|it| it.evicted);
         self.slow.iter().copied().filter(move |it| !is_told(it.run))
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -25,8 +25,8 @@
     vms::{NOTHING, Session, Vm, Vms, add, fits, subtract},
     watches::{Watch, Watches},
     workflows::{
-        Occurrence, StepState, TaskRun, Worker, Workers, Workflow, WorkflowError, Workflows,
-        check_queues, check_spec, reserve_of,
+        Occurrence, StepState, Suspects, TaskRun, Worker, Workers, Workflow, WorkflowError,
+        Workflows, check_queues, check_spec, reserve_of,
     },
 };
 
@@ -38,8 +38,9 @@
     Configuration,
 }
 
-/// Evacuations in a snapshot: revision 0, and an empty list.
-const NO_EVACUATIONS: &[u8] = &[0, 0];
+/// Bytes that snapshots of earlier versions lack at their end, all zero where there is nothing:
+/// three for suspected tasks, and two before them for evacuations.
+const MISSING_TAILS: [usize; 2] = [3, 5];
 
 /// The outcome of one command.
 pub type Outcome = Result<Reply, Refusal>;
@@ -166,16 +167,15 @@
     ///
     /// Returns an error when the bytes are no state of this version.
     pub fn from_bytes(data: &[u8]) -> Result<State> {
-        let config = bincode::config::standard();
-        let decoded = bincode::serde::decode_from_slice(data, config).or_else(|error| {
-            let bincode::error::DecodeError::UnexpectedEnd { .. } = error else {
-                return Err(error);
-            };
-            // A snapshot of a version without evacuations ends before these.
-            let data = [data, NO_EVACUATIONS].concat();
-            bincode::serde::decode_from_slice(&data, config)
-        });
-        let (mut res, _): (State, usize) = decoded.map_err(|it| {
+        let read = |missing: usize| {
+            let data = [data, &vec![0; missing]].concat();
+            let (res, used) = bincode::serde::decode_from_slice(&data, bincode::config::standard())
+                .map_err(|it| it.to_string())?;
+            let is_whole = used == data.len();
+            is_whole.then_some(res).ok_or_else(|| format!("{} bytes too many", data.len() - used))
+        };
+        let earlier = || MISSING_TAILS.iter().find_map(|it| read(*it).ok());
+        let mut res: State = read(0).or_else(|error| earlier().ok_or(error)).map_err(|it| {
             Error::report(
                 ErrorKind::Internal,
                 format_compact!("cannot decode the state of a snapshot: {it}"),
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod index;
+mod suspects;
 mod task;
 mod workers;
 mod zones;
@@ -17,8 +18,10 @@
 
 use crate::prelude::*;
 
+use self::suspects::{Crash, CrashedRun, is_crash};
 pub use self::{
     check::{WorkflowError, check_queues, check_spec},
+    suspects::Suspects,
     task::{Occurrence, StepState, TaskRun, Workflow, reserve_of},
     workers::{Worker, Workers},
 };
@@ -38,8 +41,9 @@
     costs: Vec<ImageCost>,
     #[serde(skip)]
     index: index::Index,
-    /// Last of all that is kept, since snapshots of earlier versions end before it.
+    /// From here on what snapshots of earlier versions end before.
     evacuations: Evacuations,
+    suspects: Suspects,
 }
 
 impl Workflows {
@@ -85,6 +89,11 @@
         &self.evacuations
     }
 
+    /// Returns the tasks whose workers crashed.
+    pub fn suspects(&self) -> &Suspects {
+        &self.suspects
+    }
+
     /// Returns whether a worker stands in a zone that is out of use, where nothing may begin.
     pub fn is_evacuated(&self, id: WorkerId) -> bool {
         !self.evacuations.zones.is_empty()
@@ -134,7 +143,7 @@
             WorkflowCommand::Install(it) => self.install(it),
             WorkflowCommand::Submit(it) => self.submit(it),
             WorkflowCommand::Cancel(id) => self.cancel(*id, time_ms),
-            WorkflowCommand::Begin(runs) => self.begin(runs),
+            WorkflowCommand::Begin(runs) => self.begin(runs, time_ms),
             WorkflowCommand::Finish(it) => self.finish(it, time_ms),
             WorkflowCommand::Void(it) => self.void(it),
             WorkflowCommand::Enrol(it) => self.enrol(it),
@@ -167,15 +176,15 @@
     }
 
     fn cancel(&mut self, id: WorkflowId, time_ms: u64) -> WorkflowOutcome {
-        let Some(workflow) = self.workflows.get_mut(&id) else { return WorkflowOutcome::Gone };
-        workflow.end(WorkflowPhase::Cancelled, time_ms);
-        self.active.remove(&id);
-        self.index_workflow(id);
+        if !self.workflows.contains_key(&id) {
+            return WorkflowOutcome::Gone;
+        }
+        self.end_workflow(id, WorkflowPhase::Cancelled, time_ms);
         WorkflowOutcome::Accepted
     }
 
     /// Notes runs that are about to be ordered; one that no longer makes sense is passed over.
-    fn begin(&mut self, runs: &[RunPlacement]) -> WorkflowOutcome {
+    fn begin(&mut self, runs: &[RunPlacement], time_ms: u64) -> WorkflowOutcome {
         for it in runs {
             if self.is_evacuated(it.worker) {
                 continue;
@@ -188,6 +197,7 @@
                 && workflow.begin(it.run, it.worker)
             {
                 worker.add(it.run, step);
+                self.suspects.note_begun(it.run, time_ms);
                 self.index_step(StepRef::of(it.run.task));
             }
         }
@@ -197,23 +207,48 @@
     fn finish(&mut self, it: &FinishRuns, time_ms: u64) -> WorkflowOutcome {
         let Some(worker) = self.workers.get_mut(it.worker) else { return WorkflowOutcome::Gone };
         worker.cursor = worker.cursor.max(it.cursor);
+        let crash = self.crash_of(&it.ends, time_ms);
         for end in &it.ends {
             self.finish_run(it.worker, end, time_ms);
         }
+        let given_up = crash.map(|it| self.suspects.note_crash(&it)).unwrap_or_default();
+        for task in given_up {
+            self.end_workflow(task.workflow, WorkflowPhase::Failed, time_ms);
+        }
         WorkflowOutcome::Accepted
     }
 
+    /// Returns the crash that ends tell of, with the runs that still had something to do.
+    fn crash_of(&self, ends: &[RunEnd], time_ms: u64) -> Option<Crash> {
+        let mut crashed = ends.iter().filter(|it| is_crash(it.outcome)).peekable();
+        crashed.peek()?;
+        let row = |it: &RunEnd| {
+            let age_ms = self.suspects.age_ms(it.run, time_ms)?;
+            let was_seen = it.outcome == RunOutcome::Crashed;
+            Some(CrashedRun { task: it.run.task, age_ms, was_seen })
+        };
+        let runs = crashed.filter(|it| !self.is_superfluous(it.run)).filter_map(row).collect();
+        Some(Crash { workers: self.workers.len(), time_ms, runs })
+    }
+
+    fn end_workflow(&mut self, id: WorkflowId, phase: WorkflowPhase, time_ms: u64) {
+        let Some(workflow) = self.workflows.get_mut(&id) else { return };
+        workflow.end(phase, time_ms);
+        self.suspects.forget(id);
+        self.active.remove(&id);
+        self.index_workflow(id);
+    }
+
     fn finish_run(&mut self, worker: WorkerId, end: &RunEnd, time_ms: u64) {
         let id = end.run.task.workflow;
         self.release(worker, end.run);
         let attempts_max = self.attempts_max_of(id);
         let Some(workflow) = self.workflows.get_mut(&id) else { return };
-        match workflow.finish(worker, end, attempts_max) {
-            Some(phase) => {
-                workflow.end(phase, time_ms);
-                self.active.remove(&id);
-                self.index_workflow(id);
-            }
+        let phase = workflow.finish(worker, end, attempts_max);
+        let is_given_up = !is_crash(end.outcome) && self.suspects.note_end(end, time_ms);
+        self.suspects.note_over(end.run);
+        match phase.or(is_given_up.then_some(WorkflowPhase::Failed)) {
+            Some(phase) => self.end_workflow(id, phase, time_ms),
             None => self.index_after(StepRef::of(end.run.task)),
         }
     }
@@ -226,6 +261,7 @@
     fn void(&mut self, it: &VoidRuns) -> WorkflowOutcome {
         for run in &it.runs {
             self.release(it.worker, *run);
+            self.suspects.note_over(*run);
             if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
                 workflow.void(it.worker, *run);
                 self.index_step(StepRef::of(run.task));
@@ -258,6 +294,7 @@
     fn dismiss(&mut self, id: WorkerId) -> WorkflowOutcome {
         let Some(worker) = self.workers.remove(id) else { return WorkflowOutcome::Gone };
         for run in worker.runs {
+            self.suspects.note_over(run);
             if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
                 workflow.void(id, run);
                 self.index_step(StepRef::of(run.task));
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -76,7 +76,7 @@
 pub const GATEWAY_ENDS: [&str; 3] = ["told", "not_taken", "unknown"];
 
 /// What is counted of the state.
-pub const STATE_GAUGES: [&str; 11] = [
+pub const STATE_GAUGES: [&str; 12] = [
     "vms",
     "jobs",
     "tasks",
@@ -86,6 +86,7 @@
     "workflows",
     "workers",
     "evacuations",
+    "suspects",
     "log_entries",
     "log_bytes",
 ];
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -48,6 +48,17 @@
         }
     }
 
+    /// Refuses the starts that never reached a worker that is gone, so that they are not taken for
+    /// what took it down.
+    fn refuse_unsent(&mut self) {
+        let is_unsent = |it: &Pending| {
+            matches!(it.order, Order::Start { .. }) && it.call.is_none() && !it.may_be_late
+        };
+        for (run, _) in self.orders.iter().filter(|(_, it)| is_unsent(it)) {
+            self.refused.insert(*run, RefusalCause::Unhealthy);
+        }
+    }
+
     /// Takes in the leader's orders; what is known or under way already changes nothing.
     pub(super) fn take_orders(&mut self, now: Now, orders: Vec<RunOrder>) {
         for it in orders {
@@ -213,6 +224,7 @@
                 if since_ms + GONE_AFTER_MS <= now.mono_ms && !worker.is_gone {
                     tracing::warn!(event = "worker_gone", worker = %worker.announcement.name, cause = "nobody_listens", missing_ms = now.mono_ms - since_ms);
                     worker.is_gone = true;
+                    worker.refuse_unsent();
                     self.is_dirty = true;
                 }
             }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,4 +17,5 @@
 pub mod retry;
 pub mod routing;
 pub mod soundness;
+pub mod suspicion;
 pub mod urgency;
--- a/src/runtime/single/adapters.rs
+++ b/src/runtime/single/adapters.rs
@@ -140,6 +140,7 @@
             ("workflows", state.workflows.len()),
             ("workers", state.workflows.workers().len()),
             ("evacuations", state.workflows.evacuations().zones.len()),
+            ("suspects", state.workflows.suspects().len()),
             ("log_entries", log_entries as usize),
             ("log_bytes", core.raft().entries_bytes()),
         ];
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -2309,7 +2309,7 @@
         Self::Role(value)
     }
 }
-///How a run ended.
+///How a run ended. 'crashed' stands for one whose worker crashed, 'crashed_unseen' for one that may have begun there and was not seen to run, 'lapsed' for one whose worker was lost otherwise.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 pub enum RunOutcome {
@@ -2325,6 +2325,10 @@
     Broken,
     #[serde(rename = "alone")]
     Alone,
+    #[serde(rename = "crashed")]
+    Crashed,
+    #[serde(rename = "crashed_unseen")]
+    CrashedUnseen,
 }
 impl ::std::convert::From<&Self> for RunOutcome {
     fn from(value: &RunOutcome) -> Self {
@@ -2340,6 +2344,8 @@
             Self::Lapsed => f.write_str("lapsed"),
             Self::Broken => f.write_str("broken"),
             Self::Alone => f.write_str("alone"),
+            Self::Crashed => f.write_str("crashed"),
+            Self::CrashedUnseen => f.write_str("crashed_unseen"),
         }
     }
 }
@@ -2355,6 +2361,8 @@
             "lapsed" => Ok(Self::Lapsed),
             "broken" => Ok(Self::Broken),
             "alone" => Ok(Self::Alone),
+            "crashed" => Ok(Self::Crashed),
+            "crashed_unseen" => Ok(Self::CrashedUnseen),
             _ => Err("invalid value".into()),
         }
     }
--- a/tests/workflows/crashes.rs
+++ b/tests/workflows/crashes.rs
@@ -86,6 +86,51 @@
     }
 }
 
+#[test]
+fn a_lasting_task_that_crashes_its_workers_is_given_up() {
+    let mut world = World::new(23, 3, 5);
+    world.refuses_connections = true;
+    world.install_queue();
+    world.submit(1, spec(vec![lasting(3)]), Nature { work_ms: 600_000, ..QUICK });
+    world.submit(2, spec(vec![lasting(3)]), crashing(600_000, 10));
+    world.run_for(30_000);
+    assert_unbroken(&world);
+    assert_eq!(world.phase(2), Some(WorkflowPhase::Failed));
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Running));
+}
+
+#[test]
+fn a_member_of_a_gang_that_crashes_its_workers_ends_the_gang() {
+    let mut world = World::new(24, 3, 5);
+    world.refuses_connections = true;
+    world.install_queue();
+    let mut gang = step(4, 2, &[]);
+    gang.gang = true;
+    world.submit(1, spec(vec![gang]), crashing(2_000, 10));
+    world.run_for(30_000);
+    assert_unbroken(&world);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Failed));
+}
+
+/// What was learned of a task is in the log: a leader that is lost in between starts it no more
+/// often.
+#[test]
+fn a_new_leader_knows_what_crashed_under_the_one_before() {
+    let mut world = World::new(25, 3, 6);
+    world.refuses_connections = true;
+    world.install_queue();
+    world.submit(1, spec(vec![step(1, 1, &[])]), crashing(2_000, 10));
+    for _ in 0..4 {
+        world.run_for(700);
+        let leader = world.leader();
+        world.kill_member(leader, 500, false);
+        world.run_for(2_500);
+    }
+    world.run_for(10_000);
+    assert_unbroken(&world);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Failed));
+}
+
 /// Work whose workers are lost to something else is done in the end, however often.
 #[test]
 fn no_task_is_given_up_for_workers_that_crash_by_themselves() {
@@ -156,6 +201,10 @@
 #[ignore = "long; see the module"]
 fn many_seeds_with_crashing_tasks() {
     let count = std::env::var("ASPENRAIL_SEEDS").map_or(200, |it| it.parse().unwrap());
-    let starts: u32 = (LONG_FROM..LONG_FROM + count).map(assert_unbroken_by).sum();
-    println!("{count} seeds from {LONG_FROM}: {starts} starts, 0 rules broken");
+    let broken: Vec<_> = (LONG_FROM..LONG_FROM + count)
+        .map(|seed| (seed, play(seed).rules.broken))
+        .filter(|(_, it)| !it.is_empty())
+        .collect();
+    println!("{count} seeds from {LONG_FROM}: {} with broken rules", broken.len());
+    assert!(broken.is_empty(), "{broken:#?}");
 }
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -313,8 +313,64 @@
     state.apply_workflow(1, 9, &evacuate("z", true, 0));
     let read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
     assert!(read.workflows.evacuations().contains("z"));
-    // Revision 0 and an empty list take a byte each, at the end.
-    let read = State::from_bytes(&older[..older.len() - 2]).unwrap();
-    assert_eq!(read.workflows.evacuations(), &Evacuations::default());
-    assert!(State::from_bytes(&older[..older.len() - 3]).is_err());
+    // Suspected tasks take three bytes at the end where there are none, and evacuations two before
+    // them: revision 0 and an empty list.
+    for missing in [3, 5] {
+        let read = State::from_bytes(&older[..older.len() - missing]).unwrap();
+        assert_eq!(read.workflows.evacuations(), &Evacuations::default());
+        assert!(read.workflows.suspects().is_empty());
+    }
+    for missing in [1, 2, 4, 6, 7] {
+        assert!(State::from_bytes(&older[..older.len() - missing]).is_err(), "{missing} missing");
+    }
+    assert!(State::from_bytes(&[&older[..], &[0]].concat()).is_err());
+}
+
+/// Lets a task begin and its worker crash under it, so many times, with others that outlive it.
+fn crash_under(state: &mut State, times: u32, age_ms: u64) {
+    for it in 1..=times {
+        let at_ms = 10_000 + u64::from(it) * 5_000;
+        let name = format!("w-{it}");
+        state.apply_workflow(1, at_ms, &enrol(&name));
+        let worker = state.workflows.workers().find(NODE, &name).unwrap().0;
+        state.apply_workflow(1, at_ms, &begin(worker, &[run(7, 0, 0, it)]));
+        let end = finish(worker, 0, run(7, 0, 0, it), RunOutcome::Crashed);
+        state.apply_workflow(1, at_ms + age_ms, &end);
+    }
+}
+
+fn submitted() -> State {
+    let mut state = State::new(Place { region: 1, group: 1 });
+    for it in [WorkflowCommand::Install(queues(1)), submit(7, spec(vec![step(2, 1, &[])]))] {
+        state.apply_workflow(1, 1, &it);
+    }
+    state
+}
+
+#[yare::parameterized(
+    once = { 1, 300, WorkflowPhase::Running },
+    twice_soon = { 2, 300, WorkflowPhase::Failed },
+    thrice_late = { 3, 4_000, WorkflowPhase::Running },
+    four_times_late = { 4, 4_000, WorkflowPhase::Failed },
+    four_times_outlived = { 4, 10_000, WorkflowPhase::Running },
+)]
+fn a_task_is_given_up_for_crashes_that_it_most_likely_caused(
+    times: u32,
+    age_ms: u64,
+    expected: WorkflowPhase,
+) {
+    let mut state = submitted();
+    crash_under(&mut state, times, age_ms);
+    assert_eq!(state.workflows.get(WorkflowId(7)).unwrap().phase(), expected);
+}
+
+#[test]
+fn what_is_held_against_tasks_is_in_the_snapshot() {
+    let mut state = submitted();
+    crash_under(&mut state, 1, 300);
+    let read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
+    assert_eq!(read.workflows.suspects(), state.workflows.suspects());
+    assert_eq!(read.workflows.suspects().len(), 1);
+    state.apply_workflow(1, 50_000, &WorkflowCommand::Cancel(WorkflowId(7)));
+    assert!(state.workflows.suspects().is_empty());
 }
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -65,6 +65,8 @@
     running: BTreeMap<RunRef, Running>,
     highest: BTreeMap<TaskRef, u32>,
     ended: Vec<EndedRun>,
+    /// Ends up to here were listed when the lease ran out: to take note of them then binds nobody.
+    lapsed_ends: u64,
     next_end: u64,
     acked: u64,
 }
@@ -84,6 +86,7 @@
             running: BTreeMap::new(),
             highest: BTreeMap::new(),
             ended: Vec::new(),
+            lapsed_ends: 0,
             next_end: 1,
             acked: 0,
         }
@@ -136,6 +139,7 @@
             for run in lapsed {
                 self.end(run, RunOutcome::Lapsed, rules);
             }
+            self.lapsed_ends = self.next_end - 1;
             return;
         }
         if self.stalls {
@@ -184,8 +188,8 @@
             Action::Hold { lease_until_ms, acked_cursor, .. } => {
                 self.lease_until_ms = self.lease_until_ms.max(lease_until_ms.unwrap_or(0));
                 self.acked = self.acked.max(*acked_cursor);
-                let acked = self.acked;
-                for it in self.ended.iter().filter(|it| it.cursor <= acked) {
+                let (acked, lapsed) = (self.acked, self.lapsed_ends);
+                for it in self.ended.iter().filter(|it| lapsed < it.cursor && it.cursor <= acked) {
                     rules.taken_note_of(it.end.run, it.end.outcome);
                 }
                 self.ended.retain(|it| acked < it.cursor);
