Show that workers which shrink are overfilled: tests of changing capacities, red

The stand-in worker may change what it has, refuses what does not fit or, unguarded, starts it, and a checker counts what is in use against the most it had in the 3.5 s before. Red: the capacity enters the ledger at enrolment only.

--- /dev/null
+++ b/tests/workflows/capacity.rs
@@ -0,0 +1,132 @@
+//! Workers whose capacity shrinks and grows while they run.
+
+use aspenrail::prelude::*;
+
+use crate::{
+    faults::disturb,
+    worker::{CAPACITY, Nature},
+    world::{World, spec, step},
+};
+
+/// Seeds that run in CI.
+const SEEDS: std::ops::Range<u64> = 0..10;
+
+/// First seed of the long run.
+const LONG_FROM: u64 = 500_000;
+
+const QUICK: Nature = Nature { work_ms: 600, fails_every: 0, crash: None };
+
+/// Makes workers that start whatever they are told, so that only the leader guards their room.
+fn unguarded(seed: u64, workers: usize) -> World {
+    let mut world = World::new(seed, 3, workers);
+    world.nodes.iter_mut().for_each(|it| it.worker.guards = false);
+    world.install_queue();
+    world
+}
+
+fn resize(world: &mut World, vm: usize, cores: u32) {
+    let now_ms = world.now_ms;
+    let capacity = Resources { cpu_millicores: cores * 1_000, ..CAPACITY };
+    world.nodes[vm].worker.resize(capacity, now_ms);
+}
+
+fn assert_unbroken(world: &World) {
+    assert!(world.rules.broken.is_empty(), "{:#?}", world.rules.broken);
+}
+
+#[test]
+fn a_worker_that_has_shrunk_is_not_filled_beyond_what_is_left() {
+    let mut world = unguarded(31, 2);
+    resize(&mut world, 0, 4);
+    world.run_for(4_000);
+    for id in 1..=20 {
+        world.submit(id, spec(vec![step(4, 2, &[])]), QUICK);
+        world.run_for(100);
+    }
+    world.run_for(10_000);
+    assert_unbroken(&world);
+    (1..=20).for_each(|id| assert_eq!(world.phase(id), Some(WorkflowPhase::Completed)));
+}
+
+#[test]
+fn a_worker_that_has_grown_is_used_within_a_report() {
+    let mut world = unguarded(32, 1);
+    resize(&mut world, 0, 2);
+    world.run_for(4_000);
+    world.submit(1, spec(vec![step(1, 8, &[])]), QUICK);
+    world.run_for(1_000);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Queued));
+    resize(&mut world, 0, 16);
+    // An announcement each 500 ms, a commit, and the order.
+    world.run_for(700);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Running));
+}
+
+#[test]
+fn a_new_leader_has_the_newest_capacity() {
+    let mut world = unguarded(33, 1);
+    resize(&mut world, 0, 4);
+    world.run_for(4_000);
+    let leader = world.leader();
+    world.kill_member(leader, 60_000, false);
+    for id in 1..=6 {
+        world.submit(id, spec(vec![step(4, 2, &[])]), QUICK);
+        world.run_for(300);
+    }
+    world.run_for(12_000);
+    assert_unbroken(&world);
+}
+
+/// Work goes on at half the size, and nothing that runs is thrown away when a worker shrinks.
+#[test]
+fn what_runs_on_a_worker_that_shrinks_goes_on() {
+    let mut world = unguarded(34, 1);
+    world.submit(1, spec(vec![step(8, 2, &[])]), Nature { work_ms: 5_000, ..QUICK });
+    world.run_for(1_000);
+    resize(&mut world, 0, 4);
+    world.run_for(8_000);
+    assert_unbroken(&world);
+    assert_eq!(world.phase(1), Some(WorkflowPhase::Completed));
+    assert_eq!(world.rules.starts, 8);
+}
+
+fn play(seed: u64) -> World {
+    let mut world = unguarded(seed, 5);
+    for id in 1..=30 {
+        let work_ms = world.random.u64(100..2_500);
+        let steps = vec![step(6, 2, &[]), step(3, 3, &[0])];
+        world.submit(id, spec(steps), Nature { work_ms, ..QUICK });
+        disturb(&mut world);
+        let vm = world.random.usize(0..5);
+        if world.nodes[vm].worker.up && world.random.bool() {
+            let cores = world.random.u32(2..17);
+            resize(&mut world, vm, cores);
+        }
+        let pause_ms = world.random.u64(200..1_500);
+        world.run_for(pause_ms);
+    }
+    world.cut.clear();
+    world.late_percent = 0;
+    world.run_for(20_000);
+    world
+}
+
+#[test]
+fn no_worker_is_overfilled_while_capacities_change_under_seeded_faults() {
+    for seed in SEEDS {
+        let world = play(seed);
+        assert!(world.rules.broken.is_empty(), "seed {seed}: {:#?}", world.rules.broken);
+    }
+}
+
+#[test]
+#[ignore = "long; see the module"]
+fn many_seeds_with_changing_capacities() {
+    let count = std::env::var("ASPENRAIL_SEEDS").map_or(200, |it| it.parse().unwrap());
+    let broken: Vec<_> = (LONG_FROM..LONG_FROM + count)
+        .map(|seed| (seed, play(seed).rules.broken))
+        .filter(|(_, it)| !it.is_empty())
+        .collect();
+    println!("{count} seeds from {LONG_FROM}: {} with broken rules", broken.len());
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -5,6 +5,7 @@
 //! `ASPENRAIL_SEEDS` says how many.
 #![allow(clippy::unwrap_used)]
 
+mod capacity;
 mod colocation;
 mod crashes;
 #[path = "../promises/disk.rs"]
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use aspenrail::prelude::*;
+use aspenrail::{control::state::reserve_of, prelude::*};
 
 /// Workers that may crash under a task, and starts after these that are too many.
 const CRASHES_MAX: u32 = 3;
@@ -68,6 +68,12 @@
         self.live.insert(run.task, (run, worker.into()));
     }
 
+    /// Returns what a run takes from its worker.
+    pub fn reserve_of(&self, run: RunRef) -> Option<Resources> {
+        let spec = self.submitted.get(&run.task.workflow.0)?;
+        spec.steps.get(run.task.step as usize).map(reserve_of)
+    }
+
     /// Notes that a worker crashed because of a run.
     pub fn crashed_by(&mut self, run: RunRef) {
         *self.crashes.entry(run.task).or_insert(0) += 1;
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use aspenrail::{
+    control::state::{NOTHING, add, fits},
     node::{Action, Announcement, CallResult, Refused, WorkerCall},
     prelude::*,
 };
@@ -12,6 +13,10 @@
 pub const CAPACITY: Resources =
     Resources { cpu_millicores: 16_000, memory_mib: 32_000, accelerators: 0 };
 
+/// Time for which a capacity that has shrunk still counts, as users allow: that of contact, and an
+/// announcement.
+const SHRUNK_COUNTS_MS: u64 = 3_500;
+
 /// Run times and ends of tasks, known to the stand-ins only.
 #[derive(Clone, Copy, Debug)]
 pub struct Nature {
@@ -60,6 +65,10 @@
     pub stalls: bool,
     /// What runs here fails, whatever it is.
     pub fails_all: bool,
+    /// Whether it refuses what does not fit; else it starts whatever it is told.
+    pub guards: bool,
+    /// What it had, from when on; the last is what it has.
+    capacities: Vec<(u64, Resources)>,
     token: u64,
     lease_until_ms: u64,
     running: BTreeMap<RunRef, Running>,
@@ -81,6 +90,8 @@
             draining: false,
             stalls: false,
             fails_all: false,
+            guards: true,
+            capacities: vec![(0, CAPACITY)],
             token: 0,
             lease_until_ms: 0,
             running: BTreeMap::new(),
@@ -99,7 +110,12 @@
     /// Crashes: everything that runs is gone, and so is what it knew.
     pub fn crash(&mut self, rules: &mut Ledger) {
         rules.worker_died(&self.name(), self.running.keys());
-        *self = FakeWorker { lifetime: self.lifetime + 1, up: false, ..FakeWorker::new(self.vm) };
+        *self = FakeWorker {
+            lifetime: self.lifetime + 1,
+            up: false,
+            guards: self.guards,
+            ..FakeWorker::new(self.vm)
+        };
     }
 
     pub fn announce(&mut self, now_ms: u64) -> Announcement {
@@ -110,7 +126,7 @@
             zone: crate::world::zone_of(self.vm),
             kind: "a".into(),
             rack: format_compact!("rack-{}", self.vm / 2),
-            capacity: CAPACITY,
+            capacity: self.capacity(),
             draining: self.draining,
             remaining_ms: 0,
             clock_ms: self.clock(now_ms),
@@ -118,6 +134,39 @@
         }
     }
 
+    /// Changes what it has while it runs.
+    pub fn resize(&mut self, capacity: Resources, now_ms: u64) {
+        self.capacities.push((now_ms, capacity));
+    }
+
+    fn capacity(&self) -> Resources {
+        self.capacities.last().map_or(CAPACITY, |(_, it)| *it)
+    }
+
+    /// Returns the most that may be in use: a capacity counts for some time after it has shrunk.
+    fn allowed(&self, now_ms: u64) -> Resources {
+        let until = self.capacities.iter().skip(1).map(|(from_ms, _)| *from_ms);
+        let until = until.chain(std::iter::once(u64::MAX));
+        let counting =
+            self.capacities.iter().zip(until).filter(|(_, until_ms)| {
+                *until_ms == u64::MAX || now_ms <= until_ms + SHRUNK_COUNTS_MS
+            });
+        let most = |of: fn(&Resources) -> u32| {
+            counting.clone().map(|((_, it), _)| of(it)).max().unwrap_or(0)
+        };
+        Resources {
+            cpu_millicores: most(|it| it.cpu_millicores),
+            memory_mib: most(|it| it.memory_mib),
+            accelerators: most(|it| it.accelerators),
+        }
+    }
+
+    /// Returns what is in use with one more run.
+    fn used_with(&self, run: RunRef, rules: &Ledger) -> Resources {
+        let runs = self.running.keys().copied().chain(std::iter::once(run));
+        runs.filter_map(|it| rules.reserve_of(it)).fold(NOTHING, add)
+    }
+
     /// Its own clock, with an offset of its own.
     fn clock(&self, now_ms: u64) -> u64 {
         now_ms + 1_000_000 * (self.vm as u64 + 1)
@@ -236,6 +285,17 @@
             return CallResult::Refused { clock_ms, cause: Refused::Late };
         }
         self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
+        let used = self.used_with(run, rules);
+        if self.guards && !fits(used, self.capacity()) {
+            return CallResult::Refused { clock_ms, cause: Refused::Room };
+        }
+        if !fits(used, self.allowed(now_ms)) {
+            let allowed = self.allowed(now_ms);
+            rules.broken.push(format!(
+                "{now_ms}: {run:?} fills {} to {used:?} of {allowed:?}",
+                self.name()
+            ));
+        }
         self.highest.insert(run.task, run.run);
         let work_ms = nature[&run.task.workflow.0].work_ms;
         self.running.insert(run, Running { began_ms: now_ms, ends_ms: now_ms + work_ms });
