Follow what a worker says it has while it runs

Cause: the capacity entered the ledger at enrolment only, so that a worker that had shrunk was overfilled and one that had grown stayed unused. Change: a report with another capacity is a change in the log; a plan takes what is left of the newest. A grant says what its orders were made for: the node refuses untried what was ordered while the worker had more, and the leader withdraws what was placed and has not begun on a worker that no longer holds it. What runs goes on.

--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -191,6 +191,19 @@
             }
             log_suspects(state, it, entry);
         }
+        WorkflowCommand::Resize(it) => {
+            let worker = state.workflows.workers().get(it.worker);
+            let (name, used) = worker.map(|it| (it.name.as_str(), it.used.cpu_millicores)).unzip();
+            tracing::info!(
+                event = "worker_resized",
+                worker = name,
+                cpu_millicores = it.capacity.cpu_millicores,
+                memory_mib = it.capacity.memory_mib,
+                used_millicores = used,
+                index,
+                term
+            );
+        }
         _ => (),
     }
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -231,6 +231,10 @@
                 self.rooms.note_changed(*id);
                 self.want_plan(PLAN_PAUSE_MS);
             }
+            WorkflowCommand::Resize(it) => {
+                self.rooms.note_changed(it.worker);
+                self.want_plan(PLAN_PAUSE_MS);
+            }
             WorkflowCommand::Cancel(id) => self.stop_cancelled(workflows, *id, members),
             WorkflowCommand::Evacuate(it) => {
                 self.withdraw_starts(workflows, &it.zone, members);
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -8,7 +8,7 @@
 use crate::{
     control::{
         dispatch::{Dispatcher, LOAD_PAUSE_MS, PLAN_PAUSE_MS, losses::Loss, sessions::Session},
-        state::{Worker, Workflows},
+        state::{NOTHING, Worker, Workflows, fits},
     },
     prelude::*,
 };
@@ -56,10 +56,12 @@
             tracing::info!(event = "worker_draining", worker = %seen.name, node = %report.node, remaining_ms = seen.remaining_ms);
         }
         let (is_gone, is_leaving) = (seen.gone, seen.draining);
+        let capacity = seen.capacity;
         let is_as_before = before == Some((seen.draining, seen.term));
         session.report = Some(seen);
         // Loads alone change what fits only for what waits for room or is slow.
         self.want_plan(if is_as_before { LOAD_PAUSE_MS } else { PLAN_PAUSE_MS });
+        self.take_capacity(workflows, id, capacity);
         self.take_running(workflows, id, now);
         let has_ends = self.take_ends(workflows, id);
         self.take_refusals(workflows, id);
@@ -74,6 +76,17 @@
         }
     }
 
+    /// Proposes what a worker now has, where that differs from the ledger.
+    ///
+    /// A worker that has shrunk below what runs there goes on with it and gets nothing until that
+    /// fits: what runs ends in time to come, and to stop it would throw its work away.
+    fn take_capacity(&mut self, workflows: &Workflows, id: WorkerId, capacity: Resources) {
+        let Some(worker) = workflows.workers().get(id) else { return };
+        if worker.capacity != capacity {
+            self.step.commands.push(WorkflowCommand::Resize(ResizeWorker { worker: id, capacity }));
+        }
+    }
+
     /// Proposes the ends that the ledger does not hold yet; returns whether there are any.
     fn take_ends(&mut self, workflows: &Workflows, id: WorkerId) -> bool {
         let Some(worker) = workflows.workers().get(id) else { return false };
@@ -117,6 +130,7 @@
             is_complete: false,
             lease_ms: 0,
             worker: CompactString::default(),
+            capacity: NOTHING,
             acked_cursor: 0,
             orders: Vec::new(),
             services: services(workflows),
@@ -176,6 +190,7 @@
             is_complete: listed.is_some(),
             lease_ms: self.options.lease_ms,
             worker: worker.name.clone(),
+            capacity: worker.capacity,
             acked_cursor: worker.cursor,
             orders,
             services: services(workflows),
@@ -248,7 +263,8 @@
     session: &Session,
 ) -> Vec<RunOrder> {
     let ended: HashSet<_> = report.ended.iter().map(|it| it.end.run).collect();
-    let is_evacuated = workflows.is_evacuated(id);
+    // What was placed on a worker that has shrunk since may no longer fit.
+    let may_not_begin = workflows.is_evacuated(id) || !fits(worker.used, worker.capacity);
     let mut res = Vec::new();
     for run in &worker.runs {
         match session.watched.contains_key(run) {
@@ -261,7 +277,7 @@
             true => (),
             false if ended.contains(run) => (),
             // Its node bars it from beginning, and then says that it never will.
-            false if is_evacuated => res.push(RunOrder::Stop(*run)),
+            false if may_not_begin => res.push(RunOrder::Stop(*run)),
             false => res.extend(start_order(workflows, *run).map(RunOrder::Start)),
         }
     }
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -154,6 +154,7 @@
                 WorkflowOutcome::Accepted
             }
             WorkflowCommand::Evacuate(it) => self.evacuations.apply(it, time_ms),
+            WorkflowCommand::Resize(it) => self.resize(it),
         }
     }
 
@@ -291,6 +292,12 @@
         WorkflowOutcome::Accepted
     }
 
+    fn resize(&mut self, it: &ResizeWorker) -> WorkflowOutcome {
+        let Some(worker) = self.workers.get_mut(it.worker) else { return WorkflowOutcome::Gone };
+        worker.capacity = it.capacity;
+        WorkflowOutcome::Accepted
+    }
+
     fn dismiss(&mut self, id: WorkerId) -> WorkflowOutcome {
         let Some(worker) = self.workers.remove(id) else { return WorkflowOutcome::Gone };
         for run in worker.runs {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -172,6 +172,8 @@
                     tracing::info!(event = "worker_draining", worker = %it.name, remaining_ms = it.remaining_ms);
                     self.is_dirty = true;
                 }
+                // The leader must not fill what the worker no longer has.
+                self.is_dirty |= known.announcement.capacity != it.capacity;
                 known.hear(it.clock_ms, now);
                 known.announcement = it;
             }
@@ -259,7 +261,7 @@
         if it.is_complete {
             worker.withdraw_starts(now, &it.orders);
         }
-        worker.take_orders(now, it.orders);
+        worker.take_orders(now, it.orders, it.capacity);
     }
 
     /// Reports to the leader, or to the process that may know it.
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -1,6 +1,7 @@
 //! Orders on their way to the worker, and what comes back.
 
 use crate::{
+    control::state::fits,
     node::{
         NodeCore,
         calls::{Action, CallResult, Refused, WorkerCall},
@@ -48,6 +49,19 @@
         }
     }
 
+    /// Gives up on starts that were ordered while the worker had more: they may no longer fit, and
+    /// the leader plans anew with what it has now.
+    fn bar_unfit(&mut self, now: Now) {
+        let capacity = self.announcement.capacity;
+        for pending in self.orders.values_mut() {
+            if let Order::Start { made_for, .. } = pending.order
+                && !fits(made_for, capacity)
+            {
+                pending.bar(RefusalCause::Room, now);
+            }
+        }
+    }
+
     /// Refuses the starts that never reached a worker that is gone, so that they are not taken for
     /// what took it down.
     fn refuse_unsent(&mut self) {
@@ -59,11 +73,12 @@
         }
     }
 
-    /// Takes in the leader's orders; what is known or under way already changes nothing.
-    pub(super) fn take_orders(&mut self, now: Now, orders: Vec<RunOrder>) {
+    /// Takes in the leader's orders, made for a capacity of the worker; what is known or under way
+    /// already changes nothing.
+    pub(super) fn take_orders(&mut self, now: Now, orders: Vec<RunOrder>, capacity: Resources) {
         for it in orders {
             match it {
-                RunOrder::Start(it) => self.take_start(now, it),
+                RunOrder::Start(it) => self.take_start(now, it, capacity),
                 RunOrder::Stop(run) => self.take_stop(now, run),
                 RunOrder::Role(it) => drop(self.roles.insert(it.run, it.role)),
             }
@@ -117,7 +132,7 @@
         res
     }
 
-    fn take_start(&mut self, now: Now, it: StartRun) {
+    fn take_start(&mut self, now: Now, it: StartRun, made_for: Resources) {
         self.roles.insert(it.run, it.role);
         let is_known = self.knows(it.run)
             || self.orders.contains_key(&it.run)
@@ -125,7 +140,7 @@
         if is_known {
             return;
         }
-        let order = Order::Start { payload: it.payload, checkpoint: it.checkpoint };
+        let order = Order::Start { payload: it.payload, checkpoint: it.checkpoint, made_for };
         let mut pending = Pending::new(order, now);
         if self.announcement.draining {
             // This process may have just started, with a call of the one before it on its way.
@@ -161,6 +176,7 @@
         if worker.is_gone || worker.token == 0 {
             return;
         }
+        worker.bar_unfit(now);
         let lease = worker.lease_by_worker_ms(now);
         let mut calls = Vec::new();
         let mut call = |action: Action, next_call: &mut u64| {
@@ -186,7 +202,7 @@
             let action = match (&pending.order, lease) {
                 (Order::Barred { .. }, _) => continue,
                 (Order::Stop { .. }, _) => Action::Stop { run: *run },
-                (Order::Start { payload, checkpoint }, Some(lease_until_ms)) => Action::Start {
+                (Order::Start { payload, checkpoint, .. }, Some(lease_until_ms)) => Action::Start {
                     run: *run,
                     payload: payload.clone(),
                     checkpoint: checkpoint.clone(),
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -34,17 +34,14 @@
     Start {
         payload: CompactString,
         checkpoint: CompactString,
+        /// What the worker had when the order was made.
+        made_for: Resources,
     },
     /// Ends the run, or bars it from beginning; then it is refused for this cause, if any.
-    Stop {
-        refused: Option<RefusalCause>,
-    },
+    Stop { refused: Option<RefusalCause> },
     /// The worker was told to stop the run; whether it ever ran shows in the next list, read by
     /// a call numbered above `after_call`.
-    Barred {
-        cause: RefusalCause,
-        after_call: u64,
-    },
+    Barred { cause: RefusalCause, after_call: u64 },
 }
 
 /// What a filler of an image uses.
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1714,6 +1714,8 @@
 #[serde(deny_unknown_fields)]
 pub struct NodeGrant {
     pub acked_cursor: u64,
+    ///What the orders were made for.
+    pub capacity: Resources,
     ///Costs of the images that run on the worker or are ordered there.
     pub costs: ::std::vec::Vec<ImageCost>,
     ///Whether orders lists every run that is to begin.
@@ -2136,6 +2138,19 @@
         value.clone()
     }
 }
+///A worker has more or less than before.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ResizeWorker {
+    pub capacity: Resources,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&ResizeWorker> for ResizeWorker {
+    fn from(value: &ResizeWorker) -> Self {
+        value.clone()
+    }
+}
 ///An amount of processor, memory and accelerators.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3520,6 +3535,7 @@
     Forget(u64),
     Learn(::std::vec::Vec<ImageCost>),
     Evacuate(EvacuateZone),
+    Resize(ResizeWorker),
 }
 impl ::std::convert::From<&Self> for WorkflowCommand {
     fn from(value: &WorkflowCommand) -> Self {
@@ -3581,6 +3597,11 @@
         Self::Evacuate(value)
     }
 }
+impl ::std::convert::From<ResizeWorker> for WorkflowCommand {
+    fn from(value: ResizeWorker) -> Self {
+        Self::Resize(value)
+    }
+}
 ///Identity of a workflow, chosen by its client.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -78,6 +78,7 @@
     fn grant(&mut self, is_complete: bool, orders: Vec<RunOrder>) {
         let number = self.reports.last().map_or(0, |it| it.number);
         self.input(Input::Message(Box::new(Message::NodeGrant(NodeGrant {
+            capacity: crate::worker::CAPACITY,
             number,
             sent_ms: self.now_ms,
             term: 1,
@@ -256,6 +257,7 @@
     alone.list(Vec::new());
     alone.now_ms += 5_000;
     let grant = NodeGrant {
+        capacity: crate::worker::CAPACITY,
         number: 1,
         sent_ms: 0,
         term: 1,
@@ -291,6 +293,7 @@
     alone.grant(false, Vec::new());
     alone.list(Vec::new());
     let mut later = NodeGrant {
+        capacity: crate::worker::CAPACITY,
         number: 1,
         sent_ms: alone.now_ms,
         term: 2,
@@ -330,6 +333,7 @@
 fn a_worker_of_a_pool_that_no_configuration_names_takes_nobodys_place() {
     let mut alone = Alone::new();
     let grant = |services: Vec<CompactString>| NodeGrant {
+        capacity: crate::worker::CAPACITY,
         number: 1,
         sent_ms: 1_000,
         term: 1,
--- a/tests/workflows/node_restarts.rs
+++ b/tests/workflows/node_restarts.rs
@@ -203,6 +203,7 @@
             false => Vec::new(),
         };
         let grant = NodeGrant {
+            capacity: crate::worker::CAPACITY,
             number: report.number,
             sent_ms: report.sent_ms,
             term: 1,
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -290,6 +290,7 @@
                     };
                     return self.push(after_ms, Event::Result { vm, boot, id, result });
                 }
+                worker.is_late = !answered;
                 let starts = self.rules.starts;
                 let result = worker.handle(&call, now_ms, &self.nature, &mut self.rules);
                 if let Some(run) = worker.crashing_run(now_ms, &self.nature) {
