Clear tasks that outlived their losses; try suspects on workers that have been there for long

Read over after the mend: a run whose end is only concluded (silence, or a worker replaced before a new leader had its list) never cleared its task, so that a service could be given up over a long life though it ran unharmed in between; from 20 s on it does now.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -206,6 +206,7 @@
                 if let Some(id) = workflows.workers().find(it.node, &it.name) {
                     tracing::info!(event = "worker_enrolled", worker = %it.name, id = %id, node = %it.node, service = %it.service, kind = %it.kind, rack = %it.rack);
                     self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms());
+                    self.trials.note_enrolled(id, now);
                     self.rooms.note_changed(id);
                     // Its token lets the node read the lists that everything else waits for.
                     self.send_orders(workflows, id, members);
--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -199,19 +199,20 @@
         tasks.len()
     }
 
-    /// Returns the worker that would take a task and holds the fewest runs.
+    /// Returns the worker that would take a task and holds the fewest runs; rather one that has been
+    /// there for long.
     fn least_to_lose(
         &self,
         asked: &Asked<'_>,
         counts: &HashMap<WorkerId, u32>,
         care: Care,
     ) -> Option<usize> {
-        let runs_on = |it: usize| {
-            let worker = self.workflows.workers().get(self.rooms[it].id);
-            worker.map(|it| it.runs.len())
+        let loss = |it: &usize| {
+            let id = self.rooms[*it].id;
+            let runs = self.workflows.workers().get(id).map(|it| it.runs.len());
+            (self.trials.is_newcomer(id), runs, *it)
         };
-        let offers = self.offers(asked, counts, care).into_iter();
-        offers.map(|(_, it)| it).min_by_key(|it| (runs_on(*it), *it))
+        self.offers(asked, counts, care).into_iter().map(|(_, it)| it).min_by_key(loss)
     }
 
     /// Places tasks, each with its run number, until there is no room; returns how many.
--- a/src/control/dispatch/trials.rs
+++ b/src/control/dispatch/trials.rs
@@ -6,16 +6,27 @@
 
 use std::collections::BTreeMap;
 
-use crate::{control::state::Workflows, policy::suspicion::TRIAL_MS, prelude::*};
+use crate::{
+    control::state::Workflows,
+    policy::suspicion::{RATE_WINDOW_MS, TRIAL_MS},
+    prelude::*,
+};
 
-/// One worker in so many, and one at least, may be under trial at a time, so that many such tasks
-/// cannot take a fleet down together: a worker that crashes is away for some 3 s, and a third of
-/// the trials of a second can then keep no more than half of the workers away.
+/// One worker in so many, and one at least, may be under trial at a time: the others go on taking
+/// new work, and many such tasks cannot take a whole fleet down at once.
 const WORKERS_A_TRIAL: usize = 3;
 
-/// The trials under way, by worker, with the time at which each is over.
+/// Time for which a worker counts as a newcomer, which a trial avoids: one that goes down and up
+/// by itself would be blamed on whatever is tried there. As long as the rate of crashes looks back.
+const NEWCOMER_MS: u64 = RATE_WINDOW_MS;
+
+/// The workers under trial, and those that have come lately.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Trials(BTreeMap<WorkerId, u64>);
+pub(super) struct Trials {
+    /// When each trial under way is over.
+    until_ms: BTreeMap<WorkerId, u64>,
+    newcomers_until_ms: BTreeMap<WorkerId, u64>,
+}
 
 impl Trials {
     /// Takes the suspected tasks that run under a new leader for ones that have just begun.
@@ -25,34 +36,47 @@
             let workflow = workflows.get(task.workflow)?;
             Some(workflow.task(task)?.runs.iter().map(|it| it.worker))
         });
-        Trials(runs.flatten().map(|it| (it, now.mono_ms + TRIAL_MS)).collect())
+        let until_ms = runs.flatten().map(|it| (it, now.mono_ms + TRIAL_MS)).collect();
+        Trials { until_ms, newcomers_until_ms: BTreeMap::new() }
     }
 
     /// Takes in runs that have come into the ledger.
     pub(super) fn note_begun(&mut self, workflows: &Workflows, runs: &[RunPlacement], now: Now) {
         let is_tried = |it: &&RunPlacement| workflows.suspects().needs_trial(it.run.task);
-        self.0.extend(runs.iter().filter(is_tried).map(|it| (it.worker, now.mono_ms + TRIAL_MS)));
+        let until_ms = now.mono_ms + TRIAL_MS;
+        self.until_ms.extend(runs.iter().filter(is_tried).map(|it| (it.worker, until_ms)));
+    }
+
+    /// Takes in a worker that has come into the ledger.
+    pub(super) fn note_enrolled(&mut self, worker: WorkerId, now: Now) {
+        self.newcomers_until_ms.insert(worker, now.mono_ms + NEWCOMER_MS);
     }
 
     /// Forgets the trials that are over, and returns the others.
     pub(super) fn under_way(&mut self, now: Now) -> Trials {
-        self.0.retain(|_, until_ms| now.mono_ms < *until_ms);
+        self.until_ms.retain(|_, until_ms| now.mono_ms < *until_ms);
+        self.newcomers_until_ms.retain(|_, until_ms| now.mono_ms < *until_ms);
         self.clone()
     }
 
     /// Notes a trial that a plan begins.
     pub(super) fn begin(&mut self, worker: WorkerId) {
-        self.0.insert(worker, u64::MAX);
+        self.until_ms.insert(worker, u64::MAX);
     }
 
     /// Returns whether a task is tried on a worker.
     pub(super) fn contains(&self, worker: WorkerId) -> bool {
-        self.0.contains_key(&worker)
+        self.until_ms.contains_key(&worker)
+    }
+
+    /// Returns whether a worker has come lately.
+    pub(super) fn is_newcomer(&self, worker: WorkerId) -> bool {
+        self.newcomers_until_ms.contains_key(&worker)
     }
 
     /// Returns whether so many trials are under way, on so many usable workers, that no workflow
     /// may begin another one.
     pub(super) fn are_many(&self, usable: usize) -> bool {
-        usable.div_ceil(WORKERS_A_TRIAL).max(1) <= self.0.len()
+        usable.div_ceil(WORKERS_A_TRIAL).max(1) <= self.until_ms.len()
     }
 }
--- a/src/control/state/workflows/suspects.rs
+++ b/src/control/state/workflows/suspects.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    policy::suspicion::{Background, RATE_WINDOW_MS, Suspicion, is_outlived},
+    policy::suspicion::{Background, RATE_WINDOW_MS, Suspicion, is_outlived, is_outlived_at_least},
     prelude::*,
 };
 
@@ -86,15 +86,20 @@
     pub(super) fn note_end(&mut self, end: &RunEnd, time_ms: u64) -> bool {
         let task = end.run.task;
         let Some(suspicion) = self.get(task) else { return false };
-        if end.outcome == RunOutcome::Lapsed {
-            // Nobody knows when it ended, or whether its worker crashed unseen.
-            let after = suspicion.after_silence();
-            self.tasks.insert(task, after);
-            return after.is_at_limit();
-        }
         let age_ms = self.age_ms(end.run, time_ms).unwrap_or(0);
-        if end.outcome == RunOutcome::Done || suspicion.is_cleared_by(age_ms) {
-            self.tasks.remove(&task);
+        let is_cleared = match end.outcome {
+            RunOutcome::Done => true,
+            RunOutcome::Lapsed => is_outlived_at_least(age_ms),
+            _ => suspicion.is_cleared_by(age_ms),
+        };
+        match end.outcome {
+            _ if is_cleared => drop(self.tasks.remove(&task)),
+            RunOutcome::Lapsed => {
+                let after = suspicion.after_silence();
+                self.tasks.insert(task, after);
+                return after.is_at_limit();
+            }
+            _ => (),
         }
         false
     }
@@ -130,6 +135,7 @@
         let crashes = self.crashes_ms.len().saturating_sub(before.losses as usize);
         let background = Background { crashes, workers };
         match it.was_seen {
+            false if is_outlived_at_least(it.age_ms) => None,
             false => Some(before.after_unseen()),
             true if is_outlived(it.age_ms) => None,
             true if is_explained => Some(before.after_crash(it.age_ms, 1.0)),
--- a/src/policy/suspicion.rs
+++ b/src/policy/suspicion.rs
@@ -120,3 +120,9 @@
 pub fn is_outlived(age_ms: u64) -> bool {
     OUTLIVED_MS <= age_ms
 }
+
+/// Returns the same for a run of which it is not known when it began, or whether its worker was
+/// there to the end: orders come up to 8 s late, and a lease holds for some 4 s.
+pub fn is_outlived_at_least(age_ms: u64) -> bool {
+    2 * OUTLIVED_MS <= age_ms
+}
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -374,3 +374,26 @@
     state.apply_workflow(1, 50_000, &WorkflowCommand::Cancel(WorkflowId(7)));
     assert!(state.workflows.suspects().is_empty());
 }
+
+/// A task that lasts loses workers over its life; what it outlived meanwhile speaks for it, also
+/// where its worker only fell silent.
+#[yare::parameterized(
+    silence = { RunOutcome::Lapsed },
+    unseen = { RunOutcome::CrashedUnseen },
+    seen = { RunOutcome::Crashed },
+)]
+fn long_lives_between_losses_clear_a_task(outcome: RunOutcome) {
+    let mut state = submitted();
+    for it in 1..=12 {
+        let at_ms = 10_000 + u64::from(it) * 60_000;
+        let name = format!("w-{it}");
+        state.apply_workflow(1, at_ms, &enrol(&name));
+        let worker = state.workflows.workers().find(NODE, &name).unwrap().0;
+        let task = run(7, 0, 0, it);
+        state.apply_workflow(1, at_ms, &begin(worker, &[task]));
+        let (age_ms, outcome) =
+            if it % 2 == 0 { (40_000, outcome) } else { (3_000, RunOutcome::Crashed) };
+        state.apply_workflow(1, at_ms + age_ms, &finish(worker, 0, task, outcome));
+    }
+    assert_eq!(state.workflows.get(WorkflowId(7)).unwrap().phase(), WorkflowPhase::Running);
+}
