Test with real processes that work which crashes its executor is given up

All control processes are killed after the first crash; the work has failed after two to five crashes, and what follows is done.

--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -10,9 +10,15 @@
 use aspenrail::http::{HttpAnswer, HttpRequest, Pending, ServerOptions, start_server};
 use serde_json::{Value, json};
 
-/// Which lifetime this is.
+/// Name of the first lifetime.
 pub const NAME: &str = "executor-1";
 
+/// Payload of work that crashes the executor soon after it begins.
+pub const CRASHES: &str = "crashes";
+
+/// Time from the start of such work to the crash.
+const CRASH_AFTER: Duration = Duration::from_millis(10);
+
 #[derive(Default)]
 struct State {
     running: BTreeMap<(String, u64), Instant>,
@@ -23,6 +29,23 @@
     work: Duration,
     /// Lists that still have rows which nobody can read.
     odd_lists: u32,
+    /// Crashes so far.
+    crashes: u32,
+    crashes_at: Option<Instant>,
+}
+
+impl State {
+    /// Crashes if that is due: a new lifetime runs nothing and knows no token.
+    fn crash_if_due(&mut self) {
+        if self.crashes_at.is_some_and(|it| it <= Instant::now()) {
+            let (work, crashes) = (self.work, self.crashes + 1);
+            *self = State { work, crashes, next: 1, ..State::default() };
+        }
+    }
+
+    fn name(&self) -> String {
+        if self.crashes == 0 { NAME.to_owned() } else { format!("{NAME}-{}", self.crashes) }
+    }
 }
 
 /// A handle to the stand-in.
@@ -57,6 +80,17 @@
         self.state.lock().unwrap().odd_lists = count;
     }
 
+    /// Returns the name of the lifetime.
+    pub fn name(&self) -> String {
+        let mut state = self.state.lock().unwrap();
+        state.crash_if_due();
+        state.name()
+    }
+
+    pub fn crashes(&self) -> u32 {
+        self.state.lock().unwrap().crashes
+    }
+
     pub fn done(&self) -> u64 {
         self.state.lock().unwrap().next - 1
     }
@@ -67,11 +101,12 @@
 
     fn answer(&self, it: &HttpRequest) -> HttpAnswer {
         let clock_ms = self.clock_ms();
-        if it.header("X-Aspenrail-Expect-Instance") != Some(NAME) {
+        let mut state = self.state.lock().unwrap();
+        state.crash_if_due();
+        if it.header("X-Aspenrail-Expect-Instance") != Some(&state.name()) {
             return HttpAnswer::json(421, &json!({}));
         }
         let body: Value = serde_json::from_slice(&it.body).unwrap();
-        let mut state = self.state.lock().unwrap();
         let token = body["fencing_token"].as_u64().unwrap();
         if token < state.token {
             return HttpAnswer::json(409, &json!({"clock_ms": clock_ms, "reason": "fence"}));
@@ -91,6 +126,9 @@
             }
             "/-/run-start" => {
                 let ends = Instant::now() + state.work;
+                if body["spec"] == CRASHES {
+                    state.crashes_at = Some(Instant::now() + CRASH_AFTER);
+                }
                 state.highest.insert(task.clone(), run);
                 state.running.insert((task, run), ends);
                 HttpAnswer::json(200, &json!({"clock_ms": clock_ms}))
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -17,7 +17,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
-use crate::executor::{Executor, NAME};
+use crate::executor::Executor;
 
 /// Far longer than any step takes.
 const STEP_MAX: Duration = Duration::from_secs(60);
@@ -116,7 +116,9 @@
                     "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
                     "clock_ms": executor.clock_ms(), "sequence": sequence});
                 // Fails while the node is not up yet; the next one follows.
-                let _ = client.put(format!("http://{node}/-/instances/{NAME}")).send_json(&body);
+                let _ = client
+                    .put(format!("http://{node}/-/instances/{}", executor.name()))
+                    .send_json(&body);
                 thread::sleep(Duration::from_millis(200));
             }
         });
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -167,3 +167,21 @@
     assert_eq!(it.operator("POST", "/-/evacuations/", &Value::Null).0, 400);
     assert_eq!(it.operator("POST", "/-/evacuations/%zz", &Value::Null).0, 400);
 }
+
+/// A task that takes down the executor that starts it is given up after few crashes, also where all
+/// control processes are killed in between, and what comes after it is done.
+#[test]
+fn work_that_crashes_its_executor_is_given_up() {
+    let mut it = Installation::start(3);
+    it.install(1);
+    let body = |spec: &str| json!({"spec": spec, "steps": [{"count": 1, "cpu": 500}]});
+    assert_eq!(it.client("POST", "/q/00000000000000cc", &body(executor::CRASHES)).0, 200);
+    installation::wait("the first crash", || 1 <= it.executor.crashes());
+    it.restart_control();
+    it.wait_for("/q/00000000000000cc", "failed");
+    let crashes = it.executor.crashes();
+    assert!((2..=5).contains(&crashes), "{crashes} crashes");
+    assert_eq!(it.client("POST", "/q/00000000000000cd", &body("x")).0, 200);
+    it.wait_for("/q/00000000000000cd", "completed");
+    assert_eq!(it.executor.crashes(), crashes);
+}
