Put no task on trial for one crash at which nobody saw it run

After a loss of power of all workers a new leader has seen nothing run: each task was put on trial, and a third of the workers took one workflow a second.

--- a/src/policy/suspicion.rs
+++ b/src/policy/suspicion.rs
@@ -101,8 +101,12 @@
     }
 
     /// Returns whether the task must begin where nothing else does.
+    ///
+    /// One crash that nobody saw it run at tells next to nothing: after a loss of power of all
+    /// workers that is true of all tasks, and trials would let them begin one after the other.
     pub fn needs_trial(self) -> bool {
-        0 < self.losses && self.age_max_ms <= TRIAL_MS
+        let was_seen = 0 < self.age_max_ms;
+        self.age_max_ms <= TRIAL_MS && (was_seen || LOSSES_MIN <= self.losses)
     }
 
     /// Returns whether the task has most likely caused the crashes.
--- a/tests/workflows/crashes.rs
+++ b/tests/workflows/crashes.rs
@@ -158,6 +158,25 @@
     }
 }
 
+/// A loss of power takes all workers and the leader, so that nobody has seen what ran where: that
+/// tells nothing of any task, and all of them begin again at once.
+#[test]
+fn a_loss_of_all_workers_puts_no_task_on_trial() {
+    let mut world = World::new(27, 3, 6);
+    world.install_queue();
+    for id in 1..=12 {
+        world.submit(id, spec(vec![lasting(3)]), Nature { work_ms: 600_000, ..QUICK });
+    }
+    world.run_for(3_000);
+    assert_eq!(world.rules.starts, 36);
+    (0..3).for_each(|at| world.kill_member(at, 1_500, false));
+    (0..6).for_each(|vm| world.crash_worker(vm, 1_500));
+    // Workers are back and announced after 2 s, a leader is there a second later.
+    world.run_for(4_500);
+    assert_eq!(world.rules.starts, 72);
+    assert_unbroken(&world);
+}
+
 /// Plays a minute of load, faults of all kinds, and tasks that crash their workers.
 fn play(seed: u64) -> World {
     let mut world = World::new(seed, 3, 7);
