Say of each end of a run whether it was expected, and why a workflow failed

The log could not tell an end that is taken in again, or after the leader had concluded the run, from one that counts: the line run_ended now has expected and the failures of the task so far, and workflow_failed names the last failure. No logic is changed. The lines stand in a module of their own.

--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -1,6 +1,7 @@
 //! One member of a control group, without its I/O.
 
 mod keeper;
+mod lines;
 mod operations;
 mod reports;
 mod workflows;
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -4,9 +4,9 @@
 
 use crate::{
     control::{
-        core::{ControlCore, Effect},
-        dispatch::{Dispatcher, Verdict, run_name},
-        state::{Change, State},
+        core::{ControlCore, Effect, lines},
+        dispatch::{Dispatcher, Verdict},
+        state::Change,
     },
     prelude::*,
 };
@@ -61,10 +61,12 @@
         entry: &LogEntry,
         command: &WorkflowCommand,
     ) -> WorkflowOutcome {
+        // Once for the group, by the member that decides.
+        let is_logged = self.leading.is_some();
+        let expected = if is_logged { lines::expected(&self.state, command) } else { Vec::new() };
         let outcome = self.state.apply_workflow(entry.index, entry.time_ms, command);
-        if self.leading.is_some() {
-            // Once for the group, by the member that decides.
-            log_applied(&self.state, command, entry, &outcome);
+        if is_logged {
+            lines::log_applied(&self.state, command, entry, &outcome, &expected);
         }
         let members = self.member_addresses();
         if let Some(leading) = &mut self.leading
@@ -146,89 +148,3 @@
 
 /// Time after which a client may ask again while the disk is full.
 const FULL_PAUSE_MS: u64 = 2_000;
-
-/// Writes the lines of a change: one for what a client or operator asked for, one for each run.
-fn log_applied(
-    state: &State,
-    command: &WorkflowCommand,
-    entry: &LogEntry,
-    outcome: &WorkflowOutcome,
-) {
-    let (index, term) = (entry.index, entry.term);
-    match command {
-        WorkflowCommand::Install(it) => {
-            tracing::info!(
-                event = "queues_installed",
-                version = it.version,
-                queues = it.queues.len(),
-                index,
-                term
-            );
-        }
-        WorkflowCommand::Submit(it) => {
-            tracing::info!(event = "workflow_accepted", workflow = %format_args!("{:016x}", it.id.0), queue = %it.queue, steps = it.spec.steps.len(), index, term);
-        }
-        WorkflowCommand::Cancel(id) => {
-            tracing::info!(event = "workflow_cancelled", workflow = %format_args!("{:016x}", id.0), outcome = ?outcome, index, term);
-        }
-        WorkflowCommand::Evacuate(it) => {
-            let workers = state.workflows.workers().iter();
-            let workers = workers.filter(|(_, worker)| worker.zone == it.zone).count();
-            tracing::info!(event = "zone_changed", zone = %it.zone, evacuated = it.evacuated, by = %it.by, based_on = it.based_on, workers, outcome = ?outcome, index, term);
-        }
-        WorkflowCommand::Begin(runs) => {
-            for it in runs {
-                let worker = state.workflows.workers().get(it.worker).map(|it| it.name.as_str());
-                tracing::info!(event = "run_placed", run = %run_name(it.run), worker, index, term);
-            }
-        }
-        WorkflowCommand::Finish(it) => {
-            for end in &it.ends {
-                let workflow = state.workflows.get(end.run.task.workflow);
-                let phase = workflow.map(|it| it.phase());
-                let age_ms = workflow.map(|it| entry.time_ms.saturating_sub(it.accepted_ms));
-                tracing::info!(event = "run_ended", run = %run_name(end.run), worker = it.worker.0, outcome = ?end.outcome, cursor = it.cursor, phase = ?phase, age_ms = ?age_ms, index, term);
-            }
-            log_suspects(state, it, entry);
-        }
-        WorkflowCommand::Resize(it) => {
-            let worker = state.workflows.workers().get(it.worker);
-            let (name, used) = worker.map(|it| (it.name.as_str(), it.used.cpu_millicores)).unzip();
-            tracing::info!(
-                event = "worker_resized",
-                worker = name,
-                cpu_millicores = it.capacity.cpu_millicores,
-                memory_mib = it.capacity.memory_mib,
-                used_millicores = used,
-                index,
-                term
-            );
-        }
-        _ => (),
-    }
-}
-
-/// Suspected tasks named after a crash: those that most likely caused it.
-const SUSPECTS_NAMED_MAX: usize = 4;
-
-/// Writes what a crash is held against, and which workflows were given up for it.
-fn log_suspects(state: &State, it: &FinishRuns, entry: &LogEntry) {
-    let (index, term) = (entry.index, entry.term);
-    let suspects = state.workflows.suspects();
-    let mut held: Vec<_> =
-        it.ends.iter().filter_map(|end| Some((suspects.get(end.run.task)?, end))).collect();
-    held.sort_by(|a, b| b.0.odds.total_cmp(&a.0.odds));
-    for (suspicion, end) in held.into_iter().take(SUSPECTS_NAMED_MAX) {
-        tracing::info!(event = "task_suspected", run = %run_name(end.run), losses = suspicion.losses, odds = suspicion.odds as u64, outcome = ?end.outcome, index, term);
-    }
-    let is_lost = |end: &&RunEnd| {
-        let outcomes = [RunOutcome::Crashed, RunOutcome::CrashedUnseen, RunOutcome::Lapsed];
-        outcomes.contains(&end.outcome)
-            && state.workflows.get(end.run.task.workflow).is_some_and(|it| {
-                it.phase() == WorkflowPhase::Failed && it.ended_ms == entry.time_ms
-            })
-    };
-    for end in it.ends.iter().filter(is_lost) {
-        tracing::warn!(event = "workflow_given_up", run = %run_name(end.run), worker = it.worker.0, cause = "crashes_workers", index, term);
-    }
-}
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -115,6 +115,11 @@
         self.workflows.get(&task.workflow)?.spec.steps.get(task.step as usize)
     }
 
+    /// Returns whether a run may be on a worker, by what is known so far.
+    pub fn holds(&self, worker: WorkerId, run: RunRef) -> bool {
+        self.workers.get(worker).is_some_and(|it| it.runs.contains(&run))
+    }
+
     /// Returns whether a run has nothing left to do: its task is done, or its workflow at its end.
     pub fn is_superfluous(&self, run: RunRef) -> bool {
         let Some(workflow) = self.workflows.get(&run.task.workflow) else { return true };
