--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -16,17 +16,28 @@
 /// Payload of work that crashes the executor soon after it begins.
 pub const CRASHES: &str = "crashes";
 
+/// Payload of work that fails whenever it is run.
+pub const FAILS: &str = "fails";
+
 /// Time from the start of such work to the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
 
+/// What runs, and how it will end.
+struct Work {
+    ends: Instant,
+    outcome: &'static str,
+}
+
 #[derive(Default)]
 struct State {
-    running: BTreeMap<(String, u64), Instant>,
-    ended: Vec<(u64, String, u64)>,
+    running: BTreeMap<(String, u64), Work>,
+    ended: Vec<(u64, String, u64, &'static str)>,
     highest: BTreeMap<String, u64>,
     next: u64,
     token: u64,
     work: Duration,
+    /// Runs that failed so far.
+    failures: u32,
     /// Lists that still have rows which nobody can read.
     odd_lists: u32,
     /// Crashes so far.
@@ -91,6 +102,16 @@
         self.state.lock().unwrap().crashes
     }
 
+    /// Returns how many runs have failed.
+    pub fn failures(&self) -> u32 {
+        self.state.lock().unwrap().failures
+    }
+
+    /// Returns whether it was told to start anything.
+    pub fn has_started(&self) -> bool {
+        !self.state.lock().unwrap().highest.is_empty()
+    }
+
     pub fn done(&self) -> u64 {
         self.state.lock().unwrap().next - 1
     }
@@ -130,7 +151,8 @@
                     state.crashes_at = Some(Instant::now() + CRASH_AFTER);
                 }
                 state.highest.insert(task.clone(), run);
-                state.running.insert((task, run), ends);
+                let outcome = if body["spec"] == FAILS { "failed" } else { "done" };
+                state.running.insert((task, run), Work { ends, outcome });
                 HttpAnswer::json(200, &json!({"clock_ms": clock_ms}))
             }
             "/-/run-stop" => {
@@ -146,21 +168,22 @@
 fn hold(state: &mut State, body: &Value, clock_ms: u64) -> HttpAnswer {
     let now = Instant::now();
     let over: Vec<_> =
-        state.running.iter().filter(|(_, ends)| **ends <= now).map(|(it, _)| it.clone()).collect();
-    for (task, run) in over {
-        state.running.remove(&(task.clone(), run));
-        let number = state.next;
+        state.running.iter().filter(|(_, it)| it.ends <= now).map(|(it, _)| it.clone()).collect();
+    for at in over {
+        let Some(work) = state.running.remove(&at) else { continue };
+        let (number, (task, run)) = (state.next, at);
         state.next += 1;
-        state.ended.push((number, task, run));
+        state.failures += u32::from(work.outcome == "failed");
+        state.ended.push((number, task, run, work.outcome));
     }
     let acked = body["ack_cursor"].as_u64().unwrap();
-    state.ended.retain(|(number, _, _)| acked < *number);
+    state.ended.retain(|(number, ..)| acked < *number);
     let mut running: Vec<_> =
         state.running.keys().map(|(task, run)| json!([task, run, "", 1])).collect();
     let mut ended: Vec<_> = state
         .ended
         .iter()
-        .map(|(number, task, run)| json!([number, task, run, "done", ""]))
+        .map(|(number, task, run, outcome)| json!([number, task, run, outcome, ""]))
         .collect();
     if 0 < state.odd_lists {
         state.odd_lists -= 1;
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -203,6 +203,15 @@
         }
     }
 
+    /// Lets the process beside the executor stand still.
+    pub fn freeze_node(&self) {
+        kill_process(Pid::from_raw(self.node.id() as i32).unwrap(), Signal::STOP).unwrap();
+    }
+
+    pub fn thaw_node(&self) {
+        kill_process(Pid::from_raw(self.node.id() as i32).unwrap(), Signal::CONT).unwrap();
+    }
+
     pub fn signal_entry(&self) {
         let id = Pid::from_raw(self.entry.id() as i32).unwrap();
         kill_process(id, Signal::TERM).unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -185,3 +185,21 @@
     it.wait_for("/q/00000000000000cd", "completed");
     assert_eq!(it.executor.crashes(), crashes);
 }
+
+/// The process beside the executor stands still for longer than a lease while a run fails, so that
+/// the run was concluded before its end was seen: that is no attempt, and three others follow.
+#[test]
+fn a_failure_that_is_seen_after_its_lease_is_no_attempt() {
+    let it = Installation::start(3);
+    it.install(1);
+    it.executor.set_work(Duration::from_millis(600));
+    let body = json!({"spec": executor::FAILS, "steps": [{"count": 1, "cpu": 500}]});
+    assert_eq!(it.client("POST", "/q/00000000000000ce", &body).0, 200);
+    installation::wait("the first start", || it.executor.has_started());
+    it.freeze_node();
+    // A lease of 4 s, by the slowest clock allowed, and the margin.
+    std::thread::sleep(Duration::from_millis(6_000));
+    it.thaw_node();
+    it.wait_for("/q/00000000000000ce", "failed");
+    assert_eq!(it.executor.failures(), 4);
+}
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -96,6 +96,69 @@
     assert_eq!(phase(&ledger), WorkflowPhase::Completed);
 }
 
+/// Members of a gang fail together, each by its own fault: that is one attempt of the gang.
+#[test]
+fn a_start_of_a_gang_fails_once() {
+    let mut gang = step(3, 1, &[]);
+    gang.gang = true;
+    let mut ledger = ready(spec(vec![gang]));
+    for start in 1..=3 {
+        assert_eq!(
+            phase(&ledger),
+            if start == 1 { WorkflowPhase::Queued } else { WorkflowPhase::Running }
+        );
+        let members: Vec<_> = (0..3).map(|it| run(7, 0, it, start)).collect();
+        ledger.apply(&begin(1, &members), 2);
+        members.iter().for_each(|it| drop(ledger.apply(&finish(1, 1, *it, RunOutcome::Failed), 3)));
+    }
+    assert_eq!(phase(&ledger), WorkflowPhase::Failed);
+}
+
+#[test]
+fn an_end_that_is_told_again_counts_once() {
+    let mut ledger = ready(spec(vec![step(1, 1, &[])]));
+    let first = run(7, 0, 0, 1);
+    ledger.apply(&begin(1, &[first]), 2);
+    (1..=5).for_each(|it| drop(ledger.apply(&finish(1, it, first, RunOutcome::Failed), 3)));
+    assert_eq!(phase(&ledger), WorkflowPhase::Running);
+    assert_eq!(ledger.get(WorkflowId(7)).unwrap().task(first.task).unwrap().failures, 1);
+}
+
+/// A run that was concluded with its worker is no attempt, whatever the worker says of it later;
+/// nor does what it saved take the place of what a later run has saved.
+#[test]
+fn an_end_that_was_concluded_before_changes_nothing() {
+    let mut ledger = ready(spec(vec![step(1, 1, &[])]));
+    let (first, second) = (run(7, 0, 0, 1), run(7, 0, 0, 2));
+    ledger.apply(&begin(1, &[first]), 2);
+    ledger.apply(&finish(1, 0, first, RunOutcome::Lapsed), 3);
+    ledger.apply(&WorkflowCommand::Dismiss(WorkerId(1)), 3);
+    ledger.apply(&enrol("w-1"), 4);
+    ledger.apply(&begin(2, &[second]), 5);
+    let saved = |run, outcome, checkpoint: &str| {
+        let end = RunEnd { run, outcome, checkpoint: checkpoint.into() };
+        WorkflowCommand::Finish(FinishRuns { worker: WorkerId(2), cursor: 1, ends: vec![end] })
+    };
+    ledger.apply(&saved(second, RunOutcome::Stopped, "newer"), 6);
+    ledger.apply(&saved(first, RunOutcome::Failed, "older"), 7);
+    let task = ledger.get(WorkflowId(7)).unwrap().task(first.task).unwrap();
+    assert_eq!((task.failures, task.checkpoint.as_str()), (0, "newer"));
+}
+
+/// What is done is done, also where the run that did it had been given up: its task must not be
+/// done twice.
+#[test]
+fn a_task_that_was_done_by_a_run_given_up_is_done() {
+    let mut ledger = ready(spec(vec![step(1, 1, &[])]));
+    let (first, second) = (run(7, 0, 0, 1), run(7, 0, 0, 2));
+    ledger.apply(&begin(1, &[first]), 2);
+    ledger.apply(&finish(1, 0, first, RunOutcome::Lapsed), 3);
+    ledger.apply(&begin(1, &[second]), 4);
+    ledger.apply(&finish(1, 1, first, RunOutcome::Done), 5);
+    assert_eq!(phase(&ledger), WorkflowPhase::Completed);
+    assert!(ledger.is_superfluous(second));
+}
+
 #[test]
 fn a_lasting_task_has_no_last_attempt() {
     let mut lasting = step(1, 1, &[]);
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod fillers;
 mod gateway;
+mod late_ends;
 mod ledger;
 mod node;
 mod node_restarts;
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -7,6 +7,9 @@
 /// Workers that may crash under a task, and starts after these that are too many.
 const CRASHES_MAX: u32 = 3;
 
+/// Workers that must crash under a workflow before it may be given up for that.
+const CRASHES_MIN: u32 = 2;
+
 /// What workers and clients saw, and what was wrong with it.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -15,6 +18,11 @@
     done: BTreeSet<TaskRef>,
     noted_done: BTreeSet<TaskRef>,
     noted_failures: BTreeMap<TaskRef, u32>,
+    /// Runs that ended as failed, but for those whose worker's lease ran out before the end was
+    /// taken note of: these count for nothing.
+    failed: BTreeSet<RunRef>,
+    /// Workers that died with a run of a workflow on them, by whatever cause.
+    deaths: BTreeMap<u64, u32>,
     attempts_max: u32,
     pub starts: u32,
     starts_by_worker: BTreeMap<CompactString, u32>,
@@ -107,11 +115,18 @@
         if self.live.get(&run.task).is_some_and(|(it, _)| *it == run) {
             self.live.remove(&run.task);
         }
-        if outcome == RunOutcome::Done {
-            self.done.insert(run.task);
+        match outcome {
+            RunOutcome::Done => drop(self.done.insert(run.task)),
+            RunOutcome::Failed => drop(self.failed.insert(run)),
+            _ => (),
         }
     }
 
+    /// Notes that a worker's lease ran out before an end of a run there was taken note of.
+    pub fn lapsed_after(&mut self, run: RunRef) {
+        self.failed.remove(&run);
+    }
+
     pub fn taken_note_of(&mut self, run: RunRef, outcome: RunOutcome) {
         match outcome {
             RunOutcome::Done => drop(self.noted_done.insert(run.task)),
@@ -122,6 +137,7 @@
 
     pub fn worker_died<'a>(&mut self, _worker: &str, runs: impl Iterator<Item = &'a RunRef>) {
         for run in runs {
+            *self.deaths.entry(run.task.workflow.0).or_insert(0) += 1;
             if self.live.get(&run.task).is_some_and(|(it, _)| it == run) {
                 self.live.remove(&run.task);
             }
@@ -146,5 +162,25 @@
         {
             self.broken.push(format!("{id} is shown as completed, and {it:?} is not done"));
         }
+        let may_be_given_up = CRASHES_MIN <= self.deaths.get(&id).copied().unwrap_or(0);
+        let failures = self.failures_most(id);
+        if phase == WorkflowPhase::Failed && !may_be_given_up && failures < self.attempts_max {
+            let max = self.attempts_max;
+            self.broken.push(format!("{id} is shown as failed after {failures} failures of {max}"));
+        }
+    }
+
+    /// Returns the most failures of a task of a workflow, or of a gang: a start of a gang fails
+    /// once, however many of its members do.
+    pub fn failures_most(&self, id: u64) -> u32 {
+        let steps = &self.submitted[&id].steps;
+        let mut starts: BTreeSet<(u32, Option<u32>, u32)> = BTreeSet::new();
+        for it in self.failed.iter().filter(|it| it.task.workflow.0 == id) {
+            let is_gang = steps[it.task.step as usize].gang;
+            starts.insert((it.task.step, (!is_gang).then_some(it.task.index), it.run));
+        }
+        let mut counts: BTreeMap<(u32, Option<u32>), u32> = BTreeMap::new();
+        starts.iter().for_each(|it| *counts.entry((it.0, it.1)).or_insert(0) += 1);
+        counts.into_values().max().unwrap_or(0)
     }
 }
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -192,6 +192,7 @@
                 self.end(run, RunOutcome::Lapsed, rules);
             }
             self.lapsed_ends = self.next_end - 1;
+            self.ended.iter().for_each(|it| rules.lapsed_after(it.end.run));
             return;
         }
         if self.stalls {
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -75,6 +75,8 @@
     next_token: u64,
     /// Processes that reach nobody over links.
     pub cut: BTreeSet<usize>,
+    /// VMs whose node stands still: what reaches it waits until it goes on.
+    pub frozen: BTreeMap<usize, Vec<node::Input>>,
     /// Share of workers' calls that get no answer and are carried out late, in percent.
     pub late_percent: u32,
     /// Orders to workers are lost; looks at them are answered.
@@ -110,6 +112,7 @@
             next_event: 0,
             next_token: 0,
             cut: BTreeSet::new(),
+            frozen: BTreeMap::new(),
             late_percent: 0,
             loses_orders: false,
             refuses_connections: false,
@@ -203,6 +206,18 @@
         self.push(down_ms, Event::Restart { process: 200 + vm });
     }
 
+    /// Lets the node of a VM stand still.
+    pub fn freeze_node(&mut self, vm: usize) {
+        self.frozen.entry(vm).or_default();
+    }
+
+    /// Lets the nodes that stand still go on.
+    pub fn thaw_nodes(&mut self) {
+        for (vm, inputs) in std::mem::take(&mut self.frozen) {
+            inputs.into_iter().for_each(|it| self.tell_node(vm, it));
+        }
+    }
+
     pub fn crash_worker(&mut self, vm: usize, down_ms: u64) {
         self.nodes[vm].worker.crash(&mut self.rules);
         self.push(down_ms, Event::Revive { vm });
@@ -263,7 +278,9 @@
             }
             let worker = &mut self.nodes[vm].worker;
             worker.tick(now.mono_ms, &self.nature, &mut self.rules);
-            if self.nodes[vm].core.as_ref().is_some_and(|it| it.next_tick_ms() <= now.mono_ms) {
+            let is_due =
+                self.nodes[vm].core.as_ref().is_some_and(|it| it.next_tick_ms() <= now.mono_ms);
+            if is_due && !self.frozen.contains_key(&vm) {
                 self.tell_node(vm, node::Input::Tick);
             }
         }
@@ -366,6 +383,9 @@
     }
 
     fn tell_node(&mut self, vm: usize, input: node::Input) {
+        if let Some(waiting) = self.frozen.get_mut(&vm) {
+            return waiting.push(input);
+        }
         let now = self.now();
         let boot = self.nodes[vm].boot;
         let Some(core) = &mut self.nodes[vm].core else { return };
