--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -243,12 +243,11 @@
 
 /// Learns from an end whether a worker can be trusted with more.
 fn judge_worker(session: &mut Session, worker: &Worker, end: &RunEnd, now: Now) {
+    let workflow = end.run.task.workflow;
     match end.outcome {
         RunOutcome::Done => session.soundness.note_done(),
-        RunOutcome::Failed => {
-            if session.soundness.note_failed(end.run.task.workflow, now.mono_ms) {
-                tracing::warn!(event = "worker_shunned", worker = %worker.name, cause = "failures", run = %run_name(end.run));
-            }
+        RunOutcome::Failed if session.soundness.note_failed(workflow, now.mono_ms) => {
+            tracing::warn!(event = "worker_shunned", worker = %worker.name, cause = "failures", run = %run_name(end.run));
         }
         _ => (),
     }
