Count a failure once its worker knows that it was taken note of

Callers saw work failed after fewer attempts than its queue allows. Cause: a failure counted when it came into the log. Where its node is cut off in that moment, the worker's lease runs out before the acknowledgement, and by the users' rules such an end never counts. The failure now waits: its room is free, its task neither begins nor fails, until the node says that the worker has heard of it, or that the lease ran out before, told by the worker's clock against the longest lease it was given, or by a lapsed run behind it in the list. The node asks at once and does not wait for ends meanwhile, so that a retry waits one more report and one more commit. Failures of tasks that last count at once, since nothing bounds them.

--- a/src/bench/dispatch.rs
+++ b/src/bench/dispatch.rs
@@ -214,6 +214,7 @@
             running: running.collect(),
             ended: Vec::new(),
             refused: Vec::new(),
+            noted: NotedEnds::NONE,
             roles_missing: false,
             faded: Vec::new(),
         }
--- a/src/control/core/lines.rs
+++ b/src/control/core/lines.rs
@@ -53,6 +53,14 @@
             }
             log_suspects(state, it, entry);
         }
+        WorkflowCommand::Settle(it) => {
+            for run in &it.counted {
+                log_failure(state, it.worker, *run, entry);
+            }
+            for run in &it.lapsed {
+                tracing::info!(event = "failure_lapsed", run = %run_name(*run), worker = it.worker.0, index, term);
+            }
+        }
         WorkflowCommand::Resize(it) => {
             let worker = state.workflows.workers().get(it.worker);
             let (name, used) = worker.map(|it| (it.name.as_str(), it.used.cpu_millicores)).unzip();
@@ -95,21 +103,23 @@
     }
 }
 
-/// Writes how a run ended, and the failure of its workflow where that follows.
+/// Writes how a run ended.
 ///
 /// An end that was not expected is that of a run which the ledger had already concluded, as after
 /// its worker fell silent.
 fn log_end(state: &State, it: &FinishRuns, end: &RunEnd, expected: bool, entry: &LogEntry) {
-    let (index, term) = (entry.index, entry.term);
     let workflow = state.workflows.get(end.run.task.workflow);
     let phase = workflow.map(|it| it.phase());
     let age_ms = workflow.map(|it| entry.time_ms.saturating_sub(it.accepted_ms));
-    let failures = workflow.and_then(|it| Some(it.task(end.run.task)?.failures));
-    tracing::info!(event = "run_ended", run = %run_name(end.run), worker = it.worker.0, outcome = ?end.outcome, expected, failures = ?failures, cursor = it.cursor, phase = ?phase, age_ms = ?age_ms, index, term);
-    let has_failed_by_it = end.outcome == RunOutcome::Failed
-        && workflow
-            .is_some_and(|it| it.phase() == WorkflowPhase::Failed && it.ended_ms == entry.time_ms);
-    if has_failed_by_it {
-        tracing::info!(event = "workflow_failed", run = %run_name(end.run), failures = ?failures, index, term);
-    }
+    tracing::info!(event = "run_ended", run = %run_name(end.run), worker = it.worker.0, outcome = ?end.outcome, expected, cursor = it.cursor, phase = ?phase, age_ms = ?age_ms, index = entry.index, term = entry.term);
+}
+
+/// Writes that a failure counts as an attempt, and whether its workflow has failed by it.
+fn log_failure(state: &State, worker: WorkerId, run: RunRef, entry: &LogEntry) {
+    let workflow = state.workflows.get(run.task.workflow);
+    let failures = workflow.and_then(|it| Some(it.task(run.task)?.failures));
+    let has_failed = workflow
+        .is_some_and(|it| it.phase() == WorkflowPhase::Failed && it.ended_ms == entry.time_ms);
+    let event = if has_failed { "workflow_failed" } else { "failure_counted" };
+    tracing::info!(event, run = %run_name(run), worker = worker.0, failures = ?failures, index = entry.index, term = entry.term);
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -216,10 +216,10 @@
             }
             WorkflowCommand::Finish(it) => {
                 self.rooms.note_changed(it.worker);
+                self.settle_failures(workflows, it.worker);
                 self.send_grant(workflows, it.worker, members, now);
-                for it in workflows.superfluous_on(it) {
-                    self.send_orders(workflows, it, members);
-                }
+                let ended = it.ends.iter().map(|it| it.run);
+                self.stop_superfluous(workflows, it.worker, ended, members);
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Void(it) => {
@@ -235,6 +235,11 @@
                 self.rooms.note_changed(it.worker);
                 self.want_plan(PLAN_PAUSE_MS);
             }
+            WorkflowCommand::Settle(it) => {
+                let counted = it.counted.iter().copied();
+                self.stop_superfluous(workflows, it.worker, counted, members);
+                self.want_plan(PLAN_PAUSE_MS);
+            }
             WorkflowCommand::Cancel(id) => self.stop_cancelled(workflows, *id, members),
             WorkflowCommand::Evacuate(it) => {
                 self.withdraw_starts(workflows, &it.zone, members);
@@ -247,6 +252,19 @@
         }
     }
 
+    /// Tells other workers at once that runs there came to nothing by ends on one.
+    fn stop_superfluous(
+        &mut self,
+        workflows: &Workflows,
+        worker: WorkerId,
+        ended: impl Iterator<Item = RunRef>,
+        members: &[SocketAddr],
+    ) {
+        for it in workflows.superfluous_after(worker, ended) {
+            self.send_orders(workflows, it, members);
+        }
+    }
+
     /// Learns that runs proposed did not come into the ledger.
     pub fn note_unproposed(&mut self) {
         self.begin_in_flight = false;
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -64,6 +64,7 @@
         self.take_capacity(workflows, id, capacity);
         self.take_running(workflows, id, now);
         let has_ends = self.take_ends(workflows, id, now);
+        self.settle_failures(workflows, id);
         self.take_refusals(workflows, id);
         if is_gone {
             let loss = if is_leaving { Loss::Left } else { Loss::Crashed };
@@ -104,6 +105,13 @@
         true
     }
 
+    /// Proposes what becomes of failures of which the worker has heard, or never will.
+    pub(super) fn settle_failures(&mut self, workflows: &Workflows, id: WorkerId) {
+        let Some(report) = self.sessions.get(id).and_then(|it| it.report.as_ref()) else { return };
+        let settled = workflows.settled_by(id, report.noted);
+        self.step.commands.extend(settled.map(WorkflowCommand::Settle));
+    }
+
     /// Proposes to take back the runs that the worker will never begin.
     fn take_refusals(&mut self, workflows: &Workflows, id: WorkerId) {
         let Some(worker) = workflows.workers().get(id) else { return };
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -5,6 +5,7 @@
 //! from the worker's list, so that a new leader knows of everything that may run anywhere.
 
 mod check;
+mod failures;
 mod index;
 mod suspects;
 mod task;
@@ -18,13 +19,16 @@
 
 use crate::prelude::*;
 
-use self::suspects::{Crash, CrashedRun, is_crash};
 pub use self::{
     check::{WorkflowError, check_queues, check_spec},
     suspects::Suspects,
     task::{Occurrence, StepState, TaskRun, Workflow, reserve_of},
     workers::{Worker, Workers},
 };
+use self::{
+    failures::Failures,
+    suspects::{Crash, CrashedRun, is_crash},
+};
 
 /// Failed runs allowed where the queue of a workflow is no longer configured.
 const ATTEMPTS_WITHOUT_QUEUE: u32 = 3;
@@ -44,6 +48,7 @@
     /// From here on what snapshots of earlier versions end before.
     evacuations: Evacuations,
     suspects: Suspects,
+    failures: Failures,
 }
 
 impl Workflows {
@@ -120,25 +125,33 @@
         self.workers.get(worker).is_some_and(|it| it.runs.contains(&run))
     }
 
+    /// Returns what a worker knows of failures there that are not settled, if that settles any.
+    pub fn settled_by(&self, worker: WorkerId, noted: NotedEnds) -> Option<SettleFailures> {
+        self.failures.settled_by(worker, noted)
+    }
+
     /// Returns whether a run has nothing left to do: its task is done, or its workflow at its end.
     pub fn is_superfluous(&self, run: RunRef) -> bool {
         let Some(workflow) = self.workflows.get(&run.task.workflow) else { return true };
         !workflow.is_active() || workflow.task(run.task).is_none_or(|it| it.is_done)
     }
 
-    /// Returns the workers with runs that came to nothing by ends elsewhere: other runs of a task
+    /// Returns the other workers with runs that came to nothing by ends on one: other runs of a task
     /// that is done, and all of a workflow that is at its end.
-    pub fn superfluous_on(&self, finish: &FinishRuns) -> BTreeSet<WorkerId> {
+    pub fn superfluous_after(
+        &self,
+        worker: WorkerId,
+        ended: impl Iterator<Item = RunRef>,
+    ) -> BTreeSet<WorkerId> {
         let mut res = BTreeSet::new();
-        for end in &finish.ends {
-            let at = end.run.task;
+        for at in ended.map(|it| it.task) {
             let Some(workflow) = self.workflows.get(&at.workflow) else { continue };
             match workflow.is_active() {
                 true => res.extend(workflow.runs_of_done(at)),
                 false => res.extend(workflow.runs().map(|it| it.worker)),
             }
         }
-        res.remove(&finish.worker);
+        res.remove(&worker);
         res
     }
 
@@ -160,6 +173,7 @@
             }
             WorkflowCommand::Evacuate(it) => self.evacuations.apply(it, time_ms),
             WorkflowCommand::Resize(it) => self.resize(it),
+            WorkflowCommand::Settle(it) => self.settle(it, time_ms),
         }
     }
 
@@ -215,7 +229,7 @@
         worker.cursor = worker.cursor.max(it.cursor);
         let crash = self.crash_of(&it.ends, time_ms);
         for end in &it.ends {
-            self.finish_run(it.worker, end, time_ms);
+            self.finish_run(it.worker, end, it.cursor, time_ms);
         }
         let given_up = crash.map(|it| self.suspects.note_crash(&it)).unwrap_or_default();
         for task in given_up {
@@ -251,12 +265,29 @@
     /// was given up and has enrolled anew. So an end counts by its run, once, and not after the run
     /// was concluded: counted by its place in the list, one failure ended a workflow as three. Only
     /// what is done stays done, whoever tells it, since the task must not be done again.
-    fn finish_run(&mut self, worker: WorkerId, end: &RunEnd, time_ms: u64) {
-        if !self.holds(worker, end.run) && end.outcome != RunOutcome::Done {
+    fn finish_run(&mut self, worker: WorkerId, end: &RunEnd, cursor: u64, time_ms: u64) {
+        let is_held = self.holds(worker, end.run);
+        if !is_held && end.outcome != RunOutcome::Done {
             return;
         }
-        let id = end.run.task.workflow;
         self.release(worker, end.run);
+        match end.outcome {
+            // What it takes is free; its task waits until the worker knows of the end.
+            RunOutcome::Failed if self.has_last_attempt(end.run.task) => {
+                self.failures.open(worker, end.clone(), cursor);
+            }
+            _ => self.conclude(worker, end, time_ms),
+        }
+    }
+
+    /// Returns whether the attempts of a task are bounded: those of one that lasts are not.
+    fn has_last_attempt(&self, task: TaskRef) -> bool {
+        self.step_of(task).is_some_and(|it| !it.lasting)
+    }
+
+    /// Lets the end of a run count for its task and its workflow.
+    fn conclude(&mut self, worker: WorkerId, end: &RunEnd, time_ms: u64) {
+        let id = end.run.task.workflow;
         let attempts_max = self.attempts_max_of(id);
         let Some(workflow) = self.workflows.get_mut(&id) else { return };
         let phase = workflow.finish(worker, end, attempts_max);
@@ -268,6 +299,22 @@
         }
     }
 
+    /// Lets failures count that their worker knows to be taken note of, and drops those that it
+    /// never will.
+    fn settle(&mut self, it: &SettleFailures, time_ms: u64) -> WorkflowOutcome {
+        for run in &it.counted {
+            if let Some(end) = self.failures.take(it.worker, *run) {
+                self.conclude(it.worker, &end, time_ms);
+            }
+        }
+        for run in &it.lapsed {
+            if self.failures.take(it.worker, *run).is_some() {
+                self.void_run(it.worker, *run);
+            }
+        }
+        WorkflowOutcome::Accepted
+    }
+
     fn attempts_max_of(&self, id: WorkflowId) -> u32 {
         let queue = self.workflows.get(&id).and_then(|it| self.queue(&it.queue));
         queue.map_or(ATTEMPTS_WITHOUT_QUEUE, |it| it.attempts_max.max(1))
@@ -276,15 +323,20 @@
     fn void(&mut self, it: &VoidRuns) -> WorkflowOutcome {
         for run in &it.runs {
             self.release(it.worker, *run);
-            self.suspects.note_over(*run);
-            if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
-                workflow.void(it.worker, *run);
-                self.index_step(StepRef::of(run.task));
-            }
+            self.void_run(it.worker, *run);
         }
         WorkflowOutcome::Accepted
     }
 
+    /// Forgets a run that came to nothing, so that its task may begin again.
+    fn void_run(&mut self, worker: WorkerId, run: RunRef) {
+        self.suspects.note_over(run);
+        if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
+            workflow.void(worker, run);
+            self.index_step(StepRef::of(run.task));
+        }
+    }
+
     fn release(&mut self, worker: WorkerId, run: RunRef) {
         // A workflow is kept for as long as a run of it may be anywhere.
         let Some(workflow) = self.workflows.get(&run.task.workflow) else { return };
@@ -314,13 +366,8 @@
 
     fn dismiss(&mut self, id: WorkerId) -> WorkflowOutcome {
         let Some(worker) = self.workers.remove(id) else { return WorkflowOutcome::Gone };
-        for run in worker.runs {
-            self.suspects.note_over(run);
-            if let Some(workflow) = self.workflows.get_mut(&run.task.workflow) {
-                workflow.void(id, run);
-                self.index_step(StepRef::of(run.task));
-            }
-        }
+        let failed = self.failures.drop_all(id).into_iter().map(|it| it.run);
+        worker.runs.into_iter().chain(failed).for_each(|it| self.void_run(id, it));
         WorkflowOutcome::Accepted
     }
 
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -5,7 +5,7 @@
     node::{
         NodeCore,
         calls::{Action, CallResult, Refused, WorkerCall},
-        worker::{Lifetime, Order, Pending},
+        worker::{Hold, Lifetime, Order, Pending},
     },
     prelude::*,
 };
@@ -188,13 +188,18 @@
             let watches = worker.must_watch();
             let wait_ms = match worker.listed_term == self.term {
                 false => 0,
+                true if worker.has_failure_to_note() => 0,
                 true if watches => self.options.watch_wait_ms,
                 true => self.options.hold_wait_ms,
             };
             let acked_cursor = worker.acked_cursor;
             let action = Action::Hold { lease_until_ms: lease, acked_cursor, wait_ms };
-            worker.hold = Some(call(action, &mut self.next_call));
+            let call = call(action, &mut self.next_call);
+            let (sent_ms, told_until_ms) = (now.mono_ms, worker.told_until_ms);
+            worker.hold = Some(Hold { call, sent_ms, acked_cursor, told_until_ms });
+            worker.tell_lease(lease);
         }
+        let mut told_until_ms = worker.told_until_ms;
         for (run, pending) in &mut worker.orders {
             if pending.call.is_some() || now.mono_ms < pending.next_ms {
                 continue;
@@ -202,12 +207,15 @@
             let action = match (&pending.order, lease) {
                 (Order::Barred { .. }, _) => continue,
                 (Order::Stop { .. }, _) => Action::Stop { run: *run },
-                (Order::Start { payload, checkpoint, .. }, Some(lease_until_ms)) => Action::Start {
-                    run: *run,
-                    payload: payload.clone(),
-                    checkpoint: checkpoint.clone(),
-                    lease_until_ms,
-                },
+                (Order::Start { payload, checkpoint, .. }, Some(lease_until_ms)) => {
+                    told_until_ms = told_until_ms.max(Some(lease_until_ms));
+                    Action::Start {
+                        run: *run,
+                        payload: payload.clone(),
+                        checkpoint: checkpoint.clone(),
+                        lease_until_ms,
+                    }
+                }
                 (Order::Start { .. }, None) => {
                     // Nothing may run without a lease; the next grant brings one.
                     pending.next_ms = now.mono_ms + self.options.retry_ms;
@@ -217,6 +225,7 @@
             pending.attempts += 1;
             pending.call = Some(call(action, &mut self.next_call));
         }
+        worker.told_until_ms = told_until_ms;
         for (run, percent) in worker.paces_to_tell() {
             let id = call(Action::Pace { run, percent }, &mut self.next_call);
             worker.pace_calls.insert(id, (run, percent));
@@ -246,8 +255,8 @@
             }
             _ => (),
         }
-        if worker.hold == Some(id) {
-            return self.on_hold_ended(now, id, result);
+        if let Some(hold) = worker.hold.filter(|it| it.call == id) {
+            return self.on_hold_ended(now, hold, result);
         }
         if let Some((run, percent)) = worker.pace_calls.remove(&id) {
             if matches!(result, CallResult::Done { .. }) {
@@ -278,35 +287,36 @@
         }
     }
 
-    fn on_hold_ended(&mut self, now: Now, id: u64, result: CallResult) {
+    fn on_hold_ended(&mut self, now: Now, hold: Hold, result: CallResult) {
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
-        let (running, ended, is_whole) = match result {
-            CallResult::Held { running, ended, .. } => {
+        let (clock_ms, running, ended, is_whole) = match result {
+            CallResult::Held { clock_ms, running, ended } => {
                 worker.gaps = 0;
-                (running, ended, true)
+                (clock_ms, running, ended, true)
             }
-            CallResult::HeldInPart { running, mut ended, ended_later, unreadable, .. } => {
+            CallResult::HeldInPart { clock_ms, running, mut ended, ended_later, unreadable } => {
                 let is_whole = worker.judge_gap(unreadable);
                 if is_whole {
                     ended.extend(ended_later);
                 }
-                (running, ended, is_whole)
+                (clock_ms, running, ended, is_whole)
             }
             result => return worker.note_no_list(now, self.term, self.options.retry_ms, &result),
         };
         let was_listed = worker.listed_term == self.term;
+        let is_waited_for = worker.take_noted(hold, clock_ms, &ended, now);
         let known = worker.ended.len();
         for it in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
             worker.ended.insert(it.cursor, it.end);
         }
         match is_whole {
-            true => worker.take_list(running, id),
+            true => worker.take_list(running, hold.call),
             false => worker.take_part_of_list(running),
         }
         if is_whole {
             worker.listed_term = self.term;
-            self.is_dirty |= worker.settle_barred(id);
+            self.is_dirty |= worker.settle_barred(hold.call);
         }
         let live: std::collections::HashSet<_> = worker.running.iter().map(|it| it.run).collect();
         worker.paces.retain(|run, _| live.contains(run));
@@ -314,7 +324,7 @@
         worker.roles.retain(|run, _| live.contains(run) || pending.contains_key(run));
         let has_news = known < worker.ended.len();
         // What was saved and how far each run is goes with the next report.
-        self.is_dirty |= has_news || !was_listed;
+        self.is_dirty |= has_news || !was_listed || is_waited_for;
         worker.pace(now);
         // Ends not yet noted would be listed again at once.
         let pause_ms = if worker.ended.is_empty() { 0 } else { ACK_PAUSE_MS };
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -16,6 +16,16 @@
     pub at_ms: u64,
 }
 
+/// A look at the worker's lists.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Hold {
+    pub call: u64,
+    pub sent_ms: u64,
+    pub acked_cursor: u64,
+    /// End of the lease before this look prolonged it, by the worker's clock.
+    pub told_until_ms: Option<u64>,
+}
+
 /// An order on its way to the worker.
 #[derive(Clone, Debug)]
 pub(super) struct Pending {
@@ -66,6 +76,11 @@
     pub begun: HashMap<RunRef, u64>,
     pub ended: BTreeMap<u64, RunEnd>,
     pub acked_cursor: u64,
+    pub noted: NotedEnds,
+    /// Highest cursor of a failure that was listed: the leader waits to hear that it is noted.
+    pub failure_cursor: u64,
+    /// End of the longest lease told to the worker, by its clock, if this process told it one.
+    pub told_until_ms: Option<u64>,
     /// Token for calls, from the newest grant.
     pub token: u64,
     pub lease_until_ms: u64,
@@ -80,7 +95,8 @@
     /// Share that each filler was last told, and the call that tells it.
     pub paces: HashMap<RunRef, u32>,
     pub pace_calls: HashMap<u64, (RunRef, u32)>,
-    pub hold: Option<u64>,
+    /// The look at the worker's lists that is under way.
+    pub hold: Option<Hold>,
     pub hold_at_ms: u64,
     /// Lists in a row that had rows which cannot be read.
     pub gaps: u32,
@@ -100,6 +116,9 @@
             begun: HashMap::new(),
             ended: BTreeMap::new(),
             acked_cursor: 0,
+            noted: NotedEnds::NONE,
+            failure_cursor: 0,
+            told_until_ms: None,
             token: 0,
             lease_until_ms: 0,
             orders: BTreeMap::new(),
@@ -133,6 +152,50 @@
         valid.then(|| self.clock.clock_ms + (self.lease_until_ms - self.clock.at_ms))
     }
 
+    /// Notes a lease that the worker is told.
+    pub(super) fn tell_lease(&mut self, until_ms: Option<u64>) {
+        self.told_until_ms = self.told_until_ms.max(until_ms);
+    }
+
+    /// Takes in what a list tells of ends that were taken note of; returns whether the leader waits
+    /// for that.
+    ///
+    /// Where the lease ran out since the last list, what ended before was never taken note of: the
+    /// acknowledgement came too late.
+    pub(super) fn take_noted(
+        &mut self,
+        hold: Hold,
+        clock_ms: u64,
+        ended: &[EndedRun],
+        now: Now,
+    ) -> bool {
+        let before = self.noted;
+        // The look reached the worker after it was sent and before its answer was read.
+        let earliest_ms = clock_ms.saturating_sub(now.mono_ms - hold.sent_ms);
+        let is_over = hold.told_until_ms.is_some_and(|it| it < earliest_ms);
+        let lapses = |it: &EndedRun| {
+            it.end.outcome == RunOutcome::Lapsed && !self.ended.contains_key(&it.cursor)
+        };
+        let before_lapse = ended.iter().filter(|it| is_over || lapses(it)).map(|it| it.cursor);
+        let acked_late = is_over.then_some(hold.acked_cursor);
+        let lapsed_cursor = before_lapse.max().max(acked_late);
+        if let Some(it) = lapsed_cursor.filter(|it| before.noted_cursor < *it) {
+            self.noted.lapsed_after_cursor = before.noted_cursor;
+            self.noted.lapsed_cursor = it;
+        }
+        self.noted.noted_cursor = before.noted_cursor.max(hold.acked_cursor);
+        let failures = ended.iter().filter(|it| it.end.outcome == RunOutcome::Failed);
+        self.failure_cursor =
+            failures.map(|it| it.cursor).max().unwrap_or(0).max(self.failure_cursor);
+        before != self.noted && before.noted_cursor < self.failure_cursor
+    }
+
+    /// Returns whether a list is wanted at once, since the leader waits to hear that a failure is
+    /// taken note of.
+    pub(super) fn has_failure_to_note(&self) -> bool {
+        self.noted.noted_cursor < self.failure_cursor.min(self.acked_cursor)
+    }
+
     /// Returns whether a run is listed, as running or ended.
     pub(super) fn knows(&self, run: RunRef) -> bool {
         self.running.iter().any(|it| it.run == run) || self.ended.values().any(|it| it.run == run)
@@ -196,6 +259,7 @@
                 .map(|(run, cause)| RefusedRun { run: *run, cause: *cause })
                 .collect(),
             roles_missing,
+            noted: self.noted,
             faded: self.faded(),
         }
     }
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1756,6 +1756,22 @@
         value.clone()
     }
 }
+///Which ends a worker knows to be taken note of, by the cursors of its list. Where its lease ran out before, they are not, and never will be.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NotedEnds {
+    ///Ends after this one, up to 'lapsed_cursor', came before the worker's lease last ran out.
+    pub lapsed_after_cursor: u64,
+    pub lapsed_cursor: u64,
+    ///Ends up to here were acknowledged to the worker.
+    pub noted_cursor: u64,
+}
+impl ::std::convert::From<&NotedEnds> for NotedEnds {
+    fn from(value: &NotedEnds) -> Self {
+        value.clone()
+    }
+}
 ///Opens a new session for a VM's agent, superseding any older one.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -2678,6 +2694,22 @@
         value.clone()
     }
 }
+///Failures that were taken in are settled, by what their worker knows of them.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SettleFailures {
+    ///These are attempts.
+    pub counted: ::std::vec::Vec<RunRef>,
+    ///These are not: the worker's lease ran out before it knew.
+    pub lapsed: ::std::vec::Vec<RunRef>,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&SettleFailures> for SettleFailures {
+    fn from(value: &SettleFailures) -> Self {
+        value.clone()
+    }
+}
 ///A piece of a snapshot for a member far behind.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3475,6 +3507,7 @@
     pub gone: bool,
     pub kind: ::compact_str::CompactString,
     pub name: ::compact_str::CompactString,
+    pub noted: NotedEnds,
     pub rack: ::compact_str::CompactString,
     pub refused: ::std::vec::Vec<RefusedRun>,
     pub remaining_ms: u64,
@@ -3536,6 +3569,7 @@
     Learn(::std::vec::Vec<ImageCost>),
     Evacuate(EvacuateZone),
     Resize(ResizeWorker),
+    Settle(SettleFailures),
 }
 impl ::std::convert::From<&Self> for WorkflowCommand {
     fn from(value: &WorkflowCommand) -> Self {
@@ -3602,6 +3636,11 @@
         Self::Resize(value)
     }
 }
+impl ::std::convert::From<SettleFailures> for WorkflowCommand {
+    fn from(value: SettleFailures) -> Self {
+        Self::Settle(value)
+    }
+}
 ///Identity of a workflow, chosen by its client.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -37,6 +37,7 @@
     "RunOutcome",
     "WorkflowPhase",
     "RefusalCause",
+    "NotedEnds",
 ];
 
 fn generate(schema_text: &str) -> String {
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -125,6 +125,7 @@
             running,
             ended,
             refused: Vec::new(),
+            noted: NotedEnds::NONE,
             roles_missing: false,
             faded: Vec::new(),
         };
--- a/tests/workflows/late_ends.rs
+++ b/tests/workflows/late_ends.rs
@@ -5,7 +5,8 @@
 //! longer than a lease; the leader concludes the run, dismisses the worker and begins another run;
 //! the node is back, the worker enrols anew, and its list still has the end. The cause: an end was
 //! taken in by its place in the list, which begins at 0 with each enrolment, and not by the run that
-//! it is the end of.
+//! it is the end of. And a failure counted as soon as the leader had it; where its word does not
+//! reach the worker before the lease runs out, users count the run as one that lapsed.
 //!
 //! The evidence: in the leader's log of played days the same run ends as `Failed` twice, under two
 //! workers and with one cursor, or as `Lapsed` and then as `Failed`, and its task has more failures
