Count a start of a gang that fails as one attempt

A gang whose members failed together in their first start was shown as failed, with three attempts allowed. Cause: the failures of its members were added up, and a start in which three members fail used up all of them. The last run that a failure counted for is kept for each gang; further failures of the same start free what they hold and count nothing.

--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -39,9 +39,9 @@
 }
 
 /// Bytes that snapshots of earlier versions lack at their end, all zero where there is nothing:
-/// one for failures to be settled, three before it for suspected tasks, and two before these for
+/// two for failures, three before it for suspected tasks, and two before these for
 /// evacuations.
-const MISSING_TAILS: [usize; 3] = [1, 4, 6];
+const MISSING_TAILS: [usize; 3] = [2, 5, 7];
 
 /// The outcome of one command.
 pub type Outcome = Result<Reply, Refusal>;
--- a/src/control/state/workflows/failures.rs
+++ b/src/control/state/workflows/failures.rs
@@ -9,10 +9,13 @@
 
 use crate::prelude::*;
 
-/// The failures that are to be settled, by worker.
+/// The failures that are to be settled, by worker, and the starts of gangs that have failed.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub(super) struct Failures {
     open: BTreeMap<WorkerId, Vec<OpenFailure>>,
+    /// The last run of each gang that a failure counted for. A start of a gang is one attempt,
+    /// whichever of its members fail: three members that failed together took all of three.
+    gangs: BTreeMap<StepRef, u32>,
 }
 
 /// A failure that is to be settled.
@@ -49,6 +52,17 @@
         Some(res)
     }
 
+    /// Notes that a member of a gang failed; returns whether that is the first failure of its start.
+    pub(super) fn note_gang(&mut self, run: RunRef) -> bool {
+        let last = self.gangs.entry(StepRef::of(run.task)).or_insert(0);
+        std::mem::replace(last, run.run.max(*last)) < run.run
+    }
+
+    /// Forgets the gangs of a workflow that is at its end.
+    pub(super) fn forget(&mut self, workflow: WorkflowId) {
+        self.gangs.retain(|step, _| step.workflow != workflow);
+    }
+
     /// Takes out all failures of a worker that is given up: it will not hear of them any more.
     pub(super) fn drop_all(&mut self, worker: WorkerId) -> Vec<RunEnd> {
         let open = self.open.remove(&worker).into_iter().flatten();
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -255,6 +255,7 @@
         let Some(workflow) = self.workflows.get_mut(&id) else { return };
         workflow.end(phase, time_ms);
         self.suspects.forget(id);
+        self.failures.forget(id);
         self.active.remove(&id);
         self.index_workflow(id);
     }
@@ -289,6 +290,10 @@
     fn conclude(&mut self, worker: WorkerId, end: &RunEnd, time_ms: u64) {
         let id = end.run.task.workflow;
         let attempts_max = self.attempts_max_of(id);
+        let is_gang = self.step_of(end.run.task).is_some_and(|it| it.gang);
+        if is_gang && end.outcome == RunOutcome::Failed && !self.failures.note_gang(end.run) {
+            return self.void_run(worker, end.run);
+        }
         let Some(workflow) = self.workflows.get_mut(&id) else { return };
         let phase = workflow.finish(worker, end, attempts_max);
         let is_given_up = !is_crash(end.outcome) && self.suspects.note_end(end, time_ms);
--- a/src/util/step.rs
+++ b/src/util/step.rs
@@ -3,7 +3,9 @@
 use crate::schema::messages::{TaskRef, WorkflowId};
 
 /// A step of a workflow in one occurrence; its tasks share one load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub struct StepRef {
     pub workflow: WorkflowId,
     pub occurrence: u32,
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -430,14 +430,14 @@
     state.apply_workflow(1, 9, &evacuate("z", true, 0));
     let read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
     assert!(read.workflows.evacuations().contains("z"));
-    // Where there are none, failures to be settled take a byte at the end, suspected tasks three
-    // before it, and evacuations two before these: revision 0 and an empty list.
-    for missing in [1, 4, 6] {
+    // Where there are none, failures take two bytes at the end, suspected tasks three before them,
+    // and evacuations two before these: revision 0 and an empty list.
+    for missing in [2, 5, 7] {
         let read = State::from_bytes(&older[..older.len() - missing]).unwrap();
         assert_eq!(read.workflows.evacuations(), &Evacuations::default());
         assert!(read.workflows.suspects().is_empty());
     }
-    for missing in [2, 3, 5, 7, 8] {
+    for missing in [1, 3, 4, 6, 8, 9] {
         assert!(State::from_bytes(&older[..older.len() - missing]).is_err(), "{missing} missing");
     }
     assert!(State::from_bytes(&[&older[..], &[0]].concat()).is_err());
