Keep failures of a worker that was given up until it tells what it knows

They now wait for the lifetime to be back; after six seconds, or when another lifetime takes its place, they count.

--- a/src/control/core/lines.rs
+++ b/src/control/core/lines.rs
@@ -55,10 +55,10 @@
         }
         WorkflowCommand::Settle(it) => {
             for run in &it.counted {
-                log_failure(state, it.worker, *run, entry);
+                log_failure(state, *run, entry);
             }
             for run in &it.lapsed {
-                tracing::info!(event = "failure_lapsed", run = %run_name(*run), worker = it.worker.0, index, term);
+                tracing::info!(event = "failure_lapsed", run = %run_name(*run), index, term);
             }
         }
         WorkflowCommand::Resize(it) => {
@@ -115,11 +115,11 @@
 }
 
 /// Writes that a failure counts as an attempt, and whether its workflow has failed by it.
-fn log_failure(state: &State, worker: WorkerId, run: RunRef, entry: &LogEntry) {
+fn log_failure(state: &State, run: RunRef, entry: &LogEntry) {
     let workflow = state.workflows.get(run.task.workflow);
     let failures = workflow.and_then(|it| Some(it.task(run.task)?.failures));
     let has_failed = workflow
         .is_some_and(|it| it.phase() == WorkflowPhase::Failed && it.ended_ms == entry.time_ms);
     let event = if has_failed { "workflow_failed" } else { "failure_counted" };
-    tracing::info!(event, run = %run_name(run), worker = worker.0, failures = ?failures, index = entry.index, term = entry.term);
+    tracing::info!(event, run = %run_name(run), failures = ?failures, index = entry.index, term = entry.term);
 }
--- a/src/control/dispatch/losses.rs
+++ b/src/control/dispatch/losses.rs
@@ -13,6 +13,11 @@
 /// Runs named in the line on a loss: what began last is what most likely caused it.
 const NAMED_MAX: usize = 4;
 
+/// Time for which failures of a worker that was given up wait for it, so that cuts of up to ten
+/// seconds, with the lease, decide nothing falsely. Then they count: a task must not wait for a VM
+/// that is gone for good.
+const LOST_FAILURES_MAX_MS: u64 = 6_000;
+
 /// Why a worker is lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Loss {
@@ -44,6 +49,7 @@
         self.log_loss(workflows, id, worker, loss, now);
         let ends = self.sessions.get(id).map(|it| ends_of_lost(it, worker, loss));
         let ends = ends.unwrap_or_default();
+        self.settle_last(workflows, id, loss);
         let finish = FinishRuns { worker: id, cursor: worker.cursor, ends };
         self.step.commands.push(WorkflowCommand::Finish(finish));
         self.step.commands.push(WorkflowCommand::Dismiss(id));
@@ -62,6 +68,26 @@
         }
     }
 
+    /// Settles the failures on a worker that has ended, of which its node has told the last word.
+    fn settle_last(&mut self, workflows: &Workflows, id: WorkerId, loss: Loss) {
+        let lapsed = workflows.failures_on(id);
+        if loss != Loss::LeaseExpired && !lapsed.is_empty() {
+            let settle = SettleFailures { counted: Vec::new(), lapsed };
+            self.step.commands.push(WorkflowCommand::Settle(settle));
+        }
+    }
+
+    /// Lets failures count whose workers were given up and do not come back: they may have heard
+    /// that these were taken note of.
+    pub(super) fn settle_lost(&mut self, workflows: &Workflows, now: Now) {
+        let before_ms = now.wall_ms.saturating_sub(LOST_FAILURES_MAX_MS);
+        let counted = workflows.failures_lost_before(before_ms);
+        if !counted.is_empty() {
+            let settle = SettleFailures { counted, lapsed: Vec::new() };
+            self.step.commands.push(WorkflowCommand::Settle(settle));
+        }
+    }
+
     fn log_loss(&self, workflows: &Workflows, id: WorkerId, worker: &Worker, loss: Loss, now: Now) {
         if loss == Loss::Left {
             tracing::info!(event = "worker_left", worker = %worker.name, node = %worker.node, runs = worker.runs.len());
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -143,6 +143,7 @@
             if known != workflows.costs() {
                 self.step.commands.push(WorkflowCommand::Learn(known));
             }
+            self.settle_lost(workflows, now);
         }
         if self.occupancy_at_ms <= now.mono_ms {
             self.occupancy_at_ms = now.mono_ms + OCCUPANCY_INTERVAL_MS;
@@ -219,7 +220,11 @@
                 self.settle_failures(workflows, it.worker);
                 self.send_grant(workflows, it.worker, members, now);
                 let ended = it.ends.iter().map(|it| it.run);
-                self.stop_superfluous(workflows, it.worker, ended, members);
+                for it in
+                    workflows.superfluous_after(ended).into_iter().filter(|id| *id != it.worker)
+                {
+                    self.send_orders(workflows, it, members);
+                }
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Void(it) => {
@@ -236,8 +241,9 @@
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Settle(it) => {
-                let counted = it.counted.iter().copied();
-                self.stop_superfluous(workflows, it.worker, counted, members);
+                for it in workflows.superfluous_after(it.counted.iter().copied()) {
+                    self.send_orders(workflows, it, members);
+                }
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Cancel(id) => self.stop_cancelled(workflows, *id, members),
@@ -252,19 +258,6 @@
         }
     }
 
-    /// Tells other workers at once that runs there came to nothing by ends on one.
-    fn stop_superfluous(
-        &mut self,
-        workflows: &Workflows,
-        worker: WorkerId,
-        ended: impl Iterator<Item = RunRef>,
-        members: &[SocketAddr],
-    ) {
-        for it in workflows.superfluous_after(worker, ended) {
-            self.send_orders(workflows, it, members);
-        }
-    }
-
     /// Learns that runs proposed did not come into the ledger.
     pub fn note_unproposed(&mut self) {
         self.begin_in_flight = false;
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -39,9 +39,9 @@
 }
 
 /// Bytes that snapshots of earlier versions lack at their end, all zero where there is nothing:
-/// two for failures, three before it for suspected tasks, and two before these for
+/// three for failures, three before it for suspected tasks, and two before these for
 /// evacuations.
-const MISSING_TAILS: [usize; 3] = [2, 5, 7];
+const MISSING_TAILS: [usize; 3] = [3, 6, 8];
 
 /// The outcome of one command.
 pub type Outcome = Result<Reply, Refusal>;
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -130,19 +130,25 @@
         self.failures.settled_by(worker, noted)
     }
 
+    /// Returns the failures on a worker that are not settled.
+    pub fn failures_on(&self, worker: WorkerId) -> Vec<RunRef> {
+        self.failures.on(worker)
+    }
+
+    /// Returns the failures that are not settled and whose workers were given up before a time.
+    pub fn failures_lost_before(&self, time_ms: u64) -> Vec<RunRef> {
+        self.failures.lost_before(time_ms)
+    }
+
     /// Returns whether a run has nothing left to do: its task is done, or its workflow at its end.
     pub fn is_superfluous(&self, run: RunRef) -> bool {
         let Some(workflow) = self.workflows.get(&run.task.workflow) else { return true };
         !workflow.is_active() || workflow.task(run.task).is_none_or(|it| it.is_done)
     }
 
-    /// Returns the other workers with runs that came to nothing by ends on one: other runs of a task
+    /// Returns the workers with runs that came to nothing by ends of others: other runs of a task
     /// that is done, and all of a workflow that is at its end.
-    pub fn superfluous_after(
-        &self,
-        worker: WorkerId,
-        ended: impl Iterator<Item = RunRef>,
-    ) -> BTreeSet<WorkerId> {
+    pub fn superfluous_after(&self, ended: impl Iterator<Item = RunRef>) -> BTreeSet<WorkerId> {
         let mut res = BTreeSet::new();
         for at in ended.map(|it| it.task) {
             let Some(workflow) = self.workflows.get(&at.workflow) else { continue };
@@ -151,7 +157,6 @@
                 false => res.extend(workflow.runs().map(|it| it.worker)),
             }
         }
-        res.remove(&worker);
         res
     }
 
@@ -164,8 +169,8 @@
             WorkflowCommand::Begin(runs) => self.begin(runs, time_ms),
             WorkflowCommand::Finish(it) => self.finish(it, time_ms),
             WorkflowCommand::Void(it) => self.void(it),
-            WorkflowCommand::Enrol(it) => self.enrol(it),
-            WorkflowCommand::Dismiss(id) => self.dismiss(*id),
+            WorkflowCommand::Enrol(it) => self.enrol(it, time_ms),
+            WorkflowCommand::Dismiss(id) => self.dismiss(*id, time_ms),
             WorkflowCommand::Forget(before_ms) => self.forget(*before_ms),
             WorkflowCommand::Learn(costs) => {
                 self.costs = costs.clone();
@@ -281,6 +286,12 @@
         }
     }
 
+    fn count_failure(&mut self, run: RunRef, time_ms: u64) {
+        if let Some(it) = self.failures.take(run) {
+            self.conclude(it.worker, &it.end, time_ms);
+        }
+    }
+
     /// Returns whether the attempts of a task are bounded: those of one that lasts are not.
     fn has_last_attempt(&self, task: TaskRef) -> bool {
         self.step_of(task).is_some_and(|it| !it.lasting)
@@ -307,13 +318,9 @@
     /// Lets failures count that their worker knows to be taken note of, and drops those that it
     /// never will.
     fn settle(&mut self, it: &SettleFailures, time_ms: u64) -> WorkflowOutcome {
-        for run in &it.counted {
-            if let Some(end) = self.failures.take(it.worker, *run) {
-                self.conclude(it.worker, &end, time_ms);
-            }
-        }
+        it.counted.iter().for_each(|run| self.count_failure(*run, time_ms));
         for run in &it.lapsed {
-            if self.failures.take(it.worker, *run).is_some() {
+            if let Some(it) = self.failures.take(*run) {
                 self.void_run(it.worker, *run);
             }
         }
@@ -352,14 +359,18 @@
     }
 
     /// Takes in a new lifetime; what ran on an earlier one beside the same node is over.
-    fn enrol(&mut self, it: &EnrolWorker) -> WorkflowOutcome {
+    fn enrol(&mut self, it: &EnrolWorker, time_ms: u64) -> WorkflowOutcome {
         if self.workers.find(it.node, &it.name).is_some() {
             return WorkflowOutcome::Accepted;
         }
         for id in self.workers.beside(it.node) {
-            self.dismiss(id);
+            self.dismiss(id, time_ms);
+        }
+        let id = self.workers.enrol(it);
+        // An attempt that may have counted must not be made again.
+        for run in self.failures.note_enrolled(id, it) {
+            self.count_failure(run, time_ms);
         }
-        self.workers.enrol(it);
         WorkflowOutcome::Accepted
     }
 
@@ -369,10 +380,10 @@
         WorkflowOutcome::Accepted
     }
 
-    fn dismiss(&mut self, id: WorkerId) -> WorkflowOutcome {
+    fn dismiss(&mut self, id: WorkerId, time_ms: u64) -> WorkflowOutcome {
         let Some(worker) = self.workers.remove(id) else { return WorkflowOutcome::Gone };
-        let failed = self.failures.drop_all(id).into_iter().map(|it| it.run);
-        worker.runs.into_iter().chain(failed).for_each(|it| self.void_run(id, it));
+        self.failures.lose(id, &worker, time_ms);
+        worker.runs.into_iter().for_each(|it| self.void_run(id, it));
         WorkflowOutcome::Accepted
     }
 
--- a/src/control/state/workflows/workers.rs
+++ b/src/control/state/workflows/workers.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    pub(super) fn enrol(&mut self, it: &EnrolWorker) {
+    pub(super) fn enrol(&mut self, it: &EnrolWorker) -> WorkerId {
         self.last_id += 1;
         let worker = Worker {
             name: it.name.clone(),
@@ -133,6 +133,7 @@
         let id = WorkerId(self.last_id);
         self.by_node.entry(worker.node).or_default().push(id);
         self.workers.insert(id, worker);
+        id
     }
 }
 
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -186,18 +186,20 @@
         };
         if worker.hold.is_none() && worker.hold_at_ms <= now.mono_ms {
             let watches = worker.must_watch();
+            let may_have_lapsed = worker.may_have_lapsed(now);
             let wait_ms = match worker.listed_term == self.term {
                 false => 0,
-                true if worker.has_failure_to_note() => 0,
+                true if worker.has_failure_to_note() || may_have_lapsed => 0,
                 true if watches => self.options.watch_wait_ms,
                 true => self.options.hold_wait_ms,
             };
             let acked_cursor = worker.acked_cursor;
             let action = Action::Hold { lease_until_ms: lease, acked_cursor, wait_ms };
             let call = call(action, &mut self.next_call);
-            let (sent_ms, told_until_ms) = (now.mono_ms, worker.told_until_ms);
-            worker.hold = Some(Hold { call, sent_ms, acked_cursor, told_until_ms });
-            worker.tell_lease(lease);
+            let lapsed_if_past_ms = worker.told_until_ms.filter(|_| may_have_lapsed);
+            let sent_ms = now.mono_ms;
+            worker.hold = Some(Hold { call, sent_ms, acked_cursor, lapsed_if_past_ms });
+            worker.told_until_ms = worker.told_until_ms.max(lease);
         }
         let mut told_until_ms = worker.told_until_ms;
         for (run, pending) in &mut worker.orders {
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -22,8 +22,9 @@
     pub call: u64,
     pub sent_ms: u64,
     pub acked_cursor: u64,
-    /// End of the lease before this look prolonged it, by the worker's clock.
-    pub told_until_ms: Option<u64>,
+    /// End of the lease before this look, by the worker's clock, where it may be over. Then the
+    /// look waits for nothing, so that all that it lists ended before it.
+    pub lapsed_if_past_ms: Option<u64>,
 }
 
 /// An order on its way to the worker.
@@ -152,9 +153,11 @@
         valid.then(|| self.clock.clock_ms + (self.lease_until_ms - self.clock.at_ms))
     }
 
-    /// Notes a lease that the worker is told.
-    pub(super) fn tell_lease(&mut self, until_ms: Option<u64>) {
-        self.told_until_ms = self.told_until_ms.max(until_ms);
+    /// Returns whether the worker's lease may have run out: its clock may be slower than this one,
+    /// never faster by more than a reading takes.
+    pub(super) fn may_have_lapsed(&self, now: Now) -> bool {
+        let latest_ms = self.clock.clock_ms + (now.mono_ms - self.clock.at_ms);
+        self.told_until_ms.is_some_and(|it| it < latest_ms)
     }
 
     /// Takes in what a list tells of ends that were taken note of; returns whether the leader waits
@@ -170,9 +173,9 @@
         now: Now,
     ) -> bool {
         let before = self.noted;
-        // The look reached the worker after it was sent and before its answer was read.
+        // Its clock as the look reached it: after it was sent, and before the answer was read.
         let earliest_ms = clock_ms.saturating_sub(now.mono_ms - hold.sent_ms);
-        let is_over = hold.told_until_ms.is_some_and(|it| it < earliest_ms);
+        let is_over = hold.lapsed_if_past_ms.is_some_and(|it| it < earliest_ms);
         let lapses = |it: &EndedRun| {
             it.end.outcome == RunOutcome::Lapsed && !self.ended.contains_key(&it.cursor)
         };
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -2694,7 +2694,7 @@
         value.clone()
     }
 }
-///Failures that were taken in are settled, by what their worker knows of them.
+///Failures that were taken in are settled, by what their workers know of them.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
@@ -2703,7 +2703,6 @@
     pub counted: ::std::vec::Vec<RunRef>,
     ///These are not: the worker's lease ran out before it knew.
     pub lapsed: ::std::vec::Vec<RunRef>,
-    pub worker: WorkerId,
 }
 impl ::std::convert::From<&SettleFailures> for SettleFailures {
     fn from(value: &SettleFailures) -> Self {
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -48,9 +48,9 @@
     WorkflowCommand::Finish(FinishRuns { worker: WorkerId(worker), cursor, ends: vec![end] })
 }
 
-fn settle(worker: u64, counted: &[RunRef], lapsed: &[RunRef]) -> WorkflowCommand {
+fn settle(counted: &[RunRef], lapsed: &[RunRef]) -> WorkflowCommand {
     let (counted, lapsed) = (counted.to_vec(), lapsed.to_vec());
-    WorkflowCommand::Settle(SettleFailures { worker: WorkerId(worker), counted, lapsed })
+    WorkflowCommand::Settle(SettleFailures { counted, lapsed })
 }
 
 fn ready(spec: WorkflowSpec) -> Workflows {
@@ -115,7 +115,7 @@
         let members: Vec<_> = (0..3).map(|it| run(7, 0, it, start)).collect();
         ledger.apply(&begin(1, &members), 2);
         members.iter().for_each(|it| drop(ledger.apply(&finish(1, 1, *it, RunOutcome::Failed), 3)));
-        ledger.apply(&settle(1, &members, &[]), 4);
+        ledger.apply(&settle(&members, &[]), 4);
     }
     assert_eq!(phase(&ledger), WorkflowPhase::Failed);
 }
@@ -127,7 +127,7 @@
     ledger.apply(&begin(1, &[first]), 2);
     for it in 1..=5 {
         ledger.apply(&finish(1, it, first, RunOutcome::Failed), 3);
-        ledger.apply(&settle(1, &[first], &[]), 4);
+        ledger.apply(&settle(&[first], &[]), 4);
     }
     assert_eq!(phase(&ledger), WorkflowPhase::Running);
     assert_eq!(ledger.get(WorkflowId(7)).unwrap().task(first.task).unwrap().failures, 1);
@@ -154,13 +154,25 @@
     assert_eq!((task.failures, task.checkpoint.as_str()), (0, "newer"));
 }
 
-/// A failure waits until its worker has heard of it: then it counts, or it never will.
+/// What becomes of the worker of a failure.
+enum Fate {
+    Hears,
+    Lapses,
+    /// It is given up, and another lifetime enrols beside its node.
+    IsReplaced,
+    /// It is given up, and is back.
+    Returns,
+}
+
+/// A failure waits until its worker has heard of it: then it counts, or it never will. Where that
+/// cannot be known, it counts, since an attempt too many must not be made.
 #[yare::parameterized(
-    noted = { Some(true), 1, false },
-    lapsed = { Some(false), 0, false },
-    worker_given_up = { None, 0, false },
+    hears = { Fate::Hears, 1 },
+    lapses = { Fate::Lapses, 0 },
+    is_replaced = { Fate::IsReplaced, 1 },
+    returns_and_has_lapsed = { Fate::Returns, 0 },
 )]
-fn a_failure_counts_once_its_worker_knows(is_noted: Option<bool>, failures: u32, has_run: bool) {
+fn a_failure_counts_once_its_worker_knows(fate: Fate, failures: u32) {
     let mut ledger = ready(spec(vec![step(1, 1, &[])]));
     let first = run(7, 0, 0, 1);
     ledger.apply(&begin(1, &[first]), 2);
@@ -168,19 +180,38 @@
     assert!(ledger.workers().get(WorkerId(1)).unwrap().runs.is_empty(), "its room is free");
     ledger.apply(&begin(1, &[run(7, 0, 0, 2)]), 3);
     assert!(ledger.workers().get(WorkerId(1)).unwrap().runs.is_empty(), "its task waits");
-    ledger.apply(
-        &match is_noted {
-            Some(true) => settle(1, &[first], &[]),
-            Some(false) => settle(1, &[], &[first]),
-            None => WorkflowCommand::Dismiss(WorkerId(1)),
-        },
-        4,
-    );
+    match fate {
+        Fate::Hears => drop(ledger.apply(&settle(&[first], &[]), 4)),
+        Fate::Lapses => drop(ledger.apply(&settle(&[], &[first]), 4)),
+        Fate::IsReplaced | Fate::Returns => {
+            ledger.apply(&WorkflowCommand::Dismiss(WorkerId(1)), 4);
+            assert_eq!(ledger.ready_steps().count(), 0, "its task waits still");
+            let name = if matches!(fate, Fate::Returns) { "w-1" } else { "w-2" };
+            ledger.apply(&enrol(name), 5);
+        }
+    }
+    if let Fate::Returns = fate {
+        let noted = NotedEnds { noted_cursor: 5, lapsed_after_cursor: 4, lapsed_cursor: 5 };
+        let settled = ledger.settled_by(WorkerId(2), noted).unwrap();
+        ledger.apply(&WorkflowCommand::Settle(settled), 6);
+    }
     let task = ledger.get(WorkflowId(7)).unwrap().task(first.task).unwrap();
-    assert_eq!((task.failures, !task.runs.is_empty()), (failures, has_run));
+    assert_eq!((task.failures, task.runs.len()), (failures, 0));
     assert_eq!(ledger.ready_steps().count(), 1);
 }
 
+#[test]
+fn failures_of_workers_that_do_not_come_back_are_found() {
+    let mut ledger = ready(spec(vec![step(1, 1, &[])]));
+    let first = run(7, 0, 0, 1);
+    ledger.apply(&begin(1, &[first]), 2);
+    ledger.apply(&finish(1, 5, first, RunOutcome::Failed), 3);
+    assert_eq!(ledger.failures_on(WorkerId(1)), [first]);
+    ledger.apply(&WorkflowCommand::Dismiss(WorkerId(1)), 10);
+    assert_eq!(ledger.failures_lost_before(10), []);
+    assert_eq!(ledger.failures_lost_before(11), [first]);
+}
+
 #[yare::parameterized(
     not_yet = { NotedEnds { noted_cursor: 4, lapsed_after_cursor: 0, lapsed_cursor: 0 }, None },
     noted = { NotedEnds { noted_cursor: 5, lapsed_after_cursor: 0, lapsed_cursor: 0 }, Some(true) },
@@ -347,8 +378,8 @@
         let worker = random.u64(1..=8);
         let outcomes = [RunOutcome::Done, RunOutcome::Failed, RunOutcome::Lapsed];
         let command = match random.u32(0..14) {
-            12 => settle(worker, &[at], &[]),
-            13 => settle(worker, &[], &[at]),
+            12 => settle(&[at], &[]),
+            13 => settle(&[], &[at]),
             0..=4 => begin(worker, &[at]),
             5..=8 => finish(worker, 1, at, outcomes[random.usize(0..3)]),
             9 => WorkflowCommand::Void(VoidRuns { worker: WorkerId(worker), runs: vec![at] }),
@@ -430,14 +461,14 @@
     state.apply_workflow(1, 9, &evacuate("z", true, 0));
     let read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
     assert!(read.workflows.evacuations().contains("z"));
-    // Where there are none, failures take two bytes at the end, suspected tasks three before them,
+    // Where there are none, failures take three bytes at the end, suspected tasks three before them,
     // and evacuations two before these: revision 0 and an empty list.
-    for missing in [2, 5, 7] {
+    for missing in [3, 6, 8] {
         let read = State::from_bytes(&older[..older.len() - missing]).unwrap();
         assert_eq!(read.workflows.evacuations(), &Evacuations::default());
         assert!(read.workflows.suspects().is_empty());
     }
-    for missing in [1, 3, 4, 6, 8, 9] {
+    for missing in [1, 2, 4, 5, 7, 9, 10] {
         assert!(State::from_bytes(&older[..older.len() - missing]).is_err(), "{missing} missing");
     }
     assert!(State::from_bytes(&[&older[..], &[0]].concat()).is_err());
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -421,3 +421,57 @@
     assert_eq!(alone.reports.last().unwrap().workers[0].term, 1, "the leader may place work again");
     assert_eq!(told(&alone), 1, "and the ends behind the row are told");
 }
+
+fn failed(cursor: u64) -> EndedRun {
+    let (outcome, checkpoint) = (RunOutcome::Failed, CompactString::default());
+    EndedRun { cursor, end: RunEnd { run: RUN, outcome, checkpoint } }
+}
+
+impl Alone {
+    /// Returns how long the look that is under way may wait.
+    fn wait_ms(&self) -> u64 {
+        let wait = |it: &(u64, Action)| match it.1 {
+            Action::Hold { wait_ms, .. } => Some(wait_ms),
+            _ => None,
+        };
+        self.calls.iter().find_map(wait).unwrap()
+    }
+
+    /// Ends the look that is under way with a failure; returns what the leader is told of it.
+    fn list_failure(&mut self) -> NotedEnds {
+        let id = self.take_call(is_hold);
+        let clock_ms = self.now_ms + 49_000;
+        self.end(id, CallResult::Held { clock_ms, running: Vec::new(), ended: vec![failed(1)] });
+        self.reports.last().unwrap().workers[0].noted
+    }
+}
+
+/// A worker whose lease may be over is looked at without a wait: what it lists then had ended before
+/// it heard of a new lease, and was never taken note of.
+#[test]
+fn a_failure_before_a_lapse_is_told_as_such() {
+    let mut alone = Alone::new();
+    alone.grant(true, Vec::new());
+    alone.list(Vec::new());
+    assert_eq!(alone.wait_ms(), 1_000);
+    let id = alone.take_call(is_hold);
+    alone.now_ms += 6_000;
+    alone.end(id, CallResult::NoAnswer);
+    alone.now_ms += 200;
+    alone.input(Input::Tick);
+    assert_eq!(alone.wait_ms(), 0);
+    let noted = alone.list_failure();
+    assert!(noted.has_lapsed(1), "{noted:?}");
+}
+
+/// A failure that ended a wait for one came under the lease: to tell it as lapsed let tasks begin
+/// again after their last attempt.
+#[test]
+fn a_failure_under_the_lease_waits_for_its_acknowledgement() {
+    let mut alone = Alone::new();
+    alone.grant(true, Vec::new());
+    alone.list(Vec::new());
+    alone.now_ms += 900;
+    let noted = alone.list_failure();
+    assert!(!noted.has_lapsed(1) && !noted.is_noted(1), "{noted:?}");
+}
