Let a process bind another port than others reach it at

A port forwarder, and a proxy that injects faults between processes, stand where others reach a process; the setting link.bind_port says what it binds itself. The options of a link are made from the settings in one place; they stood twice.

--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -14,7 +14,11 @@
 use error_stack::ResultExt;
 use tokio::sync::mpsc;
 
-use crate::{metrics::Metrics, prelude::*};
+use crate::{
+    metrics::Metrics,
+    prelude::*,
+    schema::{PROTOCOL_VERSION, settings::Settings},
+};
 
 pub use self::codec::{FrameError, Frames, encode_frame};
 
@@ -46,6 +50,30 @@
     pub frame_max_bytes: usize,
 }
 
+impl LinkOptions {
+    /// Returns what the settings of a process say.
+    pub fn new(settings: &Settings) -> LinkOptions {
+        let (process, link) = (&settings.process, &settings.link);
+        let hello = Hello {
+            version: PROTOCOL_VERSION,
+            process: process.name.clone(),
+            region: process.region,
+            group: process.group,
+            address: link.listen,
+        };
+        let bind_port = match link.bind_port as u16 {
+            0 => link.listen.port(),
+            it => it,
+        };
+        LinkOptions {
+            hello,
+            listen: SocketAddr::new(link.listen.ip(), bind_port),
+            queue_messages: link.queue_messages as usize,
+            frame_max_bytes: link.frame_max_bytes as usize,
+        }
+    }
+}
+
 /// The sending side of a process's links.
 #[derive(Clone, Debug)]
 pub struct Link {
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -33,7 +33,7 @@
         pool::Pool,
         role::{RoleActor, RoleStatus, start_actor},
     },
-    schema::{PROTOCOL_VERSION, settings::Settings},
+    schema::settings::Settings,
     util::{Clock, Place},
 };
 
@@ -164,32 +164,19 @@
     /// Returns an error when it cannot start.
     pub fn run(self) -> Result<Ending> {
         let process = &self.settings.process;
-        let link_settings = &self.settings.link;
-        let hello = Hello {
-            version: PROTOCOL_VERSION,
-            process: process.name.clone(),
-            region: process.region,
-            group: process.group,
-            address: link_settings.listen,
-        };
         // What a control member kept is read before anything is listened on.
         let disk = match &self.settings.control {
             Some(it) => Some(self.open_disk(it)?),
             None => None,
         };
-        let options = LinkOptions {
-            hello,
-            listen: link_settings.listen,
-            queue_messages: link_settings.queue_messages as usize,
-            frame_max_bytes: link_settings.frame_max_bytes as usize,
-        };
+        let options = LinkOptions::new(&self.settings);
         let link =
             Link::start(options, self.metrics.clone(), Sink { events: self.events.clone() })?;
         let loopback: Loopback = Rc::new(RefCell::new(VecDeque::new()));
-        let sending = Sending { link, own: link_settings.listen, loopback: loopback.clone() };
+        let sending = Sending { link, own: self.settings.link.listen, loopback: loopback.clone() };
         let mut stakker = Stakker::new(Instant::now());
         let actors = self.start_roles(&mut stakker, disk, &sending)?;
-        tracing::info!(event = "started", process = %process.name, zone = %process.zone, link = %link_settings.listen);
+        tracing::info!(event = "started", process = %process.name, zone = %process.zone, link = %self.settings.link.listen);
         let ending = self.turn(&mut stakker, &actors, &loopback);
         tracing::info!(event = "ended", process = %process.name, ending = ?ending);
         Ok(ending)
--- a/src/runtime/single/mod.rs
+++ b/src/runtime/single/mod.rs
@@ -44,10 +44,7 @@
             options::{control_links, gateway_options, member_settings, node_options, small},
         },
     },
-    schema::{
-        PROTOCOL_VERSION,
-        settings::{DispatchSettings, GatewaySettings, NodeSettings, Settings},
-    },
+    schema::settings::{DispatchSettings, GatewaySettings, NodeSettings, Settings},
     util::{Clock, Place},
 };
 
@@ -223,27 +220,15 @@
 
     async fn run_local(mut self) -> Result<Ending> {
         let process = self.settings.process.clone();
-        let link_settings = &self.settings.link;
         // What a member kept is read before anything is listened on.
         let disk = match &self.settings.dispatch {
             Some(it) => Some(self.open_disk(it)?),
             None => None,
         };
-        let options = LinkOptions {
-            hello: Hello {
-                version: PROTOCOL_VERSION,
-                process: process.name.clone(),
-                region: process.region,
-                group: process.group,
-                address: link_settings.listen,
-            },
-            listen: link_settings.listen,
-            queue_messages: link_settings.queue_messages as usize,
-            frame_max_bytes: link_settings.frame_max_bytes as usize,
-        };
+        let options = LinkOptions::new(&self.settings);
         let link = Link::start_local(options, self.metrics.clone(), self.handle.clone())?;
         let loopback = Loopback::default();
-        let sending = Sending { link, own: link_settings.listen, loopback: loopback.clone() };
+        let sending = Sending { link, own: self.settings.link.listen, loopback: loopback.clone() };
         let mut stakker = Stakker::new(Instant::now());
         let actors = self.start_roles(&mut stakker, disk, &sending)?;
         tracing::info!(event = "started", process = %process.name, zone = %process.zone, link = %self.settings.link.listen, roles = ?process.roles);
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -228,6 +228,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct LinkSettings {
+    ///Port that is bound where it differs from that of 'listen', as behind a port forwarder; 0 binds that of 'listen'.
+    pub bind_port: u32,
     ///Addresses of control processes; a dead one among several is survived.
     pub control: ::std::vec::Vec<::std::net::SocketAddr>,
     ///Port of the links of control processes, where their addresses name another; 0 takes the addresses as they stand.
