Find connections between processes that have gone silent

After connections had gone silent without an end, control processes lost sight of each other for good and callers were refused until they were restarted. Cause: a link's messages expect no answer, and the kernel's time-out sees only bytes that are not acknowledged; behind a forwarder they are. A link that was sent on is asked for a sign of life each 1.5 s and given up after 1 s without one; an idle one costs nothing. The test behind a silent proxy was red before: nothing arrived in 3 s. Counter aspenrail_link_silent_total, line link_silent.

--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -1,6 +1,8 @@
 //! The sending side: one connection and one bounded queue for each peer.
 
-use std::{collections::HashMap, fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::Cell, collections::HashMap, fmt, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 
 use bytes::Bytes;
 use tokio::{net::TcpStream, sync::mpsc, time};
@@ -20,6 +22,13 @@
 /// How long sent bytes may stay unacknowledged before a connection counts as broken.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Interval at which a connection that was sent on is asked for a sign of life, and the time for it.
+/// Together they find a silent connection well within the 3 s after which a VM counts as out of
+/// touch, and within a lease. Messages expect no answer, so that nothing else would show it: control
+/// processes lost sight of each other for good.
+const PING_INTERVAL: Duration = Duration::from_millis(1_500);
+const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Why a connection could not be opened or broke.
 #[derive(Debug)]
 enum SendError {
@@ -147,6 +156,8 @@
 /// An open stream to a peer.
 struct Stream {
     send: h2::SendStream<Bytes>,
+    /// Whether anything was sent since the last ping.
+    is_used: Rc<Cell<bool>>,
     closed: tokio::sync::oneshot::Receiver<()>,
     broken: bool,
 }
@@ -170,22 +181,32 @@
     let tcp = TcpStream::connect(peer.address).await?;
     tcp.set_nodelay(true)?;
     socket2::SockRef::from(&tcp).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    let (mut client, connection) = h2::client::Builder::new()
+    let (mut client, mut connection) = h2::client::Builder::new()
         .initial_window_size(1 << 22)
         .initial_connection_window_size(1 << 22)
         .handshake::<_, Bytes>(tcp)
         .await?;
     let (closing, closed) = tokio::sync::oneshot::channel();
+    let is_used = Rc::new(Cell::new(true));
+    let ping = connection.ping_pong().ok_or_else(|| other("pings are taken already"))?;
+    let silent = wait_for_silence(ping, is_used.clone());
+    let (address, metrics) = (peer.address, peer.metrics.clone());
     tokio::task::spawn_local(async move {
-        // How it ended shows on the stream.
-        let _ = connection.await;
+        tokio::select! {
+            // How it ended shows on the stream.
+            _ = connection => (),
+            () = silent => {
+                tracing::warn!(event = "link_silent", peer = %address, timeout_ms = PING_TIMEOUT.as_millis());
+                metrics.link_silent();
+            }
+        }
         let _ = closing.send(());
     });
     std::future::poll_fn(|cx| client.poll_ready(cx)).await?;
     let request =
         http::Request::post(format!("http://{}/link", peer.address)).body(()).map_err(other)?;
     let (response, send) = client.send_request(request, false)?;
-    let mut stream = Stream { send, closed, broken: false };
+    let mut stream = Stream { send, is_used, closed, broken: false };
     let hello = encode_frame(&peer.options.hello, peer.options.frame_max_bytes).map_err(other)?;
     write(&mut stream, hello).await?;
     let response = response.await?;
@@ -211,7 +232,22 @@
     write(stream, frame).await
 }
 
+/// Returns when the peer gives no sign of life though something was sent to it.
+async fn wait_for_silence(mut ping: h2::PingPong, is_used: Rc<Cell<bool>>) {
+    loop {
+        time::sleep(PING_INTERVAL).await;
+        if !is_used.take() {
+            continue;
+        }
+        let answered = time::timeout(PING_TIMEOUT, ping.ping(h2::Ping::opaque())).await;
+        if !matches!(answered, Ok(Ok(_))) {
+            return;
+        }
+    }
+}
+
 async fn write(stream: &mut Stream, mut data: Bytes) -> Result<(), SendError> {
+    stream.is_used.set(true);
     while !data.is_empty() {
         stream.send.reserve_capacity(data.len());
         let granted = std::future::poll_fn(|cx| stream.send.poll_capacity(cx)).await;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -58,6 +58,7 @@
     pub link_bytes_sent: IntCounter,
     pub link_bytes_received: IntCounter,
     pub link_frames_sent: IntCounter,
+    link_silent: IntCounter,
     pub disk_syncs: IntCounter,
     pub disk_writes: IntCounter,
     pub state: IntGaugeVec,
@@ -195,6 +196,10 @@
                 "aspenrail_link_received_bytes_total",
                 "Bytes of messages received.",
             )?,
+            link_silent: counter(
+                "aspenrail_link_silent_total",
+                "Connections given up since they carried nothing any more.",
+            )?,
             link_frames_sent: counter(
                 "aspenrail_link_sent_messages_total",
                 "Messages sent to processes.",
@@ -251,6 +256,16 @@
         self.gateway_answers.with_label_values(&[end]).observe(seconds);
     }
 
+    /// Counts a connection that was given up as silent.
+    pub fn link_silent(&self) {
+        self.link_silent.inc();
+    }
+
+    /// Returns how many connections were given up as silent.
+    pub fn silent_links(&self) -> u64 {
+        self.link_silent.get()
+    }
+
     /// Counts a message that was not sent; `reason` is one of [`LINK_DROP_REASONS`].
     pub fn link_dropped(&self, reason: &'static str) {
         self.link_dropped.with_label_values(&[reason]).inc();
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -12,6 +12,12 @@
 };
 use crossbeam_channel::{Receiver, Sender, unbounded};
 
+#[path = "soak/proxy.rs"]
+#[allow(dead_code)]
+mod proxy;
+
+use proxy::Proxy;
+
 /// Far longer than anything here takes.
 const NEVER: Duration = Duration::from_secs(30);
 
@@ -80,3 +86,27 @@
         matches!(a.events.recv_timeout(NEVER).unwrap(), LinkEvent::Lost { peer } if peer == nobody)
     );
 }
+
+/// Time within which a silent connection must be found: users count a VM as in touch after so long.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// An open connection carries nothing any more, and nothing tells so: bytes are taken, none arrive.
+/// Control processes lost sight of each other for good, since their messages expect no answer.
+#[test]
+fn a_connection_that_goes_silent_is_replaced() {
+    let (a, b) = (start(PROTOCOL_VERSION, 1), start(PROTOCOL_VERSION, 1));
+    let front = free_addresses(1).unwrap()[0];
+    let proxy = Proxy::start(front, b.address);
+    a.link.send(front, message(1));
+    assert!(matches!(b.events.recv_timeout(NEVER), Ok(LinkEvent::Message { .. })));
+    proxy.silence();
+    let began = std::time::Instant::now();
+    let mut number = 2;
+    while b.events.try_recv().is_err() {
+        assert!(began.elapsed() < CONTACT, "nothing arrives after {number} messages");
+        a.link.send(front, message(number));
+        number += 1;
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(a.metrics.silent_links(), 1);
+}
