--- /dev/null
+++ b/tests/soak/workers.rs
@@ -0,0 +1,273 @@
+//! The stand-in workers behind HTTP, their clocks, and the rules over what they see.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use aspenrail::{
+    http::{HttpAnswer, HttpRequest, Pending, ServerOptions, client::new_client, start_server},
+    node::{Action, CallResult, Refused, WorkerCall},
+    prelude::*,
+};
+use serde_json::{Value, json};
+
+use crate::{
+    rules::Ledger,
+    worker::{FakeWorker, Nature},
+};
+
+/// Attempts that the queue of the tests allows.
+pub const ATTEMPTS_MAX: u32 = 3;
+
+/// How often work that is over is noticed.
+const TICK: Duration = Duration::from_millis(2);
+
+/// Interval at which a worker announces itself.
+const ANNOUNCE: Duration = Duration::from_millis(300);
+
+/// Everything that the stand-ins see.
+pub struct State {
+    pub rules: Ledger,
+    pub nature: BTreeMap<u64, Nature>,
+    workers: Vec<FakeWorker>,
+    up_at: Vec<Option<Instant>>,
+    /// Share of orders that get no answer and are carried out late, in percent.
+    late_percent: u32,
+    random: fastrand::Rng,
+}
+
+/// A handle to all stand-in workers.
+#[derive(Clone)]
+pub struct Workers {
+    state: Arc<Mutex<State>>,
+    began: Instant,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Workers {
+    /// Starts a worker at each address, beside the node that listens at the other.
+    pub fn start(seed: u64, places: &[(SocketAddr, SocketAddr)]) -> Workers {
+        let state = State {
+            rules: Ledger::new(ATTEMPTS_MAX),
+            nature: BTreeMap::new(),
+            workers: (0..places.len()).map(FakeWorker::new).collect(),
+            up_at: vec![None; places.len()],
+            late_percent: 0,
+            random: fastrand::Rng::with_seed(seed),
+        };
+        let res = Workers {
+            state: Arc::new(Mutex::new(state)),
+            began: Instant::now(),
+            is_over: Arc::default(),
+        };
+        for (vm, (listen, node)) in places.iter().enumerate() {
+            res.serve(vm, *listen);
+            res.announce(vm, *node);
+        }
+        let own = res.clone();
+        thread::spawn(move || {
+            while !own.is_over.load(Ordering::Relaxed) {
+                own.tick();
+                thread::sleep(TICK);
+            }
+        });
+        res
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    pub fn starts(&self) -> u32 {
+        self.state().rules.starts
+    }
+
+    pub fn take_broken(&self) -> Vec<String> {
+        std::mem::take(&mut self.state().rules.broken)
+    }
+
+    pub fn set_late_percent(&self, percent: u32) {
+        self.state().late_percent = percent;
+    }
+
+    /// Crashes a worker, which is back under another name after a while.
+    pub fn crash(&self, vm: usize, down: Duration) {
+        let mut guard = self.state();
+        let state = &mut *guard;
+        if state.workers[vm].up {
+            state.workers[vm].crash(&mut state.rules);
+            state.up_at[vm] = Some(Instant::now() + down);
+        }
+    }
+
+    /// Ends the threads that stand for workers.
+    pub fn stop(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+    }
+
+    pub fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn tick(&self) {
+        let now_ms = self.now_ms();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        for (worker, up_at) in state.workers.iter_mut().zip(&mut state.up_at) {
+            if up_at.is_some_and(|it| it <= Instant::now()) {
+                worker.up = true;
+                *up_at = None;
+            }
+            worker.tick(now_ms, &state.nature, &mut state.rules);
+        }
+    }
+
+    fn announce(&self, vm: usize, node: SocketAddr) {
+        let own = self.clone();
+        thread::spawn(move || {
+            let client = new_client(1);
+            while !own.is_over.load(Ordering::Relaxed) {
+                thread::sleep(ANNOUNCE);
+                let now_ms = own.now_ms();
+                let it = {
+                    let mut state = own.state();
+                    state.workers[vm].up.then(|| state.workers[vm].announce(now_ms))
+                };
+                let Some(it) = it else { continue };
+                let body = json!({"service": "pool", "zone": it.zone, "state": "ready", "slots": 8,
+                    "capacity": {"cpu": it.capacity.cpu_millicores, "mem_mb": it.capacity.memory_mib, "gpu": 0},
+                    "labels": [it.kind, it.rack], "clock_ms": it.clock_ms, "sequence": it.sequence});
+                // Fails while the node is down or frozen; the next one follows.
+                let _ = client
+                    .put(format!("http://{node}/-/instances/{}", it.name))
+                    .config()
+                    .timeout_global(Some(Duration::from_millis(500)))
+                    .build()
+                    .send_json(&body);
+            }
+        });
+    }
+
+    fn serve(&self, vm: usize, listen: SocketAddr) {
+        let options = ServerOptions {
+            listen,
+            threads: 1,
+            body_max_bytes: 1 << 20,
+            headers_max_bytes: 1 << 14,
+        };
+        let own = self.clone();
+        start_server(options, &Pending::default(), move |_, it| own.answer(vm, &it.ok()?)).unwrap();
+    }
+
+    /// Carries out a call; returns no answer where it is carried out late, or nobody is there.
+    fn answer(&self, vm: usize, it: &HttpRequest) -> Option<HttpAnswer> {
+        let call = parse_call(it)?;
+        let is_order = !matches!(call.action, Action::Hold { .. });
+        let late_ms = {
+            let mut state = self.state();
+            if !state.workers[vm].up {
+                return None;
+            }
+            let is_late = is_order && state.random.u32(0..100) < state.late_percent;
+            is_late.then(|| state.random.u64(1_000..8_000))
+        };
+        let Some(late_ms) = late_ms else {
+            return Some(answer_of(&self.carry_out(vm, &call, false)));
+        };
+        let own = self.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(late_ms));
+            own.carry_out(vm, &call, true)
+        });
+        None
+    }
+
+    fn carry_out(&self, vm: usize, call: &WorkerCall, is_late: bool) -> CallResult {
+        let now_ms = self.now_ms();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        let worker = &mut state.workers[vm];
+        if !worker.up {
+            return CallResult::NoAnswer;
+        }
+        worker.is_late = is_late;
+        worker.handle(call, now_ms, &state.nature, &mut state.rules)
+    }
+}
+
+fn parse_call(it: &HttpRequest) -> Option<WorkerCall> {
+    let body: Value = serde_json::from_slice(&it.body).ok()?;
+    let number = |name: &str| body[name].as_u64().unwrap_or(0);
+    let run =
+        || Some(RunRef { task: parse_task(body["task"].as_str()?)?, run: number("run") as u32 });
+    let text = |name: &str| CompactString::from(body[name].as_str().unwrap_or_default());
+    let action = match it.path.as_str() {
+        "/-/hold" => Action::Hold {
+            lease_until_ms: body["deadline_ms"].as_u64(),
+            acked_cursor: number("ack_cursor"),
+            wait_ms: 0,
+        },
+        "/-/run-start" => Action::Start {
+            run: run()?,
+            payload: text("spec"),
+            checkpoint: text("last_checkpoint"),
+            lease_until_ms: number("deadline_ms"),
+        },
+        "/-/run-stop" => Action::Stop { run: run()? },
+        _ => Action::Pace { run: run()?, percent: number("percent") as u32 },
+    };
+    let worker = it.header("X-Aspenrail-Expect-Instance")?.into();
+    Some(WorkerCall { worker, token: number("fencing_token"), action })
+}
+
+fn parse_task(name: &str) -> Option<TaskRef> {
+    let mut parts = name.split('.');
+    let workflow = WorkflowId(u64::from_str_radix(parts.next()?, 16).ok()?);
+    let mut number = || parts.next()?.parse().ok();
+    Some(TaskRef { workflow, occurrence: number()?, step: number()?, index: number()? })
+}
+
+fn name_of(it: TaskRef) -> String {
+    format!("{:016x}.{}.{}.{}", it.workflow.0, it.occurrence, it.step, it.index)
+}
+
+fn answer_of(result: &CallResult) -> HttpAnswer {
+    let refused = |clock_ms, reason| json!({"clock_ms": clock_ms, "reason": reason});
+    match result {
+        CallResult::Held { clock_ms, running, ended } => {
+            let running: Vec<_> = running
+                .iter()
+                .map(|it| json!([name_of(it.run.task), it.run.run, "", it.progress_percent, 0]))
+                .collect();
+            let ended: Vec<_> = ended
+                .iter()
+                .map(|it| {
+                    let how = format!("{:?}", it.end.outcome).to_lowercase();
+                    json!([it.cursor, name_of(it.end.run.task), it.end.run.run, how, ""])
+                })
+                .collect();
+            let body = json!({"clock_ms": clock_ms, "running": running, "ended": ended});
+            HttpAnswer::json(200, &body)
+        }
+        CallResult::Done { clock_ms } => HttpAnswer::json(200, &json!({"clock_ms": clock_ms})),
+        CallResult::Refused { clock_ms, cause } => {
+            let reason = match cause {
+                Refused::Fenced => "fence",
+                Refused::Superseded => "old",
+                Refused::Late => "late",
+                Refused::Room => "room",
+                Refused::Ticket => "ticket",
+            };
+            HttpAnswer::json(409, &refused(clock_ms, reason))
+        }
+        CallResult::OtherLifetime => HttpAnswer::json(421, &json!({})),
+        _ => HttpAnswer::json(503, &json!({})),
+    }
+}
--- a/tests/workflows/gateway.rs
+++ b/tests/workflows/gateway.rs
@@ -35,6 +35,7 @@
     assert!(matches!(answer, Some(Answer::NotTaken { cause: Cause::NoLeader, .. })), "{answer:?}");
     world.run_for(10_000);
     assert_eq!(world.phase(7), None, "it was told not to be taken");
+    assert!(!world.rules.has_begun(7));
     assert_eq!(world.rules.starts, 0);
 }
 
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -116,6 +116,11 @@
         self.began.contains(&run)
     }
 
+    /// Returns whether a worker ever began a run of a workflow.
+    pub fn has_begun(&self, id: u64) -> bool {
+        self.began.iter().any(|it| it.task.workflow.0 == id)
+    }
+
     pub fn ended(&mut self, run: RunRef, outcome: RunOutcome) {
         if self.live.get(&run.task).is_some_and(|(it, _)| *it == run) {
             self.live.remove(&run.task);
