Pass over grants that come late

A grant whose connection was given up may arrive after newer ones. Its orders are of an enrolment, or a moment, that the leader has concluded, and the node carried them out: it kept the highest token and took the orders of any. Grants have a sequence now, and a node takes only what is newer by token and sequence. The test of the node alone was not possible before: two of its three cases fail on the code without the check.

--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -135,6 +135,7 @@
     ) {
         let grant = NodeGrant {
             number,
+            sequence: 0,
             sent_ms: 0,
             term: self.term,
             token: 0,
@@ -195,6 +196,7 @@
             listed.map(|it| orders_for(workflows, id, worker, it, session)).unwrap_or_default();
         let mut grant = NodeGrant {
             number: session.number,
+            sequence: session.grants + 1,
             sent_ms,
             term: self.term,
             token: token(self.term, id),
@@ -209,6 +211,9 @@
             members: members.to_vec(),
         };
         let node = session.node;
+        if let Some(it) = self.sessions.get_mut(id) {
+            it.grants += 1;
+        }
         let costs = self.rooms.get(workflows, &mut self.harm, id).map(|it| it.costs(&self.harm));
         if let (Some(costs), Some(session)) = (costs, self.sessions.get_mut(id))
             && (session.told_ms + TOLD_AGAIN_MS <= session.heard_ms
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -31,6 +31,8 @@
     /// Costs that the node was last told, and when.
     pub told_costs: Vec<ImageCost>,
     pub told_ms: u64,
+    /// How many grants were sent.
+    pub grants: u64,
     /// Highest end proposed for the ledger.
     pub proposed_cursor: u64,
     /// A dismissal was proposed.
@@ -79,6 +81,7 @@
             slow: Vec::new(),
             told_costs: Vec::new(),
             told_ms: 0,
+            grants: 0,
             proposed_cursor: 0,
             is_ending: false,
         };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -245,7 +245,16 @@
         else {
             return;
         };
-        worker.token = worker.token.max(it.token);
+        if !worker.note_grant(it.token, it.sequence) {
+            tracing::info!(
+                event = "grant_ignored",
+                term = it.term,
+                token = it.token,
+                newer_token = worker.token,
+                sequence = it.sequence
+            );
+            return;
+        }
         if 0 < it.sent_ms {
             worker.lease_until_ms = worker.lease_until_ms.max(it.sent_ms + it.lease_ms);
         }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -82,8 +82,9 @@
     pub failure_cursor: u64,
     /// End of the longest lease told to the worker, by its clock, if this process told it one.
     pub told_until_ms: Option<u64>,
-    /// Token for calls, from the newest grant.
+    /// Token for calls, from the newest grant, and its place among the grants with this token.
     pub token: u64,
+    pub grant_sequence: u64,
     pub lease_until_ms: u64,
     pub orders: BTreeMap<RunRef, Pending>,
     pub refused: BTreeMap<RunRef, RefusalCause>,
@@ -121,6 +122,7 @@
             failure_cursor: 0,
             told_until_ms: None,
             token: 0,
+            grant_sequence: 0,
             lease_until_ms: 0,
             orders: BTreeMap::new(),
             refused: BTreeMap::new(),
@@ -153,6 +155,18 @@
         valid.then(|| self.clock.clock_ms + (self.lease_until_ms - self.clock.at_ms))
     }
 
+    /// Notes a grant by its token and sequence; returns whether it is the newest.
+    ///
+    /// Grants that went over a connection which is given up may come after newer ones. Their orders
+    /// are of an enrolment, or of a moment, that the leader has concluded: tasks ran in two places.
+    pub(super) fn note_grant(&mut self, token: u64, sequence: u64) -> bool {
+        let is_newest = (self.token, self.grant_sequence) < (token, sequence);
+        if is_newest {
+            (self.token, self.grant_sequence) = (token, sequence);
+        }
+        is_newest
+    }
+
     /// Returns whether the worker's lease may have run out: its clock may be slower than this one,
     /// never faster by more than a reading takes.
     pub(super) fn may_have_lapsed(&self, now: Now) -> bool {
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1726,6 +1726,8 @@
     pub orders: ::std::vec::Vec<RunOrder>,
     ///Echo of the clock in the report, from which the lease counts; 0 grants none.
     pub sent_ms: u64,
+    ///Rises with each grant for one enrolment, so that a late one is known as such.
+    pub sequence: u64,
     ///Pools of workers that the configuration names; a worker of another one is not for use.
     pub services: ::std::vec::Vec<::compact_str::CompactString>,
     pub term: u64,
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -80,6 +80,7 @@
         self.input(Input::Message(Box::new(Message::NodeGrant(NodeGrant {
             capacity: crate::worker::CAPACITY,
             number,
+            sequence: self.now_ms,
             sent_ms: self.now_ms,
             term: 1,
             token: 1 << 24,
@@ -259,6 +260,7 @@
     let grant = NodeGrant {
         capacity: crate::worker::CAPACITY,
         number: 1,
+        sequence: 1_000_000,
         sent_ms: 0,
         term: 1,
         token: 1 << 24,
@@ -295,6 +297,7 @@
     let mut later = NodeGrant {
         capacity: crate::worker::CAPACITY,
         number: 1,
+        sequence: 1,
         sent_ms: alone.now_ms,
         term: 2,
         token: 2 << 24,
@@ -335,6 +338,7 @@
     let grant = |services: Vec<CompactString>| NodeGrant {
         capacity: crate::worker::CAPACITY,
         number: 1,
+        sequence: services.len() as u64,
         sent_ms: 1_000,
         term: 1,
         token: 1 << 24,
@@ -475,3 +479,35 @@
     let noted = alone.list_failure();
     assert!(!noted.has_lapsed(1) && !noted.is_noted(1), "{noted:?}");
 }
+
+/// A grant that went over a connection which was given up comes after newer ones: what it orders was
+/// concluded meanwhile, and may run elsewhere.
+#[yare::parameterized(
+    of_an_earlier_enrolment = { (1 << 24) + 1, 9, false },
+    overtaken = { (1 << 24) + 2, 4, false },
+    newest = { (1 << 24) + 2, 6, true },
+)]
+fn a_late_grant_is_passed_over(token: u64, sequence: u64, is_taken: bool) {
+    let mut alone = Alone::new();
+    let grant = |token, sequence, orders| {
+        Input::Message(Box::new(Message::NodeGrant(NodeGrant {
+            capacity: crate::worker::CAPACITY,
+            number: 1,
+            sequence,
+            sent_ms: 1_000,
+            term: 1,
+            token,
+            is_complete: true,
+            lease_ms: 4_000,
+            worker: "worker".into(),
+            acked_cursor: 0,
+            orders,
+            services: Vec::new(),
+            costs: Vec::new(),
+            members: vec![address(0)],
+        })))
+    };
+    alone.input(grant((1 << 24) + 2, 5, Vec::new()));
+    alone.input(grant(token, sequence, vec![start()]));
+    assert_eq!(alone.calls.iter().any(|(_, it)| is_start(it)), is_taken);
+}
--- a/tests/workflows/node_restarts.rs
+++ b/tests/workflows/node_restarts.rs
@@ -205,6 +205,7 @@
         let grant = NodeGrant {
             capacity: crate::worker::CAPACITY,
             number: report.number,
+            sequence: report.sent_ms * 1_000 + report.number,
             sent_ms: report.sent_ms,
             term: 1,
             token: 1 << 24,
