--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -70,6 +70,7 @@
         broken.len(),
         began.elapsed().as_secs()
     );
+    broken.iter().for_each(|it| println!("seed {seed}: {it}"));
     broken
 }
 
