--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -170,8 +170,8 @@
     /// Returns whether the worker's lease may have run out: its clock may be slower than this one,
     /// never faster by more than a reading takes.
     pub(super) fn may_have_lapsed(&self, now: Now) -> bool {
-        let latest_ms = self.clock.clock_ms + (now.mono_ms - self.clock.at_ms);
-        self.told_until_ms.is_some_and(|it| it < latest_ms)
+        let most_clock_ms = self.clock.clock_ms + (now.mono_ms - self.clock.at_ms);
+        self.told_until_ms.is_some_and(|it| it < most_clock_ms)
     }
 
     /// Takes in what a list tells of ends that were taken note of; returns whether the leader waits
@@ -188,8 +188,8 @@
     ) -> bool {
         let before = self.noted;
         // Its clock as the look reached it: after it was sent, and before the answer was read.
-        let earliest_ms = clock_ms.saturating_sub(now.mono_ms - hold.sent_ms);
-        let is_over = hold.lapsed_if_past_ms.is_some_and(|it| it < earliest_ms);
+        let least_clock_ms = clock_ms.saturating_sub(now.mono_ms - hold.sent_ms);
+        let is_over = hold.lapsed_if_past_ms.is_some_and(|it| it < least_clock_ms);
         let lapses = |it: &EndedRun| {
             it.end.outcome == RunOutcome::Lapsed && !self.ended.contains_key(&it.cursor)
         };
