Pass over reports of nodes that come late

A report from before a cut came over a connection that had been given up, named a lifetime that had been replaced, and enrolled it anew; the lifetime that was there was dismissed as replaced, and its tasks began elsewhere while they ran. Reports were compared by number within one lifetime only. They are now for each node. The test of the dispatcher was red before.

--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -22,6 +22,10 @@
         members: &[SocketAddr],
         now: Now,
     ) {
+        if !self.sessions.note_report(&report) {
+            tracing::info!(event = "report_ignored", node = %report.node, number = report.number);
+            return;
+        }
         let Some(seen) = report.workers.into_iter().next() else {
             return self.send_empty_grant(workflows, report.node, report.number, members);
         };
@@ -39,8 +43,8 @@
             return self.send_empty_grant(workflows, report.node, report.number, members);
         };
         let Some(session) = self.sessions.get_mut(id) else { return };
-        if session.is_ending || (session.boot == report.boot && report.number <= session.number) {
-            // Overtaken by a newer one, or too late to renew anything.
+        if session.is_ending {
+            // Too late to renew anything.
             return;
         }
         let before = session.report.as_ref().map(|it| (it.draining, it.term));
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Sessions {
     sessions: BTreeMap<WorkerId, Session>,
+    /// The newest report of each node: the run of the node that sent it, and its number.
+    newest: HashMap<SocketAddr, (u64, u64)>,
     /// No lease is over before this. A lease is only ever prolonged, so that all of them are
     /// looked at once a lease, and not at each event.
     expiry_bound_ms: u64,
@@ -92,6 +94,21 @@
         };
     }
 
+    /// Notes a report; returns whether it is newer than what its node sent before.
+    ///
+    /// One that went over a connection which is given up may come late, and name a lifetime that has
+    /// long been replaced: it must not take the place of the one that is there. Tasks of that one
+    /// began again elsewhere while they ran.
+    pub(super) fn note_report(&mut self, it: &NodeReport) -> bool {
+        let newest = self.newest.insert(it.node, (it.boot, it.number));
+        let Some((boot, number)) = newest else { return true };
+        let is_newest = boot != it.boot || number < it.number;
+        if !is_newest {
+            self.newest.insert(it.node, (boot, number));
+        }
+        is_newest
+    }
+
     pub(super) fn get(&self, id: WorkerId) -> Option<&Session> {
         self.sessions.get(&id)
     }
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -107,8 +107,21 @@
     /// Reports what a worker runs and what has ended there.
     pub fn tell(&mut self, worker: u64, running: Vec<RunningTask>, ended: Vec<EndedRun>) {
         self.number += 1;
+        let name = format_compact!("worker-{worker}");
+        self.tell_of(worker, name, self.number, running, ended);
+    }
+
+    /// Takes in a report of a lifetime beside a worker's node, with a number.
+    fn tell_of(
+        &mut self,
+        worker: u64,
+        name: CompactString,
+        number: u64,
+        running: Vec<RunningTask>,
+        ended: Vec<EndedRun>,
+    ) {
         let report = WorkerReport {
-            name: format_compact!("worker-{worker}"),
+            name,
             service: "pool".into(),
             zone: "zone".into(),
             kind: "a".into(),
@@ -132,7 +145,7 @@
         let report = NodeReport {
             node: node(worker),
             boot: 1,
-            number: self.number,
+            number,
             sent_ms: self.now_ms,
             workers: vec![report],
         };
@@ -264,3 +277,16 @@
     leader.pass(2_000, &[(1, &[(1, 15)])]);
     assert_eq!(leader.workers_of(2, 1), [1]);
 }
+
+/// A worker crashed and is back under another name; a report from before, held up by a cut, comes
+/// after that. It must not take the place of the worker that is there, and what runs on it.
+#[test]
+fn a_late_report_of_an_earlier_lifetime_takes_nobodys_place() {
+    let mut leader = Leader::new(1);
+    let late = leader.number;
+    leader.tell_of(1, "worker-1-later".into(), late + 2, Vec::new(), Vec::new());
+    leader.tell_of(1, "worker-1-later".into(), late + 3, Vec::new(), Vec::new());
+    leader.tell_of(1, "worker-1".into(), late + 1, Vec::new(), Vec::new());
+    let names: Vec<_> = leader.workflows.workers().iter().map(|(_, it)| &it.name).collect();
+    assert_eq!(names, ["worker-1-later"]);
+}
