Say which announcements are passed over as late, and what tasks that last wait for

A node dropped what a worker that was back said of itself without a word, and the leader said nothing of tasks that wait. announcement_passed_over has the cause late, with the sequences compared, the start and the clock that the worker tells; its lines grow with the logarithm of such announcements, the counter has all. tasks_wait names steps of tasks that last without a worker, and whether room, trials or workers are missing.

Workers' reports may name their start (born); it is read and written down only.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -72,6 +72,7 @@
     rooms: Rooms,
     trials: Trials,
     idle_since: plan::IdleSince,
+    waits: plan::Waits,
     /// Runs proposed and not yet in the ledger; the next plan waits for them.
     begin_in_flight: bool,
     planned_ms: u64,
@@ -96,6 +97,7 @@
             rooms,
             trials: Trials::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
+            waits: plan::Waits::default(),
             begin_in_flight: false,
             planned_ms: 0,
             plans: 0,
@@ -171,7 +173,7 @@
             trials: self.trials.under_way(now),
             usable: Usable { term: self.term, silent_ms: self.options.silent_ms, now },
         };
-        let plan = plan::plan(basis, &mut self.idle_since);
+        let plan = plan::plan(basis, &mut self.idle_since, &mut self.waits);
         if !plan.runs.is_empty() {
             self.begin_in_flight = true;
             self.step.commands.push(WorkflowCommand::Begin(plan.runs));
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -5,6 +5,7 @@
 
 mod moves;
 mod placing;
+mod waits;
 
 use std::collections::{HashMap, HashSet};
 
@@ -25,6 +26,7 @@
 };
 
 use self::placing::Placing;
+pub(super) use self::waits::Waits;
 
 /// What the planner is told by the settings.
 #[derive(Clone, Copy, Debug)]
@@ -72,13 +74,14 @@
 }
 
 /// Returns the runs to begin now, and those to move.
-pub(super) fn plan(basis: Basis<'_>, idle_since: &mut IdleSince) -> Plan {
+pub(super) fn plan(basis: Basis<'_>, idle_since: &mut IdleSince, waits: &mut Waits) -> Plan {
     let Basis { workflows, sessions, rooms, harm, trials, usable } = basis;
     let now = usable.now;
     let candidates = candidates(workflows, now);
     let slow = sessions.slow_runs(workflows, usable);
     if candidates.is_empty() && slow.is_empty() {
         idle_since.clear();
+        waits.clear();
         return Plan::default();
     }
     rooms.refresh(workflows, harm, now);
@@ -97,6 +100,7 @@
             placing.place(it.at, it.workflow, Care::Anywhere);
         }
     }
+    waits.note(&candidates, &placing, now.mono_ms);
     let moves = moves::moves(&slow, &mut placing);
     let (runs, touched) = placing.finish();
     touched.into_iter().for_each(|it| rooms.note_changed(it));
--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -84,6 +84,10 @@
         &self.rooms
     }
 
+    pub(super) fn trials(&self) -> &Trials {
+        &self.trials
+    }
+
     pub(super) fn runs(&self) -> &[RunPlacement] {
         &self.runs
     }
--- /dev/null
+++ b/src/control/dispatch/plan/waits.rs
@@ -0,0 +1,110 @@
+//! Tasks that last and find no worker, written down with what they wait for.
+
+use std::collections::HashMap;
+
+use crate::{
+    control::{
+        dispatch::plan::{Candidate, placing::Placing},
+        state::StepState,
+    },
+    prelude::*,
+};
+
+/// Wait after which a line is written: longer than a lease takes to run out is not needed, since the
+/// task is ready only then.
+const SHOWN_AFTER_MS: u64 = 2_000;
+
+/// Pause between two lines on one step.
+const SHOWN_AGAIN_MS: u64 = 5_000;
+
+/// Steps named after one plan.
+const NAMED_MAX: usize = 4;
+
+/// Steps with tasks that last and wait.
+#[derive(Debug, Default)]
+pub(in crate::control::dispatch) struct Waits {
+    steps: HashMap<StepRef, Wait>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    since_ms: u64,
+    shown_ms: u64,
+}
+
+impl Waits {
+    /// Forgets all: nothing waits.
+    pub(super) fn clear(&mut self) {
+        self.steps.clear();
+    }
+
+    /// Takes in what a plan left without a worker.
+    pub(super) fn note(
+        &mut self,
+        candidates: &[Candidate<'_>],
+        placing: &Placing<'_, '_>,
+        now_ms: u64,
+    ) {
+        let lasting = candidates.iter().filter(|it| is_lasting(it));
+        let left: Vec<_> = lasting.filter_map(|it| Some((it, left_by(it, placing)?))).collect();
+        self.steps.retain(|at, _| left.iter().any(|(it, _)| it.at == *at));
+        let mut named = 0;
+        for (it, left) in left {
+            let wait =
+                self.steps.entry(it.at).or_insert(Wait { since_ms: now_ms, shown_ms: now_ms });
+            let is_due = wait.since_ms + SHOWN_AFTER_MS <= now_ms
+                && (wait.shown_ms == wait.since_ms || wait.shown_ms + SHOWN_AGAIN_MS <= now_ms);
+            if is_due && named < NAMED_MAX {
+                named += 1;
+                wait.shown_ms = now_ms;
+                left.log(it.at, now_ms - wait.since_ms, placing);
+            }
+        }
+    }
+}
+
+/// Tasks of a step that wait.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    tasks: usize,
+    suspects: usize,
+}
+
+impl Left {
+    fn log(self, at: StepRef, waited_ms: u64, placing: &Placing<'_, '_>) {
+        let workers = placing.rooms().len();
+        let cause = match self {
+            _ if workers == 0 => "no_worker",
+            it if it.suspects == it.tasks => "trial",
+            _ => "no_room",
+        };
+        let trials = placing.trials().len();
+        tracing::warn!(event = "tasks_wait", workflow = %at.workflow, step = at.step, tasks = self.tasks, suspects = self.suspects, waited_ms, workers, trials, cause);
+    }
+}
+
+fn is_lasting(it: &Candidate<'_>) -> bool {
+    it.workflow.spec.steps.get(it.at.step as usize).is_some_and(|it| it.lasting)
+}
+
+/// Returns the tasks of a step that have no run, nor will have by this plan.
+fn left_by(it: &Candidate<'_>, placing: &Placing<'_, '_>) -> Option<Left> {
+    let occurrence = it.workflow.occurrences.get(it.at.occurrence as usize)?;
+    let state: &StepState = occurrence.steps.get(it.at.step as usize)?;
+    let is_placed = |index: u32| {
+        let of_step = |run: &RunPlacement| StepRef::of(run.run.task) == it.at;
+        placing.runs().iter().any(|run| of_step(run) && run.run.task.index == index)
+    };
+    let waiting =
+        state.tasks.iter().zip(0_u32..).filter(|(it, _)| !it.is_done && it.runs.is_empty());
+    let waiting: Vec<_> = waiting.map(|(_, index)| index).filter(|it| !is_placed(*it)).collect();
+    let suspects = placing.workflows().suspects();
+    let task = |index: u32| TaskRef {
+        workflow: it.at.workflow,
+        occurrence: it.at.occurrence,
+        step: it.at.step,
+        index,
+    };
+    let tried = waiting.iter().filter(|it| suspects.needs_trial(task(**it))).count();
+    (!waiting.is_empty()).then_some(Left { tasks: waiting.len(), suspects: tried })
+}
--- a/src/control/dispatch/trials.rs
+++ b/src/control/dispatch/trials.rs
@@ -74,6 +74,11 @@
         self.newcomers_until_ms.contains_key(&worker)
     }
 
+    /// Returns how many workers are under trial.
+    pub(super) fn len(&self) -> usize {
+        self.until_ms.len()
+    }
+
     /// Returns whether so many trials are under way, on so many usable workers, that no workflow
     /// may begin another one.
     pub(super) fn are_many(&self, usable: usize) -> bool {
--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -100,15 +100,18 @@
     UnknownState,
     /// A pool of workers that the configuration does not name.
     ForeignService,
+    /// No newer than what was said before, or of a lifetime that is over.
+    Late,
 }
 
 impl Unusable {
     /// All causes, for counters that exist from the start.
-    pub const ALL: [Unusable; 4] = [
+    pub const ALL: [Unusable; 5] = [
         Unusable::Unreadable,
         Unusable::Malformed,
         Unusable::UnknownState,
         Unusable::ForeignService,
+        Unusable::Late,
     ];
 
     /// Returns the label of its counter.
@@ -118,6 +121,7 @@
             Unusable::Malformed => "malformed",
             Unusable::UnknownState => "unknown_state",
             Unusable::ForeignService => "foreign_service",
+            Unusable::Late => "late",
         }
     }
 }
@@ -138,4 +142,6 @@
     pub clock_ms: u64,
     /// Rises with each announcement of a lifetime.
     pub sequence: u64,
+    /// Unix millisecond of its start, by the worker's clock; nothing where it does not say so.
+    pub born_ms: Option<u64>,
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -82,6 +82,8 @@
     services: Vec<CompactString>,
     /// Lifetimes that are over; a late announcement of one is passed over.
     past: Vec<CompactString>,
+    /// Announcements in a row that came too late to count.
+    late: u64,
     next_call: u64,
     report_number: u64,
     report_at_ms: u64,
@@ -108,6 +110,7 @@
             worker: None,
             services: Vec::new(),
             past: Vec::new(),
+            late: 0,
             next_call: 0,
             report_number: 0,
             report_at_ms: 0,
@@ -156,7 +159,7 @@
 
     fn on_announced(&mut self, now: Now, it: Announcement) {
         if self.past.contains(&it.name) {
-            return;
+            return self.pass_over_late(&it, None);
         }
         if !self.services.is_empty() && !self.services.contains(&it.service) {
             // Whoever wrote it, it must not take the place of the worker that is known.
@@ -166,8 +169,10 @@
         match &mut self.worker {
             Some(known) if known.announcement.name == it.name => {
                 if it.sequence <= known.announcement.sequence {
-                    return;
+                    let newest = known.announcement.sequence;
+                    return self.pass_over_late(&it, Some(newest));
                 }
+                self.late = 0;
                 if it.draining && !known.announcement.draining {
                     tracing::info!(event = "worker_draining", worker = %it.name, remaining_ms = it.remaining_ms);
                     self.is_dirty = true;
@@ -181,12 +186,24 @@
         }
     }
 
+    /// Notes an announcement that comes too late: after one with the sequence `newest` of the same
+    /// lifetime, or after that lifetime was over.
+    fn pass_over_late(&mut self, it: &Announcement, newest: Option<u64>) {
+        self.late += 1;
+        // A worker that is passed over for good would write a line each second.
+        if self.late.is_power_of_two() {
+            let is_gone = self.worker.as_ref().is_some_and(|known| known.is_gone);
+            tracing::warn!(event = "announcement_passed_over", worker = %it.name, cause = Unusable::Late.as_str(), sequence = it.sequence, newest = ?newest, born_ms = ?it.born_ms, worker_clock_ms = it.clock_ms, in_a_row = self.late, is_gone);
+        }
+        self.effects.push(Effect::PassedOver(Unusable::Late));
+    }
+
     fn begin_lifetime(&mut self, now: Now, it: Announcement) {
         if let Some(old) = self.worker.take() {
             tracing::info!(event = "worker_replaced", worker = %old.announcement.name, by = %it.name, runs = old.running.len());
             self.forget_lifetime(old.announcement.name);
         }
-        tracing::info!(event = "worker_seen", worker = %it.name, service = %it.service, kind = %it.kind, rack = %it.rack, cpu_millicores = it.capacity.cpu_millicores, memory_mib = it.capacity.memory_mib);
+        tracing::info!(event = "worker_seen", worker = %it.name, born_ms = ?it.born_ms, service = %it.service, kind = %it.kind, rack = %it.rack, cpu_millicores = it.capacity.cpu_millicores, memory_mib = it.capacity.memory_mib);
         self.worker = Some(Lifetime::new(it, self.options.harm_max_ms, now));
         self.is_dirty = true;
     }
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -55,6 +55,7 @@
             remaining_ms: 0,
             clock_ms: 50_000,
             sequence: 1,
+            born_ms: None,
         }));
         res
     }
@@ -329,6 +330,7 @@
         remaining_ms: 0,
         clock_ms: 50_050,
         sequence,
+        born_ms: None,
     })
 }
 
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -134,6 +134,7 @@
             remaining_ms: 0,
             clock_ms: self.clock(now_ms),
             sequence: self.sequence,
+            born_ms: None,
         }
     }
 
