Reproduce the incident: tests of workers that are back under their id, red

Four workers, tasks that last and need all of them, one to three crash and are back 600 ms later under their ids: 12 and 4 of 14 tasks are at work six seconds after that, for good. Where workers are back before they are missed, work that was done is done again, and starts are answered by a lifetime that they were not meant for. With real processes a task that lasts does not start a second time in a minute.

Stand-in workers may keep their id now, with clock, sequence and ends begun anew; lists tell the start of the lifetime that answers.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -44,6 +44,8 @@
 pub enum CallResult {
     Held {
         clock_ms: u64,
+        /// Start of the lifetime that answers, where it says so.
+        born_ms: Option<u64>,
         running: Vec<RunningTask>,
         ended: Vec<EndedRun>,
     },
@@ -51,6 +53,7 @@
     /// behind such a row stand apart, since to acknowledge one is to acknowledge all before.
     HeldInPart {
         clock_ms: u64,
+        born_ms: Option<u64>,
         running: Vec<RunningTask>,
         ended: Vec<EndedRun>,
         ended_later: Vec<EndedRun>,
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -293,11 +293,18 @@
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
         let (clock_ms, running, ended, is_whole) = match result {
-            CallResult::Held { clock_ms, running, ended } => {
+            CallResult::Held { clock_ms, running, ended, .. } => {
                 worker.gaps = 0;
                 (clock_ms, running, ended, true)
             }
-            CallResult::HeldInPart { clock_ms, running, mut ended, ended_later, unreadable } => {
+            CallResult::HeldInPart {
+                clock_ms,
+                running,
+                mut ended,
+                ended_later,
+                unreadable,
+                ..
+            } => {
                 let is_whole = worker.judge_gap(unreadable);
                 if is_whole {
                     ended.extend(ended_later);
--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -43,19 +43,37 @@
     /// Crashes so far.
     crashes: u32,
     crashes_at: Option<Instant>,
+    /// Whether it is back under the id that it had.
+    keeps_id: bool,
+    /// Reports about itself so far.
+    sequence: u64,
+    /// When its clock began; nothing for the first lifetime.
+    began: Option<Instant>,
 }
 
+/// Start of the first lifetime, as a Unix millisecond.
+const BORN_MS: u64 = 1_700_000_000_000;
+
 impl State {
     /// Crashes if that is due: a new lifetime runs nothing and knows no token.
     fn crash_if_due(&mut self) {
         if self.crashes_at.is_some_and(|it| it <= Instant::now()) {
-            let (work, crashes) = (self.work, self.crashes + 1);
-            *self = State { work, crashes, next: 1, ..State::default() };
+            let (work, crashes, keeps_id) = (self.work, self.crashes + 1, self.keeps_id);
+            let began = Some(Instant::now());
+            *self = State { work, crashes, keeps_id, began, next: 1, ..State::default() };
         }
     }
 
     fn name(&self) -> String {
-        if self.crashes == 0 { NAME.to_owned() } else { format!("{NAME}-{}", self.crashes) }
+        match self.crashes {
+            0 => NAME.to_owned(),
+            _ if self.keeps_id => NAME.to_owned(),
+            it => format!("{NAME}-{it}"),
+        }
+    }
+
+    fn born(&self) -> u64 {
+        BORN_MS + u64::from(self.crashes)
     }
 }
 
@@ -98,6 +116,30 @@
         state.name()
     }
 
+    /// Crashes at once; from now on it is back under the id that it had.
+    pub fn crash_and_keep_id(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.keeps_id = true;
+        state.crashes_at = Some(Instant::now());
+        state.crash_if_due();
+    }
+
+    /// Returns the runs that are at work.
+    pub fn running(&self) -> Vec<u64> {
+        self.state.lock().unwrap().running.keys().map(|(_, run)| *run).collect()
+    }
+
+    /// Returns its next report about itself.
+    pub fn report(&self) -> Value {
+        let clock_ms = self.clock_ms();
+        let mut state = self.state.lock().unwrap();
+        state.crash_if_due();
+        state.sequence += 1;
+        json!({"service": "pool", "zone": "z", "state": "ready", "slots": 8,
+            "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
+            "clock_ms": clock_ms, "sequence": state.sequence, "born": state.born()})
+    }
+
     pub fn crashes(&self) -> u32 {
         self.state.lock().unwrap().crashes
     }
@@ -117,7 +159,8 @@
     }
 
     pub fn clock_ms(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
+        let began = self.state.lock().unwrap().began.unwrap_or(self.began);
+        began.elapsed().as_millis() as u64
     }
 
     fn answer(&self, it: &HttpRequest) -> HttpAnswer {
@@ -191,5 +234,7 @@
         running.extend([json!("text"), json!([null, {}, 3]), json!({"task": 1})]);
         ended.insert(0, json!([1, "0.0.0.0", 1e99, "vanished"]));
     }
-    HttpAnswer::json(200, &json!({"clock_ms": clock_ms, "running": running, "ended": ended}))
+    let born = state.born();
+    let body = json!({"clock_ms": clock_ms, "born": born, "running": running, "ended": ended});
+    HttpAnswer::json(200, &body)
 }
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -108,17 +108,11 @@
         let (is_over, executor) = (self.is_over.clone(), self.executor.clone());
         thread::spawn(move || {
             let client = new_client(1);
-            for sequence in 1.. {
-                if is_over.load(Ordering::Relaxed) {
-                    return;
-                }
-                let body = json!({"service": "pool", "zone": "z", "state": "ready", "slots": 8,
-                    "capacity": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0}, "labels": ["a", "r1"],
-                    "clock_ms": executor.clock_ms(), "sequence": sequence});
+            while !is_over.load(Ordering::Relaxed) {
                 // Fails while the node is not up yet; the next one follows.
                 let _ = client
                     .put(format!("http://{node}/-/instances/{}", executor.name()))
-                    .send_json(&body);
+                    .send_json(executor.report());
                 thread::sleep(Duration::from_millis(200));
             }
         });
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod executor;
 mod foreign;
 mod installation;
+mod same_id;
 
 use std::time::Duration;
 
--- a/tests/soak/workers.rs
+++ b/tests/soak/workers.rs
@@ -26,6 +26,9 @@
 /// Attempts that the queue of the tests allows.
 pub const ATTEMPTS_MAX: u32 = 3;
 
+/// What the workers' clocks of day read when a play begins.
+const UNIX_MS: u64 = 1_700_000_000_000;
+
 /// How often work that is over is noticed.
 const TICK: Duration = Duration::from_millis(2);
 
@@ -102,7 +105,7 @@
         let mut guard = self.state();
         let state = &mut *guard;
         if state.workers[vm].up {
-            state.workers[vm].crash(&mut state.rules);
+            state.workers[vm].crash(false, &mut state.rules);
             state.up_at[vm] = Some(Instant::now() + down);
         }
     }
@@ -122,7 +125,7 @@
         let state = &mut *guard;
         for (worker, up_at) in state.workers.iter_mut().zip(&mut state.up_at) {
             if up_at.is_some_and(|it| it <= Instant::now()) {
-                worker.up = true;
+                worker.revive(now_ms, UNIX_MS + now_ms);
                 *up_at = None;
             }
             worker.tick(now_ms, &state.nature, &mut state.rules);
@@ -143,7 +146,7 @@
                 let Some(it) = it else { continue };
                 let body = json!({"service": "pool", "zone": it.zone, "state": "ready", "slots": 8,
                     "capacity": {"cpu": it.capacity.cpu_millicores, "mem_mb": it.capacity.memory_mib, "gpu": 0},
-                    "labels": [it.kind, it.rack], "clock_ms": it.clock_ms, "sequence": it.sequence});
+                    "labels": [it.kind, it.rack], "clock_ms": it.clock_ms, "sequence": it.sequence, "born": it.born_ms});
                 // Fails while the node is down or frozen; the next one follows.
                 let _ = client
                     .put(format!("http://{node}/-/instances/{}", it.name))
@@ -241,7 +244,7 @@
 fn answer_of(result: &CallResult) -> HttpAnswer {
     let refused = |clock_ms, reason| json!({"clock_ms": clock_ms, "reason": reason});
     match result {
-        CallResult::Held { clock_ms, running, ended } => {
+        CallResult::Held { clock_ms, born_ms, running, ended } => {
             let running: Vec<_> = running
                 .iter()
                 .map(|it| json!([name_of(it.run.task), it.run.run, "", it.progress_percent, 0]))
@@ -253,7 +256,8 @@
                     json!([it.cursor, name_of(it.end.run.task), it.end.run.run, how, ""])
                 })
                 .collect();
-            let body = json!({"clock_ms": clock_ms, "running": running, "ended": ended});
+            let body =
+                json!({"clock_ms": clock_ms, "born": born_ms, "running": running, "ended": ended});
             HttpAnswer::json(200, &body)
         }
         CallResult::Done { clock_ms } => HttpAnswer::json(200, &json!({"clock_ms": clock_ms})),
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -20,5 +20,6 @@
 mod node;
 mod node_restarts;
 mod rules;
+mod same_id;
 mod worker;
 mod world;
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -107,14 +107,25 @@
 
     fn list(&mut self, running: Vec<RunningTask>) {
         let id = self.take_call(is_hold);
-        self.end(id, CallResult::Held { clock_ms: 50_100, running, ended: Vec::new() });
+        self.end(
+            id,
+            CallResult::Held { clock_ms: 50_100, born_ms: None, running, ended: Vec::new() },
+        );
     }
 
     /// Answers the newest call for a list: nothing runs, and nothing has ended.
     fn list_newest(&mut self) {
         let newest = self.calls.iter().rposition(|(_, it)| is_hold(it)).unwrap();
         let (id, _) = self.calls.remove(newest);
-        self.end(id, CallResult::Held { clock_ms: 50_300, running: Vec::new(), ended: Vec::new() });
+        self.end(
+            id,
+            CallResult::Held {
+                clock_ms: 50_300,
+                born_ms: None,
+                running: Vec::new(),
+                ended: Vec::new(),
+            },
+        );
     }
 
     fn pass(&mut self, time_ms: u64) {
@@ -224,7 +235,15 @@
     let hold = alone.take_call(is_hold);
     let begun = alone.take_call(is_start);
     alone.end(begun, CallResult::Done { clock_ms: 50_200 });
-    alone.end(hold, CallResult::Held { clock_ms: 50_150, running: Vec::new(), ended: Vec::new() });
+    alone.end(
+        hold,
+        CallResult::Held {
+            clock_ms: 50_150,
+            born_ms: None,
+            running: Vec::new(),
+            ended: Vec::new(),
+        },
+    );
     alone.pass(600);
     let listed = alone.reports.last().unwrap().workers[0].running.iter().map(|it| it.run);
     assert_eq!(listed.collect::<Vec<_>>(), [RUN], "the leader would order it anew, or elsewhere");
@@ -246,7 +265,10 @@
         let ended = vec![EndedRun { cursor, end }];
         alone.pass(100);
         let id = alone.take_call(is_hold);
-        alone.end(id, CallResult::Held { clock_ms: 50_200, running: Vec::new(), ended });
+        alone.end(
+            id,
+            CallResult::Held { clock_ms: 50_200, born_ms: None, running: Vec::new(), ended },
+        );
         let asked = alone.asked.last().copied();
         assert_eq!(asked, leader, "report {cursor} went to another process");
     }
@@ -382,6 +404,7 @@
     alone.list(vec![running()]);
     let part = |ended: Vec<EndedRun>| CallResult::HeldInPart {
         clock_ms: 50_100,
+        born_ms: None,
         running: Vec::new(),
         ended,
         ended_later: Vec::new(),
@@ -415,6 +438,7 @@
             id,
             CallResult::HeldInPart {
                 clock_ms: 50_100,
+                born_ms: None,
                 running: Vec::new(),
                 ended: Vec::new(),
                 ended_later: vec![EndedRun { cursor: 5, end }],
@@ -447,7 +471,15 @@
     fn list_failure(&mut self) -> NotedEnds {
         let id = self.take_call(is_hold);
         let clock_ms = self.now_ms + 49_000;
-        self.end(id, CallResult::Held { clock_ms, running: Vec::new(), ended: vec![failed(1)] });
+        self.end(
+            id,
+            CallResult::Held {
+                clock_ms,
+                born_ms: None,
+                running: Vec::new(),
+                ended: vec![failed(1)],
+            },
+        );
         self.reports.last().unwrap().workers[0].noted
     }
 }
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Returns how many tasks are at work.
+    pub fn at_work(&self) -> usize {
+        self.live.len()
+    }
+
     /// Returns how many failures of a task were taken note of.
     pub fn noted_failures(&self, task: TaskRef) -> u32 {
         self.noted_failures.get(&task).copied().unwrap_or(0)
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -17,6 +17,9 @@
 /// announcement.
 const SHRUNK_COUNTS_MS: u64 = 3_500;
 
+/// Start of the first lifetimes.
+const BORN_MS: u64 = 1_699_999_000_000;
+
 /// Run times and ends of tasks, known to the stand-ins only.
 #[derive(Clone, Copy, Debug)]
 pub struct Nature {
@@ -58,6 +61,12 @@
 pub struct FakeWorker {
     pub vm: usize,
     pub lifetime: u32,
+    /// Rises with each lifetime that comes with an id of its own.
+    id_number: u32,
+    /// Unix millisecond of its start.
+    pub born_ms: u64,
+    /// When its clock began.
+    clock_from_ms: u64,
     pub up: bool,
     pub sequence: u64,
     pub draining: bool,
@@ -87,6 +96,9 @@
         FakeWorker {
             vm,
             lifetime: 0,
+            id_number: 0,
+            born_ms: BORN_MS + vm as u64,
+            clock_from_ms: 0,
             up: true,
             sequence: 0,
             draining: false,
@@ -106,25 +118,39 @@
         }
     }
 
+    /// Returns a name of this lifetime alone, by which the checkers know it.
     pub fn name(&self) -> CompactString {
         format_compact!("worker-{}-{}", self.vm, self.lifetime)
     }
 
+    /// Returns the id that it goes by, which an earlier lifetime may have had.
+    pub fn id(&self) -> CompactString {
+        format_compact!("worker-{}-{}", self.vm, self.id_number)
+    }
+
     /// Crashes: everything that runs is gone, and so is what it knew.
-    pub fn crash(&mut self, rules: &mut Ledger) {
+    pub fn crash(&mut self, keeps_id: bool, rules: &mut Ledger) {
         rules.worker_died(&self.name(), self.running.keys());
         *self = FakeWorker {
             lifetime: self.lifetime + 1,
+            id_number: self.id_number + u32::from(!keeps_id),
             up: false,
             guards: self.guards,
             ..FakeWorker::new(self.vm)
         };
     }
 
+    /// Starts again: its numbers and its clock begin anew.
+    pub fn revive(&mut self, now_ms: u64, born_ms: u64) {
+        self.up = true;
+        self.born_ms = born_ms;
+        self.clock_from_ms = now_ms;
+    }
+
     pub fn announce(&mut self, now_ms: u64) -> Announcement {
         self.sequence += 1;
         Announcement {
-            name: self.name(),
+            name: self.id(),
             service: "pool".into(),
             zone: crate::world::zone_of(self.vm),
             kind: "a".into(),
@@ -134,7 +160,7 @@
             remaining_ms: 0,
             clock_ms: self.clock(now_ms),
             sequence: self.sequence,
-            born_ms: None,
+            born_ms: Some(self.born_ms),
         }
     }
 
@@ -173,7 +199,8 @@
 
     /// Its own clock, with an offset of its own.
     fn clock(&self, now_ms: u64) -> u64 {
-        now_ms + 1_000_000 * (self.vm as u64 + 1)
+        let offset_ms = if self.lifetime == 0 { 1_000_000 * (self.vm as u64 + 1) } else { 1 };
+        now_ms - self.clock_from_ms + offset_ms
     }
 
     /// Returns a run that takes the worker down now.
@@ -231,7 +258,7 @@
         rules: &mut Ledger,
     ) -> CallResult {
         let clock_ms = self.clock(now_ms);
-        if call.worker != self.name() {
+        if call.worker != self.id() {
             return CallResult::OtherLifetime;
         }
         if call.token < self.token {
@@ -254,7 +281,12 @@
                     progress_percent: if stalls { 0 } else { it.progress_percent(now_ms) },
                     load: 0,
                 });
-                CallResult::Held { clock_ms, running: running.collect(), ended: self.ended.clone() }
+                CallResult::Held {
+                    clock_ms,
+                    born_ms: Some(self.born_ms),
+                    running: running.collect(),
+                    ended: self.ended.clone(),
+                }
             }
             Action::Start { run, lease_until_ms, .. } => {
                 self.start(*run, *lease_until_ms, now_ms, nature, rules)
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -83,6 +83,8 @@
     pub loses_orders: bool,
     /// Whether connections to a worker that is down are refused; else calls get no answer.
     pub refuses_connections: bool,
+    /// Whether workers that crashed are back under the id that they had.
+    pub keeps_ids: bool,
 }
 
 impl World {
@@ -116,6 +118,7 @@
             late_percent: 0,
             loses_orders: false,
             refuses_connections: false,
+            keeps_ids: false,
         };
         let founders: Vec<_> = controls
             .iter()
@@ -219,7 +222,7 @@
     }
 
     pub fn crash_worker(&mut self, vm: usize, down_ms: u64) {
-        self.nodes[vm].worker.crash(&mut self.rules);
+        self.nodes[vm].worker.crash(self.keeps_ids, &mut self.rules);
         self.push(down_ms, Event::Revive { vm });
     }
 
@@ -338,7 +341,10 @@
             }
             Event::Restart { process } if process < 100 => self.start_member(process),
             Event::Restart { process } => self.start_node(process - 200),
-            Event::Revive { vm } => self.nodes[vm].worker.up = true,
+            Event::Revive { vm } => {
+                let now = self.now();
+                self.nodes[vm].worker.revive(now.mono_ms, now.wall_ms);
+            }
             Event::Synced { .. } | Event::Result { .. } => (),
         }
     }
