Tell lifetimes of a worker apart by id and start

Callers saw tasks that are to last go with their workers and not start again, with capacity for them. Cause: a worker's id was taken for one lifetime of it. A worker that is back under its id numbers its announcements anew, so its node passed them over as old, and went on holding it for gone; each such restart took a worker out of use for good. Where it was back before it was missed, its ends, clock and answers were read as the first one's, and done work was done again.

An announcement counts once the lifetime has answered a look, so that a late one replaces nobody. Starts that were meant for the lifetime before are barred at the new one before the leader hears of it, and ends are acknowledged only to a lifetime that surely listens, since the numbers of its ends are the same. A worker that was given up and is there after all is asked again.

Stand-in workers of the virtual world are back under the same id or another one, by lot, with late words of the lifetime before. Orders that a worker carries out late die with it.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -1,11 +1,11 @@
 //! Calls of a worker, and what they come back with.
 
-use crate::prelude::*;
+use crate::{prelude::*, util::lifetime_name};
 
 /// One call of the worker beside this node.
 #[derive(Clone, Debug)]
 pub struct WorkerCall {
-    /// The lifetime that it is meant for; any other must refuse it.
+    /// The id of the lifetime that it is meant for; one with another id refuses it.
     pub worker: CompactString,
     /// Term of the leader on whose word the call is made; the worker refuses older ones.
     pub token: u64,
@@ -132,8 +132,8 @@
 /// What a worker says of itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Announcement {
-    /// Name of this lifetime.
-    pub name: CompactString,
+    /// Its id, which an earlier lifetime may have had.
+    pub id: CompactString,
     pub service: CompactString,
     pub zone: CompactString,
     pub kind: CompactString,
@@ -148,3 +148,25 @@
     /// Unix millisecond of its start, by the worker's clock; nothing where it does not say so.
     pub born_ms: Option<u64>,
 }
+
+impl Announcement {
+    /// Returns the name of the lifetime that announces itself.
+    pub fn lifetime(&self) -> CompactString {
+        lifetime_name(&self.id, self.born_ms)
+    }
+}
+
+/// What a worker says as it ends.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Departure {
+    pub id: CompactString,
+    /// Start of the lifetime that ends, where it says so.
+    pub born_ms: Option<u64>,
+}
+
+impl Departure {
+    /// Returns whether this may be said by the lifetime that announced itself so.
+    pub(super) fn is_of(&self, it: &Announcement) -> bool {
+        self.id == it.id && (self.born_ms.is_none() || self.born_ms == it.born_ms)
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 
 mod calls;
 mod fillers;
+mod newcomer;
 mod orders;
 mod worker;
 
@@ -14,8 +15,11 @@
 
 use crate::{control::finder::Finder, prelude::*};
 
-pub use self::calls::{Action, Announcement, CallResult, Refused, Unusable, WorkerCall};
-use self::worker::Lifetime;
+pub use self::calls::{Action, Announcement, CallResult, Departure, Refused, Unusable, WorkerCall};
+use self::{
+    newcomer::{Newcomer, Verdict},
+    worker::Lifetime,
+};
 
 /// What a node is told by the settings.
 #[derive(Clone, Debug)]
@@ -43,8 +47,7 @@
 #[derive(Clone, Debug)]
 pub enum Input {
     Announced(Announcement),
-    /// A lifetime of the worker has left.
-    Left(CompactString),
+    Left(Departure),
     Message(Box<Message>),
     CallEnded {
         id: u64,
@@ -78,6 +81,8 @@
     finder: Finder,
     term: u64,
     worker: Option<Lifetime>,
+    /// A lifetime that announced itself and has not answered yet.
+    newcomer: Option<Newcomer>,
     /// Pools of workers that the configuration names, as far as it is known.
     services: Vec<CompactString>,
     /// Lifetimes that are over; a late announcement of one is passed over.
@@ -108,6 +113,7 @@
             finder: Finder::new(options.controls.clone(), options.boot),
             term: 0,
             worker: None,
+            newcomer: None,
             services: Vec::new(),
             past: Vec::new(),
             late: 0,
@@ -131,7 +137,10 @@
     /// Returns when the next [`Input::Tick`] is due.
     pub fn next_tick_ms(&self) -> u64 {
         let mut res = self.report_at_ms;
-        if let Some(it) = self.worker.as_ref().filter(|it| 0 < it.token && !it.is_gone) {
+        if let Some(it) = self.newcomer.as_ref().and_then(Newcomer::next_call_ms) {
+            res = res.min(it);
+        }
+        if let Some(it) = self.worker.as_ref().filter(|it| it.is_callable()) {
             if it.hold.is_none() {
                 res = res.min(it.hold_at_ms);
             }
@@ -145,7 +154,7 @@
     pub fn handle(&mut self, now: Now, input: Input) {
         match input {
             Input::Announced(it) => self.on_announced(now, it),
-            Input::Left(name) => self.on_left(&name),
+            Input::Left(it) => self.on_left(&it),
             Input::Message(it) => self.on_message(now, *it),
             Input::CallEnded { id, result } => self.on_call_ended(now, id, result),
             Input::Controls(it) => self.finder.set_seeds(it),
@@ -158,31 +167,40 @@
     }
 
     fn on_announced(&mut self, now: Now, it: Announcement) {
-        if self.past.contains(&it.name) {
+        let lifetime = it.lifetime();
+        if self.past.contains(&lifetime) {
             return self.pass_over_late(&it, None);
         }
         if !self.services.is_empty() && !self.services.contains(&it.service) {
             // Whoever wrote it, it must not take the place of the worker that is known.
-            tracing::warn!(event = "announcement_passed_over", worker = %it.name, service = %it.service, cause = Unusable::ForeignService.as_str());
+            tracing::warn!(event = "announcement_passed_over", worker = %lifetime, service = %it.service, cause = Unusable::ForeignService.as_str());
             return self.effects.push(Effect::PassedOver(Unusable::ForeignService));
         }
-        match &mut self.worker {
-            Some(known) if known.announcement.name == it.name => {
-                if it.sequence <= known.announcement.sequence {
-                    let newest = known.announcement.sequence;
-                    return self.pass_over_late(&it, Some(newest));
-                }
-                self.late = 0;
+        let known = self.worker.as_mut().filter(|known| known.name == lifetime);
+        match (known, &mut self.newcomer) {
+            (Some(known), _) if it.sequence <= known.announcement.sequence => {
+                let newest = known.announcement.sequence;
+                self.pass_over_late(&it, Some(newest));
+            }
+            (Some(known), _) if !known.is_gone => {
                 if it.draining && !known.announcement.draining {
-                    tracing::info!(event = "worker_draining", worker = %it.name, remaining_ms = it.remaining_ms);
+                    tracing::info!(event = "worker_draining", worker = %lifetime, remaining_ms = it.remaining_ms);
                     self.is_dirty = true;
                 }
                 // The leader must not fill what the worker no longer has.
                 self.is_dirty |= known.announcement.capacity != it.capacity;
                 known.hear(it.clock_ms, now);
+                known.is_displaced = false;
                 known.announcement = it;
+                self.late = 0;
+            }
+            (_, Some(newcomer)) if newcomer.announcement.lifetime() == lifetime => {
+                if newcomer.announcement.sequence < it.sequence {
+                    newcomer.announcement = it;
+                }
             }
-            _ => self.begin_lifetime(now, it),
+            // One that was given up may have been out of reach only.
+            _ => self.newcomer = Some(Newcomer::new(it, now)),
         }
     }
 
@@ -193,18 +211,49 @@
         // A worker that is passed over for good would write a line each second.
         if self.late.is_power_of_two() {
             let is_gone = self.worker.as_ref().is_some_and(|known| known.is_gone);
-            tracing::warn!(event = "announcement_passed_over", worker = %it.name, cause = Unusable::Late.as_str(), sequence = it.sequence, newest = ?newest, born_ms = ?it.born_ms, worker_clock_ms = it.clock_ms, in_a_row = self.late, is_gone);
+            tracing::warn!(event = "announcement_passed_over", worker = %it.lifetime(), cause = Unusable::Late.as_str(), sequence = it.sequence, newest = ?newest, worker_clock_ms = it.clock_ms, in_a_row = self.late, is_gone);
         }
         self.effects.push(Effect::PassedOver(Unusable::Late));
     }
 
+    /// Takes in what came of a call of the newcomer.
+    fn on_newcomer_answered(&mut self, now: Now, result: &CallResult) {
+        let Some(newcomer) = &mut self.newcomer else { return };
+        let id = &newcomer.announcement.id;
+        let before = self.worker.as_ref().filter(|it| it.announcement.id == *id);
+        let verdict = newcomer.take_answer(result, before.is_some(), self.options.retry_ms, now);
+        let doubtful = before.map(|it| it.doubtful_starts(now)).unwrap_or_default();
+        match verdict {
+            Verdict::Unclear => (),
+            Verdict::Away => {
+                let lifetime = newcomer.announcement.lifetime();
+                tracing::info!(event = "announcement_passed_over", worker = %lifetime, cause = "not_there", sequence = newcomer.announcement.sequence);
+                self.effects.push(Effect::PassedOver(Unusable::Late));
+                self.newcomer = None;
+            }
+            Verdict::Heard if !doubtful.is_empty() => {
+                tracing::info!(event = "starts_barred", worker = %newcomer.announcement.lifetime(), starts = doubtful.len());
+                newcomer.bar(doubtful, now);
+            }
+            Verdict::Heard | Verdict::Ready => {
+                let announcement = newcomer.announcement.clone();
+                self.newcomer = None;
+                self.begin_lifetime(now, announcement);
+            }
+        }
+    }
+
     fn begin_lifetime(&mut self, now: Now, it: Announcement) {
+        let lifetime = it.lifetime();
         if let Some(old) = self.worker.take() {
-            tracing::info!(event = "worker_replaced", worker = %old.announcement.name, by = %it.name, runs = old.running.len());
-            self.forget_lifetime(old.announcement.name);
+            tracing::info!(event = "worker_replaced", worker = %old.name, by = %lifetime, runs = old.running.len());
+            if old.name != lifetime {
+                self.forget_lifetime(old.name);
+            }
         }
-        tracing::info!(event = "worker_seen", worker = %it.name, born_ms = ?it.born_ms, service = %it.service, kind = %it.kind, rack = %it.rack, cpu_millicores = it.capacity.cpu_millicores, memory_mib = it.capacity.memory_mib);
+        tracing::info!(event = "worker_seen", worker = %lifetime, service = %it.service, kind = %it.kind, rack = %it.rack, cpu_millicores = it.capacity.cpu_millicores, memory_mib = it.capacity.memory_mib);
         self.worker = Some(Lifetime::new(it, self.options.harm_max_ms, now));
+        self.late = 0;
         self.is_dirty = true;
     }
 
@@ -215,12 +264,18 @@
         self.past.push(name);
     }
 
-    fn on_left(&mut self, name: &str) {
-        if let Some(it) = self.worker.as_mut().filter(|it| it.announcement.name == name) {
-            tracing::info!(event = "worker_left", worker = name, runs = it.running.len());
+    /// Takes in that the worker says that it ends.
+    ///
+    /// One that has not said before that it drains may be another lifetime with the id of the one
+    /// that speaks: it gets nothing new, and is gone once nobody is found there.
+    fn on_left(&mut self, it: &Departure) {
+        self.newcomer.take_if(|newcomer| it.is_of(&newcomer.announcement));
+        if let Some(known) = self.worker.as_mut().filter(|known| it.is_of(&known.announcement)) {
+            let is_expected = known.announcement.draining;
+            tracing::info!(event = "worker_left", worker = %known.name, runs = known.running.len(), is_expected);
             // It said so itself: this is no crash.
-            it.announcement.draining = true;
-            it.is_gone = true;
+            known.announcement.draining = true;
+            known.is_gone |= is_expected;
             self.is_dirty = true;
         }
     }
@@ -257,9 +312,7 @@
         self.unanswered_reports = 0;
         self.finder.set_members(&it.members);
         self.finder.set_leader(self.finder.target());
-        let Some(worker) =
-            self.worker.as_mut().filter(|known| known.announcement.name == it.worker)
-        else {
+        let Some(worker) = self.worker.as_mut().filter(|known| known.name == it.worker) else {
             return;
         };
         if !worker.note_grant(it.token, it.sequence) {
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -5,6 +5,7 @@
     node::{
         NodeCore,
         calls::{Action, CallResult, Refused, WorkerCall},
+        newcomer::LATE_ORDER_MAX_MS,
         worker::{Hold, Lifetime, Order, Pending},
     },
     prelude::*,
@@ -91,7 +92,7 @@
         match result {
             CallResult::NoAnswer | CallResult::NobodyThere => (),
             other => {
-                tracing::warn!(event = "hold_refused", worker = %self.announcement.name, term, outcome = ?other);
+                tracing::warn!(event = "hold_refused", worker = %self.name, term, outcome = ?other);
             }
         }
     }
@@ -102,11 +103,25 @@
         self.gaps = self.gaps.saturating_add(1);
         let is_whole = GAPS_MAX <= self.gaps;
         if self.gaps == 1 || self.gaps == GAPS_MAX {
-            tracing::warn!(event = "rows_unreadable", worker = %self.announcement.name, rows = unreadable, lists = self.gaps, is_whole);
+            tracing::warn!(event = "rows_unreadable", worker = %self.name, rows = unreadable, lists = self.gaps, is_whole);
         }
         is_whole
     }
 
+    /// Notes that a start got no answer.
+    fn note_unanswered(&mut self, run: RunRef, now: Now) {
+        let may_come = |found_ms: &u64| now.mono_ms < found_ms + LATE_ORDER_MAX_MS;
+        self.unanswered_starts.retain(|_, it| may_come(it));
+        self.unanswered_starts.insert(run, now.mono_ms);
+    }
+
+    /// Forgets a call under way.
+    fn forget_call(&mut self, id: u64) {
+        self.hold.take_if(|it| it.call == id);
+        self.pace_calls.remove(&id);
+        self.orders.values_mut().filter(|it| it.call == Some(id)).for_each(|it| it.call = None);
+    }
+
     /// Settles what became of runs that were told to stop before they were known to run; returns
     /// whether the leader must hear of one.
     pub(super) fn settle_barred(&mut self, list_call: u64) -> bool {
@@ -172,8 +187,23 @@
 impl NodeCore {
     /// Makes the calls that are due.
     pub(super) fn make_calls(&mut self, now: Now) {
-        let Some(worker) = &mut self.worker else { return };
-        if worker.is_gone || worker.token == 0 {
+        self.call_worker(now);
+        let token = self.worker.as_ref().map_or(0, |it| it.token);
+        if let Some(newcomer) = &mut self.newcomer
+            && newcomer.next_call_ms().is_some_and(|it| it <= now.mono_ms)
+        {
+            self.next_call += 1;
+            let id = self.next_call;
+            let action = newcomer.begin_call(id);
+            let call = WorkerCall { worker: newcomer.announcement.id.clone(), token, action };
+            self.effects.push(super::Effect::Call { id, call });
+        }
+    }
+
+    fn call_worker(&mut self, now: Now) {
+        let Some(worker) = self.worker.as_mut().filter(|it| it.is_callable()) else { return };
+        // Orders for its id may reach the newcomer.
+        if self.newcomer.as_ref().is_some_and(|it| it.announcement.id == worker.announcement.id) {
             return;
         }
         worker.bar_unfit(now);
@@ -189,11 +219,13 @@
             let may_have_lapsed = worker.may_have_lapsed(now);
             let wait_ms = match worker.listed_term == self.term {
                 false => 0,
+                true if worker.is_unsure => 0,
                 true if worker.has_failure_to_note() || may_have_lapsed => 0,
                 true if watches => self.options.watch_wait_ms,
                 true => self.options.hold_wait_ms,
             };
-            let acked_cursor = worker.acked_cursor;
+            // The ends of another lifetime have the same numbers.
+            let acked_cursor = if worker.is_unsure { 0 } else { worker.acked_cursor };
             let action = Action::Hold { lease_until_ms: lease, acked_cursor, wait_ms };
             let call = call(action, &mut self.next_call);
             let lapsed_if_past_ms = worker.told_until_ms.filter(|_| may_have_lapsed);
@@ -201,6 +233,7 @@
             worker.hold = Some(Hold { call, sent_ms, acked_cursor, lapsed_if_past_ms });
             worker.told_until_ms = worker.told_until_ms.max(lease);
         }
+        let is_unsure = worker.is_unsure;
         let mut told_until_ms = worker.told_until_ms;
         for (run, pending) in &mut worker.orders {
             if pending.call.is_some() || now.mono_ms < pending.next_ms {
@@ -208,6 +241,10 @@
             }
             let action = match (&pending.order, lease) {
                 (Order::Barred { .. }, _) => continue,
+                (Order::Start { .. }, _) if is_unsure => {
+                    pending.next_ms = now.mono_ms + self.options.retry_ms;
+                    continue;
+                }
                 (Order::Stop { .. }, _) => Action::Stop { run: *run },
                 (Order::Start { payload, checkpoint, .. }, Some(lease_until_ms)) => {
                     told_until_ms = told_until_ms.max(Some(lease_until_ms));
@@ -232,15 +269,25 @@
             let id = call(Action::Pace { run, percent }, &mut self.next_call);
             worker.pace_calls.insert(id, (run, percent));
         }
-        let (name, token) = (worker.announcement.name.clone(), worker.token);
+        let (worker, token) = (worker.announcement.id.clone(), worker.token);
         for (id, action) in calls {
-            let call = WorkerCall { worker: name.clone(), token, action };
+            let call = WorkerCall { worker: worker.clone(), token, action };
             self.effects.push(super::Effect::Call { id, call });
         }
     }
 
     pub(super) fn on_call_ended(&mut self, now: Now, id: u64, result: CallResult) {
+        if self.newcomer.as_ref().is_some_and(|it| it.awaits(id)) {
+            return self.on_newcomer_answered(now, &result);
+        }
         let Some(worker) = &mut self.worker else { return };
+        if worker.is_anothers(&result) {
+            if !std::mem::replace(&mut worker.is_displaced, true) {
+                tracing::warn!(event = "worker_displaced", worker = %worker.name, runs = worker.running.len());
+            }
+            // What is ordered is not answered, and nothing that is listed is its own.
+            return worker.forget_call(id);
+        }
         match &result {
             CallResult::Held { clock_ms, .. }
             | CallResult::HeldInPart { clock_ms, .. }
@@ -249,7 +296,7 @@
             CallResult::NobodyThere => {
                 let since_ms = *worker.missing_since_ms.get_or_insert(now.mono_ms);
                 if since_ms + GONE_AFTER_MS <= now.mono_ms && !worker.is_gone {
-                    tracing::warn!(event = "worker_gone", worker = %worker.announcement.name, cause = "nobody_listens", missing_ms = now.mono_ms - since_ms);
+                    tracing::warn!(event = "worker_gone", worker = %worker.name, cause = "nobody_listens", missing_ms = now.mono_ms - since_ms);
                     worker.is_gone = true;
                     worker.refuse_unsent();
                     self.is_dirty = true;
@@ -292,7 +339,17 @@
     fn on_hold_ended(&mut self, now: Now, hold: Hold, result: CallResult) {
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
+        worker.is_unsure = matches!(result, CallResult::NoAnswer | CallResult::NobodyThere);
+        let tells_start = |born_ms: Option<u64>| born_ms == worker.announcement.born_ms;
         let (clock_ms, running, ended, is_whole) = match result {
+            // Whose list it is cannot be told.
+            CallResult::Held { born_ms, .. } | CallResult::HeldInPart { born_ms, .. }
+                if !tells_start(born_ms) =>
+            {
+                tracing::warn!(event = "list_passed_over", worker = %worker.name, cause = "no_start");
+                worker.hold_at_ms = now.mono_ms + self.options.retry_ms;
+                return;
+            }
             CallResult::Held { clock_ms, running, ended, .. } => {
                 worker.gaps = 0;
                 (clock_ms, running, ended, true)
@@ -384,7 +441,12 @@
             CallResult::Unhealthy if is_start && UNHEALTHY_TRIES_MAX <= pending.attempts => {
                 pending.bar(RefusalCause::Unhealthy, now);
             }
-            CallResult::NoAnswer => pending.may_be_late = true,
+            CallResult::NoAnswer => {
+                pending.may_be_late = true;
+                if is_start {
+                    worker.note_unanswered(run, now);
+                }
+            }
             _ => (),
         }
         self.make_calls(now);
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -1,9 +1,12 @@
 //! What a node knows of the worker beside it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
-    node::calls::Announcement,
+    node::{
+        calls::{Announcement, CallResult},
+        newcomer::LATE_ORDER_MAX_MS,
+    },
     policy::pacing::{Pacer, Usage},
     prelude::*,
 };
@@ -65,6 +68,8 @@
 /// One lifetime of the worker.
 #[derive(Debug)]
 pub(super) struct Lifetime {
+    /// Its own name; its id may be that of an earlier one.
+    pub name: CompactString,
     pub announcement: Announcement,
     pub clock: ClockSample,
     /// Last word from the worker itself.
@@ -104,12 +109,19 @@
     pub gaps: u32,
     /// When nobody was found at the worker's address first, with nothing heard since.
     pub missing_since_ms: Option<u64>,
+    /// Starts of which a call got no answer, with when that was found: a copy may be on its way.
+    pub unanswered_starts: BTreeMap<RunRef, u64>,
+    /// A look at it failed and none has succeeded since: another lifetime may be there.
+    pub is_unsure: bool,
+    /// Another lifetime answers in its place: what is sent to its id would reach that one.
+    pub is_displaced: bool,
     pub is_gone: bool,
 }
 
 impl Lifetime {
     pub(super) fn new(announcement: Announcement, harm_max_ms: u64, now: Now) -> Lifetime {
         Lifetime {
+            name: announcement.lifetime(),
             clock: ClockSample { clock_ms: announcement.clock_ms, at_ms: now.mono_ms },
             announcement,
             heard_ms: now.mono_ms,
@@ -136,10 +148,44 @@
             hold_at_ms: now.mono_ms,
             gaps: 0,
             missing_since_ms: None,
+            unanswered_starts: BTreeMap::new(),
+            is_unsure: false,
+            is_displaced: false,
             is_gone: false,
         }
     }
 
+    /// Returns whether calls of it may be made.
+    pub(super) fn is_callable(&self) -> bool {
+        0 < self.token && !self.is_gone && !self.is_displaced
+    }
+
+    /// Returns whether an answer was given by another lifetime.
+    pub(super) fn is_anothers(&self, result: &CallResult) -> bool {
+        match result {
+            CallResult::OtherLifetime => true,
+            CallResult::Held { born_ms, .. } | CallResult::HeldInPart { born_ms, .. } => {
+                born_ms.is_some() && *born_ms != self.announcement.born_ms
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns the starts that may yet be carried out by whoever goes by its id: those without an
+    /// answer, and those whose answer no list has confirmed.
+    pub(super) fn doubtful_starts(&self, now: Now) -> Vec<RunRef> {
+        let is_doubtful = |it: &Pending| match it.order {
+            Order::Start { .. } => it.call.is_some() || it.may_be_late,
+            Order::Stop { refused } => refused.is_some(),
+            Order::Barred { .. } => true,
+        };
+        let pending = self.orders.iter().filter(|(_, it)| is_doubtful(it)).map(|(run, _)| *run);
+        let may_come = |found_ms: &u64| now.mono_ms < found_ms + LATE_ORDER_MAX_MS;
+        let unanswered = self.unanswered_starts.iter().filter(|(_, it)| may_come(it));
+        let runs = pending.chain(unanswered.map(|(run, _)| *run)).chain(self.begun.keys().copied());
+        runs.collect::<BTreeSet<_>>().into_iter().collect()
+    }
+
     /// Takes in a word from the worker.
     pub(super) fn hear(&mut self, clock_ms: u64, now: Now) {
         self.clock = ClockSample { clock_ms, at_ms: now.mono_ms };
@@ -254,7 +300,7 @@
         let it = &self.announcement;
         let roles_missing = self.running.iter().any(|it| !self.roles.contains_key(&it.run));
         WorkerReport {
-            name: it.name.clone(),
+            name: self.name.clone(),
             service: it.service.clone(),
             zone: it.zone.clone(),
             kind: it.kind.clone(),
--- a/tests/soak/workers.rs
+++ b/tests/soak/workers.rs
@@ -149,7 +149,7 @@
                     "labels": [it.kind, it.rack], "clock_ms": it.clock_ms, "sequence": it.sequence, "born": it.born_ms});
                 // Fails while the node is down or frozen; the next one follows.
                 let _ = client
-                    .put(format!("http://{node}/-/instances/{}", it.name))
+                    .put(format!("http://{node}/-/instances/{}", it.id))
                     .config()
                     .timeout_global(Some(Duration::from_millis(500)))
                     .build()
--- /dev/null
+++ b/tests/workflows/lifetimes.rs
@@ -0,0 +1,184 @@
+//! A node alone, beside a worker that is another lifetime under the id that it had.
+//!
+//! A worker's id was taken for one lifetime of it, so that whatever is numbered within a lifetime was
+//! read across two: announcements, ends, the clock, tokens, answers to calls.
+
+use aspenrail::{
+    node::{Action, CallResult, Departure, Input, Refused},
+    prelude::*,
+};
+
+use crate::node::{Alone, RUN, announcement, is_hold, is_start, is_stop, running, start};
+
+const FIRST_MS: u64 = 1_700_000_000_000;
+
+/// A clock that was set back in between: a later lifetime may seem to have begun before.
+const SECOND_MS: u64 = FIRST_MS - 3_600_000;
+
+fn announced(born_ms: u64, sequence: u64) -> Input {
+    Input::Announced(announcement("worker", "pool", sequence, Some(born_ms)))
+}
+
+fn name(born_ms: u64) -> Option<CompactString> {
+    Some(format_compact!("worker@{born_ms}"))
+}
+
+fn listed(born_ms: Option<u64>, running: Vec<RunningTask>) -> CallResult {
+    CallResult::Held { clock_ms: 90, born_ms, running, ended: Vec::new() }
+}
+
+/// Answers the newest look at the worker.
+fn answer(alone: &mut Alone, result: CallResult) {
+    let newest = alone.calls.iter().rposition(|(_, it)| is_hold(it)).expect("it is looked at");
+    let (id, _) = alone.calls.remove(newest);
+    alone.end(id, result);
+}
+
+/// Makes a node whose worker has taken a grant, and tells its start.
+fn beside_first() -> Alone {
+    let mut alone = Alone::new();
+    alone.input(announced(FIRST_MS, 14));
+    answer(&mut alone, listed(Some(FIRST_MS), Vec::new()));
+    assert_eq!(alone.worker(), name(FIRST_MS));
+    alone.calls.clear();
+    alone.grant(false, Vec::new());
+    answer(&mut alone, listed(Some(FIRST_MS), Vec::new()));
+    alone
+}
+
+#[test]
+fn a_lifetime_with_the_same_id_is_told_to_the_leader_once_it_has_answered() {
+    let mut alone = beside_first();
+    alone.input(announced(SECOND_MS, 1));
+    alone.pass(600);
+    assert_eq!(alone.worker(), name(FIRST_MS), "it has only announced itself");
+    answer(&mut alone, listed(Some(SECOND_MS), Vec::new()));
+    assert_eq!(alone.worker(), name(SECOND_MS));
+    // What the first one said comes late.
+    alone.input(announced(FIRST_MS, 15));
+    alone.pass(600);
+    assert_eq!(alone.worker(), name(SECOND_MS));
+}
+
+#[test]
+fn a_late_announcement_of_a_lifetime_that_was_never_known_replaces_nobody() {
+    let mut alone = beside_first();
+    alone.input(announced(SECOND_MS, 3));
+    answer(&mut alone, listed(Some(FIRST_MS), vec![running()]));
+    alone.pass(600);
+    assert_eq!(alone.worker(), name(FIRST_MS));
+    // One that does not tell its start is another writer's.
+    alone.input(Input::Announced(announcement("worker", "pool", 90, None)));
+    answer(&mut alone, listed(Some(FIRST_MS), vec![running()]));
+    alone.pass(600);
+    assert_eq!(alone.worker(), name(FIRST_MS));
+}
+
+/// A start that was meant for the first lifetime may reach the second one: there it must not run,
+/// since the leader begins the task elsewhere.
+#[yare::parameterized(
+    unanswered = { None },
+    answered_and_in_no_list = { Some(CallResult::Done { clock_ms: 80 }) },
+    called_for_in_vain = { Some(CallResult::NoAnswer) },
+    refused_for_room = { Some(CallResult::Refused { clock_ms: 80, cause: Refused::Room }) },
+)]
+fn starts_for_the_first_lifetime_are_barred_at_the_second(first: Option<CallResult>) {
+    let mut alone = beside_first();
+    alone.grant(true, vec![start()]);
+    let call = alone.take_call(is_start);
+    if let Some(it) = first {
+        alone.end(call, it);
+    }
+    alone.calls.clear();
+    alone.input(announced(SECOND_MS, 1));
+    answer(&mut alone, listed(Some(SECOND_MS), vec![running()]));
+    let stop = alone.take_call(is_stop);
+    alone.end(stop, CallResult::Done { clock_ms: 91 });
+    answer(&mut alone, listed(Some(SECOND_MS), vec![running()]));
+    alone.pass(600);
+    assert_eq!(alone.worker(), name(FIRST_MS), "the start still runs there");
+    answer(&mut alone, listed(Some(SECOND_MS), Vec::new()));
+    assert_eq!(alone.worker(), name(SECOND_MS));
+}
+
+#[test]
+fn a_list_of_another_lifetime_is_not_taken_for_its_own() {
+    let mut alone = beside_first();
+    alone.grant(true, vec![start()]);
+    let call = alone.take_call(is_start);
+    alone.end(call, CallResult::Done { clock_ms: 80 });
+    let end = RunEnd { run: RUN, outcome: RunOutcome::Done, checkpoint: CompactString::default() };
+    let ended = vec![EndedRun { cursor: 1, end }];
+    let running = Vec::new();
+    answer(&mut alone, CallResult::Held { clock_ms: 90, born_ms: Some(SECOND_MS), running, ended });
+    alone.calls.clear();
+    alone.pass(600);
+    assert!(
+        alone.calls.is_empty(),
+        "calls for its id would reach the other one: {:?}",
+        alone.calls
+    );
+    let report = alone.reports.last().unwrap().workers[0].clone();
+    assert_eq!((report.name, report.ended), (name(FIRST_MS).unwrap(), Vec::new()));
+}
+
+#[test]
+fn a_list_that_does_not_tell_whose_it_is_changes_nothing() {
+    let mut alone = beside_first();
+    answer(&mut alone, listed(None, vec![running()]));
+    alone.pass(600);
+    assert_eq!(alone.reports.last().unwrap().workers[0].running, []);
+}
+
+/// The ends of another lifetime have the same numbers: it would forget ends that nobody has seen.
+#[yare::parameterized(
+    no_answer = { CallResult::NoAnswer },
+    nobody_there = { CallResult::NobodyThere },
+)]
+fn ends_are_acknowledged_to_a_lifetime_that_surely_listens(failed: CallResult) {
+    let mut alone = beside_first();
+    alone.grant_acked(57);
+    answer(&mut alone, failed);
+    alone.pass(110);
+    let acked = |alone: &Alone| match alone.calls.last() {
+        Some((_, Action::Hold { acked_cursor, .. })) => *acked_cursor,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(acked(&alone), 0);
+    answer(&mut alone, listed(Some(FIRST_MS), Vec::new()));
+    alone.pass(110);
+    assert_eq!(acked(&alone), 57);
+}
+
+/// Nobody was found at its address for a moment, and the leader gave it up.
+#[test]
+fn a_lifetime_that_was_given_up_and_is_there_is_used_again() {
+    let mut alone = beside_first();
+    for _ in 0..3 {
+        answer(&mut alone, CallResult::NobodyThere);
+        alone.pass(150);
+    }
+    assert!(alone.reports.last().unwrap().workers[0].gone);
+    alone.calls.clear();
+    alone.input(announced(FIRST_MS, 15));
+    answer(&mut alone, listed(Some(FIRST_MS), Vec::new()));
+    let report = &alone.reports.last().unwrap().workers[0];
+    assert_eq!((report.gone, Some(report.name.clone())), (false, name(FIRST_MS)));
+}
+
+/// What an earlier lifetime said as it left may come late.
+#[test]
+fn a_late_word_of_leaving_ends_no_lifetime_that_has_not_said_that_it_drains() {
+    let mut alone = beside_first();
+    let left = |born_ms| Input::Left(Departure { id: "worker".into(), born_ms });
+    alone.input(left(Some(SECOND_MS)));
+    alone.pass(600);
+    assert!(!alone.reports.last().unwrap().workers[0].draining);
+    alone.input(left(None));
+    alone.pass(600);
+    let report = &alone.reports.last().unwrap().workers[0];
+    assert!(report.draining && !report.gone);
+    alone.input(announced(FIRST_MS, 15));
+    alone.pass(600);
+    assert!(!alone.reports.last().unwrap().workers[0].draining);
+}
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -17,6 +17,7 @@
 mod gateway;
 mod late_ends;
 mod ledger;
+mod lifetimes;
 mod node;
 mod node_restarts;
 mod rules;
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -9,21 +9,21 @@
 
 use crate::{worker::CAPACITY, world::address};
 
-struct Alone {
+pub struct Alone {
     node: NodeCore,
     now_ms: u64,
-    calls: Vec<(u64, Action)>,
-    reports: Vec<NodeReport>,
+    pub calls: Vec<(u64, Action)>,
+    pub reports: Vec<NodeReport>,
     /// Whom each report was sent to.
     asked: Vec<std::net::SocketAddr>,
     passed_over: Vec<Unusable>,
 }
 
-const RUN: RunRef =
+pub const RUN: RunRef =
     RunRef { run: 1, task: TaskRef { index: 0, occurrence: 0, step: 0, workflow: WorkflowId(7) } };
 
 impl Alone {
-    fn new() -> Alone {
+    pub fn new() -> Alone {
         Alone::beside(false)
     }
 
@@ -45,7 +45,7 @@
         let passed_over = Vec::new();
         let mut res = Alone { node, now_ms: 1_000, calls, reports, asked, passed_over };
         res.input(Input::Announced(Announcement {
-            name: "worker".into(),
+            id: "worker".into(),
             service: "pool".into(),
             zone: "zone".into(),
             kind: "a".into(),
@@ -57,10 +57,16 @@
             sequence: 1,
             born_ms: None,
         }));
+        res.answer_newcomer();
         res
     }
 
-    fn input(&mut self, input: Input) {
+    /// Lets a lifetime that has announced itself answer the look that it is given: nothing runs.
+    fn answer_newcomer(&mut self) {
+        self.list_newest();
+    }
+
+    pub fn input(&mut self, input: Input) {
         self.now_ms += 1;
         self.node.handle(Now { mono_ms: self.now_ms, wall_ms: 0 }, input);
         for effect in self.node.take_effects() {
@@ -76,8 +82,18 @@
         }
     }
 
-    fn grant(&mut self, is_complete: bool, orders: Vec<RunOrder>) {
+    pub fn grant(&mut self, is_complete: bool, orders: Vec<RunOrder>) {
+        self.grant_with(is_complete, orders, 0);
+    }
+
+    /// Takes note of ends up to a cursor.
+    pub fn grant_acked(&mut self, acked_cursor: u64) {
+        self.grant_with(true, Vec::new(), acked_cursor);
+    }
+
+    fn grant_with(&mut self, is_complete: bool, orders: Vec<RunOrder>, acked_cursor: u64) {
         let number = self.reports.last().map_or(0, |it| it.number);
+        let worker = self.worker().unwrap_or_default();
         self.input(Input::Message(Box::new(Message::NodeGrant(NodeGrant {
             capacity: crate::worker::CAPACITY,
             number,
@@ -87,8 +103,8 @@
             token: 1 << 24,
             is_complete,
             lease_ms: 4_000,
-            worker: "worker".into(),
-            acked_cursor: 0,
+            worker,
+            acked_cursor,
             orders,
             services: Vec::new(),
             costs: Vec::new(),
@@ -96,16 +112,21 @@
         }))));
     }
 
-    fn take_call(&mut self, wanted: fn(&Action) -> bool) -> u64 {
+    /// Returns the name of the lifetime that was reported last.
+    pub fn worker(&self) -> Option<CompactString> {
+        Some(self.reports.last()?.workers.first()?.name.clone())
+    }
+
+    pub fn take_call(&mut self, wanted: fn(&Action) -> bool) -> u64 {
         let at = self.calls.iter().position(|(_, it)| wanted(it)).expect("the call was made");
         self.calls.remove(at).0
     }
 
-    fn end(&mut self, id: u64, result: CallResult) {
+    pub fn end(&mut self, id: u64, result: CallResult) {
         self.input(Input::CallEnded { id, result });
     }
 
-    fn list(&mut self, running: Vec<RunningTask>) {
+    pub fn list(&mut self, running: Vec<RunningTask>) {
         let id = self.take_call(is_hold);
         self.end(
             id,
@@ -114,7 +135,7 @@
     }
 
     /// Answers the newest call for a list: nothing runs, and nothing has ended.
-    fn list_newest(&mut self) {
+    pub fn list_newest(&mut self) {
         let newest = self.calls.iter().rposition(|(_, it)| is_hold(it)).unwrap();
         let (id, _) = self.calls.remove(newest);
         self.end(
@@ -128,30 +149,30 @@
         );
     }
 
-    fn pass(&mut self, time_ms: u64) {
+    pub fn pass(&mut self, time_ms: u64) {
         self.now_ms += time_ms;
         self.input(Input::Tick);
     }
 
-    fn refused(&self) -> Vec<RefusalCause> {
+    pub fn refused(&self) -> Vec<RefusalCause> {
         let worker = self.reports.last().and_then(|it| it.workers.first());
         worker.map(|it| it.refused.iter().map(|it| it.cause).collect()).unwrap_or_default()
     }
 }
 
-fn is_hold(it: &Action) -> bool {
+pub fn is_hold(it: &Action) -> bool {
     matches!(it, Action::Hold { .. })
 }
 
-fn is_start(it: &Action) -> bool {
+pub fn is_start(it: &Action) -> bool {
     matches!(it, Action::Start { .. })
 }
 
-fn is_stop(it: &Action) -> bool {
+pub fn is_stop(it: &Action) -> bool {
     matches!(it, Action::Stop { .. })
 }
 
-fn start() -> RunOrder {
+pub fn start() -> RunOrder {
     RunOrder::Start(StartRun {
         run: RUN,
         payload: "work".into(),
@@ -160,7 +181,7 @@
     })
 }
 
-fn running() -> RunningTask {
+pub fn running() -> RunningTask {
     RunningTask { run: RUN, checkpoint: CompactString::default(), progress_percent: 1, load: 0 }
 }
 
@@ -340,9 +361,13 @@
     assert!(!alone.calls.iter().any(|(_, it)| is_start(it)), "{:?}", alone.calls);
 }
 
-fn announced(name: &str, service: &str, sequence: u64) -> Input {
-    Input::Announced(Announcement {
-        name: name.into(),
+fn announced(id: &str, service: &str, sequence: u64) -> Input {
+    Input::Announced(announcement(id, service, sequence, None))
+}
+
+pub fn announcement(id: &str, service: &str, sequence: u64, born_ms: Option<u64>) -> Announcement {
+    Announcement {
+        id: id.into(),
         service: service.into(),
         zone: "zone".into(),
         kind: "a".into(),
@@ -352,8 +377,8 @@
         remaining_ms: 0,
         clock_ms: 50_050,
         sequence,
-        born_ms: None,
-    })
+        born_ms,
+    }
 }
 
 #[test]
@@ -384,6 +409,7 @@
     // The pool is named later, and a new lifetime of it replaces the one before.
     alone.input(tell(grant(vec!["pool".into(), "elsewhere".into()])));
     alone.input(announced("other", "elsewhere", 2));
+    alone.answer_newcomer();
     alone.pass(600);
     assert_eq!(alone.reports.last().unwrap().workers[0].name, "other");
 }
@@ -392,6 +418,7 @@
 fn a_report_of_an_earlier_lifetime_that_comes_late_changes_nothing() {
     let mut alone = Alone::new();
     alone.input(announced("newer", "pool", 1));
+    alone.answer_newcomer();
     alone.input(announced("worker", "pool", 9));
     alone.pass(600);
     assert_eq!(alone.reports.last().unwrap().workers[0].name, "newer");
--- a/tests/workflows/same_id.rs
+++ b/tests/workflows/same_id.rs
@@ -3,7 +3,14 @@
 //! Users saw tasks that are to last go with their workers and not start again for 11 s and more,
 //! with capacity for them. The order of events: workers crash and are back half a second later under
 //! their ids; the nodes beside them have found nobody at their addresses for 200 ms, and are silent
-//! from then on; the leader hears of no worker that it could use.
+//! from then on; the leader hears of no worker that it could use. The cause: a worker's id was taken
+//! for one lifetime of it. What the next one says of itself is numbered anew, and was passed over as
+//! older than what was known; the worker stayed out of use for good, and its room with it.
+//!
+//! The evidence: on the code as it was, 2 and 10 of 14 tasks here wait for the one and the three
+//! workers that were given up, for ever, and nothing else holds them back; workers with another id
+//! take them within a second. Where a worker is back before it is missed, its node goes on calling,
+//! and reads the ends of the second lifetime by the numbers of the first.
 
 use aspenrail::prelude::*;
 
@@ -41,7 +48,7 @@
 fn tasks_that_last_are_at_work_again(down_ms: u64, crashing: &[usize]) {
     let mut world = World::new(31, 3, 4);
     world.refuses_connections = true;
-    world.keeps_ids = true;
+    world.keeps_ids = Some(true);
     world.install_queue();
     world.submit(1, spec(vec![lasting(TASKS, 4)]), LONG);
     for _ in 0..2 {
@@ -65,7 +72,7 @@
 fn work_is_done_once(down_ms: u64, refuses_connections: bool) {
     let mut world = World::new(32, 3, 4);
     world.refuses_connections = refuses_connections;
-    world.keeps_ids = true;
+    world.keeps_ids = Some(true);
     world.install_queue();
     for id in 1..=40 {
         let nature = Nature { work_ms: 400, fails_every: 0, crash: None };
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -150,7 +150,7 @@
     pub fn announce(&mut self, now_ms: u64) -> Announcement {
         self.sequence += 1;
         Announcement {
-            name: self.id(),
+            id: self.id(),
             service: "pool".into(),
             zone: crate::world::zone_of(self.vm),
             kind: "a".into(),
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -29,6 +29,11 @@
 /// Time after which a worker that crashed is back.
 const CRASH_DOWN_MS: u64 = 3_000;
 
+/// One crash in so many is followed by a late announcement of the lifetime that is over.
+const LATE_WORDS: u32 = 4;
+
+const HOUR_MS: u64 = 3_600_000;
+
 /// Interval at which a worker announces itself.
 const ANNOUNCE_MS: u64 = 500;
 
@@ -38,13 +43,48 @@
 
 #[derive(Debug)]
 enum Event {
-    Deliver { to: SocketAddr, from: SocketAddr, message: Box<Message> },
-    Synced { process: usize, boot: u64, number: u64 },
-    Call { vm: usize, boot: u64, id: u64, call: WorkerCall, answered: bool },
-    Result { vm: usize, boot: u64, id: u64, result: CallResult },
-    Announce { vm: usize },
-    Restart { process: usize },
-    Revive { vm: usize },
+    Deliver {
+        to: SocketAddr,
+        from: SocketAddr,
+        message: Box<Message>,
+    },
+    Synced {
+        process: usize,
+        boot: u64,
+        number: u64,
+    },
+    Call {
+        vm: usize,
+        boot: u64,
+        id: u64,
+        call: WorkerCall,
+    },
+    /// An order that a lifetime of a worker carries out late, and never answers.
+    LateCall {
+        vm: usize,
+        lifetime: u32,
+        call: WorkerCall,
+    },
+    Result {
+        vm: usize,
+        boot: u64,
+        id: u64,
+        result: CallResult,
+    },
+    Announce {
+        vm: usize,
+    },
+    Restart {
+        process: usize,
+    },
+    Revive {
+        vm: usize,
+    },
+    /// An announcement of a lifetime that has crashed meanwhile.
+    LastWord {
+        vm: usize,
+        it: Box<node::Announcement>,
+    },
 }
 
 pub struct Member {
@@ -83,8 +123,11 @@
     pub loses_orders: bool,
     /// Whether connections to a worker that is down are refused; else calls get no answer.
     pub refuses_connections: bool,
-    /// Whether workers that crashed are back under the id that they had.
-    pub keeps_ids: bool,
+    /// Whether workers that crashed are back under the id that they had; by lot where it is not
+    /// said.
+    pub keeps_ids: Option<bool>,
+    /// Draws what lifetimes of workers are like.
+    lives: fastrand::Rng,
 }
 
 impl World {
@@ -118,7 +161,8 @@
             late_percent: 0,
             loses_orders: false,
             refuses_connections: false,
-            keeps_ids: false,
+            keeps_ids: None,
+            lives: fastrand::Rng::with_seed(!seed),
         };
         let founders: Vec<_> = controls
             .iter()
@@ -222,8 +266,14 @@
     }
 
     pub fn crash_worker(&mut self, vm: usize, down_ms: u64) {
-        self.nodes[vm].worker.crash(self.keeps_ids, &mut self.rules);
+        let last_word = self.nodes[vm].worker.announce(self.now_ms);
+        let keeps_id = self.keeps_ids.unwrap_or_else(|| self.lives.bool());
+        self.nodes[vm].worker.crash(keeps_id, &mut self.rules);
         self.push(down_ms, Event::Revive { vm });
+        if self.lives.u32(0..LATE_WORDS) == 0 {
+            let after_ms = self.lives.u64(0..down_ms + 2_000);
+            self.push(after_ms, Event::LastWord { vm, it: Box::new(last_word) });
+        }
     }
 
     /// Crashes a worker because of a run on it.
@@ -300,33 +350,23 @@
                 self.members[process].disk.sync(number);
                 self.tell_member(process, control::Input::Persisted { number });
             }
-            Event::Call { vm, boot, id, call, answered } => {
-                let now_ms = self.now_ms;
-                let worker = &mut self.nodes[vm].worker;
-                if !worker.up {
+            Event::LateCall { vm, lifetime, call } => {
+                let worker = &self.nodes[vm].worker;
+                // What had not been carried out by a crash never is.
+                if worker.up && worker.lifetime == lifetime {
+                    self.carry_out(vm, &call, true);
+                }
+            }
+            Event::Call { vm, boot, id, call } => {
+                if !self.nodes[vm].worker.up {
                     let (after_ms, result) = match self.refuses_connections {
                         true => (1, CallResult::NobodyThere),
                         false => (100, CallResult::NoAnswer),
                     };
                     return self.push(after_ms, Event::Result { vm, boot, id, result });
                 }
-                worker.is_late = !answered;
-                let starts = self.rules.starts;
-                let result = worker.handle(&call, now_ms, &self.nature, &mut self.rules);
-                if let Some(run) = worker.crashing_run(now_ms, &self.nature) {
-                    self.crash_by(vm, run);
-                    return self
-                        .push(1, Event::Result { vm, boot, id, result: CallResult::NoAnswer });
-                }
-                if let node::Action::Start { run, .. } = call.action
-                    && answered
-                    && starts < self.rules.starts
-                {
-                    self.rules.started_in(&zone_of(vm), run, now_ms);
-                }
-                if answered {
-                    self.push(1, Event::Result { vm, boot, id, result });
-                }
+                let result = self.carry_out(vm, &call, false);
+                self.push(1, Event::Result { vm, boot, id, result });
             }
             Event::Result { vm, boot, id, result } if self.nodes[vm].boot == boot => {
                 self.tell_node(vm, node::Input::CallEnded { id, result });
@@ -343,12 +383,35 @@
             Event::Restart { process } => self.start_node(process - 200),
             Event::Revive { vm } => {
                 let now = self.now();
-                self.nodes[vm].worker.revive(now.mono_ms, now.wall_ms);
+                // Its clock of day may have been set back.
+                let back_ms = if self.lives.u32(0..4) == 0 { HOUR_MS } else { 0 };
+                self.nodes[vm].worker.revive(now.mono_ms, now.wall_ms - back_ms);
             }
+            Event::LastWord { vm, it } => self.tell_node(vm, node::Input::Announced(*it)),
             Event::Synced { .. } | Event::Result { .. } => (),
         }
     }
 
+    /// Lets a worker that is up carry out a call, which may take it down.
+    fn carry_out(&mut self, vm: usize, call: &WorkerCall, is_late: bool) -> CallResult {
+        let now_ms = self.now_ms;
+        let worker = &mut self.nodes[vm].worker;
+        worker.is_late = is_late;
+        let starts = self.rules.starts;
+        let result = worker.handle(call, now_ms, &self.nature, &mut self.rules);
+        if let Some(run) = worker.crashing_run(now_ms, &self.nature) {
+            self.crash_by(vm, run);
+            return CallResult::NoAnswer;
+        }
+        if let node::Action::Start { run, .. } = call.action
+            && !is_late
+            && starts < self.rules.starts
+        {
+            self.rules.started_in(&zone_of(vm), run, now_ms);
+        }
+        result
+    }
+
     fn deliver(&mut self, to: SocketAddr, from: SocketAddr, message: Message) {
         let process = usize::from(to.port()) - 1_000;
         if self.cut.contains(&process) || self.cut.contains(&(usize::from(from.port()) - 1_000)) {
@@ -407,13 +470,14 @@
                         self.push(500, Event::Result { vm, boot, id, result });
                     } else if is_order && self.random.u32(0..100) < self.late_percent {
                         let late_ms = self.random.u64(1_000..8_000);
-                        self.push(late_ms, Event::Call { vm, boot, id, call, answered: false });
+                        let lifetime = self.nodes[vm].worker.lifetime;
+                        self.push(late_ms, Event::LateCall { vm, lifetime, call });
                         self.push(
                             500,
                             Event::Result { vm, boot, id, result: CallResult::NoAnswer },
                         );
                     } else {
-                        self.push(1, Event::Call { vm, boot, id, call, answered: true });
+                        self.push(1, Event::Call { vm, boot, id, call });
                     }
                 }
             }
