Let a node that has just started ask the worker with the leader's token

A node that starts anew knows no lifetime of its worker, and a worker that has heard a leader answers nothing about itself to a call without a token. So a late announcement of the lifetime before, under the same id, was taken for the worker and enrolled in its place. Empty grants now carry a token for looks: that of the enrolment beside the node, which it does not fence, or the newest one.

--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -130,6 +130,8 @@
         }
     }
 
+    /// Answers a node whose worker is not known, with a token for looks at it: a lifetime that has
+    /// seen a token tells what it is to none below. One that is enrolled must not be fenced by it.
     fn send_empty_grant(
         &mut self,
         workflows: &Workflows,
@@ -137,12 +139,14 @@
         number: u64,
         members: &[SocketAddr],
     ) {
+        let beside = workflows.workers().beside(node);
+        let known = beside.into_iter().max().unwrap_or(workflows.workers().last_id());
         let grant = NodeGrant {
             number,
             sequence: 0,
             sent_ms: 0,
             term: self.term,
-            token: 0,
+            token: token(self.term, known),
             is_complete: false,
             lease_ms: 0,
             worker: CompactString::default(),
--- a/src/control/state/workflows/workers.rs
+++ b/src/control/state/workflows/workers.rs
@@ -93,6 +93,11 @@
         self.by_node.get(&node).cloned().unwrap_or_default()
     }
 
+    /// Returns the newest enrolment so far, whether or not it still holds.
+    pub fn last_id(&self) -> WorkerId {
+        WorkerId(self.last_id)
+    }
+
     pub(super) fn get_mut(&mut self, id: WorkerId) -> Option<&mut Worker> {
         self.workers.get_mut(&id)
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -83,6 +83,8 @@
     worker: Option<Lifetime>,
     /// A lifetime that announced itself and has not answered yet.
     newcomer: Option<Newcomer>,
+    /// Token of the leader for looks at a worker that it does not know.
+    look_token: u64,
     /// Pools of workers that the configuration names, as far as it is known.
     services: Vec<CompactString>,
     /// Lifetimes that are over; a late announcement of one is passed over.
@@ -114,6 +116,7 @@
             term: 0,
             worker: None,
             newcomer: None,
+            look_token: 0,
             services: Vec::new(),
             past: Vec::new(),
             late: 0,
@@ -221,7 +224,9 @@
         let Some(newcomer) = &mut self.newcomer else { return };
         let id = &newcomer.announcement.id;
         let before = self.worker.as_ref().filter(|it| it.announcement.id == *id);
-        let verdict = newcomer.take_answer(result, before.is_some(), self.options.retry_ms, now);
+        // A node that has just started does not know whose id it is.
+        let may_share_id = before.is_some() || self.worker.is_none();
+        let verdict = newcomer.take_answer(result, may_share_id, self.options.retry_ms, now);
         let doubtful = before.map(|it| it.doubtful_starts(now)).unwrap_or_default();
         match verdict {
             Verdict::Unclear => (),
@@ -312,6 +317,10 @@
         self.unanswered_reports = 0;
         self.finder.set_members(&it.members);
         self.finder.set_leader(self.finder.target());
+        if it.worker.is_empty() && self.look_token < it.token {
+            self.look_token = it.token;
+            self.newcomer.as_mut().into_iter().for_each(|newcomer| newcomer.look_again(now));
+        }
         let Some(worker) = self.worker.as_mut().filter(|known| known.name == it.worker) else {
             return;
         };
--- a/src/node/newcomer.rs
+++ b/src/node/newcomer.rs
@@ -61,6 +61,11 @@
         self.call == Some(call)
     }
 
+    /// Lets the next call be due, as a better token for it is known.
+    pub(super) fn look_again(&mut self, now: Now) {
+        self.next_ms = now.mono_ms;
+    }
+
     /// Notes that its next call is made.
     pub(super) fn begin_call(&mut self, call: u64) -> Action {
         self.call = Some(call);
@@ -79,12 +84,12 @@
         self.stage = Stage::Barring { left: starts.clone(), barred: starts };
     }
 
-    /// Takes in the answer to its call; `shares_id` tells whether the lifetime before may have given
-    /// it, since it goes by the same id.
+    /// Takes in the answer to its call; `may_share_id` tells whether another lifetime may have
+    /// given it, since it may go by the same id.
     pub(super) fn take_answer(
         &mut self,
         result: &CallResult,
-        shares_id: bool,
+        may_share_id: bool,
         retry_ms: u64,
         now: Now,
     ) -> Verdict {
@@ -105,7 +110,9 @@
                 Verdict::Heard
             }
             // A call that names another id is not answered like this.
-            (Stage::Unheard, CallResult::Refused { .. } | CallResult::Unhealthy) if !shares_id => {
+            (Stage::Unheard, CallResult::Refused { .. } | CallResult::Unhealthy)
+                if !may_share_id =>
+            {
                 Verdict::Heard
             }
             (Stage::Barring { left, .. }, CallResult::Done { .. }) => {
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -188,7 +188,7 @@
     /// Makes the calls that are due.
     pub(super) fn make_calls(&mut self, now: Now) {
         self.call_worker(now);
-        let token = self.worker.as_ref().map_or(0, |it| it.token);
+        let token = self.worker.as_ref().map_or(0, |it| it.token).max(self.look_token);
         if let Some(newcomer) = &mut self.newcomer
             && newcomer.next_call_ms().is_some_and(|it| it <= now.mono_ms)
         {
--- a/tests/workflows/lifetimes.rs
+++ b/tests/workflows/lifetimes.rs
@@ -74,6 +74,25 @@
     assert_eq!(alone.worker(), name(FIRST_MS));
 }
 
+/// A node that has just started knows of no lifetime. One that has heard a leader tells nothing of
+/// itself without the leader's token, so that the id alone would let a late announcement stand for
+/// it: what it runs was concluded, and began elsewhere.
+#[test]
+fn a_node_that_has_just_started_takes_no_late_announcement_for_the_worker() {
+    let mut alone = Alone::without_worker();
+    alone.input(announced(SECOND_MS, 3));
+    answer(&mut alone, CallResult::Refused { clock_ms: 90, cause: Refused::Fenced });
+    alone.pass(50);
+    assert_eq!(alone.worker(), None);
+    alone.grant_nothing(1 << 24);
+    answer(&mut alone, listed(Some(FIRST_MS), vec![running()]));
+    alone.pass(600);
+    assert_eq!(alone.worker(), None);
+    alone.input(announced(FIRST_MS, 9));
+    answer(&mut alone, listed(Some(FIRST_MS), vec![running()]));
+    assert_eq!(alone.worker(), name(FIRST_MS));
+}
+
 /// A start that was meant for the first lifetime may reach the second one: there it must not run,
 /// since the leader begins the task elsewhere.
 #[yare::parameterized(
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -27,8 +27,8 @@
         Alone::beside(false)
     }
 
-    /// Makes a node that has just started beside a worker.
-    fn beside(draining: bool) -> Alone {
+    /// Makes a node that has heard of no worker.
+    pub fn without_worker() -> Alone {
         let options = NodeOptions {
             address: address(200),
             controls: vec![address(0), address(1)],
@@ -43,7 +43,12 @@
         let node = NodeCore::new(options);
         let (calls, reports, asked) = (Vec::new(), Vec::new(), Vec::new());
         let passed_over = Vec::new();
-        let mut res = Alone { node, now_ms: 1_000, calls, reports, asked, passed_over };
+        Alone { node, now_ms: 1_000, calls, reports, asked, passed_over }
+    }
+
+    /// Makes a node that has just started beside a worker.
+    fn beside(draining: bool) -> Alone {
+        let mut res = Alone::without_worker();
         res.input(Input::Announced(Announcement {
             id: "worker".into(),
             service: "pool".into(),
@@ -86,6 +91,27 @@
         self.grant_with(is_complete, orders, 0);
     }
 
+    /// Answers a report of no worker, with a token.
+    pub fn grant_nothing(&mut self, token: u64) {
+        let number = self.reports.last().map_or(0, |it| it.number);
+        self.input(Input::Message(Box::new(Message::NodeGrant(NodeGrant {
+            capacity: Resources { cpu_millicores: 0, memory_mib: 0, accelerators: 0 },
+            number,
+            sequence: 0,
+            sent_ms: 0,
+            term: 1,
+            token,
+            is_complete: false,
+            lease_ms: 0,
+            worker: CompactString::default(),
+            acked_cursor: 0,
+            orders: Vec::new(),
+            services: Vec::new(),
+            costs: Vec::new(),
+            members: vec![address(0)],
+        }))));
+    }
+
     /// Takes note of ends up to a cursor.
     pub fn grant_acked(&mut self, acked_cursor: u64) {
         self.grant_with(true, Vec::new(), acked_cursor);
