Pass over answers to calls of the lifetime before

An answer that was on its way when another lifetime began was read as that one's: its clock became the clock that leases are counted by, and a late list of the first lifetime displaced the second. Calls are numbered, and a lifetime takes answers to later ones than its beginning only. Test red before, in all three cases.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -257,7 +257,7 @@
             }
         }
         tracing::info!(event = "worker_seen", worker = %lifetime, service = %it.service, kind = %it.kind, rack = %it.rack, cpu_millicores = it.capacity.cpu_millicores, memory_mib = it.capacity.memory_mib);
-        self.worker = Some(Lifetime::new(it, self.options.harm_max_ms, now));
+        self.worker = Some(Lifetime::new(it, self.next_call, self.options.harm_max_ms, now));
         self.late = 0;
         self.is_dirty = true;
     }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -280,7 +280,7 @@
         if self.newcomer.as_ref().is_some_and(|it| it.awaits(id)) {
             return self.on_newcomer_answered(now, &result);
         }
-        let Some(worker) = &mut self.worker else { return };
+        let Some(worker) = self.worker.as_mut().filter(|it| it.calls_after < id) else { return };
         if worker.is_anothers(&result) {
             if !std::mem::replace(&mut worker.is_displaced, true) {
                 tracing::warn!(event = "worker_displaced", worker = %worker.name, runs = worker.running.len());
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -71,6 +71,8 @@
     /// Its own name; its id may be that of an earlier one.
     pub name: CompactString,
     pub announcement: Announcement,
+    /// The newest call before it began: answers to that one and earlier ones tell nothing of it.
+    pub calls_after: u64,
     pub clock: ClockSample,
     /// Last word from the worker itself.
     pub heard_ms: u64,
@@ -119,11 +121,17 @@
 }
 
 impl Lifetime {
-    pub(super) fn new(announcement: Announcement, harm_max_ms: u64, now: Now) -> Lifetime {
+    pub(super) fn new(
+        announcement: Announcement,
+        calls_after: u64,
+        harm_max_ms: u64,
+        now: Now,
+    ) -> Lifetime {
         Lifetime {
             name: announcement.lifetime(),
             clock: ClockSample { clock_ms: announcement.clock_ms, at_ms: now.mono_ms },
             announcement,
+            calls_after,
             heard_ms: now.mono_ms,
             listed_term: 0,
             running: Vec::new(),
--- a/tests/workflows/lifetimes.rs
+++ b/tests/workflows/lifetimes.rs
@@ -141,6 +141,36 @@
     assert_eq!((report.name, report.ended), (name(FIRST_MS).unwrap(), Vec::new()));
 }
 
+/// The clock in it is another one: a lease counted by it outlived the leader's patience, and tasks
+/// began elsewhere while they ran.
+#[yare::parameterized(
+    done = { CallResult::Done { clock_ms: 9_000_000 } },
+    refused = { CallResult::Refused { clock_ms: 9_000_000, cause: Refused::Superseded } },
+    a_list = { listed(Some(FIRST_MS), vec![running()]) },
+)]
+fn an_answer_to_a_call_of_the_lifetime_before_changes_nothing(late: CallResult) {
+    let mut alone = beside_first();
+    alone.grant(true, vec![start()]);
+    let call = match late {
+        CallResult::Held { .. } => alone.take_call(is_hold),
+        _ => alone.take_call(is_start),
+    };
+    alone.input(announced(SECOND_MS, 1));
+    answer(&mut alone, listed(Some(SECOND_MS), Vec::new()));
+    let stop = alone.take_call(is_stop);
+    alone.end(stop, CallResult::Done { clock_ms: 91 });
+    answer(&mut alone, listed(Some(SECOND_MS), Vec::new()));
+    assert_eq!(alone.worker(), name(SECOND_MS));
+    alone.end(call, late);
+    alone.grant(false, Vec::new());
+    let lease = alone.calls.iter().rev().find_map(|(_, it)| match it {
+        Action::Hold { lease_until_ms, .. } => Some(lease_until_ms.unwrap_or(0)),
+        _ => None,
+    });
+    // The second lifetime's clock reads some 50 s, and the lease is 4 s long.
+    assert!(lease.is_some_and(|it| it < 60_000), "{lease:?}");
+}
+
 #[test]
 fn a_list_that_does_not_tell_whose_it_is_changes_nothing() {
     let mut alone = beside_first();
