Bar a run that its worker no longer lists

A run that was listed as running, and then neither as running nor as ended, was ordered again under its number, or held for ever where that was answered: its task ran nowhere, or once more unseen. It is stopped first now, so that its node says that it never runs again, and then begins anew.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -307,6 +307,10 @@
             let image = self.harm.image(&it.image);
             fillers.push(Filler { image, cores: cores(it.cpu_millicores) });
         }
+        if let Some(worker) = workflows.workers().get(id) {
+            session.seen.extend(report.running.iter().map(|it| it.run));
+            session.seen.retain(|it| worker.runs.contains(it));
+        }
         let number = session.number;
         session.watched.retain(|_, it| it.listed_in == number);
         self.harm.observe(&serving, &fillers, now.mono_ms);
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -312,6 +312,9 @@
             }
             true => (),
             false if ended.contains(run) => (),
+            // It ran, and its end was not told: it may run unseen, so that it must be barred before
+            // the task begins again.
+            false if session.seen.contains(run) => res.push(RunOrder::Stop(*run)),
             // Its node bars it from beginning, and then says that it never will.
             false if may_not_begin => res.push(RunOrder::Stop(*run)),
             false => res.extend(start_order(workflows, *run).map(RunOrder::Start)),
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -1,7 +1,7 @@
 //! The leader's view of each worker: its lease and what its node reported last.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
 };
 
@@ -26,7 +26,9 @@
     pub soundness: Soundness,
     /// The runs that the newest report lists.
     pub watched: HashMap<RunRef, Watch>,
-    /// Those of them that are fillers and slow.
+    /// The runs held there that a report has listed as running so far.
+    pub seen: HashSet<RunRef>,
+    /// Those that the newest report lists, and that are fillers and slow.
     pub slow: Vec<SlowRun>,
     /// Costs that the node was last told, and when.
     pub told_costs: Vec<ImageCost>,
@@ -80,6 +82,7 @@
             report: None,
             soundness: Soundness::default(),
             watched: HashMap::new(),
+            seen: HashSet::new(),
             slow: Vec::new(),
             told_costs: Vec::new(),
             told_ms: 0,
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -18,7 +18,7 @@
     pub workflows: Workflows,
     dispatcher: Dispatcher,
     pub now_ms: u64,
-    number: u64,
+    pub number: u64,
     pub stops: Vec<RunRef>,
     /// Newest grant for each node.
     pub grants: BTreeMap<SocketAddr, NodeGrant>,
@@ -94,7 +94,7 @@
     }
 
     /// Reports what a worker runs, with the load of each.
-    fn report(&mut self, worker: u64, loads: &[(u64, u32)]) {
+    pub fn report(&mut self, worker: u64, loads: &[(u64, u32)]) {
         let running = self.runs_on(worker).into_iter().map(|run| {
             let load = loads.iter().find(|(id, _)| WorkflowId(*id) == run.task.workflow);
             let load = load.map_or(0, |(_, load)| *load);
@@ -111,8 +111,24 @@
         self.tell_of(worker, name, self.number, running, ended);
     }
 
+    /// Reports that a worker runs nothing, and will never begin a run.
+    pub fn refuse(&mut self, worker: u64, run: RunRef) {
+        self.number += 1;
+        let name = format_compact!("worker-{worker}");
+        let mut report = self.report_of(name, Vec::new(), Vec::new());
+        report.refused.push(RefusedRun { run, cause: RefusalCause::Superseded });
+        self.take(worker, self.number, report);
+    }
+
+    /// Lets time pass in which nobody reports.
+    pub fn idle(&mut self, time_ms: u64) {
+        self.now_ms += time_ms;
+        self.dispatcher.tick(&self.workflows, self.now());
+        self.settle();
+    }
+
     /// Takes in a report of a lifetime beside a worker's node, with a number.
-    fn tell_of(
+    pub fn tell_of(
         &mut self,
         worker: u64,
         name: CompactString,
@@ -120,7 +136,17 @@
         running: Vec<RunningTask>,
         ended: Vec<EndedRun>,
     ) {
-        let report = WorkerReport {
+        let report = self.report_of(name, running, ended);
+        self.take(worker, number, report);
+    }
+
+    fn report_of(
+        &self,
+        name: CompactString,
+        running: Vec<RunningTask>,
+        ended: Vec<EndedRun>,
+    ) -> WorkerReport {
+        WorkerReport {
             name,
             service: "pool".into(),
             zone: "zone".into(),
@@ -141,7 +167,10 @@
             noted: NotedEnds::NONE,
             roles_missing: false,
             faded: Vec::new(),
-        };
+        }
+    }
+
+    fn take(&mut self, worker: u64, number: u64, report: WorkerReport) {
         let report = NodeReport {
             node: node(worker),
             boot: 1,
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod fillers;
 mod gateway;
+mod held_runs;
 mod late_ends;
 mod ledger;
 mod lifetimes;
