Let the lease of a worker known by its id alone run out

After an upgrade the log has workers by their ids, and nodes report lifetimes by id and start: the worker was taken for replaced, and its runs began elsewhere while they ran. Whether it is the same lifetime is not known, so that its lease has to be over before its runs begin again. Test red before.

--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -11,6 +11,7 @@
         state::{NOTHING, Worker, Workflows, fits},
     },
     prelude::*,
+    util::id_of_lifetime,
 };
 
 impl Dispatcher {
@@ -35,6 +36,7 @@
                 true => {
                     tracing::debug!(event = "worker_foreign", worker = %seen.name, node = %report.node, service = %seen.service);
                 }
+                false if self.may_be_lifetime_before(workflows, report.node, &seen.name) => (),
                 false => {
                     self.lose_replaced(workflows, report.node, now);
                     self.step.commands.push(WorkflowCommand::Enrol(enrolment(report.node, &seen)));
@@ -81,6 +83,13 @@
         }
     }
 
+    /// Returns whether a lifetime may be one that an earlier version enrolled by its id alone, so that
+    /// what runs there is known only once that one's lease is over.
+    fn may_be_lifetime_before(&self, workflows: &Workflows, node: SocketAddr, name: &str) -> bool {
+        let Some(id) = id_of_lifetime(name) else { return false };
+        workflows.workers().find(node, id).is_some()
+    }
+
     /// Proposes what a worker now has, where that differs from the ledger.
     ///
     /// A worker that has shrunk below what runs there goes on with it and gets nothing until that
--- a/tests/workflows/held_runs.rs
+++ b/tests/workflows/held_runs.rs
@@ -25,3 +25,26 @@
     leader.idle(PLAN_MS);
     assert_eq!(leader.runs_on(1), [RunRef { run: 2, ..first[0] }]);
 }
+
+/// A version before this one knew workers by their ids alone. Whether the worker that tells its start
+/// is the one in the log is not known, so that its lease must be over before its runs begin elsewhere.
+#[test]
+fn a_worker_known_by_its_id_alone_keeps_its_runs_for_its_lease() {
+    let mut leader = Leader::new(1);
+    leader.submit(1, vec![step(1, 2, &[])]);
+    let runs = leader.runs_on(1);
+    assert_eq!(runs.len(), 1);
+    let number = leader.number;
+    let tell = |leader: &mut Leader, number: u64| {
+        let name = "worker-1@1700000000000".into();
+        leader.tell_of(1, name, number, Vec::new(), Vec::new());
+    };
+    (1..4).for_each(|it| tell(&mut leader, number + it));
+    assert_eq!(leader.runs_on(1), runs);
+    leader.idle(10_000);
+    (4..7).for_each(|it| tell(&mut leader, number + it));
+    leader.idle(PLAN_MS);
+    let (_, worker) = leader.workflows.workers().iter().next().unwrap();
+    assert_eq!(worker.name, "worker-1@1700000000000");
+    assert!(worker.runs.contains(&RunRef { run: 2, ..runs[0] }), "{:?}", worker.runs);
+}
