Let a lifetime be that nobody answers for; ask any worker that was given up

A late announcement of a lifetime that is over would have had its node look for it every 100 ms for ever; it is let be five seconds after its newest announcement. A worker that was given up is asked whatever number its announcement has, so that one which does not tell its start is used again too. Tests red before.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -181,7 +181,7 @@
         }
         let known = self.worker.as_mut().filter(|known| known.name == lifetime);
         match (known, &mut self.newcomer) {
-            (Some(known), _) if it.sequence <= known.announcement.sequence => {
+            (Some(known), _) if !known.is_gone && it.sequence <= known.announcement.sequence => {
                 let newest = known.announcement.sequence;
                 self.pass_over_late(&it, Some(newest));
             }
@@ -198,11 +198,10 @@
                 self.late = 0;
             }
             (_, Some(newcomer)) if newcomer.announcement.lifetime() == lifetime => {
-                if newcomer.announcement.sequence < it.sequence {
-                    newcomer.announcement = it;
-                }
+                newcomer.hear(it, now);
             }
-            // One that was given up may have been out of reach only.
+            // One that was given up may have been out of reach only, or be another one that does not
+            // tell its start.
             _ => self.newcomer = Some(Newcomer::new(it, now)),
         }
     }
--- a/src/node/newcomer.rs
+++ b/src/node/newcomer.rs
@@ -17,11 +17,16 @@
 #[derive(Debug)]
 pub(super) struct Newcomer {
     pub announcement: Announcement,
+    announced_ms: u64,
     stage: Stage,
     call: Option<u64>,
     next_ms: u64,
 }
 
+/// Time after its newest announcement for which a lifetime is looked at in vain: a few intervals of
+/// announcements. A late announcement would have it looked at for ever.
+const PATIENCE_MS: u64 = 5_000;
+
 #[derive(Debug)]
 enum Stage {
     Unheard,
@@ -40,7 +45,7 @@
     Unclear,
     /// It has answered for the first time.
     Heard,
-    /// Another lifetime answers in its place.
+    /// Another lifetime answers in its place, or nobody has for long.
     Away,
     /// Nothing that was meant for the lifetime before can begin there.
     Ready,
@@ -48,7 +53,16 @@
 
 impl Newcomer {
     pub(super) fn new(announcement: Announcement, now: Now) -> Newcomer {
-        Newcomer { announcement, stage: Stage::Unheard, call: None, next_ms: now.mono_ms }
+        let (announced_ms, next_ms) = (now.mono_ms, now.mono_ms);
+        Newcomer { announcement, announced_ms, stage: Stage::Unheard, call: None, next_ms }
+    }
+
+    /// Takes in an announcement of the same lifetime.
+    pub(super) fn hear(&mut self, announcement: Announcement, now: Now) {
+        if self.announcement.sequence < announcement.sequence {
+            self.announcement = announcement;
+            self.announced_ms = now.mono_ms;
+        }
     }
 
     /// Returns when the next call is due, unless one is under way.
@@ -125,6 +139,7 @@
             {
                 Verdict::Ready
             }
+            _ if self.announced_ms + PATIENCE_MS <= now.mono_ms => Verdict::Away,
             _ => Verdict::Unclear,
         };
         self.next_ms = now.mono_ms + retry_ms;
--- a/tests/workflows/crashes.rs
+++ b/tests/workflows/crashes.rs
@@ -223,6 +223,13 @@
     assert_unbroken_by(seed);
 }
 
+/// Control was away for 20 s while a task ran and crashed its worker: nobody saw it, and its age in
+/// the ledger cleared it of the crashes before.
+#[test]
+fn a_crash_that_nobody_saw_clears_no_task() {
+    assert_unbroken_by(400_268);
+}
+
 /// A start that is carried out late, on a worker that then crashes under it, looks ten seconds old:
 /// the task was cleared by it and began again after its third crash.
 #[yare::parameterized(first = { 400_282 }, second = { 400_467 })]
--- a/tests/workflows/lifetimes.rs
+++ b/tests/workflows/lifetimes.rs
@@ -218,6 +218,41 @@
     assert_eq!((report.gone, Some(report.name.clone())), (false, name(FIRST_MS)));
 }
 
+/// A worker that does not tell its start numbers its announcements anew, and answers for itself.
+#[test]
+fn a_worker_without_a_start_that_was_given_up_is_used_again() {
+    let mut alone = Alone::new();
+    alone.grant(false, Vec::new());
+    for _ in 0..3 {
+        answer(&mut alone, CallResult::NobodyThere);
+        alone.pass(150);
+    }
+    assert!(alone.reports.last().unwrap().workers[0].gone);
+    alone.calls.clear();
+    alone.input(Input::Announced(announcement("worker", "pool", 1, None)));
+    answer(&mut alone, listed(None, Vec::new()));
+    assert!(!alone.reports.last().unwrap().workers[0].gone);
+}
+
+/// A late announcement must not have a worker looked at for ever that is not there.
+#[test]
+fn a_lifetime_that_nobody_answers_for_is_let_be() {
+    let mut alone = beside_first();
+    alone.calls.clear();
+    alone.input(announced(SECOND_MS, 3));
+    for _ in 0..60 {
+        if let Some(at) = alone.calls.iter().rposition(|(_, it)| is_hold(it)) {
+            let (id, _) = alone.calls.remove(at);
+            alone.end(id, CallResult::NoAnswer);
+        }
+        alone.pass(100);
+    }
+    alone.calls.clear();
+    alone.pass(1_000);
+    let looks = alone.calls.iter().filter(|(_, it)| is_hold(it)).count();
+    assert!(looks <= 1, "{:?}", alone.calls);
+}
+
 /// What an earlier lifetime said as it left may come late.
 #[test]
 fn a_late_word_of_leaving_ends_no_lifetime_that_has_not_said_that_it_drains() {
