Let stand-in workers with real processes be back under their ids too

By lot in the soak, and in the test of work that crashes its executor. Orders that they carry out late die with the lifetime that got them.

--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -116,6 +116,11 @@
         state.name()
     }
 
+    /// Tells whether it is back under the id that it had, once it has crashed.
+    pub fn set_keeps_id(&self, keeps_id: bool) {
+        self.state.lock().unwrap().keeps_id = keeps_id;
+    }
+
     /// Crashes at once; from now on it is back under the id that it had.
     pub fn crash_and_keep_id(&self) {
         let mut state = self.state.lock().unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -171,9 +171,13 @@
 
 /// A task that takes down the executor that starts it is given up after few crashes, also where all
 /// control processes are killed in between, and what comes after it is done.
-#[test]
-fn work_that_crashes_its_executor_is_given_up() {
+#[yare::parameterized(
+    back_under_another_id = { false },
+    back_under_its_id = { true },
+)]
+fn work_that_crashes_its_executor_is_given_up(keeps_id: bool) {
     let mut it = Installation::start(3);
+    it.executor.set_keeps_id(keeps_id);
     it.install(1);
     let body = |spec: &str| json!({"spec": spec, "steps": [{"count": 1, "cpu": 500}]});
     assert_eq!(it.client("POST", "/q/00000000000000cc", &body(executor::CRASHES)).0, 200);
--- a/tests/soak/workers.rs
+++ b/tests/soak/workers.rs
@@ -100,12 +100,13 @@
         self.state().late_percent = percent;
     }
 
-    /// Crashes a worker, which is back under another name after a while.
+    /// Crashes a worker, which is back after a while, under its id or another one.
     pub fn crash(&self, vm: usize, down: Duration) {
         let mut guard = self.state();
         let state = &mut *guard;
         if state.workers[vm].up {
-            state.workers[vm].crash(false, &mut state.rules);
+            let keeps_id = state.random.bool();
+            state.workers[vm].crash(keeps_id, &mut state.rules);
             state.up_at[vm] = Some(Instant::now() + down);
         }
     }
@@ -173,31 +174,33 @@
     fn answer(&self, vm: usize, it: &HttpRequest) -> Option<HttpAnswer> {
         let call = parse_call(it)?;
         let is_order = !matches!(call.action, Action::Hold { .. });
-        let late_ms = {
+        let (late_ms, lifetime) = {
             let mut state = self.state();
             if !state.workers[vm].up {
                 return None;
             }
             let is_late = is_order && state.random.u32(0..100) < state.late_percent;
-            is_late.then(|| state.random.u64(1_000..8_000))
+            let late_ms = is_late.then(|| state.random.u64(1_000..8_000));
+            (late_ms, state.workers[vm].lifetime)
         };
         let Some(late_ms) = late_ms else {
-            return Some(answer_of(&self.carry_out(vm, &call, false)));
+            return Some(answer_of(&self.carry_out(vm, &call, false, lifetime)));
         };
         let own = self.clone();
         thread::spawn(move || {
             thread::sleep(Duration::from_millis(late_ms));
-            own.carry_out(vm, &call, true)
+            own.carry_out(vm, &call, true, lifetime)
         });
         None
     }
 
-    fn carry_out(&self, vm: usize, call: &WorkerCall, is_late: bool) -> CallResult {
+    /// Carries out a call that has reached a lifetime; it dies with that one.
+    fn carry_out(&self, vm: usize, call: &WorkerCall, is_late: bool, lifetime: u32) -> CallResult {
         let now_ms = self.now_ms();
         let mut guard = self.state();
         let state = &mut *guard;
         let worker = &mut state.workers[vm];
-        if !worker.up {
+        if !worker.up || worker.lifetime != lifetime {
             return CallResult::NoAnswer;
         }
         worker.is_late = is_late;
