Stay when a disk refuses writes, and let another member lead

A write that failed, as on a full disk, ended the control process, which started into the same wall. What was refused is now cut off back to the last sync and written again each 200 ms; nothing of it was promised meanwhile. The member hands leadership over, refuses new work in truth, and counts again once its disk takes writes; after ten minutes it ends, as before.

The setting process.clock_ahead_ms is added to the time of day and read again on SIGHUP, for VMs whose clock is behind, and for the soak.

--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -74,6 +74,8 @@
         number: u64,
     },
     DiskFull(bool),
+    /// The disk refuses what is written, or takes it again.
+    DiskRefuses(bool),
     /// Other control addresses, from changed settings.
     Controls(Vec<SocketAddr>),
     Tick,
@@ -130,6 +132,7 @@
     keeper: keeper::Keeper,
     client: ControlClient<u64>,
     disk_full: bool,
+    disk_refuses: bool,
     effects: Vec<Effect>,
 }
 
@@ -160,6 +163,7 @@
             keeper: keeper::Keeper::default(),
             client,
             disk_full: false,
+            disk_refuses: false,
             effects: Vec::new(),
         };
         res.apply(now)?;
@@ -219,6 +223,7 @@
             }
             Input::Persisted { number } => self.raft.persisted(now, number),
             Input::DiskFull(it) => self.disk_full = it,
+            Input::DiskRefuses(it) => self.on_disk_refuses(now, it),
             Input::Controls(it) => self.options.controls = it,
             Input::Tick => self.tick(now),
             Input::Stop => self.raft.hand_over(now),
@@ -226,6 +231,14 @@
         self.finish_turn(now)
     }
 
+    /// Lets a member lead whose disk takes writes: this one could not count itself for anything new.
+    fn on_disk_refuses(&mut self, now: Now, refuses: bool) {
+        self.disk_refuses = refuses;
+        if refuses {
+            self.raft.hand_over(now);
+        }
+    }
+
     /// Replicates, applies and collects what the inputs of this turn led to.
     fn finish_turn(&mut self, now: Now) -> Result<()> {
         self.raft.flush(now);
--- a/src/control/core/operations.rs
+++ b/src/control/core/operations.rs
@@ -103,7 +103,7 @@
         };
         let frees =
             matches!(command, Command::Cancel(_) | Command::Settle(_) | Command::DeleteWatch(_));
-        if self.disk_full && !frees {
+        if (self.disk_full || self.disk_refuses) && !frees {
             return Err(refusal_until(
                 ErrorKind::DiskFull,
                 "control's disk has too little free space",
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -32,7 +32,7 @@
         }
         match Dispatcher::decide(&self.state.workflows, it.request, now) {
             Verdict::Answer(outcome) => self.answer_call(to, outcome),
-            Verdict::Propose(_) if self.disk_full => {
+            Verdict::Propose(_) if self.disk_full || self.disk_refuses => {
                 tracing::warn!(event = "proposal_refused", cause = "disk_full", call = to.id);
                 self.answer_call(to, WorkflowOutcome::Busy(FULL_PAUSE_MS));
             }
--- a/src/control/log/disk.rs
+++ b/src/control/log/disk.rs
@@ -56,6 +56,8 @@
     path: PathBuf,
     size_bytes: u64,
     durable_bytes: u64,
+    /// Writes of the newest call that are durable though it failed.
+    written: usize,
     hard: HardState,
     free_min_bytes: u64,
     _lock: DiskLock,
@@ -223,6 +225,7 @@
             path,
             size_bytes,
             durable_bytes: size_bytes,
+            written: 0,
             hard,
             free_min_bytes,
             _lock: lock,
@@ -234,11 +237,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when a write or a sync fails. What is on the disk is then unknown (a
-    /// second sync may report success for pages that were dropped), so the process must stop.
+    /// Returns an error when a write or a sync fails. What is on the disk since the last sync is then
+    /// unknown (a second sync may report success for pages that were dropped): nothing may be written
+    /// but by [`Disk::write_again`].
     pub fn write(&mut self, writes: &[DiskWrite]) -> Result<()> {
+        self.written = 0;
         let mut buffer = Vec::new();
-        for it in writes {
+        for (at, it) in writes.iter().enumerate() {
             match it {
                 DiskWrite::HardState(hard) => {
                     self.hard = *hard;
@@ -262,11 +267,37 @@
                     self.append(&buffer)?;
                     buffer.clear();
                     self.begin_at(snapshot)?;
+                    self.written = at + 1;
                 }
             }
         }
         self.append(&buffer)?;
-        self.sync()
+        self.sync()?;
+        self.written = 0;
+        Ok(())
+    }
+
+    /// Makes durable what a failed [`Disk::write`] may have written in part.
+    ///
+    /// All since the last sync is cut off and written anew.
+    ///
+    /// # Errors
+    ///
+    /// As [`Disk::write`].
+    pub fn write_again(&mut self, writes: &[DiskWrite]) -> Result<()> {
+        self.written = 0;
+        let reopen = || OpenOptions::new().append(true).open(&self.path);
+        self.file = reopen().change_context_lazy(|| cannot("open", &self.path))?;
+        let cut = self.file.set_len(self.durable_bytes);
+        cut.change_context_lazy(|| cannot("truncate", &self.path))?;
+        self.size_bytes = self.durable_bytes;
+        self.write(writes)
+    }
+
+    /// Returns how many writes of a call that failed are durable all the same: all before a log that
+    /// was begun anew.
+    pub fn written(&self) -> usize {
+        self.written
     }
 
     /// Notes that all before is durable, so that damage to it is never taken for a torn tail.
@@ -315,11 +346,10 @@
         record::encode(&Record::HardState(self.hard), 0, &mut start)?;
         let name = format!("log-{index}");
         replace_file(&self.folder, &name, &start)?;
-        self.path = self.folder.join(name);
-        self.file = OpenOptions::new()
-            .append(true)
-            .open(&self.path)
-            .change_context_lazy(|| cannot("open", &self.path))?;
+        let path = self.folder.join(name);
+        let opened = OpenOptions::new().append(true).open(&path);
+        self.file = opened.change_context_lazy(|| cannot("open", &path))?;
+        self.path = path;
         self.size_bytes = start.len() as u64;
         self.durable_bytes = self.size_bytes;
         for prefix in ["snapshot-", "log-"] {
@@ -350,7 +380,12 @@
         file.sync_all()?;
         fs::rename(&temporary, &path)
     };
-    write().change_context_lazy(|| cannot("write", &path))?;
+    let written = write();
+    if written.is_err() {
+        // Part of a file takes room that may be what is missing; one that stays is replaced later.
+        let _ = fs::remove_file(&temporary);
+    }
+    written.change_context_lazy(|| cannot("write", &path))?;
     sync_folder(folder)
 }
 
--- a/src/runtime/disk.rs
+++ b/src/runtime/disk.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, TryRecvError};
 use error_stack::ResultExt;
 
 use crate::{
@@ -21,6 +21,12 @@
 /// Interval at which free space is looked at.
 const SPACE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Pause between two tries of a write that the disk refuses.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time for which a disk may refuse writes before the process ends, so that somebody looks at it.
+const REFUSED_MAX: Duration = Duration::from_secs(600);
+
 type Job = (u64, Vec<DiskWrite>);
 
 /// Takes in the word of the disk; called on its thread.
@@ -31,7 +37,10 @@
     /// The free space is below or again above what new work needs.
     fn space_changed(&self, is_full: bool);
 
-    /// A write failed; what is on the disk is not known.
+    /// The disk refuses what is written, or takes it again.
+    fn refusal_changed(&self, refuses: bool);
+
+    /// The disk has refused what is written for too long.
     fn failed(&self, report: error_stack::Report<Error>);
 }
 
@@ -100,8 +109,14 @@
                 Err(RecvTimeoutError::Timeout) if marked => continue,
                 Err(RecvTimeoutError::Timeout) => {
                     marked = true;
-                    match disk.mark() {
-                        Ok(()) => continue,
+                    let Err(report) = disk.mark() else { continue };
+                    let mut refused = Refused::new(Vec::new(), 0, report);
+                    match refused.write(&mut disk, jobs, sink) {
+                        Ok(()) if refused.number == 0 => continue,
+                        Ok(()) => {
+                            sink.persisted(refused.number);
+                            continue;
+                        }
                         Err(report) => return sink.failed(report),
                     }
                 }
@@ -122,8 +137,73 @@
         metrics.disk_syncs.inc();
         marked = false;
         if let Err(report) = disk.write(&writes) {
-            return sink.failed(report);
+            let mut refused = Refused::new(writes, number, report);
+            if let Err(report) = refused.write(&mut disk, jobs, sink) {
+                return sink.failed(report);
+            }
+            number = refused.number;
         }
         sink.persisted(number);
     }
 }
+
+/// Writes that the disk has refused.
+///
+/// They are tried again until it takes them: a full disk is a matter of minutes, and a process that
+/// ends for it starts into the same wall. Nothing of them was promised to anybody meanwhile.
+struct Refused {
+    writes: Vec<DiskWrite>,
+    /// Number of the newest of them.
+    number: u64,
+    report: error_stack::Report<Error>,
+}
+
+impl Refused {
+    fn new(writes: Vec<DiskWrite>, number: u64, report: error_stack::Report<Error>) -> Refused {
+        Refused { writes, number, report }
+    }
+
+    /// Tries until all is durable, with what comes meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last error when the disk refuses for too long, or the process ends.
+    fn write<S: DiskSink>(
+        &mut self,
+        disk: &mut Disk,
+        jobs: &Receiver<Job>,
+        sink: &S,
+    ) -> std::result::Result<(), error_stack::Report<Error>> {
+        let began = Instant::now();
+        self.writes.drain(..disk.written());
+        tracing::error!(event = "disk_refuses", error = %format_args!("{:#}", self.report), writes = self.writes.len());
+        sink.refusal_changed(true);
+        let mut tries = 0_u32;
+        loop {
+            thread::sleep(REFUSED_PAUSE);
+            let is_over = loop {
+                match jobs.try_recv() {
+                    Ok((number, more)) => {
+                        self.number = number;
+                        self.writes.extend(more);
+                    }
+                    Err(error) => break error == TryRecvError::Disconnected,
+                }
+            };
+            tries += 1;
+            let written = disk.write_again(&self.writes);
+            self.writes.drain(..disk.written());
+            let Err(report) = written else { break };
+            if is_over || REFUSED_MAX < began.elapsed() {
+                return Err(report);
+            }
+        }
+        tracing::warn!(
+            event = "disk_takes_writes",
+            after_ms = began.elapsed().as_millis() as u64,
+            tries
+        );
+        sink.refusal_changed(false);
+        Ok(())
+    }
+}
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -61,6 +61,7 @@
     Control(Box<control::Input>),
     Persisted(u64),
     DiskFull(bool),
+    DiskRefuses(bool),
     DiskFailed(error_stack::Report<Error>),
     /// A planned stop.
     Stop,
@@ -140,6 +141,10 @@
         let _ = self.send(Event::DiskFull(is_full));
     }
 
+    fn refusal_changed(&self, refuses: bool) {
+        let _ = self.send(Event::DiskRefuses(refuses));
+    }
+
     fn failed(&self, report: error_stack::Report<Error>) {
         let _ = self.send(Event::DiskFailed(report));
     }
@@ -148,6 +153,7 @@
 impl Process {
     /// Makes a process from checked settings.
     pub fn new(settings: Settings) -> Process {
+        crate::util::set_clock_ahead(settings.process.clock_ahead_ms.into());
         let (events, receiver) = crossbeam_channel::bounded(EVENTS_MAX);
         Process { settings, metrics: Metrics::new(), events, receiver }
     }
@@ -373,6 +379,7 @@
             Event::Control(it) => self.to_control(*it),
             Event::Persisted(number) => self.to_control(control::Input::Persisted { number }),
             Event::DiskFull(it) => self.to_control(control::Input::DiskFull(it)),
+            Event::DiskRefuses(it) => self.to_control(control::Input::DiskRefuses(it)),
             Event::DiskFailed(_) | Event::Stop | Event::Kill => (),
         }
     }
--- a/src/runtime/single/mod.rs
+++ b/src/runtime/single/mod.rs
@@ -45,7 +45,7 @@
         },
     },
     schema::settings::{DispatchSettings, GatewaySettings, NodeSettings, Settings},
-    util::{Clock, Place},
+    util::{Clock, Place, set_clock_ahead},
 };
 
 /// Longest wait for an event.
@@ -115,6 +115,7 @@
     Node(node::Input),
     Persisted(u64),
     DiskFull(bool),
+    DiskRefuses(bool),
     DiskFailed(error_stack::Report<Error>),
     Stop,
     Kill,
@@ -165,6 +166,10 @@
         self.post(Event::DiskFull(is_full));
     }
 
+    fn refusal_changed(&self, refuses: bool) {
+        self.post(Event::DiskRefuses(refuses));
+    }
+
     fn failed(&self, report: error_stack::Report<Error>) {
         self.post(Event::DiskFailed(report));
     }
@@ -195,6 +200,7 @@
 impl<P: Platform> SingleProcess<P> {
     /// Makes a process from checked settings and the file that they come from.
     pub fn new(settings: Settings, settings_file: PathBuf, platform: P) -> SingleProcess<P> {
+        set_clock_ahead(settings.process.clock_ahead_ms.into());
         let (sender, events) = mpsc::unbounded_channel();
         let handle = SingleHandle { events: sender };
         SingleProcess { settings, settings_file, platform, metrics: Metrics::new(), handle, events }
@@ -500,7 +506,9 @@
         match load_settings(&self.settings_file) {
             Ok(it) => {
                 let controls = control_links(&it);
-                tracing::info!(event = "settings_reloaded", controls = ?controls);
+                let clock_ahead_ms = it.process.clock_ahead_ms;
+                tracing::info!(event = "settings_reloaded", controls = ?controls, clock_ahead_ms);
+                set_clock_ahead(clock_ahead_ms.into());
                 actors.set_controls(&controls);
             }
             Err(problems) => {
@@ -527,6 +535,7 @@
             Event::Node(it) => self.to_node(it),
             Event::Persisted(number) => self.to_member(control::Input::Persisted { number }),
             Event::DiskFull(it) => self.to_member(control::Input::DiskFull(it)),
+            Event::DiskRefuses(it) => self.to_member(control::Input::DiskRefuses(it)),
             Event::Link(LinkEvent::Lost { peer }) => {
                 tracing::debug!(event = "link_lost", %peer);
             }
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -282,6 +282,8 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ProcessSettings {
+    ///Added to the time of day, on a VM whose clock is known to be behind; leases do not depend on it. Read anew on SIGHUP.
+    pub clock_ahead_ms: u32,
     ///Longest time a planned stop waits for work in flight; a second SIGTERM ends it at once.
     pub drain_max_ms: u32,
     ///Control group number, part of every identifier.
--- a/src/util/clock.rs
+++ b/src/util/clock.rs
@@ -1,6 +1,9 @@
 //! The two clocks that every core is given from outside.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use rustix::time::{ClockId, clock_gettime};
 
@@ -18,6 +21,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Clock;
 
+/// Added to the time of day of this process.
+static AHEAD_MS: AtomicU64 = AtomicU64::new(0);
+
+/// Sets what is added to the time of day of this process, by its settings.
+pub fn set_clock_ahead(ahead_ms: u64) {
+    AHEAD_MS.store(ahead_ms, Ordering::Relaxed);
+}
+
 impl Clock {
     /// Reads both clocks.
     pub fn now(self) -> Now {
@@ -27,6 +38,6 @@
         let it = clock_gettime(ClockId::Boottime);
         let mono_ms = it.tv_sec as u64 * 1_000 + it.tv_nsec as u64 / 1_000_000;
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Now { mono_ms, wall_ms: wall.as_millis() as u64 }
+        Now { mono_ms, wall_ms: wall.as_millis() as u64 + AHEAD_MS.load(Ordering::Relaxed) }
     }
 }
--- /dev/null
+++ b/tests/disk_refused.rs
@@ -0,0 +1,73 @@
+//! A data folder whose writes are refused for a while. The limit on the size of files is one of the
+//! whole process, so that this test has a binary of its own.
+#![allow(clippy::unwrap_used)]
+
+use std::sync::{Arc, atomic::AtomicBool};
+
+use aspenrail::{
+    control::log::{Disk, DiskWrite, HardState, Identity, Recovered, Snapshot},
+    prelude::*,
+    util::{Place, checksum},
+};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
+
+fn identity() -> Identity {
+    let founders = vec![Member { id: MemberId(1), address: "127.0.0.1:1".parse().unwrap() }];
+    Identity { member: MemberId(1), place: Place { region: 1, group: 1 }, founders }
+}
+
+fn open(folder: &std::path::Path) -> (Disk, Recovered) {
+    Disk::open(folder, &identity(), 0).unwrap()
+}
+
+fn append(indexes: std::ops::RangeInclusive<u64>) -> DiskWrite {
+    let entry =
+        |index| Arc::new(LogEntry { index, term: 1, time_ms: index, body: EntryBody::Noop });
+    DiskWrite::Append(indexes.map(entry).collect())
+}
+
+fn set_largest_file(bytes: Option<u64>) {
+    let maximum = getrlimit(Resource::Fsize).maximum;
+    setrlimit(Resource::Fsize, Rlimit { current: bytes, maximum }).unwrap();
+}
+
+fn indexes(recovered: &Recovered) -> Vec<u64> {
+    recovered.entries.iter().map(|it| it.index).collect()
+}
+
+/// Refuses all that follows `writes`, lets it be written again, and reads it back.
+fn refuse(writes: &[DiskWrite], expected: &[u64]) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut disk, _) = open(folder.path());
+    disk.write(&[DiskWrite::HardState(HardState { term: 1, vote: None }), append(1..=10)]).unwrap();
+    let size = std::fs::metadata(folder.path().join("log-0")).unwrap().len();
+    // Part of the next record fits.
+    set_largest_file(Some(size + 7));
+    assert!(disk.write(writes).is_err());
+    assert!(disk.write_again(writes).is_err());
+    set_largest_file(None);
+    disk.write_again(writes).unwrap();
+    disk.write(&[append(12..=12)]).unwrap();
+    drop(disk);
+    let (_, recovered) = open(folder.path());
+    assert_eq!(indexes(&recovered), expected);
+    assert_eq!(recovered.hard.term, 1);
+}
+
+#[test]
+fn what_was_refused_is_written_whole_once_the_disk_takes_it() {
+    signal_hook::flag::register(signal_hook::consts::SIGXFSZ, Arc::new(AtomicBool::new(false)))
+        .unwrap();
+    let all: Vec<u64> = (1..=12).collect();
+    refuse(&[append(11..=11)], &all);
+    refuse(&[DiskWrite::Truncate { from_index: 9 }, append(9..=11)], &all);
+    let data = vec![7; 1_000];
+    let snapshot = Snapshot {
+        index: 10,
+        term: 1,
+        members: Membership::default(),
+        checksum: checksum(&data),
+        data,
+    };
+    refuse(&[DiskWrite::Snapshot(Arc::new(snapshot)), append(11..=11)], &[11, 12]);
+}
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -14,7 +14,7 @@
 };
 
 use aspenrail::{http::client::new_client, standin::layout::free_addresses};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 
 use crate::executor::Executor;
@@ -197,6 +197,19 @@
         }
     }
 
+    /// Lets the disks of all control processes refuse whatever makes a file longer, or take it again.
+    pub fn set_control_refuses_writes(&self, refuses: bool) {
+        let limit = Rlimit { current: refuses.then_some(0), maximum: None };
+        for it in &self.controls {
+            prlimit(Pid::from_raw(it.id() as i32), Resource::Fsize, limit.clone()).unwrap();
+        }
+    }
+
+    /// Returns whether all control processes run.
+    pub fn control_runs(&mut self) -> bool {
+        self.controls.iter_mut().all(|it| it.try_wait().unwrap().is_none())
+    }
+
     /// Lets the process beside the executor stand still.
     pub fn freeze_node(&self) {
         kill_process(Pid::from_raw(self.node.id() as i32).unwrap(), Signal::STOP).unwrap();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -208,3 +208,40 @@
     it.wait_for("/q/00000000000000ce", "failed");
     assert_eq!(it.executor.failures(), 4);
 }
+
+/// Disks that refused writes ended all control processes, which started into the same wall. Nothing is
+/// taken meanwhile, what is refused has not run and never will, and all goes on once they take writes.
+#[test]
+fn nothing_is_lost_while_all_disks_of_control_refuse_writes() {
+    let mut it = Installation::start(3);
+    it.install(1);
+    let body = json!({"spec": "x", "steps": [{"count": 2, "cpu": 100}]});
+    assert_eq!(it.client("POST", "/q/00000000000000d0", &body).0, 200);
+    it.wait_for("/q/00000000000000d0", "completed");
+    it.set_control_refuses_writes(true);
+    let mut refused = Vec::new();
+    for id in 0..12 {
+        let path = format!("/q/00000000000001{id:02x}");
+        match it.client("POST", &path, &body).0 {
+            503 => refused.push(path),
+            // Nobody knows yet whether it was taken.
+            504 => (),
+            other => panic!("{other}"),
+        }
+        std::thread::sleep(Duration::from_millis(250));
+    }
+    assert!(!refused.is_empty());
+    assert!(it.control_runs());
+    it.set_control_refuses_writes(false);
+    installation::wait("work to be taken", || {
+        it.client("POST", "/q/00000000000000d1", &body).0 == 200
+    });
+    it.wait_for("/q/00000000000000d1", "completed");
+    for path in refused {
+        assert_eq!(it.client("GET", &path, &Value::Null).0, 410, "{path}");
+    }
+    assert_eq!(
+        it.client("GET", "/q/00000000000000d0", &Value::Null),
+        (200, json!({"state": "completed"}))
+    );
+}
--- a/tests/workflows/faults.rs
+++ b/tests/workflows/faults.rs
@@ -300,3 +300,29 @@
     let voters = &leader.members().voters;
     rafts().count() == 3 && rafts().all(|it| voters.iter().any(|voter| voter.id == it.id()))
 }
+
+/// A disk that is full, or refuses writes for another cause, ended its process, which started into
+/// the same wall. Another member leads meanwhile, and the one with that disk counts again after it.
+#[test]
+fn a_leader_whose_disk_refuses_writes_lets_another_one_lead() {
+    let mut world = World::new(41, 3, 3);
+    world.install_queue();
+    let first = world.leader();
+    world.refuse_writes(first);
+    world.run_for(1_500);
+    assert_ne!(world.leader(), first);
+    for id in 1..=5 {
+        let token = world.submit(id, spec(vec![step(2, 1, &[])]), QUICK);
+        world.run_for(2_000);
+        assert_eq!(world.answers.get(&token), Some(&Answer::Told(WorkflowOutcome::Accepted)));
+    }
+    world.take_writes(first);
+    world.run_for(1_000);
+    let other = world.leader();
+    world.kill_member(other, 20_000, false);
+    world.run_for(3_000);
+    for id in 1..=5 {
+        assert_eq!(world.phase(id), Some(WorkflowPhase::Completed), "workflow {id}");
+    }
+    assert!(world.rules.broken.is_empty(), "{:#?}", world.rules.broken);
+}
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -113,6 +113,8 @@
     events: BTreeMap<(u64, u64), Event>,
     next_event: u64,
     next_token: u64,
+    /// Members whose disk refuses writes, with the newest of these.
+    refusing: BTreeMap<usize, u64>,
     /// Processes that reach nobody over links.
     pub cut: BTreeSet<usize>,
     /// VMs whose node stands still: what reaches it waits until it goes on.
@@ -156,6 +158,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             next_token: 0,
+            refusing: BTreeMap::new(),
             cut: BTreeSet::new(),
             frozen: BTreeMap::new(),
             late_percent: 0,
@@ -232,6 +235,22 @@
         self.push(down_ms, Event::Restart { process: at });
     }
 
+    /// Lets the disk of a member refuse what is written.
+    pub fn refuse_writes(&mut self, at: usize) {
+        self.refusing.insert(at, 0);
+        self.tell_member(at, control::Input::DiskRefuses(true));
+    }
+
+    /// Lets the disk of a member take what it refused.
+    pub fn take_writes(&mut self, at: usize) {
+        let number = self.refusing.remove(&at).filter(|it| 0 < *it);
+        self.tell_member(at, control::Input::DiskRefuses(false));
+        if let Some(number) = number {
+            let boot = self.members[at].boot;
+            self.push(6, Event::Synced { process: at, boot, number });
+        }
+    }
+
     fn start_node(&mut self, vm: usize) {
         let options = NodeOptions {
             address: address(200 + vm),
@@ -444,7 +463,10 @@
                 control::Effect::Write { number, writes } => {
                     self.members[at].disk.write(number, writes);
                     let boot = self.members[at].boot;
-                    self.push(6, Event::Synced { process: at, boot, number });
+                    match self.refusing.get_mut(&at) {
+                        Some(newest) => *newest = number,
+                        None => self.push(6, Event::Synced { process: at, boot, number }),
+                    }
                 }
                 control::Effect::Answer { .. } => (),
             }
