Let disks refuse writes and clocks jump in the soak

From outside: a limit on the size of files of a running control process, lifted after 0.1 to 6.5 s; settings that set the time of day ahead by up to an hour, or back again. Each soak has a loopback address of its own, so that several may run.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -13,12 +13,16 @@
 /// Time that a fault lasts: from a hiccup to longer than a lease.
 const LASTS_MS: std::ops::Range<u64> = 100..6_500;
 
+/// Most that the time of day of a process is ahead, in milliseconds: it jumps both ways.
+const HOUR_MS: u32 = 3_600_000;
+
 /// What ends a fault.
 #[derive(Clone, Copy, Debug)]
 enum Repair {
     Thaw(usize),
     Pass(usize),
     Punctual,
+    TakeWrites(usize),
 }
 
 /// The faults of one play.
@@ -58,6 +62,7 @@
             match it {
                 Repair::Thaw(at) => site.thaw(at),
                 Repair::Pass(at) => site.processes[at].proxy.set(Mode::Pass),
+                Repair::TakeWrites(at) => site.set_refuses_writes(at, false),
                 Repair::Punctual => site.workers.set_late_percent(0),
             }
         }
@@ -76,7 +81,7 @@
 
     fn harm(&mut self, site: &mut Site) {
         self.count += 1;
-        match self.random.u32(0..16) {
+        match self.random.u32(0..20) {
             0 => {
                 let at = self.any(site, None);
                 site.kill(at);
@@ -126,6 +131,16 @@
                 site.workers.set_late_percent(30);
                 self.lasts(Repair::Punctual);
             }
+            15 | 16 => {
+                let at = self.any(site, Some(Role::Control));
+                site.set_refuses_writes(at, true);
+                self.lasts(Repair::TakeWrites(at));
+            }
+            17 | 18 => {
+                let at = self.any(site, None);
+                let ahead_ms = self.random.u32(0..HOUR_MS);
+                site.set_clock_ahead(at, ahead_ms);
+            }
             _ if self.random.u32(0..4) == 0 => {
                 for at in site.of(Role::Control) {
                     site.kill(at);
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -9,7 +9,7 @@
 };
 
 use aspenrail::{http::client::new_client, standin::layout::free_addresses};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 
 use crate::{
@@ -20,6 +20,9 @@
 /// Longest wait for a step of the test itself.
 const STEP_MAX: Duration = Duration::from_secs(60);
 
+/// Setting that lets the time of day of a process jump.
+const CLOCK_KEY: &str = "clock_ahead_ms";
+
 /// How many processes of each role there are.
 #[derive(Clone, Copy, Debug)]
 pub struct Shape {
@@ -68,7 +71,7 @@
         let folder = tempfile::tempdir().unwrap();
         let Shape { controls, entries, nodes } = shape;
         let mut free = free_addresses(controls * 3 + entries * 5 + nodes * 5).unwrap().into_iter();
-        let mut next = || free.next().unwrap();
+        let mut next = || own_address(free.next().unwrap());
         let links: Vec<_> = (0..controls).map(|_| next()).collect();
         let seeds = links.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
         let mut res = Vec::new();
@@ -184,6 +187,30 @@
         self.signal(at, Signal::TERM);
     }
 
+    /// Lets the disk of a process refuse whatever makes a file longer, or take it again.
+    pub fn set_refuses_writes(&self, at: usize, refuses: bool) {
+        let Some(child) = &self.processes[at].child else { return };
+        let pid = Pid::from_raw(child.id() as i32);
+        let current = refuses.then_some(0);
+        // Fails for a process that has just ended; the next one starts without the limit.
+        let _ = prlimit(pid, Resource::Fsize, Rlimit { current, maximum: None });
+    }
+
+    /// Lets the time of day of a process jump.
+    pub fn set_clock_ahead(&self, at: usize, ahead_ms: u32) {
+        let process = &self.processes[at];
+        let text = fs::read_to_string(&process.settings).unwrap();
+        let rest = text.lines().filter(|it| !it.starts_with(CLOCK_KEY));
+        let clock = format!("{CLOCK_KEY} = {ahead_ms}");
+        let lines = rest.flat_map(|it| match it {
+            "[process]" => vec![it, clock.as_str()],
+            it => vec![it],
+        });
+        let lines: Vec<_> = lines.collect();
+        fs::write(&process.settings, lines.join("\n")).unwrap();
+        self.signal(at, Signal::HUP);
+    }
+
     /// Starts what has ended, and notes what ended unasked.
     pub fn restart_ended(&mut self) {
         for at in 0..self.processes.len() {
@@ -205,6 +232,7 @@
         for at in 0..self.processes.len() {
             self.processes[at].proxy.set(Mode::Pass);
             self.thaw(at);
+            self.set_refuses_writes(at, false);
         }
         // What was asked to stop may take its time over it.
         let began = Instant::now();
@@ -247,6 +275,12 @@
     }
 }
 
+/// Returns an address of this process alone, so that soaks at the same time do not meet.
+fn own_address(it: SocketAddr) -> SocketAddr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 1 + (high & 63), middle, low], it.port()))
+}
+
 /// Returns the answer to a call, or nothing where none came.
 pub fn call(
     client: &ureq::Agent,
