Pass over reports of a node's process before

A node's process is told apart by a random number, so that a report of the process before, held up by a cut, was taken for the newest: it enrolled a lifetime that was over in the place of the one that was there. Processes that are over are remembered, eight for each node. Test red before.

--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -1,7 +1,7 @@
 //! The leader's view of each worker: its lease and what its node reported last.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     net::SocketAddr,
 };
 
@@ -55,8 +55,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Sessions {
     sessions: BTreeMap<WorkerId, Session>,
-    /// The newest report of each node: the run of the node that sent it, and its number.
-    newest: HashMap<SocketAddr, (u64, u64)>,
+    newest: HashMap<SocketAddr, NewestReport>,
     /// No lease is over before this. A lease is only ever prolonged, so that all of them are
     /// looked at once a lease, and not at each event.
     expiry_bound_ms: u64,
@@ -103,13 +102,11 @@
     /// long been replaced: it must not take the place of the one that is there. Tasks of that one
     /// began again elsewhere while they ran.
     pub(super) fn note_report(&mut self, it: &NodeReport) -> bool {
-        let newest = self.newest.insert(it.node, (it.boot, it.number));
-        let Some((boot, number)) = newest else { return true };
-        let is_newest = boot != it.boot || number < it.number;
-        if !is_newest {
-            self.newest.insert(it.node, (boot, number));
-        }
-        is_newest
+        let Some(newest) = self.newest.get_mut(&it.node) else {
+            self.newest.insert(it.node, NewestReport::new(it));
+            return true;
+        };
+        newest.note(it)
     }
 
     pub(super) fn get(&self, id: WorkerId) -> Option<&Session> {
@@ -166,6 +163,46 @@
     }
 }
 
+/// The newest report of a node.
+#[derive(Debug)]
+struct NewestReport {
+    /// The process of the node that sent it.
+    boot: u64,
+    number: u64,
+    /// Processes before that one, the last of them last.
+    past_boots: VecDeque<u64>,
+}
+
+/// Processes of a node that are remembered as over: a report is held up for less time than it takes
+/// so many to start.
+const PAST_BOOTS_MAX: usize = 8;
+
+impl NewestReport {
+    fn new(it: &NodeReport) -> NewestReport {
+        NewestReport { boot: it.boot, number: it.number, past_boots: VecDeque::new() }
+    }
+
+    /// Takes in a report; returns whether it is newer. Numbers of processes tell nothing of their
+    /// order.
+    fn note(&mut self, it: &NodeReport) -> bool {
+        let is_newest = match it.boot == self.boot {
+            true => self.number < it.number,
+            false => !self.past_boots.contains(&it.boot),
+        };
+        if !is_newest {
+            return false;
+        }
+        if it.boot != self.boot {
+            self.past_boots.push_back(self.boot);
+            if PAST_BOOTS_MAX < self.past_boots.len() {
+                self.past_boots.pop_front();
+            }
+        }
+        (self.boot, self.number) = (it.boot, it.number);
+        true
+    }
+}
+
 /// What makes a worker fit for new runs.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Usable {
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -18,6 +18,8 @@
     pub workflows: Workflows,
     dispatcher: Dispatcher,
     pub now_ms: u64,
+    /// The run of each node that sends its reports.
+    pub boot: u64,
     pub number: u64,
     pub stops: Vec<RunRef>,
     /// Newest grant for each node.
@@ -57,6 +59,7 @@
             workflows,
             dispatcher,
             now_ms: 1_000,
+            boot: 1,
             number: 0,
             stops: Vec::new(),
             grants: BTreeMap::new(),
@@ -173,7 +176,7 @@
     fn take(&mut self, worker: u64, number: u64, report: WorkerReport) {
         let report = NodeReport {
             node: node(worker),
-            boot: 1,
+            boot: self.boot,
             number,
             sent_ms: self.now_ms,
             workers: vec![report],
--- a/tests/workflows/held_runs.rs
+++ b/tests/workflows/held_runs.rs
@@ -1,4 +1,4 @@
-//! Runs that the ledger holds and that their worker, or its name, no longer speaks for.
+//! Runs that the ledger holds, and reports that do not speak for their worker.
 
 use aspenrail::prelude::*;
 
@@ -48,3 +48,19 @@
     assert_eq!(worker.name, "worker-1@1700000000000");
     assert!(worker.runs.contains(&RunRef { run: 2, ..runs[0] }), "{:?}", worker.runs);
 }
+
+/// A node starts anew, and a report of its process before, held up by a cut, comes after its own: it
+/// names a lifetime that is over, which must not take the place of the one that is there.
+#[test]
+fn a_late_report_of_a_nodes_process_before_changes_nothing() {
+    let mut leader = Leader::new(1);
+    let late = leader.number + 1;
+    leader.boot = 2;
+    leader.tell_of(1, "worker-1@2".into(), 1, Vec::new(), Vec::new());
+    leader.idle(10_000);
+    (2..4).for_each(|it| leader.tell_of(1, "worker-1@2".into(), it, Vec::new(), Vec::new()));
+    leader.boot = 1;
+    leader.tell_of(1, "worker-1".into(), late, Vec::new(), Vec::new());
+    let names: Vec<_> = leader.workflows.workers().iter().map(|(_, it)| &it.name).collect();
+    assert_eq!(names, ["worker-1@2"]);
+}
