--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -201,7 +201,7 @@
     pub fn set_control_refuses_writes(&self, refuses: bool) {
         let limit = Rlimit { current: refuses.then_some(0), maximum: None };
         for it in &self.controls {
-            prlimit(Pid::from_raw(it.id() as i32), Resource::Fsize, limit.clone()).unwrap();
+            prlimit(Pid::from_raw(it.id() as i32), Resource::Fsize, limit).unwrap();
         }
     }
 
