--- a/src/control/dispatch/plan/waits.rs
+++ b/src/control/dispatch/plan/waits.rs
@@ -79,7 +79,7 @@
             _ => "no_room",
         };
         let trials = placing.trials().len();
-        tracing::warn!(event = "tasks_wait", workflow = %at.workflow, step = at.step, tasks = self.tasks, suspects = self.suspects, waited_ms, workers, trials, cause);
+        tracing::warn!(event = "tasks_wait", workflow = %format_args!("{:016x}", at.workflow.0), step = at.step, tasks = self.tasks, suspects = self.suspects, waited_ms, workers, trials, cause);
     }
 }
 
