Take a list of ends that is cut short for what it is

A worker lists 500 ends at a time. A run that has ended behind these is shown neither as running nor as ended, and was taken for one that never ran or is lost: its work was done again. Such a list proves nothing by absence now. Test red before.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -49,8 +49,9 @@
         running: Vec<RunningTask>,
         ended: Vec<EndedRun>,
     },
-    /// As `Held`, with rows that cannot be read: what is not listed may run all the same. Ends
-    /// behind such a row stand apart, since to acknowledge one is to acknowledge all before.
+    /// As `Held`, with rows that cannot be read, or cut short, where none of them is unreadable: what
+    /// is not listed may run all the same. Ends behind an unreadable row stand apart, since to
+    /// acknowledge one is to acknowledge all before.
     HeldInPart {
         clock_ms: u64,
         born_ms: Option<u64>,
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -365,7 +365,7 @@
                 unreadable,
                 ..
             } => {
-                let is_whole = worker.judge_gap(unreadable);
+                let is_whole = 0 < unreadable && worker.judge_gap(unreadable);
                 if is_whole {
                     ended.extend(ended_later);
                 }
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -505,6 +505,37 @@
     assert_eq!(told(&alone), 1, "and the ends behind the row are told");
 }
 
+/// A worker lists so many ends at a time, and no more: what it shows neither as running nor as ended
+/// may have ended all the same, however often it says so.
+#[test]
+fn a_list_that_is_cut_short_proves_nothing_by_absence() {
+    let mut alone = Alone::new();
+    alone.grant(false, Vec::new());
+    alone.list(vec![running()]);
+    let end = RunEnd {
+        run: RunRef { run: 2, ..RUN },
+        outcome: RunOutcome::Done,
+        checkpoint: CompactString::default(),
+    };
+    for _ in 0..12 {
+        alone.pass(300);
+        let id = alone.take_call(is_hold);
+        let part = CallResult::HeldInPart {
+            clock_ms: 50_100,
+            born_ms: None,
+            running: Vec::new(),
+            ended: vec![EndedRun { cursor: 1, end: end.clone() }],
+            ended_later: Vec::new(),
+            unreadable: 0,
+        };
+        alone.end(id, part);
+    }
+    alone.pass(600);
+    let listed = &alone.reports.last().unwrap().workers[0];
+    assert_eq!(listed.running.iter().map(|it| it.run).collect::<Vec<_>>(), [RUN]);
+    assert_eq!(listed.ended.len(), 1);
+}
+
 fn failed(cursor: u64) -> EndedRun {
     let (outcome, checkpoint) = (RunOutcome::Failed, CompactString::default());
     EndedRun { cursor, end: RunEnd { run: RUN, outcome, checkpoint } }
