--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod orders;
 mod plan;
 mod requests;
+mod retention;
 mod rooms;
 mod sessions;
 mod trials;
@@ -20,6 +21,7 @@
 
 use self::{
     losses::Loss,
+    retention::Readings,
     rooms::Rooms,
     sessions::{Sessions, SlowRun, Usable},
     trials::Trials,
@@ -79,6 +81,7 @@
     plan_at_ms: u64,
     plans: u64,
     forget_at_ms: u64,
+    readings: Readings,
     occupancy_at_ms: u64,
     learn_at_ms: u64,
     step: Step,
@@ -102,7 +105,9 @@
             planned_ms: 0,
             plans: 0,
             plan_at_ms: now.mono_ms,
-            forget_at_ms: now.mono_ms + FORGET_INTERVAL_MS,
+            // The first reading is made at once: what ended before this leader is kept from now on.
+            forget_at_ms: now.mono_ms,
+            readings: Readings::default(),
             occupancy_at_ms: now.mono_ms + OCCUPANCY_INTERVAL_MS,
             learn_at_ms: now.mono_ms + LEARN_INTERVAL_MS,
             step: Step::default(),
@@ -136,8 +141,10 @@
         self.expire(workflows, now);
         if self.forget_at_ms <= now.mono_ms {
             self.forget_at_ms = now.mono_ms + FORGET_INTERVAL_MS;
-            let before_ms = now.wall_ms.saturating_sub(self.options.retention_ms);
-            self.step.commands.push(WorkflowCommand::Forget(before_ms));
+            let age_ms = self.options.retention_ms;
+            self.readings.note(now, age_ms);
+            let forgets = self.readings.wall_before(now, age_ms).map(WorkflowCommand::Forget);
+            self.step.commands.extend(forgets);
         }
         if self.learn_at_ms <= now.mono_ms {
             self.learn_at_ms = now.mono_ms + LEARN_INTERVAL_MS;
--- a/tests/workflows/faults.rs
+++ b/tests/workflows/faults.rs
@@ -326,3 +326,29 @@
     }
     assert!(world.rules.broken.is_empty(), "{:#?}", world.rules.broken);
 }
+
+/// Callers asked for work that was done and were told that it is not known: a clock of day had jumped,
+/// so that the time for which its end is kept seemed over.
+#[yare::parameterized(
+    ahead = { 0, 3_600_000 },
+    back = { 3_600_000, 0 },
+)]
+fn what_has_ended_is_kept_whatever_clocks_of_day_do(before_ms: u64, after_ms: u64) {
+    let mut world = World::new(42, 3, 3);
+    world.wall_ahead_ms = before_ms;
+    world.install_queue();
+    world.submit(1, spec(vec![step(2, 1, &[])]), QUICK);
+    world.run_for(5_000);
+    world.wall_ahead_ms = after_ms;
+    world.submit(2, spec(vec![step(2, 1, &[])]), QUICK);
+    world.run_for(20_000);
+    let leader = world.leader();
+    world.kill_member(leader, 60_000, false);
+    world.wall_ahead_ms = before_ms;
+    world.run_for(20_000);
+    world.wall_ahead_ms = after_ms;
+    world.run_for(20_000);
+    for id in 1..=2 {
+        assert_eq!(world.phase(id), Some(WorkflowPhase::Completed), "workflow {id}");
+    }
+}
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -113,6 +113,8 @@
     events: BTreeMap<(u64, u64), Event>,
     next_event: u64,
     next_token: u64,
+    /// Time by which all clocks of day are ahead.
+    pub wall_ahead_ms: u64,
     /// Members whose disk refuses writes, with the newest of these.
     refusing: BTreeMap<usize, u64>,
     /// Processes that reach nobody over links.
@@ -158,6 +160,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             next_token: 0,
+            wall_ahead_ms: 0,
             refusing: BTreeMap::new(),
             cut: BTreeSet::new(),
             frozen: BTreeMap::new(),
@@ -193,7 +196,7 @@
     }
 
     pub fn now(&self) -> Now {
-        Now { mono_ms: self.now_ms, wall_ms: self.now_ms + 1_700_000_000_000 }
+        Now { mono_ms: self.now_ms, wall_ms: self.now_ms + 1_700_000_000_000 + self.wall_ahead_ms }
     }
 
     fn push(&mut self, after_ms: u64, event: Event) {
