Look first at a worker once this node has stood still

Cause: a node that had stood still while its worker crashed and was back under its id went on with the look that was due. The second lifetime took its own first ends for acknowledged and never listed them, so that their runs seemed to have never begun. A node now notices that it stood still, or that its last list is older than a worker takes to be back, and looks without lease, acknowledgement or orders first.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -83,6 +83,8 @@
     worker: Option<Lifetime>,
     /// A lifetime that announced itself and has not answered yet.
     newcomer: Option<Newcomer>,
+    /// When the newest input came.
+    handled_ms: u64,
     /// Token of the leader for looks at a worker that it does not know.
     look_token: u64,
     /// Pools of workers that the configuration names, as far as it is known.
@@ -102,6 +104,9 @@
     effects: Vec<Effect>,
 }
 
+/// Time by which a tick may be late on a busy VM. A worker that crashes is away for longer.
+const LATE_TICK_MS: u64 = 200;
+
 /// Lifetimes remembered as over.
 const PAST_MAX: usize = 64;
 
@@ -116,6 +121,7 @@
             term: 0,
             worker: None,
             newcomer: None,
+            handled_ms: 0,
             look_token: 0,
             services: Vec::new(),
             past: Vec::new(),
@@ -155,6 +161,7 @@
 
     /// Takes in one input.
     pub fn handle(&mut self, now: Now, input: Input) {
+        self.note_pause(now);
         match input {
             Input::Announced(it) => self.on_announced(now, it),
             Input::Left(it) => self.on_left(&it),
@@ -169,6 +176,15 @@
         }
     }
 
+    /// Notes whether this process stood still: the worker may have crashed and be back since.
+    fn note_pause(&mut self, now: Now) {
+        let stood_still = self.handled_ms + self.options.report_ms + LATE_TICK_MS < now.mono_ms;
+        self.handled_ms = now.mono_ms;
+        if let Some(worker) = self.worker.as_mut().filter(|_| stood_still) {
+            worker.is_unsure = true;
+        }
+    }
+
     fn on_announced(&mut self, now: Now, it: Announcement) {
         let lifetime = it.lifetime();
         if self.past.contains(&lifetime) {
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -11,6 +11,10 @@
     prelude::*,
 };
 
+/// Time after a list within which another look finds the same lifetime: a worker that crashes is away
+/// for longer.
+const LIST_FRESH_MS: u64 = 300;
+
 /// Pause between two holds while ends wait for the leader's word.
 const ACK_PAUSE_MS: u64 = 100;
 
@@ -215,6 +219,7 @@
             *next_call
         };
         if worker.hold.is_none() && worker.hold_at_ms <= now.mono_ms {
+            worker.is_unsure |= worker.listed_ms + LIST_FRESH_MS < now.mono_ms;
             let watches = worker.must_watch();
             let may_have_lapsed = worker.may_have_lapsed(now);
             let wait_ms = match worker.listed_term == self.term {
@@ -343,6 +348,9 @@
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
         worker.is_unsure = matches!(result, CallResult::NoAnswer | CallResult::NobodyThere);
+        if matches!(result, CallResult::Held { .. } | CallResult::HeldInPart { .. }) {
+            worker.listed_ms = now.mono_ms;
+        }
         let tells_start = |born_ms: Option<u64>| born_ms == worker.announcement.born_ms;
         let (clock_ms, running, ended, is_whole) = match result {
             // Whose list it is cannot be told.
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -113,8 +113,11 @@
     pub missing_since_ms: Option<u64>,
     /// Starts of which a call got no answer, with when that was found: a copy may be on its way.
     pub unanswered_starts: BTreeMap<RunRef, u64>,
-    /// A look at it failed and none has succeeded since: another lifetime may be there.
+    /// A look at it failed, or this process stood still, and none has succeeded since: another
+    /// lifetime may be there.
     pub is_unsure: bool,
+    /// When it last listed what it runs.
+    pub listed_ms: u64,
     /// Another lifetime answers in its place: what is sent to its id would reach that one.
     pub is_displaced: bool,
     pub is_gone: bool,
@@ -158,6 +161,7 @@
             missing_since_ms: None,
             unanswered_starts: BTreeMap::new(),
             is_unsure: false,
+            listed_ms: now.mono_ms,
             is_displaced: false,
             is_gone: false,
         }
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -11,7 +11,7 @@
 
 pub struct Alone {
     node: NodeCore,
-    now_ms: u64,
+    pub now_ms: u64,
     pub calls: Vec<(u64, Action)>,
     pub reports: Vec<NodeReport>,
     /// Whom each report was sent to.
