Send no call of a worker late, and say an acknowledgement once

A call that has waited for 300 ms is not sent, a list that lay unread tells nothing of who is there, and an acknowledgement that the worker has surely heard is not said again, so that few looks can harm another lifetime. Test of the unread list red before; what remains are microseconds between a call and its sending.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -182,6 +182,7 @@
         self.handled_ms = now.mono_ms;
         if let Some(worker) = self.worker.as_mut().filter(|_| stood_still) {
             worker.is_unsure = true;
+            worker.stood_still_ms = now.mono_ms;
         }
     }
 
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -112,6 +112,23 @@
         is_whole
     }
 
+    /// Notes who is there by a look that has ended.
+    ///
+    /// An answer that lay unread while this process stood still tells who was there before.
+    fn note_look(&mut self, hold: Hold, result: &CallResult, now: Now) {
+        let is_fresh = self.stood_still_ms <= hold.sent_ms
+            && now.mono_ms <= hold.sent_ms + hold.wait_ms + LIST_FRESH_MS;
+        match result {
+            CallResult::Held { .. } | CallResult::HeldInPart { .. } if is_fresh => {
+                self.is_unsure = false;
+                self.listed_ms = now.mono_ms;
+                self.acked_told = self.acked_told.max(hold.acked_cursor);
+            }
+            CallResult::NoAnswer | CallResult::NobodyThere => self.is_unsure = true,
+            _ => (),
+        }
+    }
+
     /// Notes that a start got no answer.
     fn note_unanswered(&mut self, run: RunRef, now: Now) {
         let may_come = |found_ms: &u64| now.mono_ms < found_ms + LATE_ORDER_MAX_MS;
@@ -232,13 +249,15 @@
             // Another lifetime has another clock, and ends of its own with the same numbers.
             let (lease, acked_cursor) = match worker.is_unsure {
                 true => (None, 0),
+                // What it has heard is not said again: the call may yet reach another lifetime.
+                false if worker.acked_cursor == worker.acked_told => (lease, 0),
                 false => (lease, worker.acked_cursor),
             };
             let action = Action::Hold { lease_until_ms: lease, acked_cursor, wait_ms };
             let call = call(action, &mut self.next_call);
             let lapsed_if_past_ms = worker.told_until_ms.filter(|_| may_have_lapsed);
             let sent_ms = now.mono_ms;
-            worker.hold = Some(Hold { call, sent_ms, acked_cursor, lapsed_if_past_ms });
+            worker.hold = Some(Hold { call, sent_ms, wait_ms, acked_cursor, lapsed_if_past_ms });
             worker.told_until_ms = worker.told_until_ms.max(lease);
         }
         let is_unsure = worker.is_unsure;
@@ -347,10 +366,7 @@
     fn on_hold_ended(&mut self, now: Now, hold: Hold, result: CallResult) {
         let Some(worker) = &mut self.worker else { return };
         worker.hold = None;
-        worker.is_unsure = matches!(result, CallResult::NoAnswer | CallResult::NobodyThere);
-        if matches!(result, CallResult::Held { .. } | CallResult::HeldInPart { .. }) {
-            worker.listed_ms = now.mono_ms;
-        }
+        worker.note_look(hold, &result, now);
         let tells_start = |born_ms: Option<u64>| born_ms == worker.announcement.born_ms;
         let (clock_ms, running, ended, is_whole) = match result {
             // Whose list it is cannot be told.
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -24,6 +24,8 @@
 pub(super) struct Hold {
     pub call: u64,
     pub sent_ms: u64,
+    /// Longest wait that it allows the worker.
+    pub wait_ms: u64,
     pub acked_cursor: u64,
     /// End of the lease before this look, by the worker's clock, where it may be over. Then the
     /// look waits for nothing, so that all that it lists ended before it.
@@ -84,6 +86,8 @@
     pub begun: HashMap<RunRef, u64>,
     pub ended: BTreeMap<u64, RunEnd>,
     pub acked_cursor: u64,
+    /// How far the worker has surely heard that its ends are taken note of.
+    pub acked_told: u64,
     pub noted: NotedEnds,
     /// Highest cursor of a failure that was listed: the leader waits to hear that it is noted.
     pub failure_cursor: u64,
@@ -116,6 +120,8 @@
     /// A look at it failed, or this process stood still, and none has succeeded since: another
     /// lifetime may be there.
     pub is_unsure: bool,
+    /// When this process was found to have stood still: what was asked before tells who was there.
+    pub stood_still_ms: u64,
     /// When it last listed what it runs.
     pub listed_ms: u64,
     /// Another lifetime answers in its place: what is sent to its id would reach that one.
@@ -141,6 +147,7 @@
             begun: HashMap::new(),
             ended: BTreeMap::new(),
             acked_cursor: 0,
+            acked_told: 0,
             noted: NotedEnds::NONE,
             failure_cursor: 0,
             told_until_ms: None,
@@ -161,6 +168,7 @@
             missing_since_ms: None,
             unanswered_starts: BTreeMap::new(),
             is_unsure: false,
+            stood_still_ms: 0,
             listed_ms: now.mono_ms,
             is_displaced: false,
             is_gone: false,
--- a/src/runtime/single/adapters.rs
+++ b/src/runtime/single/adapters.rs
@@ -15,13 +15,14 @@
     http::{OutgoingPool, Pending},
     link::Link,
     metrics::Metrics,
-    node::{self, NodeCore},
+    node::{self, CallResult, NodeCore},
     prelude::*,
     runtime::{
         disk::DiskWriter,
         role::Adapter,
         single::{Event, Platform, SingleHandle},
     },
+    util::Clock,
 };
 
 pub(super) type Loopback = Rc<RefCell<VecDeque<(SocketAddr, Message)>>>;
@@ -105,9 +106,15 @@
             node::Effect::Call { id, call } => {
                 let (pool, platform) = (self.pool.clone(), self.platform.clone());
                 let (handle, timeout_ms) = (self.handle.clone(), self.timeout_ms);
+                let made_ms = Clock.now().mono_ms;
                 tokio::task::spawn_local(async move {
-                    let reply = pool.call(platform.worker_call(&call, timeout_ms)).await;
-                    let result = platform.worker_result(&call, reply);
+                    let result = match Clock.now().mono_ms < made_ms + STALE_CALL_MS {
+                        true => {
+                            let reply = pool.call(platform.worker_call(&call, timeout_ms)).await;
+                            platform.worker_result(&call, reply)
+                        }
+                        false => CallResult::NoAnswer,
+                    };
                     handle.post(Event::Node(node::Input::CallEnded { id, result }));
                 });
             }
@@ -117,6 +124,10 @@
     fn observe(&mut self, _core: &NodeCore) {}
 }
 
+/// Time after which a call of the worker is no longer sent: this process stood still meanwhile, and
+/// another lifetime may go by the worker's id.
+const STALE_CALL_MS: u64 = 300;
+
 pub(super) struct MemberAdapter {
     pub sending: Sending,
     pub disk: DiskWriter,
--- a/tests/workflows/lifetimes.rs
+++ b/tests/workflows/lifetimes.rs
@@ -205,15 +205,18 @@
 /// The node stood still for as long as it takes a worker to crash and to be back under its id, and goes
 /// on with what was due: the second lifetime took its own ends for acknowledged, and done work was done
 /// again.
-#[test]
-fn a_node_that_stood_still_looks_first() {
+#[yare::parameterized(
+    the_call_under_way_failed = { CallResult::NoAnswer },
+    its_answer_is_from_before = { listed(Some(FIRST_MS), Vec::new()) },
+)]
+fn a_node_that_stood_still_looks_first(before: CallResult) {
     let mut alone = beside_first();
     alone.grant_acked(57);
     answer(&mut alone, listed(Some(FIRST_MS), Vec::new()));
     let under_way = alone.take_call(is_hold);
     alone.now_ms += 3_000;
     alone.grant(true, vec![start()]);
-    alone.end(under_way, CallResult::NoAnswer);
+    alone.end(under_way, before);
     alone.pass(110);
     assert!(!alone.calls.iter().any(|(_, it)| is_start(it)), "{:?}", alone.calls);
     let Some((id, Action::Hold { lease_until_ms, acked_cursor, .. })) = alone.calls.pop() else {
