--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod colocation;
 mod crashes;
+mod days;
 #[path = "../promises/disk.rs"]
 #[allow(dead_code)]
 mod disk;
