--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -179,7 +179,7 @@
     /// Returns whether calls of a worker may be made: orders for its id may reach a newcomer.
     fn may_call(&self, worker: &Lifetime) -> bool {
         let id = &worker.announcement.id;
-        worker.is_callable() && !self.newcomer.as_ref().is_some_and(|it| it.announcement.id == *id)
+        worker.is_callable() && self.newcomer.as_ref().is_none_or(|it| it.announcement.id != *id)
     }
 
     /// Notes whether this process stood still: the worker may have crashed and be back since.
