--- a/src/bench/dispatch.rs
+++ b/src/bench/dispatch.rs
@@ -44,17 +44,39 @@
     pub report_us: (f64, f64),
     /// Time of a turn that makes a plan while everything waits.
     pub plan_us: (f64, f64),
+    pub looks: Looks,
+}
+
+/// Sessions and rooms that the leader looks at in walks over all of them, in the mean.
+#[derive(Clone, Copy, Debug)]
+pub struct Looks {
+    /// For each worker that enrols, one by one, plans aside.
+    pub per_enrolment: f64,
+    /// For each plan while nothing waits and nothing is slow.
+    pub per_idle_plan: f64,
+    /// For each plan while everything waits and every filler is slow.
+    pub per_plan: f64,
 }
 
 /// Measures every pair of the sizes and prints a table.
 pub fn run(workers: &[u64], waiting: &[u32]) {
-    println!("workers waiting report_us_p50 report_us_p99 plan_us_p50 plan_us_p99");
+    println!(
+        "workers waiting report_us_p50 report_us_p99 plan_us_p50 plan_us_p99 looks_per_enrolment looks_per_idle_plan looks_per_plan"
+    );
     for waiting in waiting {
         for workers in workers {
             let it = measure(*workers, *waiting);
             println!(
-                "{} {} {:.1} {:.1} {:.0} {:.0}",
-                it.workers, it.waiting, it.report_us.0, it.report_us.1, it.plan_us.0, it.plan_us.1
+                "{} {} {:.1} {:.1} {:.0} {:.0} {:.1} {:.1} {:.1}",
+                it.workers,
+                it.waiting,
+                it.report_us.0,
+                it.report_us.1,
+                it.plan_us.0,
+                it.plan_us.1,
+                it.looks.per_enrolment,
+                it.looks.per_idle_plan,
+                it.looks.per_plan
             );
         }
     }
@@ -63,6 +85,8 @@
 /// Measures one case.
 pub fn measure(workers: u64, waiting: u32) -> Case {
     let mut leader = Leader::new(workers);
+    let per_enrolment = leader.enrolment_looks as f64 / workers as f64;
+    let per_idle_plan = leader.looks_per_plan(1, LOW_TAIL_MS);
     // Services first, then fillers, while tails are low enough for these.
     for id in 0..SERVICES {
         let count = (workers as u32 * SERVING_PER_WORKER).div_ceil(SERVICES as u32);
@@ -82,12 +106,11 @@
     leader.report_all(HIGH_TAIL_MS);
     leader.reports = Vec::new();
     leader.plans = Vec::new();
-    for _ in 0..ROUNDS {
-        leader.report_all(HIGH_TAIL_MS);
-    }
+    let per_plan = leader.looks_per_plan(ROUNDS, HIGH_TAIL_MS);
+    let looks = Looks { per_enrolment, per_idle_plan, per_plan };
     let report_us = percentiles_us(&mut leader.reports);
     let plan_us = percentiles_us(&mut leader.plans);
-    Case { workers, waiting, report_us, plan_us }
+    Case { workers, waiting, report_us, plan_us, looks }
 }
 
 /// Tails of services with room for fillers, and without.
@@ -103,6 +126,7 @@
     workers: u64,
     reports: Vec<Duration>,
     plans: Vec<Duration>,
+    enrolment_looks: u64,
 }
 
 impl Leader {
@@ -120,8 +144,16 @@
         };
         let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let (reports, plans) = (Vec::new(), Vec::new());
-        let mut res =
-            Leader { workflows, dispatcher, now_ms: 1_000, number: 0, workers, reports, plans };
+        let mut res = Leader {
+            workflows,
+            dispatcher,
+            now_ms: 1_000,
+            number: 0,
+            workers,
+            reports,
+            plans,
+            enrolment_looks: 0,
+        };
         res.report_all(0);
         res.report_all(0);
         res
@@ -153,7 +185,19 @@
 
     fn apply(&mut self, command: WorkflowCommand) {
         self.workflows.apply(&command, self.now_ms);
+        let before = self.dispatcher.looks();
         self.dispatcher.note_applied(&self.workflows, &command, &[], self.now());
+        if let WorkflowCommand::Enrol(_) = command {
+            self.enrolment_looks += self.dispatcher.looks() - before;
+        }
+    }
+
+    /// Lets every worker report some times; returns how many sessions and rooms a plan looked at.
+    fn looks_per_plan(&mut self, rounds: u32, tail_ms: u32) -> f64 {
+        let (looks, plans) = (self.dispatcher.looks(), self.dispatcher.plans());
+        (0..rounds).for_each(|_| self.report_all(tail_ms));
+        let plans = (self.dispatcher.plans() - plans).max(1);
+        (self.dispatcher.looks() - looks) as f64 / plans as f64
     }
 
     /// Lets every worker report once, spread over the interval of reports.
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -127,6 +127,12 @@
         self.plans
     }
 
+    /// Returns how many sessions and rooms were looked at so far in walks over all of them: what
+    /// grows with the fleet for each event.
+    pub fn looks(&self) -> u64 {
+        self.sessions.looks() + self.rooms.looks()
+    }
+
     /// Checks that the rooms kept are those that the ledger gives, by a walk over all workers.
     ///
     /// # Errors
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -102,7 +102,9 @@
     }
     waits.note(&candidates, &placing, now.mono_ms);
     let moves = moves::moves(&slow, &mut placing);
+    let looks = placing.looks();
     let (runs, touched) = placing.finish();
+    rooms.note_looks(looks);
     touched.into_iter().for_each(|it| rooms.note_changed(it));
     Plan { runs, moves }
 }
--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -1,6 +1,9 @@
 //! Tasks of steps put into rooms, one step after the other.
 
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::{
+    cell::Cell,
+    collections::{BTreeSet, BinaryHeap, HashMap},
+};
 
 use crate::{
     control::{
@@ -26,6 +29,8 @@
     /// Needs for which no room was left: rooms only shrink while a plan is made, so that whoever
     /// needs as much need not look again. In overload most of what waits is of few kinds.
     unmet: Vec<Unmet>,
+    /// Rooms that were asked what they offer.
+    looks: Cell<u64>,
 }
 
 /// A need for which no room was left.
@@ -73,7 +78,7 @@
         trials: Trials,
     ) -> Placing<'a, 'r> {
         let (runs, touched, unmet) = (Vec::new(), BTreeSet::new(), Vec::new());
-        Placing { workflows, rooms, harm, trials, runs, touched, unmet }
+        Placing { workflows, rooms, harm, trials, runs, touched, unmet, looks: Cell::new(0) }
     }
 
     pub(super) fn workflows(&self) -> &'a Workflows {
@@ -88,6 +93,11 @@
         &self.trials
     }
 
+    /// Returns how many rooms were asked what they offer.
+    pub(super) fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
     pub(super) fn runs(&self) -> &[RunPlacement] {
         &self.runs
     }
@@ -267,6 +277,7 @@
             let placed = counts.get(&room.id).copied().unwrap_or(0);
             Some((room.offer(asked, placed, care, self.harm)?, at))
         };
+        self.looks.set(self.looks.get() + self.rooms.len() as u64);
         self.rooms.iter().enumerate().filter_map(offer).collect()
     }
 
--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -325,9 +325,21 @@
     /// Workers whose runs have changed since their rooms were made.
     stale: BTreeSet<WorkerId>,
     read_at_ms: u64,
+    /// How many rooms were looked at so far in walks over all of them.
+    looks: u64,
 }
 
 impl Rooms {
+    /// Returns how many rooms were looked at so far in walks over all of them.
+    pub(super) fn looks(&self) -> u64 {
+        self.looks
+    }
+
+    /// Counts rooms that a plan looked at.
+    pub(super) fn note_looks(&mut self, looks: u64) {
+        self.looks += looks;
+    }
+
     /// Takes note of a worker whose runs have changed.
     pub(super) fn note_changed(&mut self, id: WorkerId) {
         self.stale.insert(id);
@@ -335,6 +347,7 @@
 
     /// Takes note of workers that another lifetime has taken the place of.
     pub(super) fn note_missing(&mut self, workflows: &Workflows) {
+        self.looks += self.rooms.len() as u64;
         let missing = self.rooms.keys().filter(|it| workflows.workers().get(**it).is_none());
         self.stale.extend(missing);
     }
@@ -359,6 +372,7 @@
         }
         if self.read_at_ms <= now.mono_ms {
             self.read_at_ms = now.mono_ms + READ_INTERVAL_MS;
+            self.looks += self.rooms.len() as u64;
             self.rooms.values_mut().for_each(|it| it.read(harm));
         }
     }
@@ -370,6 +384,7 @@
         sessions: &Sessions,
         usable: Usable,
     ) -> Vec<&mut Room> {
+        self.looks += self.rooms.len() as u64;
         let is_usable = |id| sessions.is_usable(id, usable) && !workflows.is_evacuated(id);
         self.rooms.values_mut().filter(|it| is_usable(it.id)).collect()
     }
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -1,6 +1,7 @@
 //! The leader's view of each worker: its lease and what its node reported last.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     net::SocketAddr,
 };
@@ -59,6 +60,8 @@
     /// No lease is over before this. A lease is only ever prolonged, so that all of them are
     /// looked at once a lease, and not at each event.
     expiry_bound_ms: u64,
+    /// How many sessions were looked at so far in walks over all of them.
+    looks: Cell<u64>,
 }
 
 impl Sessions {
@@ -117,7 +120,17 @@
         self.sessions.get_mut(&id)
     }
 
+    /// Returns how many sessions were looked at so far in walks over all of them.
+    pub(super) fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
+    fn note_walk(&self) {
+        self.looks.set(self.looks.get() + self.sessions.len() as u64);
+    }
+
     pub(super) fn drop_missing(&mut self, workflows: &Workflows) {
+        self.note_walk();
         self.sessions.retain(|id, _| workflows.workers().get(*id).is_some());
     }
 
@@ -130,6 +143,7 @@
         if now_ms < self.next_expiry_ms() {
             return Vec::new();
         }
+        self.note_walk();
         let mut res = Vec::new();
         self.expiry_bound_ms = u64::MAX;
         for (id, it) in self.sessions.iter_mut().filter(|(_, it)| !it.is_ending) {
@@ -147,6 +161,7 @@
     /// Returns the fillers that are slow on workers that can be told to stop them, the slowest
     /// first, which hold up their workflows longest.
     pub(super) fn slow_runs(&self, workflows: &Workflows, is_usable: Usable) -> Vec<SlowRun> {
+        self.note_walk();
         let usable = self.sessions.iter().filter(|(_, it)| it.is_usable(is_usable));
         let placed = |it: &SlowRun| {
             let worker = workflows.workers().get(it.worker);
