Let registrations and plans look only at what concerns them

Cause: a registration, and a lifetime given up, walked over all sessions and all rooms; a plan walked over all sessions for slow fillers; and each slow filler asked every room for its best place, so that a plan took the square of the fleet wherever many fillers were slow. Change: sessions are indexed by node and by slow fillers; the best place is asked for once for a step, and again only once that place is taken.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -218,7 +218,8 @@
                 }
             }
             WorkflowCommand::Enrol(it) => {
-                self.sessions.drop_missing(workflows);
+                let replaced = self.sessions.drop_beside(it.node, workflows);
+                replaced.into_iter().for_each(|id| self.rooms.note_changed(id));
                 if let Some(id) = workflows.workers().find(it.node, &it.name) {
                     tracing::info!(event = "worker_enrolled", worker = %it.name, id = %id, node = %it.node, service = %it.service, kind = %it.kind, rack = %it.rack);
                     self.sessions.open(id, it.node, now.mono_ms + self.options.held_ms());
@@ -227,7 +228,6 @@
                     // Its token lets the node read the lists that everything else waits for.
                     self.send_orders(workflows, id, members);
                 }
-                self.rooms.note_missing(workflows);
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Finish(it) => {
@@ -247,7 +247,7 @@
                 self.want_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Dismiss(id) => {
-                self.sessions.drop_missing(workflows);
+                self.sessions.drop(*id);
                 self.rooms.note_changed(*id);
                 self.want_plan(PLAN_PAUSE_MS);
             }
@@ -326,6 +326,7 @@
         }
         let number = session.number;
         session.watched.retain(|_, it| it.listed_in == number);
+        self.sessions.note_slow(id);
         self.harm.observe(&serving, &fillers, now.mono_ms);
     }
 
--- a/src/control/dispatch/plan/moves.rs
+++ b/src/control/dispatch/plan/moves.rs
@@ -3,13 +3,15 @@
 //! A step waits for its last task, so one filler that is halted beside a busy service holds up
 //! its whole workflow while other workers could run it at full speed.
 
+use std::collections::HashMap;
+
 use crate::{
     control::dispatch::sessions::SlowRun,
     policy::mobility::{Movable, is_worth_moving},
     prelude::*,
 };
 
-use super::placing::Placing;
+use super::placing::{Found, Placing};
 
 /// Most moves of one plan: reports of their effect come half a second later.
 const MOVES_MAX: usize = 8;
@@ -17,22 +19,33 @@
 /// Returns the runs to stop, because they would end sooner on workers that have room.
 pub(super) fn moves(slow: &[SlowRun], placing: &mut Placing<'_, '_>) -> Vec<SlowRun> {
     let mut res = Vec::new();
+    let mut best = BestPlaces::new();
     for it in slow {
         if MOVES_MAX <= res.len() {
             break;
         }
-        if moves_one(it, placing).is_some() {
+        if moves_one(it, placing, &mut best).is_some() {
             res.push(*it);
         }
     }
     res
 }
 
+/// The best place for one more task of each step that was asked for. Tasks of a step are alike, and
+/// in overload as many are slow as the fleet is large: asked for each, a plan would take the square
+/// of that.
+type BestPlaces<'a> = HashMap<StepRef, Option<Found<'a>>>;
+
 /// Keeps a better place for a run, if there is one.
-fn moves_one(it: &SlowRun, placing: &mut Placing<'_, '_>) -> Option<()> {
+fn moves_one<'a>(
+    it: &SlowRun,
+    placing: &mut Placing<'a, '_>,
+    best: &mut BestPlaces<'a>,
+) -> Option<()> {
     let workflow = placing.workflows().get(it.run.task.workflow)?;
     let step = workflow.spec.steps.get(it.run.task.step as usize)?;
-    let found = placing.best_for(StepRef::of(it.run.task), workflow)?;
+    let at = StepRef::of(it.run.task);
+    let found = (*best.entry(at).or_insert_with(|| placing.best_for(at, workflow)))?;
     let movable = Movable {
         estimate_ms: step.estimate_ms,
         progress_percent: it.progress_percent,
@@ -40,5 +53,11 @@
         share_here: it.share,
     };
     let is_better = found.worker != it.worker && is_worth_moving(movable, found.speed);
-    is_better.then(|| placing.keep(&found))
+    if !is_better {
+        return None;
+    }
+    placing.keep(&found);
+    // A place that is taken offers less; all others offer what they did.
+    best.retain(|_, it| it.is_none_or(|it| it.worker != found.worker));
+    Some(())
 }
--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -322,6 +322,7 @@
 }
 
 /// A worker that would take one more task.
+#[derive(Clone, Copy)]
 pub(super) struct Found<'a> {
     room: usize,
     pub worker: WorkerId,
--- a/src/control/dispatch/rooms.rs
+++ b/src/control/dispatch/rooms.rs
@@ -345,13 +345,6 @@
         self.stale.insert(id);
     }
 
-    /// Takes note of workers that another lifetime has taken the place of.
-    pub(super) fn note_missing(&mut self, workflows: &Workflows) {
-        self.looks += self.rooms.len() as u64;
-        let missing = self.rooms.keys().filter(|it| workflows.workers().get(**it).is_none());
-        self.stale.extend(missing);
-    }
-
     /// Returns the room of a worker as the ledger has it.
     pub(super) fn get(
         &mut self,
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque, btree_map::Entry},
     net::SocketAddr,
 };
 
@@ -56,6 +56,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Sessions {
     sessions: BTreeMap<WorkerId, Session>,
+    /// The sessions beside each node: one, but for an instant while another lifetime enrols.
+    by_node: HashMap<SocketAddr, Vec<WorkerId>>,
+    /// The workers with fillers that are slow by their newest report.
+    with_slow: BTreeSet<WorkerId>,
     newest: HashMap<SocketAddr, NewestReport>,
     /// No lease is over before this. A lease is only ever prolonged, so that all of them are
     /// looked at once a lease, and not at each event.
@@ -92,7 +96,10 @@
             proposed_cursor: 0,
             is_ending: false,
         };
-        self.sessions.entry(id).or_insert(session);
+        if let Entry::Vacant(entry) = self.sessions.entry(id) {
+            entry.insert(session);
+            self.by_node.entry(node).or_default().push(id);
+        }
         self.expiry_bound_ms = match self.sessions.len() {
             1 => held_until_ms,
             _ => self.expiry_bound_ms.min(held_until_ms),
@@ -129,9 +136,33 @@
         self.looks.set(self.looks.get() + self.sessions.len() as u64);
     }
 
-    pub(super) fn drop_missing(&mut self, workflows: &Workflows) {
-        self.note_walk();
-        self.sessions.retain(|id, _| workflows.workers().get(*id).is_some());
+    /// Drops a session.
+    pub(super) fn drop(&mut self, id: WorkerId) {
+        let Some(session) = self.sessions.remove(&id) else { return };
+        self.with_slow.remove(&id);
+        if let Some(beside) = self.by_node.get_mut(&session.node) {
+            beside.retain(|it| *it != id);
+            if beside.is_empty() {
+                self.by_node.remove(&session.node);
+            }
+        }
+    }
+
+    /// Drops the sessions beside a node whose workers have left the ledger; returns these.
+    pub(super) fn drop_beside(&mut self, node: SocketAddr, workflows: &Workflows) -> Vec<WorkerId> {
+        let beside = self.by_node.get(&node).cloned().unwrap_or_default();
+        let is_gone = |it: &WorkerId| workflows.workers().get(*it).is_none();
+        let gone: Vec<_> = beside.into_iter().filter(is_gone).collect();
+        gone.iter().for_each(|it| self.drop(*it));
+        gone
+    }
+
+    /// Notes whether a worker has fillers that are slow.
+    pub(super) fn note_slow(&mut self, id: WorkerId) {
+        match self.get(id).is_some_and(|it| !it.slow.is_empty()) {
+            true => self.with_slow.insert(id),
+            false => self.with_slow.remove(&id),
+        };
     }
 
     /// Returns when a lease may be over; nothing is by then where all were prolonged meanwhile.
@@ -161,8 +192,8 @@
     /// Returns the fillers that are slow on workers that can be told to stop them, the slowest
     /// first, which hold up their workflows longest.
     pub(super) fn slow_runs(&self, workflows: &Workflows, is_usable: Usable) -> Vec<SlowRun> {
-        self.note_walk();
-        let usable = self.sessions.iter().filter(|(_, it)| it.is_usable(is_usable));
+        let with_slow = self.with_slow.iter().filter_map(|id| Some((id, self.get(*id)?)));
+        let usable = with_slow.filter(|(_, it)| it.is_usable(is_usable));
         let placed = |it: &SlowRun| {
             let worker = workflows.workers().get(it.worker);
             worker.is_some_and(|worker| worker.runs.contains(&it.run))
--- a/tests/dispatch_work.rs
+++ b/tests/dispatch_work.rs
@@ -33,7 +33,7 @@
 #[test]
 fn a_plan_asks_each_room_once_for_a_step() {
     let steps = f64::from(WAITING.div_ceil(40) + 30);
-    for workers in [40, 320] {
+    for workers in [40, 320, 1_000] {
         let it = looks(workers).per_plan;
         let most = (steps + 4.0) * workers as f64;
         assert!(it <= most, "{workers} workers: {it} rooms a plan, {most} at most");
