Dial a host again each 200 ms while a connection is waited for

Cause: the packet that opens a connection to a host without power is lost, and the system sends it again only after a second; a try was given up after 800 ms, and what waited with it. So nodes found a leader that was back half a second late in the median, and leases lapsed meanwhile. Change: a connection is dialled in tries of 200 ms, within the 800 ms that it has.

--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -13,7 +13,10 @@
     prelude::*,
 };
 
+/// Time for a connection, of which each try to reach the peer's host has a part: what was sent to a
+/// host without power is sent again only after a second by the system, while the host may be back.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+const DIAL_TIMEOUT: Duration = Duration::from_millis(200);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 const BACKOFF_MIN: Duration = Duration::from_millis(20);
@@ -177,8 +180,17 @@
     }
 }
 
+/// Opens a connection to a host that may just come back, within the time for the whole.
+async fn dial(address: SocketAddr) -> std::io::Result<TcpStream> {
+    loop {
+        if let Ok(it) = time::timeout(DIAL_TIMEOUT, TcpStream::connect(address)).await {
+            return it;
+        }
+    }
+}
+
 async fn connect(peer: &Peer) -> Result<Stream, SendError> {
-    let tcp = TcpStream::connect(peer.address).await?;
+    let tcp = dial(peer.address).await?;
     tcp.set_nodelay(true)?;
     socket2::SockRef::from(&tcp).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let (mut client, mut connection) = h2::client::Builder::new()
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -110,3 +110,30 @@
     }
     assert_eq!(a.metrics.silent_links(), 1);
 }
+
+/// Time for a host that takes connections again: a try, and what two processes take on a busy VM.
+const BACK: Duration = Duration::from_millis(450);
+
+/// A host drops the packet that opens a connection, as one without power does, and is back a moment
+/// later. The system sends such a packet again only after a second; by then leases have lapsed.
+#[test]
+fn a_host_that_is_back_is_reached_at_once() {
+    let host = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    host.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    host.listen(0).unwrap();
+    let address = host.local_addr().unwrap().as_socket().unwrap();
+    // Once its queue is full, it drops the packets that open further ones.
+    let others: Vec<_> = (0..8)
+        .map_while(|_| {
+            std::net::TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok()
+        })
+        .collect();
+    assert!(others.len() < 8, "the queue of the host was never full");
+    let a = start(PROTOCOL_VERSION, 1);
+    a.link.send(address, message(1));
+    std::thread::sleep(Duration::from_millis(300));
+    others.iter().for_each(|_| drop(host.accept().unwrap()));
+    host.set_read_timeout(Some(BACK)).unwrap();
+    let began = std::time::Instant::now();
+    assert!(host.accept().is_ok() && began.elapsed() < BACK, "not reached in {BACK:?}");
+}
