--- a/tests/workflows/faults.rs
+++ b/tests/workflows/faults.rs
@@ -178,6 +178,36 @@
     assert_eq!(world.rules.starts, 6, "a run that lapsed was started again");
 }
 
+/// Returns the lease that the product has where no settings say otherwise.
+fn default_lease_ms() -> u64 {
+    let page = aspenrail::config::settings_page();
+    let row =
+        page.lines().find(|it| it.contains("runs on without a word from the leader")).unwrap();
+    row.split('|').nth(4).unwrap().trim().parse().unwrap()
+}
+
+/// Control without power for four seconds, as long as its VMs take to restart, costs no run: on a
+/// whole fleet all of them lapsed together.
+#[test]
+fn work_outlives_control_that_is_dark_for_four_seconds() {
+    let mut world = World::new(5, 3, 3);
+    world.lease_ms = default_lease_ms();
+    (0..3).for_each(|at| world.kill_member(at, 10, false));
+    world.run_for(2_000);
+    world.install_queue();
+    world.submit(
+        7,
+        spec(vec![step(6, 1, &[])]),
+        Nature { work_ms: 8_000, fails_every: 0, crash: None },
+    );
+    world.run_for(2_000);
+    assert_eq!(world.rules.starts, 6);
+    (0..3).for_each(|at| world.kill_member(at, 4_000, false));
+    world.run_for(12_000);
+    assert_eq!(world.phase(7), Some(WorkflowPhase::Completed));
+    assert_eq!(world.rules.starts, 6, "a run that lapsed was started again");
+}
+
 #[test]
 fn work_of_a_cut_off_worker_begins_elsewhere_after_its_lease() {
     let mut world = World::new(4, 3, 2);
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -130,6 +130,8 @@
     /// Whether workers that crashed are back under the id that they had; by lot where it is not
     /// said.
     pub keeps_ids: Option<bool>,
+    /// What members that start from now on are told of leases.
+    pub lease_ms: u64,
     /// Draws what lifetimes of workers are like.
     lives: fastrand::Rng,
 }
@@ -168,6 +170,7 @@
             loses_orders: false,
             refuses_connections: false,
             keeps_ids: None,
+            lease_ms: dispatch_options().lease_ms,
             lives: fastrand::Rng::with_seed(!seed),
         };
         let founders: Vec<_> = controls
@@ -216,7 +219,7 @@
             controls: self.controls(),
             settings: control_settings(),
             boot: self.random.u64(..),
-            dispatch: Some(dispatch_options()),
+            dispatch: Some(DispatchOptions { lease_ms: self.lease_ms, ..dispatch_options() }),
             voters: 3,
         };
         let now = self.now();
