--- a/tests/workflows/crashes.rs
+++ b/tests/workflows/crashes.rs
@@ -179,14 +179,14 @@
     for id in 1..=6 {
         world.submit(id, spec(vec![lasting(4)]), Nature { work_ms: 600_000, ..QUICK });
     }
-    let is_guilty = |id: u64| with_guilty && 6 < id && id % 10 == 0;
+    let is_guilty = |id: u64| with_guilty && 6 < id && id.is_multiple_of(10);
     for id in 7..=40 {
         let after_ms = world.random.u64(0..3_000);
         let harmless = Nature { work_ms: 4_000, ..QUICK };
         let nature = if is_guilty(id) { crashing(4_000, after_ms) } else { harmless };
         world.submit(id, spec(vec![step(4, 1, &[])]), nature);
         world.run_for(500);
-        if crash_each_ms != 0 && (id * 500) % crash_each_ms == 0 {
+        if crash_each_ms != 0 && (id * 500).is_multiple_of(crash_each_ms) {
             let vm = world.random.usize(0..6);
             if world.nodes[vm].worker.up {
                 world.crash_worker(vm, 2_500);
