--- a/src/control/dispatch/plan/placing.rs
+++ b/src/control/dispatch/plan/placing.rs
@@ -171,7 +171,7 @@
     }
 
     /// Returns whether a task need not wait for a calm.
-    fn may_begin(&self, task: TaskRef) -> bool {
+    pub(super) fn may_begin(&self, task: TaskRef) -> bool {
         self.trials.is_calm() || !self.workflows.suspects().needs_calm(task)
     }
 
--- a/src/control/dispatch/plan/waits.rs
+++ b/src/control/dispatch/plan/waits.rs
@@ -68,6 +68,8 @@
 struct Left {
     tasks: usize,
     suspects: usize,
+    /// Those that wait until no workers crash.
+    held: usize,
 }
 
 impl Left {
@@ -75,6 +77,7 @@
         let workers = placing.rooms().len();
         let cause = match self {
             _ if workers == 0 => "no_worker",
+            it if it.held == it.tasks => "no_calm",
             it if it.suspects == it.tasks => "trial",
             _ => "no_room",
         };
@@ -106,5 +109,6 @@
         index,
     };
     let tried = waiting.iter().filter(|it| suspects.needs_trial(task(**it))).count();
-    (!waiting.is_empty()).then_some(Left { tasks: waiting.len(), suspects: tried })
+    let held = waiting.iter().filter(|it| !placing.may_begin(task(**it))).count();
+    (!waiting.is_empty()).then_some(Left { tasks: waiting.len(), suspects: tried, held })
 }
