Add the interfaces that the parts for hard load share

Callers (queue and availability zone of entry), learned run times and worker speeds in the replicated state; one budget for every stop of a running task; rejections with a cause and a time to return; one switch a part, all off. Free capacities and candidates of a plan move to modules of their own.

--- a/src/bench/dispatch.rs
+++ b/src/bench/dispatch.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     control::{
-        dispatch::{DispatchOptions, Dispatcher, PlanOptions},
+        dispatch::{DispatchOptions, Dispatcher, Features, PlanOptions},
         state::Workflows,
     },
     link::{FrameDecoder, encode_frame},
@@ -142,6 +142,7 @@
             silent_ms: 1_200,
             retention_ms: 300_000,
             plan: PlanOptions { interval_ms: 250 },
+            features: Features::default(),
         };
         let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let (report_times, plan_times) = (Vec::new(), Vec::new());
--- a/src/control/core/event_logging.rs
+++ b/src/control/core/event_logging.rs
@@ -30,9 +30,8 @@
                 term
             );
         }
-        WorkflowCommand::Submit(it) => {
-            tracing::info!(event = "workflow_accepted", workflow = %format_args!("{:016x}", it.id.0), queue = %it.queue, steps = it.spec.steps.len(), index, term);
-        }
+        WorkflowCommand::Submit(it) => log_accepted(it, "", entry),
+        WorkflowCommand::SubmitFrom(it) => log_accepted(&it.workflow, &it.zone, entry),
         WorkflowCommand::Cancel(id) => {
             tracing::info!(event = "workflow_cancelled", workflow = %format_args!("{:016x}", id.0), outcome = ?outcome, index, term);
         }
@@ -79,6 +78,10 @@
     }
 }
 
+fn log_accepted(it: &SubmitWorkflow, zone: &str, entry: &LogEntry) {
+    tracing::info!(event = "workflow_accepted", workflow = %format_args!("{:016x}", it.id.0), queue = %it.queue, zone, steps = it.spec.steps.len(), index = entry.index, term = entry.term);
+}
+
 /// Highest number of suspected tasks logged after a crash; the likeliest causes are logged.
 const SUSPECTS_LOGGED_MAX: usize = 4;
 
--- a/src/control/dispatch/capacity.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -1,17 +1,10 @@
-//! Free capacity of each worker, cached between plans.
-//!
-//! A worker's free capacity is rebuilt only if its runs have changed. The loads and costs in it are
-//! refreshed at an interval of their own, since reports arrive at most every half second: with 240
-//! workers, plans that rebuilt every entry took most of the leader's time.
+//! Free capacity of each worker, and how well it suits a task.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod cache;
 
 use crate::{
     control::{
-        dispatch::{
-            run_monitor::RunKind,
-            sessions::{Sessions, UsabilityCriteria},
-        },
+        dispatch::run_monitor::RunKind,
         state::{Worker, Workflows, add, fits, reservation_of, subtract},
     },
     policy::{
@@ -23,6 +16,8 @@
     prelude::*,
 };
 
+pub(super) use self::cache::FreeCapacities;
+
 /// Least headroom, in percent, that placement of fillers leaves a serving task. It is far above
 /// what the throttler keeps: loads change within seconds and a filler runs for some, so one placed
 /// at less headroom is soon suspended and delays its workflow.
@@ -40,10 +35,6 @@
 /// of a task at half load.
 const NEW_TASK_HEADROOM_PERCENT: f64 = 280.0;
 
-/// Interval at which the loads and costs of all workers are refreshed: a fifth of the interval of
-/// worker reports.
-const REFRESH_INTERVAL_MS: u64 = 100;
-
 /// Requirements of a task for its placement.
 #[derive(Clone, Copy)]
 pub(super) struct TaskDemand<'a> {
@@ -348,112 +339,3 @@
     ProtectLatency,
     AnyWorker,
 }
-
-/// The free capacities of all workers in the ledger.
-#[derive(Debug, Default)]
-pub(super) struct FreeCapacities {
-    by_worker: BTreeMap<WorkerId, FreeCapacity>,
-    /// Workers whose runs have changed since their entries were built.
-    stale: BTreeSet<WorkerId>,
-    next_refresh_ms: u64,
-    /// Number of entries visited so far in full scans.
-    rows_visited: u64,
-}
-
-impl FreeCapacities {
-    /// Returns the number of entries visited so far in full scans.
-    pub(super) fn rows_visited(&self) -> u64 {
-        self.rows_visited
-    }
-
-    pub(super) fn note_visited(&mut self, rows_visited: u64) {
-        self.rows_visited += rows_visited;
-    }
-
-    /// Marks the entry of a worker whose runs have changed for a rebuild.
-    pub(super) fn mark_stale(&mut self, id: WorkerId) {
-        self.stale.insert(id);
-    }
-
-    /// Returns the up-to-date free capacity of a worker.
-    pub(super) fn get(
-        &mut self,
-        workflows: &Workflows,
-        contention: &mut ContentionModel,
-        id: WorkerId,
-    ) -> Option<&FreeCapacity> {
-        if self.stale.remove(&id) {
-            self.rebuild(workflows, contention, id);
-        }
-        self.by_worker.get(&id)
-    }
-
-    /// Rebuilds the stale entries, and refreshes loads and costs of all entries if that is due.
-    pub(super) fn refresh(
-        &mut self,
-        workflows: &Workflows,
-        contention: &mut ContentionModel,
-        now: Now,
-    ) {
-        for id in std::mem::take(&mut self.stale) {
-            self.rebuild(workflows, contention, id);
-        }
-        if self.next_refresh_ms <= now.mono_ms {
-            self.next_refresh_ms = now.mono_ms + REFRESH_INTERVAL_MS;
-            self.rows_visited += self.by_worker.len() as u64;
-            self.by_worker.values_mut().for_each(|it| it.refresh_loads(contention));
-        }
-    }
-
-    /// Returns the free capacities of the workers on which new runs may be placed.
-    pub(super) fn usable(
-        &mut self,
-        workflows: &Workflows,
-        sessions: &Sessions,
-        usability: UsabilityCriteria,
-    ) -> Vec<&mut FreeCapacity> {
-        self.rows_visited += self.by_worker.len() as u64;
-        let is_usable = |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
-        self.by_worker.values_mut().filter(|it| is_usable(it.id)).collect()
-    }
-
-    /// Checks the entries that are not stale against entries built anew.
-    ///
-    /// # Errors
-    ///
-    /// Returns a description of the first entry that differs.
-    pub(super) fn audit(
-        &self,
-        workflows: &Workflows,
-        contention: &mut ContentionModel,
-    ) -> Result<(), String> {
-        for (id, worker) in workflows.workers().iter().filter(|(id, _)| !self.stale.contains(id)) {
-            let expected = FreeCapacity::new(workflows, id, worker, contention);
-            let cached = self.by_worker.get(&id).cloned().map(|mut it| {
-                it.refresh_loads(contention);
-                it
-            });
-            if cached.as_ref() != Some(&expected) {
-                return Err(format!(
-                    "free capacity of worker {id} is cached as {cached:?}, expected {expected:?}"
-                ));
-            }
-        }
-        let is_gone = |id: &&WorkerId| workflows.workers().get(**id).is_none();
-        match self.by_worker.keys().filter(|it| !self.stale.contains(it)).find(is_gone) {
-            Some(id) => {
-                Err(format!("free capacity is cached for worker {id}, which is not in the ledger"))
-            }
-            None => Ok(()),
-        }
-    }
-
-    fn rebuild(&mut self, workflows: &Workflows, contention: &mut ContentionModel, id: WorkerId) {
-        match workflows.workers().get(id) {
-            Some(worker) => drop(
-                self.by_worker.insert(id, FreeCapacity::new(workflows, id, worker, contention)),
-            ),
-            None => drop(self.by_worker.remove(&id)),
-        }
-    }
-}
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -2,7 +2,9 @@
 //! the orders for workers from the ledger.
 
 mod capacity;
+mod features;
 mod lost_workers;
+mod moves;
 mod orders;
 mod plan;
 mod probations;
@@ -15,8 +17,10 @@
 
 use crate::{
     control::state::Workflows,
-    policy::contention::{
-        ContentionModel, FillerLoad, ServingTask, headroom_percent, reference_cores,
+    policy::{
+        contention::{ContentionModel, FillerLoad, ServingTask, headroom_percent, reference_cores},
+        disruption::{RunStop, StopCause},
+        forecast::{RunTimeModel, TaskKind},
     },
     prelude::*,
 };
@@ -24,12 +28,16 @@
 use self::{
     capacity::FreeCapacities,
     lost_workers::LossCause,
+    moves::StopBudget,
     probations::Probations,
     retention::ClockReadings,
     run_monitor::{RunKind, RunMonitor},
     sessions::{Sessions, SlowRun, UsabilityCriteria},
 };
-pub use self::{orders::run_name, plan::PlanOptions, requests::RequestDecision, sessions::Session};
+pub use self::{
+    features::Features, orders::run_name, plan::PlanOptions, requests::RequestDecision,
+    sessions::Session,
+};
 
 /// Interval at which workflows past their retention time are removed.
 const FORGET_INTERVAL_MS: u64 = 10_000;
@@ -60,6 +68,7 @@
     /// Retention time of the phase of an ended workflow.
     pub retention_ms: u64,
     pub plan: PlanOptions,
+    pub features: Features,
 }
 
 /// Commands to propose and messages to send after one turn of the dispatcher.
@@ -76,6 +85,8 @@
     term: u64,
     sessions: Sessions,
     contention: ContentionModel,
+    run_times: RunTimeModel,
+    stop_budget: StopBudget,
     free_capacities: FreeCapacities,
     probations: Probations,
     idle_since: plan::IdleSince,
@@ -102,6 +113,8 @@
             term,
             sessions: Sessions::take_over(workflows, now.mono_ms + options.lease_with_margin_ms()),
             contention: ContentionModel::with_known_costs(workflows.image_costs(), now.mono_ms),
+            run_times: RunTimeModel::with_learned(workflows.demand().run_times()),
+            stop_budget: StopBudget::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
@@ -147,6 +160,14 @@
         self.free_capacities.audit(workflows, &mut self.contention)
     }
 
+    /// Proposes the learned run times where they differ from the ledger.
+    fn propose_run_times(&mut self, workflows: &Workflows) {
+        let learned = self.run_times.learned();
+        if learned != workflows.demand().run_times() {
+            self.output.commands.push(WorkflowCommand::LearnRunTimes(learned));
+        }
+    }
+
     /// Runs the periodic work: expires leases, removes old workflows, and writes learned costs and
     /// the occupancy log line.
     pub fn tick(&mut self, workflows: &Workflows, now: Now) {
@@ -164,6 +185,9 @@
             if known_costs != workflows.image_costs() {
                 self.output.commands.push(WorkflowCommand::Learn(known_costs));
             }
+            if self.options.features.needs_run_times() {
+                self.propose_run_times(workflows);
+            }
             self.settle_failures_of_lost(workflows, now);
         }
         if self.occupancy_at_ms <= now.mono_ms {
@@ -206,7 +230,7 @@
             self.begin_in_flight = true;
             self.output.commands.push(WorkflowCommand::Begin(plan.runs));
         }
-        self.evict_fillers(workflows, &plan.moves, members);
+        self.move_fillers(workflows, &plan.moves, members, now);
     }
 
     /// Schedules a plan for `pause_ms` after the last one, unless one is due earlier.
@@ -231,6 +255,11 @@
                     self.free_capacities.mark_stale(it);
                     self.send_orders(workflows, it, members);
                 }
+                for it in runs.iter().filter(|it| workflows.has_run(it.worker, it.run)) {
+                    if let Some(session) = self.sessions.get_mut(it.worker) {
+                        session.begun_ms.insert(it.run, now.mono_ms);
+                    }
+                }
             }
             WorkflowCommand::Enrol(it) => {
                 let replaced = self.sessions.drop_gone_at_node(it.node, workflows);
@@ -288,10 +317,13 @@
                 self.withdraw_starts(workflows, &it.zone, members);
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
-            WorkflowCommand::Submit(_) | WorkflowCommand::Install(_) => {
-                self.schedule_plan(PLAN_PAUSE_MS)
-            }
-            WorkflowCommand::Forget(_) | WorkflowCommand::Learn(_) => (),
+            WorkflowCommand::Submit(_)
+            | WorkflowCommand::SubmitFrom(_)
+            | WorkflowCommand::Install(_) => self.schedule_plan(PLAN_PAUSE_MS),
+            WorkflowCommand::Forget(_)
+            | WorkflowCommand::Learn(_)
+            | WorkflowCommand::LearnRunTimes(_)
+            | WorkflowCommand::LearnSpeeds(_) => (),
         }
     }
 
@@ -349,6 +381,7 @@
         if let Some(worker) = workflows.workers().get(id) {
             session.ever_listed_runs.extend(report.running.iter().map(|it| it.run));
             session.ever_listed_runs.retain(|it| worker.runs.contains(it));
+            session.begun_ms.retain(|it, _| worker.runs.contains(it));
         }
         let report_number = session.report_number;
         session.monitored_runs.retain(|_, it| it.last_report_number == report_number);
@@ -356,20 +389,41 @@
         self.contention.observe(&serving, &fillers, now.mono_ms);
     }
 
-    /// Orders workers to stop the fillers that are to move to other workers.
-    fn evict_fillers(&mut self, workflows: &Workflows, moves: &[SlowRun], members: &[SocketAddr]) {
-        let mut workers = BTreeSet::new();
-        for it in moves {
-            let Some(session) = self.sessions.get_mut(it.worker) else { continue };
-            if !session.evict(it.run) {
+    /// Stops the fillers that are to move to other workers.
+    fn move_fillers(
+        &mut self,
+        workflows: &Workflows,
+        moves: &[SlowRun],
+        members: &[SocketAddr],
+        now: Now,
+    ) {
+        let stop =
+            |it: &SlowRun| RunStop { run: it.run, worker: it.worker, cause: StopCause::SlowFiller };
+        let stops: Vec<_> = moves.iter().map(stop).collect();
+        let stopped = self.stop_runs(workflows, &stops, members, now);
+        for it in moves.iter().filter(|it| stopped.contains(&it.run)) {
+            tracing::info!(event = "filler_moved", run = %run_name(it.run), worker = it.worker.0, speed_percent = (it.speed_share * 100.0) as u32, progress_percent = it.progress_percent);
+        }
+    }
+
+    /// Learns from the ended runs of a worker's newest report how long they took.
+    fn observe_run_times(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
+        if !self.options.features.needs_run_times() {
+            return;
+        }
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let Some(report) = &session.report else { return };
+        let done = report.ended.iter().filter(|it| it.end.outcome == RunOutcome::Done);
+        for run in done.map(|it| it.end.run) {
+            let Some(begun_ms) = session.begun_ms.remove(&run) else { continue };
+            let Some(step) = workflows.step_of(run.task) else { continue };
+            let Some(workflow) = workflows.get(run.task.workflow) else { continue };
+            // A best-effort task takes as long as the tasks beside it let it.
+            if step.lasting || step.gang || step.filler {
                 continue;
             }
-            workers.insert(it.worker);
-            let worker = workflows.workers().get(it.worker).map(|it| it.name.as_str());
-            tracing::info!(event = "filler_moved", run = %run_name(it.run), worker, speed_percent = (it.speed_share * 100.0) as u32, progress_percent = it.progress_percent);
-        }
-        for it in workers {
-            self.send_orders(workflows, it, members);
+            let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
+            self.run_times.observe(kind, step.estimate_ms, now.mono_ms - begun_ms);
         }
     }
 
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -37,7 +37,8 @@
             },
             WorkflowRequest::ReadEvacuations => RequestDecision::Answer(evacuations(workflows)),
             WorkflowRequest::Evacuate(it) => evacuate(workflows, it),
-            WorkflowRequest::Submit(it) => submit(workflows, it, now),
+            WorkflowRequest::Submit(it) => submit(workflows, it, CompactString::default(), now),
+            WorkflowRequest::SubmitFrom(it) => submit(workflows, it.submission, it.zone, now),
             WorkflowRequest::Inspect(it) => RequestDecision::Answer(inspect(workflows, &it)),
             WorkflowRequest::Cancel(it) => match resolve_target(workflows, &it) {
                 Ok((_, Some(id))) if workflows.get(id).is_some() => {
@@ -75,7 +76,12 @@
     }
 }
 
-fn submit(workflows: &Workflows, it: WorkflowSubmission, now: Now) -> RequestDecision {
+fn submit(
+    workflows: &Workflows,
+    it: WorkflowSubmission,
+    zone: CompactString,
+    now: Now,
+) -> RequestDecision {
     let (queue, id) = match resolve_target(workflows, &it.target) {
         Ok((queue, Some(id))) => (queue, id),
         Ok((_, None)) => return RequestDecision::Answer(WorkflowOutcome::NotFound),
@@ -90,12 +96,9 @@
     if let Err(ValidationError(reason)) = check_spec(&it.spec) {
         return RequestDecision::Answer(WorkflowOutcome::Invalid(reason));
     }
-    RequestDecision::Propose(WorkflowCommand::Submit(SubmitWorkflow {
-        id,
-        queue: queue.name.clone(),
-        spec: it.spec,
-        accepted_ms: now.wall_ms,
-    }))
+    let queue = queue.name.clone();
+    let workflow = SubmitWorkflow { id, queue, spec: it.spec, accepted_ms: now.wall_ms };
+    RequestDecision::Propose(WorkflowCommand::SubmitFrom(OriginatedWorkflow { zone, workflow }))
 }
 
 fn inspect(workflows: &Workflows, it: &WorkflowTarget) -> WorkflowOutcome {
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -30,6 +30,8 @@
     pub monitored_runs: HashMap<RunRef, RunMonitor>,
     /// The runs of the worker in the ledger that any report has listed as running.
     pub ever_listed_runs: HashSet<RunRef>,
+    /// When the runs of the worker in the ledger began, as far as this leader placed them.
+    pub begun_ms: HashMap<RunRef, u64>,
     /// The slow fillers in the newest report.
     pub slow_fillers: Vec<SlowRun>,
     /// Costs last sent to the node.
@@ -89,6 +91,7 @@
             health: WorkerHealth::default(),
             monitored_runs: HashMap::new(),
             ever_listed_runs: HashSet::new(),
+            begun_ms: HashMap::new(),
             slow_fillers: Vec::new(),
             sent_costs: Vec::new(),
             costs_sent_ms: 0,
--- a/src/control/log/record.rs
+++ b/src/control/log/record.rs
@@ -172,17 +172,22 @@
             let queues: usize = it.queues.iter().map(text_bytes).sum();
             it.document.len() + queues + it.queues.len() * size_of::<Queue>()
         }
-        WorkflowCommand::Submit(it) => {
-            it.spec.payload.len() + it.spec.steps.len() * size_of::<WorkflowStep>()
-        }
+        WorkflowCommand::Submit(it) => workflow_bytes(it),
+        WorkflowCommand::SubmitFrom(it) => workflow_bytes(&it.workflow),
         WorkflowCommand::Begin(it) => it.len() * size_of::<RunPlacement>(),
         WorkflowCommand::Finish(it) => it.ends.len() * size_of::<RunEnd>(),
         WorkflowCommand::Void(it) => it.runs.len() * size_of::<RunRef>(),
         WorkflowCommand::Learn(it) => it.len() * size_of::<ImageCost>(),
+        WorkflowCommand::LearnRunTimes(it) => it.len() * size_of::<LearnedRunTime>(),
+        WorkflowCommand::LearnSpeeds(it) => it.len() * size_of::<WorkerSpeed>(),
         _ => 0,
     };
     ENTRY_BYTES + command_bytes
 }
 
+fn workflow_bytes(it: &SubmitWorkflow) -> usize {
+    it.spec.payload.len() + it.spec.steps.len() * size_of::<WorkflowStep>()
+}
+
 /// Estimated memory of an entry without the variable-size contents of its command.
 const ENTRY_BYTES: usize = 200;
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -7,6 +7,7 @@
 
 mod claims;
 mod configuration;
+mod demand;
 mod jobs;
 mod task;
 mod vms;
@@ -20,6 +21,7 @@
 pub use self::{
     claims::Claims,
     configuration::{ConfigHistory, ConfigHistoryEntry},
+    demand::Demand,
     jobs::{Job, Jobs},
     task::{Placement, TASK_TRANSITIONS, Task, TaskTransition, next_state},
     vms::{NO_RESOURCES, Session, Vm, Vms, add, fits, subtract},
@@ -39,9 +41,9 @@
 }
 
 /// Numbers of bytes that snapshots of earlier versions lack at their end. Empty fields are encoded
-/// as zeros: 3 bytes for failures, before them 3 for suspected tasks, and before these 2 for
-/// evacuations.
-const MISSING_TAIL_BYTES: [usize; 3] = [3, 6, 8];
+/// as zeros: 3 bytes for demand, before them 3 for failures, before these 3 for suspected tasks, and
+/// first 2 for evacuations.
+const MISSING_TAIL_BYTES: [usize; 4] = [3, 6, 9, 11];
 
 /// The outcome of one command.
 pub type ReplyResult = Result<Reply, Refusal>;
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -17,7 +17,7 @@
     sync::Arc,
 };
 
-use crate::prelude::*;
+use crate::{control::state::Demand, prelude::*};
 
 use self::{
     failures::UnsettledFailures,
@@ -50,6 +50,7 @@
     evacuations: Evacuations,
     suspects: Suspects,
     failures: UnsettledFailures,
+    demand: Demand,
 }
 
 impl Workflows {
@@ -100,6 +101,17 @@
         &self.suspects
     }
 
+    /// Returns what callers ask for, and what leaders have learned.
+    pub fn demand(&self) -> &Demand {
+        &self.demand
+    }
+
+    /// Returns who competes for capacity with a workflow.
+    pub fn caller_of(&self, id: WorkflowId) -> Option<Caller> {
+        let queue = self.workflows.get(&id)?.queue.clone();
+        Some(Caller { queue, zone: self.demand.zone_of(id) })
+    }
+
     /// Returns whether a worker is in an evacuated zone, where no run may begin.
     pub fn is_evacuated(&self, id: WorkerId) -> bool {
         !self.evacuations.zones.is_empty()
@@ -182,6 +194,15 @@
             WorkflowCommand::Evacuate(it) => self.evacuations.apply(it, time_ms),
             WorkflowCommand::Resize(it) => self.resize(it),
             WorkflowCommand::Settle(it) => self.settle(it, time_ms),
+            WorkflowCommand::SubmitFrom(it) => self.submit_from(it),
+            WorkflowCommand::LearnRunTimes(it) => {
+                self.demand.learn_run_times(it);
+                WorkflowOutcome::Accepted
+            }
+            WorkflowCommand::LearnSpeeds(it) => {
+                self.demand.learn_speeds(it);
+                WorkflowOutcome::Accepted
+            }
         }
     }
 
@@ -203,6 +224,11 @@
         WorkflowOutcome::Accepted
     }
 
+    fn submit_from(&mut self, it: &OriginatedWorkflow) -> WorkflowOutcome {
+        self.demand.note_submitted(it.workflow.id, it.zone.clone());
+        self.submit(&it.workflow)
+    }
+
     fn cancel(&mut self, id: WorkflowId, time_ms: u64) -> WorkflowOutcome {
         if !self.workflows.contains_key(&id) {
             return WorkflowOutcome::Gone;
@@ -406,6 +432,7 @@
     fn forget(&mut self, before_ms: u64) -> WorkflowOutcome {
         self.workflows
             .retain(|_, it| it.is_active() || before_ms <= it.ended_ms || it.has_live_runs());
+        self.demand.retain(|id| self.workflows.contains_key(&id));
         WorkflowOutcome::Accepted
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,8 @@
     /// Address at which other processes reach this one.
     pub address: SocketAddr,
     pub control_addresses: Vec<SocketAddr>,
+    /// Availability zone of this process, which submissions are attributed to.
+    pub zone: CompactString,
     /// Random number of this process, from which its calls are numbered.
     pub boot: u64,
     /// Time after which an unanswered call is sent to the next control process.
@@ -68,16 +70,31 @@
     TooManyCalls,
     /// The queue needs tickets of a policy service, which are not served.
     Unserved,
+    /// The workflow would end too late to be of use.
+    Late,
+    /// No worker has capacity for the workflow now.
+    NoCapacity,
+}
+
+impl From<AdmissionCause> for RejectionCause {
+    fn from(it: AdmissionCause) -> RejectionCause {
+        match it {
+            AdmissionCause::Late => RejectionCause::Late,
+            AdmissionCause::NoCapacity => RejectionCause::NoCapacity,
+        }
+    }
 }
 
 impl RejectionCause {
     /// All causes, for counters that exist from the start.
-    pub const ALL: [RejectionCause; 5] = [
+    pub const ALL: [RejectionCause; 7] = [
         RejectionCause::NoLeader,
         RejectionCause::NoConfig,
         RejectionCause::Busy,
         RejectionCause::TooManyCalls,
         RejectionCause::Unserved,
+        RejectionCause::Late,
+        RejectionCause::NoCapacity,
     ];
 
     /// Returns the label of its counter.
@@ -88,6 +105,8 @@
             RejectionCause::Busy => "busy",
             RejectionCause::TooManyCalls => "too_many_calls",
             RejectionCause::Unserved => "unserved",
+            RejectionCause::Late => "late",
+            RejectionCause::NoCapacity => "no_capacity",
         }
     }
 }
@@ -209,7 +228,7 @@
         self.next_id = self.next_id.wrapping_add(1);
         let call = Call {
             token,
-            request,
+            request: self.with_origin(request),
             received_ms: now.mono_ms,
             wait_ms,
             deadline_ms: now.mono_ms + wait_ms.min(self.options.give_up_ms),
@@ -227,6 +246,17 @@
         }
     }
 
+    /// Adds the availability zone that a submission enters by.
+    fn with_origin(&self, request: WorkflowRequest) -> WorkflowRequest {
+        match request {
+            WorkflowRequest::Submit(submission) => {
+                let zone = self.options.zone.clone();
+                WorkflowRequest::SubmitFrom(OriginatedSubmission { zone, submission })
+            }
+            it => it,
+        }
+    }
+
     /// Keeps a call unsent while no leader is known. An unsent call was certainly not accepted,
     /// which cannot be said of one sent to a silent process.
     fn park(&mut self, now: Now, id: u64) {
@@ -297,6 +327,10 @@
                 cause: RejectionCause::NoConfig,
                 retry_after_ms: self.options.resend_ms,
             },
+            WorkflowOutcome::Rejected(it) => GatewayAnswer::Rejected {
+                cause: it.cause.into(),
+                retry_after_ms: it.retry_after_ms,
+            },
             WorkflowOutcome::Busy(retry_after_ms) => {
                 GatewayAnswer::Rejected { cause: RejectionCause::Busy, retry_after_ms }
             }
@@ -444,6 +478,7 @@
     fn may_have_been_accepted(&self) -> bool {
         let is_write = match &self.request {
             WorkflowRequest::Submit(_)
+            | WorkflowRequest::SubmitFrom(_)
             | WorkflowRequest::Cancel(_)
             | WorkflowRequest::Install(_) => true,
             WorkflowRequest::Evacuate(it) => it.based_on.is_some(),
@@ -460,6 +495,7 @@
     let took_ms = now.mono_ms - call.received_ms;
     let (kind, target) = match &call.request {
         WorkflowRequest::Submit(it) => ("submit", it.target.path.as_str()),
+        WorkflowRequest::SubmitFrom(it) => ("submit", it.submission.target.path.as_str()),
         WorkflowRequest::Inspect(it) => ("inspect", it.path.as_str()),
         WorkflowRequest::Cancel(it) => ("cancel", it.path.as_str()),
         WorkflowRequest::Install(_) => ("install", ""),
--- /dev/null
+++ b/src/policy/disruption.rs
@@ -0,0 +1,95 @@
+//! Limits how many running tasks may be stopped so that they begin again elsewhere.
+//!
+//! Every stop costs the task its place for about a second, so all causes of stops share these
+//! limits: several causes that act at once must not take more from a step than one may.
+
+use crate::prelude::*;
+
+/// Tasks of a long-running step that may be away at once if the step states no limit: one, so that
+/// the others go on serving.
+const AWAY_MAX_DEFAULT: u32 = 1;
+
+/// Minimum time between two stops of one long-running task. A stop and its new start take about a
+/// second, which stays below a tenth of the task's time.
+pub const STOP_INTERVAL_MS: u64 = 10_000;
+
+/// How many tasks of a long-running step serve at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StepAvailability {
+    /// Tasks of the step that have no run, or whose run is not known to be at work.
+    pub away: u32,
+    /// Tasks that the step allows to be away by the scheduler's own doing, or 0 if it states no
+    /// limit.
+    pub unavailable_max: u32,
+}
+
+impl StepAvailability {
+    /// Returns whether one more task of the step may be stopped.
+    pub fn allows_stop(self) -> bool {
+        let away_max = match self.unavailable_max {
+            0 => AWAY_MAX_DEFAULT,
+            it => it,
+        };
+        self.away < away_max
+    }
+}
+
+/// Why a running task is stopped before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StopCause {
+    /// It is a best-effort task that would end sooner elsewhere.
+    SlowFiller,
+    /// It has made no progress for some time.
+    Stalled,
+    /// Its worker is slow.
+    SlowWorker,
+    /// Its capacity makes room for a larger task.
+    Compaction,
+    /// Its worker leaves soon.
+    WorkerLeaves,
+    /// A more urgent task needs its capacity.
+    Preemption,
+}
+
+impl StopCause {
+    /// All causes, for counters that exist from the start.
+    pub const ALL: [StopCause; 6] = [
+        StopCause::SlowFiller,
+        StopCause::Stalled,
+        StopCause::SlowWorker,
+        StopCause::Compaction,
+        StopCause::WorkerLeaves,
+        StopCause::Preemption,
+    ];
+
+    /// Returns the label of its counter.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StopCause::SlowFiller => "slow_filler",
+            StopCause::Stalled => "stalled",
+            StopCause::SlowWorker => "slow_worker",
+            StopCause::Compaction => "compaction",
+            StopCause::WorkerLeaves => "worker_leaves",
+            StopCause::Preemption => "preemption",
+        }
+    }
+}
+
+/// A run to stop before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunStop {
+    pub run: RunRef,
+    pub worker: WorkerId,
+    pub cause: StopCause,
+}
+
+/// Why a stop is not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopRejection {
+    /// The run is not listed by its worker in this term, or is being stopped already.
+    NotRunning,
+    /// Too many tasks of its step are away.
+    StepUnavailable,
+    /// The task was stopped lately.
+    StoppedLately,
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,7 +7,9 @@
 pub mod admission;
 pub mod contention;
 pub mod crash_evidence;
+pub mod disruption;
 pub mod feedback;
+pub mod forecast;
 pub mod interference;
 pub mod migration;
 pub mod placement;
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -42,7 +42,8 @@
         single_threaded::{
             adapters::{GatewayAdapter, Loopback, MemberAdapter, MessageSender, NodeAdapter},
             options::{
-                control_links, gateway_options, member_settings, node_options, small_server_options,
+                control_links, features, gateway_options, member_settings, node_options,
+                small_server_options,
             },
         },
     },
@@ -338,8 +339,13 @@
                     last_activity: last_activity.clone(),
                     metrics: self.metrics.clone(),
                 };
-                let core =
-                    GatewayCore::new(gateway_options(settings, sender.own_address, &controls));
+                let zone = self.settings.process.zone.clone();
+                let core = GatewayCore::new(gateway_options(
+                    settings,
+                    zone,
+                    sender.own_address,
+                    &controls,
+                ));
                 let status = new_status();
                 self.start_gateway_listener(settings, &pending, last_activity.clone())?;
                 self.start_readiness_listener(settings.readiness_listen, status.clone())?;
@@ -372,6 +378,7 @@
                 silent_ms: settings.silent_ms.into(),
                 retention_ms: u64::from(settings.retention_s) * 1_000,
                 plan: PlanOptions { interval_ms: settings.plan_interval_ms.into() },
+                features: features(settings),
             }),
             target_voter_count: settings.losses_tolerated as usize * 2 + 1,
         }
--- a/src/runtime/single_threaded/options.rs
+++ b/src/runtime/single_threaded/options.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::{
+    control::dispatch::Features,
     gateway::GatewayOptions,
     http::ServerOptions,
     node::NodeOptions,
@@ -39,12 +40,14 @@
 
 pub(super) fn gateway_options(
     settings: &GatewaySettings,
+    zone: CompactString,
     address: SocketAddr,
     controls: &[SocketAddr],
 ) -> GatewayOptions {
     GatewayOptions {
         address,
         control_addresses: controls.to_vec(),
+        zone,
         boot: fastrand::u64(..) >> 1,
         resend_ms: settings.resend_ms.into(),
         election_pause_ms: settings.election_pause_ms.into(),
@@ -73,6 +76,16 @@
     }
 }
 
+/// Returns the optional decisions that the settings turn on.
+pub(super) fn features(settings: &DispatchSettings) -> Features {
+    Features {
+        reservations: settings.reservations == 1,
+        fair_shares: settings.fair_shares == 1,
+        worker_speeds: settings.worker_speeds == 1,
+        admission: settings.admission == 1,
+    }
+}
+
 /// Returns the settings of a member of a group that runs workflows only. Such a group holds no
 /// jobs, claims, VMs or watches, so their limits are never reached.
 pub(super) fn member_settings(settings: &DispatchSettings, address: SocketAddr) -> ControlSettings {
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -134,6 +134,78 @@
         value.parse()
     }
 }
+///Why a submission was not accepted.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum AdmissionCause {
+    #[serde(rename = "late")]
+    Late,
+    #[serde(rename = "no_capacity")]
+    NoCapacity,
+}
+impl ::std::convert::From<&Self> for AdmissionCause {
+    fn from(value: &AdmissionCause) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for AdmissionCause {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Late => f.write_str("late"),
+            Self::NoCapacity => f.write_str("no_capacity"),
+        }
+    }
+}
+impl ::std::str::FromStr for AdmissionCause {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "late" => Ok(Self::Late),
+            "no_capacity" => Ok(Self::NoCapacity),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for AdmissionCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for AdmissionCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for AdmissionCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///A submission that was not accepted, since it could not be served in time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdmissionRejection {
+    pub cause: AdmissionCause,
+    ///When it is forecast to be served in time.
+    pub retry_after_ms: u64,
+}
+impl ::std::convert::From<&AdmissionRejection> for AdmissionRejection {
+    fn from(value: &AdmissionRejection) -> Self {
+        value.clone()
+    }
+}
 ///Reports on an agent's VM and requests a lease renewal.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -226,6 +298,20 @@
         value.clone()
     }
 }
+///Who competes for capacity: the submissions of one queue that enter in one availability zone.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Caller {
+    pub queue: ::compact_str::CompactString,
+    ///Availability zone of the gateway that the submission entered by.
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&Caller> for Caller {
+    fn from(value: &Caller) -> Self {
+        value.clone()
+    }
+}
 ///Cancels jobs of one team atomically.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1434,6 +1520,24 @@
         value.clone()
     }
 }
+///The ratio of actual to declared run times of one kind of task, as learned by leaders.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct LearnedRunTime {
+    ///Empty for tasks without an image.
+    pub image: ::compact_str::CompactString,
+    pub log_ratio: f32,
+    pub log_variance: f32,
+    ///Number of observations, after decay.
+    pub observations: u32,
+    pub queue: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&LearnedRunTime> for LearnedRunTime {
+    fn from(value: &LearnedRunTime) -> Self {
+        value.clone()
+    }
+}
 ///Current load of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -1832,6 +1936,33 @@
         Self::Evacuate(value)
     }
 }
+///A workflow with its host and path, and the availability zone that it entered by.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OriginatedSubmission {
+    pub submission: WorkflowSubmission,
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&OriginatedSubmission> for OriginatedSubmission {
+    fn from(value: &OriginatedSubmission) -> Self {
+        value.clone()
+    }
+}
+///Accepts a workflow of a known caller.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OriginatedWorkflow {
+    pub workflow: SubmitWorkflow,
+    ///Availability zone of the gateway that the submission entered by.
+    pub zone: ::compact_str::CompactString,
+}
+impl ::std::convert::From<&OriginatedWorkflow> for OriginatedWorkflow {
+    fn from(value: &OriginatedWorkflow) -> Self {
+        value.clone()
+    }
+}
 ///Asks for the outcome of an attempt; an attempt not seen by then never runs.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3525,6 +3656,22 @@
         value.clone()
     }
 }
+///How slow a worker is, as learned by leaders.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerSpeed {
+    pub log_slowdown: f32,
+    pub log_variance: f32,
+    ///When it was last observed, by the log's clock.
+    pub observed_ms: u64,
+    pub worker: WorkerId,
+}
+impl ::std::convert::From<&WorkerSpeed> for WorkerSpeed {
+    fn from(value: &WorkerSpeed) -> Self {
+        value.clone()
+    }
+}
 ///Answers a `WorkflowCall`.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3571,6 +3718,9 @@
     Evacuate(EvacuateZone),
     Resize(ResizeWorker),
     Settle(SettleFailures),
+    SubmitFrom(OriginatedWorkflow),
+    LearnRunTimes(::std::vec::Vec<LearnedRunTime>),
+    LearnSpeeds(::std::vec::Vec<WorkerSpeed>),
 }
 impl ::std::convert::From<&Self> for WorkflowCommand {
     fn from(value: &WorkflowCommand) -> Self {
@@ -3642,6 +3792,21 @@
         Self::Settle(value)
     }
 }
+impl ::std::convert::From<OriginatedWorkflow> for WorkflowCommand {
+    fn from(value: OriginatedWorkflow) -> Self {
+        Self::SubmitFrom(value)
+    }
+}
+impl ::std::convert::From<::std::vec::Vec<LearnedRunTime>> for WorkflowCommand {
+    fn from(value: ::std::vec::Vec<LearnedRunTime>) -> Self {
+        Self::LearnRunTimes(value)
+    }
+}
+impl ::std::convert::From<::std::vec::Vec<WorkerSpeed>> for WorkflowCommand {
+    fn from(value: ::std::vec::Vec<WorkerSpeed>) -> Self {
+        Self::LearnSpeeds(value)
+    }
+}
 ///Identity of a workflow, chosen by its client.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3716,6 +3881,7 @@
     Busy(u64),
     NotLeader(::std::option::Option<::std::net::SocketAddr>),
     Evacuations(Evacuations),
+    Rejected(AdmissionRejection),
 }
 impl ::std::convert::From<&Self> for WorkflowOutcome {
     fn from(value: &WorkflowOutcome) -> Self {
@@ -3748,6 +3914,11 @@
         Self::Evacuations(value)
     }
 }
+impl ::std::convert::From<AdmissionRejection> for WorkflowOutcome {
+    fn from(value: AdmissionRejection) -> Self {
+        Self::Rejected(value)
+    }
+}
 ///The phase of a workflow.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3830,6 +4001,7 @@
     Cancel(WorkflowTarget),
     Install(QueueConfig),
     Evacuate(EvacuateRequest),
+    SubmitFrom(OriginatedSubmission),
 }
 impl ::std::convert::From<&Self> for WorkflowRequest {
     fn from(value: &WorkflowRequest) -> Self {
@@ -3851,6 +4023,11 @@
         Self::Evacuate(value)
     }
 }
+impl ::std::convert::From<OriginatedSubmission> for WorkflowRequest {
+    fn from(value: OriginatedSubmission) -> Self {
+        Self::SubmitFrom(value)
+    }
+}
 ///A workflow as its client submits it.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -123,10 +123,14 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DispatchSettings {
+    ///1 to reject submissions that are forecast to end too late to be of use.
+    pub admission: u32,
     ///Folder of the log and the snapshots.
     pub data_folder: ::compact_str::CompactString,
     ///Minimum silence of the leader after which a voter starts an election; the maximum is twice this.
     pub election_timeout_ms: u32,
+    ///1 to divide scarce capacity equally between callers (queue and availability zone), and to bound the slowdown of large workflows.
+    pub fair_shares: u32,
     ///1 while the whole installation starts for the first time, with empty disks: the control addresses of `[link]` then found the group.
     pub first_start: u32,
     ///Free disk space below which new work is refused.
@@ -145,12 +149,16 @@
     pub losses_tolerated: u32,
     ///Longest pause between two scheduling passes.
     pub plan_interval_ms: u32,
+    ///1 to reserve capacity for tasks that fit into the sum of the free capacities but on no single worker, and to move running tasks to make room for them.
+    pub reservations: u32,
     ///Time for which the state of an ended workflow is kept.
     pub retention_s: u32,
     ///Silence of a node after which nothing new is placed on its worker.
     pub silent_ms: u32,
     ///Log entries after which a snapshot is taken.
     pub snapshot_entries: u32,
+    ///1 to learn the speed of each worker from the progress of its tasks, and to use slow workers last.
+    pub worker_speeds: u32,
 }
 impl ::std::convert::From<&DispatchSettings> for DispatchSettings {
     fn from(value: &DispatchSettings) -> Self {
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -23,6 +23,9 @@
     "RunRef",
 ];
 
+/// Types that are keys of ordered maps and own text.
+const ORDERED_TYPES: &[&str] = &["Caller"];
+
 /// Types that have an empty value.
 const DEFAULT_TYPES: &[&str] = &["Membership", "Evacuations"];
 
@@ -38,6 +41,8 @@
     "WorkflowPhase",
     "RefusalCause",
     "NotedEnds",
+    "AdmissionCause",
+    "AdmissionRejection",
 ];
 
 fn generate(schema_text: &str) -> String {
@@ -62,6 +67,13 @@
         }
         settings.with_patch(*name, &patch);
     }
+    for name in ORDERED_TYPES {
+        let mut patch = TypeSpacePatch::default();
+        for trait_name in ["Eq", "Hash", "PartialOrd", "Ord"] {
+            patch.with_derive(trait_name.to_owned());
+        }
+        settings.with_patch(*name, &patch);
+    }
     for name in COPY_TYPES {
         settings.with_patch(*name, TypeSpacePatch::default().with_derive("Copy".to_owned()));
     }
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -8,7 +8,7 @@
 use aspenrail::{
     control::{
         self, ControlCore, ControlOptions,
-        dispatch::{DispatchOptions, PlanOptions},
+        dispatch::{DispatchOptions, Features, PlanOptions},
         log::RecoveredState,
     },
     gateway::{self, GatewayAnswer, GatewayCore, GatewayOptions},
@@ -141,6 +141,7 @@
         let options = GatewayOptions {
             address: address(100),
             control_addresses: controls.clone(),
+            zone: "zone-0".into(),
             boot: 1,
             resend_ms: 300,
             election_pause_ms: 50,
@@ -580,6 +581,7 @@
         silent_ms: 1_200,
         retention_ms: 300_000,
         plan: PlanOptions { interval_ms: 250 },
+        features: Features::default(),
     }
 }
 
