Count no probe of the gateway among the calls of its clients

The gateway's own probe took one of the calls_max places, so a client was refused for it. A gateway that was full before it knew a leader refused its own probe, and never searched: all parked calls ended without a leader although one was there. Probes have their own place now, found by the id of the open one.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -157,6 +157,8 @@
     /// Since when no leader is known, or the known one is silent.
     leaderless_since_ms: Option<u64>,
     next_probe_ms: u64,
+    /// The call of the open probe.
+    probe: Option<u64>,
     is_stopping: bool,
     effects: Vec<Effect>,
 }
@@ -171,6 +173,7 @@
             leader_confirmed_ms: None,
             leaderless_since_ms: Some(BEFORE_FIRST_TICK_MS),
             next_probe_ms: 0,
+            probe: None,
             is_stopping: false,
             effects: Vec::new(),
             options,
@@ -185,7 +188,7 @@
 
     /// Returns whether no client waits.
     pub fn is_drained(&self) -> bool {
-        self.calls.values().all(|it| it.token == PROBE_TOKEN)
+        self.client_call_count() == 0
     }
 
     /// Takes the effects of the inputs handled so far.
@@ -212,7 +215,7 @@
     }
 
     fn start_call(&mut self, now: Now, token: u64, request: WorkflowRequest, wait_ms: u64) {
-        if self.options.calls_max <= self.calls.len() {
+        if token != PROBE_TOKEN && self.options.calls_max <= self.client_call_count() {
             let answer = GatewayAnswer::Rejected {
                 cause: RejectionCause::TooManyCalls,
                 retry_after_ms: self.options.resend_ms,
@@ -221,7 +224,7 @@
                 event = "request_refused",
                 token,
                 cause = "too_many_calls",
-                calls = self.calls.len()
+                calls = self.client_call_count()
             );
             return self.effects.push(Effect::Answer { token, answer, took_ms: 0 });
         }
@@ -239,6 +242,9 @@
             sent_to: None,
         };
         self.calls.insert(self.next_id, call);
+        if token == PROBE_TOKEN {
+            self.probe = Some(self.next_id);
+        }
         if token == PROBE_TOKEN || self.leaderless_since_ms.is_none() {
             self.send(now, self.next_id);
         } else {
@@ -246,6 +252,12 @@
         }
     }
 
+    /// Returns the number of open calls of clients. The gateway's own probe takes no place of a
+    /// client, and finds a leader however many clients wait for one.
+    fn client_call_count(&self) -> usize {
+        self.calls.len() - usize::from(self.probe.is_some())
+    }
+
     /// Adds the availability zone that a submission enters by.
     fn with_origin(&self, request: WorkflowRequest) -> WorkflowRequest {
         match request {
@@ -380,6 +392,7 @@
     fn finish(&mut self, now: Now, id: u64, answer: GatewayAnswer) {
         let Some(call) = self.calls.remove(&id) else { return };
         if call.token == PROBE_TOKEN {
+            self.probe = None;
             return;
         }
         log_answer(&call, now, &answer);
@@ -393,7 +406,7 @@
         }
         if self.next_probe_ms <= now.mono_ms {
             self.next_probe_ms = now.mono_ms + self.options.probe_ms;
-            if !self.calls.values().any(|it| it.token == PROBE_TOKEN) {
+            if self.probe.is_none() {
                 self.start_call(now, PROBE_TOKEN, WorkflowRequest::Ping, u64::MAX);
             }
             if self.leaderless_since_ms.is_some() {
