Release the load of serving members of a gang that does not fit whole

A gang whose members found room for some of them only gave back their reservations, but not the load that they add to their workers: until the end of the plan, fillers were kept from workers on which nothing serves. Serving tasks that a plan places are counted on their own now, so that releasing one restores the headroom of the tasks that already serve there exactly.

--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -65,6 +65,8 @@
     image: ImageKey,
     /// Steps that the tasks belong to; tasks of a step share a load.
     steps: Vec<StepRef>,
+    /// Number of further tasks that the plan in progress has placed here.
+    planned_count: u32,
     /// Headroom with no filler beside the tasks, at the step's load that leaves the least.
     idle_headroom_percent: f64,
     /// Headroom that the worker's fillers use at full speed.
@@ -80,7 +82,16 @@
     /// Returns the headroom that further fillers may use; negative if the fillers here use too
     /// much.
     fn spare_headroom_percent(&self) -> f64 {
-        self.idle_headroom_percent - HEADROOM_MIN_PERCENT - self.used_percent
+        let idle_headroom_percent = match self.planned_count {
+            0 => self.idle_headroom_percent,
+            _ => self.idle_headroom_percent.min(NEW_TASK_HEADROOM_PERCENT),
+        };
+        idle_headroom_percent - HEADROOM_MIN_PERCENT - self.used_percent
+    }
+
+    /// Returns whether no task of the image is left here.
+    fn is_empty(&self) -> bool {
+        self.steps.is_empty() && self.planned_count == 0
     }
 
     fn refresh_loads(&mut self, fillers: &[FillerLoad], contention: &ContentionModel) {
@@ -164,6 +175,7 @@
             self.served.push(ServedImage {
                 image,
                 steps: Vec::new(),
+                planned_count: 0,
                 idle_headroom_percent: f64::MAX,
                 used_percent: 0.0,
                 millicores: 0,
@@ -284,8 +296,7 @@
             RunKind::Serving { image, .. } => {
                 let used_percent = contention.used_percent(image, &self.fillers);
                 let served = self.served_image_mut(image);
-                served.idle_headroom_percent =
-                    served.idle_headroom_percent.min(NEW_TASK_HEADROOM_PERCENT);
+                served.planned_count += 1;
                 served.used_percent = used_percent;
                 served.millicores += demand.step.need.cpu_millicores;
             }
@@ -296,9 +307,18 @@
     /// Releases the capacity of a member of a gang that could not be placed whole.
     pub(super) fn release(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
         self.free = add(self.free, demand.reservation);
-        if let RunKind::Filler { image, millicores } = demand.run_kind {
-            self.filler_millicores -= millicores;
-            self.add_filler_load(image, -self.cores(millicores), contention);
+        match demand.run_kind {
+            RunKind::Filler { image, millicores } => {
+                self.filler_millicores -= millicores;
+                self.add_filler_load(image, -self.cores(millicores), contention);
+            }
+            RunKind::Serving { image, .. } => {
+                let served = self.served_image_mut(image);
+                served.planned_count -= 1;
+                served.millicores -= demand.step.need.cpu_millicores;
+                self.served.retain(|it| !it.is_empty());
+            }
+            RunKind::Plain => (),
         }
     }
 
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -320,6 +320,20 @@
     assert_eq!(leader.workers_running(2, 1), [1]);
 }
 
+/// Load: a gang of services waits for room that only its first member finds. The load of a member
+/// that does not begin slows down no filler.
+#[test]
+fn a_gang_that_does_not_fit_whole_keeps_no_filler_waiting() {
+    let mut leader = LeaderHarness::new(1);
+    let mut gang = service("web", 2, 40);
+    gang.gang = true;
+    leader.submit(1, vec![gang]);
+    assert!(leader.workers_running(1, 1).is_empty(), "only one of two members fits");
+    // Beside a service at half load, 40 cores of an unknown filler would run at three quarters.
+    leader.submit(2, vec![filler("batch", 1, 40, 1_000)]);
+    assert_eq!(leader.workers_running(2, 1), [1]);
+}
+
 /// A worker crashed and restarted under another name. A report from before the crash, delayed by a
 /// network partition, arrives afterwards. It must not replace the current worker and its runs.
 #[test]
