Tell lost workers with the same name at different nodes apart

Failures on lost workers were kept by the worker's name, while a worker is identified by its name and node: a second lost worker with that name replaced the failures of the first, whose tasks then neither began again nor failed, and a worker at a third node took over failures that were not its own. They are a list by name and node now.

--- a/src/control/state/workflows/failures.rs
+++ b/src/control/state/workflows/failures.rs
@@ -15,9 +15,9 @@
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub(super) struct UnsettledFailures {
     open: BTreeMap<WorkerId, Vec<UnsettledFailure>>,
-    /// Failures on worker incarnations that were marked as lost, by incarnation name. Their tasks
+    /// Failures on worker incarnations that were marked as lost, by name and node. Their tasks
     /// wait until the incarnation is back and reports which acknowledgements it received.
-    lost: BTreeMap<CompactString, LostFailures>,
+    lost: Vec<LostFailures>,
     /// The last run of each gang for which a failure was counted. A start of a gang is one attempt
     /// however many members fail: counted each, three members that failed together used up all of
     /// three attempts.
@@ -34,14 +34,24 @@
     cursor: u64,
 }
 
-/// The failures on a worker incarnation that was marked as lost.
+/// The failures on a worker incarnation that was marked as lost. The name alone does not identify
+/// it, since names are unique at one node only.
+///
+/// A list of these is encoded as the map by name that earlier versions wrote.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 struct LostFailures {
+    name: CompactString,
     node: SocketAddr,
     lost_ms: u64,
     failures: Vec<UnsettledFailure>,
 }
 
+impl LostFailures {
+    fn key(&self) -> (&str, SocketAddr) {
+        (&self.name, self.node)
+    }
+}
+
 impl UnsettledFailures {
     /// Adds a failure from a list of ends that reaches up to `cursor`.
     pub(super) fn add(&mut self, worker: WorkerId, end: RunEnd, cursor: u64) {
@@ -68,28 +78,29 @@
 
     /// Returns the failed runs on worker incarnations that were marked as lost before `time_ms`.
     pub(super) fn lost_before(&self, time_ms: u64) -> Vec<RunRef> {
-        let lost = self.lost.values().filter(|it| it.lost_ms < time_ms);
+        let lost = self.lost.iter().filter(|it| it.lost_ms < time_ms);
         runs_of(lost.flat_map(|it| &it.failures))
     }
 
     /// Removes and returns the failure of a run, unless it is already settled.
     pub(super) fn take(&mut self, run: RunRef) -> Option<UnsettledFailure> {
-        let of_lost = self.lost.values_mut().map(|it| &mut it.failures);
+        let of_lost = self.lost.iter_mut().map(|it| &mut it.failures);
         let mut lists = self.open.values_mut().chain(of_lost);
         let res = lists.find_map(|it| {
             let index = it.iter().position(|it| it.end.run == run)?;
             Some(it.remove(index))
         });
         self.open.retain(|_, it| !it.is_empty());
-        self.lost.retain(|_, it| !it.failures.is_empty());
+        self.lost.retain(|it| !it.failures.is_empty());
         res
     }
 
     /// Keeps the failures of a worker incarnation that is marked as lost until it is back.
     pub(super) fn mark_lost(&mut self, id: WorkerId, worker: &Worker, lost_ms: u64) {
         let Some(failures) = self.open.remove(&id) else { return };
-        let lost = LostFailures { node: worker.node, lost_ms, failures };
-        self.lost.insert(worker.name.clone(), lost);
+        let lost = LostFailures { name: worker.name.clone(), node: worker.node, lost_ms, failures };
+        let position = self.lost.partition_point(|it| it.key() <= lost.key());
+        self.lost.insert(position, lost);
     }
 
     /// Handles the registration of a worker incarnation, which may have been marked as lost before.
@@ -99,10 +110,12 @@
         id: WorkerId,
         registration: &EnrolWorker,
     ) -> Vec<RunRef> {
-        if let Some(returned) = self.lost.remove(&registration.name) {
-            self.open.insert(id, returned.failures);
+        let is_returned =
+            |it: &LostFailures| it.name == registration.name && it.node == registration.node;
+        if let Some(position) = self.lost.iter().position(is_returned) {
+            self.open.insert(id, self.lost.remove(position).failures);
         }
-        let others_at_node = self.lost.values().filter(|lost| lost.node == registration.node);
+        let others_at_node = self.lost.iter().filter(|lost| lost.node == registration.node);
         runs_of(others_at_node.flat_map(|it| &it.failures))
     }
 
