Refuse numbers out of range, and saturate those that are stored

A submission could state any estimate, first run, interval and need, and a configuration any target, priority and stretch. Their sums and products overflowed in the leader: a panic in debug builds, a wrapped due time or order in release builds. Submissions and configurations out of range are refused with the value and the range now; what earlier versions stored saturates. The count of tasks over all occurrences and the cursor of a reader of a watch could overflow too.

--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -204,7 +204,7 @@
     fn unused_millicores(&self) -> u32 {
         let unused = |it: &ServedImage| f64::from(it.millicores) * (1.0 - it.cpu_use_share);
         let unused = self.served.iter().map(unused).sum::<f64>() as u32;
-        (self.free.cpu_millicores + unused).saturating_sub(self.filler_millicores)
+        self.free.cpu_millicores.saturating_add(unused).saturating_sub(self.filler_millicores)
     }
 
     /// Returns the share of its full speed that a further filler would reach here.
@@ -290,7 +290,7 @@
         self.free = subtract(self.free, demand.reservation);
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
-                self.filler_millicores += millicores;
+                self.filler_millicores = self.filler_millicores.saturating_add(millicores);
                 self.add_filler_load(image, self.cores(millicores), contention);
             }
             RunKind::Serving { image, .. } => {
@@ -309,7 +309,7 @@
         self.free = add(self.free, demand.reservation);
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
-                self.filler_millicores -= millicores;
+                self.filler_millicores = self.filler_millicores.saturating_sub(millicores);
                 self.add_filler_load(image, -self.cores(millicores), contention);
             }
             RunKind::Serving { image, .. } => {
--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -31,12 +31,13 @@
     let occurrence = workflow.occurrences.get(step_ref.occurrence as usize)?;
     let chains_ms = chains_ms(&workflow.spec);
     let longest_chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
-    let objective_ms = longest_chain_ms * u64::from(queue.stretch_percent) / 100 + queue.target_ms;
+    let stretched_ms = longest_chain_ms.saturating_mul(u64::from(queue.stretch_percent)) / 100;
+    let objective_ms = stretched_ms.saturating_add(queue.target_ms);
     let step = step_ref.step as usize;
     let pending = PendingStep {
         priority: queue.priority,
         is_long_running: workflow.spec.steps.get(step)?.lasting,
-        objective_deadline_ms: workflow.accepted_ms.max(due_ms) + objective_ms,
+        objective_deadline_ms: workflow.accepted_ms.max(due_ms).saturating_add(objective_ms),
         remaining_ms: chains_ms[step],
         work_core_ms: work_core_ms(workflow, occurrence),
     };
@@ -50,7 +51,8 @@
     for index in (0..spec.steps.len()).rev() {
         for dependency in &spec.steps[index].after {
             let dependency = *dependency as usize;
-            res[dependency] = res[dependency].max(spec.steps[dependency].estimate_ms + res[index]);
+            let chain_ms = spec.steps[dependency].estimate_ms.saturating_add(res[index]);
+            res[dependency] = res[dependency].max(chain_ms);
         }
     }
     res
@@ -62,7 +64,8 @@
     let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
     let remaining = steps.map(|(step, state)| {
         let tasks = u64::from(step.count - state.done_count.min(step.count));
-        tasks * step.estimate_ms * u64::from(step.need.cpu_millicores) / 1_000
+        let run_ms = tasks.saturating_mul(step.estimate_ms);
+        run_ms.saturating_mul(step.need.cpu_millicores.into()) / 1_000
     });
-    remaining.sum()
+    remaining.fold(0, u64::saturating_add)
 }
--- a/src/control/scheduler/mod.rs
+++ b/src/control/scheduler/mod.rs
@@ -281,7 +281,7 @@
         let remaining_ms = size_ms.saturating_sub(task.kept_run_ms);
         let due_ms = class
             .filter(|it| 0 < it.finish_target_ms)
-            .map(|it| (accepted_ms + it.finish_target_ms).saturating_sub(remaining_ms));
+            .map(|it| accepted_ms.saturating_add(it.finish_target_ms).saturating_sub(remaining_ms));
         let tier = match class {
             Some(it) if it.urgent => Tier::Urgent,
             Some(it) if it.kind == ClassKind::LatencyCritical => Tier::Service,
--- a/src/control/state/watches.rs
+++ b/src/control/state/watches.rs
@@ -25,7 +25,7 @@
     /// can still be read from. So no event is skipped without notice.
     pub fn read(&self, cursor: u64, limit: usize) -> Result<Vec<WatchEvent>, Refusal> {
         let oldest = self.next_cursor - self.events.len() as u64;
-        if cursor + 1 < oldest {
+        if cursor.saturating_add(1) < oldest {
             let detail =
                 format_compact!("cursor {cursor} is too old, events are kept after {}", oldest - 1);
             return Err(refusal(ErrorKind::CursorTooOld, detail));
--- a/src/control/state/workflows/validation.rs
+++ b/src/control/state/workflows/validation.rs
@@ -11,6 +11,20 @@
 /// Maximum number of tasks in all occurrences together.
 const RUNS_MAX: u64 = 100_000;
 
+/// Longest time that a workflow or a queue may declare: a hundred years. Sums over all steps and
+/// occurrences stay within 64 bits.
+const DURATION_MAX_MS: u64 = 100 * 366 * 86_400_000;
+
+/// Latest first occurrence: the end of the year 9999.
+const FIRST_RUN_MAX_MS: u64 = 253_402_300_799_999;
+
+/// Largest processor that one task may need: 100,000 cores.
+const CPU_MAX_MILLICORES: u32 = 100_000_000;
+
+/// Largest priority and stretch of a queue.
+const PRIORITY_MAX: u32 = 1_000_000;
+const STRETCH_MAX_PERCENT: u32 = 100_000_000;
+
 /// Why a workflow, a queue configuration or an evacuation request is refused.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ValidationError(pub CompactString);
@@ -35,9 +49,21 @@
                 "step {index} waits for step {it}, which is not an earlier one"
             ));
         }
+        check_range(
+            format_args!("estimate in ms of step {index}"),
+            step.estimate_ms,
+            DURATION_MAX_MS,
+        )?;
+        let cpu_millicores = step.need.cpu_millicores;
+        let name = format_args!("processor in millicores of step {index}");
+        check_range(name, cpu_millicores.into(), CPU_MAX_MILLICORES.into())?;
         tasks += u64::from(step.count);
     }
-    let total = tasks * u64::from(spec.repeat_count.max(1));
+    if 0 < spec.repeat_count {
+        check_range(format_args!("first run in ms"), spec.first_run_ms, FIRST_RUN_MAX_MS)?;
+        check_range(format_args!("interval in ms"), spec.interval_ms, DURATION_MAX_MS)?;
+    }
+    let total = tasks.saturating_mul(u64::from(spec.repeat_count.max(1)));
     if TASKS_MAX < tasks || RUNS_MAX < total {
         return fail(format_compact!(
             "{tasks} tasks in {} occurrences; {TASKS_MAX} in one and {RUNS_MAX} in all are accepted",
@@ -66,6 +92,14 @@
         if queue.timeout_ms == 0 {
             return fail(format_compact!("queue {} has a timeout of 0 ms", queue.name));
         }
+        for (value, max, name) in [
+            (queue.target_ms, DURATION_MAX_MS, "completion target in ms"),
+            (queue.timeout_ms, DURATION_MAX_MS, "timeout in ms"),
+            (queue.priority.into(), PRIORITY_MAX.into(), "priority"),
+            (queue.stretch_percent.into(), STRETCH_MAX_PERCENT.into(), "stretch in percent"),
+        ] {
+            check_range(format_args!("{name} of queue {}", queue.name), value, max)?;
+        }
         if !urls.insert((&queue.host, &queue.path_prefix)) {
             return fail(format_compact!(
                 "{}{} is the place of two queues",
@@ -76,3 +110,14 @@
     }
     Ok(())
 }
+
+/// Checks that a value is at most `max`.
+fn check_range(name: std::fmt::Arguments<'_>, value: u64, max: u64) -> Result<(), ValidationError> {
+    match value <= max {
+        true => Ok(()),
+        false => {
+            let reason = format_compact!("the {name} is {value}; 0 to {max} are accepted");
+            Err(ValidationError(reason))
+        }
+    }
+}
--- a/src/control/state/workflows/workers.rs
+++ b/src/control/state/workflows/workers.rs
@@ -40,14 +40,14 @@
     pub(super) fn add(&mut self, run: RunRef, step: &WorkflowStep) {
         if self.runs.insert(run) {
             self.reserved = add(self.reserved, reservation_of(step));
-            self.filler_millicores += filler_millicores(step);
+            self.filler_millicores = self.filler_millicores.saturating_add(filler_millicores(step));
         }
     }
 
     pub(super) fn remove(&mut self, run: RunRef, step: &WorkflowStep) {
         if self.runs.remove(&run) {
             self.reserved = subtract(self.reserved, reservation_of(step));
-            self.filler_millicores -= filler_millicores(step);
+            self.filler_millicores = self.filler_millicores.saturating_sub(filler_millicores(step));
         }
     }
 }
--- a/src/control/state/workflows/workflow.rs
+++ b/src/control/state/workflows/workflow.rs
@@ -112,7 +112,11 @@
     pub fn due_ms(&self, occurrence: usize) -> u64 {
         match self.spec.repeat_count {
             0 => 0,
-            _ => self.spec.first_run_ms + occurrence as u64 * self.spec.interval_ms,
+            // Earlier versions accepted any numbers.
+            _ => {
+                let offset_ms = (occurrence as u64).saturating_mul(self.spec.interval_ms);
+                self.spec.first_run_ms.saturating_add(offset_ms)
+            }
         }
     }
 
--- a/src/policy/urgency.rs
+++ b/src/policy/urgency.rs
@@ -31,11 +31,11 @@
 /// can still meet their objective come before late ones. Ties are broken by the least remaining
 /// work of the workflow.
 pub fn urgency(step: PendingStep, now_ms: u64) -> Urgency {
-    let slack_ms = step.objective_deadline_ms as i64 - now_ms as i64 - step.remaining_ms as i64;
-    let late = u32::from(slack_ms < 0 && !step.is_long_running);
+    let end_ms = now_ms.saturating_add(step.remaining_ms);
+    let late = u32::from(step.objective_deadline_ms < end_ms && !step.is_long_running);
     let class = match step.is_long_running {
         true => 0,
-        false => 1 + step.priority * 2 + late,
+        false => step.priority.saturating_mul(2).saturating_add(1 + late),
     };
-    Urgency { class, rank: step.work_core_ms as i64 }
+    Urgency { class, rank: i64::try_from(step.work_core_ms).unwrap_or(i64::MAX) }
 }
--- a/tests/promises/named_faults.rs
+++ b/tests/promises/named_faults.rs
@@ -447,6 +447,7 @@
     };
     assert_eq!(bodies(0), ["0", "1", "2", "3", "4"]);
     assert_eq!(bodies(3), ["3", "4"], "re-reading from a cursor must not lose or repeat events");
+    assert_eq!(bodies(u64::MAX), [""; 0], "no event has that cursor");
 }
 
 #[test]
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -73,10 +73,14 @@
     }
 
     pub fn submit(&mut self, id: u64, steps: Vec<WorkflowStep>) {
+        self.submit_spec(id, spec(steps));
+    }
+
+    pub fn submit_spec(&mut self, id: u64, spec: WorkflowSpec) {
         let submit = SubmitWorkflow {
             id: WorkflowId(id),
             queue: "queue".into(),
-            spec: spec(steps),
+            spec,
             accepted_ms: self.now_ms,
         };
         // The leader does not make two plans at the same time.
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -24,6 +24,7 @@
 mod lifetimes;
 mod node;
 mod node_restarts;
+mod ranges;
 mod rules;
 mod same_id;
 mod worker;
