Make no report of a worker's list with an error status

An agent took the body of any answer for the list of its worker's tasks, also that of a 503: a worker that is starting and answers with an empty list ended all that the agent knew. An answer with an error status is a refusal now, after which the list is asked for again.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -111,14 +111,16 @@
         .send(body.to_string().as_bytes());
     match result {
         Ok(response) if response.status().is_success() => WorkerResult::Done,
-        Ok(mut response) => {
-            let text = response.body_mut().read_to_string().unwrap_or_default();
-            WorkerResult::Refused(format_compact!("{}: {text}", response.status()))
-        }
+        Ok(response) => refused(response),
         Err(error) => WorkerResult::Failed(format_compact!("{error}")),
     }
 }
 
+fn refused(mut response: http::Response<ureq::Body>) -> WorkerResult {
+    let text = response.body_mut().read_to_string().unwrap_or_default();
+    WorkerResult::Refused(format_compact!("{}: {text}", response.status()))
+}
+
 fn list_tasks(client: &Agent, worker: SocketAddr) -> WorkerResult {
     let result = client
         .get(format!("http://{worker}/v1/tasks"))
@@ -127,6 +129,7 @@
         .build()
         .call();
     let body = match result {
+        Ok(response) if !response.status().is_success() => return refused(response),
         Ok(mut response) => response.body_mut().with_config().limit(ANSWER_MAX_BYTES).read_to_vec(),
         Err(error) => return WorkerResult::Failed(format_compact!("{error}")),
     };
