--- a/src/control/log/disk.rs
+++ b/src/control/log/disk.rs
@@ -158,7 +158,11 @@
                 address.parse().map_err(|_| invalid_identity(&path, "founders", founder))?;
             founders.push(Member { id: MemberId(id), address });
         }
-        let group_id = GroupId { region: number("region")? as u8, group: number("group")? as u8 };
+        let small_number = |key: &str| -> Result<u8> {
+            let text = value(key)?;
+            text.parse().map_err(|_| invalid_identity(&path, key, text))
+        };
+        let group_id = GroupId { region: small_number("region")?, group: small_number("group")? };
         Ok(Identity { member: MemberId(number("member")?), group_id, founders })
     }
 }
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -67,7 +67,8 @@
     drop(disk);
     let (_, recovered) = open(folder.path()).unwrap();
     assert_eq!(recovered.snapshot, Some(snapshot));
-    assert_eq!(recovered.hard_state.term, 3, "the hard state is copied to the new log");
+    let hard_state = HardState { term: 3, vote: Some(MemberId(1)) };
+    assert_eq!(recovered.hard_state, hard_state, "the hard state is copied to the new log");
     assert_eq!(recovered.entries.iter().map(|it| it.index).collect::<Vec<_>>(), [9, 10]);
     assert!(!folder.path().join("log-0").exists());
 }
@@ -170,4 +171,12 @@
     let text = fs::read_to_string(&path).unwrap();
     fs::write(&path, text.replace("format=1", "format=9")).unwrap();
     assert!(Identity::read(folder.path()).unwrap_err().to_string().contains("'9'"));
+    // A number that does not fit must not become that of another group.
+    for key in ["region", "group"] {
+        let (one, large) = (format!("{key}=1\n"), format!("{key}=257\n"));
+        assert!(text.contains(&one), "{text}");
+        fs::write(&path, text.replace(&one, &large)).unwrap();
+        let error = Identity::read(folder.path()).unwrap_err().to_string();
+        assert!(error.contains(key) && error.contains("'257'"), "{error}");
+    }
 }
--- a/tests/disk_refused.rs
+++ b/tests/disk_refused.rs
@@ -39,7 +39,8 @@
 fn check_retry(writes: &[DiskWrite], expected_indexes: &[u64]) {
     let folder = tempfile::tempdir().unwrap();
     let (mut disk, _) = open(folder.path());
-    disk.write(&[DiskWrite::HardState(HardState { term: 1, vote: None }), append(1..=10)]).unwrap();
+    let hard_state = HardState { term: 1, vote: Some(MemberId(1)) };
+    disk.write(&[DiskWrite::HardState(hard_state), append(1..=10)]).unwrap();
     let log_bytes = std::fs::metadata(folder.path().join("log-0")).unwrap().len();
     // Only part of the next record fits.
     set_file_size_limit(Some(log_bytes + 7));
@@ -51,7 +52,7 @@
     drop(disk);
     let (_, recovered) = open(folder.path());
     assert_eq!(indexes(&recovered), expected_indexes);
-    assert_eq!(recovered.hard_state.term, 1);
+    assert_eq!(recovered.hard_state, hard_state);
 }
 
 #[test]
