--- a/src/cli/roles.rs
+++ b/src/cli/roles.rs
@@ -71,13 +71,13 @@
     let path = PathBuf::from(arguments.positional("the settings file")?);
     arguments.finish()?;
     // The check of the settings requires an existing data folder, so the folder is created first.
-    let text = std::fs::read_to_string(&path).unwrap_or_default();
-    let folder = ini::Ini::load_from_str(&text)
-        .ok()
-        .and_then(|it| it.get_from(Some("control"), "data_folder").map(PathBuf::from))
-        .ok_or_else(|| {
-            Failure::Usage(format!("{}: section [control] sets no data_folder", path.display()))
-        })?;
+    let unusable = |why: String| Failure::Usage(format!("{}: {why}", path.display()));
+    let text = std::fs::read_to_string(&path).map_err(|it| unusable(it.to_string()))?;
+    let ini = ini::Ini::load_from_str(&text).map_err(|it| unusable(it.to_string()))?;
+    let folder = ini
+        .get_from(Some("control"), "data_folder")
+        .map(PathBuf::from)
+        .ok_or_else(|| unusable("section [control] sets no data_folder".to_owned()))?;
     let create = |it: &Path| std::fs::create_dir_all(it);
     create(&folder)
         .map_err(|it| Failure::Usage(format!("cannot create {}: {it}", folder.display())))?;
