Answer a refused greeting by its cause

Each refused greeting was answered 426 and counted as another version, also a frame that is none (400) and a process of another group (403). The test of strangers names the cause of each, and that nothing else is counted.

--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -5,6 +5,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
+    error::{Error, answer_for_error},
     link::{
         LinkEvent, LinkOptions, LinkSink,
         codec::{FrameDecoder, FrameError},
@@ -90,11 +91,10 @@
                     peer = Some(hello);
                 }
                 Err(error) => {
-                    metrics.count_refusal(ErrorKind::VersionUnsupported);
+                    metrics.count_refusal(error.kind());
                     tracing::error!(event = "link_greeting_refused", %error);
-                    let refused = http::Response::builder()
-                        .status(http::StatusCode::UPGRADE_REQUIRED)
-                        .body(());
+                    let status = answer_for_error(error.kind()).status;
+                    let refused = http::Response::builder().status(status).body(());
                     if let Ok(it) = refused {
                         let _ = respond.send_response(it, true);
                     }
@@ -124,21 +124,31 @@
 ///
 /// The layout of [`Hello`] never changes, so that any two versions can read each other's version and
 /// reject the connection.
-fn read_hello(frames: &mut FrameDecoder, options: &LinkOptions) -> Result<Option<Hello>, String> {
-    let hello: Option<Hello> = frames.next_frame().map_err(|it: FrameError| it.to_string())?;
+fn read_hello(frames: &mut FrameDecoder, options: &LinkOptions) -> Result<Option<Hello>, Error> {
+    let hello: Option<Hello> = frames
+        .next_frame()
+        .map_err(|it: FrameError| Error::new(ErrorKind::BadRequest, format_compact!("{it}")))?;
     let Some(hello) = hello else { return Ok(None) };
     let own_hello = &options.hello;
     if hello.version != own_hello.version {
-        return Err(format!(
+        let message = format_compact!(
             "{} uses protocol version {}, this process {}",
-            hello.process, hello.version, own_hello.version
-        ));
+            hello.process,
+            hello.version,
+            own_hello.version
+        );
+        return Err(Error::new(ErrorKind::VersionUnsupported, message));
     }
     if (hello.region, hello.group) != (own_hello.region, own_hello.group) {
-        return Err(format!(
+        let message = format_compact!(
             "{} belongs to region {}, group {}, this process to region {}, group {}",
-            hello.process, hello.region, hello.group, own_hello.region, own_hello.group
-        ));
+            hello.process,
+            hello.region,
+            hello.group,
+            own_hello.region,
+            own_hello.group
+        );
+        return Err(Error::new(ErrorKind::Forbidden, message));
     }
     Ok(Some(hello))
 }
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use aspenrail::{
+    error::ERROR_ANSWERS,
     link::{Link, LinkEvent, LinkOptions, LinkSink},
     metrics::Metrics,
     prelude::*,
@@ -66,10 +67,10 @@
 }
 
 #[yare::parameterized(
-    other_version = { PROTOCOL_VERSION + 1, 1 },
-    other_group = { PROTOCOL_VERSION, 2 },
+    other_version = { PROTOCOL_VERSION + 1, 1, ErrorKind::VersionUnsupported },
+    other_group = { PROTOCOL_VERSION, 2, ErrorKind::Forbidden },
 )]
-fn stranger_is_refused(version: u32, group: u32) {
+fn stranger_is_refused(version: u32, group: u32, cause: ErrorKind) {
     let (stranger, own) = (start(version, group), start(PROTOCOL_VERSION, 1));
     stranger.link.send(own.address, message(1));
     let event = stranger.events.recv_timeout(EVENT_TIMEOUT).unwrap();
@@ -77,7 +78,9 @@
         matches!(event, LinkEvent::ConnectionLost { peer } if peer == own.address),
         "{event:?}"
     );
-    assert_eq!(own.metrics.refusal_count(ErrorKind::VersionUnsupported), 1);
+    assert_eq!(own.metrics.refusal_count(cause), 1);
+    let counts = ERROR_ANSWERS.iter().map(|it| own.metrics.refusal_count(it.kind));
+    assert_eq!(counts.sum::<u64>(), 1, "one cause is counted");
     assert!(own.events.try_recv().is_err(), "no message of the refused process is delivered");
 }
 
