Observe a crash in the millisecond of a start

A crash at age 0 was stored as none observed: its task began beside others again, and was never cleared by a long run. Observed crashes have an age of at least 1 ms.

--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -62,6 +62,9 @@
 /// Ages below this are treated as equal; detecting the loss of a worker takes longer.
 const AGE_RESOLUTION_MS: u64 = 100;
 
+/// Least age recorded for an observed crash, since an age of 0 means that none was observed.
+const CRASH_AGE_MIN_MS: u64 = 1;
+
 /// Time over which crashes are counted for the baseline rate. It is shorter than the minutes over
 /// which the fault rate of workers changes, and long enough to contain a few crashes.
 pub const CRASH_RATE_WINDOW_MS: u64 = 20_000;
@@ -150,12 +153,14 @@
             true => baseline.likelihood_ratio(age_ms, None),
             false => self.likelihood_ratio * baseline.likelihood_ratio(age_ms, before_ms),
         };
-        CrashEvidence { crashes_in_row, likelihood_ratio, crash_age_ms: age_ms, ..self }
+        let crash_age_ms = age_ms.max(CRASH_AGE_MIN_MS);
+        CrashEvidence { crashes_in_row, likelihood_ratio, crash_age_ms, ..self }
     }
 
     /// Returns the evidence after a crash that is attributed to another task.
     pub fn after_explained_crash(self, age_ms: u64) -> CrashEvidence {
-        CrashEvidence { crashes_in_row: self.crashes_in_row + 1, crash_age_ms: age_ms, ..self }
+        let crash_age_ms = age_ms.max(CRASH_AGE_MIN_MS);
+        CrashEvidence { crashes_in_row: self.crashes_in_row + 1, crash_age_ms, ..self }
     }
 
     /// Returns the evidence after a crash of a worker that was ordered to start the task, where it
--- a/tests/suspicion.rs
+++ b/tests/suspicion.rs
@@ -39,3 +39,14 @@
 fn the_last_chance_waits_for_a_calm(ages_ms: &[u64], expected: bool) {
     assert_eq!(evidence_after(ages_ms, FREQUENT_CRASHES).needs_quiet_period(), expected);
 }
+
+/// A worker that crashes in the millisecond of the start is the clearest case of all.
+#[test]
+fn a_crash_at_the_start_is_observed() {
+    let after_one = evidence_after(&[0], RARE_CRASHES);
+    assert!(after_one.needs_probation(), "the task begins where nothing else does");
+    assert!(evidence_after(&[0, 0], RARE_CRASHES).is_culprit());
+    assert!(after_one.is_ruled_out_at_age(2), "it lived twice as long as before");
+    let explained = CrashEvidence::default().after_explained_crash(0);
+    assert!(explained.needs_probation());
+}
