Start an urgent task as soon as its reserved capacity is free

A reservation with 2 s or less to go was taken for one whose start is proposed, so an urgent task whose capacity became free that late was kept waiting until the reservation ended, and then had none. Reservations state whether a start is proposed.

--- a/src/control/scheduler/mod.rs
+++ b/src/control/scheduler/mod.rs
@@ -46,6 +46,9 @@
 /// How long capacity freed for an urgent task stays reserved for it.
 const RESERVATION_MS: u64 = 8_000;
 
+/// Time after which a start is proposed again if it was not applied.
+const PROPOSED_START_MS: u64 = 2_000;
+
 /// Limits from the settings, and features that experiments can switch off.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SchedulerOptions {
@@ -90,6 +93,8 @@
     vm: VmId,
     need: Resources,
     until_ms: u64,
+    /// Whether a start with it is proposed and not applied yet.
+    is_start_proposed: bool,
 }
 
 /// The scheduler of one leader's term.
@@ -428,8 +433,12 @@
         let Some((it, task)) = probe.and_then(|it| Some((it, state.jobs.task(it.task)?))) else {
             return;
         };
-        let reservation =
-            Reservation { vm: vm.id, need: it.need, until_ms: now.mono_ms + RESERVATION_MS };
+        let reservation = Reservation {
+            vm: vm.id,
+            need: it.need,
+            until_ms: now.mono_ms + PROPOSED_START_MS,
+            is_start_proposed: true,
+        };
         self.reserve(state, it.task, reservation);
         plan.starts.push(StartCommand {
             task: it.task,
@@ -456,7 +465,7 @@
             return;
         }
         let reservation = self.reservations.get(&it.task).copied();
-        if reservation.is_some_and(|reservation| self.is_proposed(reservation, now)) {
+        if reservation.is_some_and(|it| it.is_start_proposed) {
             return;
         }
         // The index counts this task's reservation as used, so the reserved VM is checked directly.
@@ -486,11 +495,10 @@
                     vm,
                     session,
                 });
-                self.reserve(
-                    state,
-                    it.task,
-                    Reservation { vm, need: it.need, until_ms: now.mono_ms + RESERVATION_MS / 4 },
-                );
+                let until_ms = now.mono_ms + PROPOSED_START_MS;
+                let reservation =
+                    Reservation { vm, need: it.need, until_ms, is_start_proposed: true };
+                self.reserve(state, it.task, reservation);
             }
             None if it.tier == Tier::Urgent && self.options.preempts && reservation.is_none() => {
                 self.preempt(state, it, now, plan);
@@ -499,11 +507,6 @@
         }
     }
 
-    /// Returns whether a reservation belongs to a proposed start that is not applied yet.
-    fn is_proposed(&self, reservation: Reservation, now: Now) -> bool {
-        reservation.until_ms <= now.mono_ms + RESERVATION_MS / 4
-    }
-
     fn fits_reservation(&self, state: &State, vm: VmId, need: Resources, task: TaskId) -> bool {
         let others =
             self.reservations_by_vm.get(&vm).into_iter().flatten().filter(|it| **it != task);
--- a/src/control/scheduler/urgent.rs
+++ b/src/control/scheduler/urgent.rs
@@ -41,7 +41,11 @@
             if number < count
                 && let Some(vm) = self.free_capacity_index.vm_with_most_free_cpu()
             {
-                self.reserve(state, key, Reservation { vm, need, until_ms: u64::MAX });
+                self.reserve(
+                    state,
+                    key,
+                    Reservation { vm, need, until_ms: u64::MAX, is_start_proposed: false },
+                );
             }
         }
     }
@@ -94,11 +98,9 @@
         for id in victims {
             self.evict(state, id, plan);
         }
-        self.reserve(
-            state,
-            it.task,
-            Reservation { vm, need: it.need, until_ms: now.mono_ms + RESERVATION_MS },
-        );
+        let until_ms = now.mono_ms + RESERVATION_MS;
+        let reservation = Reservation { vm, need: it.need, until_ms, is_start_proposed: false };
+        self.reserve(state, it.task, reservation);
     }
 
     pub(super) fn victims_on(&self, state: &State, vm: &Vm, now: Now) -> Vec<Victim> {
