--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -4,6 +4,7 @@
 mod membership_manager;
 mod operations;
 mod reports;
+mod source_addresses;
 mod workflows;
 
 use std::{
@@ -12,6 +13,7 @@
     sync::Arc,
 };
 
+pub use self::source_addresses::SourceAddresses;
 use crate::{
     control::{
         client::ControlClient,
@@ -125,8 +127,7 @@
     pub(super) leader_state: Option<LeaderState>,
     /// Term and destination of replies that wait for a log entry, by its index.
     pending_replies: BTreeMap<u64, (u64, ReplyTo)>,
-    /// Source address of the last Raft message from each member.
-    source_addresses: BTreeMap<MemberId, SocketAddr>,
+    source_addresses: SourceAddresses,
     /// Term and destination of workflow answers that wait for a log entry, by its index.
     pending_calls: BTreeMap<u64, (u64, workflows::CallReplyTo)>,
     membership_manager: membership_manager::MembershipManager,
@@ -163,7 +164,7 @@
             raft,
             leader_state: None,
             pending_replies: BTreeMap::new(),
-            source_addresses: BTreeMap::new(),
+            source_addresses: SourceAddresses::default(),
             pending_calls: BTreeMap::new(),
             membership_manager: membership_manager::MembershipManager::default(),
             client,
@@ -273,7 +274,7 @@
 
     fn address_of(&self, id: MemberId) -> Option<SocketAddr> {
         // A joining learner does not know the membership yet, so it replies to the source address.
-        self.raft.address_of(id).or_else(|| self.source_addresses.get(&id).copied())
+        self.raft.address_of(id).or_else(|| self.source_addresses.get(id))
     }
 
     fn tick(&mut self, now: Now) {
@@ -323,7 +324,10 @@
     fn on_message(&mut self, now: Now, from: SocketAddr, message: Message) {
         match message {
             Message::Raft(it) => {
-                self.source_addresses.insert(it.from, from);
+                match self.raft.address_of(it.from) {
+                    Some(_) => self.source_addresses.forget(it.from),
+                    None => self.source_addresses.note(it.from, from),
+                }
                 self.raft.step(now, it);
             }
             Message::ControlRequest(it) => {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,6 @@
 mod views;
 
 pub use self::{
-    core::{ControlCore, ControlOptions, Effect, Input},
+    core::{ControlCore, ControlOptions, Effect, Input, SourceAddresses},
     scheduler::{Plan, Scheduler, SchedulerOptions},
 };
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -26,7 +26,8 @@
 #[derive(Clone, Debug)]
 pub struct FairQueue<K> {
     teams: BTreeMap<CompactString, VecDeque<WaitingRequest<K>>>,
-    /// Served requests by team; a returning team starts at least at the minimum of waiting teams.
+    /// Served requests by team; a returning team starts at least at the minimum of waiting teams,
+    /// so only the teams that wait or have been served more are kept.
     served: BTreeMap<CompactString, u64>,
     len: usize,
 }
@@ -87,12 +88,18 @@
             };
             self.len -= usize::from(displaced.is_some());
         }
+        if self.teams.is_empty() {
+            // Turns of the past give nobody a claim over another.
+            self.served.clear();
+        }
         if !self.teams.contains_key(team) {
             // A returning team gains no advantage: its count is at least the minimum of the others.
             let floor =
                 self.teams.keys().filter_map(|it| self.served.get(it)).min().copied().unwrap_or(0);
             let served = self.served.entry(team.into()).or_insert(floor);
             *served = (*served).max(floor);
+            let teams = &self.teams;
+            self.served.retain(|it, count| it == team || floor < *count || teams.contains_key(it));
         }
         self.teams.entry(team.into()).or_default().push_back(it);
         self.len += 1;
--- a/src/policy/interference.rs
+++ b/src/policy/interference.rs
@@ -94,13 +94,18 @@
         *baseline_tail_ms += (isolated_tail_ms - *baseline_tail_ms) * baseline_gain;
         let error = (tail_ms / baseline_tail_ms.max(0.01)).min(20.0) - predicted;
         let power: f64 = kinds.iter().map(|(_, share)| share * share).sum();
-        if power <= 0.0 || PAIRS_MAX <= self.added_slowdowns.len() {
+        if power <= 0.0 {
             return;
         }
         // Normalized least mean squares: attributes the error to each kind in proportion to its
         // share.
         for (kind, share) in kinds {
-            let it = self.added_slowdowns.entry((class.into(), kind.clone())).or_insert(0.0);
+            let key = (class.into(), kind.clone());
+            // A full table learns on about the pairs that it has.
+            if PAIRS_MAX <= self.added_slowdowns.len() && !self.added_slowdowns.contains_key(&key) {
+                continue;
+            }
+            let it = self.added_slowdowns.entry(key).or_insert(0.0);
             *it = (*it + GAIN * error * share / power).clamp(0.0, 50.0);
         }
     }
