Play the failure of disks of control members

The fake disk could fail, but no test let it: the branch was dead, and a member that counts unsynced writes would have passed. Two tests use it: a group acknowledges what two of three disks hold, and nothing that one disk holds.

--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -7,6 +7,7 @@
 
 mod checkers;
 mod disk;
+mod disk_failures;
 mod faults;
 mod history;
 mod measures;
--- a/tests/promises/world/mod.rs
+++ b/tests/promises/world/mod.rs
@@ -299,6 +299,13 @@
         Member { id, address: address(node) }
     }
 
+    /// Sets whether the disk of a control member syncs no further writes.
+    pub fn set_disk_failed(&mut self, node: usize, has_failed: bool) {
+        if let RoleCore::Control { disk, .. } = &mut self.nodes[node].role {
+            disk.has_failed = has_failed;
+        }
+    }
+
     pub fn is_up(&self, node: usize) -> bool {
         self.nodes[node].boot != 0
     }
