--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -14,6 +14,7 @@
 #[allow(dead_code)]
 mod disk;
 mod evacuations;
+mod failures;
 mod faults;
 mod fillers;
 mod gateway;
@@ -23,6 +24,7 @@
 mod lifetimes;
 mod node;
 mod node_restarts;
+mod ranges;
 mod rules;
 mod same_id;
 mod worker;
