--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -1,11 +1,12 @@
 //! Free capacity of each worker, and how well it suits a task.
 
 mod cache;
+mod withheld;
 
 use crate::{
     control::{
         dispatch::run_monitor::RunKind,
-        state::{Worker, Workflows, add, fits, reservation_of, subtract},
+        state::{Worker, Workflows, add, reservation_of, subtract},
     },
     policy::{
         contention::{
@@ -17,6 +18,7 @@
 };
 
 pub(super) use self::cache::FreeCapacities;
+use self::withheld::Withheld;
 
 /// Least headroom, in percent, that placement of fillers leaves a serving task. It is far above
 /// what the throttler keeps: loads change within seconds and a filler runs for some, so one placed
@@ -42,6 +44,9 @@
     pub queue: &'a Queue,
     pub run_kind: RunKind,
     pub reservation: Resources,
+    /// Time by which a task that begins now has ended, late case included, or the end of time if it
+    /// is not forecast.
+    pub late_end_ms: u64,
 }
 
 impl<'a> TaskDemand<'a> {
@@ -55,6 +60,7 @@
             queue,
             run_kind: RunKind::of(step, contention),
             reservation: reservation_of(step),
+            late_end_ms: u64::MAX,
         }
     }
 }
@@ -101,6 +107,7 @@
     kind: CompactString,
     rack: CompactString,
     free: Resources,
+    withheld: Withheld,
     capacity_millicores: u32,
     /// For each image, the processor that its fillers here use together at full speed.
     fillers: Vec<FillerLoad>,
@@ -121,6 +128,7 @@
             kind: worker.kind.clone(),
             rack: worker.rack.clone(),
             free: subtract(worker.capacity, worker.reserved),
+            withheld: Withheld::NONE,
             capacity_millicores: worker.capacity.cpu_millicores,
             fillers: Vec::new(),
             filler_millicores: worker.filler_millicores,
@@ -221,10 +229,9 @@
 
     fn can_hold(&self, demand: &TaskDemand<'_>, placed_count: u32) -> bool {
         let step = demand.step;
-        fits(demand.reservation, self.free)
+        self.has_room_for(demand)
             && (step.per_worker_max == 0 || placed_count < step.per_worker_max)
-            && (step.required_label.is_empty() || step.required_label == self.kind)
-            && self.service == demand.queue.service
+            && self.suits(step, demand.queue)
     }
 
     /// Returns how well the worker suits a task, or `None` if it cannot run it.
@@ -275,7 +282,7 @@
     }
 
     pub(super) fn reserve(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
-        self.free = subtract(self.free, demand.reservation);
+        self.take(demand.reservation);
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
                 self.filler_millicores += millicores;
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use self::{
     capacity::FreeCapacities,
     lost_workers::LossCause,
-    moves::StopBudget,
+    moves::{Reservations, StopBudget},
     probations::Probations,
     retention::ClockReadings,
     run_monitor::{RunKind, RunMonitor},
@@ -87,6 +87,7 @@
     contention: ContentionModel,
     run_times: RunTimeModel,
     stop_budget: StopBudget,
+    reservations: Reservations,
     free_capacities: FreeCapacities,
     probations: Probations,
     idle_since: plan::IdleSince,
@@ -115,6 +116,7 @@
             contention: ContentionModel::with_known_costs(workflows.image_costs(), now.mono_ms),
             run_times: RunTimeModel::with_learned(workflows.demand().run_times()),
             stop_budget: StopBudget::default(),
+            reservations: Reservations::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
@@ -213,17 +215,25 @@
         self.plan_count += 1;
         self.last_plan_ms = now.mono_ms;
         self.next_plan_ms = now.mono_ms + self.options.plan.interval_ms;
+        let usability =
+            UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
+        let sessions = &self.sessions;
+        let is_usable =
+            |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
+        self.reservations.end_invalid(workflows, is_usable, now.mono_ms);
+        let reserving = plan::ReservingState {
+            reservations: &mut self.reservations,
+            run_times: &self.run_times,
+            stop_budget: &self.stop_budget,
+        };
         let input = plan::PlanInput {
             workflows,
-            sessions: &self.sessions,
+            sessions,
             free_capacities: &mut self.free_capacities,
             contention: &mut self.contention,
             probations: self.probations.active(now),
-            usability: UsabilityCriteria {
-                term: self.term,
-                silent_ms: self.options.silent_ms,
-                now,
-            },
+            usability,
+            reserving: self.options.features.reservations.then_some(reserving),
         };
         let plan = plan::plan(input, &mut self.idle_since, &mut self.waiting_steps);
         if !plan.runs.is_empty() {
@@ -231,6 +241,7 @@
             self.output.commands.push(WorkflowCommand::Begin(plan.runs));
         }
         self.move_fillers(workflows, &plan.moves, members, now);
+        self.reserve(workflows, &plan.reservations, members, now);
     }
 
     /// Schedules a plan for `pause_ms` after the last one, unless one is due earlier.
@@ -251,6 +262,7 @@
                 self.begin_in_flight = false;
                 let workers: BTreeSet<_> = runs.iter().map(|it| it.worker).collect();
                 self.probations.note_begin(workflows, runs, now);
+                self.reservations.note_begin(runs, now);
                 for it in workers {
                     self.free_capacities.mark_stale(it);
                     self.send_orders(workflows, it, members);
--- a/src/control/dispatch/moves/mod.rs
+++ b/src/control/dispatch/moves/mod.rs
@@ -5,6 +5,8 @@
 //! by then the worker rejects the stops of earlier leaders. So a stop that was under way at a
 //! change of leader cannot add to the stops of the new one.
 
+mod reservations;
+
 use std::{
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
@@ -13,20 +15,32 @@
 use crate::{
     control::{
         dispatch::{Dispatcher, run_name, sessions::Sessions},
-        state::{Workflow, Workflows},
+        state::{TaskRun, Workflow, Workflows},
+    },
+    policy::disruption::{
+        RunStop, STOP_INTERVAL_MS, StepAvailability, StopCause, StopRejection, moves_left,
     },
-    policy::disruption::{RunStop, STOP_INTERVAL_MS, StepAvailability, StopRejection},
     prelude::*,
 };
 
+pub(super) use self::reservations::{
+    MovedRun, NewReservation, Reservation, ReservationCause, Reservations,
+};
+
 /// Progress of a long-running task that is at work, in percent.
 const AT_WORK_PERCENT: u32 = 100;
 
 /// The limits on stops that are not part of the ledger.
 #[derive(Debug, Default)]
 pub(super) struct StopBudget {
-    /// Times of the last stops of long-running tasks.
-    last_stops_ms: HashMap<TaskRef, u64>,
+    /// The last stops of long-running tasks.
+    last_stops: HashMap<TaskRef, LastStop>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LastStop {
+    at_ms: u64,
+    cause: StopCause,
 }
 
 impl StopBudget {
@@ -49,8 +63,12 @@
         let is_running = workflows.has_run(stop.worker, stop.run)
             && is_listed(sessions, term, stop.worker, stop.run);
         let was_stopped_lately = || {
-            let last_stop_ms = self.last_stops_ms.get(&task);
-            last_stop_ms.is_some_and(|it| now.mono_ms < it + STOP_INTERVAL_MS)
+            let last_stop = self.last_stops.get(&task);
+            last_stop.is_some_and(|it| now.mono_ms < it.at_ms + STOP_INTERVAL_MS)
+        };
+        let is_beyond_moves = || {
+            stop.cause == StopCause::Compaction
+                && self.moves_left(workflows, sessions, term, now) == 0
         };
         let availability = || StepAvailability {
             away: away_count(workflow, sessions, term, stop.run),
@@ -61,17 +79,61 @@
             false => Ok(()),
             true if was_stopped_lately() => Err(StopRejection::StoppedLately),
             true if !availability().allows_stop() => Err(StopRejection::StepUnavailable),
+            true if is_beyond_moves() => Err(StopRejection::TooManyMoves),
             true => Ok(()),
         }
     }
 
-    fn note_stop(&mut self, task: TaskRef, now: Now) {
-        self.last_stops_ms.retain(|_, it| now.mono_ms < *it + STOP_INTERVAL_MS);
-        self.last_stops_ms.insert(task, now.mono_ms);
+    /// Returns how many more long-running tasks may be moved to make room.
+    ///
+    /// A new leader knows no earlier moves, and the limits of each step still hold.
+    pub(super) fn moves_left(
+        &self,
+        workflows: &Workflows,
+        sessions: &Sessions,
+        term: u64,
+        now: Now,
+    ) -> usize {
+        let recent = self.last_stops.iter().filter(|(_, it)| {
+            it.cause == StopCause::Compaction && now.mono_ms < it.at_ms + STOP_INTERVAL_MS
+        });
+        let away =
+            recent.filter(|(task, _)| is_active_and_away(workflows, sessions, term, **task));
+        moves_left(away.count())
+    }
+
+    fn note_stop(&mut self, task: TaskRef, cause: StopCause, now: Now) {
+        self.last_stops.retain(|_, it| now.mono_ms < it.at_ms + STOP_INTERVAL_MS);
+        self.last_stops.insert(task, LastStop { at_ms: now.mono_ms, cause });
     }
 }
 
 impl Dispatcher {
+    /// Makes reservations, and stops the runs that they require.
+    ///
+    /// Each run has capacity reserved at its target before it is stopped.
+    pub(super) fn reserve(
+        &mut self,
+        workflows: &Workflows,
+        new: &[NewReservation],
+        members: &[SocketAddr],
+        now: Now,
+    ) {
+        for it in new {
+            self.reservations.add(it.reservation, it.waited_ms);
+            it.moves.iter().for_each(|(_, target)| self.reservations.add(*target, it.waited_ms));
+            let stops: Vec<_> = it.moves.iter().map(|(stop, _)| *stop).collect();
+            let stopped = self.stop_runs(workflows, &stops, members, now);
+            let rejected = it.moves.iter().filter(|(it, _)| !stopped.contains(&it.run));
+            for (_, target) in rejected.clone() {
+                self.reservations.withdraw(*target);
+            }
+            if rejected.count() != 0 {
+                self.reservations.withdraw(it.reservation);
+            }
+        }
+    }
+
     /// Orders workers to stop runs, as far as the budget allows; returns the runs that are stopped.
     pub(super) fn stop_runs(
         &mut self,
@@ -93,7 +155,7 @@
                 continue;
             }
             if workflows.step_of(it.run.task).is_some_and(|it| it.lasting) {
-                self.stop_budget.note_stop(it.run.task, now);
+                self.stop_budget.note_stop(it.run.task, it.cause, now);
             }
             workers.insert(it.worker);
             stopped.push(it.run);
@@ -123,17 +185,32 @@
         .get(task.occurrence as usize)
         .and_then(|it| it.steps.get(task.step as usize));
     let Some(step) = step else { return 0 };
-    let is_at_work = |index: u32, worker: WorkerId, run: u32| {
-        let run = RunRef { task: TaskRef { index, ..task }, run };
-        let Some(session) = sessions.get(worker) else { return false };
-        let report = session.report.as_ref().filter(|it| it.term == term);
-        !session.is_evicted(run)
-            && report.is_some_and(|it| {
-                it.running.iter().any(|it| it.run == run && AT_WORK_PERCENT <= it.progress_percent)
-            })
-    };
     let others = step.tasks.iter().zip(0_u32..).filter(|(_, index)| *index != task.index);
     let away = others
-        .filter(|(it, index)| !it.runs.iter().any(|it| is_at_work(*index, it.worker, it.run)));
+        .filter(|(it, index)| !has_run_at_work(sessions, term, TaskRef { index: *index, ..task }, &it.runs));
     away.count() as u32
 }
+
+/// Returns whether a task that has not ended has no run that is known to be at work.
+fn is_active_and_away(
+    workflows: &Workflows,
+    sessions: &Sessions,
+    term: u64,
+    task: TaskRef,
+) -> bool {
+    let workflow = workflows.get(task.workflow).filter(|it| it.is_active());
+    let state = workflow.and_then(|it| it.task(task));
+    state.is_some_and(|it| !it.is_done && !has_run_at_work(sessions, term, task, &it.runs))
+}
+
+/// Returns whether a worker reports in this term that a task is at work and not being stopped.
+fn has_run_at_work(sessions: &Sessions, term: u64, task: TaskRef, runs: &[TaskRun]) -> bool {
+    runs.iter().any(|it| {
+        let run = RunRef { task, run: it.run };
+        let Some(session) = sessions.get(it.worker) else { return false };
+        let report = session.report.as_ref().filter(|it| it.term == term);
+        let is_at_work =
+            |it: &RunningTask| it.run == run && AT_WORK_PERCENT <= it.progress_percent;
+        !session.is_evicted(run) && report.is_some_and(|it| it.running.iter().any(is_at_work))
+    })
+}
--- a/src/control/dispatch/plan/builder.rs
+++ b/src/control/dispatch/plan/builder.rs
@@ -9,6 +9,7 @@
     control::{
         dispatch::{
             capacity::{FreeCapacity, PlacementMode, Preference, TaskDemand},
+            plan::holds::Holds,
             probations::Probations,
             run_monitor::RunKind,
         },
@@ -20,18 +21,20 @@
 
 /// Builds a plan.
 pub(super) struct PlanBuilder<'a, 'r> {
-    workflows: &'a Workflows,
-    workers: Vec<&'r mut FreeCapacity>,
-    contention: &'a mut ContentionModel,
-    probations: Probations,
-    runs: Vec<RunPlacement>,
-    changed_workers: BTreeSet<WorkerId>,
+    pub(super) workflows: &'a Workflows,
+    /// In the order of their ids.
+    pub(super) workers: Vec<&'r mut FreeCapacity>,
+    pub(super) contention: &'a mut ContentionModel,
+    pub(super) probations: Probations,
+    pub(super) runs: Vec<RunPlacement>,
+    pub(super) changed_workers: BTreeSet<WorkerId>,
+    pub(super) holds: Holds<'a>,
     /// Requirements that no worker could meet. Free capacity only shrinks while a plan is built, so
     /// later steps with equal or larger requirements are skipped. In overload most waiting tasks
     /// are of few kinds.
     unmet: Vec<Unmet>,
     /// Number of workers whose offers were computed.
-    rows_visited: Cell<u64>,
+    pub(super) rows_visited: Cell<u64>,
 }
 
 /// Requirements that no worker could meet.
@@ -42,6 +45,7 @@
     filler: Option<ImageKey>,
     reservation: Resources,
     filler_millicores: u32,
+    late_end_ms: u64,
 }
 
 impl Unmet {
@@ -56,6 +60,7 @@
             filler,
             reservation: demand.reservation,
             filler_millicores,
+            late_end_ms: demand.late_end_ms,
         }
     }
 
@@ -65,6 +70,7 @@
             && self.service == other.service
             && (self.label.is_empty() || self.label == other.label)
             && self.filler_millicores <= other.filler_millicores
+            && self.late_end_ms <= other.late_end_ms
             && self.reservation.cpu_millicores <= other.reservation.cpu_millicores
             && self.reservation.memory_mib <= other.reservation.memory_mib
             && self.reservation.accelerators <= other.reservation.accelerators
@@ -86,6 +92,7 @@
             probations,
             runs,
             changed_workers,
+            holds: Holds::default(),
             unmet,
             rows_visited: Cell::new(0),
         }
@@ -122,11 +129,15 @@
         let Some(queue) = self.workflows.queue(&workflow.queue) else { return };
         let Some(step) = workflow.spec.steps.get(step_ref.step as usize) else { return };
         let Some(state) = state_of(workflow, step_ref) else { return };
-        let demand = TaskDemand::new(step, queue, self.contention);
+        let mut demand = TaskDemand::new(step, queue, self.contention);
+        demand.late_end_ms = self.late_end_ms(step, queue);
         let requirements = Unmet::new(&demand);
+        let has_reservations = self.holds.has_any(step_ref);
         if mode == PlacementMode::ProtectLatency
+            && !has_reservations
             && self.unmet.iter().any(|it| it.rules_out(&requirements))
         {
+            self.note_unplaced(step_ref, step);
             return;
         }
         let waiting: Vec<_> = state
@@ -147,7 +158,15 @@
                 let limit = limit.min(waiting.len());
                 let SplitTasks { on_probation, others } = self.split(step_ref, &waiting[..limit]);
                 self.place_on_probation(step_ref, &demand, state, &on_probation, mode);
-                let placed = self.place_tasks(step_ref, &demand, state, &others, mode);
+                let reserved = match has_reservations {
+                    true => self.place_reserved(step_ref, &demand, state, &others),
+                    false => 0,
+                };
+                let others = &others[reserved..];
+                let placed = self.place_tasks(step_ref, &demand, state, others, mode);
+                if placed < others.len() {
+                    self.note_unplaced(step_ref, step);
+                }
                 if placed < others.len()
                     && mode == PlacementMode::ProtectLatency
                     && step.per_worker_max == 0
@@ -265,7 +284,7 @@
         tasks: &[(u32, u32)],
         mode: PlacementMode,
     ) -> usize {
-        let mut counts = counts_of(demand.step, state);
+        let mut counts = self.counts_with_plan(step_ref, demand.step, state);
         let mut offers = self.offers(demand, &counts, mode);
         for (placed, (index, run)) in tasks.iter().enumerate() {
             let Some((_, best)) = offers.pop() else { return placed };
@@ -283,6 +302,22 @@
         tasks.len()
     }
 
+    /// Returns the number of runs of a step on each worker, as [`counts_of`] does, with those that
+    /// this plan has placed on reserved workers.
+    pub(super) fn counts_with_plan(
+        &self,
+        step_ref: StepRef,
+        step: &WorkflowStep,
+        state: &StepState,
+    ) -> HashMap<WorkerId, u32> {
+        let mut res = counts_of(step, state);
+        if 0 < step.per_worker_max && self.holds.has_any(step_ref) {
+            let placed = self.runs.iter().filter(|it| StepRef::of_task(it.run.task) == step_ref);
+            placed.for_each(|it| *res.entry(it.worker).or_insert(0) += 1);
+        }
+        res
+    }
+
     fn offers(
         &self,
         demand: &TaskDemand<'_>,
@@ -354,7 +389,7 @@
     demand: TaskDemand<'a>,
 }
 
-fn task_of(step_ref: StepRef, index: u32) -> TaskRef {
+pub(super) fn task_of(step_ref: StepRef, index: u32) -> TaskRef {
     TaskRef {
         workflow: step_ref.workflow,
         occurrence: step_ref.occurrence,
@@ -363,13 +398,13 @@
     }
 }
 
-fn state_of(workflow: &Workflow, step_ref: StepRef) -> Option<&StepState> {
+pub(super) fn state_of(workflow: &Workflow, step_ref: StepRef) -> Option<&StepState> {
     workflow.occurrences.get(step_ref.occurrence as usize)?.steps.get(step_ref.step as usize)
 }
 
 /// Returns the number of runs of a step on each worker, or an empty map if the step sets no limit
 /// per worker.
-fn counts_of(step: &WorkflowStep, state: &StepState) -> HashMap<WorkerId, u32> {
+pub(super) fn counts_of(step: &WorkflowStep, state: &StepState) -> HashMap<WorkerId, u32> {
     let mut res = HashMap::new();
     if 0 < step.per_worker_max {
         for run in state.tasks.iter().flat_map(|it| &it.runs) {
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -4,7 +4,9 @@
 
 mod builder;
 mod candidates;
+mod holds;
 mod moves;
+mod reserving;
 mod waiting_steps;
 
 use std::collections::{HashMap, HashSet};
@@ -13,12 +15,13 @@
     control::{
         dispatch::{
             capacity::{FreeCapacities, FreeCapacity, PlacementMode},
+            moves::{NewReservation, Reservations, StopBudget},
             probations::Probations,
             sessions::{Sessions, SlowRun, UsabilityCriteria},
         },
         state::Workflows,
     },
-    policy::contention::ContentionModel,
+    policy::{contention::ContentionModel, forecast::RunTimeModel},
     prelude::*,
 };
 
@@ -26,6 +29,7 @@
 use self::{
     builder::PlanBuilder,
     candidates::{Candidate, candidates},
+    reserving::{ReservingInput, find_reservations},
 };
 
 /// Settings of the planner.
@@ -54,6 +58,8 @@
     pub runs: Vec<RunPlacement>,
     /// Fillers to stop, so that they move to other workers.
     pub moves: Vec<SlowRun>,
+    /// Capacity to reserve for tasks that fit on no worker.
+    pub reservations: Vec<NewReservation>,
 }
 
 /// State that a plan is based on.
@@ -65,6 +71,15 @@
     /// Workers where no other task may begin, since one is on probation there.
     pub probations: Probations,
     pub usability: UsabilityCriteria,
+    /// `None` if capacity is not reserved in this installation.
+    pub reserving: Option<ReservingState<'a>>,
+}
+
+/// State that reservations are based on.
+pub(super) struct ReservingState<'a> {
+    pub reservations: &'a mut Reservations,
+    pub run_times: &'a RunTimeModel,
+    pub stop_budget: &'a StopBudget,
 }
 
 /// Returns the runs to begin now, and the fillers to move.
@@ -73,14 +88,21 @@
     idle_since: &mut IdleSince,
     waiting_steps: &mut WaitingSteps,
 ) -> Plan {
-    let PlanInput { workflows, sessions, free_capacities, contention, probations, usability } =
-        input;
+    let PlanInput {
+        workflows,
+        sessions,
+        free_capacities,
+        contention,
+        probations,
+        usability,
+        reserving,
+    } = input;
     let now = usability.now;
     let candidates = candidates(workflows, now);
     let slow = sessions.slow_runs(workflows, usability);
     if candidates.is_empty() && slow.is_empty() {
         idle_since.clear();
-        waiting_steps.clear();
+        waiting_steps.clear(now.mono_ms);
         return Plan::default();
     }
     free_capacities.refresh(workflows, contention, now);
@@ -90,6 +112,9 @@
         contention,
         probations,
     );
+    if let Some(it) = &reserving {
+        builder.withhold(it.reservations.entries(), it.run_times, now.mono_ms);
+    }
     for it in &candidates {
         builder.place(it.step_ref, it.workflow, PlacementMode::ProtectLatency);
     }
@@ -105,11 +130,16 @@
     }
     waiting_steps.update(&candidates, &builder, now.mono_ms);
     let moves = moves::reserve_moves(&slow, &mut builder);
+    let reservations = reserving.map(|it| {
+        let ReservingState { reservations, run_times, stop_budget } = it;
+        let input = ReservingInput { sessions, run_times, stop_budget, usability };
+        find_reservations(&builder, reservations, input)
+    });
     let rows_visited = builder.rows_visited();
     let (runs, changed_workers) = builder.finish();
     free_capacities.note_visited(rows_visited);
     changed_workers.into_iter().for_each(|it| free_capacities.mark_stale(it));
-    Plan { runs, moves }
+    Plan { runs, moves, reservations: reservations.unwrap_or_default() }
 }
 
 /// Returns the candidates of workflows that have no run on a usable worker, also after this plan.
--- a/src/control/dispatch/plan/waiting_steps.rs
+++ b/src/control/dispatch/plan/waiting_steps.rs
@@ -5,7 +5,7 @@
 use crate::{
     control::{
         dispatch::plan::{Candidate, builder::PlanBuilder},
-        state::StepState,
+        state::{StepState, Workflow, add, fits, reservation_of},
     },
     prelude::*,
 };
@@ -20,6 +20,10 @@
 /// Maximum number of steps logged per plan.
 const LOGGED_STEPS_MAX: usize = 4;
 
+/// Interval between two checks of whether a waiting task fits into the free capacity in sum. A check
+/// visits all workers.
+const FREE_CHECK_INTERVAL_MS: u64 = 500;
+
 /// Steps with long-running tasks that wait for a worker.
 #[derive(Debug, Default)]
 pub(in crate::control::dispatch) struct WaitingSteps {
@@ -30,11 +34,57 @@
 struct Wait {
     since_ms: u64,
     logged_ms: u64,
+    updated_ms: u64,
+    /// Tasks that waited since the last update.
+    tasks: u64,
+    /// What was free at the last check, if there was one.
+    free: Option<FreeSummary>,
+    next_check_ms: u64,
+    /// Sum of the waits of all tasks.
+    task_ms: u64,
+    /// Part of that sum during which one more task fitted in sum but on no worker.
+    fragmented_task_ms: u64,
+}
+
+impl Wait {
+    fn new(now_ms: u64) -> Wait {
+        Wait {
+            since_ms: now_ms,
+            logged_ms: now_ms,
+            updated_ms: now_ms,
+            tasks: 0,
+            free: None,
+            next_check_ms: now_ms,
+            task_ms: 0,
+            fragmented_task_ms: 0,
+        }
+    }
+
+    fn advance(&mut self, tasks: u64, now_ms: u64) {
+        let waited_ms = self.tasks * (now_ms - self.updated_ms);
+        self.task_ms += waited_ms;
+        if self.free.is_some_and(|it| it.is_fragmented) {
+            self.fragmented_task_ms += waited_ms;
+        }
+        (self.tasks, self.updated_ms) = (tasks, now_ms);
+    }
+
+    fn log_end(&self, step_ref: StepRef, now_ms: u64) {
+        let waited_ms = now_ms - self.since_ms;
+        if waited_ms < LOG_AFTER_MS {
+            return;
+        }
+        tracing::info!(event = "tasks_waited", workflow = %format_args!("{:016x}", step_ref.workflow.0), step = step_ref.step, waited_ms, task_ms = self.task_ms, fragmented_task_ms = self.fragmented_task_ms);
+    }
 }
 
 impl WaitingSteps {
-    pub(super) fn clear(&mut self) {
-        self.steps.clear();
+    /// Ends all waits.
+    pub(super) fn clear(&mut self, now_ms: u64) {
+        for (step_ref, mut wait) in self.steps.drain() {
+            wait.advance(0, now_ms);
+            wait.log_end(step_ref, now_ms);
+        }
     }
 
     /// Updates the waits after a plan, and logs those that are due.
@@ -47,19 +97,30 @@
         let long_running = candidates.iter().filter(|it| is_long_running(it));
         let unplaced: Vec<_> =
             long_running.filter_map(|it| Some((it, unplaced_tasks(it, builder)?))).collect();
-        self.steps.retain(|step_ref, _| unplaced.iter().any(|(it, _)| it.step_ref == *step_ref));
+        self.steps.retain(|step_ref, wait| {
+            let is_waiting = unplaced.iter().any(|(it, _)| it.step_ref == *step_ref);
+            if !is_waiting {
+                wait.advance(0, now_ms);
+                wait.log_end(*step_ref, now_ms);
+            }
+            is_waiting
+        });
         let mut logged = 0;
+        let mut checks = 0;
         for (it, unplaced) in unplaced {
-            let wait = self
-                .steps
-                .entry(it.step_ref)
-                .or_insert(Wait { since_ms: now_ms, logged_ms: now_ms });
+            let wait = self.steps.entry(it.step_ref).or_insert_with(|| Wait::new(now_ms));
+            wait.advance(unplaced.tasks as u64, now_ms);
+            if wait.next_check_ms <= now_ms && checks < LOGGED_STEPS_MAX {
+                checks += 1;
+                wait.next_check_ms = now_ms + FREE_CHECK_INTERVAL_MS;
+                wait.free = builder.free_summary(it.step_ref, it.workflow);
+            }
             let is_due = wait.since_ms + LOG_AFTER_MS <= now_ms
                 && (wait.logged_ms == wait.since_ms || wait.logged_ms + LOG_INTERVAL_MS <= now_ms);
             if is_due && logged < LOGGED_STEPS_MAX {
                 logged += 1;
                 wait.logged_ms = now_ms;
-                unplaced.log(it.step_ref, now_ms - wait.since_ms, builder);
+                unplaced.log(it.step_ref, wait, now_ms, builder);
             }
         }
     }
@@ -75,16 +136,49 @@
 }
 
 impl UnplacedTasks {
-    fn log(self, step_ref: StepRef, waited_ms: u64, builder: &PlanBuilder<'_, '_>) {
+    fn log(self, step_ref: StepRef, wait: &Wait, now_ms: u64, builder: &PlanBuilder<'_, '_>) {
         let workers = builder.workers().len();
+        let is_fragmented = wait.free.is_some_and(|it| it.is_fragmented);
         let cause = match self {
             _ if workers == 0 => "no_worker",
             it if it.waiting_for_quiet == it.tasks => "recent_crashes",
             it if it.suspects == it.tasks => "probation",
+            _ if is_fragmented => "fragmented",
             _ => "no_capacity",
         };
         let probations = builder.probations().len();
-        tracing::warn!(event = "tasks_waiting", workflow = %format_args!("{:016x}", step_ref.workflow.0), step = step_ref.step, tasks = self.tasks, suspects = self.suspects, waited_ms, workers, probations, cause);
+        let waited_ms = now_ms - wait.since_ms;
+        let cores = |it: fn(&FreeSummary) -> u32| wait.free.as_ref().map(it).map(|it| it / 1_000);
+        let free_cores = cores(|it| it.sum.cpu_millicores);
+        let largest_gap_cores = cores(|it| it.largest_gap_millicores);
+        tracing::warn!(event = "tasks_waiting", workflow = %format_args!("{:016x}", step_ref.workflow.0), step = step_ref.step, tasks = self.tasks, suspects = self.suspects, waited_ms, workers, probations, free_cores, largest_gap_cores, task_ms = wait.task_ms, fragmented_task_ms = wait.fragmented_task_ms, cause);
+    }
+}
+
+/// Free capacity of the workers that may run a task, also what is reserved and not in use yet.
+#[derive(Clone, Copy, Debug)]
+struct FreeSummary {
+    sum: Resources,
+    largest_gap_millicores: u32,
+    /// Whether the task fits in sum but on no worker.
+    is_fragmented: bool,
+}
+
+impl PlanBuilder<'_, '_> {
+    fn free_summary(&self, step_ref: StepRef, workflow: &Workflow) -> Option<FreeSummary> {
+        let queue = self.workflows.queue(&workflow.queue)?;
+        let step = workflow.spec.steps.get(step_ref.step as usize)?;
+        self.rows_visited.set(self.rows_visited.get() + self.workers.len() as u64);
+        let need = reservation_of(step);
+        let suiting = self.workers.iter().filter(|it| it.suits(step, queue));
+        let gaps: Vec<_> = suiting.map(|it| it.free_and_withheld()).collect();
+        let sum = gaps.iter().copied().reduce(add)?;
+        let is_whole = gaps.iter().any(|it| fits(need, *it));
+        Some(FreeSummary {
+            sum,
+            largest_gap_millicores: gaps.iter().map(|it| it.cpu_millicores).max()?,
+            is_fragmented: fits(need, sum) && !is_whole,
+        })
     }
 }
 
--- a/src/policy/disruption.rs
+++ b/src/policy/disruption.rs
@@ -13,6 +13,16 @@
 /// second, which stays below a tenth of the task's time.
 pub const STOP_INTERVAL_MS: u64 = 10_000;
 
+/// Long-running tasks that may be away at once because they were moved to make room: the moves of a
+/// wrong forecast must not take a noticeable part of what serves.
+const MOVES_UNDER_WAY_MAX: usize = 8;
+
+/// Returns how many more long-running tasks may be moved to make room while `under_way` are away
+/// for that reason.
+pub fn moves_left(under_way: usize) -> usize {
+    MOVES_UNDER_WAY_MAX.saturating_sub(under_way)
+}
+
 /// How many tasks of a long-running step serve at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StepAvailability {
@@ -92,4 +102,6 @@
     StepUnavailable,
     /// The task was stopped lately.
     StoppedLately,
+    /// Too many moved tasks are away.
+    TooManyMoves,
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! naive reference implementation.
 
 pub mod admission;
+pub mod compaction;
 pub mod contention;
 pub mod crash_evidence;
 pub mod disruption;
@@ -14,6 +15,7 @@
 pub mod migration;
 pub mod placement;
 pub mod preemption;
+pub mod reservation;
 pub mod retry;
 pub mod routing;
 pub mod run_times;
