--- a/src/control/dispatch/moves/reservations.rs
+++ b/src/control/dispatch/moves/reservations.rs
@@ -12,10 +12,13 @@
     prelude::*,
 };
 
-/// Minimum interval between two searches for reservations: a search visits all workers of a pool,
-/// and loads change no faster.
+/// Minimum interval between two searches for reservations, which visit all workers of a pool.
 const SEARCH_INTERVAL_MS: u64 = 100;
 
+/// Time until the next search after one that found nothing. Most of what it looked at has not
+/// changed by then.
+const FRUITLESS_SEARCH_INTERVAL_MS: u64 = 500;
+
 /// Why a reservation is made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::control::dispatch) enum ReservationCause {
@@ -96,11 +99,14 @@
             return Vec::new();
         }
         let waited = unplaced.iter().map(|it| (*it, now_ms - self.waiting_since_ms[it]));
-        let res: Vec<_> = waited.filter(|(_, it)| has_waited_enough(*it)).collect();
-        if !res.is_empty() {
-            self.next_search_ms = now_ms + SEARCH_INTERVAL_MS;
-        }
-        res
+        waited.filter(|(_, it)| has_waited_enough(*it)).collect()
+    }
+
+    /// Notes a search for reservations.
+    pub(in crate::control::dispatch) fn note_search(&mut self, found_any: bool, now_ms: u64) {
+        let interval_ms =
+            if found_any { SEARCH_INTERVAL_MS } else { FRUITLESS_SEARCH_INTERVAL_MS };
+        self.next_search_ms = now_ms + interval_ms;
     }
 
     pub(in crate::control::dispatch) fn add(&mut self, it: Reservation, waited_ms: u64) {
--- a/src/control/dispatch/plan/reserving.rs
+++ b/src/control/dispatch/plan/reserving.rs
@@ -14,7 +14,7 @@
         state::{NO_RESOURCES, add, fits, reservation_of, subtract},
     },
     policy::{
-        compaction::{Compaction, Gap, find_compaction, is_worth_moves},
+        compaction::{Compaction, find_compaction, moves_worth},
         disruption::{RunStop, StopCause},
         forecast::{RunTimeModel, TaskKind},
         reservation::{
@@ -57,14 +57,17 @@
     input: ReservingInput<'_>,
 ) -> Vec<NewReservation> {
     let unplaced = builder.holds.unplaced();
+    let entries = reservations.entries().to_vec();
     let waiting = reservations.note_unplaced(unplaced, input.usability.now.mono_ms);
-    let mut search = None;
+    let mut search: Option<Search<'_, '_, '_>> = None;
     for (step_ref, waited_ms) in waiting.into_iter().take(STEPS_MAX) {
         let search = search
-            .get_or_insert_with(|| Search::new(builder, reservations.entries(), input));
+            .get_or_insert_with(|| Search::new(builder, &entries, input));
         search.visit(step_ref, waited_ms);
     }
-    search.map(|it| it.found).unwrap_or_default()
+    let Some(search) = search else { return Vec::new() };
+    reservations.note_search(!search.found.is_empty(), input.usability.now.mono_ms);
+    search.found
 }
 
 /// A worker as a search sees it.
@@ -112,7 +115,7 @@
         entries: &'b [Reservation],
         input: ReservingInput<'b>,
     ) -> Search<'b, 'a, 'r> {
-        let awaited = entries.iter().filter(|it| it.moved.is_none()).map(|it| it.worker).collect();
+        let awaited = entries.iter().map(|it| it.worker).collect();
         let moving = entries.iter().filter(|it| it.moved.is_some());
         let UsabilityCriteria { term, now, .. } = input.usability;
         Search {
@@ -231,15 +234,17 @@
         pool: &Pool,
         counts: &HashMap<WorkerId, u32>,
     ) -> Option<NewReservation> {
+        let is_available = |it: &&Row| {
+            !self.awaited.contains(&it.worker) && !self.builder.probations.contains(it.worker)
+        };
+        let largest = pool.rows.iter().rev().filter(is_available).take(ROOMS_MAX);
+        let largest: Vec<_> = largest.copied().collect();
+        let partners: Vec<_> = largest.iter().map(|it| self.room(it)).collect();
         let max = need.step.per_worker_max;
-        let largest = pool.rows.iter().rev().filter(|it| {
-            let count = counts.get(&it.worker).copied().unwrap_or(0);
-            (max == 0 || count < max)
-                && !self.awaited.contains(&it.worker)
-                && !self.builder.probations.contains(it.worker)
-        });
-        let largest: Vec<_> = largest.take(ROOMS_MAX).copied().collect();
-        let rooms: Vec<_> = largest.iter().map(|it| self.room(it)).collect();
+        let is_below_limit = |it: &&WorkerRoom| {
+            max == 0 || counts.get(&it.worker).copied().unwrap_or(0) < max
+        };
+        let rooms: Vec<_> = partners.iter().filter(is_below_limit).cloned().collect();
         let now_ms = self.input.usability.now.mono_ms;
         let reservation = |worker, due_ms, expires_ms, cause| Reservation {
             step: need.step_ref,
@@ -261,12 +266,12 @@
                 waited_ms: need.waited_ms,
             });
         }
-        let compaction = self.compaction(need, pool, &rooms)?;
-        let worker = rooms[compaction.room].worker;
+        let compaction = self.compaction(need, &rooms, &partners)?;
+        let worker = compaction.worker;
         let expires_ms = now_ms + MOVE_MAX_MS;
         let moves = compaction.moves.iter().map(|it| {
-            let stop = RunStop { run: it.run.run, worker, cause: StopCause::Compaction };
-            let moved = Some(MovedRun { run: it.run.run, from: worker });
+            let stop = RunStop { run: it.run.run, worker: it.from, cause: StopCause::Compaction };
+            let moved = Some(MovedRun { run: it.run.run, from: it.from });
             let target = Reservation {
                 step: StepRef::of_task(it.run.run.task),
                 resources: it.run.resources,
@@ -284,22 +289,16 @@
     fn compaction(
         &self,
         need: &Need<'_>,
-        pool: &Pool,
         rooms: &[WorkerRoom],
+        partners: &[WorkerRoom],
     ) -> Option<Compaction> {
-        let moves_max = (1..=2).rev().find(|it| is_worth_moves(need.waited_ms, *it))?;
-        let moves_max = moves_max.min(self.moves_left);
+        let moves_max = moves_worth(need.waited_ms).min(self.moves_left);
         if !need.step.lasting || moves_max == 0 {
             return None;
         }
-        let is_target = |it: &&Row| {
-            !self.awaited.contains(&it.worker) && !self.builder.probations.contains(it.worker)
-        };
-        let gaps = pool.rows.iter().filter(is_target);
-        let gaps: Vec<_> = gaps.map(|it| Gap { worker: it.worker, free: it.free }).collect();
         let now_ms = self.input.usability.now.mono_ms;
         let can_take = |run: &MovableRun, worker| self.can_take(run, worker);
-        find_compaction(need.resources, rooms, &gaps, moves_max, now_ms, can_take)
+        find_compaction(need.resources, rooms, partners, moves_max, now_ms, can_take)
     }
 
     /// Returns whether a worker accepts a run apart from its resources.
@@ -389,6 +388,7 @@
     /// Takes what a reservation needs from the pool.
     fn note(&mut self, pool: &mut Pool, new: &NewReservation) {
         self.awaited.insert(new.reservation.worker);
+        self.awaited.extend(new.moves.iter().map(|(stop, _)| stop.worker));
         self.moves_left = self.moves_left.saturating_sub(new.moves.len());
         for it in reservations_of(new) {
             let taken = self.taken.entry(it.worker).or_insert(NO_RESOURCES);
--- a/src/policy/compaction.rs
+++ b/src/policy/compaction.rs
@@ -1,11 +1,11 @@
 //! Chooses long-running tasks to move so that small gaps on several workers become a large one.
 //!
 //! This is vector bin packing with migration costs, for which the best plan is expensive to find.
-//! The search is bounded instead: at most two moves off one of the given workers, each to the
-//! tightest gap that takes the task.
+//! The search is bounded instead: one or two tasks leave a worker, and for each of them at most one
+//! task may come back, since gaps that are smaller than every task can only be joined by exchanges.
 
 use crate::{
-    control::state::{add, fits, subtract},
+    control::state::{add, fits},
     policy::reservation::{MovableRun, WorkerRoom},
     prelude::*,
 };
@@ -13,144 +13,179 @@
 /// Time for which a moved task is away: its stop, two commits and its start.
 pub const MOVE_MS: u64 = 1_500;
 
-/// Maximum number of gaps that are tried for one move.
-const TARGETS_TRIED_MAX: usize = 8;
+/// Maximum number of moves for one waiting task: two exchanges.
+pub const MOVES_MAX: usize = 4;
 
-/// Maximum number of movable runs of a worker that are considered; pairs grow with its square.
-const RUNS_TRIED_MAX: usize = 12;
+/// Workers on which room is made by two exchanges, and workers that take part in these, at most. The
+/// number of pairs of exchanges grows with the square of the latter.
+const PAIR_ROOMS_MAX: usize = 8;
+const PAIR_PARTNERS_MAX: usize = 12;
 
-/// A gap that may take a moved task.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Gap {
-    pub worker: WorkerId,
-    pub free: Resources,
-}
+/// Maximum number of movable runs of a worker that are considered.
+const RUNS_MAX: usize = 8;
 
 /// One run to stop, and the worker on which it begins again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Move {
     pub run: MovableRun,
+    pub from: WorkerId,
     pub target: WorkerId,
 }
 
 /// The moves after which a task fits on a worker.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Compaction {
-    /// Index of the worker among those given.
-    pub room: usize,
+    pub worker: WorkerId,
     pub moves: Vec<Move>,
 }
 
-/// Returns whether a task that has waited for `waited_ms` gains more by `moves` moves than the moved
-/// tasks lose.
+/// Returns the number of moves that a task is worth that has waited for `waited_ms`.
 ///
 /// How long the task would wait on is unknown; it is taken to be as long as it has waited so far.
-/// Moving once the wait equals the cost of the moves costs at most twice what the better choice in
-/// hindsight does.
-pub fn is_worth_moves(waited_ms: u64, moves: usize) -> bool {
-    MOVE_MS * moves as u64 <= waited_ms
+/// Moving once the wait equals the time for which all moved tasks are away costs at most twice what
+/// the better choice in hindsight does.
+pub fn moves_worth(waited_ms: u64) -> usize {
+    ((waited_ms / MOVE_MS) as usize).min(MOVES_MAX)
 }
 
 /// Returns the cheapest moves after which `need` fits on one of `rooms`: the fewest, then those that
-/// move the least processor, then those that leave the least of it free there.
+/// move the least processor, then those that leave the tightest gaps.
 ///
-/// `gaps` are sorted by free processor, least first. `can_take` tells whether a worker accepts a run
-/// apart from its resources.
+/// Runs are exchanged with `partners`, those with the largest gaps first. `can_take` tells whether a
+/// worker accepts a run apart from its resources.
 pub fn find_compaction(
     need: Resources,
     rooms: &[WorkerRoom],
-    gaps: &[Gap],
+    partners: &[WorkerRoom],
     moves_max: usize,
     now_ms: u64,
     can_take: impl Fn(&MovableRun, WorkerId) -> bool,
 ) -> Option<Compaction> {
-    let search = Search { need, gaps, now_ms, can_take };
-    let single = |(index, room): (usize, &WorkerRoom)| {
-        let it = search.best_single(room)?;
-        Some((it, index))
-    };
-    let pair = |(index, room): (usize, &WorkerRoom)| {
-        let it = search.best_pair(room)?;
-        Some((it, index))
-    };
-    let best_single = || rooms.iter().enumerate().filter_map(single).min_by_key(|it| it.0.cost);
-    let best_pair = || rooms.iter().enumerate().filter_map(pair).min_by_key(|it| it.0.cost);
-    let best = match moves_max {
-        0 => None,
-        1 => best_single(),
-        _ => best_single().or_else(best_pair),
-    };
-    best.map(|(it, room)| Compaction { room, moves: it.moves })
+    let mut search = Search { need, moves_max, now_ms, can_take, best: None };
+    for room in rooms {
+        let exchanges = exchanges(room, partners);
+        exchanges.iter().for_each(|it| search.consider(room, &[*it]));
+    }
+    if search.best.is_none() && 2 <= moves_max {
+        let partners = &partners[..partners.len().min(PAIR_PARTNERS_MAX)];
+        rooms.iter().take(PAIR_ROOMS_MAX).for_each(|it| search.consider_pairs(it, partners));
+    }
+    search.best.map(|(_, it)| it)
 }
 
-/// Moved processor, then processor left free, in millicores.
-type Cost = (u32, u32);
+/// A run that leaves a worker for a partner, and the run that comes back, if any.
+#[derive(Clone, Copy)]
+struct Exchange<'p> {
+    out: MovableRun,
+    partner: &'p WorkerRoom,
+    back: Option<MovableRun>,
+    /// Processor that the worker gains, in millicores.
+    gain: i64,
+}
 
-struct Found {
-    cost: Cost,
-    moves: Vec<Move>,
+/// Returns the exchanges by which a worker loses one of its runs, apart from the limits of the
+/// partner, those with the largest gain first.
+fn exchanges<'p>(room: &WorkerRoom, partners: &'p [WorkerRoom]) -> Vec<Exchange<'p>> {
+    let mut res = Vec::new();
+    for out in room.movable.iter().take(RUNS_MAX) {
+        for partner in partners.iter().filter(|it| it.worker != room.worker) {
+            let backs = partner.movable.iter().take(RUNS_MAX).copied().map(Some);
+            for back in [None].into_iter().chain(backs) {
+                let back_millicores = back.map_or(0, |it| it.resources.cpu_millicores);
+                let gain = i64::from(out.resources.cpu_millicores) - i64::from(back_millicores);
+                res.push(Exchange { out: *out, partner, back, gain });
+            }
+        }
+    }
+    res.sort_by_key(|it| -it.gain);
+    res
 }
 
-struct Search<'a, F> {
+/// Moves, moved processor, and the unused processor that is left in the gaps.
+type Cost = (usize, u32, u32);
+
+struct Search<F> {
     need: Resources,
-    gaps: &'a [Gap],
+    moves_max: usize,
     now_ms: u64,
     can_take: F,
+    best: Option<(Cost, Compaction)>,
 }
 
-impl<F: Fn(&MovableRun, WorkerId) -> bool> Search<'_, F> {
-    fn best_single(&self, room: &WorkerRoom) -> Option<Found> {
+impl<F: Fn(&MovableRun, WorkerId) -> bool> Search<F> {
+    fn consider_pairs(&mut self, room: &WorkerRoom, partners: &[WorkerRoom]) {
         let free = room.free_by(self.now_ms + MOVE_MS);
-        let enough = |it: &&MovableRun| fits(self.need, add(free, it.resources));
-        let found = room.movable.iter().take(RUNS_TRIED_MAX).filter(enough).filter_map(|it| {
-            let target = self.target_for(it, room.worker, None)?;
-            Some(self.found(free, vec![Move { run: *it, target }]))
-        });
-        found.min_by_key(|it| it.cost)
+        let lacking = i64::from(self.need.cpu_millicores) - i64::from(free.cpu_millicores);
+        let exchanges = exchanges(room, partners);
+        for (at, first) in exchanges.iter().enumerate() {
+            let rest = exchanges[at + 1..].iter();
+            for second in rest.take_while(|it| lacking <= first.gain + it.gain) {
+                if first.out.run != second.out.run {
+                    self.consider(room, &[*first, *second]);
+                }
+            }
+        }
     }
 
-    fn best_pair(&self, room: &WorkerRoom) -> Option<Found> {
+    /// Notes exchanges if they make room at a lower cost than those found before.
+    fn consider(&mut self, room: &WorkerRoom, exchanges: &[Exchange<'_>]) {
+        let gain: i64 = exchanges.iter().map(|it| it.gain).sum();
         let free = room.free_by(self.now_ms + MOVE_MS);
-        let runs = &room.movable[..room.movable.len().min(RUNS_TRIED_MAX)];
-        let pairs =
-            runs.iter().enumerate().flat_map(|(at, a)| runs[at + 1..].iter().map(move |b| (a, b)));
-        // The step of a moved task may allow no second task to be away.
-        let of_two_steps = pairs
-            .filter(|(a, b)| StepRef::of_task(a.run.task) != StepRef::of_task(b.run.task));
-        let enough = of_two_steps
-            .filter(|(a, b)| fits(self.need, add(free, add(a.resources, b.resources))));
-        let found = enough.filter_map(|(a, b)| {
-            let target = self.target_for(a, room.worker, None)?;
-            let first = Move { run: *a, target };
-            let target = self.target_for(b, room.worker, Some(first))?;
-            Some(self.found(free, vec![first, Move { run: *b, target }]))
-        });
-        found.min_by_key(|it| it.cost)
+        let left = i64::from(free.cpu_millicores) + gain - i64::from(self.need.cpu_millicores);
+        let backs = exchanges.iter().filter_map(|it| it.back);
+        let moves = exchanges.len() + backs.clone().count();
+        let Ok(left) = u32::try_from(left) else { return };
+        if self.moves_max < moves {
+            return;
+        }
+        let runs = exchanges.iter().map(|it| it.out).chain(backs.clone());
+        let moved = runs.clone().map(|it| it.resources.cpu_millicores).sum();
+        let partners_left = exchanges.iter().map(|it| i64::from(it.partner.free.cpu_millicores));
+        let partners_left = (partners_left.sum::<i64>() - gain).max(0) as u32;
+        let cost = (moves, moved, left + partners_left);
+        if self.best.as_ref().is_some_and(|(best, _)| *best <= cost) {
+            return;
+        }
+        let free = exchanges.iter().fold(free, |sum, it| add(sum, it.out.resources));
+        let used = backs.fold(self.need, |sum, it| add(sum, it.resources));
+        let is_feasible = fits(used, free)
+            && exchanges.iter().all(|it| fits_on_partner(it.partner, exchanges))
+            && has_distinct_steps(runs)
+            && exchanges.iter().all(|it| self.is_accepted(room.worker, it));
+        if is_feasible {
+            let moves = exchanges.iter().flat_map(|it| moves_of(room.worker, it)).collect();
+            self.best = Some((cost, Compaction { worker: room.worker, moves }));
+        }
     }
 
-    /// Returns the tightest gap on another worker that takes a run after an earlier move.
-    fn target_for(
-        &self,
-        run: &MovableRun,
-        from: WorkerId,
-        earlier: Option<Move>,
-    ) -> Option<WorkerId> {
-        let least = run.resources.cpu_millicores;
-        let first = self.gaps.partition_point(|it| it.free.cpu_millicores < least);
-        let free = |it: &Gap| match earlier {
-            Some(earlier) if earlier.target == it.worker => {
-                subtract(it.free, earlier.run.resources)
-            }
-            _ => it.free,
-        };
-        let tried = self.gaps[first..].iter().filter(|it| it.worker != from);
-        let mut takes = tried.take(TARGETS_TRIED_MAX).filter(|it| fits(run.resources, free(it)));
-        takes.find(|it| (self.can_take)(run, it.worker)).map(|it| it.worker)
+    fn is_accepted(&self, worker: WorkerId, it: &Exchange<'_>) -> bool {
+        (self.can_take)(&it.out, it.partner.worker)
+            && it.back.is_none_or(|back| (self.can_take)(&back, worker))
     }
+}
 
-    fn found(&self, free: Resources, moves: Vec<Move>) -> Found {
-        let moved = moves.iter().map(|it| it.run.resources.cpu_millicores).sum::<u32>();
-        let left = (free.cpu_millicores + moved).saturating_sub(self.need.cpu_millicores);
-        Found { cost: (moved, left), moves }
-    }
+/// Returns whether what comes to a partner fits into what is free there and what leaves it.
+fn fits_on_partner(partner: &WorkerRoom, exchanges: &[Exchange<'_>]) -> bool {
+    let with_it = || exchanges.iter().filter(|it| it.partner.worker == partner.worker);
+    let backs = with_it().filter_map(|it| it.back);
+    let free = backs.fold(partner.free, |sum, it| add(sum, it.resources));
+    let needs = with_it().map(|it| it.out.resources);
+    needs.reduce(add).is_none_or(|it| fits(it, free))
+}
+
+/// Returns whether all runs are of different steps: the step of a moved task may allow no second one
+/// to be away.
+fn has_distinct_steps(runs: impl Iterator<Item = MovableRun>) -> bool {
+    let mut steps: Vec<_> = runs.map(|it| StepRef::of_task(it.run.task)).collect();
+    let count = steps.len();
+    steps.sort();
+    steps.dedup();
+    steps.len() == count
+}
+
+fn moves_of(worker: WorkerId, it: &Exchange<'_>) -> impl Iterator<Item = Move> {
+    let partner = it.partner.worker;
+    let out = Move { run: it.out, from: worker, target: partner };
+    let back = it.back.map(|run| Move { run, from: partner, target: worker });
+    [out].into_iter().chain(back)
 }
