--- a/src/control/dispatch/plan/reserving.rs
+++ b/src/control/dispatch/plan/reserving.rs
@@ -18,7 +18,8 @@
         disruption::{RunStop, StopCause},
         forecast::{RunTimeModel, TaskKind},
         reservation::{
-            ForecastEnd, MovableRun, WorkerRoom, choose_without_stop, is_within_bound,
+            ForecastEnd, MovableRun, WorkerRoom, choose_without_stop, is_large,
+            is_within_bound,
         },
     },
     prelude::*,
@@ -139,6 +140,9 @@
         let resources = reservation_of(step);
         let need = Need { step_ref, step, queue, resources, waited_ms };
         let mut pool = self.pool(&need);
+        if !is_large(resources, pool.capacity, pool.rows.len()) {
+            return None;
+        }
         let mut counts = self.counts(&need);
         for _ in 0..self.tasks_without_reservation(&need) {
             let is_full = RESERVATIONS_MAX <= self.found.len()
--- a/src/policy/reservation.rs
+++ b/src/policy/reservation.rs
@@ -15,6 +15,11 @@
 /// the rest of the pool must go on working.
 const RESERVED_ONE_IN: u64 = 8;
 
+/// The part of a worker's capacity, one in this many, from which on a task is large. Smaller tasks
+/// fit into the gaps that the ends of short tasks open all the time, and reservations for them would
+/// only take these gaps from each other.
+const LARGE_ONE_IN: u64 = 8;
+
 /// Time for which a task waits before capacity is reserved for it: most short tasks end within it,
 /// and a gap that they leave may be large enough.
 const RESERVE_AFTER_MS: u64 = 500;
@@ -113,6 +118,17 @@
     RESERVE_AFTER_MS <= waited_ms
 }
 
+/// Returns whether a task needs a large part of some resource of a worker of mean size in a pool of
+/// `workers`.
+pub fn is_large(need: Resources, capacity: Resources, workers: usize) -> bool {
+    let is_large = |need: u32, capacity: u32| {
+        0 < need && u64::from(capacity) <= u64::from(need) * LARGE_ONE_IN * workers as u64
+    };
+    is_large(need.cpu_millicores, capacity.cpu_millicores)
+        || is_large(need.memory_mib, capacity.memory_mib)
+        || is_large(need.accelerators, capacity.accelerators)
+}
+
 /// Returns whether a task that is forecast to end by `late_end_ms`, late case included, may use
 /// capacity reserved from `due_ms` on.
 pub fn may_backfill(late_end_ms: u64, due_ms: u64) -> bool {
@@ -123,14 +139,15 @@
 /// however small the pool is.
 pub fn is_within_bound(need: Resources, reserved: Resources, capacity: Resources) -> bool {
     let bound = Resources {
-        cpu_millicores: eighth(capacity.cpu_millicores),
-        memory_mib: eighth(capacity.memory_mib),
-        accelerators: eighth(capacity.accelerators),
+        cpu_millicores: share(capacity.cpu_millicores),
+        memory_mib: share(capacity.memory_mib),
+        accelerators: share(capacity.accelerators),
     };
     let is_first = reserved == NO_RESOURCES;
     is_first || fits(add(reserved, need), bound)
 }
 
-fn eighth(amount: u32) -> u32 {
+/// Returns the part of an amount that may be reserved.
+fn share(amount: u32) -> u32 {
     (u64::from(amount) / RESERVED_ONE_IN) as u32
 }
