--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -23,6 +23,7 @@
 mod lifetimes;
 mod node;
 mod node_restarts;
+mod reservations;
 mod rules;
 mod same_id;
 mod worker;
