--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -25,6 +25,7 @@
 mod node;
 mod node_restarts;
 mod ranges;
+mod reservations;
 mod rules;
 mod same_id;
 mod worker;
