--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -91,6 +91,7 @@
     probations: Probations,
     idle_since: plan::IdleSince,
     waiting_steps: plan::WaitingSteps,
+    fair_shares: plan::FairShares,
     /// Whether a `Begin` command is proposed and not yet applied; the next plan waits for it.
     begin_in_flight: bool,
     last_plan_ms: u64,
@@ -119,6 +120,7 @@
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
             waiting_steps: plan::WaitingSteps::default(),
+            fair_shares: plan::FairShares::default(),
             begin_in_flight: false,
             last_plan_ms: 0,
             plan_count: 0,
@@ -224,6 +226,7 @@
                 silent_ms: self.options.silent_ms,
                 now,
             },
+            fair_shares: self.options.features.fair_shares.then_some(&mut self.fair_shares),
         };
         let plan = plan::plan(input, &mut self.idle_since, &mut self.waiting_steps);
         if !plan.runs.is_empty() {
--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -2,15 +2,62 @@
 
 use crate::{
     control::state::{Occurrence, Workflow, Workflows},
-    policy::urgency::{PendingStep, Urgency, urgency},
+    policy::{
+        shares::Wait,
+        urgency::{PendingStep, Urgency, urgency},
+    },
     prelude::*,
 };
 
 /// A step whose tasks may begin.
+#[derive(Clone, Copy)]
 pub(super) struct Candidate<'a> {
     pub urgency: Urgency,
     pub step_ref: StepRef,
     pub workflow: &'a Workflow,
+    pub objective: Objective,
+    /// Remaining processor time of the whole workflow.
+    pub work_core_ms: u64,
+    /// Processor time of the whole workflow, done work included.
+    pub size_core_ms: u64,
+}
+
+/// The time that a workflow has, by declared run times.
+#[derive(Clone, Copy)]
+pub(super) struct Objective {
+    /// When the workflow was accepted or became due.
+    begin_ms: u64,
+    objective_ms: u64,
+    remaining_ms: u64,
+}
+
+impl Objective {
+    /// Returns how long the workflow has waited.
+    pub(super) fn wait(self, now_ms: u64) -> Wait {
+        Wait {
+            age_ms: now_ms.saturating_sub(self.begin_ms),
+            objective_ms: self.objective_ms,
+            remaining_ms: self.remaining_ms,
+        }
+    }
+}
+
+impl<'a> Candidate<'a> {
+    pub(super) fn step(&self) -> Option<&'a WorkflowStep> {
+        self.workflow.spec.steps.get(self.step_ref.step as usize)
+    }
+
+    pub(super) fn is_long_running(&self) -> bool {
+        self.step().is_some_and(|it| it.lasting)
+    }
+
+    /// Returns the number of tasks that have no run.
+    pub(super) fn waiting_tasks(&self) -> u64 {
+        let occurrence = self.workflow.occurrences.get(self.step_ref.occurrence as usize);
+        let state = occurrence.and_then(|it| it.steps.get(self.step_ref.step as usize));
+        let tasks = state.into_iter().flat_map(|it| &it.tasks);
+        tasks.filter(|it| !it.is_done && it.runs.is_empty()).count() as u64
+    }
 }
 
 /// Returns the steps that may begin, most urgent first.
@@ -33,14 +80,19 @@
     let longest_chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
     let objective_ms = longest_chain_ms * u64::from(queue.stretch_percent) / 100 + queue.target_ms;
     let step = step_ref.step as usize;
+    let begin_ms = workflow.accepted_ms.max(due_ms);
+    let objective = Objective { begin_ms, objective_ms, remaining_ms: chains_ms[step] };
+    let work_core_ms = work_core_ms(workflow, occurrence);
+    let size_core_ms = size_core_ms(&workflow.spec);
     let pending = PendingStep {
         priority: queue.priority,
         is_long_running: workflow.spec.steps.get(step)?.lasting,
-        objective_deadline_ms: workflow.accepted_ms.max(due_ms) + objective_ms,
-        remaining_ms: chains_ms[step],
-        work_core_ms: work_core_ms(workflow, occurrence),
+        objective_deadline_ms: begin_ms + objective_ms,
+        remaining_ms: objective.remaining_ms,
+        work_core_ms,
     };
-    Some(Candidate { urgency: urgency(pending, now.wall_ms), step_ref, workflow })
+    let urgency = urgency(pending, now.wall_ms);
+    Some(Candidate { urgency, step_ref, workflow, objective, work_core_ms, size_core_ms })
 }
 
 /// Returns for each step the longest sum of declared run times over a chain that begins with it.
@@ -56,6 +108,14 @@
     res
 }
 
+/// Returns the processor time, in core-milliseconds, that one occurrence needs by declared run times.
+fn size_core_ms(spec: &WorkflowSpec) -> u64 {
+    let size = |it: &WorkflowStep| {
+        u64::from(it.count) * it.estimate_ms * u64::from(it.need.cpu_millicores) / 1_000
+    };
+    spec.steps.iter().map(size).sum()
+}
+
 /// Returns the processor time, in core-milliseconds, that the remaining tasks of an occurrence need
 /// by their declared run times.
 fn work_core_ms(workflow: &Workflow, occurrence: &Occurrence) -> u64 {
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -4,6 +4,7 @@
 
 mod builder;
 mod candidates;
+mod fair_shares;
 mod moves;
 mod waiting_steps;
 
@@ -22,11 +23,11 @@
     prelude::*,
 };
 
-pub(super) use self::waiting_steps::WaitingSteps;
 use self::{
     builder::PlanBuilder,
     candidates::{Candidate, candidates},
 };
+pub(super) use self::{fair_shares::FairShares, waiting_steps::WaitingSteps};
 
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +66,8 @@
     /// Workers where no other task may begin, since one is on probation there.
     pub probations: Probations,
     pub usability: UsabilityCriteria,
+    /// Set if scarce capacity is divided between callers.
+    pub fair_shares: Option<&'a mut FairShares>,
 }
 
 /// Returns the runs to begin now, and the fillers to move.
@@ -73,10 +76,21 @@
     idle_since: &mut IdleSince,
     waiting_steps: &mut WaitingSteps,
 ) -> Plan {
-    let PlanInput { workflows, sessions, free_capacities, contention, probations, usability } =
-        input;
+    let PlanInput {
+        workflows,
+        sessions,
+        free_capacities,
+        contention,
+        probations,
+        usability,
+        mut fair_shares,
+    } = input;
     let now = usability.now;
-    let candidates = candidates(workflows, now);
+    let mut candidates = candidates(workflows, now);
+    if let Some(it) = &mut fair_shares {
+        it.end_scarcity(workflows, now);
+        it.order(workflows, &mut candidates, now);
+    }
     let slow = sessions.slow_runs(workflows, usability);
     if candidates.is_empty() && slow.is_empty() {
         idle_since.clear();
@@ -104,6 +118,9 @@
         }
     }
     waiting_steps.update(&candidates, &builder, now.mono_ms);
+    if let Some(it) = fair_shares {
+        it.note_plan(workflows, &candidates, &builder, now);
+    }
     let moves = moves::reserve_moves(&slow, &mut builder);
     let rows_visited = builder.rows_visited();
     let (runs, changed_workers) = builder.finish();
--- a/src/control/state/demand/mod.rs
+++ b/src/control/state/demand/mod.rs
@@ -2,10 +2,14 @@
 //!
 //! All of it is part of the replicated state, so that a new leader continues with it.
 
+mod usage;
+
 use std::collections::BTreeMap;
 
 use crate::prelude::*;
 
+pub use self::usage::Usage;
+
 /// Callers and learned values.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Demand {
@@ -13,6 +17,7 @@
     zones: BTreeMap<WorkflowId, CompactString>,
     run_times: Vec<LearnedRunTime>,
     speeds: Vec<WorkerSpeed>,
+    usage: Usage,
 }
 
 impl Demand {
@@ -31,6 +36,15 @@
         &self.speeds
     }
 
+    /// Returns what callers hold of the capacity, and what they have held lately.
+    pub fn usage(&self) -> &Usage {
+        &self.usage
+    }
+
+    pub(super) fn usage_mut(&mut self) -> &mut Usage {
+        &mut self.usage
+    }
+
     pub(super) fn note_submitted(&mut self, id: WorkflowId, zone: CompactString) {
         self.zones.entry(id).or_insert(zone);
     }
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -21,7 +21,7 @@
 pub use self::{
     claims::Claims,
     configuration::{ConfigHistory, ConfigHistoryEntry},
-    demand::Demand,
+    demand::{Demand, Usage},
     jobs::{Job, Jobs},
     task::{Placement, TASK_TRANSITIONS, Task, TaskTransition, next_state},
     vms::{NO_RESOURCES, Session, Vm, Vms, add, fits, subtract},
@@ -41,9 +41,9 @@
 }
 
 /// Numbers of bytes that snapshots of earlier versions lack at their end. Empty fields are encoded
-/// as zeros: 3 bytes for demand, before them 3 for failures, before these 3 for suspected tasks, and
-/// first 2 for evacuations.
-const MISSING_TAIL_BYTES: [usize; 4] = [3, 6, 9, 11];
+/// as zeros: 1 byte for usage, before it 3 for the rest of demand, before these 3 for failures, before
+/// these 3 for suspected tasks, and first 2 for evacuations.
+const MISSING_TAIL_BYTES: [usize; 5] = [1, 4, 7, 10, 12];
 
 /// The outcome of one command.
 pub type ReplyResult = Result<Reply, Refusal>;
--- a/src/control/state/workflows/index.rs
+++ b/src/control/state/workflows/index.rs
@@ -50,6 +50,7 @@
         let ids: Vec<_> = self.active.iter().copied().collect();
         ids.into_iter().for_each(|it| self.index_workflow(it));
         self.workers.rebuild_index();
+        self.recount_usage();
     }
 
     pub(super) fn index_queues(&mut self) {
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -7,6 +7,7 @@
 mod failures;
 mod index;
 mod suspects;
+mod usage;
 mod validation;
 mod workers;
 mod workflow;
@@ -183,10 +184,10 @@
             WorkflowCommand::Cancel(id) => self.cancel(*id, time_ms),
             WorkflowCommand::Begin(runs) => self.begin(runs, time_ms),
             WorkflowCommand::Finish(it) => self.finish(it, time_ms),
-            WorkflowCommand::Void(it) => self.void(it),
+            WorkflowCommand::Void(it) => self.void(it, time_ms),
             WorkflowCommand::Enrol(it) => self.enrol(it, time_ms),
             WorkflowCommand::Dismiss(id) => self.dismiss(*id, time_ms),
-            WorkflowCommand::Forget(before_ms) => self.forget(*before_ms),
+            WorkflowCommand::Forget(before_ms) => self.forget(*before_ms, time_ms),
             WorkflowCommand::Learn(costs) => {
                 self.image_costs = costs.clone();
                 WorkflowOutcome::Accepted
@@ -225,7 +226,10 @@
     }
 
     fn submit_from(&mut self, it: &OriginatedWorkflow) -> WorkflowOutcome {
-        self.demand.note_submitted(it.workflow.id, it.zone.clone());
+        // The caller of a workflow stays, since its usage is counted by it.
+        if !self.workflows.contains_key(&it.workflow.id) {
+            self.demand.note_submitted(it.workflow.id, it.zone.clone());
+        }
         self.submit(&it.workflow)
     }
 
@@ -254,6 +258,7 @@
                 && workflow.begin(placement.run, placement.worker)
             {
                 worker.add(placement.run, step);
+                self.add_usage(placement.run, time_ms);
                 self.suspects.note_begun(placement.run, time_ms);
                 self.index_step(StepRef::of_task(placement.run.task));
             }
@@ -313,7 +318,7 @@
         if !is_recorded && end.outcome != RunOutcome::Done {
             return;
         }
-        self.release(worker, end.run);
+        self.release(worker, end.run, time_ms);
         match end.outcome {
             // The run's resources are free, but its task waits until the failure is settled.
             RunOutcome::Failed if self.has_limited_attempts(end.run.task) => {
@@ -370,9 +375,9 @@
         queue.map_or(ATTEMPTS_WITHOUT_QUEUE, |it| it.attempts_max.max(1))
     }
 
-    fn void(&mut self, voided: &VoidRuns) -> WorkflowOutcome {
+    fn void(&mut self, voided: &VoidRuns, time_ms: u64) -> WorkflowOutcome {
         for run in &voided.runs {
-            self.release(voided.worker, *run);
+            self.release(voided.worker, *run, time_ms);
             self.void_run(voided.worker, *run);
         }
         WorkflowOutcome::Accepted
@@ -387,12 +392,13 @@
         }
     }
 
-    fn release(&mut self, worker: WorkerId, run: RunRef) {
+    fn release(&mut self, worker: WorkerId, run: RunRef, time_ms: u64) {
         // A workflow is kept as long as one of its runs may be on a worker.
         let Some(workflow) = self.workflows.get(&run.task.workflow) else { return };
         let Some(step) = workflow.spec.steps.get(run.task.step as usize) else { return };
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.remove(run, step);
+        let worker = self.workers.get_mut(worker);
+        if worker.is_some_and(|it| it.remove(run, step)) {
+            self.remove_usage(run, time_ms);
         }
     }
 
@@ -425,14 +431,18 @@
     fn dismiss(&mut self, id: WorkerId, time_ms: u64) -> WorkflowOutcome {
         let Some(worker) = self.workers.remove(id) else { return WorkflowOutcome::Gone };
         self.failures.mark_lost(id, &worker, time_ms);
-        worker.runs.into_iter().for_each(|it| self.void_run(id, it));
+        for run in worker.runs {
+            self.remove_usage(run, time_ms);
+            self.void_run(id, run);
+        }
         WorkflowOutcome::Accepted
     }
 
-    fn forget(&mut self, before_ms: u64) -> WorkflowOutcome {
+    fn forget(&mut self, before_ms: u64, time_ms: u64) -> WorkflowOutcome {
         self.workflows
             .retain(|_, it| it.is_active() || before_ms <= it.ended_ms || it.has_live_runs());
         self.demand.retain(|id| self.workflows.contains_key(&id));
+        self.demand.usage_mut().drop_faded(time_ms);
         WorkflowOutcome::Accepted
     }
 }
--- a/src/control/state/workflows/workers.rs
+++ b/src/control/state/workflows/workers.rs
@@ -44,11 +44,14 @@
         }
     }
 
-    pub(super) fn remove(&mut self, run: RunRef, step: &WorkflowStep) {
-        if self.runs.remove(&run) {
+    /// Removes a run and returns true, or returns false if it is not recorded.
+    pub(super) fn remove(&mut self, run: RunRef, step: &WorkflowStep) -> bool {
+        let is_recorded = self.runs.remove(&run);
+        if is_recorded {
             self.reserved = subtract(self.reserved, reservation_of(step));
             self.filler_millicores -= filler_millicores(step);
         }
+        is_recorded
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod retry;
 pub mod routing;
 pub mod run_times;
+pub mod shares;
 pub mod task_queue;
 pub mod throttling;
 pub mod urgency;
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -482,15 +482,16 @@
     state.apply_workflow(1, 9, &evacuate("z", true, 0));
     let read = State::from_bytes(&state.to_bytes().unwrap()).unwrap();
     assert!(read.workflows.evacuations().contains("z"));
-    // If empty, demand takes the last three bytes, failures the three before them, suspected tasks
-    // the three before these, and evacuations the first two: revision 0 and an empty list.
-    for missing in [3, 6, 9, 11] {
+    // If empty, usage takes the last byte, the rest of demand the three before it, failures the three
+    // before them, suspected tasks the three before these, and evacuations the first two: revision 0
+    // and an empty list.
+    for missing in [1, 4, 7, 10, 12] {
         let read = State::from_bytes(&older[..older.len() - missing]).unwrap();
         assert_eq!(read.workflows.evacuations(), &Evacuations::default());
         assert!(read.workflows.suspects().is_empty());
         assert_eq!(read.workflows.demand(), &Demand::default());
     }
-    for missing in [1, 2, 4, 5, 7, 8, 10, 12, 13] {
+    for missing in [2, 3, 5, 6, 8, 9, 11, 13, 14] {
         assert!(State::from_bytes(&older[..older.len() - missing]).is_err(), "{missing} missing");
     }
     assert!(State::from_bytes(&[&older[..], &[0]].concat()).is_err());
