--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -16,7 +16,7 @@
 pub struct LeaderHarness {
     cores: u32,
     pub workflows: Workflows,
-    dispatcher: Dispatcher,
+    pub dispatcher: Dispatcher,
     pub now_ms: u64,
     /// Boot number of every node that sends reports.
     pub boot: u64,
@@ -85,7 +85,7 @@
         self.apply_commands();
     }
 
-    fn apply(&mut self, command: WorkflowCommand) {
+    pub fn apply(&mut self, command: WorkflowCommand) {
         self.workflows.apply(&command, self.now_ms);
         self.dispatcher.note_applied(&self.workflows, &command, &[], self.now());
     }
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -14,6 +14,7 @@
 #[allow(dead_code)]
 mod disk;
 mod evacuations;
+mod fair_shares;
 mod faults;
 mod fillers;
 mod gateway;
