--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -92,6 +92,7 @@
     probations: Probations,
     idle_since: plan::IdleSince,
     waiting_steps: plan::WaitingSteps,
+    fair_shares: plan::FairShares,
     /// Whether a `Begin` command is proposed and not yet applied; the next plan waits for it.
     begin_in_flight: bool,
     last_plan_ms: u64,
@@ -121,6 +122,7 @@
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
             waiting_steps: plan::WaitingSteps::default(),
+            fair_shares: plan::FairShares::default(),
             begin_in_flight: false,
             last_plan_ms: 0,
             plan_count: 0,
@@ -218,8 +220,7 @@
         let usability =
             UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
         let sessions = &self.sessions;
-        let is_usable =
-            |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
+        let is_usable = |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
         self.reservations.end_invalid(workflows, is_usable, now.mono_ms);
         let reserving = plan::ReservingState {
             reservations: &mut self.reservations,
@@ -234,6 +235,7 @@
             probations: self.probations.active(now),
             usability,
             reserving: self.options.features.reservations.then_some(reserving),
+            fair_shares: self.options.features.fair_shares.then_some(&mut self.fair_shares),
         };
         let plan = plan::plan(input, &mut self.idle_since, &mut self.waiting_steps);
         if !plan.runs.is_empty() {
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -4,6 +4,7 @@
 
 mod builder;
 mod candidates;
+mod fair_shares;
 mod holds;
 mod moves;
 mod reserving;
@@ -25,12 +26,12 @@
     prelude::*,
 };
 
-pub(super) use self::waiting_steps::WaitingSteps;
 use self::{
     builder::PlanBuilder,
     candidates::{Candidate, candidates},
     reserving::{ReservingInput, find_reservations},
 };
+pub(super) use self::{fair_shares::FairShares, waiting_steps::WaitingSteps};
 
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
@@ -73,6 +74,8 @@
     pub usability: UsabilityCriteria,
     /// `None` if capacity is not reserved in this installation.
     pub reserving: Option<ReservingState<'a>>,
+    /// Set if scarce capacity is divided between callers.
+    pub fair_shares: Option<&'a mut FairShares>,
 }
 
 /// State that reservations are based on.
@@ -96,9 +99,14 @@
         probations,
         usability,
         reserving,
+        mut fair_shares,
     } = input;
     let now = usability.now;
-    let candidates = candidates(workflows, now);
+    let mut candidates = candidates(workflows, now);
+    if let Some(it) = &mut fair_shares {
+        it.end_scarcity(workflows, now);
+        it.order(workflows, &mut candidates, now);
+    }
     let slow = sessions.slow_runs(workflows, usability);
     if candidates.is_empty() && slow.is_empty() {
         idle_since.clear();
@@ -129,6 +137,9 @@
         }
     }
     waiting_steps.update(&candidates, &builder, now.mono_ms);
+    if let Some(it) = fair_shares {
+        it.note_plan(workflows, &candidates, &builder, now);
+    }
     let moves = moves::reserve_moves(&slow, &mut builder);
     let reservations = reserving.map(|it| {
         let ReservingState { reservations, run_times, stop_budget } = it;
--- a/tests/workflows/reservations.rs
+++ b/tests/workflows/reservations.rs
@@ -422,9 +422,8 @@
         let (started_ms, worker) = fleet.started[&WorkflowId(LARGE)];
         assert_eq!(worker, 1);
         assert_eq!(fleet.started[&WorkflowId(2)].1, 0, "it would have delayed the reserved task");
-        let is_backfill = |(id, (_, worker)): (&WorkflowId, &(u64, usize))| {
-            1_000_000 <= id.0 && *worker == 1
-        };
+        let is_backfill =
+            |(id, (_, worker)): (&WorkflowId, &(u64, usize))| 1_000_000 <= id.0 && *worker == 1;
         (started_ms, fleet.started.iter().filter(|it| is_backfill(*it)).count())
     };
     let (alone_ms, _) = start_with_backfill(false);
