--- a/src/control/dispatch/capacity/cache.rs
+++ b/src/control/dispatch/capacity/cache.rs
@@ -8,7 +8,10 @@
 
 use crate::{
     control::{
-        dispatch::sessions::{Sessions, UsabilityCriteria},
+        dispatch::{
+            sessions::{Sessions, UsabilityCriteria},
+            speeds::WorkerSpeeds,
+        },
         state::Workflows,
     },
     policy::contention::ContentionModel,
@@ -77,16 +80,22 @@
         }
     }
 
-    /// Returns the free capacities of the workers on which new runs may be placed.
+    /// Returns the free capacities of the workers on which new runs may be placed, with their
+    /// present speeds.
     pub(in crate::control::dispatch) fn usable(
         &mut self,
         workflows: &Workflows,
         sessions: &Sessions,
+        speeds: &WorkerSpeeds,
         usability: UsabilityCriteria,
     ) -> Vec<&mut FreeCapacity> {
         self.rows_visited += self.by_worker.len() as u64;
         let is_usable = |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
-        self.by_worker.values_mut().filter(|it| is_usable(it.id)).collect()
+        let mut res: Vec<_> = self.by_worker.values_mut().filter(|it| is_usable(it.id)).collect();
+        for it in &mut res {
+            it.speed_class = speeds.class_of(it.id, usability.now.mono_ms);
+        }
+        res
     }
 
     /// Checks the entries that are not stale against entries built anew.
@@ -103,6 +112,8 @@
             let expected = FreeCapacity::new(workflows, id, worker, contention);
             let cached = self.by_worker.get(&id).cloned().map(|mut it| {
                 it.refresh_loads(contention);
+                // The speed follows from reports, and is set for each plan.
+                it.speed_class = expected.speed_class;
                 it
             });
             if cached.as_ref() != Some(&expected) {
--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -2,9 +2,11 @@
 
 mod cache;
 
+use std::cmp::Reverse;
+
 use crate::{
     control::{
-        dispatch::run_monitor::RunKind,
+        dispatch::{run_monitor::RunKind, speeds::SpeedClass},
         state::{Worker, Workflows, add, fits, reservation_of, subtract},
     },
     policy::{
@@ -106,6 +108,7 @@
     fillers: Vec<FillerLoad>,
     filler_millicores: u32,
     served: Vec<ServedImage>,
+    pub(super) speed_class: SpeedClass,
 }
 
 impl FreeCapacity {
@@ -125,6 +128,7 @@
             fillers: Vec::new(),
             filler_millicores: worker.filler_millicores,
             served: Vec::new(),
+            speed_class: SpeedClass::default(),
         };
         for run in &worker.runs {
             let Some(step) = workflows.step_of(run.task) else { continue };
@@ -219,6 +223,11 @@
         costs.sum::<f64>() * self.cores(millicores)
     }
 
+    /// Returns whether the worker is slow.
+    pub(super) fn is_slow(&self) -> bool {
+        self.speed_class.is_slow()
+    }
+
     fn can_hold(&self, demand: &TaskDemand<'_>, placed_count: u32) -> bool {
         let step = demand.step;
         fits(demand.reservation, self.free)
@@ -271,11 +280,13 @@
             RunKind::Plain => [packing, 0, 0],
         };
         let is_in_data_rack = !step.data_rack.is_empty() && self.rack == step.data_rack;
-        Some(Preference { is_in_data_rack, rank })
+        let speed = Reverse(self.speed_class.rank());
+        Some(Preference { speed, is_in_data_rack, rank })
     }
 
     pub(super) fn reserve(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
         self.free = subtract(self.free, demand.reservation);
+        self.speed_class.is_probe_due = false;
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
                 self.filler_millicores += millicores;
@@ -329,6 +340,8 @@
 /// How well a worker suits a task; the largest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Preference {
+    /// A slow worker is used last, since the data of a task is nearer to every other one.
+    speed: Reverse<u8>,
     is_in_data_rack: bool,
     rank: [i64; 3],
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod retention;
 mod run_monitor;
 mod sessions;
+mod speeds;
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
@@ -33,6 +34,7 @@
     retention::ClockReadings,
     run_monitor::{RunKind, RunMonitor},
     sessions::{Sessions, SlowRun, UsabilityCriteria},
+    speeds::WorkerSpeeds,
 };
 pub use self::{
     features::Features, orders::run_name, plan::PlanOptions, requests::RequestDecision,
@@ -86,6 +88,7 @@
     sessions: Sessions,
     contention: ContentionModel,
     run_times: RunTimeModel,
+    speeds: WorkerSpeeds,
     stop_budget: StopBudget,
     free_capacities: FreeCapacities,
     probations: Probations,
@@ -114,6 +117,7 @@
             sessions: Sessions::take_over(workflows, now.mono_ms + options.lease_with_margin_ms()),
             contention: ContentionModel::with_known_costs(workflows.image_costs(), now.mono_ms),
             run_times: RunTimeModel::with_learned(workflows.demand().run_times()),
+            speeds: WorkerSpeeds::take_over(options.features, workflows, now),
             stop_budget: StopBudget::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
@@ -188,6 +192,9 @@
             if self.options.features.needs_run_times() {
                 self.propose_run_times(workflows);
             }
+            if self.options.features.worker_speeds {
+                self.propose_speeds(workflows, now);
+            }
             self.settle_failures_of_lost(workflows, now);
         }
         if self.occupancy_at_ms <= now.mono_ms {
@@ -216,6 +223,7 @@
         let input = plan::PlanInput {
             workflows,
             sessions: &self.sessions,
+            speeds: &self.speeds,
             free_capacities: &mut self.free_capacities,
             contention: &mut self.contention,
             probations: self.probations.active(now),
@@ -230,7 +238,7 @@
             self.begin_in_flight = true;
             self.output.commands.push(WorkflowCommand::Begin(plan.runs));
         }
-        self.move_fillers(workflows, &plan.moves, members, now);
+        self.move_runs(workflows, &plan.moves, members, now);
     }
 
     /// Schedules a plan for `pause_ms` after the last one, unless one is due earlier.
@@ -299,6 +307,7 @@
             }
             WorkflowCommand::Dismiss(id) => {
                 self.sessions.drop(*id);
+                self.speeds.drop(*id);
                 self.free_capacities.mark_stale(*id);
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
@@ -353,13 +362,14 @@
                 session.health.note_stalled(now.mono_ms);
                 tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent);
             }
-            if let Some(speed_share) = monitor.speed_share_if_slow(now.mono_ms) {
-                let progress_percent = task.progress_percent;
+            if let Some((full_speed_ms, speed_share)) = monitor.speed_share_if_slow(now.mono_ms) {
                 session.slow_fillers.push(SlowRun {
                     run: task.run,
                     worker: id,
+                    cause: StopCause::SlowFiller,
+                    full_speed_ms,
                     speed_share,
-                    progress_percent,
+                    progress_percent: task.progress_percent,
                 });
             }
             match monitor.run_kind {
@@ -389,19 +399,22 @@
         self.contention.observe(&serving, &fillers, now.mono_ms);
     }
 
-    /// Stops the fillers that are to move to other workers.
-    fn move_fillers(
+    /// Stops the runs that are to move to other workers.
+    fn move_runs(
         &mut self,
         workflows: &Workflows,
         moves: &[SlowRun],
         members: &[SocketAddr],
         now: Now,
     ) {
-        let stop =
-            |it: &SlowRun| RunStop { run: it.run, worker: it.worker, cause: StopCause::SlowFiller };
+        let stop = |it: &SlowRun| RunStop { run: it.run, worker: it.worker, cause: it.cause };
         let stops: Vec<_> = moves.iter().map(stop).collect();
         let stopped = self.stop_runs(workflows, &stops, members, now);
         for it in moves.iter().filter(|it| stopped.contains(&it.run)) {
+            if it.cause == StopCause::SlowWorker {
+                self.speeds.note_stop(it.run.task, now.mono_ms);
+                continue;
+            }
             tracing::info!(event = "filler_moved", run = %run_name(it.run), worker = it.worker.0, speed_percent = (it.speed_share * 100.0) as u32, progress_percent = it.progress_percent);
         }
     }
@@ -419,7 +432,8 @@
             let Some(step) = workflows.step_of(run.task) else { continue };
             let Some(workflow) = workflows.get(run.task.workflow) else { continue };
             // A best-effort task takes as long as the tasks beside it let it.
-            if step.lasting || step.gang || step.filler {
+            // Nor does the time on a slow worker tell that of others.
+            if step.lasting || step.gang || step.filler || self.speeds.is_slow(id) {
                 continue;
             }
             let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -73,6 +73,7 @@
         // Changed loads alone affect only tasks that wait for capacity and slow fillers.
         self.schedule_plan(if is_state_unchanged { LOAD_PLAN_PAUSE_MS } else { PLAN_PAUSE_MS });
         self.propose_resize(workflows, id, capacity);
+        self.observe_speeds(workflows, id, now);
         self.observe_run_times(workflows, id, now);
         self.observe_running(workflows, id, now);
         let has_ends = self.propose_ends(workflows, id, now);
--- a/src/control/dispatch/plan/builder.rs
+++ b/src/control/dispatch/plan/builder.rs
@@ -328,7 +328,9 @@
             }
             _ => 1.0,
         };
-        Some(MoveTarget { worker_index, worker: self.workers[worker_index].id, speed, demand })
+        let worker = &self.workers[worker_index];
+        let is_slow = worker.is_slow();
+        Some(MoveTarget { worker_index, worker: worker.id, speed, is_slow, demand })
     }
 
     /// Reserves capacity on a target for a run that is to move there.
@@ -351,6 +353,8 @@
     worker_index: usize,
     pub worker: WorkerId,
     pub speed: f64,
+    /// Whether the worker itself is slow.
+    pub is_slow: bool,
     demand: TaskDemand<'a>,
 }
 
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -15,6 +15,7 @@
             capacity::{FreeCapacities, FreeCapacity, PlacementMode},
             probations::Probations,
             sessions::{Sessions, SlowRun, UsabilityCriteria},
+            speeds::WorkerSpeeds,
         },
         state::Workflows,
     },
@@ -52,7 +53,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Plan {
     pub runs: Vec<RunPlacement>,
-    /// Fillers to stop, so that they move to other workers.
+    /// Runs to stop, so that they move to other workers.
     pub moves: Vec<SlowRun>,
 }
 
@@ -60,6 +61,7 @@
 pub(super) struct PlanInput<'a> {
     pub workflows: &'a Workflows,
     pub sessions: &'a Sessions,
+    pub speeds: &'a WorkerSpeeds,
     pub free_capacities: &'a mut FreeCapacities,
     pub contention: &'a mut ContentionModel,
     /// Workers where no other task may begin, since one is on probation there.
@@ -67,18 +69,26 @@
     pub usability: UsabilityCriteria,
 }
 
-/// Returns the runs to begin now, and the fillers to move.
+/// Returns the runs to begin now, and the runs to move.
 pub(super) fn plan(
     input: PlanInput<'_>,
     idle_since: &mut IdleSince,
     waiting_steps: &mut WaitingSteps,
 ) -> Plan {
-    let PlanInput { workflows, sessions, free_capacities, contention, probations, usability } =
-        input;
+    let PlanInput {
+        workflows,
+        sessions,
+        speeds,
+        free_capacities,
+        contention,
+        probations,
+        usability,
+    } = input;
     let now = usability.now;
     let candidates = candidates(workflows, now);
-    let slow = sessions.slow_runs(workflows, usability);
-    if candidates.is_empty() && slow.is_empty() {
+    let slow_fillers = sessions.slow_runs(workflows, usability);
+    let on_slow_workers = speeds.slow_runs(workflows, sessions, usability);
+    if candidates.is_empty() && slow_fillers.is_empty() && on_slow_workers.is_empty() {
         idle_since.clear();
         waiting_steps.clear();
         return Plan::default();
@@ -86,7 +96,7 @@
     free_capacities.refresh(workflows, contention, now);
     let mut builder = PlanBuilder::new(
         workflows,
-        free_capacities.usable(workflows, sessions, usability),
+        free_capacities.usable(workflows, sessions, speeds, usability),
         contention,
         probations,
     );
@@ -104,7 +114,10 @@
         }
     }
     waiting_steps.update(&candidates, &builder, now.mono_ms);
-    let moves = moves::reserve_moves(&slow, &mut builder);
+    let mut moves = moves::reserve_moves(&on_slow_workers, &mut builder);
+    let is_moved = |it: &SlowRun| on_slow_workers.iter().any(|other| other.run == it.run);
+    let slow_fillers: Vec<_> = slow_fillers.into_iter().filter(|it| !is_moved(it)).collect();
+    moves.extend(moves::reserve_moves(&slow_fillers, &mut builder));
     let rows_visited = builder.rows_visited();
     let (runs, changed_workers) = builder.finish();
     free_capacities.note_visited(rows_visited);
--- a/src/control/dispatch/plan/moves.rs
+++ b/src/control/dispatch/plan/moves.rs
@@ -1,4 +1,4 @@
-//! Moves slow fillers to workers where they run faster.
+//! Moves fillers that run slowly, and tasks on slow workers, to workers where they run faster.
 //!
 //! A step waits for its last task, so one filler that is suspended beside a busy service delays its
 //! whole workflow while other workers could run it at full speed.
@@ -13,7 +13,8 @@
 
 use super::builder::{MoveTarget, PlanBuilder};
 
-/// Maximum number of moves per plan: reports of their effect arrive half a second later.
+/// Maximum number of moves of one cause per plan: reports of their effect arrive half a second
+/// later.
 const MOVES_MAX: usize = 8;
 
 /// Reserves capacity for the runs that would end sooner on other workers; returns these runs, which
@@ -49,12 +50,15 @@
     let target =
         (*best_targets.entry(step_ref).or_insert_with(|| builder.best_for(step_ref, workflow)))?;
     let candidate = MigrationCandidate {
-        estimate_ms: step.estimate_ms,
+        estimate_ms: it.full_speed_ms,
         progress_percent: it.progress_percent,
         keeps_progress: step.checkpoints,
         current_speed_share: it.speed_share,
     };
-    let is_better = target.worker != it.worker && is_worth_moving(candidate, target.speed);
+    // A task that lasts is listed only where it serves badly.
+    let is_better = target.worker != it.worker
+        && !target.is_slow
+        && (step.lasting || is_worth_moving(candidate, target.speed));
     if !is_better {
         return None;
     }
--- a/src/control/dispatch/run_monitor.rs
+++ b/src/control/dispatch/run_monitor.rs
@@ -47,8 +47,8 @@
     /// Declared run time, if the run is expected to progress steadily: it is not long-running, has
     /// processor reserved, and does not wait for other members of a gang.
     estimate_ms: Option<u64>,
-    /// Whether the run is a filler that may move to another worker.
-    can_move: bool,
+    /// Declared run time, if the run is a filler that may move to another worker.
+    movable_estimate_ms: Option<u64>,
     stall_detector: StallDetector,
     speed: RelativeSpeed,
     /// Whether the run is ordered to stop, because it stalled or moves to another worker.
@@ -71,7 +71,10 @@
             first_listed_ms: now_ms,
             run_kind: step.map(|it| RunKind::of(it, contention)),
             estimate_ms: step.filter(can_monitor).filter(|it| !it.filler).map(|it| it.estimate_ms),
-            can_move: step.filter(can_monitor).is_some_and(|it| it.filler),
+            movable_estimate_ms: step
+                .filter(can_monitor)
+                .filter(|it| it.filler)
+                .map(|it| it.estimate_ms),
             stall_detector: StallDetector::new(task.progress_percent, now_ms),
             speed: RelativeSpeed::new(now_ms),
             evicted: false,
@@ -81,15 +84,18 @@
 
     /// Updates the monitor from a report; returns whether the run has stalled.
     pub(super) fn observe(&mut self, task: &RunningTask, now_ms: u64) -> bool {
-        if let (true, Some(RunKind::Filler { millicores, .. })) = (self.can_move, self.run_kind) {
+        if let (Some(_), Some(RunKind::Filler { millicores, .. })) =
+            (self.movable_estimate_ms, self.run_kind)
+        {
             self.speed.observe(f64::from(task.load) / f64::from(millicores.max(1)));
         }
         let estimate_ms = self.estimate_ms;
         estimate_ms.is_some_and(|it| self.stall_detector.observe(task.progress_percent, it, now_ms))
     }
 
-    /// Returns the share of its full speed at which a filler runs, if it is known to be slow.
-    pub(super) fn speed_share_if_slow(&self, now_ms: u64) -> Option<f64> {
-        self.speed.speed_share_if_slow(now_ms).filter(|_| self.can_move)
+    /// Returns the declared run time of a filler and the share of its full speed at which it runs,
+    /// if it is known to be slow.
+    pub(super) fn speed_share_if_slow(&self, now_ms: u64) -> Option<(u64, f64)> {
+        Some((self.movable_estimate_ms?, self.speed.speed_share_if_slow(now_ms)?))
     }
 }
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     control::{dispatch::run_monitor::RunMonitor, state::Workflows},
-    policy::worker_health::WorkerHealth,
+    policy::{disruption::StopCause, worker_health::WorkerHealth},
     prelude::*,
 };
 
@@ -44,11 +44,14 @@
     pub is_being_dismissed: bool,
 }
 
-/// A filler that runs slowly on its worker.
+/// A run that takes longer than it would elsewhere.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SlowRun {
     pub run: RunRef,
     pub worker: WorkerId,
+    pub cause: StopCause,
+    /// Expected run time at full speed.
+    pub full_speed_ms: u64,
     /// Present speed as a share of its full speed.
     pub speed_share: f64,
     pub progress_percent: u32,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -21,3 +21,4 @@
 pub mod throttling;
 pub mod urgency;
 pub mod worker_health;
+pub mod worker_speed;
