--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -253,7 +253,8 @@
         let rank = match demand.run_kind {
             // Highest speed first, then least cost to serving tasks, then most unused processor.
             RunKind::Filler { image, millicores } => {
-                let speed = self.speed_of(image, millicores, contention);
+                let speed =
+                    self.speed_of(image, millicores, contention) * self.speed_class.speed_share();
                 if mode == PlacementMode::ProtectLatency && speed < FILLER_SPEED_MIN {
                     return None;
                 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -396,7 +396,10 @@
         let report_number = session.report_number;
         session.monitored_runs.retain(|_, it| it.last_report_number == report_number);
         self.sessions.update_slow(id);
-        self.contention.observe(&serving, &fillers, now.mono_ms);
+        // On a slow worker, tail latencies tell neither the load of a step nor the cost of an image.
+        if self.speeds.is_of_normal_speed(id, now.mono_ms) {
+            self.contention.observe(&serving, &fillers, now.mono_ms);
+        }
     }
 
     /// Stops the runs that are to move to other workers.
@@ -424,6 +427,7 @@
         if !self.options.features.needs_run_times() {
             return;
         }
+        let is_normal = self.speeds.is_of_normal_speed(id, now.mono_ms);
         let Some(session) = self.sessions.get_mut(id) else { return };
         let Some(report) = &session.report else { return };
         let done = report.ended.iter().filter(|it| it.end.outcome == RunOutcome::Done);
@@ -433,7 +437,7 @@
             let Some(workflow) = workflows.get(run.task.workflow) else { continue };
             // A best-effort task takes as long as the tasks beside it let it.
             // Nor does the time on a slow worker tell that of others.
-            if step.lasting || step.gang || step.filler || self.speeds.is_slow(id) {
+            if step.lasting || step.gang || step.filler || !is_normal {
                 continue;
             }
             let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
--- a/src/control/dispatch/speeds/mod.rs
+++ b/src/control/dispatch/speeds/mod.rs
@@ -26,6 +26,12 @@
 /// Time without evidence after which a worker is no longer taken as slow.
 const FORGET_AFTER_MS: u64 = 10_000;
 
+/// Probability of being slow from which nothing is learned from a worker about images and run times.
+const SUSPECTED_PROBABILITY: f64 = 0.1;
+
+/// Time for which queues of serving tasks drain after their worker was slow.
+const DRAIN_MS: u64 = 2_000;
+
 /// Least variance of an estimate that is passed on, so that it never counts as certain.
 const VARIANCE_MIN: f64 = 0.01;
 
@@ -55,6 +61,14 @@
         0 < self.slowness
     }
 
+    /// Returns the share of its full speed that a task reaches.
+    pub(super) fn speed_share(self) -> f64 {
+        match self.is_slow() && !self.is_probe_due {
+            true => 1.0 / f64::from(self.slowness.max(1)),
+            false => 1.0,
+        }
+    }
+
     /// Returns the class by which workers are ordered.
     pub(super) fn rank(self) -> u8 {
         if self.is_probe_due { 0 } else { self.slowness }
@@ -66,6 +80,10 @@
     /// Runs in the newest report, and those that ended lately.
     paces: BTreeMap<RunRef, RunPace>,
     slow: Option<SlowWorker>,
+    /// Probability that the worker is slow, by its newest report.
+    slow_probability: f64,
+    /// Time until which queues of the time when it was slow may drain.
+    draining_until_ms: u64,
 }
 
 /// The speeds of all workers, and the paces that they follow from.
@@ -123,6 +141,15 @@
         self.workers.get(&id).is_some_and(|it| it.slow.is_some())
     }
 
+    /// Returns whether what is measured on a worker holds for workers of normal speed.
+    pub(super) fn is_of_normal_speed(&self, id: WorkerId, now_ms: u64) -> bool {
+        self.workers.get(&id).is_none_or(|it| {
+            it.slow.is_none()
+                && it.slow_probability < SUSPECTED_PROBABILITY
+                && it.draining_until_ms <= now_ms
+        })
+    }
+
     /// Returns how a worker's speed affects placement.
     pub(super) fn class_of(&self, id: WorkerId, now_ms: u64) -> SpeedClass {
         let Some(slow) = self.workers.get(&id).and_then(|it| it.slow) else {
--- a/src/control/dispatch/speeds/observe.rs
+++ b/src/control/dispatch/speeds/observe.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::{Expectation, RunPace, SlowWorker, VARIANCE_MIN, WorkerEvidence, WorkerSpeeds};
+use super::{
+    DRAIN_MS, Expectation, RunPace, SlowWorker, VARIANCE_MIN, WorkerEvidence, WorkerSpeeds,
+};
 use crate::{
     control::{dispatch::sessions::Session, state::Workflows},
     policy::{
@@ -114,6 +116,7 @@
         let readings: Vec<_> = by_run.iter().map(|(_, it)| *it).collect();
         let was_slow = evidence.slow.is_some();
         let estimate = estimate_slowdown(&readings, was_slow);
+        evidence.slow_probability = estimate.slow_probability;
         match estimate.is_slow(was_slow) {
             true => note_slow(evidence, name, &readings, estimate, now),
             false => note_normal(evidence, name, &by_run, now),
@@ -200,6 +203,7 @@
     now: Now,
 ) {
     if let Some(it) = evidence.slow.take() {
+        evidence.draining_until_ms = now.mono_ms + DRAIN_MS;
         let slow_ms = now.mono_ms.saturating_sub(it.since_ms);
         tracing::info!(
             event = "worker_speed_back",
