--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -3,9 +3,11 @@
 mod cache;
 mod withheld;
 
+use std::cmp::Reverse;
+
 use crate::{
     control::{
-        dispatch::run_monitor::RunKind,
+        dispatch::{run_monitor::RunKind, speeds::SpeedClass},
         state::{Worker, Workflows, add, reservation_of, subtract},
     },
     policy::{
@@ -124,6 +126,7 @@
     fillers: Vec<FillerLoad>,
     filler_millicores: u32,
     served: Vec<ServedImage>,
+    pub(super) speed_class: SpeedClass,
 }
 
 impl FreeCapacity {
@@ -144,6 +147,7 @@
             fillers: Vec::new(),
             filler_millicores: worker.filler_millicores,
             served: Vec::new(),
+            speed_class: SpeedClass::default(),
         };
         for run in &worker.runs {
             let Some(step) = workflows.step_of(run.task) else { continue };
@@ -239,6 +243,11 @@
         costs.sum::<f64>() * self.cores(millicores)
     }
 
+    /// Returns whether the worker is slow.
+    pub(super) fn is_slow(&self) -> bool {
+        self.speed_class.is_slow()
+    }
+
     fn can_hold(&self, demand: &TaskDemand<'_>, placed_count: u32) -> bool {
         let step = demand.step;
         self.has_room_for(demand)
@@ -263,7 +272,8 @@
         let rank = match demand.run_kind {
             // Highest speed first, then least cost to serving tasks, then most unused processor.
             RunKind::Filler { image, millicores } => {
-                let speed = self.speed_of(image, millicores, contention);
+                let speed =
+                    self.speed_of(image, millicores, contention) * self.speed_class.speed_share();
                 if mode == PlacementMode::ProtectLatency && speed < FILLER_SPEED_MIN {
                     return None;
                 }
@@ -290,11 +300,13 @@
             RunKind::Plain => [packing, 0, 0],
         };
         let is_in_data_rack = !step.data_rack.is_empty() && self.rack == step.data_rack;
-        Some(Preference { is_in_data_rack, rank })
+        let speed = Reverse(self.speed_class.rank());
+        Some(Preference { speed, is_in_data_rack, rank })
     }
 
     pub(super) fn reserve(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
         self.take(demand.reservation);
+        self.speed_class.is_probe_due = false;
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
                 self.filler_millicores = self.filler_millicores.saturating_add(millicores);
@@ -356,6 +368,8 @@
 /// How well a worker suits a task; the largest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Preference {
+    /// A slow worker is used last, since the data of a task is nearer to every other one.
+    speed: Reverse<u8>,
     is_in_data_rack: bool,
     rank: [i64; 3],
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -12,6 +12,7 @@
 mod retention;
 mod run_monitor;
 mod sessions;
+mod speeds;
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
@@ -33,6 +34,7 @@
     retention::ClockReadings,
     run_monitor::{RunKind, RunMonitor},
     sessions::{Sessions, SlowRun, UsabilityCriteria},
+    speeds::WorkerSpeeds,
 };
 pub use self::{
     features::Features, orders::run_name, plan::PlanOptions, requests::RequestDecision,
@@ -86,6 +88,7 @@
     sessions: Sessions,
     contention: ContentionModel,
     run_times: RunTimeModel,
+    speeds: WorkerSpeeds,
     stop_budget: StopBudget,
     reservations: Reservations,
     free_capacities: FreeCapacities,
@@ -116,6 +119,7 @@
             sessions: Sessions::take_over(workflows, now.mono_ms + options.lease_with_margin_ms()),
             contention: ContentionModel::with_known_costs(workflows.image_costs(), now.mono_ms),
             run_times: RunTimeModel::with_learned(workflows.demand().run_times()),
+            speeds: WorkerSpeeds::take_over(options.features, workflows, now),
             stop_budget: StopBudget::default(),
             reservations: Reservations::default(),
             free_capacities,
@@ -192,6 +196,9 @@
             if self.options.features.needs_run_times() {
                 self.propose_run_times(workflows);
             }
+            if self.options.features.worker_speeds {
+                self.propose_speeds(workflows, now);
+            }
             self.settle_failures_of_lost(workflows, now);
         }
         if self.occupancy_at_ms <= now.mono_ms {
@@ -230,6 +237,7 @@
         let input = plan::PlanInput {
             workflows,
             sessions,
+            speeds: &self.speeds,
             free_capacities: &mut self.free_capacities,
             contention: &mut self.contention,
             probations: self.probations.active(now),
@@ -242,7 +250,7 @@
             self.begin_in_flight = true;
             self.output.commands.push(WorkflowCommand::Begin(plan.runs));
         }
-        self.move_fillers(workflows, &plan.moves, members, now);
+        self.move_runs(workflows, &plan.moves, members, now);
         self.reserve(workflows, &plan.reservations, members, now);
     }
 
@@ -313,6 +321,7 @@
             }
             WorkflowCommand::Dismiss(id) => {
                 self.sessions.drop(*id);
+                self.speeds.drop(*id);
                 self.free_capacities.mark_stale(*id);
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
@@ -367,13 +376,14 @@
                 session.health.note_stalled(now.mono_ms);
                 tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent);
             }
-            if let Some(speed_share) = monitor.speed_share_if_slow(now.mono_ms) {
-                let progress_percent = task.progress_percent;
+            if let Some((full_speed_ms, speed_share)) = monitor.speed_share_if_slow(now.mono_ms) {
                 session.slow_fillers.push(SlowRun {
                     run: task.run,
                     worker: id,
+                    cause: StopCause::SlowFiller,
+                    full_speed_ms,
                     speed_share,
-                    progress_percent,
+                    progress_percent: task.progress_percent,
                 });
             }
             match monitor.run_kind {
@@ -400,22 +410,28 @@
         let report_number = session.report_number;
         session.monitored_runs.retain(|_, it| it.last_report_number == report_number);
         self.sessions.update_slow(id);
-        self.contention.observe(&serving, &fillers, now.mono_ms);
+        // On a slow worker, tail latencies tell neither the load of a step nor the cost of an image.
+        if self.speeds.is_of_normal_speed(id, now.mono_ms) {
+            self.contention.observe(&serving, &fillers, now.mono_ms);
+        }
     }
 
-    /// Stops the fillers that are to move to other workers.
-    fn move_fillers(
+    /// Stops the runs that are to move to other workers.
+    fn move_runs(
         &mut self,
         workflows: &Workflows,
         moves: &[SlowRun],
         members: &[SocketAddr],
         now: Now,
     ) {
-        let stop =
-            |it: &SlowRun| RunStop { run: it.run, worker: it.worker, cause: StopCause::SlowFiller };
+        let stop = |it: &SlowRun| RunStop { run: it.run, worker: it.worker, cause: it.cause };
         let stops: Vec<_> = moves.iter().map(stop).collect();
         let stopped = self.stop_runs(workflows, &stops, members, now);
         for it in moves.iter().filter(|it| stopped.contains(&it.run)) {
+            if it.cause == StopCause::SlowWorker {
+                self.speeds.note_stop(it.run.task, now.mono_ms);
+                continue;
+            }
             tracing::info!(event = "filler_moved", run = %run_name(it.run), worker = it.worker.0, speed_percent = (it.speed_share * 100.0) as u32, progress_percent = it.progress_percent);
         }
     }
@@ -425,6 +441,7 @@
         if !self.options.features.needs_run_times() {
             return;
         }
+        let is_normal = self.speeds.is_of_normal_speed(id, now.mono_ms);
         let Some(session) = self.sessions.get_mut(id) else { return };
         let Some(report) = &session.report else { return };
         let done = report.ended.iter().filter(|it| it.end.outcome == RunOutcome::Done);
@@ -433,7 +450,8 @@
             let Some(step) = workflows.step_of(run.task) else { continue };
             let Some(workflow) = workflows.get(run.task.workflow) else { continue };
             // A best-effort task takes as long as the tasks beside it let it.
-            if step.lasting || step.gang || step.filler {
+            // Nor does the time on a slow worker tell that of others.
+            if step.lasting || step.gang || step.filler || !is_normal {
                 continue;
             }
             let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -19,6 +19,7 @@
             moves::{NewReservation, Reservations, StopBudget},
             probations::Probations,
             sessions::{Sessions, SlowRun, UsabilityCriteria},
+            speeds::WorkerSpeeds,
         },
         state::Workflows,
     },
@@ -57,7 +58,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Plan {
     pub runs: Vec<RunPlacement>,
-    /// Fillers to stop, so that they move to other workers.
+    /// Runs to stop, so that they move to other workers.
     pub moves: Vec<SlowRun>,
     /// Capacity to reserve for tasks that fit on no worker.
     pub reservations: Vec<NewReservation>,
@@ -67,6 +68,7 @@
 pub(super) struct PlanInput<'a> {
     pub workflows: &'a Workflows,
     pub sessions: &'a Sessions,
+    pub speeds: &'a WorkerSpeeds,
     pub free_capacities: &'a mut FreeCapacities,
     pub contention: &'a mut ContentionModel,
     /// Workers where no other task may begin, since one is on probation there.
@@ -85,7 +87,7 @@
     pub stop_budget: &'a StopBudget,
 }
 
-/// Returns the runs to begin now, and the fillers to move.
+/// Returns the runs to begin now, and the runs to move.
 pub(super) fn plan(
     input: PlanInput<'_>,
     idle_since: &mut IdleSince,
@@ -94,6 +96,7 @@
     let PlanInput {
         workflows,
         sessions,
+        speeds,
         free_capacities,
         contention,
         probations,
@@ -107,8 +110,9 @@
         it.end_scarcity(workflows, now);
         it.order(workflows, &mut candidates, now);
     }
-    let slow = sessions.slow_runs(workflows, usability);
-    if candidates.is_empty() && slow.is_empty() {
+    let slow_fillers = sessions.slow_runs(workflows, usability);
+    let on_slow_workers = speeds.slow_runs(workflows, sessions, usability);
+    if candidates.is_empty() && slow_fillers.is_empty() && on_slow_workers.is_empty() {
         idle_since.clear();
         waiting_steps.clear(now.mono_ms);
         return Plan::default();
@@ -116,7 +120,7 @@
     free_capacities.refresh(workflows, contention, now);
     let mut builder = PlanBuilder::new(
         workflows,
-        free_capacities.usable(workflows, sessions, usability),
+        free_capacities.usable(workflows, sessions, speeds, usability),
         contention,
         probations,
     );
@@ -140,7 +144,10 @@
     if let Some(it) = fair_shares {
         it.note_plan(workflows, &candidates, &builder, now);
     }
-    let moves = moves::reserve_moves(&slow, &mut builder);
+    let mut moves = moves::reserve_moves(&on_slow_workers, &mut builder);
+    let is_moved = |it: &SlowRun| on_slow_workers.iter().any(|other| other.run == it.run);
+    let slow_fillers: Vec<_> = slow_fillers.into_iter().filter(|it| !is_moved(it)).collect();
+    moves.extend(moves::reserve_moves(&slow_fillers, &mut builder));
     let reservations = reserving.map(|it| {
         let ReservingState { reservations, run_times, stop_budget } = it;
         let input = ReservingInput { sessions, run_times, stop_budget, usability };
