--- a/src/policy/forecast.rs
+++ b/src/policy/forecast.rs
@@ -8,21 +8,47 @@
 
 use crate::prelude::*;
 
-/// Weight of the newest observation once a kind is well known.
-const GAIN: f64 = 0.05;
+/// Observations that count at most; older ones are outweighed, since kinds change.
+const WEIGHT_MAX: f64 = 36.0;
 
-/// Standard deviation of the logarithm of the ratio for an unknown kind: two thirds of declared run
-/// times are within a factor of 1.6.
+/// Spread of an unknown kind: two thirds of declared run times are within a factor of 1.6.
 const PRIOR_SPREAD: f64 = 0.5;
 
 /// Observations that the prior counts for.
-const PRIOR_OBSERVATIONS: f64 = 4.0;
+const PRIOR_WEIGHT: f64 = 4.0;
+
+/// Bounds of the spread. The least one is that of tasks that differ only in when they are started.
+const SPREAD_MIN: f64 = 0.02;
+const SPREAD_MAX: f64 = 3.0;
+
+/// Deviation, in spreads, from which an observation counts no further for the median: a few tasks
+/// stall and say nothing of the others.
+const DEVIATION_MAX: f64 = 2.5;
+
+/// Least and first gain of the spread.
+const SPREAD_GAIN_MIN: f64 = 0.1;
+const SPREAD_GAIN_FIRST: f64 = 4.0;
+
+/// Probability with which a task ends by [`RunTimeForecast::late_ms`].
+const LATE_PROBABILITY: f64 = 0.9;
+
+/// Share of tasks that take [`STALL_FACTOR`] times as long as others of their kind. Among a step's
+/// many tasks one is likely such a one, which no spread of single tasks shows.
+const STALL_SHARE: f64 = 0.03;
+const STALL_FACTOR: f64 = 7.0;
+
+/// Time after which an observation counts half: images are replaced within hours.
+const HALF_LIFE_MS: f64 = 600_000.0;
+
+/// Weight below which a kind is forgotten.
+const WEIGHT_MIN: f64 = 0.5;
 
 /// Largest logarithm of a ratio, in either direction: a factor of 100.
 const LOG_RATIO_MAX: f64 = 4.6;
 
-/// Kinds of tasks that are kept. Clients choose images freely.
-const KINDS_MAX: usize = 4_096;
+/// Kinds of tasks that are kept. Clients choose images freely, and all kinds are written to the log
+/// every few seconds.
+const KINDS_MAX: usize = 512;
 
 /// Standard score of the 90th percentile of a normal distribution.
 const SCORE_OF_90_PERCENT: f64 = 1.2816;
@@ -53,6 +79,21 @@
         self.at_score_ms(SCORE_OF_90_PERCENT)
     }
 
+    /// Returns the run time within which all of `tasks` such tasks, begun together, end with a
+    /// probability of `probability`.
+    pub fn all_end_ms(self, tasks: u32, probability: f64) -> u64 {
+        let of_each = probability.powf(1.0 / f64::from(tasks.max(1)));
+        let usual = 1.0 - STALL_SHARE;
+        match of_each <= usual {
+            true => self.at_score_ms(standard_score(of_each)),
+            false => {
+                let stalled = (of_each - usual) / STALL_SHARE;
+                let stalled_ms = self.at_score_ms(standard_score(stalled)) as f64 * STALL_FACTOR;
+                self.at_score_ms(standard_score(usual)).max(stalled_ms as u64)
+            }
+        }
+    }
+
     /// Returns the natural logarithm of a run time over the median, in standard deviations.
     pub fn score_of(self, run_ms: u64) -> f64 {
         ((run_ms.max(1) as f64).ln() - self.log_median_ms) / self.spread
@@ -68,17 +109,49 @@
     }
 }
 
+/// What is known of the logarithm of the ratio of actual to declared run times of a kind.
 #[derive(Clone, Copy, Debug)]
 struct LogRatio {
-    mean: f64,
-    variance: f64,
-    observations: u32,
+    median: f64,
+    /// Distance of the 90th percentile from the median, over that of a normal distribution.
+    spread: f64,
+    /// Number of observations, after decay.
+    weight: f64,
+}
+
+impl LogRatio {
+    const UNKNOWN: LogRatio = LogRatio { median: 0.0, spread: PRIOR_SPREAD, weight: 0.0 };
+
+    /// Corrects the median, and the spread such that nine in ten observations are below the 90th
+    /// percentile, whatever their distribution (Gibbs and Candès, *Adaptive conformal inference
+    /// under distribution shift*, 2021).
+    fn observe(&mut self, log_ratio: f64) {
+        self.weight = (self.weight + 1.0).min(WEIGHT_MAX);
+        let known = self.weight + PRIOR_WEIGHT;
+        let deviation = (log_ratio - self.median) / self.spread;
+        let is_late = SCORE_OF_90_PERCENT < deviation;
+        let miss = f64::from(u8::from(is_late)) - (1.0 - LATE_PROBABILITY);
+        let gain = SPREAD_GAIN_MIN.max(SPREAD_GAIN_FIRST / known / known.sqrt());
+        self.median += deviation.clamp(-DEVIATION_MAX, DEVIATION_MAX) * self.spread / known;
+        self.spread = (self.spread * (gain * miss).exp()).clamp(SPREAD_MIN, SPREAD_MAX);
+    }
+}
+
+/// Errors of the forecasts since they were last taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ForecastErrors {
+    pub observations: u32,
+    /// Tasks that ended later than [`RunTimeForecast::late_ms`].
+    pub late: u32,
+    /// Sum of the absolute natural logarithms of run times over their forecast medians.
+    pub absolute_log_sum: f64,
 }
 
 /// Learned ratios of actual to declared run times, by kind of task.
 #[derive(Clone, Debug, Default)]
 pub struct RunTimeModel {
     ratios: BTreeMap<TaskKind, LogRatio>,
+    errors: ForecastErrors,
 }
 
 impl RunTimeModel {
@@ -87,13 +160,14 @@
         let ratio = |it: &LearnedRunTime| {
             let kind = TaskKind { queue: it.queue.clone(), image: it.image.clone() };
             let ratio = LogRatio {
-                mean: it.log_ratio.into(),
-                variance: it.log_variance.into(),
-                observations: it.observations,
+                median: it.log_ratio.into(),
+                spread: f64::from(it.log_variance).sqrt().clamp(SPREAD_MIN, SPREAD_MAX),
+                weight: it.observations.into(),
             };
             (kind, ratio)
         };
-        RunTimeModel { ratios: learned.iter().map(ratio).collect() }
+        let ratios = learned.iter().map(ratio).collect();
+        RunTimeModel { ratios, errors: ForecastErrors::default() }
     }
 
     /// Returns what was learned, for the next leader.
@@ -101,28 +175,45 @@
         let learned = |(kind, it): (&TaskKind, &LogRatio)| LearnedRunTime {
             queue: kind.queue.clone(),
             image: kind.image.clone(),
-            log_ratio: it.mean as f32,
-            log_variance: it.variance as f32,
-            observations: it.observations,
+            log_ratio: it.median as f32,
+            log_variance: (it.spread * it.spread) as f32,
+            observations: it.weight.round() as u32,
         };
         self.ratios.iter().map(learned).collect()
     }
 
     /// Records that a task with the declared run time `declared_ms` ran for `run_ms`.
     pub fn observe(&mut self, kind: TaskKind, declared_ms: u64, run_ms: u64) {
+        let forecast = self.forecast(&kind, declared_ms);
+        self.errors.observations += 1;
+        self.errors.late += u32::from(forecast.late_ms() < run_ms);
+        self.errors.absolute_log_sum += (forecast.score_of(run_ms) * forecast.spread()).abs();
         if KINDS_MAX <= self.ratios.len() && !self.ratios.contains_key(&kind) {
-            return;
+            self.forget_least_known();
         }
         let log_ratio = (run_ms.max(1) as f64 / declared_ms.max(1) as f64)
             .ln()
             .clamp(-LOG_RATIO_MAX, LOG_RATIO_MAX);
-        let prior = LogRatio { mean: 0.0, variance: PRIOR_SPREAD * PRIOR_SPREAD, observations: 0 };
-        let it = self.ratios.entry(kind).or_insert(prior);
-        it.observations = it.observations.saturating_add(1);
-        let gain = GAIN.max(1.0 / (f64::from(it.observations) + PRIOR_OBSERVATIONS));
-        let error = log_ratio - it.mean;
-        it.mean += error * gain;
-        it.variance = (1.0 - gain) * (it.variance + gain * error * error);
+        self.ratios.entry(kind).or_insert(LogRatio::UNKNOWN).observe(log_ratio);
+    }
+
+    /// Lets what was learned count less, after `elapsed_ms`.
+    pub fn decay(&mut self, elapsed_ms: u64) {
+        let factor = (-std::f64::consts::LN_2 * elapsed_ms as f64 / HALF_LIFE_MS).exp();
+        self.ratios.values_mut().for_each(|it| it.weight *= factor);
+        self.ratios.retain(|_, it| WEIGHT_MIN <= it.weight);
+    }
+
+    /// Returns the errors since the last call.
+    pub fn take_errors(&mut self) -> ForecastErrors {
+        std::mem::take(&mut self.errors)
+    }
+
+    fn forget_least_known(&mut self) {
+        let least = self.ratios.iter().min_by(|a, b| a.1.weight.total_cmp(&b.1.weight));
+        if let Some(kind) = least.map(|(kind, _)| kind.clone()) {
+            self.ratios.remove(&kind);
+        }
     }
 
     /// Returns the forecast for a task with the declared run time `declared_ms`.
@@ -138,12 +229,18 @@
     /// ```
     pub fn forecast(&self, kind: &TaskKind, declared_ms: u64) -> RunTimeForecast {
         let log_declared_ms = (declared_ms.max(1) as f64).ln();
-        match self.ratios.get(kind) {
-            Some(it) => RunTimeForecast {
-                log_median_ms: log_declared_ms + it.mean,
-                spread: it.variance.sqrt(),
-            },
-            None => RunTimeForecast { log_median_ms: log_declared_ms, spread: PRIOR_SPREAD },
-        }
+        let it = self.ratios.get(kind).copied().unwrap_or(LogRatio::UNKNOWN);
+        RunTimeForecast { log_median_ms: log_declared_ms + it.median, spread: it.spread }
     }
 }
+
+/// Returns the standard score below which a normal distribution has `probability` (Abramowitz and
+/// Stegun, *Handbook of mathematical functions*, 26.2.23).
+fn standard_score(probability: f64) -> f64 {
+    let probability = probability.clamp(1e-9, 1.0 - 1e-9);
+    let t = (-2.0 * probability.min(1.0 - probability).ln()).sqrt();
+    let numerator = 2.515_517 + 0.802_853 * t + 0.010_328 * t * t;
+    let denominator = 1.0 + 1.432_788 * t + 0.189_269 * t * t + 0.001_308 * t * t * t;
+    let score = t - numerator / denominator;
+    if probability < 0.5 { -score } else { score }
+}
