--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -5,9 +5,10 @@
 use crate::{
     control::{
         core::{ControlCore, Effect, event_logging},
-        dispatch::{Dispatcher, RequestDecision},
+        dispatch::RequestDecision,
         state::Change,
     },
+    policy::verdict::CallId,
     prelude::*,
 };
 
@@ -30,7 +31,13 @@
         if !self.raft.has_lease(now) || self.leader_state.is_none() {
             return self.answer_call(to, WorkflowOutcome::NotLeader(self.leader_address()));
         }
-        match Dispatcher::decide_request(&self.state.workflows, it.request, now) {
+        let dispatcher = self.leader_state.as_mut().and_then(|it| it.dispatcher.as_mut());
+        // A group without the dispatch role runs no workflows.
+        let Some(dispatcher) = dispatcher else {
+            return self.answer_call(to, WorkflowOutcome::NoConfig);
+        };
+        let call = CallId { gateway: it.reply_to, id: it.id };
+        match dispatcher.decide_request(&self.state.workflows, it.request, call, now) {
             RequestDecision::Answer(outcome) => self.answer_call(to, outcome),
             RequestDecision::Propose(_) if self.disk_full || self.disk_writes_refused => {
                 tracing::warn!(event = "proposal_refused", cause = "disk_full", call = to.id);
--- /dev/null
+++ b/src/control/dispatch/admission/backlog.rs
@@ -0,0 +1,242 @@
+//! Sums up the work that goes before a submission, and the capacity that serves it.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    control::{
+        dispatch::plan::{chains_ms, work_core_ms},
+        state::{Occurrence, Workflow, Workflows},
+    },
+    policy::{
+        completion::{Estimate, StepForecast},
+        forecast::{RunTimeModel, TaskKind},
+        urgency::{PendingStep, Urgency, urgency},
+    },
+    prelude::*,
+};
+
+/// Place of a workflow in the order in which plans visit steps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Order(Urgency);
+
+impl Order {
+    /// Returns the place of a submission.
+    pub(super) fn of_new(queue: &Queue, spec: &WorkflowSpec, now: Now) -> Order {
+        let works = spec.steps.iter().map(|it| {
+            u64::from(it.count) * it.estimate_ms * u64::from(it.need.cpu_millicores) / 1_000
+        });
+        let chain_ms = chains_ms(spec).into_iter().max().unwrap_or(0);
+        let deadline_ms = now.wall_ms.max(spec.first_run_ms) + objective_ms(queue, chain_ms);
+        Order::new(queue, deadline_ms, chain_ms, works.sum(), now)
+    }
+
+    fn of_waiting(
+        queue: &Queue,
+        workflow: &Workflow,
+        index: usize,
+        occurrence: &Occurrence,
+        now: Now,
+    ) -> Order {
+        let chains_ms = chains_ms(&workflow.spec);
+        let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
+        let remaining = chains_ms.iter().zip(&occurrence.steps).filter(|(_, it)| !it.is_done());
+        let remaining_ms = remaining.map(|(it, _)| *it).max().unwrap_or(0);
+        let begin_ms = workflow.accepted_ms.max(workflow.due_ms(index));
+        let deadline_ms = begin_ms + objective_ms(queue, chain_ms);
+        Order::new(queue, deadline_ms, remaining_ms, work_core_ms(workflow, occurrence), now)
+    }
+
+    fn new(
+        queue: &Queue,
+        objective_deadline_ms: u64,
+        remaining_ms: u64,
+        work_core_ms: u64,
+        now: Now,
+    ) -> Order {
+        let pending = PendingStep {
+            priority: queue.priority,
+            is_long_running: false,
+            objective_deadline_ms,
+            remaining_ms,
+            work_core_ms,
+        };
+        Order(urgency(pending, now.wall_ms))
+    }
+}
+
+fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
+    chain_ms * u64::from(queue.stretch_percent) / 100 + queue.target_ms
+}
+
+/// Processor time, in core-milliseconds, by the kind of capacity that serves it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Work {
+    pub plain: Estimate,
+    pub filler: Estimate,
+}
+
+impl Work {
+    /// Adds the processor time of best-effort or other tasks.
+    pub(super) fn add(&mut self, is_filler: bool, core_ms: Estimate) {
+        match is_filler {
+            true => self.filler.add(core_ms),
+            false => self.plain.add(core_ms),
+        }
+    }
+}
+
+/// An amount of processor and memory of many workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Amount {
+    pub cpu_millicores: u64,
+    pub memory_mib: u64,
+}
+
+impl Amount {
+    fn add(&mut self, it: Resources, count: usize) {
+        self.cpu_millicores += u64::from(it.cpu_millicores) * count as u64;
+        self.memory_mib += u64::from(it.memory_mib) * count as u64;
+    }
+
+    fn minus(self, other: Amount) -> Amount {
+        Amount {
+            cpu_millicores: self.cpu_millicores.saturating_sub(other.cpu_millicores),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+        }
+    }
+}
+
+/// The capacity of a service's workers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Pool {
+    /// Capacity that no long-running task has or waits for.
+    pub long_running_spare: Amount,
+    /// Cores for tasks that reserve processor and end.
+    pub plain_cores: f64,
+    /// Cores that are not reserved now.
+    pub unreserved_cores: f64,
+}
+
+#[derive(Clone, Debug)]
+struct WaitingWork {
+    service: CompactString,
+    caller: Caller,
+    order: Order,
+    work: Work,
+}
+
+/// The work of all workflows that are due, and the capacity of each service.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Backlog {
+    waiting: Vec<WaitingWork>,
+    pools: BTreeMap<CompactString, Pool>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolSums {
+    capacity: Amount,
+    reserved: Amount,
+    long_running: Amount,
+    long_running_waiting: Amount,
+}
+
+impl Backlog {
+    pub(super) fn new(workflows: &Workflows, run_times: &RunTimeModel, now: Now) -> Backlog {
+        let mut sums: BTreeMap<CompactString, PoolSums> = BTreeMap::new();
+        for (_, worker) in workflows.workers().iter() {
+            let sum = sums.entry(worker.service.clone()).or_default();
+            sum.capacity.add(worker.capacity, 1);
+            sum.reserved.add(worker.reserved, 1);
+        }
+        let mut waiting = Vec::new();
+        for (id, workflow) in workflows.active() {
+            let Some(queue) = workflows.queue(&workflow.queue) else { continue };
+            let sum = sums.entry(queue.service.clone()).or_default();
+            let due = |index: usize| workflow.due_ms(index) <= now.wall_ms;
+            let occurrences = workflow.occurrences.iter().enumerate();
+            for (index, occurrence) in occurrences.filter(|(index, _)| due(*index)) {
+                add_long_running(sum, workflow, occurrence);
+                let work = remaining_work(workflow, occurrence, run_times);
+                if work != Work::default() {
+                    waiting.push(WaitingWork {
+                        service: queue.service.clone(),
+                        caller: Caller {
+                            queue: workflow.queue.clone(),
+                            zone: workflows.demand().zone_of(id),
+                        },
+                        order: Order::of_waiting(queue, workflow, index, occurrence, now),
+                        work,
+                    });
+                }
+            }
+        }
+        let pools = sums.into_iter().map(|(service, it)| (service, it.pool())).collect();
+        Backlog { waiting, pools }
+    }
+
+    /// Returns the capacity of a service's workers.
+    pub(super) fn pool(&self, service: &str) -> Pool {
+        self.pools.get(service).copied().unwrap_or_default()
+    }
+
+    /// Returns the work that goes before a workflow; the early case counts only that of
+    /// `same_caller`, if given.
+    pub(super) fn ahead(&self, service: &str, order: Order, same_caller: Option<&Caller>) -> Work {
+        let mut res = Work::default();
+        for it in self.waiting.iter().filter(|it| it.service == service && it.order < order) {
+            let mut work = it.work;
+            if same_caller.is_some_and(|caller| *caller != it.caller) {
+                (work.plain.early, work.filler.early) = (0.0, 0.0);
+            }
+            res.plain.add(work.plain);
+            res.filler.add(work.filler);
+        }
+        res
+    }
+}
+
+impl PoolSums {
+    fn pool(self) -> Pool {
+        let cores = |it: Amount| it.cpu_millicores as f64 / 1_000.0;
+        let without_long_running = self.capacity.minus(self.long_running);
+        Pool {
+            long_running_spare: without_long_running.minus(self.long_running_waiting),
+            plain_cores: cores(without_long_running),
+            unreserved_cores: cores(self.capacity.minus(self.reserved)),
+        }
+    }
+}
+
+fn add_long_running(sum: &mut PoolSums, workflow: &Workflow, occurrence: &Occurrence) {
+    let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
+    for (step, state) in steps.filter(|(step, _)| step.lasting) {
+        let waiting = state.tasks.iter().filter(|it| !it.is_done && it.runs.is_empty()).count();
+        let running = state.tasks.iter().filter(|it| !it.runs.is_empty()).count();
+        sum.long_running.add(step.need, running);
+        sum.long_running_waiting.add(step.need, waiting);
+    }
+}
+
+/// Returns the work of the tasks that have not ended. How far running ones are is not counted: they
+/// are done in the early case, halfway in the middle, and just begun in the late one.
+fn remaining_work(workflow: &Workflow, occurrence: &Occurrence, run_times: &RunTimeModel) -> Work {
+    let mut res = Work::default();
+    let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
+    for (step, state) in steps.filter(|(step, state)| !step.lasting && !state.is_done()) {
+        let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
+        let forecast = StepForecast {
+            run_time: run_times.forecast(&kind, step.estimate_ms),
+            tasks: 0,
+            cpu_millicores: step.need.cpu_millicores,
+            after: &step.after,
+        };
+        let unfinished = || state.tasks.iter().filter(|it| !it.is_done);
+        let waiting = unfinished().filter(|it| it.runs.is_empty()).count() as u32;
+        let running = unfinished().count() as u32 - waiting;
+        let running = forecast.work_core_ms(running);
+        res.add(step.filler, forecast.work_core_ms(waiting));
+        let running = Estimate { early: 0.0, median: running.median / 2.0, late: running.late };
+        res.add(step.filler, running);
+    }
+    res
+}
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's workflow scheduling: processes node reports, grants leases, places runs and derives
 //! the orders for workers from the ledger.
 
+mod admission;
 mod capacity;
 mod features;
 mod lost_workers;
@@ -11,6 +12,7 @@
 mod requests;
 mod retention;
 mod run_monitor;
+mod run_times;
 mod sessions;
 
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -20,12 +22,13 @@
     policy::{
         contention::{ContentionModel, FillerLoad, ServingTask, headroom_percent, reference_cores},
         disruption::{RunStop, StopCause},
-        forecast::{RunTimeModel, TaskKind},
+        forecast::RunTimeModel,
     },
     prelude::*,
 };
 
 use self::{
+    admission::Admission,
     capacity::FreeCapacities,
     lost_workers::LossCause,
     moves::StopBudget,
@@ -87,6 +90,7 @@
     contention: ContentionModel,
     run_times: RunTimeModel,
     stop_budget: StopBudget,
+    admission: Admission,
     free_capacities: FreeCapacities,
     probations: Probations,
     idle_since: plan::IdleSince,
@@ -115,6 +119,7 @@
             contention: ContentionModel::with_known_costs(workflows.image_costs(), now.mono_ms),
             run_times: RunTimeModel::with_learned(workflows.demand().run_times()),
             stop_budget: StopBudget::default(),
+            admission: Admission::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
@@ -160,14 +165,6 @@
         self.free_capacities.audit(workflows, &mut self.contention)
     }
 
-    /// Proposes the learned run times where they differ from the ledger.
-    fn propose_run_times(&mut self, workflows: &Workflows) {
-        let learned = self.run_times.learned();
-        if learned != workflows.demand().run_times() {
-            self.output.commands.push(WorkflowCommand::LearnRunTimes(learned));
-        }
-    }
-
     /// Runs the periodic work: expires leases, removes old workflows, and writes learned costs and
     /// the occupancy log line.
     pub fn tick(&mut self, workflows: &Workflows, now: Now) {
@@ -186,6 +183,7 @@
                 self.output.commands.push(WorkflowCommand::Learn(known_costs));
             }
             if self.options.features.needs_run_times() {
+                self.run_times.decay(LEARN_INTERVAL_MS);
                 self.propose_run_times(workflows);
             }
             self.settle_failures_of_lost(workflows, now);
@@ -193,6 +191,7 @@
         if self.occupancy_at_ms <= now.mono_ms {
             self.occupancy_at_ms = now.mono_ms + OCCUPANCY_INTERVAL_MS;
             log_occupancy(workflows);
+            self.log_forecast_errors();
         }
     }
 
@@ -213,6 +212,7 @@
         self.plan_count += 1;
         self.last_plan_ms = now.mono_ms;
         self.next_plan_ms = now.mono_ms + self.options.plan.interval_ms;
+        self.measure_throughput(workflows, now);
         let input = plan::PlanInput {
             workflows,
             sessions: &self.sessions,
@@ -317,9 +317,13 @@
                 self.withdraw_starts(workflows, &it.zone, members);
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
-            WorkflowCommand::Submit(_)
-            | WorkflowCommand::SubmitFrom(_)
-            | WorkflowCommand::Install(_) => self.schedule_plan(PLAN_PAUSE_MS),
+            WorkflowCommand::SubmitFrom(it) => {
+                self.admission.note_stored(it.workflow.id);
+                self.schedule_plan(PLAN_PAUSE_MS);
+            }
+            WorkflowCommand::Submit(_) | WorkflowCommand::Install(_) => {
+                self.schedule_plan(PLAN_PAUSE_MS)
+            }
             WorkflowCommand::Forget(_)
             | WorkflowCommand::Learn(_)
             | WorkflowCommand::LearnRunTimes(_)
@@ -406,27 +410,6 @@
         }
     }
 
-    /// Learns from the ended runs of a worker's newest report how long they took.
-    fn observe_run_times(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
-        if !self.options.features.needs_run_times() {
-            return;
-        }
-        let Some(session) = self.sessions.get_mut(id) else { return };
-        let Some(report) = &session.report else { return };
-        let done = report.ended.iter().filter(|it| it.end.outcome == RunOutcome::Done);
-        for run in done.map(|it| it.end.run) {
-            let Some(begun_ms) = session.begun_ms.remove(&run) else { continue };
-            let Some(step) = workflows.step_of(run.task) else { continue };
-            let Some(workflow) = workflows.get(run.task.workflow) else { continue };
-            // A best-effort task takes as long as the tasks beside it let it.
-            if step.lasting || step.gang || step.filler {
-                continue;
-            }
-            let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
-            self.run_times.observe(kind, step.estimate_ms, now.mono_ms - begun_ms);
-        }
-    }
-
     /// Marks workers with expired leases as lost: their runs have been killed by now.
     fn expire(&mut self, workflows: &Workflows, now: Now) {
         for id in self.sessions.take_expired(now.mono_ms) {
--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -44,7 +44,7 @@
 }
 
 /// Returns for each step the longest sum of declared run times over a chain that begins with it.
-fn chains_ms(spec: &WorkflowSpec) -> Vec<u64> {
+pub(in crate::control::dispatch) fn chains_ms(spec: &WorkflowSpec) -> Vec<u64> {
     let mut res: Vec<u64> = spec.steps.iter().map(|it| it.estimate_ms).collect();
     // Steps depend on earlier ones only, so the chains of later steps are known first.
     for index in (0..spec.steps.len()).rev() {
@@ -58,7 +58,10 @@
 
 /// Returns the processor time, in core-milliseconds, that the remaining tasks of an occurrence need
 /// by their declared run times.
-fn work_core_ms(workflow: &Workflow, occurrence: &Occurrence) -> u64 {
+pub(in crate::control::dispatch) fn work_core_ms(
+    workflow: &Workflow,
+    occurrence: &Occurrence,
+) -> u64 {
     let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
     let remaining = steps.map(|(step, state)| {
         let tasks = u64::from(step.count - state.done_count.min(step.count));
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -22,11 +22,14 @@
     prelude::*,
 };
 
-pub(super) use self::waiting_steps::WaitingSteps;
 use self::{
     builder::PlanBuilder,
     candidates::{Candidate, candidates},
 };
+pub(super) use self::{
+    candidates::{chains_ms, work_core_ms},
+    waiting_steps::WaitingSteps,
+};
 
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -1,8 +1,9 @@
 //! Decides how the leader answers requests of clients and operators.
 
 use crate::{
-    control::dispatch::Dispatcher,
+    control::dispatch::{Dispatcher, admission::Submission},
     control::state::{ValidationError, Workflows, check_queues, check_spec},
+    policy::verdict::CallId,
     prelude::*,
 };
 
@@ -16,10 +17,12 @@
 }
 
 impl Dispatcher {
-    /// Decides how to answer a request.
+    /// Decides how to answer the request of a call.
     pub fn decide_request(
+        &mut self,
         workflows: &Workflows,
         request: WorkflowRequest,
+        call: CallId,
         now: Now,
     ) -> RequestDecision {
         match request {
@@ -37,8 +40,11 @@
             },
             WorkflowRequest::ReadEvacuations => RequestDecision::Answer(evacuations(workflows)),
             WorkflowRequest::Evacuate(it) => evacuate(workflows, it),
-            WorkflowRequest::Submit(it) => submit(workflows, it, CompactString::default(), now),
-            WorkflowRequest::SubmitFrom(it) => submit(workflows, it.submission, it.zone, now),
+            WorkflowRequest::Submit(it) => {
+                let zone = CompactString::default();
+                self.submit(workflows, OriginatedSubmission { zone, submission: it }, call, now)
+            }
+            WorkflowRequest::SubmitFrom(it) => self.submit(workflows, it, call, now),
             WorkflowRequest::Inspect(it) => RequestDecision::Answer(inspect(workflows, &it)),
             WorkflowRequest::Cancel(it) => match resolve_target(workflows, &it) {
                 Ok((_, Some(id))) if workflows.get(id).is_some() => {
@@ -50,6 +56,37 @@
             },
         }
     }
+    fn submit(
+        &mut self,
+        workflows: &Workflows,
+        it: OriginatedSubmission,
+        call: CallId,
+        now: Now,
+    ) -> RequestDecision {
+        let OriginatedSubmission { zone, submission } = it;
+        let (queue, id) = match resolve_target(workflows, &submission.target) {
+            Ok((queue, Some(id))) => (queue, id),
+            Ok((_, None)) => return RequestDecision::Answer(WorkflowOutcome::NotFound),
+            Err(it) => return RequestDecision::Answer(it),
+        };
+        if workflows.get(id).is_some() {
+            return RequestDecision::Answer(WorkflowOutcome::Accepted);
+        }
+        if queue.needs_ticket {
+            return RequestDecision::Answer(WorkflowOutcome::Unserved);
+        }
+        let spec = submission.spec;
+        if let Err(ValidationError(reason)) = check_spec(&spec) {
+            return RequestDecision::Answer(WorkflowOutcome::Invalid(reason));
+        }
+        let submission = Submission { id, queue, zone: &zone, spec: &spec, call };
+        if let Some(it) = self.rejection(workflows, submission, now) {
+            return RequestDecision::Answer(WorkflowOutcome::Rejected(it));
+        }
+        let queue = queue.name.clone();
+        let workflow = SubmitWorkflow { id, queue, spec, accepted_ms: now.wall_ms };
+        RequestDecision::Propose(WorkflowCommand::SubmitFrom(OriginatedWorkflow { zone, workflow }))
+    }
 }
 
 fn evacuations(workflows: &Workflows) -> WorkflowOutcome {
@@ -76,31 +113,6 @@
     }
 }
 
-fn submit(
-    workflows: &Workflows,
-    it: WorkflowSubmission,
-    zone: CompactString,
-    now: Now,
-) -> RequestDecision {
-    let (queue, id) = match resolve_target(workflows, &it.target) {
-        Ok((queue, Some(id))) => (queue, id),
-        Ok((_, None)) => return RequestDecision::Answer(WorkflowOutcome::NotFound),
-        Err(it) => return RequestDecision::Answer(it),
-    };
-    if workflows.get(id).is_some() {
-        return RequestDecision::Answer(WorkflowOutcome::Accepted);
-    }
-    if queue.needs_ticket {
-        return RequestDecision::Answer(WorkflowOutcome::Unserved);
-    }
-    if let Err(ValidationError(reason)) = check_spec(&it.spec) {
-        return RequestDecision::Answer(WorkflowOutcome::Invalid(reason));
-    }
-    let queue = queue.name.clone();
-    let workflow = SubmitWorkflow { id, queue, spec: it.spec, accepted_ms: now.wall_ms };
-    RequestDecision::Propose(WorkflowCommand::SubmitFrom(OriginatedWorkflow { zone, workflow }))
-}
-
 fn inspect(workflows: &Workflows, it: &WorkflowTarget) -> WorkflowOutcome {
     match resolve_target(workflows, it) {
         Ok((_, Some(id))) => match workflows.get(id) {
--- a/src/control/dispatch/run_monitor.rs
+++ b/src/control/dispatch/run_monitor.rs
@@ -51,6 +51,7 @@
     can_move: bool,
     stall_detector: StallDetector,
     speed: RelativeSpeed,
+    full_speed: FullSpeedTime,
     /// Whether the run is ordered to stop, because it stalled or moves to another worker.
     pub evicted: bool,
     /// Number of the newest report that lists the run.
@@ -74,6 +75,7 @@
             can_move: step.filter(can_monitor).is_some_and(|it| it.filler),
             stall_detector: StallDetector::new(task.progress_percent, now_ms),
             speed: RelativeSpeed::new(now_ms),
+            full_speed: FullSpeedTime::new(now_ms),
             evicted: false,
             last_report_number: 0,
         }
@@ -82,14 +84,55 @@
     /// Updates the monitor from a report; returns whether the run has stalled.
     pub(super) fn observe(&mut self, task: &RunningTask, now_ms: u64) -> bool {
         if let (true, Some(RunKind::Filler { millicores, .. })) = (self.can_move, self.run_kind) {
-            self.speed.observe(f64::from(task.load) / f64::from(millicores.max(1)));
+            let share = f64::from(task.load) / f64::from(millicores.max(1));
+            self.speed.observe(share);
+            self.full_speed.observe(share, now_ms);
         }
         let estimate_ms = self.estimate_ms;
         estimate_ms.is_some_and(|it| self.stall_detector.observe(task.progress_percent, it, now_ms))
     }
 
+    /// Returns the time that a filler would have run for at full speed, if it began at `begun_ms`
+    /// and ends now.
+    pub(super) fn full_speed_ms(&self, begun_ms: u64, now_ms: u64) -> u64 {
+        self.full_speed.total_ms(self.first_listed_ms.saturating_sub(begun_ms), now_ms)
+    }
+
     /// Returns the share of its full speed at which a filler runs, if it is known to be slow.
     pub(super) fn speed_share_if_slow(&self, now_ms: u64) -> Option<f64> {
         self.speed.speed_share_if_slow(now_ms).filter(|_| self.can_move)
     }
 }
+
+/// Time that a filler would have run for at full speed.
+#[derive(Clone, Copy, Debug)]
+struct FullSpeedTime {
+    /// From its first report to its newest.
+    between_reports_ms: f64,
+    first_share: Option<f64>,
+    last_share: f64,
+    reported_ms: u64,
+}
+
+impl FullSpeedTime {
+    fn new(now_ms: u64) -> FullSpeedTime {
+        let (between_reports_ms, last_share) = (0.0, 1.0);
+        FullSpeedTime { between_reports_ms, first_share: None, last_share, reported_ms: now_ms }
+    }
+
+    fn observe(&mut self, share: f64, now_ms: u64) {
+        let share = share.clamp(0.0, 1.0);
+        let before = if self.first_share.is_some() { self.last_share } else { share };
+        let elapsed_ms = now_ms.saturating_sub(self.reported_ms) as f64;
+        self.between_reports_ms += elapsed_ms * (before + share) / 2.0;
+        self.first_share.get_or_insert(share);
+        (self.last_share, self.reported_ms) = (share, now_ms);
+    }
+
+    /// Returns the whole time, if the filler began `before_ms` before its first report.
+    fn total_ms(&self, before_ms: u64, now_ms: u64) -> u64 {
+        let first_ms = before_ms as f64 * self.first_share.unwrap_or(1.0);
+        let last_ms = now_ms.saturating_sub(self.reported_ms) as f64 * self.last_share;
+        (first_ms + self.between_reports_ms + last_ms) as u64
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -312,6 +312,10 @@
             }
             return self.resend_or_park(now, reply.id, pause_ms);
         }
+        // Another send of the call may be accepted, and its work would run: its answer counts.
+        if matches!(reply.outcome, WorkflowOutcome::Rejected(_)) && call.may_have_been_accepted() {
+            return;
+        }
         let leader = call.sent_to.or(self.leader_finder.leader());
         self.leader_confirmed_ms = Some(now.mono_ms);
         self.leader_finder.set_leader(leader);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! naive reference implementation.
 
 pub mod admission;
+pub mod completion;
 pub mod contention;
 pub mod crash_evidence;
 pub mod disruption;
@@ -20,4 +21,5 @@
 pub mod task_queue;
 pub mod throttling;
 pub mod urgency;
+pub mod verdict;
 pub mod worker_health;
