--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod operator;
 mod roles;
 mod standin;
+mod waiting;
 
 use std::process::ExitCode;
 
@@ -107,7 +108,7 @@
             Ok(())
         }
         "dev" => dev::run(arguments),
-        "status" | "show" | "configure" | "member" | "drain" | "evacuate" => {
+        "status" | "show" | "configure" | "member" | "drain" | "evacuate" | "waiting" => {
             operator::run(&command, arguments)
         }
         "stand-in" => standin::run(arguments),
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -5,9 +5,10 @@
 use serde_json::{Value, json};
 
 use crate::{
-    cli::{Failure, arguments::Arguments},
+    cli::{Failure, arguments::Arguments, waiting::waiting_tables},
     http::client::new_client,
     prelude::*,
+    util::Clock,
 };
 
 const HELP: &str = "\
@@ -27,6 +28,9 @@
   aspenrail evacuate ZONE [--undo]
                               starts no new work in the availability zone; --undo reverts this;
                               show evacuations lists the evacuated zones, with operator and time
+  aspenrail waiting           who waits for capacity, since when and why, when the work is forecast
+                              to end, and who was rejected; for workflows: ADDR is the listener of
+                              a gateway for operators
 ";
 
 /// A client of the administration API.
@@ -43,6 +47,18 @@
     let as_json = arguments.flag("--json");
     let operator = Operator::from_arguments(&mut arguments)?;
     let answer = match command {
+        "waiting" => {
+            arguments.finish()?;
+            let answer = operator.get("waiting")?;
+            if !as_json {
+                let report: WaitingReport = serde_json::from_value(answer).map_err(|it| {
+                    Failure::Usage(format!("--control: no report of waiting work: {it}"))
+                })?;
+                print!("{}", waiting_tables(&report, Clock.now().wall_ms));
+                return Ok(());
+            }
+            answer
+        }
         "status" => {
             arguments.finish()?;
             let answer = operator.get("status")?;
@@ -250,7 +266,7 @@
     res
 }
 
-fn table(title: &str, rows: &[Value], columns: &[&str]) -> String {
+pub(super) fn table(title: &str, rows: &[Value], columns: &[&str]) -> String {
     let cell = |row: &Value, column: &str| match &row[column] {
         Value::Null => "-".to_owned(),
         Value::String(it) => it.clone(),
--- a/src/control/dispatch/admission/backlog.rs
+++ b/src/control/dispatch/admission/backlog.rs
@@ -5,7 +5,7 @@
 use crate::{
     control::{
         dispatch::plan::{chains_ms, work_core_ms},
-        state::{Occurrence, Workflow, Workflows},
+        state::{Occurrence, StepState, Workflow, Workflows},
     },
     policy::{
         completion::{Estimate, StepForecast},
@@ -17,51 +17,55 @@
 
 /// Place of a workflow in the order in which plans visit steps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct Order(Urgency);
+pub(super) struct Order(Urgency, WorkflowId);
 
 impl Order {
     /// Returns the place of a submission.
-    pub(super) fn of_new(queue: &Queue, spec: &WorkflowSpec, now: Now) -> Order {
+    pub(super) fn of_new(id: WorkflowId, queue: &Queue, spec: &WorkflowSpec, now: Now) -> Order {
         let works = spec.steps.iter().map(|it| {
             u64::from(it.count) * it.estimate_ms * u64::from(it.need.cpu_millicores) / 1_000
         });
         let chain_ms = chains_ms(spec).into_iter().max().unwrap_or(0);
         let deadline_ms = now.wall_ms.max(spec.first_run_ms) + objective_ms(queue, chain_ms);
-        Order::new(queue, deadline_ms, chain_ms, works.sum(), now)
+        let urgency = urgency_of(queue, deadline_ms, chain_ms, works.sum(), now);
+        Order(urgency, id)
     }
 
-    fn of_waiting(
+    pub(super) fn of_waiting(
+        id: WorkflowId,
         queue: &Queue,
         workflow: &Workflow,
         index: usize,
-        occurrence: &Occurrence,
         now: Now,
-    ) -> Order {
+    ) -> Option<Order> {
+        let occurrence = workflow.occurrences.get(index)?;
         let chains_ms = chains_ms(&workflow.spec);
         let chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
         let remaining = chains_ms.iter().zip(&occurrence.steps).filter(|(_, it)| !it.is_done());
         let remaining_ms = remaining.map(|(it, _)| *it).max().unwrap_or(0);
         let begin_ms = workflow.accepted_ms.max(workflow.due_ms(index));
         let deadline_ms = begin_ms + objective_ms(queue, chain_ms);
-        Order::new(queue, deadline_ms, remaining_ms, work_core_ms(workflow, occurrence), now)
+        let work_core_ms = work_core_ms(workflow, occurrence);
+        let urgency = urgency_of(queue, deadline_ms, remaining_ms, work_core_ms, now);
+        Some(Order(urgency, id))
     }
+}
 
-    fn new(
-        queue: &Queue,
-        objective_deadline_ms: u64,
-        remaining_ms: u64,
-        work_core_ms: u64,
-        now: Now,
-    ) -> Order {
-        let pending = PendingStep {
-            priority: queue.priority,
-            is_long_running: false,
-            objective_deadline_ms,
-            remaining_ms,
-            work_core_ms,
-        };
-        Order(urgency(pending, now.wall_ms))
-    }
+fn urgency_of(
+    queue: &Queue,
+    objective_deadline_ms: u64,
+    remaining_ms: u64,
+    work_core_ms: u64,
+    now: Now,
+) -> Urgency {
+    let pending = PendingStep {
+        priority: queue.priority,
+        is_long_running: false,
+        objective_deadline_ms,
+        remaining_ms,
+        work_core_ms,
+    };
+    urgency(pending, now.wall_ms)
 }
 
 fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
@@ -157,14 +161,15 @@
             for (index, occurrence) in occurrences.filter(|(index, _)| due(*index)) {
                 add_long_running(sum, workflow, occurrence);
                 let work = remaining_work(workflow, occurrence, run_times);
-                if work != Work::default() {
+                let order = Order::of_waiting(id, queue, workflow, index, now);
+                if let Some(order) = order.filter(|_| work != Work::default()) {
                     waiting.push(WaitingWork {
                         service: queue.service.clone(),
                         caller: Caller {
                             queue: workflow.queue.clone(),
                             zone: workflows.demand().zone_of(id),
                         },
-                        order: Order::of_waiting(queue, workflow, index, occurrence, now),
+                        order,
                         work,
                     });
                 }
@@ -217,23 +222,43 @@
     }
 }
 
-/// Returns the work of the tasks that have not ended. How far running ones are is not counted: they
-/// are done in the early case, halfway in the middle, and just begun in the late one.
-fn remaining_work(workflow: &Workflow, occurrence: &Occurrence, run_times: &RunTimeModel) -> Work {
-    let mut res = Work::default();
+/// Returns the steps of an occurrence with the tasks that have not ended.
+pub(super) fn remaining_steps<'a>(
+    workflow: &'a Workflow,
+    occurrence: &Occurrence,
+    run_times: &RunTimeModel,
+) -> Vec<StepForecast<'a>> {
     let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
-    for (step, state) in steps.filter(|(step, state)| !step.lasting && !state.is_done()) {
+    let forecast = |(step, state): (&'a WorkflowStep, &StepState)| {
         let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
-        let forecast = StepForecast {
+        StepForecast {
             run_time: run_times.forecast(&kind, step.estimate_ms),
-            tasks: 0,
+            tasks: step.count.saturating_sub(state.done_count),
             cpu_millicores: step.need.cpu_millicores,
             after: &step.after,
-        };
-        let unfinished = || state.tasks.iter().filter(|it| !it.is_done);
-        let waiting = unfinished().filter(|it| it.runs.is_empty()).count() as u32;
-        let running = unfinished().count() as u32 - waiting;
-        let running = forecast.work_core_ms(running);
+        }
+    };
+    steps.map(forecast).collect()
+}
+
+/// Returns the work of the tasks that have not ended. How far running ones are is not counted: they
+/// are done in the early case, halfway in the middle, and just begun in the late one.
+pub(super) fn remaining_work(
+    workflow: &Workflow,
+    occurrence: &Occurrence,
+    run_times: &RunTimeModel,
+) -> Work {
+    let mut res = Work::default();
+    let forecasts = remaining_steps(workflow, occurrence, run_times);
+    for ((step, state), forecast) in
+        workflow.spec.steps.iter().zip(&occurrence.steps).zip(&forecasts)
+    {
+        if step.lasting || state.is_done() {
+            continue;
+        }
+        let waiting = state.tasks.iter().filter(|it| !it.is_done && it.runs.is_empty()).count();
+        let waiting = waiting as u32;
+        let running = forecast.work_core_ms(forecast.tasks.saturating_sub(waiting));
         res.add(step.filler, forecast.work_core_ms(waiting));
         let running = Estimate { early: 0.0, median: running.median / 2.0, late: running.late };
         res.add(step.filler, running);
--- a/src/control/dispatch/admission/mod.rs
+++ b/src/control/dispatch/admission/mod.rs
@@ -20,13 +20,13 @@
     policy::{
         completion::{Competition, Estimate, StepForecast, chain_ms, completion_ms},
         forecast::TaskKind,
-        verdict::{CallId, Prospect, Rejection, Returns, Verdict, verdict},
+        verdict::{CallId, Prospect, RejectedSubmission, Rejection, Returns, Verdict, verdict},
     },
     prelude::*,
 };
 
 use self::{
-    backlog::{Backlog, Order, Work},
+    backlog::{Backlog, Order, Work, remaining_steps, remaining_work},
     throughput::Throughputs,
 };
 
@@ -71,11 +71,6 @@
         self.proposed.remove(&id);
     }
 
-    /// Returns the rejected submissions.
-    pub(super) fn returns(&self) -> &Returns {
-        &self.returns
-    }
-
     fn note_accepted(&mut self, id: WorkflowId, now: Now) {
         self.returns.remove(id);
         self.proposed.retain(|_, at_ms| now.mono_ms < *at_ms + PROPOSED_MAX_MS);
@@ -87,7 +82,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Forecast {
     completion_ms: Estimate,
-    objective_ms: f64,
+    objective_ms: Estimate,
     /// Time for which the submission uses all capacity that serves it.
     service_ms: f64,
     ahead_core_ms: f64,
@@ -140,7 +135,7 @@
         };
         let fits = need(|it| it.cpu_millicores) <= pool.long_running_spare.cpu_millicores
             && need(|it| it.memory_mib) <= pool.long_running_spare.memory_mib;
-        match fits {
+        match fits || self.can_begin(workflows, it, now) {
             true => None,
             false => {
                 let spacing_ms = NO_CAPACITY_SPACING_MS;
@@ -170,13 +165,12 @@
         }
         prospect.can_begin = self.can_begin(workflows, it, now);
         let Verdict::Late { in_time_after_ms } = verdict(prospect) else { return None };
-        let is_repeated =
-            self.admission.returns.get(it.id).is_some_and(|it| now.mono_ms < it.return_at_ms);
+        let is_repeated = self.admission.returns.is_due_later(it.id, now.mono_ms);
         let service_ms = forecast.service_ms as u64;
         let rejection = self.reject(it, AdmissionCause::Late, in_time_after_ms, service_ms, now);
         if !is_repeated {
             let Estimate { early, median, late } = forecast.completion_ms;
-            tracing::info!(event = "submission_late", workflow = %format_args!("{:016x}", it.id.0), early_ms = early as u64, median_ms = median as u64, late_ms = late as u64, objective_ms = forecast.objective_ms as u64, ahead_core_s = (forecast.ahead_core_ms / 1_000.0) as u64);
+            tracing::info!(event = "submission_late", workflow = %format_args!("{:016x}", it.id.0), early_ms = early as u64, median_ms = median as u64, late_ms = late as u64, objective_ms = forecast.objective_ms.late as u64, ahead_core_s = (forecast.ahead_core_ms / 1_000.0) as u64);
         }
         Some(rejection)
     }
@@ -191,13 +185,21 @@
     ) -> AdmissionRejection {
         let caller = Caller { queue: it.queue.name.clone(), zone: it.zone.clone() };
         let (id, call) = (it.id, it.call);
+        let is_repeated = self.admission.returns.is_due_later(id, now.mono_ms);
         let rejection = Rejection { id, caller, cause, call, earliest_ms, service_ms };
         let retry_after_ms = self.admission.returns.note(rejection, now.mono_ms);
-        tracing::info!(event = "submission_rejected", workflow = %format_args!("{:016x}", id.0), queue = %it.queue.name, zone = %it.zone, %cause, retry_after_ms);
+        if !is_repeated {
+            tracing::info!(event = "submission_rejected", workflow = %format_args!("{:016x}", id.0), queue = %it.queue.name, zone = %it.zone, %cause, retry_after_ms);
+        }
         AdmissionRejection { cause, retry_after_ms }
     }
 
-    fn refresh_backlog(&mut self, workflows: &Workflows, now: Now) {
+    /// Returns the submissions that were rejected lately, the first rejected first.
+    pub(super) fn rejected(&self, now: Now) -> impl Iterator<Item = &RejectedSubmission> {
+        self.admission.returns.pending(now.mono_ms)
+    }
+
+    pub(super) fn refresh_backlog(&mut self, workflows: &Workflows, now: Now) {
         if self.admission.backlog_due_ms <= now.mono_ms {
             self.admission.backlog_due_ms = now.mono_ms + BACKLOG_INTERVAL_MS;
             self.admission.backlog = Backlog::new(workflows, &self.run_times, now);
@@ -227,20 +229,50 @@
                 }
             })
             .collect();
-        let chain = chain_ms(&steps);
         let mut own = Work::default();
         for (step, forecast) in it.spec.steps.iter().zip(&steps) {
             own.add(step.filler, forecast.work_core_ms(forecast.tasks));
         }
-        let order = Order::of_new(it.queue, it.spec, now);
+        let caller = Caller { queue: it.queue.name.clone(), zone: it.zone.clone() };
+        let order = Order::of_new(it.id, it.queue, it.spec, now);
+        self.forecast(it.queue, &caller, &steps, own, order, now)
+    }
+
+    /// Forecasts the end of a workflow that waits.
+    pub(super) fn forecast_waiting(
+        &self,
+        workflows: &Workflows,
+        id: WorkflowId,
+        index: usize,
+        now: Now,
+    ) -> Option<Estimate> {
+        let workflow = workflows.get(id)?;
+        let queue = workflows.queue(&workflow.queue)?;
+        let caller = workflows.caller_of(id)?;
+        let occurrence = workflow.occurrences.get(index)?;
+        let steps = remaining_steps(workflow, occurrence, &self.run_times);
+        let own = remaining_work(workflow, occurrence, &self.run_times);
+        let order = Order::of_waiting(id, queue, workflow, index, now)?;
+        Some(self.forecast(queue, &caller, &steps, own, order, now).completion_ms)
+    }
+
+    fn forecast(
+        &self,
+        queue: &Queue,
+        caller: &Caller,
+        steps: &[StepForecast<'_>],
+        own: Work,
+        order: Order,
+        now: Now,
+    ) -> Forecast {
+        let chain = chain_ms(steps);
         // With shares, a caller that has had little goes before all others: for the best case only
         // its own work goes before.
-        let caller = Caller { queue: it.queue.name.clone(), zone: it.zone.clone() };
-        let same_caller = self.options.features.fair_shares.then_some(&caller);
-        let ahead = self.admission.backlog.ahead(&it.queue.service, order, same_caller);
-        let pool = self.admission.backlog.pool(&it.queue.service);
+        let same_caller = self.options.features.fair_shares.then_some(caller);
+        let ahead = self.admission.backlog.ahead(&queue.service, order, same_caller);
+        let pool = self.admission.backlog.pool(&queue.service);
         let filler_cores =
-            self.admission.throughputs.cores(&it.queue.service, pool.unreserved_cores, now.mono_ms);
+            self.admission.throughputs.cores(&queue.service, pool.unreserved_cores, now.mono_ms);
         let competition =
             |ahead_core_ms, own_core_ms, cores| Competition { ahead_core_ms, own_core_ms, cores };
         let plain_cores =
@@ -251,10 +283,9 @@
         ];
         let service_ms = own.plain.median / plain_cores.median.max(1.0)
             + own.filler.median / filler_cores.median.max(1.0);
-        let stretch = f64::from(it.queue.stretch_percent) / 100.0;
         Forecast {
             completion_ms: completion_ms(chain, &competitions),
-            objective_ms: chain.late * stretch + it.queue.target_ms as f64,
+            objective_ms: objective_ms(queue, chain),
             service_ms,
             ahead_core_ms: ahead.plain.median + ahead.filler.median,
         }
@@ -276,6 +307,17 @@
     }
 }
 
+/// Returns the time within which a workflow gives its caller full value.
+fn objective_ms(queue: &Queue, chain_ms: Estimate) -> Estimate {
+    let stretch = f64::from(queue.stretch_percent) / 100.0;
+    let objective_ms = |chain_ms: f64| chain_ms * stretch + queue.target_ms as f64;
+    Estimate {
+        early: objective_ms(chain_ms.early),
+        median: objective_ms(chain_ms.median),
+        late: objective_ms(chain_ms.late),
+    }
+}
+
 /// Returns the time of day at which the last occurrence is due.
 fn last_due_ms(spec: &WorkflowSpec) -> u64 {
     match spec.repeat_count {
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod run_monitor;
 mod run_times;
 mod sessions;
+mod waiting_report;
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -7,14 +7,17 @@
 };
 
 /// A step whose tasks may begin.
-pub(super) struct Candidate<'a> {
+pub(in crate::control::dispatch) struct Candidate<'a> {
     pub urgency: Urgency,
     pub step_ref: StepRef,
     pub workflow: &'a Workflow,
 }
 
 /// Returns the steps that may begin, most urgent first.
-pub(super) fn candidates(workflows: &Workflows, now: Now) -> Vec<Candidate<'_>> {
+pub(in crate::control::dispatch) fn candidates(
+    workflows: &Workflows,
+    now: Now,
+) -> Vec<Candidate<'_>> {
     let ready = workflows.ready_steps();
     let mut res: Vec<_> = ready.filter_map(|it| candidate(workflows, it, now)).collect();
     res.sort_by_key(|it| (it.urgency, it.step_ref));
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -22,12 +22,9 @@
     prelude::*,
 };
 
-use self::{
-    builder::PlanBuilder,
-    candidates::{Candidate, candidates},
-};
+use self::builder::PlanBuilder;
 pub(super) use self::{
-    candidates::{chains_ms, work_core_ms},
+    candidates::{Candidate, candidates, chains_ms, work_core_ms},
     waiting_steps::WaitingSteps,
 };
 
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -39,6 +39,9 @@
                 }
             },
             WorkflowRequest::ReadEvacuations => RequestDecision::Answer(evacuations(workflows)),
+            WorkflowRequest::ReadWaiting(rows_max) => RequestDecision::Answer(
+                WorkflowOutcome::Waiting(self.waiting_report(workflows, rows_max, now)),
+            ),
             WorkflowRequest::Evacuate(it) => evacuate(workflows, it),
             WorkflowRequest::Submit(it) => {
                 let zone = CompactString::default();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -489,6 +489,7 @@
             WorkflowRequest::Inspect(_)
             | WorkflowRequest::ReadConfig
             | WorkflowRequest::ReadEvacuations
+            | WorkflowRequest::ReadWaiting(_)
             | WorkflowRequest::Ping => false,
         };
         is_write && (self.was_interrupted || 0 < self.unanswered_sends)
@@ -505,6 +506,7 @@
         WorkflowRequest::Install(_) => ("install", ""),
         WorkflowRequest::ReadConfig => ("read_config", ""),
         WorkflowRequest::ReadEvacuations => ("read_evacuations", ""),
+        WorkflowRequest::ReadWaiting(_) => ("read_waiting", ""),
         WorkflowRequest::Evacuate(it) if it.evacuated => ("evacuate", it.zone.as_str()),
         WorkflowRequest::Evacuate(it) => ("take_back", it.zone.as_str()),
         WorkflowRequest::Ping => ("ping", ""),
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -10,10 +10,10 @@
 /// A workflow that ends after this many times its objective gives its caller nothing.
 const OBJECTIVES_MAX: f64 = 3.0;
 
-/// Bounds of the time to return. Callers count in seconds; and no forecast holds for longer than a
-/// minute.
+/// Bounds of the forecast time to return: callers count in seconds, and few wait for longer than ten
+/// minutes.
 const RETURN_MIN_MS: u64 = 1_000;
-const RETURN_MAX_MS: u64 = 60_000;
+const RETURN_MAX_MS: u64 = 600_000;
 
 /// Bounds of the time between two returns.
 const SPACING_MIN_MS: u64 = 20;
@@ -22,7 +22,7 @@
 /// Time after its return time for which a rejected submission keeps its place.
 const GRACE_MS: u64 = 10_000;
 
-/// Rejected submissions that are remembered, by far more than return within a minute.
+/// Rejected submissions that are remembered; beyond it those rejected first lose their place.
 const RETURNS_MAX: usize = 2_048;
 
 /// What is known of a submission.
@@ -32,8 +32,9 @@
     pub completion_ms: Estimate,
     /// Time until its last occurrence is due.
     pub due_ms: f64,
-    /// Time within which an occurrence gives its caller full value.
-    pub objective_ms: f64,
+    /// Time within which an occurrence gives its caller full value. It grows with the run times, so
+    /// its late case is the longest.
+    pub objective_ms: Estimate,
     /// Whether one of its tasks could begin at once.
     pub can_begin: bool,
 }
@@ -58,18 +59,19 @@
 /// use aspenrail::policy::{completion::Estimate, verdict::{Prospect, Verdict, verdict}};
 ///
 /// let completion_ms = Estimate { early: 31_000.0, median: 40_000.0, late: 90_000.0 };
-/// let it = Prospect { completion_ms, due_ms: 0.0, objective_ms: 10_000.0, can_begin: false };
-/// assert_eq!(verdict(it), Verdict::Late { in_time_after_ms: 30_000 });
-/// assert_eq!(verdict(Prospect { objective_ms: 11_000.0, ..it }), Verdict::Accept);
+/// let objective_ms = Estimate { early: 7_000.0, median: 8_000.0, late: 10_000.0 };
+/// let it = Prospect { completion_ms, due_ms: 0.0, objective_ms, can_begin: false };
+/// assert_eq!(verdict(it), Verdict::Late { in_time_after_ms: 32_000 });
+/// assert_eq!(verdict(Prospect { due_ms: 1_000.0, ..it }), Verdict::Accept);
 /// assert_eq!(verdict(Prospect { can_begin: true, ..it }), Verdict::Accept);
 /// ```
 pub fn verdict(it: Prospect) -> Verdict {
-    let useful_until_ms = it.due_ms + OBJECTIVES_MAX * it.objective_ms;
+    let useful_until_ms = it.due_ms + OBJECTIVES_MAX * it.objective_ms.late;
     let is_measured = it.completion_ms.early.is_finite();
     match is_measured && !it.can_begin && useful_until_ms < it.completion_ms.early {
         false => Verdict::Accept,
         true => {
-            let in_time_after_ms = it.completion_ms.median - it.due_ms - it.objective_ms;
+            let in_time_after_ms = it.completion_ms.median - it.due_ms - it.objective_ms.median;
             Verdict::Late { in_time_after_ms: in_time_after_ms as u64 }
         }
     }
@@ -116,9 +118,14 @@
 }
 
 impl Returns {
-    /// Returns the rejected submissions, the first rejected first.
-    pub fn iter(&self) -> impl Iterator<Item = &RejectedSubmission> {
-        self.entries.iter()
+    /// Returns the rejected submissions that are expected to return, the first rejected first.
+    pub fn pending(&self, now_ms: u64) -> impl Iterator<Item = &RejectedSubmission> {
+        self.entries.iter().filter(move |it| now_ms < it.return_at_ms + GRACE_MS)
+    }
+
+    /// Returns whether a rejected submission is to return later than now.
+    pub fn is_due_later(&self, id: WorkflowId, now_ms: u64) -> bool {
+        self.get(id).is_some_and(|it| now_ms < it.return_at_ms)
     }
 
     /// Returns a rejected submission.
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -189,6 +189,12 @@
     events: mpsc::UnboundedReceiver<Event>,
 }
 
+/// Path of the report of who waits for capacity, the only one of the system's own interface here.
+const WAITING_PATH: &str = "/v1/admin/waiting";
+
+/// Time for which a request of the system's own interface waits.
+const OWN_WAIT_MS: u64 = 950;
+
 type CoreActor<C, A> = ActorOwn<RoleActor<C, A>>;
 
 struct Actors<P: Platform> {
@@ -410,6 +416,11 @@
                 }
             };
             let parsed = match is_for_operators {
+                true if (http_request.method.as_str(), http_request.path.as_str())
+                    == ("GET", WAITING_PATH) =>
+                {
+                    Ok((WorkflowRequest::ReadWaiting(u32::MAX), OWN_WAIT_MS))
+                }
                 true => platform.operator_request(&http_request),
                 false => platform.client_request(&http_request),
             };
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -2227,6 +2227,23 @@
         value.clone()
     }
 }
+///A submission that was rejected and has not been accepted since.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RejectedCaller {
+    pub caller: Caller,
+    pub cause: AdmissionCause,
+    pub rejections: u32,
+    ///Time after which it may return; 0 if it may now.
+    pub return_in_ms: u64,
+    pub workflow: WorkflowId,
+}
+impl ::std::convert::From<&RejectedCaller> for RejectedCaller {
+    fn from(value: &RejectedCaller) -> Self {
+        value.clone()
+    }
+}
 ///The answer to a successful operation.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3486,6 +3503,125 @@
         value.clone()
     }
 }
+///Why tasks of a step have no worker.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+pub enum WaitCause {
+    #[serde(rename = "no_worker")]
+    NoWorker,
+    #[serde(rename = "no_capacity")]
+    NoCapacity,
+    #[serde(rename = "no_capacity_in_one_piece")]
+    NoCapacityInOnePiece,
+    #[serde(rename = "probation")]
+    Probation,
+    #[serde(rename = "recent_crashes")]
+    RecentCrashes,
+    #[serde(rename = "next_plan")]
+    NextPlan,
+}
+impl ::std::convert::From<&Self> for WaitCause {
+    fn from(value: &WaitCause) -> Self {
+        value.clone()
+    }
+}
+impl ::std::fmt::Display for WaitCause {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::NoWorker => f.write_str("no_worker"),
+            Self::NoCapacity => f.write_str("no_capacity"),
+            Self::NoCapacityInOnePiece => f.write_str("no_capacity_in_one_piece"),
+            Self::Probation => f.write_str("probation"),
+            Self::RecentCrashes => f.write_str("recent_crashes"),
+            Self::NextPlan => f.write_str("next_plan"),
+        }
+    }
+}
+impl ::std::str::FromStr for WaitCause {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "no_worker" => Ok(Self::NoWorker),
+            "no_capacity" => Ok(Self::NoCapacity),
+            "no_capacity_in_one_piece" => Ok(Self::NoCapacityInOnePiece),
+            "probation" => Ok(Self::Probation),
+            "recent_crashes" => Ok(Self::RecentCrashes),
+            "next_plan" => Ok(Self::NextPlan),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for WaitCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<&::std::string::String> for WaitCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for WaitCause {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+///Who waits for capacity, and who was rejected lately.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WaitingReport {
+    ///The first rejected first.
+    pub rejected: ::std::vec::Vec<RejectedCaller>,
+    ///The most urgent ones.
+    pub steps: ::std::vec::Vec<WaitingStep>,
+    ///Steps with tasks that wait, listed or not.
+    pub steps_total: u64,
+}
+impl ::std::convert::From<&WaitingReport> for WaitingReport {
+    fn from(value: &WaitingReport) -> Self {
+        value.clone()
+    }
+}
+///A step with tasks that wait for a worker.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WaitingStep {
+    pub best_effort: bool,
+    pub caller: Caller,
+    pub cause: WaitCause,
+    ///Time until the workflow's end, which one in ten such forecasts exceeds; 0 if it is unknown.
+    pub late_end_ms: u64,
+    pub long_running: bool,
+    ///Time until the workflow's end, which half of such forecasts exceed; 0 if it is unknown.
+    pub median_end_ms: u64,
+    ///Resources that one task needs.
+    pub need: Resources,
+    pub occurrence: u32,
+    ///When the workflow was accepted or became due, in ms since the Unix epoch.
+    pub since_ms: u64,
+    pub step: u32,
+    ///Tasks that wait.
+    pub tasks: u32,
+    pub workflow: WorkflowId,
+}
+impl ::std::convert::From<&WaitingStep> for WaitingStep {
+    fn from(value: &WaitingStep) -> Self {
+        value.clone()
+    }
+}
 ///One event of a watch, read by cursor.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3882,6 +4018,7 @@
     NotLeader(::std::option::Option<::std::net::SocketAddr>),
     Evacuations(Evacuations),
     Rejected(AdmissionRejection),
+    Waiting(WaitingReport),
 }
 impl ::std::convert::From<&Self> for WorkflowOutcome {
     fn from(value: &WorkflowOutcome) -> Self {
@@ -3919,6 +4056,11 @@
         Self::Rejected(value)
     }
 }
+impl ::std::convert::From<WaitingReport> for WorkflowOutcome {
+    fn from(value: WaitingReport) -> Self {
+        Self::Waiting(value)
+    }
+}
 ///The phase of a workflow.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -4002,6 +4144,7 @@
     Install(QueueConfig),
     Evacuate(EvacuateRequest),
     SubmitFrom(OriginatedSubmission),
+    ReadWaiting(u32),
 }
 impl ::std::convert::From<&Self> for WorkflowRequest {
     fn from(value: &WorkflowRequest) -> Self {
@@ -4028,6 +4171,11 @@
         Self::SubmitFrom(value)
     }
 }
+impl ::std::convert::From<u32> for WorkflowRequest {
+    fn from(value: u32) -> Self {
+        Self::ReadWaiting(value)
+    }
+}
 ///A workflow as its client submits it.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -43,6 +43,7 @@
     "NotedEnds",
     "AdmissionCause",
     "AdmissionRejection",
+    "WaitCause",
 ];
 
 fn generate(schema_text: &str) -> String {
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -3,12 +3,15 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use aspenrail::{
-    control::{dispatch::Dispatcher, state::Workflows},
-    policy::contention::ContentionModel,
+    control::{
+        dispatch::{DispatchOptions, Dispatcher, Features, RequestDecision},
+        state::Workflows,
+    },
+    policy::{contention::ContentionModel, verdict::CallId},
     prelude::*,
 };
 
-use crate::world::{dispatch_options, queues, spec, step};
+use crate::world::{dispatch_options, queues, spec, step, target};
 
 const MEMORY_MIB: u32 = 10_000;
 
@@ -50,10 +53,16 @@
 
     /// Creates a leader of workers with `cores` cores each.
     pub fn with_cores(workers: u64, cores: u32) -> LeaderHarness {
+        LeaderHarness::with_features(workers, cores, Features::default())
+    }
+
+    /// Creates a leader with optional decisions turned on.
+    pub fn with_features(workers: u64, cores: u32, features: Features) -> LeaderHarness {
         let mut workflows = Workflows::default();
         workflows.apply(&WorkflowCommand::Install(queues(1)), 1);
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
-        let dispatcher = Dispatcher::new(dispatch_options(), &workflows, 1, now);
+        let options = DispatchOptions { features, ..dispatch_options() };
+        let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let mut res = LeaderHarness {
             cores,
             workflows,
@@ -85,7 +94,25 @@
         self.apply_commands();
     }
 
-    fn apply(&mut self, command: WorkflowCommand) {
+    /// Replaces the leader by one of the next term, with nothing but the ledger.
+    pub fn change_leader(&mut self, features: Features) {
+        let options = DispatchOptions { features, ..dispatch_options() };
+        self.dispatcher = Dispatcher::new(options, &self.workflows, 2, self.now());
+    }
+
+    /// Decides on a submission that a gateway sent as call `call`.
+    pub fn decide(&mut self, call: u64, id: u64, steps: Vec<WorkflowStep>) -> RequestDecision {
+        let submission = WorkflowSubmission { target: target(id), spec: spec(steps) };
+        let request = OriginatedSubmission { zone: "zone".into(), submission };
+        self.request(call, WorkflowRequest::SubmitFrom(request))
+    }
+
+    pub fn request(&mut self, call: u64, request: WorkflowRequest) -> RequestDecision {
+        let (call, now) = (CallId { gateway: node(0), id: call }, self.now());
+        self.dispatcher.decide_request(&self.workflows, request, call, now)
+    }
+
+    pub fn apply(&mut self, command: WorkflowCommand) {
         self.workflows.apply(&command, self.now_ms);
         self.dispatcher.note_applied(&self.workflows, &command, &[], self.now());
     }
@@ -96,6 +123,13 @@
         self.report(worker, &[]);
     }
 
+    /// Registers a worker with another number of cores.
+    pub fn register_with_cores(&mut self, worker: u64, cores: u32) {
+        let usual = std::mem::replace(&mut self.cores, cores);
+        self.register(worker);
+        self.cores = usual;
+    }
+
     /// Reports the runs that the leader placed on a worker, with a load for each workflow.
     pub fn report(&mut self, worker: u64, loads: &[(u64, u32)]) {
         let running = self.runs_on(worker).into_iter().map(|run| {
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -6,6 +6,7 @@
 //! `ASPENRAIL_SEEDS` sets their number.
 #![allow(clippy::unwrap_used)]
 
+mod admission;
 mod capacity;
 mod colocation;
 mod crashes;
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -129,6 +129,8 @@
     pub refuses_connections: bool,
     /// Whether crashed workers restart under the id that they had. Random if `None`.
     pub keeps_ids: Option<bool>,
+    /// Optional decisions of the members that start from now on.
+    pub features: Features,
     /// Lease duration of the members that start from now on.
     pub lease_ms: u64,
     /// Random source for the properties of worker incarnations, separate from `random`.
@@ -137,25 +139,18 @@
 
 impl World {
     pub fn new(seed: u64, members: usize, nodes: usize) -> World {
+        World::with_features(seed, members, nodes, Features::default())
+    }
+
+    /// Creates a world whose leaders have optional decisions turned on.
+    pub fn with_features(seed: u64, members: usize, nodes: usize, features: Features) -> World {
         let controls: Vec<_> = (0..members).map(address).collect();
-        let options = GatewayOptions {
-            address: address(100),
-            control_addresses: controls.clone(),
-            zone: "zone-0".into(),
-            boot: 1,
-            resend_ms: 300,
-            election_pause_ms: 50,
-            give_up_ms: 1_400,
-            park_ms: 900,
-            probe_ms: 500,
-            calls_max: 100,
-        };
         let mut res = World {
             now_ms: 10_000,
             random: fastrand::Rng::with_seed(seed),
             members: Vec::new(),
             nodes: Vec::new(),
-            gateway: GatewayCore::new(options),
+            gateway: GatewayCore::new(gateway_options(controls.clone())),
             rules: InvariantChecker::new(3),
             nature: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -170,6 +165,7 @@
             loses_orders: false,
             refuses_connections: false,
             keeps_ids: None,
+            features,
             lease_ms: dispatch_options().lease_ms,
             worker_random: fastrand::Rng::with_seed(!seed),
         };
@@ -219,7 +215,11 @@
             control_addresses: self.controls(),
             settings: control_settings(),
             boot: self.random.u64(..),
-            dispatch: Some(DispatchOptions { lease_ms: self.lease_ms, ..dispatch_options() }),
+            dispatch: Some(DispatchOptions {
+                lease_ms: self.lease_ms,
+                features: self.features,
+                ..dispatch_options()
+            }),
             target_voter_count: 3,
         };
         let now = self.now();
@@ -585,6 +585,22 @@
     }
 }
 
+/// Options of the gateway, process 100.
+pub fn gateway_options(control_addresses: Vec<SocketAddr>) -> GatewayOptions {
+    GatewayOptions {
+        address: address(100),
+        control_addresses,
+        zone: "zone-0".into(),
+        boot: 1,
+        resend_ms: 300,
+        election_pause_ms: 50,
+        give_up_ms: 1_400,
+        park_ms: 900,
+        probe_ms: 500,
+        calls_max: 100,
+    }
+}
+
 pub fn queues(version: u64) -> QueueConfig {
     let queue = Queue {
         name: "queue".into(),
