--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's workflow scheduling: processes node reports, grants leases, places runs and derives
 //! the orders for workers from the ledger.
 
+mod admission;
 mod capacity;
 mod features;
 mod lost_workers;
@@ -11,8 +12,10 @@
 mod requests;
 mod retention;
 mod run_monitor;
+mod run_times;
 mod sessions;
 mod speeds;
+mod waiting_report;
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
@@ -21,12 +24,13 @@
     policy::{
         contention::{ContentionModel, FillerLoad, ServingTask, headroom_percent, reference_cores},
         disruption::{RunStop, StopCause},
-        forecast::{RunTimeModel, TaskKind},
+        forecast::RunTimeModel,
     },
     prelude::*,
 };
 
 use self::{
+    admission::Admission,
     capacity::FreeCapacities,
     lost_workers::LossCause,
     moves::{Reservations, StopBudget},
@@ -91,6 +95,7 @@
     speeds: WorkerSpeeds,
     stop_budget: StopBudget,
     reservations: Reservations,
+    admission: Admission,
     free_capacities: FreeCapacities,
     probations: Probations,
     idle_since: plan::IdleSince,
@@ -122,6 +127,7 @@
             speeds: WorkerSpeeds::take_over(options.features, workflows, now),
             stop_budget: StopBudget::default(),
             reservations: Reservations::default(),
+            admission: Admission::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
@@ -168,14 +174,6 @@
         self.free_capacities.audit(workflows, &mut self.contention)
     }
 
-    /// Proposes the learned run times where they differ from the ledger.
-    fn propose_run_times(&mut self, workflows: &Workflows) {
-        let learned = self.run_times.learned();
-        if learned != workflows.demand().run_times() {
-            self.output.commands.push(WorkflowCommand::LearnRunTimes(learned));
-        }
-    }
-
     /// Runs the periodic work: expires leases, removes old workflows, and writes learned costs and
     /// the occupancy log line.
     pub fn tick(&mut self, workflows: &Workflows, now: Now) {
@@ -194,6 +192,7 @@
                 self.output.commands.push(WorkflowCommand::Learn(known_costs));
             }
             if self.options.features.needs_run_times() {
+                self.run_times.decay(LEARN_INTERVAL_MS);
                 self.propose_run_times(workflows);
             }
             if self.options.features.worker_speeds {
@@ -204,6 +203,7 @@
         if self.occupancy_at_ms <= now.mono_ms {
             self.occupancy_at_ms = now.mono_ms + OCCUPANCY_INTERVAL_MS;
             log_occupancy(workflows);
+            self.log_forecast_errors();
         }
     }
 
@@ -224,6 +224,7 @@
         self.plan_count += 1;
         self.last_plan_ms = now.mono_ms;
         self.next_plan_ms = now.mono_ms + self.options.plan.interval_ms;
+        self.measure_throughput(workflows, now);
         let usability =
             UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
         let sessions = &self.sessions;
@@ -340,9 +341,13 @@
                 self.withdraw_starts(workflows, &it.zone, members);
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
-            WorkflowCommand::Submit(_)
-            | WorkflowCommand::SubmitFrom(_)
-            | WorkflowCommand::Install(_) => self.schedule_plan(PLAN_PAUSE_MS),
+            WorkflowCommand::SubmitFrom(it) => {
+                self.admission.note_stored(it.workflow.id);
+                self.schedule_plan(PLAN_PAUSE_MS);
+            }
+            WorkflowCommand::Submit(_) | WorkflowCommand::Install(_) => {
+                self.schedule_plan(PLAN_PAUSE_MS)
+            }
             WorkflowCommand::Forget(_)
             | WorkflowCommand::Learn(_)
             | WorkflowCommand::LearnRunTimes(_)
@@ -436,29 +441,6 @@
         }
     }
 
-    /// Learns from the ended runs of a worker's newest report how long they took.
-    fn observe_run_times(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
-        if !self.options.features.needs_run_times() {
-            return;
-        }
-        let is_normal = self.speeds.is_of_normal_speed(id, now.mono_ms);
-        let Some(session) = self.sessions.get_mut(id) else { return };
-        let Some(report) = &session.report else { return };
-        let done = report.ended.iter().filter(|it| it.end.outcome == RunOutcome::Done);
-        for run in done.map(|it| it.end.run) {
-            let Some(begun_ms) = session.begun_ms.remove(&run) else { continue };
-            let Some(step) = workflows.step_of(run.task) else { continue };
-            let Some(workflow) = workflows.get(run.task.workflow) else { continue };
-            // A best-effort task takes as long as the tasks beside it let it.
-            // Nor does the time on a slow worker tell that of others.
-            if step.lasting || step.gang || step.filler || !is_normal {
-                continue;
-            }
-            let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
-            self.run_times.observe(kind, step.estimate_ms, now.mono_ms - begun_ms);
-        }
-    }
-
     /// Marks workers with expired leases as lost: their runs have been killed by now.
     fn expire(&mut self, workflows: &Workflows, now: Now) {
         for id in self.sessions.take_expired(now.mono_ms) {
--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -11,7 +11,7 @@
 
 /// A step whose tasks may begin.
 #[derive(Clone, Copy)]
-pub(super) struct Candidate<'a> {
+pub(in crate::control::dispatch) struct Candidate<'a> {
     pub urgency: Urgency,
     pub step_ref: StepRef,
     pub workflow: &'a Workflow,
@@ -24,7 +24,7 @@
 
 /// The time that a workflow has, by declared run times.
 #[derive(Clone, Copy)]
-pub(super) struct Objective {
+pub(in crate::control::dispatch) struct Objective {
     /// When the workflow was accepted or became due.
     begin_ms: u64,
     objective_ms: u64,
@@ -61,7 +61,10 @@
 }
 
 /// Returns the steps that may begin, most urgent first.
-pub(super) fn candidates(workflows: &Workflows, now: Now) -> Vec<Candidate<'_>> {
+pub(in crate::control::dispatch) fn candidates(
+    workflows: &Workflows,
+    now: Now,
+) -> Vec<Candidate<'_>> {
     let ready = workflows.ready_steps();
     let mut res: Vec<_> = ready.filter_map(|it| candidate(workflows, it, now)).collect();
     res.sort_by_key(|it| (it.urgency, it.step_ref));
@@ -97,7 +100,7 @@
 }
 
 /// Returns for each step the longest sum of declared run times over a chain that begins with it.
-fn chains_ms(spec: &WorkflowSpec) -> Vec<u64> {
+pub(in crate::control::dispatch) fn chains_ms(spec: &WorkflowSpec) -> Vec<u64> {
     let mut res: Vec<u64> = spec.steps.iter().map(|it| it.estimate_ms).collect();
     // Steps depend on earlier ones only, so the chains of later steps are known first.
     for index in (0..spec.steps.len()).rev() {
@@ -113,14 +116,18 @@
 /// Returns the processor time, in core-milliseconds, that one occurrence needs by declared run times.
 fn size_core_ms(spec: &WorkflowSpec) -> u64 {
     let size = |it: &WorkflowStep| {
-        u64::from(it.count) * it.estimate_ms * u64::from(it.need.cpu_millicores) / 1_000
+        let run_ms = u64::from(it.count).saturating_mul(it.estimate_ms);
+        run_ms.saturating_mul(it.need.cpu_millicores.into()) / 1_000
     };
-    spec.steps.iter().map(size).sum()
+    spec.steps.iter().map(size).fold(0, u64::saturating_add)
 }
 
 /// Returns the processor time, in core-milliseconds, that the remaining tasks of an occurrence need
 /// by their declared run times.
-fn work_core_ms(workflow: &Workflow, occurrence: &Occurrence) -> u64 {
+pub(in crate::control::dispatch) fn work_core_ms(
+    workflow: &Workflow,
+    occurrence: &Occurrence,
+) -> u64 {
     let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
     let remaining = steps.map(|(step, state)| {
         let tasks = u64::from(step.count - state.done_count.min(step.count));
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -29,10 +29,13 @@
 
 use self::{
     builder::PlanBuilder,
-    candidates::{Candidate, candidates},
     reserving::{ReservingInput, find_reservations},
 };
-pub(super) use self::{fair_shares::FairShares, waiting_steps::WaitingSteps};
+pub(super) use self::{
+    candidates::{Candidate, candidates, chains_ms, work_core_ms},
+    fair_shares::FairShares,
+    waiting_steps::WaitingSteps,
+};
 
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -324,6 +324,10 @@
             }
             return self.resend_or_park(now, reply.id, pause_ms);
         }
+        // Another send of the call may be accepted, and its work would run: its answer counts.
+        if matches!(reply.outcome, WorkflowOutcome::Rejected(_)) && call.may_have_been_accepted() {
+            return;
+        }
         let leader = call.sent_to.or(self.leader_finder.leader());
         self.leader_confirmed_ms = Some(now.mono_ms);
         self.leader_finder.set_leader(leader);
@@ -498,6 +502,7 @@
             WorkflowRequest::Inspect(_)
             | WorkflowRequest::ReadConfig
             | WorkflowRequest::ReadEvacuations
+            | WorkflowRequest::ReadWaiting(_)
             | WorkflowRequest::Ping => false,
         };
         is_write && (self.was_interrupted || 0 < self.unanswered_sends)
@@ -514,6 +519,7 @@
         WorkflowRequest::Install(_) => ("install", ""),
         WorkflowRequest::ReadConfig => ("read_config", ""),
         WorkflowRequest::ReadEvacuations => ("read_evacuations", ""),
+        WorkflowRequest::ReadWaiting(_) => ("read_waiting", ""),
         WorkflowRequest::Evacuate(it) if it.evacuated => ("evacuate", it.zone.as_str()),
         WorkflowRequest::Evacuate(it) => ("take_back", it.zone.as_str()),
         WorkflowRequest::Ping => ("ping", ""),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod compaction;
+pub mod completion;
 pub mod contention;
 pub mod crash_evidence;
 pub mod disruption;
@@ -23,5 +24,6 @@
 pub mod task_queue;
 pub mod throttling;
 pub mod urgency;
+pub mod verdict;
 pub mod worker_health;
 pub mod worker_speed;
