--- a/src/control/dispatch/moves/mod.rs
+++ b/src/control/dispatch/moves/mod.rs
@@ -70,10 +70,7 @@
             stop.cause == StopCause::Compaction
                 && self.moves_left(workflows, sessions, term, now) == 0
         };
-        let availability = || StepAvailability {
-            away: away_count(workflow, sessions, term, stop.run),
-            unavailable_max: step.unavailable_max,
-        };
+        let availability = || availability(workflow, step, sessions, term, task);
         match step.lasting {
             _ if !is_running => Err(StopRejection::NotRunning),
             false => Ok(()),
@@ -84,6 +81,19 @@
         }
     }
 
+    /// Returns how many tasks of a run's step may be stopped now, apart from the limits on causes.
+    pub(super) fn spare(
+        workflows: &Workflows,
+        sessions: &Sessions,
+        term: u64,
+        run: RunRef,
+    ) -> u32 {
+        let workflow = workflows.get(run.task.workflow);
+        let step = workflows.step_of(run.task);
+        let Some((workflow, step)) = workflow.zip(step) else { return 0 };
+        availability(workflow, step, sessions, term, run.task).spare()
+    }
+
     /// Returns how many more long-running tasks may be moved to make room.
     ///
     /// A new leader knows no earlier moves, and the limits of each step still hold.
@@ -176,10 +186,20 @@
     report.is_some_and(|it| it.running.iter().any(|it| it.run == run)) && !session.is_evicted(run)
 }
 
-/// Returns the number of tasks in the step of `stopped`, without that task, that are not known to
-/// be at work.
-fn away_count(workflow: &Workflow, sessions: &Sessions, term: u64, stopped: RunRef) -> u32 {
-    let task = stopped.task;
+fn availability(
+    workflow: &Workflow,
+    step: &WorkflowStep,
+    sessions: &Sessions,
+    term: u64,
+    task: TaskRef,
+) -> StepAvailability {
+    let away = away_count(workflow, sessions, term, task);
+    StepAvailability { away, unavailable_max: step.unavailable_max }
+}
+
+/// Returns the number of tasks in the step of `task`, without that task, that are not known to be at
+/// work.
+fn away_count(workflow: &Workflow, sessions: &Sessions, term: u64, task: TaskRef) -> u32 {
     let step = workflow
         .occurrences
         .get(task.occurrence as usize)
--- a/src/control/dispatch/plan/reserving.rs
+++ b/src/control/dispatch/plan/reserving.rs
@@ -94,8 +94,8 @@
     taken: HashMap<WorkerId, Resources>,
     /// Workers that wait for runs to end or to move; each serves one reservation at a time.
     awaited: HashSet<WorkerId>,
-    /// Steps with a task that moves.
-    moved_steps: HashSet<StepRef>,
+    /// Tasks of each step that the search moves.
+    moved_tasks: HashMap<StepRef, u32>,
     rooms: HashMap<WorkerId, WorkerRoom>,
     moves_left: usize,
     found: Vec<NewReservation>,
@@ -117,7 +117,6 @@
         input: ReservingInput<'b>,
     ) -> Search<'b, 'a, 'r> {
         let awaited = entries.iter().map(|it| it.worker).collect();
-        let moving = entries.iter().filter(|it| it.moved.is_some());
         let UsabilityCriteria { term, now, .. } = input.usability;
         Search {
             builder,
@@ -125,7 +124,7 @@
             entries,
             taken: HashMap::new(),
             awaited,
-            moved_steps: moving.map(|it| it.step).collect(),
+            moved_tasks: HashMap::new(),
             rooms: HashMap::new(),
             moves_left: input.stop_budget.moves_left(builder.workflows, input.sessions, term, now),
             found: Vec::new(),
@@ -329,8 +328,11 @@
             self.rooms.insert(row.worker, room);
         }
         let mut res = self.rooms[&row.worker].clone();
-        let moved_steps = &self.moved_steps;
-        res.movable.retain(|it| !moved_steps.contains(&StepRef::of_task(it.run.task)));
+        for it in &mut res.movable {
+            let moved = self.moved_tasks.get(&StepRef::of_task(it.run.task));
+            it.spare = it.spare.saturating_sub(moved.copied().unwrap_or(0));
+        }
+        res.movable.retain(|it| 0 < it.spare);
         res.free = row.free;
         res
     }
@@ -346,10 +348,10 @@
             match step {
                 // A filler ends when the tasks beside it let it, and reserves no processor.
                 _ if step.filler || step.gang => (),
-                _ if step.lasting && self.may_move(worker, run) => {
-                    res.movable.push(MovableRun { run, resources });
+                _ if step.lasting => {
+                    let spare = self.spare(worker, run);
+                    res.movable.push(MovableRun { run, resources, spare });
                 }
-                _ if step.lasting => (),
                 _ => res.ends.extend(self.forecast_end(worker, run, step, resources)),
             }
         }
@@ -358,12 +360,21 @@
         res
     }
 
-    fn may_move(&self, worker: WorkerId, run: RunRef) -> bool {
+    /// Returns how many tasks of a run's step may be moved, or 0 if the run itself may not.
+    fn spare(&self, worker: WorkerId, run: RunRef) -> u32 {
         let ReservingInput { sessions, stop_budget, usability, .. } = self.input;
         let stop = RunStop { run, worker, cause: StopCause::Compaction };
         let workflows = self.builder.workflows;
         let verdict = stop_budget.check(workflows, sessions, usability.term, stop, usability.now);
-        verdict.is_ok() && !workflows.suspects().needs_probation(run.task)
+        match verdict {
+            Ok(()) if !workflows.suspects().needs_probation(run.task) => {
+                let spare = StopBudget::spare(workflows, sessions, usability.term, run);
+                let step = workflows.step_of(run.task);
+                // Two tasks that move to one worker must not exceed the limit per worker together.
+                if step.is_some_and(|it| 0 < it.per_worker_max) { spare.min(1) } else { spare }
+            }
+            _ => 0,
+        }
     }
 
     /// Returns when a run ends by itself. A run that an earlier leader began may have begun just now.
@@ -400,7 +411,7 @@
             pool.reserved = add(pool.reserved, it.resources);
             pool.free = subtract(pool.free, it.resources);
             if it.moved.is_some() {
-                self.moved_steps.insert(it.step);
+                *self.moved_tasks.entry(it.step).or_insert(0) += 1;
             }
             if let Some(row) = pool.rows.iter_mut().find(|row| row.worker == it.worker) {
                 row.free = subtract(row.free, it.resources);
--- a/src/policy/compaction.rs
+++ b/src/policy/compaction.rs
@@ -1,8 +1,9 @@
 //! Chooses long-running tasks to move so that small gaps on several workers become a large one.
 //!
 //! This is vector bin packing with migration costs, for which the best plan is expensive to find.
-//! The search is bounded instead: one or two tasks leave a worker, and for each of them at most one
-//! task may come back, since gaps that are smaller than every task can only be joined by exchanges.
+//! The search is bounded instead: one or two tasks go from a worker to a partner, and at most two
+//! come back, since gaps that are smaller than every task can only be joined by exchanges. At most
+//! two such exchanges make room for one task.
 
 use crate::{
     control::state::{add, fits},
@@ -16,13 +17,13 @@
 /// Maximum number of moves for one waiting task: two exchanges.
 pub const MOVES_MAX: usize = 4;
 
-/// Workers on which room is made by two exchanges, and workers that take part in these, at most. The
-/// number of pairs of exchanges grows with the square of the latter.
-const PAIR_ROOMS_MAX: usize = 8;
-const PAIR_PARTNERS_MAX: usize = 12;
+/// Workers on which room is made, at most.
+const ROOMS_MAX: usize = 16;
 
-/// Maximum number of movable runs of a worker that are considered.
+/// Movable runs of a worker that are considered, and exchanges of a worker that are combined, at
+/// most. The number of combinations grows with the square of each.
 const RUNS_MAX: usize = 8;
+const EXCHANGES_MAX: usize = 64;
 
 /// One run to stop, and the worker on which it begins again.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,131 +62,154 @@
     now_ms: u64,
     can_take: impl Fn(&MovableRun, WorkerId) -> bool,
 ) -> Option<Compaction> {
-    let mut search = Search { need, moves_max, now_ms, can_take, best: None };
-    for room in rooms {
-        let exchanges = exchanges(room, partners);
-        exchanges.iter().for_each(|it| search.consider(room, &[*it]));
-    }
-    if search.best.is_none() && 2 <= moves_max {
-        let partners = &partners[..partners.len().min(PAIR_PARTNERS_MAX)];
-        rooms.iter().take(PAIR_ROOMS_MAX).for_each(|it| search.consider_pairs(it, partners));
+    let mut search = Search { need, moves_max, can_take, best: None };
+    for room in rooms.iter().take(ROOMS_MAX) {
+        let free = room.free_by(now_ms + MOVE_MS);
+        let exchanges = exchanges(room, partners, moves_max);
+        exchanges.iter().for_each(|it| search.consider(room.worker, free, &[it]));
+        let combined = &exchanges[..exchanges.len().min(EXCHANGES_MAX)];
+        search.consider_pairs(room.worker, free, combined);
     }
     search.best.map(|(_, it)| it)
 }
 
-/// A run that leaves a worker for a partner, and the run that comes back, if any.
-#[derive(Clone, Copy)]
+/// Runs that go from a worker to a partner, and runs that come back.
 struct Exchange<'p> {
-    out: MovableRun,
+    outs: Vec<MovableRun>,
     partner: &'p WorkerRoom,
-    back: Option<MovableRun>,
+    backs: Vec<MovableRun>,
     /// Processor that the worker gains, in millicores.
     gain: i64,
 }
 
-/// Returns the exchanges by which a worker loses one of its runs, apart from the limits of the
-/// partner, those with the largest gain first.
-fn exchanges<'p>(room: &WorkerRoom, partners: &'p [WorkerRoom]) -> Vec<Exchange<'p>> {
+impl Exchange<'_> {
+    fn runs(&self) -> impl Iterator<Item = &MovableRun> {
+        self.outs.iter().chain(&self.backs)
+    }
+
+    fn moves(&self) -> usize {
+        self.outs.len() + self.backs.len()
+    }
+}
+
+/// Returns the exchanges by which a worker gains processor and that its partners can take, those
+/// with the largest gain first.
+fn exchanges<'p>(
+    room: &WorkerRoom,
+    partners: &'p [WorkerRoom],
+    moves_max: usize,
+) -> Vec<Exchange<'p>> {
     let mut res = Vec::new();
-    for out in room.movable.iter().take(RUNS_MAX) {
-        for partner in partners.iter().filter(|it| it.worker != room.worker) {
-            let backs = partner.movable.iter().take(RUNS_MAX).copied().map(Some);
-            for back in [None].into_iter().chain(backs) {
-                let back_millicores = back.map_or(0, |it| it.resources.cpu_millicores);
-                let gain = i64::from(out.resources.cpu_millicores) - i64::from(back_millicores);
-                res.push(Exchange { out: *out, partner, back, gain });
+    let outs = subsets(&room.movable);
+    for partner in partners.iter().filter(|it| it.worker != room.worker) {
+        let gap = i64::from(partner.free.cpu_millicores);
+        let mut backs = subsets(&partner.movable);
+        backs.push(Vec::new());
+        for outs in &outs {
+            for backs in &backs {
+                let gain = cpu_millicores(outs) - cpu_millicores(backs);
+                let takes = || {
+                    let free = backs.iter().fold(partner.free, |sum, it| add(sum, it.resources));
+                    outs.iter().map(|it| it.resources).reduce(add).is_some_and(|it| fits(it, free))
+                };
+                if 0 < gain && gain <= gap && outs.len() + backs.len() <= moves_max && takes() {
+                    let (outs, backs) = (outs.clone(), backs.clone());
+                    res.push(Exchange { outs, partner, backs, gain });
+                }
             }
         }
     }
-    res.sort_by_key(|it| -it.gain);
+    res.sort_by_key(|it| (-it.gain, it.moves()));
     res
 }
 
+/// Returns all sets of one or two runs.
+fn subsets(runs: &[MovableRun]) -> Vec<Vec<MovableRun>> {
+    let runs = &runs[..runs.len().min(RUNS_MAX)];
+    let mut res: Vec<_> = runs.iter().map(|it| vec![*it]).collect();
+    for (at, first) in runs.iter().enumerate() {
+        res.extend(runs[at + 1..].iter().map(|second| vec![*first, *second]));
+    }
+    res
+}
+
+fn cpu_millicores(runs: &[MovableRun]) -> i64 {
+    runs.iter().map(|it| i64::from(it.resources.cpu_millicores)).sum()
+}
+
 /// Moves, moved processor, and the unused processor that is left in the gaps.
-type Cost = (usize, u32, u32);
+type Cost = (usize, i64, i64);
 
 struct Search<F> {
     need: Resources,
     moves_max: usize,
-    now_ms: u64,
     can_take: F,
     best: Option<(Cost, Compaction)>,
 }
 
 impl<F: Fn(&MovableRun, WorkerId) -> bool> Search<F> {
-    fn consider_pairs(&mut self, room: &WorkerRoom, partners: &[WorkerRoom]) {
-        let free = room.free_by(self.now_ms + MOVE_MS);
+    /// Considers all pairs of exchanges, which are sorted by their gain.
+    fn consider_pairs(&mut self, worker: WorkerId, free: Resources, exchanges: &[Exchange<'_>]) {
         let lacking = i64::from(self.need.cpu_millicores) - i64::from(free.cpu_millicores);
-        let exchanges = exchanges(room, partners);
         for (at, first) in exchanges.iter().enumerate() {
             let rest = exchanges[at + 1..].iter();
             for second in rest.take_while(|it| lacking <= first.gain + it.gain) {
-                if first.out.run != second.out.run {
-                    self.consider(room, &[*first, *second]);
+                let are_disjoint = first.partner.worker != second.partner.worker
+                    && !first.outs.iter().any(|it| second.outs.contains(it));
+                if are_disjoint {
+                    self.consider(worker, free, &[first, second]);
                 }
             }
         }
     }
 
     /// Notes exchanges if they make room at a lower cost than those found before.
-    fn consider(&mut self, room: &WorkerRoom, exchanges: &[Exchange<'_>]) {
+    fn consider(&mut self, worker: WorkerId, free: Resources, exchanges: &[&Exchange<'_>]) {
         let gain: i64 = exchanges.iter().map(|it| it.gain).sum();
-        let free = room.free_by(self.now_ms + MOVE_MS);
         let left = i64::from(free.cpu_millicores) + gain - i64::from(self.need.cpu_millicores);
-        let backs = exchanges.iter().filter_map(|it| it.back);
-        let moves = exchanges.len() + backs.clone().count();
-        let Ok(left) = u32::try_from(left) else { return };
-        if self.moves_max < moves {
+        let moves = exchanges.iter().map(|it| it.moves()).sum();
+        if left < 0 || self.moves_max < moves {
             return;
         }
-        let runs = exchanges.iter().map(|it| it.out).chain(backs.clone());
-        let moved = runs.clone().map(|it| it.resources.cpu_millicores).sum();
-        let partners_left = exchanges.iter().map(|it| i64::from(it.partner.free.cpu_millicores));
-        let partners_left = (partners_left.sum::<i64>() - gain).max(0) as u32;
-        let cost = (moves, moved, left + partners_left);
+        let runs = || exchanges.iter().flat_map(|it| it.runs());
+        let moved = runs().map(|it| i64::from(it.resources.cpu_millicores)).sum();
+        let partner_left = |it: &&Exchange<'_>| i64::from(it.partner.free.cpu_millicores) - it.gain;
+        let cost = (moves, moved, left + exchanges.iter().map(partner_left).sum::<i64>());
         if self.best.as_ref().is_some_and(|(best, _)| *best <= cost) {
             return;
         }
-        let free = exchanges.iter().fold(free, |sum, it| add(sum, it.out.resources));
+        let outs = exchanges.iter().flat_map(|it| &it.outs);
+        let backs = exchanges.iter().flat_map(|it| &it.backs);
+        let free = outs.fold(free, |sum, it| add(sum, it.resources));
         let used = backs.fold(self.need, |sum, it| add(sum, it.resources));
         let is_feasible = fits(used, free)
-            && exchanges.iter().all(|it| fits_on_partner(it.partner, exchanges))
-            && has_distinct_steps(runs)
-            && exchanges.iter().all(|it| self.is_accepted(room.worker, it));
+            && are_spared(runs())
+            && exchanges.iter().all(|it| self.is_accepted(worker, it));
         if is_feasible {
-            let moves = exchanges.iter().flat_map(|it| moves_of(room.worker, it)).collect();
-            self.best = Some((cost, Compaction { worker: room.worker, moves }));
+            let moves = exchanges.iter().flat_map(|it| moves_of(worker, it)).collect();
+            self.best = Some((cost, Compaction { worker, moves }));
         }
     }
 
     fn is_accepted(&self, worker: WorkerId, it: &Exchange<'_>) -> bool {
-        (self.can_take)(&it.out, it.partner.worker)
-            && it.back.is_none_or(|back| (self.can_take)(&back, worker))
+        it.outs.iter().all(|out| (self.can_take)(out, it.partner.worker))
+            && it.backs.iter().all(|back| (self.can_take)(back, worker))
     }
 }
 
-/// Returns whether what comes to a partner fits into what is free there and what leaves it.
-fn fits_on_partner(partner: &WorkerRoom, exchanges: &[Exchange<'_>]) -> bool {
-    let with_it = || exchanges.iter().filter(|it| it.partner.worker == partner.worker);
-    let backs = with_it().filter_map(|it| it.back);
-    let free = backs.fold(partner.free, |sum, it| add(sum, it.resources));
-    let needs = with_it().map(|it| it.out.resources);
-    needs.reduce(add).is_none_or(|it| fits(it, free))
-}
-
-/// Returns whether all runs are of different steps: the step of a moved task may allow no second one
-/// to be away.
-fn has_distinct_steps(runs: impl Iterator<Item = MovableRun>) -> bool {
-    let mut steps: Vec<_> = runs.map(|it| StepRef::of_task(it.run.task)).collect();
-    let count = steps.len();
-    steps.sort();
-    steps.dedup();
-    steps.len() == count
+/// Returns whether each step allows all its runs among these to be away at once.
+fn are_spared<'r>(runs: impl Iterator<Item = &'r MovableRun>) -> bool {
+    let runs: Vec<_> = runs.collect();
+    let step = |it: &MovableRun| StepRef::of_task(it.run.task);
+    runs.iter().all(|run| {
+        let of_step = runs.iter().filter(|it| step(it) == step(run));
+        of_step.count() <= run.spare as usize
+    })
 }
 
-fn moves_of(worker: WorkerId, it: &Exchange<'_>) -> impl Iterator<Item = Move> {
+fn moves_of(worker: WorkerId, it: &Exchange<'_>) -> Vec<Move> {
     let partner = it.partner.worker;
-    let out = Move { run: it.out, from: worker, target: partner };
-    let back = it.back.map(|run| Move { run, from: partner, target: worker });
-    [out].into_iter().chain(back)
+    let outs = it.outs.iter().map(|run| Move { run: *run, from: worker, target: partner });
+    let backs = it.backs.iter().map(|run| Move { run: *run, from: partner, target: worker });
+    outs.chain(backs).collect()
 }
--- a/src/policy/disruption.rs
+++ b/src/policy/disruption.rs
@@ -36,11 +36,16 @@
 impl StepAvailability {
     /// Returns whether one more task of the step may be stopped.
     pub fn allows_stop(self) -> bool {
+        0 < self.spare()
+    }
+
+    /// Returns how many more tasks of the step may be stopped.
+    pub fn spare(self) -> u32 {
         let away_max = match self.unavailable_max {
             0 => AWAY_MAX_DEFAULT,
             it => it,
         };
-        self.away < away_max
+        away_max.saturating_sub(self.away)
     }
 }
 
--- a/src/policy/reservation.rs
+++ b/src/policy/reservation.rs
@@ -42,6 +42,8 @@
 pub struct MovableRun {
     pub run: RunRef,
     pub resources: Resources,
+    /// Number of tasks of its step that may be stopped now.
+    pub spare: u32,
 }
 
 /// What is free on a worker, and what may become free.
