--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -218,8 +218,7 @@
         let usability =
             UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
         let sessions = &self.sessions;
-        let is_usable =
-            |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
+        let is_usable = |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
         self.reservations.end_invalid(workflows, is_usable, now.mono_ms);
         let reserving = plan::ReservingState {
             reservations: &mut self.reservations,
--- a/src/control/dispatch/moves/mod.rs
+++ b/src/control/dispatch/moves/mod.rs
@@ -82,12 +82,7 @@
     }
 
     /// Returns how many tasks of a run's step may be stopped now, apart from the limits on causes.
-    pub(super) fn spare(
-        workflows: &Workflows,
-        sessions: &Sessions,
-        term: u64,
-        run: RunRef,
-    ) -> u32 {
+    pub(super) fn spare(workflows: &Workflows, sessions: &Sessions, term: u64, run: RunRef) -> u32 {
         let workflow = workflows.get(run.task.workflow);
         let step = workflows.step_of(run.task);
         let Some((workflow, step)) = workflow.zip(step) else { return 0 };
@@ -107,8 +102,7 @@
         let recent = self.last_stops.iter().filter(|(_, it)| {
             it.cause == StopCause::Compaction && now.mono_ms < it.at_ms + STOP_INTERVAL_MS
         });
-        let away =
-            recent.filter(|(task, _)| is_active_and_away(workflows, sessions, term, **task));
+        let away = recent.filter(|(task, _)| is_active_and_away(workflows, sessions, term, **task));
         moves_left(away.count())
     }
 
@@ -206,8 +200,9 @@
         .and_then(|it| it.steps.get(task.step as usize));
     let Some(step) = step else { return 0 };
     let others = step.tasks.iter().zip(0_u32..).filter(|(_, index)| *index != task.index);
-    let away = others
-        .filter(|(it, index)| !has_run_at_work(sessions, term, TaskRef { index: *index, ..task }, &it.runs));
+    let away = others.filter(|(it, index)| {
+        !has_run_at_work(sessions, term, TaskRef { index: *index, ..task }, &it.runs)
+    });
     away.count() as u32
 }
 
@@ -229,8 +224,7 @@
         let run = RunRef { task, run: it.run };
         let Some(session) = sessions.get(it.worker) else { return false };
         let report = session.report.as_ref().filter(|it| it.term == term);
-        let is_at_work =
-            |it: &RunningTask| it.run == run && AT_WORK_PERCENT <= it.progress_percent;
+        let is_at_work = |it: &RunningTask| it.run == run && AT_WORK_PERCENT <= it.progress_percent;
         !session.is_evicted(run) && report.is_some_and(|it| it.running.iter().any(is_at_work))
     })
 }
--- a/src/control/dispatch/moves/reservations.rs
+++ b/src/control/dispatch/moves/reservations.rs
@@ -104,8 +104,7 @@
 
     /// Notes a search for reservations.
     pub(in crate::control::dispatch) fn note_search(&mut self, found_any: bool, now_ms: u64) {
-        let interval_ms =
-            if found_any { SEARCH_INTERVAL_MS } else { FRUITLESS_SEARCH_INTERVAL_MS };
+        let interval_ms = if found_any { SEARCH_INTERVAL_MS } else { FRUITLESS_SEARCH_INTERVAL_MS };
         self.next_search_ms = now_ms + interval_ms;
     }
 
--- a/src/control/dispatch/plan/holds.rs
+++ b/src/control/dispatch/plan/holds.rs
@@ -83,8 +83,7 @@
         }
         let kind = TaskKind { queue: queue.name.clone(), image: step.image.clone() };
         let late_ms = run_times.forecast(&kind, step.estimate_ms).late_ms();
-        let late_end_ms =
-            self.holds.now_ms + late_ms.div_ceil(LATE_END_UNIT_MS) * LATE_END_UNIT_MS;
+        let late_end_ms = self.holds.now_ms + late_ms.div_ceil(LATE_END_UNIT_MS) * LATE_END_UNIT_MS;
         if late_end_ms <= self.holds.last_due_ms { late_end_ms } else { u64::MAX }
     }
 
--- a/src/control/dispatch/plan/reserving.rs
+++ b/src/control/dispatch/plan/reserving.rs
@@ -18,8 +18,7 @@
         disruption::{RunStop, StopCause},
         forecast::{RunTimeModel, TaskKind},
         reservation::{
-            ForecastEnd, MovableRun, WorkerRoom, choose_without_stop, is_large,
-            is_within_bound,
+            ForecastEnd, MovableRun, WorkerRoom, choose_without_stop, is_large, is_within_bound,
         },
     },
     prelude::*,
@@ -62,8 +61,7 @@
     let waiting = reservations.note_unplaced(unplaced, input.usability.now.mono_ms);
     let mut search: Option<Search<'_, '_, '_>> = None;
     for (step_ref, waited_ms) in waiting.into_iter().take(STEPS_MAX) {
-        let search = search
-            .get_or_insert_with(|| Search::new(builder, &entries, input));
+        let search = search.get_or_insert_with(|| Search::new(builder, &entries, input));
         search.visit(step_ref, waited_ms);
     }
     let Some(search) = search else { return Vec::new() };
@@ -220,9 +218,8 @@
             self.builder.may_begin(task) && !suspects.needs_probation(task)
         };
         let ready = state.tasks.iter().zip(0_u32..);
-        let ready = ready.filter(|(it, index)| {
-            !it.is_done && it.runs.is_empty() && may_begin(*index)
-        });
+        let ready =
+            ready.filter(|(it, index)| !it.is_done && it.runs.is_empty() && may_begin(*index));
         let is_of_step = |it: &&RunPlacement| StepRef::of_task(it.run.task) == step_ref;
         let placed = self.builder.runs.iter().filter(is_of_step).count();
         let reserved = self.entries.iter().filter(|it| it.step == step_ref).count();
@@ -244,9 +241,8 @@
         let largest: Vec<_> = largest.copied().collect();
         let partners: Vec<_> = largest.iter().map(|it| self.room(it)).collect();
         let max = need.step.per_worker_max;
-        let is_below_limit = |it: &&WorkerRoom| {
-            max == 0 || counts.get(&it.worker).copied().unwrap_or(0) < max
-        };
+        let is_below_limit =
+            |it: &&WorkerRoom| max == 0 || counts.get(&it.worker).copied().unwrap_or(0) < max;
         let rooms: Vec<_> = partners.iter().filter(is_below_limit).cloned().collect();
         let now_ms = self.input.usability.now.mono_ms;
         let reservation = |worker, due_ms, expires_ms, cause| Reservation {
--- a/src/control/dispatch/plan/waiting_steps.rs
+++ b/src/control/dispatch/plan/waiting_steps.rs
@@ -20,8 +20,8 @@
 /// Maximum number of steps logged per plan.
 const LOGGED_STEPS_MAX: usize = 4;
 
-/// Interval between two checks of whether a waiting task fits into the free capacity in sum. A check
-/// visits all workers.
+/// Interval between two checks of whether the tasks of a step fit into the free capacity in sum. A
+/// check visits all workers, so a plan makes one.
 const FREE_CHECK_INTERVAL_MS: u64 = 500;
 
 /// Steps with long-running tasks that wait for a worker.
@@ -42,7 +42,7 @@
     next_check_ms: u64,
     /// Sum of the waits of all tasks.
     task_ms: u64,
-    /// Part of that sum during which one more task fitted in sum but on no worker.
+    /// The part of that sum for which the tasks fitted in sum but on no worker.
     fragmented_task_ms: u64,
 }
 
@@ -61,11 +61,10 @@
     }
 
     fn advance(&mut self, tasks: u64, now_ms: u64) {
-        let waited_ms = self.tasks * (now_ms - self.updated_ms);
-        self.task_ms += waited_ms;
-        if self.free.is_some_and(|it| it.is_fragmented) {
-            self.fragmented_task_ms += waited_ms;
-        }
+        let elapsed_ms = now_ms - self.updated_ms;
+        self.task_ms += self.tasks * elapsed_ms;
+        let fitting = self.free.map_or(0, |it| it.fitting_in_sum);
+        self.fragmented_task_ms += self.tasks.min(fitting) * elapsed_ms;
         (self.tasks, self.updated_ms) = (tasks, now_ms);
     }
 
@@ -106,12 +105,12 @@
             is_waiting
         });
         let mut logged = 0;
-        let mut checks = 0;
+        let mut may_check = true;
         for (it, unplaced) in unplaced {
             let wait = self.steps.entry(it.step_ref).or_insert_with(|| Wait::new(now_ms));
             wait.advance(unplaced.tasks as u64, now_ms);
-            if wait.next_check_ms <= now_ms && checks < LOGGED_STEPS_MAX {
-                checks += 1;
+            if wait.next_check_ms <= now_ms && may_check {
+                may_check = false;
                 wait.next_check_ms = now_ms + FREE_CHECK_INTERVAL_MS;
                 wait.free = builder.free_summary(it.step_ref, it.workflow);
             }
@@ -138,7 +137,7 @@
 impl UnplacedTasks {
     fn log(self, step_ref: StepRef, wait: &Wait, now_ms: u64, builder: &PlanBuilder<'_, '_>) {
         let workers = builder.workers().len();
-        let is_fragmented = wait.free.is_some_and(|it| it.is_fragmented);
+        let is_fragmented = wait.free.is_some_and(|it| 0 < it.fitting_in_sum);
         let cause = match self {
             _ if workers == 0 => "no_worker",
             it if it.waiting_for_quiet == it.tasks => "recent_crashes",
@@ -160,8 +159,8 @@
 struct FreeSummary {
     sum: Resources,
     largest_gap_millicores: u32,
-    /// Whether the task fits in sum but on no worker.
-    is_fragmented: bool,
+    /// Number of tasks that fit in sum if none fits on any worker, or else 0.
+    fitting_in_sum: u64,
 }
 
 impl PlanBuilder<'_, '_> {
@@ -177,11 +176,19 @@
         Some(FreeSummary {
             sum,
             largest_gap_millicores: gaps.iter().map(|it| it.cpu_millicores).max()?,
-            is_fragmented: fits(need, sum) && !is_whole,
+            fitting_in_sum: if is_whole { 0 } else { tasks_in(sum, need) },
         })
     }
 }
 
+/// Returns how many tasks fit into an amount, by the resource that suffices for the fewest.
+fn tasks_in(sum: Resources, need: Resources) -> u64 {
+    let tasks = |sum: u32, need: u32| sum.checked_div(need).map_or(u64::MAX, u64::from);
+    tasks(sum.cpu_millicores, need.cpu_millicores)
+        .min(tasks(sum.memory_mib, need.memory_mib))
+        .min(tasks(sum.accelerators, need.accelerators))
+}
+
 fn is_long_running(it: &Candidate<'_>) -> bool {
     it.workflow.spec.steps.get(it.step_ref.step as usize).is_some_and(|it| it.lasting)
 }
--- a/tests/workflows/reservations.rs
+++ b/tests/workflows/reservations.rs
@@ -422,9 +422,8 @@
         let (started_ms, worker) = fleet.started[&WorkflowId(LARGE)];
         assert_eq!(worker, 1);
         assert_eq!(fleet.started[&WorkflowId(2)].1, 0, "it would have delayed the reserved task");
-        let is_backfill = |(id, (_, worker)): (&WorkflowId, &(u64, usize))| {
-            1_000_000 <= id.0 && *worker == 1
-        };
+        let is_backfill =
+            |(id, (_, worker)): (&WorkflowId, &(u64, usize))| 1_000_000 <= id.0 && *worker == 1;
         (started_ms, fleet.started.iter().filter(|it| is_backfill(*it)).count())
     };
     let (alone_ms, _) = start_with_backfill(false);
@@ -517,3 +516,22 @@
         fleet.assert_away_at_most(limit);
     }
 }
+
+/// The search for capacity visits the workers for the most urgent steps only, however many wait.
+#[test]
+fn many_waiting_services_do_not_make_plans_longer() {
+    let rows_per_plan = |steps: u64| {
+        let mut fleet = Fleet::new(40, 64);
+        // 14 cores are left on each worker.
+        fleet.submit(100, WorkflowStep { per_worker_max: 1, ..service(40, 50) }, u64::MAX);
+        fleet.run_for(500);
+        (0..steps).for_each(|it| fleet.submit(LARGE + it, service(2, 16), u64::MAX));
+        fleet.run_for(1_000);
+        let (rows, plans) = (fleet.dispatcher.rows_visited(), fleet.dispatcher.plan_count());
+        fleet.run_for(1_000);
+        let plans = fleet.dispatcher.plan_count() - plans;
+        (fleet.dispatcher.rows_visited() - rows) as f64 / plans as f64
+    };
+    let (few, many) = (rows_per_plan(4), rows_per_plan(60));
+    assert!(many <= few * 1.2, "{many} workers visited per plan in place of {few}");
+}
