--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -6,7 +6,7 @@
 use crate::{
     control::{
         dispatch::run_monitor::RunKind,
-        state::{NO_RESOURCES, Worker, Workflows, add, reservation_of, subtract},
+        state::{Worker, Workflows, add, reservation_of, subtract},
     },
     policy::{
         contention::{
@@ -108,8 +108,6 @@
     rack: CompactString,
     free: Resources,
     withheld: Withheld,
-    /// What tasks that end by themselves reserve.
-    short: Resources,
     capacity_millicores: u32,
     /// For each image, the processor that its fillers here use together at full speed.
     fillers: Vec<FillerLoad>,
@@ -131,7 +129,6 @@
             rack: worker.rack.clone(),
             free: subtract(worker.capacity, worker.reserved),
             withheld: Withheld::NONE,
-            short: NO_RESOURCES,
             capacity_millicores: worker.capacity.cpu_millicores,
             fillers: Vec::new(),
             filler_millicores: worker.filler_millicores,
@@ -139,9 +136,6 @@
         };
         for run in &worker.runs {
             let Some(step) = workflows.step_of(run.task) else { continue };
-            if is_short(step) {
-                res.short = add(res.short, reservation_of(step));
-            }
             match RunKind::of(step, contention) {
                 RunKind::Serving { image, .. } => {
                     let served = res.served_image_mut(image);
@@ -289,9 +283,6 @@
 
     pub(super) fn reserve(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
         self.take(demand.reservation);
-        if is_short(demand.step) {
-            self.short = add(self.short, demand.reservation);
-        }
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
                 self.filler_millicores += millicores;
@@ -312,9 +303,6 @@
     /// Releases the capacity of a member of a gang that could not be placed whole.
     pub(super) fn release(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
         self.free = add(self.free, demand.reservation);
-        if is_short(demand.step) {
-            self.short = subtract(self.short, demand.reservation);
-        }
         if let RunKind::Filler { image, millicores } = demand.run_kind {
             self.filler_millicores -= millicores;
             self.add_filler_load(image, -self.cores(millicores), contention);
@@ -345,11 +333,6 @@
     }
 }
 
-/// Returns whether a task ends by itself and reserves processor.
-fn is_short(step: &WorkflowStep) -> bool {
-    !step.lasting && !step.filler
-}
-
 /// How well a worker suits a task; the largest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Preference {
--- a/src/control/dispatch/capacity/withheld.rs
+++ b/src/control/dispatch/capacity/withheld.rs
@@ -32,11 +32,6 @@
         self.free
     }
 
-    /// Returns what tasks that end by themselves reserve.
-    pub(in crate::control::dispatch) fn short(&self) -> Resources {
-        self.short
-    }
-
     /// Withholds capacity for a reservation, as far as it is free.
     pub(in crate::control::dispatch) fn withhold(&mut self, resources: Resources, due_ms: u64) {
         let rest = subtract(self.free, resources);
--- a/src/control/dispatch/moves/mod.rs
+++ b/src/control/dispatch/moves/mod.rs
@@ -24,7 +24,7 @@
 };
 
 pub(super) use self::reservations::{
-    MovedRun, NewReservation, PoolName, Reservation, ReservationCause, Reservations,
+    MovedRun, NewReservation, Reservation, ReservationCause, Reservations,
 };
 
 /// Progress of a long-running task that is at work, in percent.
--- a/src/control/dispatch/moves/reservations.rs
+++ b/src/control/dispatch/moves/reservations.rs
@@ -8,10 +8,7 @@
 
 use crate::{
     control::state::Workflows,
-    policy::{
-        disruption::RunStop,
-        reservation::{PeakUse, has_waited_enough},
-    },
+    policy::{disruption::RunStop, reservation::has_waited_enough},
     prelude::*,
 };
 
@@ -80,19 +77,8 @@
     entries: Vec<Reservation>,
     waiting_since_ms: HashMap<StepRef, u64>,
     next_search_ms: u64,
-    short_peaks: HashMap<PoolName, PeakUse>,
 }
 
-/// The workers that a step may use, by their service and the required kind.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(in crate::control::dispatch) struct PoolName {
-    pub service: CompactString,
-    pub label: CompactString,
-}
-
-/// Maximum number of pools whose peaks are kept. Clients choose labels freely.
-const PEAKS_MAX: usize = 64;
-
 impl Reservations {
     pub(in crate::control::dispatch) fn entries(&self) -> &[Reservation] {
         &self.entries
@@ -116,21 +102,6 @@
         waited.filter(|(_, it)| has_waited_enough(*it)).collect()
     }
 
-    /// Updates the peak of what short tasks of a pool use, and returns what they need beside the
-    /// present use at the next one.
-    pub(in crate::control::dispatch) fn short_headroom(
-        &mut self,
-        pool: PoolName,
-        used: Resources,
-        now_ms: u64,
-    ) -> Resources {
-        if PEAKS_MAX <= self.short_peaks.len() && !self.short_peaks.contains_key(&pool) {
-            self.short_peaks.clear();
-        }
-        let peak = self.short_peaks.entry(pool).or_insert(PeakUse::new(used, now_ms));
-        peak.headroom(used, now_ms)
-    }
-
     /// Notes a search for reservations.
     pub(in crate::control::dispatch) fn note_search(&mut self, found_any: bool, now_ms: u64) {
         let interval_ms = if found_any { SEARCH_INTERVAL_MS } else { FRUITLESS_SEARCH_INTERVAL_MS };
--- a/src/control/dispatch/plan/reserving.rs
+++ b/src/control/dispatch/plan/reserving.rs
@@ -6,8 +6,7 @@
     control::{
         dispatch::{
             moves::{
-                MovedRun, NewReservation, PoolName, Reservation, ReservationCause, Reservations,
-                StopBudget,
+                MovedRun, NewReservation, Reservation, ReservationCause, Reservations, StopBudget,
             },
             plan::builder::{PlanBuilder, counts_of, state_of, task_of},
             sessions::{Sessions, UsabilityCriteria},
@@ -63,7 +62,7 @@
     let mut search: Option<Search<'_, '_, '_>> = None;
     for (step_ref, waited_ms) in waiting.into_iter().take(STEPS_MAX) {
         let search = search.get_or_insert_with(|| Search::new(builder, &entries, input));
-        search.visit(step_ref, waited_ms, reservations);
+        search.visit(step_ref, waited_ms);
     }
     let Some(search) = search else { return Vec::new() };
     reservations.note_search(!search.found.is_empty(), input.usability.now.mono_ms);
@@ -83,8 +82,6 @@
     free: Resources,
     capacity: Resources,
     reserved: Resources,
-    /// What tasks that end by themselves use.
-    short: Resources,
 }
 
 struct Search<'b, 'a, 'r> {
@@ -133,12 +130,7 @@
     }
 
     /// Reserves capacity for the tasks of a step that still wait, as far as it suffices.
-    fn visit(
-        &mut self,
-        step_ref: StepRef,
-        waited_ms: u64,
-        reservations: &mut Reservations,
-    ) -> Option<()> {
+    fn visit(&mut self, step_ref: StepRef, waited_ms: u64) -> Option<()> {
         let workflow = self.builder.workflows.get(step_ref.workflow)?;
         let step = workflow.spec.steps.get(step_ref.step as usize)?;
         let queue = self.builder.workflows.queue(&workflow.queue)?;
@@ -148,13 +140,10 @@
         if !is_large(resources, pool.capacity, pool.rows.len()) {
             return None;
         }
-        let name = PoolName { service: queue.service.clone(), label: step.required_label.clone() };
-        let now_ms = self.input.usability.now.mono_ms;
-        let headroom = reservations.short_headroom(name, pool.short, now_ms);
         let mut counts = self.counts(&need);
         for _ in 0..self.tasks_without_reservation(&need) {
             let is_full = RESERVATIONS_MAX <= self.found.len()
-                || !fits(add(resources, headroom), pool.free)
+                || !fits(resources, pool.free)
                 || !is_within_bound(resources, pool.reserved, pool.capacity);
             if is_full {
                 break;
@@ -176,7 +165,6 @@
             free: NO_RESOURCES,
             capacity: NO_RESOURCES,
             reserved: NO_RESOURCES,
-            short: NO_RESOURCES,
         };
         for it in &self.builder.workers {
             if !it.suits(need.step, need.queue) {
@@ -188,7 +176,6 @@
             let taken = self.taken.get(&it.id).copied().unwrap_or(NO_RESOURCES);
             let row = Row { worker: it.id, free: subtract(it.free(), taken) };
             res.free = add(res.free, row.free);
-            res.short = add(res.short, it.short());
             res.rows.push(row);
         }
         let ids: HashSet<_> = res.rows.iter().map(|it| it.worker).collect();
--- a/src/policy/reservation.rs
+++ b/src/policy/reservation.rs
@@ -7,7 +7,7 @@
 //! predictability, workloads, and user runtime estimates*, 2001).
 
 use crate::{
-    control::state::{NO_RESOURCES, add, fits, subtract},
+    control::state::{NO_RESOURCES, add, fits},
     prelude::*,
 };
 
@@ -27,38 +27,6 @@
 /// Longest wait, by the late forecast, for which capacity is reserved without stopping a task.
 const WAIT_MAX_MS: u64 = 4_000;
 
-/// Time in which the memory of a peak of short work halves. Short work arrives in waves, and what
-/// its present wave leaves free is not free for good.
-const PEAK_HALF_LIFE_MS: f64 = 10_000.0;
-
-/// The most that short tasks of a pool have used lately.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PeakUse {
-    peak: Resources,
-    at_ms: u64,
-}
-
-impl PeakUse {
-    /// Creates the peak from the present use.
-    pub fn new(used: Resources, now_ms: u64) -> PeakUse {
-        PeakUse { peak: used, at_ms: now_ms }
-    }
-
-    /// Updates the peak, and returns what short tasks need beside the present use at the next one.
-    pub fn headroom(&mut self, used: Resources, now_ms: u64) -> Resources {
-        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        let share = 0.5_f64.powf(age_ms / PEAK_HALF_LIFE_MS);
-        let decayed = |amount: u32| (f64::from(amount) * share) as u32;
-        self.at_ms = now_ms;
-        self.peak = Resources {
-            cpu_millicores: decayed(self.peak.cpu_millicores).max(used.cpu_millicores),
-            memory_mib: decayed(self.peak.memory_mib).max(used.memory_mib),
-            accelerators: decayed(self.peak.accelerators).max(used.accelerators),
-        };
-        subtract(self.peak, used)
-    }
-}
-
 /// A run whose end is forecast.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ForecastEnd {
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -16,6 +16,7 @@
 mod evacuations;
 mod faults;
 mod fillers;
+mod fleet;
 mod gateway;
 mod held_runs;
 mod late_ends;
