--- a/tests/workflows/fleet.rs
+++ b/tests/workflows/fleet.rs
@@ -19,8 +19,7 @@
 };
 
 const TICK_MS: u64 = 50;
-/// Time that a worker takes to stop a run, and to get a long-running task to work.
-const STOP_MS: u64 = 200;
+/// Time that a worker takes to get a long-running task to work.
 const START_MS: u64 = 200;
 const MEMORY_MIB: u32 = 100_000;
 
@@ -56,6 +55,8 @@
     pub now_ms: u64,
     pub term: u64,
     pub workers: Vec<FakeWorker>,
+    /// Time that a worker takes to stop a run.
+    pub stop_ms: u64,
     pub stopped: Vec<RunRef>,
     /// Run times of tasks, by workflow.
     pub run_ms: BTreeMap<WorkflowId, u64>,
@@ -77,6 +78,7 @@
             now_ms,
             term: 1,
             workers: (0..workers).map(|_| FakeWorker { cores, ..Default::default() }).collect(),
+            stop_ms: 200,
             stopped: Vec::new(),
             run_ms: BTreeMap::new(),
             away_most: BTreeMap::new(),
@@ -202,11 +204,11 @@
     }
 
     pub fn report(&mut self, index: usize) {
-        let now_ms = self.now_ms;
+        let (now_ms, stop_ms) = (self.now_ms, self.stop_ms);
         let worker = &mut self.workers[index];
         worker.number += 1;
         let is_done = |run: &RunRef, end: Option<u64>, stops: &BTreeMap<RunRef, u64>| {
-            let stop_ms = stops.get(run).map(|it| it + STOP_MS);
+            let stop_ms = stops.get(run).map(|it| it + stop_ms);
             match (end, stop_ms) {
                 (Some(end), _) if end <= now_ms => Some(RunOutcome::Done),
                 (_, Some(stop)) if stop <= now_ms => Some(RunOutcome::Stopped),
--- a/tests/workflows/reservations.rs
+++ b/tests/workflows/reservations.rs
@@ -149,23 +149,25 @@
     fleet.run_until(1_000, |it| it.at_work(600) == 1);
 }
 
-/// Leaders change faster than moves take, and each knows nothing of the stops of the last one.
+/// Leaders change while stops are under way, and each knows nothing of the stops of the last one.
 #[test]
 fn no_service_loses_more_tasks_than_it_allows_while_leaders_change() {
     for (unavailable_max, limit) in [(0, 1), (2, 2)] {
-        let mut fleet = Fleet::fragmented();
-        for service_id in 0..3 {
-            let wide = WorkflowStep { unavailable_max, ..service(6, 2) };
-            let workers: Vec<_> = (0..6).map(|it| service_id * 4 + it % 4).collect();
-            fleet.put(200 + service_id, wide, &workers);
-        }
+        let mut fleet = Fleet::new(12, 64);
+        let all: Vec<_> = (0..12).collect();
+        fleet.put(100, service(12, 20), &all);
+        fleet.put(101, service(12, 20), &all);
+        // Only this service has tasks that fit into the gaps of 12 cores.
+        fleet.put(102, WorkflowStep { unavailable_max, ..service(12, 12) }, &all);
         fleet.run_for(1_000);
+        fleet.stop_ms = 3_000;
         fleet.submit(LARGE, service(4, 16), u64::MAX);
         for pause_ms in [1_700, 100, 1_900, 250, 2_500, 50, 1_800, 400] {
             fleet.run_with_short_work_for(pause_ms);
             fleet.change_leader();
         }
         fleet.run_for(6_000);
+        assert!(4 <= fleet.stopped.len(), "{:?}", fleet.stopped);
         fleet.assert_away_at_most(limit);
     }
 }
