--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -19,6 +19,7 @@
 mod fair_shares;
 mod faults;
 mod fillers;
+mod fleet;
 mod gateway;
 mod held_runs;
 mod late_ends;
