--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -1,7 +1,7 @@
 //! The steps that may begin, and their order.
 
 use crate::{
-    control::state::{Occurrence, Workflow, Workflows},
+    control::state::{Occurrence, StepState, Workflow, Workflows},
     policy::{
         shares::Wait,
         urgency::{PendingStep, Urgency, urgency},
@@ -15,6 +15,7 @@
     pub urgency: Urgency,
     pub step_ref: StepRef,
     pub workflow: &'a Workflow,
+    pub queue: &'a Queue,
     pub objective: Objective,
     /// Remaining processor time of the whole workflow.
     pub work_core_ms: u64,
@@ -53,11 +54,19 @@
 
     /// Returns the number of tasks that have no run.
     pub(super) fn waiting_tasks(&self) -> u64 {
-        let occurrence = self.workflow.occurrences.get(self.step_ref.occurrence as usize);
-        let state = occurrence.and_then(|it| it.steps.get(self.step_ref.step as usize));
-        let tasks = state.into_iter().flat_map(|it| &it.tasks);
+        let tasks = self.state().into_iter().flat_map(|it| &it.tasks);
         tasks.filter(|it| !it.is_done && it.runs.is_empty()).count() as u64
     }
+
+    /// Returns the number of tasks that are not done, without a visit to each.
+    pub(super) fn tasks_left(&self) -> u64 {
+        self.state().map_or(0, |it| it.tasks.len() as u64 - u64::from(it.done_count))
+    }
+
+    fn state(&self) -> Option<&'a StepState> {
+        let occurrence = self.workflow.occurrences.get(self.step_ref.occurrence as usize)?;
+        occurrence.steps.get(self.step_ref.step as usize)
+    }
 }
 
 /// Returns the steps that may begin, most urgent first.
@@ -92,7 +101,7 @@
         work_core_ms,
     };
     let urgency = urgency(pending, now.wall_ms);
-    Some(Candidate { urgency, step_ref, workflow, objective, work_core_ms, size_core_ms })
+    Some(Candidate { urgency, step_ref, workflow, queue, objective, work_core_ms, size_core_ms })
 }
 
 /// Returns for each step the longest sum of declared run times over a chain that begins with it.
--- a/src/control/dispatch/plan/fair_shares.rs
+++ b/src/control/dispatch/plan/fair_shares.rs
@@ -47,10 +47,8 @@
     /// long-running steps, stay where they are.
     pub(super) fn order(&self, workflows: &Workflows, candidates: &mut [Candidate<'_>], now: Now) {
         for (service, scarcity) in &self.scarce {
-            let is_of_service = |it: &Candidate<'_>| {
-                !it.is_long_running()
-                    && workflows.queue(&it.workflow.queue).is_some_and(|it| it.service == *service)
-            };
+            let is_of_service =
+                |it: &Candidate<'_>| !it.is_long_running() && it.queue.service == *service;
             let places: Vec<_> =
                 (0..candidates.len()).filter(|it| is_of_service(&candidates[*it])).collect();
             let mut callers = Callers::default();
@@ -82,16 +80,16 @@
             .iter()
             .for_each(|it| *placed.entry(StepRef::of_task(it.run.task)).or_default() += 1);
         for it in candidates.iter().filter(|it| !it.is_long_running()) {
-            let Some(queue) = workflows.queue(&it.workflow.queue) else { continue };
             let placed = placed.get(&it.step_ref).copied().unwrap_or(0);
-            if placed < it.waiting_tasks() {
-                self.note_waiting(workflows, &queue.service, now);
-            }
-            if let Some(scarcity) = self.scarce.get_mut(&queue.service)
-                && 0 < placed
-            {
+            let scarcity = self.scarce.get_mut(&it.queue.service);
+            // One step that waits is enough to know.
+            let is_noted = scarcity.as_ref().is_some_and(|it| it.waited_at_ms == now.mono_ms);
+            if let Some(scarcity) = scarcity.filter(|_| 0 < placed) {
                 scarcity.note_begun(workflows, it, placed, now);
             }
+            if !is_noted && placed < it.waiting_tasks() {
+                self.note_waiting(workflows, &it.queue.service, now);
+            }
         }
     }
 
@@ -140,14 +138,13 @@
         now: Now,
     ) -> Option<ShareCandidate> {
         let caller = workflows.caller_of(it.step_ref.workflow)?;
-        let priority = workflows.queue(&caller.queue)?.priority;
         Some(ShareCandidate {
-            priority,
+            priority: it.queue.priority,
             caller: self.position(workflows, scarcity, caller, now),
             wait: it.objective.wait(now.wall_ms),
             work_core_ms: it.work_core_ms,
             size_core_ms: it.size_core_ms,
-            demand: Amounts::of_tasks(it.step()?.need, it.waiting_tasks()),
+            demand: Amounts::of_tasks(it.step()?.need, it.tasks_left()),
         })
     }
 
--- a/src/policy/shares.rs
+++ b/src/policy/shares.rs
@@ -137,7 +137,7 @@
     pub work_core_ms: u64,
     /// Processor time of the whole workflow, done work included.
     pub size_core_ms: u64,
-    /// What its waiting tasks would hold.
+    /// What its tasks that are not done would hold, those at work included.
     pub demand: Amounts,
 }
 
