--- a/src/control/state/demand/usage.rs
+++ b/src/control/state/demand/usage.rs
@@ -132,8 +132,12 @@
 fn decayed(value: u64, elapsed_ms: u64) -> u64 {
     let half_lives = u32::try_from(elapsed_ms >> HALF_LIFE_LOG2_MS).unwrap_or(u32::MAX);
     let value = value.checked_shr(half_lives).unwrap_or(0);
-    let is_set = |bit: usize| elapsed_ms >> bit & 1 == 1;
+    let is_set = |bit: usize| (elapsed_ms >> bit) & 1 == 1;
     let factors = DECAY.iter().enumerate().filter(|(bit, _)| is_set(*bit)).map(|(_, it)| *it);
-    factors
-        .fold(value, |value, factor| (u128::from(value) * u128::from(factor) >> FACTOR_BITS) as u64)
+    factors.fold(value, scaled)
+}
+
+/// Returns a value times a factor of decay.
+fn scaled(value: u64, factor: u64) -> u64 {
+    ((u128::from(value) * u128::from(factor)) >> FACTOR_BITS) as u64
 }
--- a/tests/workflows/usage.rs
+++ b/tests/workflows/usage.rs
@@ -29,7 +29,7 @@
 
 fn submit(id: u64) -> WorkflowCommand {
     let mut steps = vec![step(4, id as u32, &[]), step(2, 1, &[])];
-    (steps[0].filler, steps[1].duplicates) = (id % 2 == 0, true);
+    (steps[0].filler, steps[1].duplicates) = (id.is_multiple_of(2), true);
     let workflow = SubmitWorkflow {
         id: WorkflowId(id),
         queue: "queue".into(),
