--- a/src/control/dispatch/admission/mod.rs
+++ b/src/control/dispatch/admission/mod.rs
@@ -88,6 +88,14 @@
     ahead_core_ms: f64,
 }
 
+impl Forecast {
+    fn log(&self, id: WorkflowId, verdict: Verdict) {
+        let Estimate { early, median, late } = self.completion_ms;
+        let ahead_core_s = (self.ahead_core_ms / 1_000.0) as u64;
+        tracing::info!(event = "submission_forecast", workflow = %format_args!("{:016x}", id.0), is_accepted = verdict == Verdict::Accept, early_ms = early as u64, median_ms = median as u64, late_ms = late as u64, objective_ms = self.objective_ms.median as u64, longest_objective_ms = self.objective_ms.late as u64, ahead_core_s);
+    }
+}
+
 impl Dispatcher {
     /// Decides on a submission that is not stored; returns how it is rejected, if it is.
     pub(super) fn rejection(
@@ -133,16 +141,17 @@
             let needs = long_running.clone();
             needs.map(|step| u64::from(step.count) * u64::from(of(&step.need))).sum()
         };
-        let fits = need(|it| it.cpu_millicores) <= pool.long_running_spare.cpu_millicores
-            && need(|it| it.memory_mib) <= pool.long_running_spare.memory_mib;
-        match fits || self.can_begin(workflows, it, now) {
-            true => None,
-            false => {
-                let spacing_ms = NO_CAPACITY_SPACING_MS;
-                let retry_ms = NO_CAPACITY_RETRY_MS;
-                Some(self.reject(it, AdmissionCause::NoCapacity, retry_ms, spacing_ms, now))
-            }
+        let spare = pool.long_running_spare;
+        let (need_millicores, need_mib) = (need(|it| it.cpu_millicores), need(|it| it.memory_mib));
+        let fits = need_millicores <= spare.cpu_millicores && need_mib <= spare.memory_mib;
+        if fits || self.can_begin(workflows, it, now) {
+            return None;
         }
+        if !self.admission.returns.is_due_later(it.id, now.mono_ms) {
+            tracing::info!(event = "submission_unfit", workflow = %format_args!("{:016x}", it.id.0), need_millicores, need_mib, spare_millicores = spare.cpu_millicores, spare_mib = spare.memory_mib);
+        }
+        let (retry_ms, spacing_ms) = (NO_CAPACITY_RETRY_MS, NO_CAPACITY_SPACING_MS);
+        Some(self.reject(it, AdmissionCause::NoCapacity, retry_ms, spacing_ms, now))
     }
 
     /// Rejects a submission that would end too late to be of use.
@@ -160,18 +169,17 @@
             objective_ms: forecast.objective_ms,
             can_begin: false,
         };
-        if verdict(prospect) == Verdict::Accept {
-            return None;
+        // Whether a task fits is looked up only where it matters: it visits all workers.
+        if verdict(prospect) != Verdict::Accept {
+            prospect.can_begin = self.can_begin(workflows, it, now);
+        }
+        let verdict = verdict(prospect);
+        if !self.admission.returns.is_due_later(it.id, now.mono_ms) {
+            forecast.log(it.id, verdict);
         }
-        prospect.can_begin = self.can_begin(workflows, it, now);
-        let Verdict::Late { in_time_after_ms } = verdict(prospect) else { return None };
-        let is_repeated = self.admission.returns.is_due_later(it.id, now.mono_ms);
+        let Verdict::Late { in_time_after_ms } = verdict else { return None };
         let service_ms = forecast.service_ms as u64;
         let rejection = self.reject(it, AdmissionCause::Late, in_time_after_ms, service_ms, now);
-        if !is_repeated {
-            let Estimate { early, median, late } = forecast.completion_ms;
-            tracing::info!(event = "submission_late", workflow = %format_args!("{:016x}", it.id.0), early_ms = early as u64, median_ms = median as u64, late_ms = late as u64, objective_ms = forecast.objective_ms.late as u64, ahead_core_s = (forecast.ahead_core_ms / 1_000.0) as u64);
-        }
         Some(rejection)
     }
 
