--- a/src/control/dispatch/waiting_report.rs
+++ b/src/control/dispatch/waiting_report.rs
@@ -12,6 +12,7 @@
         },
         state::{Workflows, add, fits, reservation_of, subtract},
     },
+    policy::verdict::RejectedSubmission,
     prelude::*,
 };
 
@@ -42,7 +43,7 @@
     }
 
     fn rejected_callers(&self, rows_max: usize, now: Now) -> Vec<RejectedCaller> {
-        let row = |it: &crate::policy::verdict::RejectedSubmission| RejectedCaller {
+        let row = |it: &RejectedSubmission| RejectedCaller {
             workflow: it.id,
             caller: it.caller.clone(),
             cause: it.cause,
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -94,6 +94,8 @@
     pub call: CallId,
     pub rejections: u32,
     pub return_at_ms: u64,
+    /// When the next submission of its queue may return, at the earliest.
+    pub next_return_ms: u64,
 }
 
 /// A rejection to note.
@@ -113,8 +115,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Returns {
     entries: VecDeque<RejectedSubmission>,
-    /// When capacity is forecast to be free for the next one that returns.
-    next_return_ms: u64,
 }
 
 impl Returns {
@@ -140,8 +140,9 @@
 
     /// Notes a rejection; returns the time in which to return.
     ///
-    /// A first rejection returns after all those before it, each later by the time that the one
-    /// before takes. A submission that comes again before its time gets the same time; one that is
+    /// A first rejection returns after those of its queue and cause before it, each later by the time
+    /// that the one before takes: what goes before or competes for other capacity is no reason to
+    /// wait. A submission that comes again before its time gets the same time; one that is
     /// rejected again at its time does not go behind those that were rejected after it.
     pub fn note(&mut self, it: Rejection, now_ms: u64) -> u64 {
         self.entries.retain(|other| now_ms < other.return_at_ms + GRACE_MS);
@@ -157,9 +158,12 @@
             }
             return known.return_at_ms - now_ms;
         }
-        let return_at_ms = earliest_ms.max(self.next_return_ms);
+        let is_alike = |other: &&RejectedSubmission| {
+            other.cause == it.cause && other.caller.queue == it.caller.queue
+        };
+        let alike = self.entries.iter().filter(is_alike).map(|it| it.next_return_ms);
+        let return_at_ms = alike.fold(earliest_ms, u64::max);
         let spacing_ms = it.service_ms.clamp(SPACING_MIN_MS, SPACING_MAX_MS);
-        self.next_return_ms = return_at_ms + spacing_ms;
         if RETURNS_MAX <= self.entries.len() {
             self.entries.pop_front();
         }
@@ -170,6 +174,7 @@
             call: it.call,
             rejections: 1,
             return_at_ms,
+            next_return_ms: return_at_ms + spacing_ms,
         });
         return_at_ms - now_ms
     }
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -4,6 +4,7 @@
 //! switch between threads would cost a wake-up and gain no parallelism.
 
 mod adapters;
+mod operators;
 mod options;
 
 use std::{
@@ -41,6 +42,7 @@
         role::{RoleActor, RoleStatus, start_actor},
         single_threaded::{
             adapters::{GatewayAdapter, Loopback, MemberAdapter, MessageSender, NodeAdapter},
+            operators::own_request,
             options::{
                 control_links, features, gateway_options, member_settings, node_options,
                 small_server_options,
@@ -189,12 +191,6 @@
     events: mpsc::UnboundedReceiver<Event>,
 }
 
-/// Path of the report of who waits for capacity, the only one of the system's own interface here.
-const WAITING_PATH: &str = "/v1/admin/waiting";
-
-/// Time for which a request of the system's own interface waits.
-const OWN_WAIT_MS: u64 = 950;
-
 type CoreActor<C, A> = ActorOwn<RoleActor<C, A>>;
 
 struct Actors<P: Platform> {
@@ -416,12 +412,8 @@
                 }
             };
             let parsed = match is_for_operators {
-                true if (http_request.method.as_str(), http_request.path.as_str())
-                    == ("GET", WAITING_PATH) =>
-                {
-                    Ok((WorkflowRequest::ReadWaiting(u32::MAX), OWN_WAIT_MS))
-                }
-                true => platform.operator_request(&http_request),
+                true => own_request(&http_request)
+                    .map_or_else(|| platform.operator_request(&http_request), Ok),
                 false => platform.client_request(&http_request),
             };
             match parsed {
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -178,6 +178,16 @@
         }
     }
 
+    /// Runs an operator's command of the binary; returns what it prints.
+    pub fn command(&self, command: &str) -> String {
+        let output = Command::new(env!("CARGO_BIN_EXE_aspenrail"))
+            .args([command, "--control", &self.control.to_string()])
+            .env("ASPENRAIL_TOKEN", "none")
+            .output()
+            .unwrap();
+        String::from_utf8(output.stdout).unwrap()
+    }
+
     pub fn wait_for(&self, path: &str, state: &str) {
         wait(state, || self.client("GET", path, &Value::Null) == (200, json!({"state": state})));
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -25,6 +25,23 @@
     assert_eq!((status, pending), (200, json!({"pending": 0})));
 }
 
+/// Load: work that no worker can hold. Operators see it with its cause.
+#[test]
+fn the_command_waiting_shows_who_waits_and_why() {
+    let installation = Installation::start(1);
+    installation.install(1);
+    let body = json!({"spec": "x", "steps": [{"count": 3, "cpu": 1_000_000}]});
+    assert_eq!(installation.client("POST", "/q/00000000000000ab", &body).0, 200);
+    installation::wait("the workflow and its cause to be listed", || {
+        let text = installation.command("waiting");
+        text.contains("1 steps wait") && text.contains("no_capacity")
+    });
+    let row = installation.command("waiting");
+    let row = row.lines().find(|it| it.contains("00000000000000ab")).unwrap();
+    let cells: Vec<_> = row.split_whitespace().collect();
+    assert_eq!(cells[1..7], ["0.0", "q", "z", "plain", "3", "1000.0"]);
+}
+
 #[test]
 fn bad_input_gets_its_answer_and_harms_nobody() {
     let installation = Installation::start(1);
