--- a/src/control/dispatch/admission/mod.rs
+++ b/src/control/dispatch/admission/mod.rs
@@ -92,7 +92,7 @@
     fn log(&self, id: WorkflowId, verdict: Verdict) {
         let Estimate { early, median, late } = self.completion_ms;
         let ahead_core_s = (self.ahead_core_ms / 1_000.0) as u64;
-        tracing::info!(event = "submission_forecast", workflow = %format_args!("{:016x}", id.0), is_accepted = verdict == Verdict::Accept, early_ms = early as u64, median_ms = median as u64, late_ms = late as u64, objective_ms = self.objective_ms.median as u64, longest_objective_ms = self.objective_ms.late as u64, ahead_core_s);
+        tracing::info!(event = "submission_forecast", workflow = %format_args!("{:016x}", id.0), is_accepted = verdict == Verdict::Accept, early_ms = early as u64, median_ms = median as u64, late_ms = late as u64, objective_ms = self.objective_ms.median as u64, long_objective_ms = self.objective_ms.late as u64, ahead_core_s);
     }
 }
 
@@ -187,14 +187,14 @@
         &mut self,
         it: Submission<'_>,
         cause: AdmissionCause,
-        earliest_ms: u64,
+        not_before_ms: u64,
         service_ms: u64,
         now: Now,
     ) -> AdmissionRejection {
         let caller = Caller { queue: it.queue.name.clone(), zone: it.zone.clone() };
         let (id, call) = (it.id, it.call);
         let is_repeated = self.admission.returns.is_due_later(id, now.mono_ms);
-        let rejection = Rejection { id, caller, cause, call, earliest_ms, service_ms };
+        let rejection = Rejection { id, caller, cause, call, not_before_ms, service_ms };
         let retry_after_ms = self.admission.returns.note(rejection, now.mono_ms);
         if !is_repeated {
             tracing::info!(event = "submission_rejected", workflow = %format_args!("{:016x}", id.0), queue = %it.queue.name, zone = %it.zone, %cause, retry_after_ms);
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -106,7 +106,7 @@
     pub cause: AdmissionCause,
     pub call: CallId,
     /// Time from now after which it would be served in time.
-    pub earliest_ms: u64,
+    pub not_before_ms: u64,
     /// Time for which it uses all capacity that serves such work: the next one returns later.
     pub service_ms: u64,
 }
@@ -146,7 +146,7 @@
     /// rejected again at its time does not go behind those that were rejected after it.
     pub fn note(&mut self, it: Rejection, now_ms: u64) -> u64 {
         self.entries.retain(|other| now_ms < other.return_at_ms + GRACE_MS);
-        let earliest_ms = now_ms + it.earliest_ms.clamp(RETURN_MIN_MS, RETURN_MAX_MS);
+        let not_before_ms = now_ms + it.not_before_ms.clamp(RETURN_MIN_MS, RETURN_MAX_MS);
         if let Some(index) = self.entries.iter().position(|other| other.id == it.id) {
             let later = self.entries.range(index + 1..).map(|other| other.return_at_ms);
             let last_later_ms = later.filter(|it| now_ms < *it).max().unwrap_or(u64::MAX);
@@ -154,7 +154,7 @@
             known.call = it.call;
             if known.return_at_ms <= now_ms {
                 known.rejections += 1;
-                known.return_at_ms = earliest_ms.min(last_later_ms).max(now_ms + RETURN_MIN_MS);
+                known.return_at_ms = not_before_ms.min(last_later_ms).max(now_ms + RETURN_MIN_MS);
             }
             return known.return_at_ms - now_ms;
         }
@@ -162,7 +162,7 @@
             other.cause == it.cause && other.caller.queue == it.caller.queue
         };
         let alike = self.entries.iter().filter(is_alike).map(|it| it.next_return_ms);
-        let return_at_ms = alike.fold(earliest_ms, u64::max);
+        let return_at_ms = alike.fold(not_before_ms, u64::max);
         let spacing_ms = it.service_ms.clamp(SPACING_MIN_MS, SPACING_MAX_MS);
         if RETURNS_MAX <= self.entries.len() {
             self.entries.pop_front();
