--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -94,6 +94,8 @@
     pub call: CallId,
     pub rejections: u32,
     pub return_at_ms: u64,
+    /// When the next submission of its queue may return, at the earliest.
+    pub next_return_ms: u64,
 }
 
 /// A rejection to note.
@@ -104,7 +106,7 @@
     pub cause: AdmissionCause,
     pub call: CallId,
     /// Time from now after which it would be served in time.
-    pub earliest_ms: u64,
+    pub not_before_ms: u64,
     /// Time for which it uses all capacity that serves such work: the next one returns later.
     pub service_ms: u64,
 }
@@ -113,8 +115,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Returns {
     entries: VecDeque<RejectedSubmission>,
-    /// When capacity is forecast to be free for the next one that returns.
-    next_return_ms: u64,
 }
 
 impl Returns {
@@ -140,12 +140,13 @@
 
     /// Notes a rejection; returns the time in which to return.
     ///
-    /// A first rejection returns after all those before it, each later by the time that the one
-    /// before takes. A submission that comes again before its time gets the same time; one that is
+    /// A first rejection returns after those of its queue and cause before it, each later by the time
+    /// that the one before takes: what goes before or competes for other capacity is no reason to
+    /// wait. A submission that comes again before its time gets the same time; one that is
     /// rejected again at its time does not go behind those that were rejected after it.
     pub fn note(&mut self, it: Rejection, now_ms: u64) -> u64 {
         self.entries.retain(|other| now_ms < other.return_at_ms + GRACE_MS);
-        let earliest_ms = now_ms + it.earliest_ms.clamp(RETURN_MIN_MS, RETURN_MAX_MS);
+        let not_before_ms = now_ms + it.not_before_ms.clamp(RETURN_MIN_MS, RETURN_MAX_MS);
         if let Some(index) = self.entries.iter().position(|other| other.id == it.id) {
             let later = self.entries.range(index + 1..).map(|other| other.return_at_ms);
             let last_later_ms = later.filter(|it| now_ms < *it).max().unwrap_or(u64::MAX);
@@ -153,13 +154,16 @@
             known.call = it.call;
             if known.return_at_ms <= now_ms {
                 known.rejections += 1;
-                known.return_at_ms = earliest_ms.min(last_later_ms).max(now_ms + RETURN_MIN_MS);
+                known.return_at_ms = not_before_ms.min(last_later_ms).max(now_ms + RETURN_MIN_MS);
             }
             return known.return_at_ms - now_ms;
         }
-        let return_at_ms = earliest_ms.max(self.next_return_ms);
+        let is_alike = |other: &&RejectedSubmission| {
+            other.cause == it.cause && other.caller.queue == it.caller.queue
+        };
+        let alike = self.entries.iter().filter(is_alike).map(|it| it.next_return_ms);
+        let return_at_ms = alike.fold(not_before_ms, u64::max);
         let spacing_ms = it.service_ms.clamp(SPACING_MIN_MS, SPACING_MAX_MS);
-        self.next_return_ms = return_at_ms + spacing_ms;
         if RETURNS_MAX <= self.entries.len() {
             self.entries.pop_front();
         }
@@ -170,6 +174,7 @@
             call: it.call,
             rejections: 1,
             return_at_ms,
+            next_return_ms: return_at_ms + spacing_ms,
         });
         return_at_ms - now_ms
     }
