Work on requests at a leader in turns by class, and bound what gateways send

Load: after control was dark, or while a disk is slow, more requests arrive than a leader takes.

With overload_control, off by default, requests wait in queues by class and are worked on in turns of bounded size. Submissions and reads whose wait would pass 200 ms are turned away at once, with times to return that are spread by what the leader takes; copies of a submission are answered together, so that none is told that it was not taken while another is. Calls carry the time for which their clients wait. Gateways keep room for changes and reads, bound copies by a budget with growing pauses, send changes first to a new leader, and answer before the client stops waiting.

A refusal of a copy whose earlier send was not answered is answered as unknown, with the switch on or off: the earlier one may have been stored.

--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -1,6 +1,7 @@
 //! The state machine of one control-group member; it does no I/O.
 
 mod event_logging;
+mod intake;
 mod membership_manager;
 mod operations;
 mod reports;
@@ -13,7 +14,7 @@
     sync::Arc,
 };
 
-pub use self::source_addresses::SourceAddresses;
+pub use self::{intake::IntakeCounts, source_addresses::SourceAddresses};
 use crate::{
     control::{
         client::ControlClient,
@@ -129,7 +130,9 @@
     pending_replies: BTreeMap<u64, (u64, ReplyTo)>,
     source_addresses: SourceAddresses,
     /// Term and destination of workflow answers that wait for a log entry, by its index.
-    pending_calls: BTreeMap<u64, (u64, workflows::CallReplyTo)>,
+    pending_calls: BTreeMap<u64, (u64, Vec<workflows::CallReplyTo>)>,
+    /// Requests that wait for their turn, while overload control is on.
+    intake: intake::Intake,
     membership_manager: membership_manager::MembershipManager,
     client: ControlClient<u64>,
     disk_full: bool,
@@ -166,6 +169,7 @@
             pending_replies: BTreeMap::new(),
             source_addresses: SourceAddresses::default(),
             pending_calls: BTreeMap::new(),
+            intake: intake::Intake::default(),
             membership_manager: membership_manager::MembershipManager::default(),
             client,
             disk_full: false,
@@ -206,6 +210,7 @@
         raft_ms
             .min(leader_ms)
             .min(self.membership_tick_ms())
+            .min(self.intake.next_turn_ms(self.pending_calls.len()))
             .min(self.client.next_tick_ms().unwrap_or(u64::MAX))
     }
 
@@ -286,6 +291,7 @@
             self.run_leader_tasks(now);
         }
         self.tick_membership(now);
+        self.work_on_calls(now);
         if let Some(it) = &mut self.leader_state {
             it.tick_at_ms = now.mono_ms + LEADER_TICK_MS;
         }
@@ -341,7 +347,8 @@
             }
             Message::AgentHeartbeat(it) => self.on_agent_heartbeat(now, it),
             Message::EntryHeartbeat(it) => self.on_entry_heartbeat(now, &it),
-            Message::WorkflowCall(it) => self.on_workflow_call(now, it),
+            Message::WorkflowCall(it) => self.on_workflow_call(now, it, u64::MAX),
+            Message::TimedCall(it) => self.on_workflow_call(now, it.call, it.remaining_ms),
             Message::NodeReport(it) => self.on_node_report(now, it),
             Message::Join(it) => self.on_join(now, it),
             Message::ConfigFetch(it) => {
@@ -450,7 +457,7 @@
             }
             _ => (),
         }
-        if !self.raft.is_leader() && !self.pending_calls.is_empty() {
+        if !self.raft.is_leader() {
             self.abandon_calls();
         }
         if !self.raft.is_leader() && !self.pending_replies.is_empty() {
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -4,10 +4,14 @@
 
 use crate::{
     control::{
-        core::{ControlCore, Effect, event_logging},
+        core::{
+            ControlCore, Effect, event_logging,
+            intake::{IntakeCounts, TurnedAway, WaitingCall},
+        },
         dispatch::{Dispatcher, RequestDecision},
         state::Change,
     },
+    policy::overload::WorkClass,
     prelude::*,
 };
 
@@ -25,18 +29,88 @@
         members.voters.iter().chain(&members.learners).map(|it| it.address).collect()
     }
 
-    pub(super) fn on_workflow_call(&mut self, now: Now, it: WorkflowCall) {
+    /// Handles a request whose client waits for `remaining_ms`: at once, or in its turn while
+    /// overload control is on.
+    pub(super) fn on_workflow_call(&mut self, now: Now, it: WorkflowCall, remaining_ms: u64) {
         let to = CallReplyTo { address: it.reply_to, id: it.id };
         if !self.raft.has_lease(now) || self.leader_state.is_none() {
             return self.answer_call(to, WorkflowOutcome::NotLeader(self.leader_address()));
         }
-        match Dispatcher::decide_request(&self.state.workflows, it.request, now) {
-            RequestDecision::Answer(outcome) => self.answer_call(to, outcome),
+        if !self.has_overload_control() || WorkClass::of(&it.request) == WorkClass::Lease {
+            return self.work_on_call(now, vec![to], it.request);
+        }
+        let submits = Dispatcher::submitted_id(&self.state.workflows, &it.request);
+        if let Some(id) = submits {
+            if self.state.workflows.get(id).is_some() {
+                return self.work_on_call(now, vec![to], it.request);
+            }
+            if self.join_submission(now, id, to, remaining_ms) {
+                return;
+            }
+        }
+        let call = WaitingCall::new(to, it.request, submits, now, remaining_ms);
+        if let Some(it) = self.intake.push(now, call) {
+            self.turn_away(it);
+        }
+    }
+
+    /// Answers a further copy of a submission that is under way together with the first one.
+    /// Returns whether there is one.
+    fn join_submission(
+        &mut self,
+        now: Now,
+        id: WorkflowId,
+        to: CallReplyTo,
+        remaining_ms: u64,
+    ) -> bool {
+        let index = self.intake.index_under_way(id);
+        match index.and_then(|it| self.pending_calls.get_mut(&it)) {
+            Some((_, list)) => {
+                list.push(to);
+                true
+            }
+            None => self.intake.join(now, id, to, remaining_ms),
+        }
+    }
+
+    fn turn_away(&mut self, it: TurnedAway) {
+        for to in it.to {
+            self.answer_call(to, WorkflowOutcome::Busy(it.retry_after_ms));
+        }
+    }
+
+    fn has_overload_control(&self) -> bool {
+        self.options.dispatch.is_some_and(|it| it.features.overload_control)
+    }
+
+    /// Returns the numbers of requests that were turned away by overload control.
+    pub fn intake_counts(&self) -> IntakeCounts {
+        self.intake.counts()
+    }
+
+    /// Works on the requests whose turn it is.
+    pub(super) fn work_on_calls(&mut self, now: Now) {
+        if !self.raft.has_lease(now) || self.leader_state.is_none() {
+            for it in self.intake.take_all() {
+                self.answer_calls(it.to, &WorkflowOutcome::NotLeader(self.leader_address()));
+            }
+            return;
+        }
+        let turn = self.intake.take_turn(now, self.pending_calls.len());
+        turn.turned_away.into_iter().for_each(|it| self.turn_away(it));
+        for it in turn.calls {
+            self.work_on_call(now, it.to, it.request);
+        }
+    }
+
+    fn work_on_call(&mut self, now: Now, to: Vec<CallReplyTo>, request: WorkflowRequest) {
+        match Dispatcher::decide_request(&self.state.workflows, request, now) {
+            RequestDecision::Answer(outcome) => self.answer_calls(to, &outcome),
             RequestDecision::Propose(_) if self.disk_full || self.disk_writes_refused => {
-                tracing::warn!(event = "proposal_refused", cause = "disk_full", call = to.id);
-                self.answer_call(to, WorkflowOutcome::Busy(DISK_FULL_RETRY_MS));
+                tracing::warn!(event = "proposal_refused", cause = "disk_full", calls = to.len());
+                self.answer_calls(to, &WorkflowOutcome::Busy(DISK_FULL_RETRY_MS));
             }
-            RequestDecision::Propose(command) => self.propose_workflow(now, command, Some(to)),
+            RequestDecision::Propose(command) => self.propose_workflow(now, command, to),
         }
     }
 
@@ -87,8 +161,9 @@
                 true => outcome.clone(),
                 false => WorkflowOutcome::NotLeader(self.leader_address()),
             };
-            self.answer_call(to, answer);
+            self.answer_calls(to, &answer);
         }
+        self.intake.note_applied(entry.index);
         outcome
     }
 
@@ -108,7 +183,7 @@
             self.effects.push(Effect::Send { to, message });
         }
         for command in output.commands {
-            self.propose_workflow(now, command, None);
+            self.propose_workflow(now, command, Vec::new());
         }
         self.raft.flush(now);
     }
@@ -116,24 +191,31 @@
     /// Answers all waiting requests with `Interrupted`, since this member no longer leads. A new
     /// leader may still commit the requested changes.
     pub(super) fn abandon_calls(&mut self) {
+        self.intake.forget_proposed();
         for (_, to) in std::mem::take(&mut self.pending_calls).into_values() {
-            self.answer_call(to, WorkflowOutcome::Interrupted);
+            self.answer_calls(to, &WorkflowOutcome::Interrupted);
         }
     }
 
-    fn propose_workflow(&mut self, now: Now, command: WorkflowCommand, to: Option<CallReplyTo>) {
+    /// Proposes a command, whose outcome is sent to all of `to`.
+    fn propose_workflow(&mut self, now: Now, command: WorkflowCommand, to: Vec<CallReplyTo>) {
         let is_begin = matches!(command, WorkflowCommand::Begin(_));
-        match (self.raft.propose(now, EntryBody::Command(Command::Workflow(command))), to) {
-            (Ok(index), Some(to)) => {
-                self.pending_calls.insert(index, (self.raft.term(), to));
-            }
-            (Ok(_), None) => (),
-            (Err(error), Some(to)) => {
-                tracing::info!(event = "proposal_refused", call = to.id, cause = ?error);
-                self.answer_call(to, WorkflowOutcome::NotLeader(self.leader_address()));
+        let submits = match &command {
+            WorkflowCommand::SubmitFrom(it) if !to.is_empty() => Some(it.workflow.id),
+            _ => None,
+        };
+        match self.raft.propose(now, EntryBody::Command(Command::Workflow(command))) {
+            Ok(index) => {
+                if let Some(id) = submits.filter(|_| self.has_overload_control()) {
+                    self.intake.note_proposed(index, id);
+                }
+                if !to.is_empty() {
+                    self.pending_calls.insert(index, (self.raft.term(), to));
+                }
             }
-            (Err(error), None) => {
-                tracing::info!(event = "proposal_refused", cause = ?error);
+            Err(error) => {
+                tracing::info!(event = "proposal_refused", calls = to.len(), cause = ?error);
+                self.answer_calls(to, &WorkflowOutcome::NotLeader(self.leader_address()));
                 if let Some(leader_state) = &mut self.leader_state
                     && let Some(dispatcher) = leader_state.dispatcher.as_mut().filter(|_| is_begin)
                 {
@@ -143,6 +225,12 @@
         }
     }
 
+    fn answer_calls(&mut self, to: Vec<CallReplyTo>, outcome: &WorkflowOutcome) {
+        for it in to {
+            self.answer_call(it, outcome.clone());
+        }
+    }
+
     fn answer_call(&mut self, to: CallReplyTo, outcome: WorkflowOutcome) {
         let answer = WorkflowAnswer { id: to.id, members: self.member_addresses(), outcome };
         self.effects
--- a/src/control/dispatch/features.rs
+++ b/src/control/dispatch/features.rs
@@ -11,6 +11,8 @@
     pub worker_speeds: bool,
     /// Rejects submissions that would end too late to be of use.
     pub admission: bool,
+    /// Works on requests in turns by class, and turns away what would wait for too long.
+    pub overload_control: bool,
 }
 
 impl Features {
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -16,6 +16,16 @@
 }
 
 impl Dispatcher {
+    /// Returns the workflow that a request submits.
+    pub fn submitted_id(workflows: &Workflows, request: &WorkflowRequest) -> Option<WorkflowId> {
+        let target = match request {
+            WorkflowRequest::Submit(it) => &it.target,
+            WorkflowRequest::SubmitFrom(it) => &it.submission.target,
+            _ => return None,
+        };
+        resolve_target(workflows, target).ok()?.1
+    }
+
     /// Decides how to answer a request.
     pub fn decide_request(
         workflows: &Workflows,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -18,6 +18,6 @@
 mod views;
 
 pub use self::{
-    core::{ControlCore, ControlOptions, Effect, Input, SourceAddresses},
+    core::{ControlCore, ControlOptions, Effect, Input, IntakeCounts, SourceAddresses},
     scheduler::{Plan, Scheduler, SchedulerOptions},
 };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,142 +4,22 @@
 //! it is answered or times out. Repeated sends are safe, since submissions carry their own identity
 //! and configurations their version.
 
-use std::{collections::BTreeMap, net::SocketAddr};
-
-use crate::{control::leader_finder::LeaderFinder, prelude::*};
-
-/// Options of a gateway.
-#[derive(Clone, Debug)]
-pub struct GatewayOptions {
-    /// Address at which other processes reach this one.
-    pub address: SocketAddr,
-    pub control_addresses: Vec<SocketAddr>,
-    /// Availability zone of this process, which submissions are attributed to.
-    pub zone: CompactString,
-    /// Random number of this process, from which its calls are numbered.
-    pub boot: u64,
-    /// Time after which an unanswered call is sent to the next control process.
-    pub resend_ms: u64,
-    /// Pause after an answer that names no leader, for instance during an election.
-    pub election_pause_ms: u64,
-    /// Longest time that a request waits for an answer.
-    pub give_up_ms: u64,
-    /// Longest time that a request waits unsent while no leader is known.
-    pub park_ms: u64,
-    /// Interval of probes of the leader.
-    pub probe_ms: u64,
-    /// Open requests from which on new ones are refused.
-    pub calls_max: usize,
-}
-
-/// Input of a gateway.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// A request; `wait_ms` is how long its client waits.
-    Request {
-        token: u64,
-        request: WorkflowRequest,
-        wait_ms: u64,
-    },
-    Message(Box<Message>),
-    /// Control addresses from changed settings.
-    ControlAddresses(Vec<SocketAddr>),
-    Tick,
-    /// A planned stop.
-    Stop,
-}
-
-/// The final answer to a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum GatewayAnswer {
-    Outcome(WorkflowOutcome),
-    /// The request was not accepted and never will be; a client may send it again.
-    Rejected {
-        cause: RejectionCause,
-        retry_after_ms: u64,
-    },
-    /// No answer came; the request may have been accepted.
-    Unknown,
-}
+mod calls;
+mod interface;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RejectionCause {
-    NoLeader,
-    NoConfig,
-    Busy,
-    TooManyCalls,
-    /// The queue needs tickets of a policy service, which are not served.
-    Unserved,
-    /// The workflow would end too late to be of use.
-    Late,
-    /// No worker has capacity for the workflow now.
-    NoCapacity,
-}
-
-impl From<AdmissionCause> for RejectionCause {
-    fn from(it: AdmissionCause) -> RejectionCause {
-        match it {
-            AdmissionCause::Late => RejectionCause::Late,
-            AdmissionCause::NoCapacity => RejectionCause::NoCapacity,
-        }
-    }
-}
-
-impl RejectionCause {
-    /// All causes, for counters that exist from the start.
-    pub const ALL: [RejectionCause; 7] = [
-        RejectionCause::NoLeader,
-        RejectionCause::NoConfig,
-        RejectionCause::Busy,
-        RejectionCause::TooManyCalls,
-        RejectionCause::Unserved,
-        RejectionCause::Late,
-        RejectionCause::NoCapacity,
-    ];
-
-    /// Returns the label of its counter.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            RejectionCause::NoLeader => "no_leader",
-            RejectionCause::NoConfig => "no_config",
-            RejectionCause::Busy => "busy",
-            RejectionCause::TooManyCalls => "too_many_calls",
-            RejectionCause::Unserved => "unserved",
-            RejectionCause::Late => "late",
-            RejectionCause::NoCapacity => "no_capacity",
-        }
-    }
-}
+use std::collections::BTreeMap;
 
-/// Action for the I/O layer of a gateway.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    Send {
-        to: SocketAddr,
-        message: Message,
+use crate::{
+    control::leader_finder::LeaderFinder,
+    policy::{
+        overload::{WorkClass, answer_margin_ms, is_room_for, resend_pause_ms},
+        retry::RetryBudget,
     },
-    /// The answer to a request, `took_ms` after it was received.
-    Answer {
-        token: u64,
-        answer: GatewayAnswer,
-        took_ms: u64,
-    },
-}
+    prelude::*,
+};
 
-struct Call {
-    token: u64,
-    request: WorkflowRequest,
-    received_ms: u64,
-    wait_ms: u64,
-    deadline_ms: u64,
-    next_send_ms: u64,
-    sends: u32,
-    /// Sends without an answer so far; any of them may have been accepted.
-    unanswered_sends: u32,
-    /// The leader that accepted it lost leadership before the change was committed.
-    was_interrupted: bool,
-    sent_to: Option<SocketAddr>,
-}
+use self::calls::{Call, log_answer};
+pub use self::interface::{Effect, GatewayAnswer, GatewayOptions, Input, RejectionCause};
 
 /// Value of `leaderless_since_ms` until the first tick sets the time.
 const BEFORE_FIRST_TICK_MS: u64 = u64::MAX;
@@ -147,6 +27,10 @@
 /// Token of the gateway's probes.
 const PROBE_TOKEN: u64 = u64::MAX;
 
+/// Share of the answers, in permille, that may be followed by a send of a request that the leader
+/// has already: connections lose few messages, so a late answer mostly means a slow leader.
+const RESEND_BUDGET_PERMILLE: u32 = 100;
+
 /// A gateway, without its I/O.
 pub struct GatewayCore {
     options: GatewayOptions,
@@ -160,6 +44,8 @@
     /// The call of the open probe.
     probe: Option<u64>,
     is_stopping: bool,
+    /// Bounds the sends of requests that the leader has and answers late.
+    resend_budget: RetryBudget,
     effects: Vec<Effect>,
 }
 
@@ -175,6 +61,7 @@
             next_probe_ms: 0,
             probe: None,
             is_stopping: false,
+            resend_budget: RetryBudget::new(RESEND_BUDGET_PERMILLE),
             effects: Vec::new(),
             options,
         }
@@ -215,7 +102,7 @@
     }
 
     fn start_call(&mut self, now: Now, token: u64, request: WorkflowRequest, wait_ms: u64) {
-        if token != PROBE_TOKEN && self.options.calls_max <= self.client_call_count() {
+        if token != PROBE_TOKEN && !self.has_room_for(&request) {
             let answer = GatewayAnswer::Rejected {
                 cause: RejectionCause::TooManyCalls,
                 retry_after_ms: self.options.resend_ms,
@@ -234,7 +121,7 @@
             request: self.with_origin(request),
             received_ms: now.mono_ms,
             wait_ms,
-            deadline_ms: now.mono_ms + wait_ms.min(self.options.give_up_ms),
+            deadline_ms: now.mono_ms + self.longest_wait_ms(wait_ms),
             next_send_ms: now.mono_ms,
             sends: 0,
             unanswered_sends: 0,
@@ -252,6 +139,24 @@
         }
     }
 
+    /// Returns whether one more request may be open.
+    fn has_room_for(&self, request: &WorkflowRequest) -> bool {
+        let (open, calls_max) = (self.client_call_count(), self.options.calls_max);
+        match self.options.overload_control {
+            true => is_room_for(WorkClass::of(request), open, calls_max),
+            false => open < calls_max,
+        }
+    }
+
+    /// Returns how long a request waits for its answer, if its client waits for `wait_ms`.
+    fn longest_wait_ms(&self, wait_ms: u64) -> u64 {
+        let margin_ms = match self.options.overload_control {
+            true => answer_margin_ms(wait_ms),
+            false => 0,
+        };
+        (wait_ms - margin_ms).min(self.options.give_up_ms)
+    }
+
     /// Returns the number of open calls of clients. The gateway's own probe takes no place of a
     /// client, and finds a leader however many clients wait for one.
     fn client_call_count(&self) -> usize {
@@ -280,17 +185,21 @@
 
     /// Sends the parked calls, with their deadlines restored.
     fn send_parked(&mut self, now: Now) {
-        let parked: Vec<_> = self
+        let mut parked: Vec<_> = self
             .calls
             .iter()
             .filter(|(_, it)| it.next_send_ms == u64::MAX)
-            .map(|(id, _)| *id)
+            .map(|(id, it)| (WorkClass::of(&it.request), *id))
             .collect();
-        for id in parked {
+        if self.options.overload_control {
+            // What is of most use to others is first in the leader's queue.
+            parked.sort_unstable();
+        }
+        for (_, id) in parked {
+            let longest_wait_ms =
+                self.calls.get(&id).map_or(0, |it| self.longest_wait_ms(it.wait_ms));
             if let Some(call) = self.calls.get_mut(&id) {
-                call.deadline_ms = call
-                    .deadline_ms
-                    .max(call.received_ms + self.options.give_up_ms.min(call.wait_ms));
+                call.deadline_ms = call.deadline_ms.max(call.received_ms + longest_wait_ms);
             }
             self.send(now, id);
         }
@@ -326,6 +235,7 @@
         }
         let leader = call.sent_to.or(self.leader_finder.leader());
         self.leader_confirmed_ms = Some(now.mono_ms);
+        self.resend_budget.earn();
         self.leader_finder.set_leader(leader);
         if let Some(since_ms) = self.leaderless_since_ms.take() {
             tracing::info!(event = "leader_found", leader = ?leader, after_ms = now.mono_ms.saturating_sub(since_ms));
@@ -352,6 +262,13 @@
             },
             outcome => GatewayAnswer::Outcome(outcome),
         };
+        let may_have_been_accepted =
+            self.calls.get(&reply.id).is_some_and(Call::may_have_been_accepted);
+        let answer = match answer {
+            // An earlier send was not answered, and may be accepted in spite of this refusal.
+            GatewayAnswer::Rejected { .. } if may_have_been_accepted => GatewayAnswer::Unknown,
+            it => it,
+        };
         self.finish(now, reply.id, answer);
     }
 
@@ -443,6 +360,9 @@
             .filter(|(_, it)| it.next_send_ms <= now.mono_ms)
             .map(|(id, _)| *id)
             .collect();
+        if self.options.overload_control && self.leader_answers(now) {
+            return self.resend_within_budget(now, due);
+        }
         let silent_leader = self.leader_finder.leader().filter(|leader| {
             due.iter().any(|id| {
                 self.calls
@@ -468,75 +388,51 @@
         }
     }
 
+    /// Returns whether the known leader has answered any request within the time after which one is
+    /// sent again.
+    fn leader_answers(&self, now: Now) -> bool {
+        let is_recent = |it: u64| now.mono_ms < it + self.options.resend_ms;
+        self.leaderless_since_ms.is_none() && self.leader_confirmed_ms.is_some_and(is_recent)
+    }
+
+    /// Sends requests again that a leader at work has not answered yet, as far as the budget
+    /// allows; the others wait on. Requests that were never sent cost nothing.
+    fn resend_within_budget(&mut self, now: Now, due: Vec<u64>) {
+        for id in due {
+            let Some(call) = self.calls.get_mut(&id) else { continue };
+            if call.unanswered_sends == 0 || self.resend_budget.try_spend() {
+                self.send(now, id);
+            } else {
+                call.next_send_ms = now.mono_ms + self.options.resend_ms;
+            }
+        }
+    }
+
     fn send(&mut self, now: Now, id: u64) {
         let Some(to) = self.leader_finder.target() else { return };
         let Some(call) = self.calls.get_mut(&id) else { return };
         let is_leader_search = call.token == PROBE_TOKEN && self.leaderless_since_ms.is_some();
-        let pause_ms =
-            if is_leader_search { self.options.election_pause_ms } else { self.options.resend_ms };
+        let pause_ms = match is_leader_search {
+            true => self.options.election_pause_ms,
+            false if self.options.overload_control => {
+                resend_pause_ms(self.options.resend_ms, call.sends, id)
+            }
+            false => self.options.resend_ms,
+        };
         call.next_send_ms = now.mono_ms + pause_ms;
         call.sends += 1;
         call.unanswered_sends += 1;
         call.sent_to = Some(to);
-        let message = Message::WorkflowCall(WorkflowCall {
-            id,
-            reply_to: self.options.address,
-            request: call.request.clone(),
-        });
-        self.effects.push(Effect::Send { to, message });
-    }
-}
-
-impl Call {
-    fn may_have_been_accepted(&self) -> bool {
-        let is_write = match &self.request {
-            WorkflowRequest::Submit(_)
-            | WorkflowRequest::SubmitFrom(_)
-            | WorkflowRequest::Cancel(_)
-            | WorkflowRequest::Install(_) => true,
-            WorkflowRequest::Evacuate(it) => it.based_on.is_some(),
-            WorkflowRequest::Inspect(_)
-            | WorkflowRequest::ReadConfig
-            | WorkflowRequest::ReadEvacuations
-            | WorkflowRequest::Ping => false,
+        let forwarded =
+            WorkflowCall { id, reply_to: self.options.address, request: call.request.clone() };
+        let message = match self.options.overload_control {
+            true => Message::TimedCall(TimedCall {
+                call: forwarded,
+                remaining_ms: call.deadline_ms.saturating_sub(now.mono_ms),
+            }),
+            false => Message::WorkflowCall(forwarded),
         };
-        is_write && (self.was_interrupted || 0 < self.unanswered_sends)
-    }
-}
-
-fn log_answer(call: &Call, now: Now, answer: &GatewayAnswer) {
-    let took_ms = now.mono_ms - call.received_ms;
-    let (kind, target) = match &call.request {
-        WorkflowRequest::Submit(it) => ("submit", it.target.path.as_str()),
-        WorkflowRequest::SubmitFrom(it) => ("submit", it.submission.target.path.as_str()),
-        WorkflowRequest::Inspect(it) => ("inspect", it.path.as_str()),
-        WorkflowRequest::Cancel(it) => ("cancel", it.path.as_str()),
-        WorkflowRequest::Install(_) => ("install", ""),
-        WorkflowRequest::ReadConfig => ("read_config", ""),
-        WorkflowRequest::ReadEvacuations => ("read_evacuations", ""),
-        WorkflowRequest::Evacuate(it) if it.evacuated => ("evacuate", it.zone.as_str()),
-        WorkflowRequest::Evacuate(it) => ("take_back", it.zone.as_str()),
-        WorkflowRequest::Ping => ("ping", ""),
-    };
-    match answer {
-        GatewayAnswer::Outcome(WorkflowOutcome::Config(it)) => {
-            tracing::info!(
-                event = "request_answered",
-                kind,
-                version = it.version,
-                took_ms,
-                sends = call.sends
-            );
-        }
-        GatewayAnswer::Outcome(outcome) => {
-            tracing::info!(event = "request_answered", kind, target, outcome = ?outcome, took_ms, sends = call.sends);
-        }
-        GatewayAnswer::Rejected { cause, .. } => {
-            tracing::warn!(event = "request_refused", kind, target, cause = ?cause, took_ms, sends = call.sends, leader = ?call.sent_to);
-        }
-        GatewayAnswer::Unknown => {
-            tracing::warn!(event = "request_unknown", kind, target, took_ms, sends = call.sends, leader = ?call.sent_to);
-        }
+        self.effects.push(Effect::Send { to, message });
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 pub mod forecast;
 pub mod interference;
 pub mod migration;
+pub mod overload;
 pub mod placement;
 pub mod preemption;
 pub mod retry;
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -410,6 +410,7 @@
             | Message::AgentHeartbeat(_)
             | Message::EntryHeartbeat(_)
             | Message::WorkflowCall(_)
+            | Message::TimedCall(_)
             | Message::NodeReport(_)
             | Message::Join(_) => self.send_to_control(control::Input::Message { from, message }),
             Message::ConfigFetch(_) if self.control.is_some() => {
--- a/src/runtime/single_threaded/adapters.rs
+++ b/src/runtime/single_threaded/adapters.rs
@@ -149,6 +149,7 @@
     fn observe(&mut self, core: &ControlCore) {
         let state = core.state();
         let log_entries = core.raft().last_index() - core.raft().snapshot_index();
+        let counts = core.intake_counts();
         let rows = [
             ("workflows", state.workflows.len()),
             ("workers", state.workflows.workers().len()),
@@ -156,6 +157,9 @@
             ("suspects", state.workflows.suspects().len()),
             ("log_entries", log_entries as usize),
             ("log_bytes", core.raft().entries_bytes()),
+            ("calls_refused", counts.refused as usize),
+            ("calls_overdue", counts.overdue as usize),
+            ("calls_expired", counts.expired as usize),
         ];
         self.metrics.set_state(&rows);
     }
--- a/src/runtime/single_threaded/options.rs
+++ b/src/runtime/single_threaded/options.rs
@@ -55,6 +55,7 @@
         park_ms: settings.park_ms.into(),
         probe_ms: settings.probe_ms.into(),
         calls_max: settings.calls_max as usize,
+        overload_control: settings.overload_control == 1,
     }
 }
 
@@ -83,6 +84,7 @@
         fair_shares: settings.fair_shares == 1,
         worker_speeds: settings.worker_speeds == 1,
         admission: settings.admission == 1,
+        overload_control: settings.overload_control == 1,
     }
 }
 
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -1690,6 +1690,7 @@
     WorkflowAnswer(WorkflowAnswer),
     NodeReport(NodeReport),
     NodeGrant(NodeGrant),
+    TimedCall(TimedCall),
 }
 impl ::std::convert::From<&Self> for Message {
     fn from(value: &Message) -> Self {
@@ -1786,6 +1787,11 @@
         Self::NodeGrant(value)
     }
 }
+impl ::std::convert::From<TimedCall> for Message {
+    fn from(value: TimedCall) -> Self {
+        Self::TimedCall(value)
+    }
+}
 ///Messages between the processes of aspenrail, and the commands of its replicated log.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3346,6 +3352,20 @@
         value.clone()
     }
 }
+///A request forwarded to the leader, with the time for which its client waits.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct TimedCall {
+    pub call: WorkflowCall,
+    ///Time from the forwarding until the client stops waiting.
+    pub remaining_ms: u64,
+}
+impl ::std::convert::From<&TimedCall> for TimedCall {
+    fn from(value: &TimedCall) -> Self {
+        value.clone()
+    }
+}
 ///Tells a caught-up voter to start an election at once.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -147,6 +147,8 @@
     pub lease_slack_percent: u32,
     ///Control processes that may be lost at once; the group keeps twice that plus one voters.
     pub losses_tolerated: u32,
+    ///1 to work on requests in turns by class, and to turn away those of least use, with a time to return, before they wait too long.
+    pub overload_control: u32,
     ///Longest pause between two scheduling passes.
     pub plan_interval_ms: u32,
     ///1 to reserve capacity for tasks that fit into the sum of the free capacities but on no single worker, and to move running tasks to make room for them.
@@ -217,6 +219,8 @@
     pub listen: ::std::net::SocketAddr,
     ///Address at which metrics are served.
     pub metrics_listen: ::std::net::SocketAddr,
+    ///1 to bound resends by a budget, to keep room for changes and reads, and to answer before a client stops waiting; control processes must be of this version first.
+    pub overload_control: u32,
     ///Longest time that a request waits unsent while no leader is known.
     pub park_ms: u32,
     ///Interval at which the gateway checks that it reaches a leader.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! Calls of a gateway, played without a network.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 
 use aspenrail::{
@@ -19,7 +21,11 @@
 }
 
 fn gateway() -> GatewayCore {
-    GatewayCore::new(GatewayOptions {
+    GatewayCore::new(options())
+}
+
+fn options() -> GatewayOptions {
+    GatewayOptions {
         address: address(100),
         control_addresses: CONTROL.map(address).to_vec(),
         zone: "zone-1".into(),
@@ -30,7 +36,18 @@
         park_ms: 900,
         probe_ms: 500,
         calls_max: CALLS_MAX,
-    })
+        overload_control: false,
+    }
+}
+
+/// Creates a gateway with overload control that takes 100 calls and knows its leader at 1 ms.
+fn controlled_gateway() -> GatewayCore {
+    let options = GatewayOptions { calls_max: 100, overload_control: true, ..options() };
+    let mut res = GatewayCore::new(options);
+    res.handle(now(0), Input::Tick);
+    let probe = take_calls(&mut res).pop().unwrap().1;
+    answer(&mut res, 1, probe.id, WorkflowOutcome::Pong);
+    res
 }
 
 fn submission(token: u64) -> Input {
@@ -49,6 +66,7 @@
 fn take_calls(gateway: &mut GatewayCore) -> Vec<(SocketAddr, WorkflowCall)> {
     let calls = gateway.take_effects().into_iter().filter_map(|it| match it {
         Effect::Send { to, message: Message::WorkflowCall(call) } => Some((to, call)),
+        Effect::Send { to, message: Message::TimedCall(it) } => Some((to, it.call)),
         _ => None,
     });
     calls.collect()
@@ -101,3 +119,121 @@
     assert_eq!(take_calls(&mut gateway).len(), CALLS_MAX, "the parked calls are sent");
     assert!(!gateway.is_drained());
 }
+
+fn request(token: u64, request: WorkflowRequest) -> Input {
+    Input::Request { token, request, wait_ms: 2_000 }
+}
+
+fn cancel(token: u64) -> Input {
+    let target = WorkflowTarget { host: "host".into(), path: format_compact!("/queue/{token}") };
+    request(token, WorkflowRequest::Cancel(target))
+}
+
+fn take_answers(gateway: &mut GatewayCore) -> Vec<(u64, GatewayAnswer)> {
+    let answers = gateway.take_effects().into_iter().filter_map(|it| match it {
+        Effect::Answer { token, answer, .. } => Some((token, answer)),
+        Effect::Send { .. } => None,
+    });
+    answers.collect()
+}
+
+/// A leader takes a submission and dies before it answers; the next one turns the copy away. Whether
+/// the first was stored is not known here, so the client must not be told that it was not.
+#[test]
+fn a_refusal_of_a_copy_is_no_refusal() {
+    let mut gateway = gateway();
+    gateway.handle(now(0), Input::Tick);
+    let probe = take_calls(&mut gateway).pop().unwrap().1;
+    answer(&mut gateway, 1, probe.id, WorkflowOutcome::Pong);
+    gateway.handle(now(2), submission(1));
+    assert_eq!(take_calls(&mut gateway).len(), 1);
+    gateway.handle(now(400), Input::Tick);
+    let probe = take_calls(&mut gateway).pop().unwrap().1;
+    assert_eq!(probe.request, WorkflowRequest::Ping, "the leader is silent");
+    answer(&mut gateway, 500, probe.id, WorkflowOutcome::Pong);
+    let copy = take_calls(&mut gateway).pop().unwrap().1;
+    answer(&mut gateway, 501, copy.id, WorkflowOutcome::Busy(1_000));
+    assert_eq!(take_answers(&mut gateway), [(1, GatewayAnswer::Unknown)]);
+}
+
+/// Load: a burst of submissions fills the gateway; a cancel finds room.
+#[test]
+fn submissions_leave_room_for_changes() {
+    let mut gateway = controlled_gateway();
+    (0..100).for_each(|token| gateway.handle(now(2), submission(token)));
+    let refused = take_answers(&mut gateway).len();
+    assert_eq!(refused, 25, "a quarter of the places is kept");
+    (0..25).for_each(|it| gateway.handle(now(3), cancel(200 + it)));
+    assert_eq!(take_calls(&mut gateway).len(), 25);
+}
+
+/// Load: a slow leader answers each request after 700 ms. Copies would make it slower.
+#[test]
+fn a_slow_leader_gets_few_copies() {
+    let mut gateway = controlled_gateway();
+    let mut open = std::collections::VecDeque::new();
+    let (mut sent, mut begun) = (0, 0);
+    for at_ms in (2..4_000).step_by(10) {
+        if at_ms < 3_000 {
+            gateway.handle(now(at_ms), submission(at_ms));
+            begun += 1;
+        }
+        gateway.handle(now(at_ms), Input::Tick);
+        for (_, call) in take_calls(&mut gateway) {
+            sent += u64::from(call.request != WorkflowRequest::Ping);
+            open.push_back((at_ms, call));
+        }
+        while open.front().is_some_and(|(sent_ms, _)| sent_ms + 700 <= at_ms) {
+            let (_, call) = open.pop_front().unwrap();
+            answer(&mut gateway, at_ms, call.id, WorkflowOutcome::Accepted);
+        }
+    }
+    let copies = sent - begun;
+    assert!(copies * 4 <= begun, "{copies} copies of {begun} submissions");
+}
+
+/// Load: requests wait while control is unreachable. When a leader is found, it gets first what is of
+/// use to others, and each is told how long its client still waits.
+#[test]
+fn changes_go_before_submissions_to_a_new_leader() {
+    let options = GatewayOptions { calls_max: 100, overload_control: true, ..options() };
+    let mut gateway = GatewayCore::new(options);
+    gateway.handle(now(0), submission(1));
+    gateway.handle(now(1), request(2, WorkflowRequest::ReadConfig));
+    gateway.handle(now(2), cancel(3));
+    gateway.handle(now(3), Input::Tick);
+    let probe = take_calls(&mut gateway).pop().unwrap().1;
+    answer(&mut gateway, 500, probe.id, WorkflowOutcome::Pong);
+    let sent = gateway.take_effects().into_iter().filter_map(|it| match it {
+        Effect::Send { message: Message::TimedCall(it), .. } => Some(it),
+        _ => None,
+    });
+    let sent: Vec<_> = sent.collect();
+    let kinds: Vec<_> = sent.iter().map(|it| it.call.request.clone()).collect();
+    assert!(matches!(
+        &kinds[..],
+        [WorkflowRequest::Cancel(_), WorkflowRequest::ReadConfig, WorkflowRequest::SubmitFrom(_)]
+    ));
+    // Clients wait for 2 s, and an answer needs 100 ms to reach them.
+    assert_eq!(sent[2].remaining_ms, 1_400);
+}
+
+/// Load: no leader is found while a client waits. Its answer reaches it before it stops waiting.
+#[test]
+fn a_refusal_comes_before_its_client_stops_waiting() {
+    let options = GatewayOptions { overload_control: true, ..options() };
+    let mut gateway = GatewayCore::new(options);
+    let Input::Request { token, request, .. } = submission(1) else { unreachable!() };
+    gateway.handle(now(0), Input::Request { token, request, wait_ms: 400 });
+    for at_ms in 0..=350 {
+        gateway.handle(now(at_ms), Input::Tick);
+    }
+    let answers = take_answers(&mut gateway);
+    assert!(
+        matches!(
+            &answers[..],
+            [(1, GatewayAnswer::Rejected { cause: RejectionCause::NoLeader, .. })]
+        ),
+        "{answers:?}"
+    );
+}
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -24,6 +24,7 @@
 mod lifetimes;
 mod node;
 mod node_restarts;
+mod overload;
 mod ranges;
 mod rules;
 mod same_id;
--- /dev/null
+++ b/tests/workflows/overload.rs
@@ -0,0 +1,325 @@
+//! Load beyond what a leader can take, on one leader whose thread and disk take time.
+//!
+//! The thread of the model takes in or refuses a message in 10 µs and works on a change in 1 ms; the
+//! system calls of messages are not part of it. Messages wait in one queue, as in a process.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+};
+
+use aspenrail::{
+    control::{
+        ControlCore, ControlOptions, Effect, Input,
+        dispatch::{DispatchOptions, Features},
+        log::{DiskWrite, RecoveredState},
+    },
+    prelude::*,
+    schema::settings::ControlSettings,
+    util::GroupId,
+};
+
+use crate::world::{control_settings, dispatch_options, queues, spec, step, target};
+
+const MESSAGE_US: u64 = 10;
+const CHANGE_US: u64 = 1_000;
+
+/// Changes a second that the thread can work on.
+const CAPACITY: u64 = 1_000;
+
+/// How long a client waits for its answer, and after which time its gateway sends it again.
+const CLIENT_WAIT_MS: u64 = 1_000;
+const RESEND_MS: u64 = 300;
+
+const WARM_UP_MS: u64 = 1_000;
+const MEASURED_MS: u64 = 1_500;
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+struct Arrival {
+    input: Input,
+    /// A request that is sent again unless it has been answered.
+    copy_of: Option<u64>,
+}
+
+/// A named load on the leader.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    /// New submissions, as a multiple of what the thread can work on.
+    multiple: u64,
+    /// How often a gateway sends a submission again that is not answered.
+    resends: u64,
+    /// Time that a sync of the disk takes.
+    sync_ms: u64,
+    /// Submissions that all come in the first millisecond after control was unreachable.
+    herd: u64,
+}
+
+#[derive(Debug, Default)]
+struct Measured {
+    /// Submissions accepted while their clients waited.
+    goodput: u64,
+    /// Longest time from the arrival of a node's report, and of a cancel, until it was handled.
+    report_ms: u64,
+    change_ms: u64,
+    /// Times to return that were given.
+    returns_ms: Vec<u64>,
+}
+
+struct Leader {
+    core: ControlCore,
+    now_us: u64,
+    /// Messages by arrival; the number keeps those of one microsecond apart.
+    arrivals: BTreeMap<(u64, u64), Arrival>,
+    next_arrival: u64,
+    channel: VecDeque<(u64, Input)>,
+    /// End of the sync under way, and whether writes wait for the next one.
+    sync_end_us: u64,
+    has_next_sync: bool,
+    load: Load,
+    /// When each request arrived first, and whether it is not answered yet.
+    requests: HashMap<u64, (u64, bool)>,
+    measured: Measured,
+}
+
+impl Leader {
+    fn new(has_overload_control: bool, load: Load) -> Leader {
+        let member = Member { id: MemberId(1), address: address(1) };
+        let recovered = RecoveredState {
+            initial_members: Membership { voters: vec![member], learners: Vec::new() },
+            ..RecoveredState::default()
+        };
+        let features = Features { overload_control: has_overload_control, ..Features::default() };
+        let options = ControlOptions {
+            group_id: GroupId { region: 1, group: 1 },
+            member: MemberId(1),
+            address: address(1),
+            control_addresses: vec![address(1)],
+            settings: ControlSettings { snapshot_entries: 1_000_000, ..control_settings() },
+            boot: 7,
+            dispatch: Some(DispatchOptions { features, ..dispatch_options() }),
+            target_voter_count: 0,
+        };
+        let now = Now { mono_ms: 0, wall_ms: 0 };
+        let core = ControlCore::new(options, recovered, now).unwrap();
+        let mut res = Leader {
+            core,
+            now_us: 0,
+            arrivals: BTreeMap::new(),
+            next_arrival: 0,
+            channel: VecDeque::new(),
+            sync_end_us: 0,
+            has_next_sync: false,
+            load: Load::default(),
+            requests: HashMap::new(),
+            measured: Measured::default(),
+        };
+        res.run_until(4_000);
+        res.arrive_call(4_000_000, u64::MAX, &WorkflowRequest::Install(queues(1)), 0);
+        res.run_until(5_000);
+        assert_eq!(res.core.state().workflows.config().map(|it| it.version), Some(1));
+        res.load = load;
+        res
+    }
+
+    fn arrive(&mut self, at_us: u64, input: Input, copy_of: Option<u64>) {
+        self.next_arrival += 1;
+        self.arrivals.insert((at_us, self.next_arrival), Arrival { input, copy_of });
+    }
+
+    /// Lets a request arrive, and `resends` copies of it until it is answered.
+    fn arrive_call(&mut self, at_us: u64, id: u64, request: &WorkflowRequest, resends: u64) {
+        self.requests.insert(id, (at_us, true));
+        for copy in 0..=resends {
+            let call = WorkflowCall { id, reply_to: address(2), request: request.clone() };
+            let remaining_ms = CLIENT_WAIT_MS.saturating_sub(copy * RESEND_MS);
+            let message = Message::TimedCall(TimedCall { call, remaining_ms });
+            let input = Input::Message { from: address(2), message };
+            self.arrive(at_us + copy * RESEND_MS * 1_000, input, (0 < copy).then_some(id));
+        }
+    }
+
+    fn arrive_submission(&mut self, at_us: u64, id: u64) {
+        let spec = spec(vec![step(1, 1, &[])]);
+        let submission = WorkflowSubmission { target: target(id), spec };
+        let zone = "zone".into();
+        let request = WorkflowRequest::SubmitFrom(OriginatedSubmission { zone, submission });
+        self.arrive_call(at_us, id, &request, self.load.resends);
+    }
+
+    /// Plays the load from now on.
+    fn play(mut self) -> Measured {
+        let (begin_us, end_ms) = (self.now_us, self.now_us / 1_000 + WARM_UP_MS + MEASURED_MS);
+        let duration_us = (WARM_UP_MS + MEASURED_MS) * 1_000;
+        (0..self.load.herd).for_each(|it| self.arrive_submission(begin_us, it + 1));
+        let count = self.load.multiple * CAPACITY * duration_us / 1_000_000;
+        for it in 0..count {
+            self.arrive_submission(begin_us + it * duration_us / count, 1_000_000 + it);
+        }
+        for it in 0..duration_us / 8_000 {
+            // 60 nodes report twice a second.
+            let report = NodeReport {
+                node: address(2_000 + it as u16 % 60),
+                boot: 1,
+                number: it,
+                sent_ms: 0,
+                workers: Vec::new(),
+            };
+            let message = Message::NodeReport(report);
+            let input = Input::Message { from: address(3), message };
+            self.arrive(begin_us + it * 8_000, input, None);
+        }
+        for it in 0..duration_us / 100_000 {
+            // Each operator's and client's cancel names a workflow that was submitted before.
+            let request = WorkflowRequest::Cancel(target(1_000_000 + it));
+            self.arrive_call(begin_us + it * 100_000, 1 << 40 | it, &request, 0);
+        }
+        self.run_until(end_ms);
+        self.measured
+    }
+
+    fn run_until(&mut self, end_ms: u64) {
+        while self.now_us < end_ms * 1_000 {
+            self.take_in();
+            let batch: Vec<_> = self.channel.drain(..self.channel.len().min(256)).collect();
+            let is_idle = batch.is_empty();
+            for (arrived_us, input) in batch {
+                self.handle_arrived(arrived_us, input);
+                self.take_in();
+            }
+            let is_tick_due = self.core.next_tick_ms() <= self.now_us / 1_000;
+            if is_tick_due {
+                self.handle(Input::Tick);
+            } else if is_idle {
+                let next_us = self.arrivals.keys().next().map_or(u64::MAX, |it| it.0);
+                let tick_us = self.core.next_tick_ms().saturating_mul(1_000);
+                self.now_us = next_us.min(tick_us).min(end_ms * 1_000).max(self.now_us + 1);
+            }
+        }
+    }
+
+    fn take_in(&mut self) {
+        while let Some(first) = self.arrivals.first_entry()
+            && first.key().0 <= self.now_us
+        {
+            let ((arrived_us, _), it) = first.remove_entry();
+            let is_answered = |id: u64| self.requests.get(&id).is_none_or(|it| !it.1);
+            if !it.copy_of.is_some_and(is_answered) {
+                self.channel.push_back((arrived_us, it.input));
+            }
+        }
+    }
+
+    fn handle_arrived(&mut self, arrived_us: u64, input: Input) {
+        let is_report = matches!(&input, Input::Message { message: Message::NodeReport(_), .. });
+        self.handle(input);
+        if is_report {
+            self.measured.report_ms =
+                self.measured.report_ms.max((self.now_us - arrived_us) / 1_000);
+        }
+    }
+
+    /// Handles an input, and lets the time pass that it takes.
+    fn handle(&mut self, input: Input) {
+        let now_ms = self.now_us / 1_000;
+        self.core.handle(Now { mono_ms: now_ms, wall_ms: now_ms }, input).unwrap();
+        self.now_us += MESSAGE_US;
+        for effect in self.core.take_effects() {
+            match effect {
+                Effect::Write { number, writes } => self.write(number, &writes),
+                Effect::Send { message: Message::WorkflowAnswer(it), .. } => self.note_answer(it),
+                _ => (),
+            }
+        }
+    }
+
+    fn write(&mut self, number: u64, writes: &[DiskWrite]) {
+        let entries = writes.iter().map(|it| match it {
+            DiskWrite::Append(it) => it.len() as u64,
+            _ => 0,
+        });
+        self.now_us += entries.sum::<u64>() * CHANGE_US;
+        // Writes that come during a sync share the next one.
+        let sync_us = self.load.sync_ms * 1_000;
+        if self.has_next_sync && self.sync_end_us <= self.now_us {
+            (self.sync_end_us, self.has_next_sync) = (self.sync_end_us + sync_us, false);
+        }
+        if self.sync_end_us <= self.now_us {
+            self.sync_end_us = self.now_us + sync_us;
+            return self.arrive(self.sync_end_us, Input::Persisted { number }, None);
+        }
+        self.has_next_sync = true;
+        self.arrive(self.sync_end_us + sync_us, Input::Persisted { number }, None);
+    }
+
+    fn note_answer(&mut self, it: WorkflowAnswer) {
+        let Some((arrived_us, is_open)) = self.requests.get_mut(&it.id) else { return };
+        if !std::mem::take(is_open) {
+            return;
+        }
+        let took_ms = self.now_us.saturating_sub(*arrived_us) / 1_000;
+        let is_measured = (5_000 + WARM_UP_MS) * 1_000 <= self.now_us;
+        match it.outcome {
+            _ if it.id == u64::MAX => (),
+            _ if it.id & 1 << 40 != 0 => {
+                self.measured.change_ms = self.measured.change_ms.max(took_ms);
+            }
+            WorkflowOutcome::Accepted if took_ms < CLIENT_WAIT_MS && is_measured => {
+                self.measured.goodput += 1;
+            }
+            WorkflowOutcome::Busy(retry_after_ms) => {
+                self.measured.returns_ms.push(retry_after_ms);
+            }
+            _ => (),
+        }
+    }
+}
+
+/// Longest time that reports of nodes, which renew leases, and cancels may be behind submissions.
+/// Nodes report each 500 ms and count as silent after 1,200 ms: two reports, and one that is late.
+const DELAY_MAX_MS: u64 = 200;
+
+/// A load grows to ten times what the leader can take: it does at least nine tenths of its best,
+/// and what keeps work running is not delayed.
+#[yare::parameterized(
+    more_clients = { Load { ..NO_LOAD } },
+    retry_storm = { Load { resends: 5, ..NO_LOAD } },
+    slow_disk = { Load { sync_ms: 50, ..NO_LOAD } },
+)]
+fn goodput_stays_under_overload(load: Load) {
+    let played: Vec<_> = [1, 2, 5, 10]
+        .map(|multiple| Leader::new(true, Load { multiple, ..load }).play())
+        .into_iter()
+        .collect();
+    let best = played.iter().map(|it| it.goodput).max().unwrap();
+    let seen: Vec<_> = played.iter().map(|it| (it.goodput, it.report_ms, it.change_ms)).collect();
+    println!("{load:?}: goodput, delay of reports and of cancels in ms: {seen:?}");
+    assert!(MEASURED_MS * CAPACITY / 1_000 / 2 < best, "the best is less than half: {seen:?}");
+    assert!(played.iter().all(|it| best * 9 <= it.goodput * 10), "{seen:?}");
+    let delay_max_ms = DELAY_MAX_MS + 2 * load.sync_ms;
+    assert!(played.iter().all(|it| it.report_ms <= DELAY_MAX_MS), "{seen:?}");
+    assert!(played.iter().all(|it| it.change_ms <= delay_max_ms), "{seen:?}");
+}
+
+const NO_LOAD: Load = Load { multiple: 0, resends: 0, sync_ms: 0, herd: 0 };
+
+/// Five thousand clients come back in one millisecond beside a usual load. Those that are turned
+/// away return spread over the time that the leader takes for them.
+#[test]
+fn a_herd_that_returns_is_spread() {
+    let played = Leader::new(true, Load { multiple: 1, herd: 5_000, ..NO_LOAD }).play();
+    assert!(played.report_ms <= DELAY_MAX_MS, "{}", played.report_ms);
+    assert!(played.change_ms <= DELAY_MAX_MS, "{}", played.change_ms);
+    let mut times = played.returns_ms;
+    assert!(1_000 < times.len(), "{} were turned away", times.len());
+    times.sort_unstable();
+    assert!(1_000 <= times[0], "answers state whole seconds: {}", times[0]);
+    let busiest = (0..times.len()).map(|it| {
+        let end_ms = times[it] + 1_000;
+        times.partition_point(|it| *it < end_ms) - it
+    });
+    let busiest = busiest.max().unwrap();
+    assert!(busiest <= CAPACITY as usize, "{busiest} return in one second");
+}
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -149,6 +149,7 @@
             park_ms: 900,
             probe_ms: 500,
             calls_max: 100,
+            overload_control: false,
         };
         let mut res = World {
             now_ms: 10_000,
@@ -631,7 +632,7 @@
     WorkflowSpec { payload: "work".into(), steps, repeat_count: 0, first_run_ms: 0, interval_ms: 0 }
 }
 
-fn control_settings() -> ControlSettings {
+pub fn control_settings() -> ControlSettings {
     ControlSettings {
         claim_retention_ms: 0,
         claims_max: 1,
