--- a/tests/workflows/overload.rs
+++ b/tests/workflows/overload.rs
@@ -81,6 +81,10 @@
     load: Load,
     /// When each request arrived first, and whether it is not answered yet.
     requests: HashMap<u64, (u64, bool)>,
+    /// All answers, each with its time.
+    answers: Vec<(u64, WorkflowAnswer)>,
+    /// When the leader took in each request first.
+    taken_in_us: HashMap<u64, u64>,
     measured: Measured,
 }
 
@@ -114,6 +118,8 @@
             has_next_sync: false,
             load: Load::default(),
             requests: HashMap::new(),
+            answers: Vec::new(),
+            taken_in_us: HashMap::new(),
             measured: Measured::default(),
         };
         res.run_until(4_000);
@@ -213,6 +219,9 @@
     }
 
     fn handle_arrived(&mut self, arrived_us: u64, input: Input) {
+        if let Input::Message { message: Message::TimedCall(it), .. } = &input {
+            self.taken_in_us.entry(it.call.id).or_insert(self.now_us);
+        }
         let is_report = matches!(&input, Input::Message { message: Message::NodeReport(_), .. });
         self.handle(input);
         if is_report {
@@ -255,6 +264,7 @@
     }
 
     fn note_answer(&mut self, it: WorkflowAnswer) {
+        self.answers.push((self.now_us, it.clone()));
         let Some((arrived_us, is_open)) = self.requests.get_mut(&it.id) else { return };
         if !std::mem::take(is_open) {
             return;
@@ -323,3 +333,62 @@
     let busiest = busiest.max().unwrap();
     assert!(busiest <= CAPACITY as usize, "{busiest} return in one second");
 }
+
+/// Load: two gateways send the same submissions, in a burst of which the leader takes a part. Who is
+/// told that a submission was not taken can rely on it: no copy that was there is accepted later.
+#[test]
+fn no_copy_is_accepted_after_another_was_turned_away() {
+    let load = Load { sync_ms: 50, ..NO_LOAD };
+    let mut leader = Leader::new(true, load);
+    let second_copy = 1 << 32;
+    for it in 1..=3_000 {
+        let at_us = 5_000_000 + it * 200;
+        leader.arrive_submission(at_us, it);
+        let zone = "other".into();
+        let submission =
+            WorkflowSubmission { target: target(it), spec: spec(vec![step(1, 1, &[])]) };
+        let request = WorkflowRequest::SubmitFrom(OriginatedSubmission { zone, submission });
+        leader.arrive_call(at_us + it % 300 * 1_000, second_copy | it, &request, 0);
+    }
+    leader.run_until(8_000);
+    let copies_of = |it: u64| -> Vec<_> {
+        let is_copy = |id: u64| id == it || id == second_copy | it;
+        leader.answers.iter().filter(|(_, answer)| is_copy(answer.id)).collect()
+    };
+    let (mut accepted, mut turned_away) = (0, 0);
+    for answers in (1..=3_000).map(copies_of) {
+        assert_eq!(answers.len(), 2, "each copy is answered: {answers:?}");
+        for (accepted_us, copy) in &answers {
+            let WorkflowOutcome::Accepted = copy.outcome else { continue };
+            accepted += 1;
+            let taken_in_us = leader.taken_in_us[&copy.id];
+            let is_false = |(at_us, it): &&(u64, WorkflowAnswer)| {
+                matches!(it.outcome, WorkflowOutcome::Busy(_))
+                    && (taken_in_us <= *at_us || accepted_us <= at_us)
+            };
+            assert!(!answers.iter().copied().any(|it| is_false(&it)), "{answers:?}");
+        }
+        let is_turned_away = |it: &WorkflowAnswer| matches!(it.outcome, WorkflowOutcome::Busy(_));
+        turned_away += answers.iter().filter(|it| is_turned_away(&it.1)).count();
+    }
+    assert!(100 < accepted && 100 < turned_away, "{accepted}, {turned_away}");
+}
+
+/// Load: a slow disk, and a client that stops waiting before its turn comes.
+#[test]
+fn what_nobody_waits_for_is_not_worked_on() {
+    let mut leader = Leader::new(true, Load { sync_ms: 100, ..NO_LOAD });
+    (1..=300).for_each(|it| leader.arrive_submission(5_000_000, it));
+    let spec = spec(vec![step(1, 1, &[])]);
+    let submission = WorkflowSubmission { target: target(1_000), spec };
+    let zone = "zone".into();
+    let request = WorkflowRequest::SubmitFrom(OriginatedSubmission { zone, submission });
+    let call = WorkflowCall { id: 1_000, reply_to: address(2), request };
+    let message = Message::TimedCall(TimedCall { call, remaining_ms: 20 });
+    leader.arrive(5_000_001, Input::Message { from: address(2), message }, None);
+    leader.run_until(8_000);
+    assert_eq!(leader.core.intake_counts().expired, 1);
+    let workflows = &leader.core.state().workflows;
+    assert!(workflows.get(WorkflowId(1_000)).is_none());
+    assert!(workflows.get(WorkflowId(1)).is_some());
+}
