--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 use crate::{
     control::leader_finder::LeaderFinder,
     policy::{
-        overload::{WorkClass, answer_margin_ms, is_room_for, resend_pause_ms},
+        overload::{WorkClass, answer_margin_ms, is_room_for, park_ms, resend_pause_ms},
         retry::RetryBudget,
     },
     prelude::*,
@@ -178,7 +178,11 @@
     /// which cannot be said of one sent to a silent process.
     fn park(&mut self, now: Now, id: u64) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        call.deadline_ms = call.deadline_ms.min(now.mono_ms + self.options.park_ms);
+        let park_ms = match self.options.overload_control {
+            true => park_ms(call.wait_ms, self.options.park_ms),
+            false => self.options.park_ms,
+        };
+        call.deadline_ms = call.deadline_ms.min(now.mono_ms + park_ms);
         call.next_send_ms = u64::MAX;
         self.next_probe_ms = self.next_probe_ms.min(now.mono_ms);
     }
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -158,6 +158,12 @@
     }
 }
 
+/// Returns how long a request waits unsent while no leader is known: a third of its client's wait at
+/// most, so that the client has time for another gateway.
+pub fn park_ms(wait_ms: u64, park_max_ms: u64) -> u64 {
+    (wait_ms / 3).min(park_max_ms)
+}
+
 /// Most doublings of the pause between two sends of a request.
 const DOUBLINGS_MAX: u32 = 3;
 
