--- a/src/control/core/intake.rs
+++ b/src/control/core/intake.rs
@@ -213,8 +213,8 @@
             WorkClass::Read => (&self.reads, self.changes.len()),
             WorkClass::Submission => (&self.submissions, self.changes.len() + self.reads.len()),
         };
-        let oldest_ms = queue.front().map_or(0, |it| now.mono_ms.saturating_sub(it.arrived_ms));
-        Backlog { len: queue.len(), ahead: queue.len() + ahead, oldest_ms }
+        let oldest_age_ms = queue.front().map_or(0, |it| now.mono_ms.saturating_sub(it.arrived_ms));
+        Backlog { len: queue.len(), ahead: queue.len() + ahead, oldest_age_ms }
     }
 
     fn turn_away(&mut self, now: Now, call: &WaitingCall) -> TurnedAway {
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -12,8 +12,8 @@
 /// again after 300 ms without an answer, and then it would be worked on twice.
 pub const WAIT_MAX_MS: u64 = 200;
 
-/// Most requests of a class that wait, whatever their expected wait.
-pub const LEN_MAX: usize = 4_096;
+/// Most requests of a class that wait, whatever their expected wait: it bounds their memory.
+pub const LEN_MAX: usize = 1_024;
 
 /// Shortest and longest time to return. Answers state whole seconds, and a client that waits for
 /// longer than the longest one has given up.
@@ -72,7 +72,7 @@
     /// Requests of this and of more useful classes that wait.
     pub ahead: usize,
     /// How long the oldest request of the class has waited.
-    pub oldest_ms: u64,
+    pub oldest_age_ms: u64,
 }
 
 /// Returns whether a request that arrives waits for its turn.
@@ -82,14 +82,14 @@
 ///
 /// let mut service = ServiceTime::default();
 /// service.observe(100, 100);
-/// let backlog = Backlog { len: 150, ahead: 150, oldest_ms: 90 };
+/// let backlog = Backlog { len: 150, ahead: 150, oldest_age_ms: 90 };
 /// assert!(waits(WorkClass::Submission, backlog, service));
 /// service.observe(1_000, 100);
 /// assert!(!waits(WorkClass::Submission, backlog, service), "the leader has become slower");
 /// assert!(waits(WorkClass::Change, backlog, service));
 /// ```
 pub fn waits(class: WorkClass, backlog: Backlog, service: ServiceTime) -> bool {
-    let wait_ms = backlog.oldest_ms.max(service.of_ms(backlog.ahead as u64));
+    let wait_ms = backlog.oldest_age_ms.max(service.of_ms(backlog.ahead as u64));
     backlog.len < LEN_MAX && wait_ms < class.wait_max_ms()
 }
 
@@ -126,10 +126,10 @@
     /// Returns the time after which a request that is turned away now returns, once `ahead` others
     /// have been worked on and those turned away before it have returned.
     pub fn next_ms(&mut self, now_ms: u64, ahead: usize, service: ServiceTime) -> u64 {
-        let earliest_ms = now_ms + RETURN_MIN_MS.max(service.of_ms(ahead as u64));
+        let from_ms = now_ms + RETURN_MIN_MS.max(service.of_ms(ahead as u64));
         // A whole millisecond spreads also the requests to a leader that is not measured yet.
         let pause_ms = service.of_ms(TURNS_PER_RETURN).max(1);
-        let return_ms = earliest_ms.max(self.last_ms + pause_ms).min(now_ms + RETURN_MAX_MS);
+        let return_ms = from_ms.max(self.last_ms + pause_ms).min(now_ms + RETURN_MAX_MS);
         self.last_ms = return_ms;
         return_ms - now_ms
     }
