--- a/src/control/dispatch/admission/mod.rs
+++ b/src/control/dispatch/admission/mod.rs
@@ -51,7 +51,8 @@
     pub queue: &'a Queue,
     pub zone: &'a CompactString,
     pub spec: &'a WorkflowSpec,
-    pub call: CallId,
+    /// The calls of gateways that wait for the answer.
+    pub calls: &'a [CallId],
 }
 
 /// State of the decisions on submissions.
@@ -110,7 +111,7 @@
         let rejection = match self.admission.returns.get(it.id) {
             // Stored later by a copy of the same call, it would run after its gateway has passed on
             // that it was rejected.
-            Some(known) if known.call == it.call => {
+            Some(known) if it.calls.iter().any(|call| known.calls.contains(call)) => {
                 let retry_after_ms = known.return_at_ms.saturating_sub(now.mono_ms);
                 Some(AdmissionRejection { cause: known.cause, retry_after_ms })
             }
@@ -192,9 +193,9 @@
         now: Now,
     ) -> AdmissionRejection {
         let caller = Caller { queue: it.queue.name.clone(), zone: it.zone.clone() };
-        let (id, call) = (it.id, it.call);
+        let (id, calls) = (it.id, it.calls.to_vec());
         let is_repeated = self.admission.returns.is_due_later(id, now.mono_ms);
-        let rejection = Rejection { id, caller, cause, call, not_before_ms, service_ms };
+        let rejection = Rejection { id, caller, cause, calls, not_before_ms, service_ms };
         let retry_after_ms = self.admission.returns.note(rejection, now.mono_ms);
         if !is_repeated {
             tracing::info!(event = "submission_rejected", workflow = %format_args!("{:016x}", id.0), queue = %it.queue.name, zone = %it.zone, %cause, retry_after_ms);
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -17,12 +17,22 @@
 }
 
 impl Dispatcher {
-    /// Decides how to answer the request of a call.
+    /// Returns the workflow that a request submits.
+    pub fn submitted_id(workflows: &Workflows, request: &WorkflowRequest) -> Option<WorkflowId> {
+        let target = match request {
+            WorkflowRequest::Submit(it) => &it.target,
+            WorkflowRequest::SubmitFrom(it) => &it.submission.target,
+            _ => return None,
+        };
+        resolve_target(workflows, target).ok()?.1
+    }
+
+    /// Decides how to answer a request; `calls` are its copies that wait for the answer.
     pub fn decide_request(
         &mut self,
         workflows: &Workflows,
         request: WorkflowRequest,
-        call: CallId,
+        calls: &[CallId],
         now: Now,
     ) -> RequestDecision {
         match request {
@@ -45,9 +55,9 @@
             WorkflowRequest::Evacuate(it) => evacuate(workflows, it),
             WorkflowRequest::Submit(it) => {
                 let zone = CompactString::default();
-                self.submit(workflows, OriginatedSubmission { zone, submission: it }, call, now)
+                self.submit(workflows, OriginatedSubmission { zone, submission: it }, calls, now)
             }
-            WorkflowRequest::SubmitFrom(it) => self.submit(workflows, it, call, now),
+            WorkflowRequest::SubmitFrom(it) => self.submit(workflows, it, calls, now),
             WorkflowRequest::Inspect(it) => RequestDecision::Answer(inspect(workflows, &it)),
             WorkflowRequest::Cancel(it) => match resolve_target(workflows, &it) {
                 Ok((_, Some(id))) if workflows.get(id).is_some() => {
@@ -63,7 +73,7 @@
         &mut self,
         workflows: &Workflows,
         it: OriginatedSubmission,
-        call: CallId,
+        calls: &[CallId],
         now: Now,
     ) -> RequestDecision {
         let OriginatedSubmission { zone, submission } = it;
@@ -82,7 +92,7 @@
         if let Err(ValidationError(reason)) = check_spec(&spec) {
             return RequestDecision::Answer(WorkflowOutcome::Invalid(reason));
         }
-        let submission = Submission { id, queue, zone: &zone, spec: &spec, call };
+        let submission = Submission { id, queue, zone: &zone, spec: &spec, calls };
         if let Some(it) = self.rejection(workflows, submission, now) {
             return RequestDecision::Answer(WorkflowOutcome::Rejected(it));
         }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,6 +14,7 @@
 pub mod forecast;
 pub mod interference;
 pub mod migration;
+pub mod overload;
 pub mod placement;
 pub mod preemption;
 pub mod reservation;
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -25,6 +25,9 @@
 /// Rejected submissions that are remembered; beyond it those rejected first lose their place.
 const RETURNS_MAX: usize = 2_048;
 
+/// Calls with one submission that are remembered: more than the gateways that a client tries.
+const CALLS_MAX: usize = 8;
+
 /// What is known of a submission.
 #[derive(Clone, Copy, Debug)]
 pub struct Prospect {
@@ -90,8 +93,8 @@
     pub id: WorkflowId,
     pub caller: Caller,
     pub cause: AdmissionCause,
-    /// Last call that was answered with the rejection.
-    pub call: CallId,
+    /// The last calls that were answered with the rejection.
+    pub calls: Vec<CallId>,
     pub rejections: u32,
     pub return_at_ms: u64,
     /// When the next submission of its queue may return, at the earliest.
@@ -104,7 +107,8 @@
     pub id: WorkflowId,
     pub caller: Caller,
     pub cause: AdmissionCause,
-    pub call: CallId,
+    /// The calls that are answered with the rejection.
+    pub calls: Vec<CallId>,
     /// Time from now after which it would be served in time.
     pub not_before_ms: u64,
     /// Time for which it uses all capacity that serves such work: the next one returns later.
@@ -151,7 +155,9 @@
             let later = self.entries.range(index + 1..).map(|other| other.return_at_ms);
             let last_later_ms = later.filter(|it| now_ms < *it).max().unwrap_or(u64::MAX);
             let known = &mut self.entries[index];
-            known.call = it.call;
+            known.calls.extend(it.calls);
+            let forgotten = known.calls.len().saturating_sub(CALLS_MAX);
+            known.calls.drain(..forgotten);
             if known.return_at_ms <= now_ms {
                 known.rejections += 1;
                 known.return_at_ms = not_before_ms.min(last_later_ms).max(now_ms + RETURN_MIN_MS);
@@ -171,7 +177,7 @@
             id: it.id,
             caller: it.caller,
             cause: it.cause,
-            call: it.call,
+            calls: it.calls,
             rejections: 1,
             return_at_ms,
             next_return_ms: return_at_ms + spacing_ms,
--- a/tests/workflows/admission.rs
+++ b/tests/workflows/admission.rs
@@ -12,8 +12,13 @@
     world::{World, address, gateway_options, spec, step, target},
 };
 
-const ADMISSION: Features =
-    Features { reservations: false, fair_shares: false, worker_speeds: false, admission: true };
+const ADMISSION: Features = Features {
+    reservations: false,
+    fair_shares: false,
+    worker_speeds: false,
+    admission: true,
+    overload_control: false,
+};
 
 /// Cores of the only worker.
 const CORES: u32 = 4;
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -113,7 +113,7 @@
 
     pub fn request(&mut self, call: u64, request: WorkflowRequest) -> RequestDecision {
         let (call, now) = (CallId { gateway: node(0), id: call }, self.now());
-        self.dispatcher.decide_request(&self.workflows, request, call, now)
+        self.dispatcher.decide_request(&self.workflows, request, &[call], now)
     }
 
     pub fn apply(&mut self, command: WorkflowCommand) {
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -27,6 +27,7 @@
 mod lifetimes;
 mod node;
 mod node_restarts;
+mod overload;
 mod ranges;
 mod reservations;
 mod rules;
