--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -281,7 +281,7 @@
             RunKind::Plain => [packing, 0, 0],
         };
         let is_in_data_rack = !step.data_rack.is_empty() && self.rack == step.data_rack;
-        let speed = Reverse(self.speed_class.rank());
+        let speed = Reverse(self.speed_class.rank(step.lasting));
         Some(Preference { speed, is_in_data_rack, rank })
     }
 
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -220,18 +220,17 @@
         self.plan_count += 1;
         self.last_plan_ms = now.mono_ms;
         self.next_plan_ms = now.mono_ms + self.options.plan.interval_ms;
+        let usability =
+            UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
         let input = plan::PlanInput {
             workflows,
             sessions: &self.sessions,
             speeds: &self.speeds,
+            on_slow_workers: self.runs_to_move(workflows, usability),
             free_capacities: &mut self.free_capacities,
             contention: &mut self.contention,
             probations: self.probations.active(now),
-            usability: UsabilityCriteria {
-                term: self.term,
-                silent_ms: self.options.silent_ms,
-                now,
-            },
+            usability,
         };
         let plan = plan::plan(input, &mut self.idle_since, &mut self.waiting_steps);
         if !plan.runs.is_empty() {
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -62,6 +62,8 @@
     pub workflows: &'a Workflows,
     pub sessions: &'a Sessions,
     pub speeds: &'a WorkerSpeeds,
+    /// Runs on slow workers that may be stopped.
+    pub on_slow_workers: Vec<SlowRun>,
     pub free_capacities: &'a mut FreeCapacities,
     pub contention: &'a mut ContentionModel,
     /// Workers where no other task may begin, since one is on probation there.
@@ -79,6 +81,7 @@
         workflows,
         sessions,
         speeds,
+        on_slow_workers,
         free_capacities,
         contention,
         probations,
@@ -87,7 +90,6 @@
     let now = usability.now;
     let candidates = candidates(workflows, now);
     let slow_fillers = sessions.slow_runs(workflows, usability);
-    let on_slow_workers = speeds.slow_runs(workflows, sessions, usability);
     if candidates.is_empty() && slow_fillers.is_empty() && on_slow_workers.is_empty() {
         idle_since.clear();
         waiting_steps.clear();
--- a/src/control/dispatch/speeds/leader.rs
+++ b/src/control/dispatch/speeds/leader.rs
@@ -1,7 +1,16 @@
 //! What the leader does with the speeds of workers.
 
+use std::collections::BTreeSet;
+
 use crate::{
-    control::{dispatch::Dispatcher, state::Workflows},
+    control::{
+        dispatch::{
+            Dispatcher,
+            sessions::{SlowRun, UsabilityCriteria},
+        },
+        state::Workflows,
+    },
+    policy::disruption::RunStop,
     prelude::*,
 };
 
@@ -21,6 +30,27 @@
         }
     }
 
+    /// Returns the runs on slow workers that the stop budget allows to stop now: one of each step
+    /// that lasts, since the next may be stopped only when the first is at work again.
+    pub(in crate::control::dispatch) fn runs_to_move(
+        &self,
+        workflows: &Workflows,
+        usability: UsabilityCriteria,
+    ) -> Vec<SlowRun> {
+        let mut steps = BTreeSet::new();
+        let mut res = self.speeds.slow_runs(workflows, &self.sessions, usability);
+        res.retain(|it| {
+            let is_lasting = workflows.step_of(it.run.task).is_some_and(|it| it.lasting);
+            let stop = RunStop { run: it.run, worker: it.worker, cause: it.cause };
+            let is_allowed = || {
+                let now = usability.now;
+                self.stop_budget.check(workflows, &self.sessions, self.term, stop, now).is_ok()
+            };
+            !is_lasting || (is_allowed() && steps.insert(StepRef::of_task(it.run.task)))
+        });
+        res
+    }
+
     /// Proposes the speeds of slow workers where they differ from the ledger.
     pub(in crate::control::dispatch) fn propose_speeds(&mut self, workflows: &Workflows, now: Now) {
         self.speeds.forget_old(now.mono_ms);
--- a/src/control/dispatch/speeds/mod.rs
+++ b/src/control/dispatch/speeds/mod.rs
@@ -20,8 +20,9 @@
 };
 
 /// Time without evidence after which one task is placed on a slow worker as if it were normal. A
-/// probe delays its task, so there is one at a time.
-const PROBE_AFTER_MS: u64 = 1_000;
+/// probe delays its task by about a second, until its pace is known and it is moved, so a worker is
+/// probed for a third of the time.
+const PROBE_AFTER_MS: u64 = 2_000;
 
 /// Time without evidence after which a worker is no longer taken as slow.
 const FORGET_AFTER_MS: u64 = 10_000;
@@ -69,9 +70,9 @@
         }
     }
 
-    /// Returns the class by which workers are ordered.
-    pub(super) fn rank(self) -> u8 {
-        if self.is_probe_due { 0 } else { self.slowness }
+    /// Returns the class by which workers are ordered for a task. One that lasts is no probe.
+    pub(super) fn rank(self, is_lasting: bool) -> u8 {
+        if self.is_probe_due && !is_lasting { 0 } else { self.slowness }
     }
 }
 
