--- a/src/control/dispatch/speeds/mod.rs
+++ b/src/control/dispatch/speeds/mod.rs
@@ -83,6 +83,8 @@
     slow: Option<SlowWorker>,
     /// Probability that the worker is slow, by its newest report.
     slow_probability: f64,
+    /// Time of the last probe.
+    probed_ms: u64,
     /// Time until which queues of the time when it was slow may drain.
     draining_until_ms: u64,
 }
@@ -153,12 +155,24 @@
 
     /// Returns how a worker's speed affects placement.
     pub(super) fn class_of(&self, id: WorkerId, now_ms: u64) -> SpeedClass {
-        let Some(slow) = self.workers.get(&id).and_then(|it| it.slow) else {
+        let evidence = self.workers.get(&id);
+        let Some((slow, probed_ms)) = evidence.and_then(|it| Some((it.slow?, it.probed_ms))) else {
             return SpeedClass::default();
         };
         SpeedClass {
             slowness: (slow.log_slowdown.exp().round() as u8).max(1),
-            is_probe_due: slow.observed_ms + PROBE_AFTER_MS <= now_ms,
+            is_probe_due: slow.observed_ms.max(probed_ms) + PROBE_AFTER_MS <= now_ms,
+        }
+    }
+
+    /// Notes the runs of a plan that are probes.
+    pub(super) fn note_probes(&mut self, runs: &[RunPlacement], now_ms: u64) {
+        for it in runs {
+            if self.class_of(it.worker, now_ms).is_probe_due
+                && let Some(evidence) = self.workers.get_mut(&it.worker)
+            {
+                evidence.probed_ms = now_ms;
+            }
         }
     }
 
