--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -249,9 +249,6 @@
         }
         let step = demand.step;
         let speed_rank = self.speed_class.rank(step.lasting);
-        if mode == PlacementMode::ProtectLatency && 0 < speed_rank {
-            return None;
-        }
         let serving: u32 = self.served.iter().map(|it| it.millicores).sum();
         let packing = i64::from(serving) - i64::from(self.idle_millicores());
         let rank = match demand.run_kind {
@@ -259,7 +256,7 @@
             RunKind::Filler { image, millicores } => {
                 let speed =
                     self.speed_of(image, millicores, contention) * self.speed_class.speed_share();
-                if mode != PlacementMode::AnyWorker && speed < FILLER_SPEED_MIN {
+                if mode == PlacementMode::ProtectLatency && speed < FILLER_SPEED_MIN {
                     return None;
                 }
                 [
@@ -350,11 +347,9 @@
     rank: [i64; 3],
 }
 
-/// Whether a task may be placed where it runs slowly, or raises the tail latency of serving tasks.
+/// Whether a filler may be placed where it runs slowly or raises the tail latency of serving tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum PlacementMode {
     ProtectLatency,
     AnyWorker,
-    /// Like [`PlacementMode::ProtectLatency`], but on slow workers too.
-    SlowWorkers,
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -93,7 +93,6 @@
     free_capacities: FreeCapacities,
     probations: Probations,
     idle_since: plan::IdleSince,
-    waiting_since: plan::WaitingSince,
     waiting_steps: plan::WaitingSteps,
     /// Whether a `Begin` command is proposed and not yet applied; the next plan waits for it.
     begin_in_flight: bool,
@@ -123,7 +122,6 @@
             free_capacities,
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
-            waiting_since: plan::WaitingSince::default(),
             waiting_steps: plan::WaitingSteps::default(),
             begin_in_flight: false,
             last_plan_ms: 0,
@@ -234,12 +232,7 @@
             probations: self.probations.active(now),
             usability,
         };
-        let plan = plan::plan(
-            input,
-            &mut self.idle_since,
-            &mut self.waiting_since,
-            &mut self.waiting_steps,
-        );
+        let plan = plan::plan(input, &mut self.idle_since, &mut self.waiting_steps);
         self.speeds.note_probes(&plan.runs, now.mono_ms);
         if !plan.runs.is_empty() {
             self.begin_in_flight = true;
--- a/src/control/dispatch/plan/builder.rs
+++ b/src/control/dispatch/plan/builder.rs
@@ -108,11 +108,6 @@
         self.rows_visited.get()
     }
 
-    /// Returns whether a task that reserves capacity found no worker.
-    pub(super) fn is_short_of_capacity(&self) -> bool {
-        self.unmet.iter().any(|it| it.filler.is_none())
-    }
-
     pub(super) fn runs(&self) -> &[RunPlacement] {
         &self.runs
     }
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -5,7 +5,6 @@
 mod builder;
 mod candidates;
 mod moves;
-mod slow_workers;
 mod waiting_steps;
 
 use std::collections::{HashMap, HashSet};
@@ -24,11 +23,11 @@
     prelude::*,
 };
 
+pub(super) use self::waiting_steps::WaitingSteps;
 use self::{
     builder::PlanBuilder,
     candidates::{Candidate, candidates},
 };
-pub(super) use self::{slow_workers::WaitingSince, waiting_steps::WaitingSteps};
 
 /// Settings of the planner.
 #[derive(Clone, Copy, Debug)]
@@ -76,7 +75,6 @@
 pub(super) fn plan(
     input: PlanInput<'_>,
     idle_since: &mut IdleSince,
-    waiting_since: &mut WaitingSince,
     waiting_steps: &mut WaitingSteps,
 ) -> Plan {
     let PlanInput {
@@ -94,7 +92,6 @@
     let slow_fillers = sessions.slow_runs(workflows, usability);
     if candidates.is_empty() && slow_fillers.is_empty() && on_slow_workers.is_empty() {
         idle_since.clear();
-        waiting_since.clear();
         waiting_steps.clear();
         return Plan::default();
     }
@@ -108,7 +105,6 @@
     for it in &candidates {
         builder.place(it.step_ref, it.workflow, PlacementMode::ProtectLatency);
     }
-    waiting_since.use_slow_workers(&candidates, &mut builder, now.mono_ms);
     let idle = idle_candidates(&candidates, &builder);
     let ids: HashSet<_> = idle.iter().map(|it| it.step_ref.workflow).collect();
     idle_since.retain(|id, _| ids.contains(id));
@@ -120,7 +116,6 @@
         }
     }
     waiting_steps.update(&candidates, &builder, now.mono_ms);
-    let on_slow_workers = slow_workers::movable(on_slow_workers, workflows, &builder);
     let mut moves = moves::reserve_moves(&on_slow_workers, &mut builder);
     let is_moved = |it: &SlowRun| on_slow_workers.iter().any(|other| other.run == it.run);
     let slow_fillers: Vec<_> = slow_fillers.into_iter().filter(|it| !is_moved(it)).collect();
--- a/src/control/dispatch/speeds/observe.rs
+++ b/src/control/dispatch/speeds/observe.rs
@@ -20,6 +20,13 @@
 /// Kinds that are numbered at once. Clients choose images freely.
 const KINDS_MAX: usize = 4_096;
 
+/// Workers on which the runs of one step, and of one kind, must be to be compared with.
+const STEP_WORKERS_MIN: usize = 2;
+const KIND_WORKERS_MIN: usize = 3;
+
+/// Tasks of a step whose tail latencies are compared.
+const SERVING_SIBLINGS_MIN: usize = 3;
+
 impl WorkerSpeeds {
     /// Evaluates the newest report of a worker.
     pub(in crate::control::dispatch) fn observe(
@@ -131,18 +138,20 @@
         now: Now,
     ) -> Vec<(RunRef, SpeedReading)> {
         let is_compared = |it: WorkerId| it != id && !self.is_slow(it);
-        let ratios = |siblings: Option<&super::Siblings>| {
-            siblings.map(|it| it.ratios(now.mono_ms, is_compared)).unwrap_or_default()
+        let ratios = |siblings: Option<&super::Siblings>, workers_min: usize| {
+            siblings.map(|it| it.ratios(now.mono_ms, workers_min, is_compared)).unwrap_or_default()
         };
         let reading = |(run, pace): (&RunRef, &RunPace)| {
-            let mut step = ratios(self.steps.get(&StepRef::of_task(run.task)));
+            let mut step = ratios(self.steps.get(&StepRef::of_task(run.task)), STEP_WORKERS_MIN);
             let (spread, mut kind) = match pace.expectation {
-                Expectation::Ends { spread, .. } => (spread, ratios(self.by_kind.get(&pace.kind))),
+                Expectation::Ends { spread, .. } => {
+                    (spread, ratios(self.by_kind.get(&pace.kind), KIND_WORKERS_MIN))
+                }
                 // The tail latency depends on the load of the step.
-                Expectation::Serves { .. } if step.len() < 3 => return None,
+                Expectation::Serves { .. } if step.len() < SERVING_SIBLINGS_MIN => return None,
                 Expectation::Serves { .. } => (0.0, Vec::new()),
             };
-            let siblings = || expected_log_ratio(&mut step, &mut kind, spread);
+            let siblings = expected_log_ratio(&mut step, &mut kind, spread);
             let (log_ratio, variance) = pace.deviation(siblings)?;
             let age_ms = now.mono_ms.saturating_sub(pace.latest?.measured_ms);
             Some((*run, SpeedReading { kind: pace.kind, log_ratio, variance, age_ms }))
--- a/src/control/dispatch/speeds/run_pace.rs
+++ b/src/control/dispatch/speeds/run_pace.rs
@@ -138,16 +138,15 @@
         true
     }
 
-    /// Returns the deviation of the newest pace from the one expected, and its variance.
+    /// Returns the deviation of the newest pace from the one expected of it by its siblings, and its
+    /// variance.
     ///
-    /// A run that has shown its usual pace is compared with it, since it differs from its siblings
-    /// by less then.
-    pub(super) fn deviation(&self, siblings: impl FnOnce() -> (f64, f64)) -> Option<(f64, f64)> {
+    /// A run that has shown its usual pace is compared with that too: a long run is long on every
+    /// worker. The smaller deviation counts, so that a change on all workers is none of this one.
+    pub(super) fn deviation(&self, siblings: (f64, f64)) -> Option<(f64, f64)> {
         let pace = self.latest?;
-        let (expected, variance) = match self.usual_log_ratio {
-            Some(it) => (it, pace.variance + OWN_SPREAD * OWN_SPREAD),
-            None => siblings(),
-        };
+        let usual = self.usual_log_ratio.map(|it| (it, OWN_SPREAD * OWN_SPREAD));
+        let (expected, variance) = usual.filter(|it| siblings.0 < it.0).unwrap_or(siblings);
         let deviation = match (pace.log_ratio - expected, self.expectation) {
             (it, Expectation::Ends { .. }) => it,
             (_, Expectation::Serves { .. }) if self.is_draining => 0.0,
--- a/src/control/dispatch/speeds/siblings.rs
+++ b/src/control/dispatch/speeds/siblings.rs
@@ -1,6 +1,6 @@
 //! The newest paces of runs that are compared with each other.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::{policy::worker_speed::READING_MAX_AGE_MS, prelude::*};
 
@@ -30,10 +30,21 @@
         self.paces.push_back(Sibling { run, worker, log_ratio, measured_ms: now_ms });
     }
 
-    /// Returns the fresh ratios of runs on the workers that `is_compared` selects.
-    pub(super) fn ratios(&self, now_ms: u64, is_compared: impl Fn(WorkerId) -> bool) -> Vec<f64> {
-        let fresh = self.paces.iter().filter(|it| now_ms < it.measured_ms + READING_MAX_AGE_MS);
-        fresh.filter(|it| is_compared(it.worker)).map(|it| it.log_ratio).collect()
+    /// Returns the fresh ratios of runs on the workers that `is_compared` selects, or none if they
+    /// are on fewer than `workers_min`, since those may be slow themselves.
+    pub(super) fn ratios(
+        &self,
+        now_ms: u64,
+        workers_min: usize,
+        is_compared: impl Fn(WorkerId) -> bool,
+    ) -> Vec<f64> {
+        let is_fresh = |it: &&Sibling| now_ms < it.measured_ms + READING_MAX_AGE_MS;
+        let compared = || self.paces.iter().filter(is_fresh).filter(|it| is_compared(it.worker));
+        let workers: BTreeSet<_> = compared().map(|it| it.worker).collect();
+        match workers.len() < workers_min {
+            true => Vec::new(),
+            false => compared().map(|it| it.log_ratio).collect(),
+        }
     }
 
     pub(super) fn is_stale(&self, now_ms: u64) -> bool {
--- a/src/control/dispatch/speeds/slow_runs.rs
+++ b/src/control/dispatch/speeds/slow_runs.rs
@@ -14,7 +14,9 @@
     /// Returns the runs on usable slow workers that have not been stopped lately, those that end
     /// last first.
     ///
-    /// A run that serves within its target, or has not shown its pace, stays.
+    /// A run that serves within its target, or has not shown its pace, stays. So do all on a worker
+    /// that only one report shows as slow: if all workers slow down at once, as by a load that they
+    /// share, the first to report seems slow until the others report.
     pub(in crate::control::dispatch) fn slow_runs(
         &self,
         workflows: &Workflows,
@@ -23,6 +25,7 @@
     ) -> Vec<SlowRun> {
         let mut res = Vec::new();
         let slow = self.workers.iter().filter_map(|(id, it)| Some((*id, it, it.slow?)));
+        let slow = slow.filter(|(_, _, it)| it.since_ms < it.observed_ms);
         for (id, evidence, slow) in slow.filter(|(id, ..)| sessions.is_usable(*id, criteria)) {
             let Some(session) = sessions.get(id) else { continue };
             let may_stop = |run: RunRef| {
--- a/src/policy/worker_speed.rs
+++ b/src/policy/worker_speed.rs
@@ -24,6 +24,10 @@
 /// contention may slow down all of them.
 const KIND_READINGS_MAX: f64 = 3.0;
 
+/// The same if the worker runs no other kind. Contention cannot be told from slowness then, and does
+/// the same to callers.
+const ONLY_KIND_READINGS_MAX: f64 = 6.0;
+
 /// The slowdowns that a worker may have. Less than a factor of 1.5 is not worth a decision.
 const SLOWDOWNS: [f64; 7] = [1.5, 2.0, 3.0, 4.0, 5.0, 7.0, 10.0];
 
@@ -47,7 +51,7 @@
 /// Probability at which a worker counts as slow. A worker wrongly taken as slow is used last for some
 /// seconds, and some of its runs may be stopped, so one false alarm in 5,000 readings is the most
 /// that callers do not notice. With the prior, three long runs in a row are needed for one.
-const SLOW_PROBABILITY: f64 = 0.99;
+const SLOW_PROBABILITY: f64 = 0.95;
 
 /// Probability below which a slow worker counts as recovered.
 const RECOVERED_PROBABILITY: f64 = 0.1;
@@ -171,8 +175,15 @@
 
 /// Returns the share of their weight that the readings of a kind have.
 fn kind_share(readings: &[SpeedReading], kind: u32) -> f64 {
-    let weight: f64 = readings.iter().filter(|it| it.kind == kind).map(weight_of).sum();
-    if weight <= KIND_READINGS_MAX { 1.0 } else { KIND_READINGS_MAX / weight }
+    let weight_where = |is_of_kind: bool| -> f64 {
+        readings.iter().filter(|it| (it.kind == kind) == is_of_kind).map(weight_of).sum()
+    };
+    let weight = weight_where(true);
+    let weight_max = match weight_where(false) {
+        ..1.0 => ONLY_KIND_READINGS_MAX,
+        _ => KIND_READINGS_MAX,
+    };
+    if weight <= weight_max { 1.0 } else { weight_max / weight }
 }
 
 /// Returns the logarithm of the density of a reading on a worker with the given slowdown.
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use aspenrail::{
-    control::{dispatch::Dispatcher, state::Workflows},
+    control::{
+        dispatch::{DispatchOptions, Dispatcher},
+        state::Workflows,
+    },
     policy::contention::ContentionModel,
     prelude::*,
 };
@@ -16,6 +19,9 @@
 pub struct LeaderHarness {
     cores: u32,
     pub workflows: Workflows,
+    options: DispatchOptions,
+    /// Term of the leader; another one takes over by [`LeaderHarness::replace_leader`].
+    term: u64,
     dispatcher: Dispatcher,
     pub now_ms: u64,
     /// Boot number of every node that sends reports.
@@ -50,13 +56,19 @@
 
     /// Creates a leader of workers with `cores` cores each.
     pub fn with_cores(workers: u64, cores: u32) -> LeaderHarness {
+        LeaderHarness::with_options(workers, cores, dispatch_options())
+    }
+
+    pub fn with_options(workers: u64, cores: u32, options: DispatchOptions) -> LeaderHarness {
         let mut workflows = Workflows::default();
         workflows.apply(&WorkflowCommand::Install(queues(1)), 1);
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
-        let dispatcher = Dispatcher::new(dispatch_options(), &workflows, 1, now);
+        let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let mut res = LeaderHarness {
             cores,
             workflows,
+            options,
+            term: 1,
             dispatcher,
             now_ms: 1_000,
             boot: 1,
@@ -123,6 +135,20 @@
         self.deliver(worker, self.number, report);
     }
 
+    /// Lets another leader take over from the ledger.
+    pub fn replace_leader(&mut self) {
+        self.term += 1;
+        self.dispatcher = Dispatcher::new(self.options, &self.workflows, self.term, self.now());
+    }
+
+    /// Removes a worker, as after its loss.
+    pub fn dismiss(&mut self, worker: u64) {
+        let name = format_compact!("worker-{worker}");
+        let id = self.workflows.workers().find(node(worker), &name).unwrap();
+        self.apply(WorkflowCommand::Dismiss(id));
+        self.apply_commands();
+    }
+
     /// Advances the clock without reports.
     pub fn advance(&mut self, time_ms: u64) {
         self.now_ms += time_ms;
@@ -163,7 +189,7 @@
             draining: false,
             remaining_ms: 0,
             gone: false,
-            term: 1,
+            term: self.term,
             running,
             ended,
             refused: Vec::new(),
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -25,5 +25,6 @@
 mod node_restarts;
 mod rules;
 mod same_id;
+mod slow_workers;
 mod worker;
 mod world;
