--- a/src/control/dispatch/speeds/leader.rs
+++ b/src/control/dispatch/speeds/leader.rs
@@ -53,7 +53,7 @@
 
     /// Proposes the speeds of slow workers where they differ from the ledger.
     pub(in crate::control::dispatch) fn propose_speeds(&mut self, workflows: &Workflows, now: Now) {
-        self.speeds.forget_old(now.mono_ms);
+        self.speeds.forget_old(workflows, now.mono_ms);
         let learned = self.speeds.learned();
         if learned != workflows.demand().speeds() {
             self.output.commands.push(WorkflowCommand::LearnSpeeds(learned));
--- a/src/control/dispatch/speeds/mod.rs
+++ b/src/control/dispatch/speeds/mod.rs
@@ -181,7 +181,8 @@
     }
 
     /// Forgets what is too old to be used.
-    fn forget_old(&mut self, now_ms: u64) {
+    fn forget_old(&mut self, workflows: &Workflows, now_ms: u64) {
+        self.workers.retain(|id, _| workflows.workers().get(*id).is_some());
         self.steps.retain(|_, it| !it.is_stale(now_ms));
         self.by_kind.retain(|_, it| !it.is_stale(now_ms));
         self.last_stops_ms.retain(|_, it| now_ms < *it + STOP_INTERVAL_MS);
