--- a/src/control/dispatch/speeds/observe.rs
+++ b/src/control/dispatch/speeds/observe.rs
@@ -1,6 +1,6 @@
 //! Evaluates a worker's report: the paces of its runs, and the worker's speed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map::Entry};
 
 use super::{
     DRAIN_MS, Expectation, RunPace, SlowWorker, VARIANCE_MIN, WorkerEvidence, WorkerSpeeds,
@@ -80,15 +80,16 @@
         run_times: &RunTimeModel,
         run: RunRef,
     ) -> Option<&'a mut RunPace> {
-        if !evidence.paces.contains_key(&run) {
-            let workflow = workflows.get(run.task.workflow)?;
-            let step = workflows.step_of(run.task)?;
-            let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
-            let expectation = expectation_of(step, &kind, run_times)?;
-            let pace = RunPace::new(self.number_of(kind), expectation);
-            evidence.paces.insert(run, pace);
+        match evidence.paces.entry(run) {
+            Entry::Occupied(entry) => Some(entry.into_mut()),
+            Entry::Vacant(entry) => {
+                let workflow = workflows.get(run.task.workflow)?;
+                let step = workflows.step_of(run.task)?;
+                let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
+                let expectation = expectation_of(step, &kind, run_times)?;
+                Some(entry.insert(RunPace::new(self.number_of(kind), expectation)))
+            }
         }
-        evidence.paces.get_mut(&run)
     }
 
     fn number_of(&mut self, kind: TaskKind) -> u32 {
