--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -267,6 +267,7 @@
             return None;
         }
         let step = demand.step;
+        let speed_rank = self.speed_class.rank(step.lasting);
         let serving: u32 = self.served.iter().map(|it| it.millicores).sum();
         let packing = i64::from(serving) - i64::from(self.idle_millicores());
         let rank = match demand.run_kind {
@@ -300,8 +301,7 @@
             RunKind::Plain => [packing, 0, 0],
         };
         let is_in_data_rack = !step.data_rack.is_empty() && self.rack == step.data_rack;
-        let speed = Reverse(self.speed_class.rank());
-        Some(Preference { speed, is_in_data_rack, rank })
+        Some(Preference { speed: Reverse(speed_rank), is_in_data_rack, rank })
     }
 
     pub(super) fn reserve(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -227,6 +227,7 @@
         self.measure_throughput(workflows, now);
         let usability =
             UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
+        let on_slow_workers = self.runs_to_move(workflows, usability);
         let sessions = &self.sessions;
         let is_usable = |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
         self.reservations.end_invalid(workflows, is_usable, now.mono_ms);
@@ -239,6 +240,7 @@
             workflows,
             sessions,
             speeds: &self.speeds,
+            on_slow_workers,
             free_capacities: &mut self.free_capacities,
             contention: &mut self.contention,
             probations: self.probations.active(now),
@@ -247,6 +249,7 @@
             fair_shares: self.options.features.fair_shares.then_some(&mut self.fair_shares),
         };
         let plan = plan::plan(input, &mut self.idle_since, &mut self.waiting_steps);
+        self.speeds.note_probes(&plan.runs, now.mono_ms);
         if !plan.runs.is_empty() {
             self.begin_in_flight = true;
             self.output.commands.push(WorkflowCommand::Begin(plan.runs));
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -72,6 +72,8 @@
     pub workflows: &'a Workflows,
     pub sessions: &'a Sessions,
     pub speeds: &'a WorkerSpeeds,
+    /// Runs on slow workers that may be stopped.
+    pub on_slow_workers: Vec<SlowRun>,
     pub free_capacities: &'a mut FreeCapacities,
     pub contention: &'a mut ContentionModel,
     /// Workers where no other task may begin, since one is on probation there.
@@ -100,6 +102,7 @@
         workflows,
         sessions,
         speeds,
+        on_slow_workers,
         free_capacities,
         contention,
         probations,
@@ -114,7 +117,6 @@
         it.order(workflows, &mut candidates, now);
     }
     let slow_fillers = sessions.slow_runs(workflows, usability);
-    let on_slow_workers = speeds.slow_runs(workflows, sessions, usability);
     if candidates.is_empty() && slow_fillers.is_empty() && on_slow_workers.is_empty() {
         idle_since.clear();
         waiting_steps.clear(now.mono_ms);
--- a/src/control/dispatch/speeds/mod.rs
+++ b/src/control/dispatch/speeds/mod.rs
@@ -20,8 +20,9 @@
 };
 
 /// Time without evidence after which one task is placed on a slow worker as if it were normal. A
-/// probe delays its task, so there is one at a time.
-const PROBE_AFTER_MS: u64 = 1_000;
+/// probe delays its task by about a second, until its pace is known and it is moved, so a worker is
+/// probed for a third of the time.
+const PROBE_AFTER_MS: u64 = 2_000;
 
 /// Time without evidence after which a worker is no longer taken as slow.
 const FORGET_AFTER_MS: u64 = 10_000;
@@ -69,9 +70,9 @@
         }
     }
 
-    /// Returns the class by which workers are ordered.
-    pub(super) fn rank(self) -> u8 {
-        if self.is_probe_due { 0 } else { self.slowness }
+    /// Returns the class by which workers are ordered for a task. One that lasts is no probe.
+    pub(super) fn rank(self, is_lasting: bool) -> u8 {
+        if self.is_probe_due && !is_lasting { 0 } else { self.slowness }
     }
 }
 
@@ -82,6 +83,8 @@
     slow: Option<SlowWorker>,
     /// Probability that the worker is slow, by its newest report.
     slow_probability: f64,
+    /// Time of the last probe.
+    probed_ms: u64,
     /// Time until which queues of the time when it was slow may drain.
     draining_until_ms: u64,
 }
@@ -152,12 +155,24 @@
 
     /// Returns how a worker's speed affects placement.
     pub(super) fn class_of(&self, id: WorkerId, now_ms: u64) -> SpeedClass {
-        let Some(slow) = self.workers.get(&id).and_then(|it| it.slow) else {
+        let evidence = self.workers.get(&id);
+        let Some((slow, probed_ms)) = evidence.and_then(|it| Some((it.slow?, it.probed_ms))) else {
             return SpeedClass::default();
         };
         SpeedClass {
             slowness: (slow.log_slowdown.exp().round() as u8).max(1),
-            is_probe_due: slow.observed_ms + PROBE_AFTER_MS <= now_ms,
+            is_probe_due: slow.observed_ms.max(probed_ms) + PROBE_AFTER_MS <= now_ms,
+        }
+    }
+
+    /// Notes the runs of a plan that are probes.
+    pub(super) fn note_probes(&mut self, runs: &[RunPlacement], now_ms: u64) {
+        for it in runs {
+            if self.class_of(it.worker, now_ms).is_probe_due
+                && let Some(evidence) = self.workers.get_mut(&it.worker)
+            {
+                evidence.probed_ms = now_ms;
+            }
         }
     }
 
@@ -166,7 +181,8 @@
     }
 
     /// Forgets what is too old to be used.
-    fn forget_old(&mut self, now_ms: u64) {
+    fn forget_old(&mut self, workflows: &Workflows, now_ms: u64) {
+        self.workers.retain(|id, _| workflows.workers().get(*id).is_some());
         self.steps.retain(|_, it| !it.is_stale(now_ms));
         self.by_kind.retain(|_, it| !it.is_stale(now_ms));
         self.last_stops_ms.retain(|_, it| now_ms < *it + STOP_INTERVAL_MS);
--- a/tests/workflows/admission.rs
+++ b/tests/workflows/admission.rs
@@ -153,7 +153,7 @@
     }
     let decision = leader.decide(1, 900, best_effort(40));
     assert!(rejection(&decision).is_some(), "33 h of work wait on 4 cores: {decision:?}");
-    leader.change_leader(ADMISSION);
+    leader.replace_leader();
     assert!(is_accepted(&leader.decide(2, 900, best_effort(40))));
 }
 
--- a/tests/workflows/fair_shares.rs
+++ b/tests/workflows/fair_shares.rs
@@ -1,10 +1,10 @@
 //! Shares of callers as the leader plans, also after a change of leader.
 
-use aspenrail::{control::dispatch::Dispatcher, prelude::*};
+use aspenrail::{control::dispatch::Features, prelude::*};
 
 use crate::{
     fillers::LeaderHarness,
-    world::{dispatch_options, spec, step},
+    world::{spec, step},
 };
 
 const CORES: u32 = 16;
@@ -12,11 +12,17 @@
 /// Time between the ends of two tasks, in which the leader plans once.
 const PAUSE_MS: u64 = 50;
 
+const FAIR_SHARES: Features = Features {
+    reservations: false,
+    fair_shares: true,
+    worker_speeds: false,
+    admission: false,
+    overload_control: false,
+};
+
 /// Replaces the leader by a new one.
 fn change_leader(leader: &mut LeaderHarness) {
-    let mut options = dispatch_options();
-    options.features.fair_shares = true;
-    leader.dispatcher = Dispatcher::new(options, &leader.workflows, 1, leader.now());
+    leader.replace_leader();
     leader.report(1, &[]);
     leader.report(1, &[]);
 }
@@ -70,7 +76,7 @@
 /// A new leader goes on with what callers had.
 #[test]
 fn a_zone_that_floods_shares_the_cores_under_each_leader() {
-    let mut leader = LeaderHarness::with_cores(1, CORES);
+    let mut leader = LeaderHarness::with_features(1, CORES, FAIR_SHARES);
     change_leader(&mut leader);
     submit(&mut leader, 1, 60, "zone-a", 4);
     submit(&mut leader, 100, 1, "zone-b", 200);
@@ -88,7 +94,7 @@
 /// Load: as above, and the flood is over. The zone that is left has all cores.
 #[test]
 fn a_zone_that_is_alone_has_all_cores() {
-    let mut leader = LeaderHarness::with_cores(1, CORES);
+    let mut leader = LeaderHarness::with_features(1, CORES, FAIR_SHARES);
     change_leader(&mut leader);
     submit(&mut leader, 1, 5, "zone-a", 4);
     submit(&mut leader, 100, 1, "zone-b", 200);
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -19,6 +19,9 @@
 pub struct LeaderHarness {
     cores: u32,
     pub workflows: Workflows,
+    options: DispatchOptions,
+    /// Term of the leader; another one takes over by [`LeaderHarness::replace_leader`].
+    term: u64,
     pub dispatcher: Dispatcher,
     pub now_ms: u64,
     /// Boot number of every node that sends reports.
@@ -58,14 +61,23 @@
 
     /// Creates a leader with optional decisions turned on.
     pub fn with_features(workers: u64, cores: u32, features: Features) -> LeaderHarness {
+        LeaderHarness::with_options(
+            workers,
+            cores,
+            DispatchOptions { features, ..dispatch_options() },
+        )
+    }
+
+    pub fn with_options(workers: u64, cores: u32, options: DispatchOptions) -> LeaderHarness {
         let mut workflows = Workflows::default();
         workflows.apply(&WorkflowCommand::Install(queues(1)), 1);
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
-        let options = DispatchOptions { features, ..dispatch_options() };
         let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let mut res = LeaderHarness {
             cores,
             workflows,
+            options,
+            term: 1,
             dispatcher,
             now_ms: 1_000,
             boot: 1,
@@ -98,12 +110,6 @@
         self.apply_commands();
     }
 
-    /// Replaces the leader by one of the next term, with nothing but the ledger.
-    pub fn change_leader(&mut self, features: Features) {
-        let options = DispatchOptions { features, ..dispatch_options() };
-        self.dispatcher = Dispatcher::new(options, &self.workflows, 2, self.now());
-    }
-
     /// Decides on a submission that a gateway sent as call `call`.
     pub fn decide(&mut self, call: u64, id: u64, steps: Vec<WorkflowStep>) -> RequestDecision {
         let submission = WorkflowSubmission { target: target(id), spec: spec(steps) };
@@ -161,6 +167,20 @@
         self.deliver(worker, self.number, report);
     }
 
+    /// Lets another leader take over from the ledger.
+    pub fn replace_leader(&mut self) {
+        self.term += 1;
+        self.dispatcher = Dispatcher::new(self.options, &self.workflows, self.term, self.now());
+    }
+
+    /// Removes a worker, as after its loss.
+    pub fn dismiss(&mut self, worker: u64) {
+        let name = format_compact!("worker-{worker}");
+        let id = self.workflows.workers().find(node(worker), &name).unwrap();
+        self.apply(WorkflowCommand::Dismiss(id));
+        self.apply_commands();
+    }
+
     /// Advances the clock without reports.
     pub fn advance(&mut self, time_ms: u64) {
         self.now_ms += time_ms;
@@ -201,7 +221,7 @@
             draining: false,
             remaining_ms: 0,
             gone: false,
-            term: 1,
+            term: self.term,
             running,
             ended,
             refused: Vec::new(),
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -32,6 +32,7 @@
 mod reservations;
 mod rules;
 mod same_id;
+mod slow_workers;
 mod usage;
 mod worker;
 mod world;
