--- a/src/policy/shares.rs
+++ b/src/policy/shares.rs
@@ -8,7 +8,7 @@
 //!
 //! Within the tolerance, and within a caller, the order is by what ends most work in time; see
 //! [`order`]. Rank by size times remaining size (Scully, *Bounding mean slowdown in multiserver
-//! systems*) serves the largest workflows worse: it is for the mean, to which they add little.
+//! systems*) serves the largest workflows no better.
 
 use std::{cmp::Reverse, collections::BTreeSet};
 
