Mend what a review of reservations and worker speeds found

- A node that follows a new leader drops the stops of the earlier one: repeated with the new token, they ended runs that the new leader counts as at work.
- Capacity is kept for tasks that were stopped on slow workers until they begin again, so that no further task is stopped for it.
- A step is visited once in a search for reservations, waits end when nothing waits, and moves are made together or not at all.
- Suspected tasks stay on slow workers, and runs that continued from a checkpoint tell no worker's speed.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -228,6 +228,7 @@
         let usability =
             UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
         let on_slow_workers = self.runs_to_move(workflows, usability);
+        let moves_under_way = self.speeds.moves_under_way(workflows, now.mono_ms);
         let sessions = &self.sessions;
         let is_usable = |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
         self.reservations.end_invalid(workflows, is_usable, now.mono_ms);
@@ -241,6 +242,7 @@
             sessions,
             speeds: &self.speeds,
             on_slow_workers,
+            moves_under_way,
             free_capacities: &mut self.free_capacities,
             contention: &mut self.contention,
             probations: self.probations.active(now),
--- a/src/control/dispatch/moves/mod.rs
+++ b/src/control/dispatch/moves/mod.rs
@@ -124,6 +124,15 @@
         now: Now,
     ) {
         for it in new {
+            let is_allowed = |(stop, _): &(RunStop, Reservation)| {
+                let check =
+                    self.stop_budget.check(workflows, &self.sessions, self.term, *stop, now);
+                check.is_ok()
+            };
+            // A part of the moves makes no room.
+            if !it.moves.iter().all(is_allowed) {
+                continue;
+            }
             self.reservations.add(it.reservation, it.waited_ms);
             it.moves.iter().for_each(|(_, target)| self.reservations.add(*target, it.waited_ms));
             let stops: Vec<_> = it.moves.iter().map(|(stop, _)| *stop).collect();
--- a/src/control/dispatch/plan/holds.rs
+++ b/src/control/dispatch/plan/holds.rs
@@ -91,7 +91,8 @@
     /// begin together, and fillers reserve no processor.
     pub(super) fn note_unplaced(&mut self, step_ref: StepRef, step: &WorkflowStep) {
         let may_reserve = self.holds.run_times.is_some() && !step.gang && !step.filler;
-        if may_reserve && self.holds.unplaced.len() < UNPLACED_MAX {
+        let is_new = !self.holds.unplaced.contains(&step_ref);
+        if may_reserve && is_new && self.holds.unplaced.len() < UNPLACED_MAX {
             self.holds.unplaced.push(step_ref);
         }
     }
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -74,6 +74,8 @@
     pub speeds: &'a WorkerSpeeds,
     /// Runs on slow workers that may be stopped.
     pub on_slow_workers: Vec<SlowRun>,
+    /// Tasks that were stopped on slow workers, and whose runs have not ended.
+    pub moves_under_way: Vec<TaskRef>,
     pub free_capacities: &'a mut FreeCapacities,
     pub contention: &'a mut ContentionModel,
     /// Workers where no other task may begin, since one is on probation there.
@@ -103,6 +105,7 @@
         sessions,
         speeds,
         on_slow_workers,
+        moves_under_way,
         free_capacities,
         contention,
         probations,
@@ -120,6 +123,9 @@
     if candidates.is_empty() && slow_fillers.is_empty() && on_slow_workers.is_empty() {
         idle_since.clear();
         waiting_steps.clear(now.mono_ms);
+        if let Some(it) = reserving {
+            it.reservations.note_unplaced(&[], now.mono_ms);
+        }
         return Plan::default();
     }
     free_capacities.refresh(workflows, contention, now);
@@ -149,6 +155,7 @@
     if let Some(it) = fair_shares {
         it.note_plan(workflows, &candidates, &builder, now);
     }
+    moves::reserve_under_way(&moves_under_way, &mut builder);
     let mut moves = moves::reserve_moves(&on_slow_workers, &mut builder);
     let is_moved = |it: &SlowRun| on_slow_workers.iter().any(|other| other.run == it.run);
     let slow_fillers: Vec<_> = slow_fillers.into_iter().filter(|it| !is_moved(it)).collect();
--- a/src/control/dispatch/plan/moves.rs
+++ b/src/control/dispatch/plan/moves.rs
@@ -33,6 +33,19 @@
     res
 }
 
+/// Reserves capacity for tasks that were stopped by an earlier plan and will begin again, so that
+/// no further task is stopped for the same capacity.
+pub(super) fn reserve_under_way(tasks: &[TaskRef], builder: &mut PlanBuilder<'_, '_>) {
+    for task in tasks {
+        let step_ref = StepRef::of_task(*task);
+        let workflow = builder.workflows().get(task.workflow);
+        let target = workflow.and_then(|it| builder.best_for(step_ref, it));
+        if let Some(it) = target.filter(|it| !it.is_slow) {
+            builder.reserve(&it);
+        }
+    }
+}
+
 /// Cache of the best worker for one more task of each step. Tasks of a step have the same
 /// requirements, and in overload the number of slow tasks grows with the fleet: without the cache,
 /// the time of a plan would grow with the square of the fleet's size.
--- a/src/control/dispatch/speeds/leader.rs
+++ b/src/control/dispatch/speeds/leader.rs
@@ -39,6 +39,8 @@
     ) -> Vec<SlowRun> {
         let mut steps = BTreeSet::new();
         let mut res = self.speeds.slow_runs(workflows, &self.sessions, usability);
+        // A suspected task would wait for a probation once it is stopped.
+        res.retain(|it| !workflows.suspects().needs_probation(it.run.task));
         res.retain(|it| {
             let is_lasting = workflows.step_of(it.run.task).is_some_and(|it| it.lasting);
             let stop = RunStop { run: it.run, worker: it.worker, cause: it.cause };
--- a/src/control/dispatch/speeds/observe.rs
+++ b/src/control/dispatch/speeds/observe.rs
@@ -52,6 +52,11 @@
         for it in report.ended.iter().filter(|it| it.end.outcome == RunOutcome::Done) {
             let run = it.end.run;
             let Some(begun_ms) = session.begun_ms.get(&run) else { continue };
+            // The time of a run that continued from a checkpoint is not that of the whole task.
+            let task = workflows.get(run.task.workflow).and_then(|it| it.task(run.task));
+            if task.is_some_and(|it| !it.checkpoint.is_empty()) {
+                continue;
+            }
             let pace = self.pace_of(&mut evidence, workflows, run_times, run);
             if pace.is_some_and(|it| it.observe_end(now.mono_ms - begun_ms, now.mono_ms)) {
                 measured.push(run);
--- a/src/control/dispatch/speeds/slow_runs.rs
+++ b/src/control/dispatch/speeds/slow_runs.rs
@@ -10,6 +10,13 @@
     prelude::*,
 };
 
+/// Time within which a stop is carried out and listed, or its order is lost.
+const STOP_MAX_MS: u64 = 2_000;
+
+/// Stopped tasks for which capacity is kept in a plan: more than are stopped within [`STOP_MAX_MS`]
+/// while capacity is found for each of them.
+const UNDER_WAY_MAX: usize = 64;
+
 impl WorkerSpeeds {
     /// Returns the runs on usable slow workers that have not been stopped lately, those that end
     /// last first.
@@ -47,6 +54,21 @@
         self.last_stops_ms.insert(task, now_ms);
     }
 
+    /// Returns the tasks that were stopped lately and whose runs have not ended, at most
+    /// [`UNDER_WAY_MAX`].
+    pub(in crate::control::dispatch) fn moves_under_way(
+        &self,
+        workflows: &Workflows,
+        now_ms: u64,
+    ) -> Vec<TaskRef> {
+        let is_under_way = |task: &TaskRef| {
+            let task = workflows.get(task.workflow).and_then(|it| it.task(*task));
+            task.is_some_and(|it| !it.is_done && !it.runs.is_empty())
+        };
+        let lately = self.last_stops_ms.iter().filter(|(_, at)| now_ms < **at + STOP_MAX_MS);
+        lately.map(|(it, _)| *it).filter(is_under_way).take(UNDER_WAY_MAX).collect()
+    }
+
     fn was_stopped_lately(&self, task: TaskRef, now_ms: u64) -> bool {
         self.last_stops_ms.get(&task).is_some_and(|it| now_ms < it + STOP_INTERVAL_MS)
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -350,6 +350,7 @@
                 // The new leader needs the worker's lists read under its own term.
                 worker.poll = None;
                 worker.next_poll_ms = now.mono_ms;
+                worker.drop_stops();
             }
         }
         self.granted_ms = now.mono_ms;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Drops the stops that an earlier leader ordered. Repeated with the token of the new leader,
+    /// they would stop runs that it counts as at work; it orders again what still is to stop.
+    pub(super) fn drop_stops(&mut self) {
+        self.orders.retain(|_, it| !matches!(it.order, Order::Stop { refused: None }));
+    }
+
     /// Gives up on starts that were planned for a larger capacity of the worker: they may no longer
     /// fit, and the leader plans again with the present capacity.
     fn block_unfit_starts(&mut self, now: Now) {
