--- a/src/policy/forecast.rs
+++ b/src/policy/forecast.rs
@@ -105,7 +105,7 @@
     }
 
     fn at_score_ms(self, score: f64) -> u64 {
-        ((self.log_median_ms + score * self.spread).exp() as u64).max(1)
+        ((self.log_median_ms + score * self.spread).exp().round() as u64).max(1)
     }
 }
 
