--- a/src/control/dispatch/moves/mod.rs
+++ b/src/control/dispatch/moves/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! The budget follows from the ledger and from reports of this term, apart from the times of the
 //! last stops. A new leader counts a task as at work only once its worker has reported in its term:
-//! by then the worker rejects the stops of earlier leaders. So a stop that was under way at a
-//! change of leader cannot add to the stops of the new one.
+//! by then the worker rejects the stops of earlier leaders, and its node has dropped those that were
+//! not carried out. So a stop that was under way at a change of leader cannot add to the stops of the
+//! new one.
 
 mod reservations;
 
--- a/src/policy/migration.rs
+++ b/src/policy/migration.rs
@@ -1,4 +1,5 @@
-//! Decides whether a slow best-effort task (filler) should move to another worker.
+//! Decides whether a slow task should move to another worker: a best-effort task (filler) that gets
+//! little processor, or any task on a slow worker.
 
 /// Weight of the newest speed reading in the moving average; readings are noisy.
 const GAIN: f64 = 0.4;
@@ -49,7 +50,7 @@
 /// A run that could move.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MigrationCandidate {
-    /// Declared run time at full speed.
+    /// Expected run time at full speed.
     pub estimate_ms: u64,
     pub progress_percent: u32,
     /// Whether its progress is kept when it moves.
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -374,16 +374,9 @@
     assert_eq!(lease_end_ms, Some(Some(54_000)));
 }
 
-/// A stop gets no answer, and another leader takes over. Repeated with its token, the stop would
-/// end a run that it counts as at work.
-#[test]
-fn a_stop_of_an_earlier_leader_is_not_repeated() {
-    let mut harness = NodeHarness::new();
-    harness.grant(false, Vec::new());
-    harness.answer_poll(vec![running()]);
-    harness.grant(true, vec![RunOrder::Stop(RUN)]);
-    let stop = harness.take_call(is_stop);
-    let next_grant = NodeGrant {
+/// Returns the first grant of the next leader, which holds no orders yet.
+fn grant_of_next_leader(harness: &NodeHarness) -> NodeGrant {
+    NodeGrant {
         capacity: crate::worker::CAPACITY,
         number: 1,
         sequence: 1,
@@ -398,8 +391,19 @@
         services: Vec::new(),
         costs: Vec::new(),
         members: vec![address(0)],
-    };
-    harness.input(Input::Message(Box::new(Message::NodeGrant(next_grant))));
+    }
+}
+
+/// A stop gets no answer, and another leader takes over. Repeated with its token, the stop would
+/// end a run that it counts as at work.
+#[test]
+fn a_stop_of_an_earlier_leader_is_not_repeated() {
+    let mut harness = NodeHarness::new();
+    harness.grant(false, Vec::new());
+    harness.answer_poll(vec![running()]);
+    harness.grant(true, vec![RunOrder::Stop(RUN)]);
+    let stop = harness.take_call(is_stop);
+    harness.input(Input::Message(Box::new(Message::NodeGrant(grant_of_next_leader(&harness)))));
     harness.end_call(stop, CallResult::NoAnswer);
     for _ in 0..10 {
         harness.advance(200);
@@ -412,22 +416,7 @@
     let mut harness = NodeHarness::new();
     harness.grant(false, Vec::new());
     harness.answer_poll(Vec::new());
-    let mut newer_grant = NodeGrant {
-        capacity: crate::worker::CAPACITY,
-        number: 1,
-        sequence: 1,
-        sent_ms: harness.now_ms,
-        term: 2,
-        token: 2 << 24,
-        is_complete: false,
-        lease_ms: 4_000,
-        worker: "worker".into(),
-        acked_cursor: 0,
-        orders: Vec::new(),
-        services: Vec::new(),
-        costs: Vec::new(),
-        members: Vec::new(),
-    };
+    let mut newer_grant = grant_of_next_leader(&harness);
     harness.input(Input::Message(Box::new(Message::NodeGrant(newer_grant.clone()))));
     newer_grant.term = 1;
     newer_grant.orders = vec![start()];
