--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -129,7 +129,7 @@
     pub data_folder: ::compact_str::CompactString,
     ///Minimum silence of the leader after which a voter starts an election; the maximum is twice this.
     pub election_timeout_ms: u32,
-    ///1 to divide scarce capacity equally between callers (queue and availability zone), and to bound the slowdown of large workflows.
+    ///1 to divide scarce capacity equally between callers (queue and availability zone), and to finish first what has begun.
     pub fair_shares: u32,
     ///1 while the whole installation starts for the first time, with empty disks: the control addresses of `[link]` then found the group.
     pub first_start: u32,
@@ -159,7 +159,7 @@
     pub silent_ms: u32,
     ///Log entries after which a snapshot is taken.
     pub snapshot_entries: u32,
-    ///1 to learn the speed of each worker from the progress of its tasks, and to use slow workers last.
+    ///1 to learn the speed of each worker from the progress of its tasks, to use slow workers last, and to move tasks off them.
     pub worker_speeds: u32,
 }
 impl ::std::convert::From<&DispatchSettings> for DispatchSettings {
