--- a/src/control/dispatch/admission/backlog.rs
+++ b/src/control/dispatch/admission/backlog.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     control::{
-        dispatch::plan::{chains_ms, work_core_ms},
+        dispatch::plan::{chains_ms, objective_ms, size_core_ms, work_core_ms},
         state::{Occurrence, StepState, Workflow, Workflows},
     },
     policy::{
@@ -22,12 +22,12 @@
 impl Order {
     /// Returns the place of a submission.
     pub(super) fn of_new(id: WorkflowId, queue: &Queue, spec: &WorkflowSpec, now: Now) -> Order {
-        let works = spec.steps.iter().map(|it| {
-            u64::from(it.count) * it.estimate_ms * u64::from(it.need.cpu_millicores) / 1_000
-        });
         let chain_ms = chains_ms(spec).into_iter().max().unwrap_or(0);
-        let deadline_ms = now.wall_ms.max(spec.first_run_ms) + objective_ms(queue, chain_ms);
-        let urgency = urgency_of(queue, deadline_ms, chain_ms, works.sum(), now);
+        // Without repetitions the time of the first run has no meaning.
+        let due_ms = if spec.repeat_count == 0 { 0 } else { spec.first_run_ms };
+        let begin_ms = now.wall_ms.max(due_ms);
+        let deadline_ms = begin_ms.saturating_add(objective_ms(queue, chain_ms));
+        let urgency = urgency_of(queue, deadline_ms, chain_ms, size_core_ms(spec), now);
         Order(urgency, id)
     }
 
@@ -44,7 +44,7 @@
         let remaining = chains_ms.iter().zip(&occurrence.steps).filter(|(_, it)| !it.is_done());
         let remaining_ms = remaining.map(|(it, _)| *it).max().unwrap_or(0);
         let begin_ms = workflow.accepted_ms.max(workflow.due_ms(index));
-        let deadline_ms = begin_ms + objective_ms(queue, chain_ms);
+        let deadline_ms = begin_ms.saturating_add(objective_ms(queue, chain_ms));
         let work_core_ms = work_core_ms(workflow, occurrence);
         let urgency = urgency_of(queue, deadline_ms, remaining_ms, work_core_ms, now);
         Some(Order(urgency, id))
@@ -68,10 +68,6 @@
     urgency(pending, now.wall_ms)
 }
 
-fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
-    chain_ms * u64::from(queue.stretch_percent) / 100 + queue.target_ms
-}
-
 /// Processor time, in core-milliseconds, by the kind of capacity that serves it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Work {
--- a/src/control/dispatch/admission/throughput.rs
+++ b/src/control/dispatch/admission/throughput.rs
@@ -99,6 +99,6 @@
         let kind = session.monitored_runs.get(&it.run).and_then(|it| it.run_kind);
         matches!(kind, Some(RunKind::Filler { .. }))
     };
-    let millicores: u32 = report.running.iter().filter(is_filler).map(|it| it.load).sum();
-    f64::from(millicores) / 1_000.0
+    let loads = report.running.iter().filter(is_filler).map(|it| u64::from(it.load));
+    loads.sum::<u64>() as f64 / 1_000.0
 }
--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -90,8 +90,7 @@
     let occurrence = workflow.occurrences.get(step_ref.occurrence as usize)?;
     let chains_ms = chains_ms(&workflow.spec);
     let longest_chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
-    let stretched_ms = longest_chain_ms.saturating_mul(u64::from(queue.stretch_percent)) / 100;
-    let objective_ms = stretched_ms.saturating_add(queue.target_ms);
+    let objective_ms = objective_ms(queue, longest_chain_ms);
     let step = step_ref.step as usize;
     let begin_ms = workflow.accepted_ms.max(due_ms);
     let objective = Objective { begin_ms, objective_ms, remaining_ms: chains_ms[step] };
@@ -108,6 +107,12 @@
     Some(Candidate { urgency, step_ref, workflow, queue, objective, work_core_ms, size_core_ms })
 }
 
+/// Returns the time within which a workflow with this longest chain gives its caller full value.
+pub(in crate::control::dispatch) fn objective_ms(queue: &Queue, chain_ms: u64) -> u64 {
+    let stretched_ms = chain_ms.saturating_mul(u64::from(queue.stretch_percent)) / 100;
+    stretched_ms.saturating_add(queue.target_ms)
+}
+
 /// Returns for each step the longest sum of declared run times over a chain that begins with it.
 pub(in crate::control::dispatch) fn chains_ms(spec: &WorkflowSpec) -> Vec<u64> {
     let mut res: Vec<u64> = spec.steps.iter().map(|it| it.estimate_ms).collect();
@@ -123,12 +128,16 @@
 }
 
 /// Returns the processor time, in core-milliseconds, that one occurrence needs by declared run times.
-fn size_core_ms(spec: &WorkflowSpec) -> u64 {
-    let size = |it: &WorkflowStep| {
-        let run_ms = u64::from(it.count).saturating_mul(it.estimate_ms);
-        run_ms.saturating_mul(it.need.cpu_millicores.into()) / 1_000
-    };
-    spec.steps.iter().map(size).fold(0, u64::saturating_add)
+pub(in crate::control::dispatch) fn size_core_ms(spec: &WorkflowSpec) -> u64 {
+    let sizes = spec.steps.iter().map(|it| tasks_core_ms(it, it.count.into()));
+    sizes.fold(0, u64::saturating_add)
+}
+
+/// Returns the processor time, in core-milliseconds, that some tasks of a step need by their
+/// declared run time.
+pub(super) fn tasks_core_ms(step: &WorkflowStep, tasks: u64) -> u64 {
+    let run_ms = tasks.saturating_mul(step.estimate_ms);
+    run_ms.saturating_mul(step.need.cpu_millicores.into()) / 1_000
 }
 
 /// Returns the processor time, in core-milliseconds, that the remaining tasks of an occurrence need
@@ -139,9 +148,7 @@
 ) -> u64 {
     let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
     let remaining = steps.map(|(step, state)| {
-        let tasks = u64::from(step.count - state.done_count.min(step.count));
-        let run_ms = tasks.saturating_mul(step.estimate_ms);
-        run_ms.saturating_mul(step.need.cpu_millicores.into()) / 1_000
+        tasks_core_ms(step, step.count.saturating_sub(state.done_count).into())
     });
     remaining.fold(0, u64::saturating_add)
 }
--- a/src/control/dispatch/plan/fair_shares.rs
+++ b/src/control/dispatch/plan/fair_shares.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     control::{
-        dispatch::plan::{Candidate, builder::PlanBuilder},
+        dispatch::plan::{Candidate, builder::PlanBuilder, candidates::tasks_core_ms},
         state::Workflows,
     },
     policy::shares::{Amounts, CallerShare, ShareCandidate, Turns, order},
@@ -123,9 +123,8 @@
     fn note_begun(&mut self, workflows: &Workflows, it: &Candidate<'_>, tasks: u64, now: Now) {
         let Some(caller) = workflows.caller_of(it.step_ref.workflow) else { return };
         let Some(step) = it.step() else { return };
-        let work_core_ms = tasks * step.estimate_ms * u64::from(step.need.cpu_millicores) / 1_000;
         let standing = it.objective.wait(now.wall_ms).standing();
-        self.turns.entry(caller).or_default().note(standing, work_core_ms);
+        self.turns.entry(caller).or_default().note(standing, tasks_core_ms(step, tasks));
     }
 }
 
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -32,7 +32,7 @@
     reserving::{ReservingInput, find_reservations},
 };
 pub(super) use self::{
-    candidates::{Candidate, candidates, chains_ms, work_core_ms},
+    candidates::{Candidate, candidates, chains_ms, objective_ms, size_core_ms, work_core_ms},
     fair_shares::FairShares,
     waiting_steps::WaitingSteps,
 };
--- a/tests/workflows/admission.rs
+++ b/tests/workflows/admission.rs
@@ -69,6 +69,28 @@
     assert!(is_accepted(&leader.decide(2, 901, vec![step(1, 1, &[])])), "it goes before");
 }
 
+/// Load: a submission with the largest values that are valid, and a time of the first run that has no
+/// meaning without repetitions.
+#[test]
+fn the_largest_values_are_decided_on() {
+    let mut leader = overloaded(1);
+    let largest = |count, estimate_ms, cpu_millicores| WorkflowStep {
+        estimate_ms,
+        need: Resources { cpu_millicores, memory_mib: u32::MAX, accelerators: 0 },
+        ..step(count, 1, &[])
+    };
+    let decide = |leader: &mut LeaderHarness, id, step, first_run_ms| {
+        let spec = WorkflowSpec { first_run_ms, ..spec(vec![step]) };
+        let submission = WorkflowSubmission { target: target(id), spec };
+        let request = OriginatedSubmission { zone: "zone".into(), submission };
+        leader.request(id, WorkflowRequest::SubmitFrom(request))
+    };
+    let step = largest(10_000, 100 * 366 * 86_400_000, 100_000_000);
+    assert!(rejection(&decide(&mut leader, 900, step, u64::MAX)).is_some());
+    let small = WorkflowStep { estimate_ms: 1_000, ..ten_s(1, 1) };
+    assert!(is_accepted(&decide(&mut leader, 901, small, u64::MAX)));
+}
+
 /// Load: as much as the workers can do; nobody is rejected.
 #[test]
 fn with_enough_capacity_nobody_is_rejected() {
