--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -237,10 +237,8 @@
             }
             return self.resend_or_park(now, reply.id, pause_ms);
         }
-        // Another send of the call may be accepted, and its work would run: its answer counts.
-        if matches!(reply.outcome, WorkflowOutcome::Rejected(_)) && call.may_have_been_accepted() {
-            return;
-        }
+        let is_held_back =
+            matches!(reply.outcome, WorkflowOutcome::Rejected(_)) && call.may_have_been_accepted();
         let leader = call.sent_to.or(self.leader_finder.leader());
         self.leader_confirmed_ms = Some(now.mono_ms);
         self.resend_budget.earn();
@@ -249,7 +247,8 @@
             tracing::info!(event = "leader_found", leader = ?leader, after_ms = now.mono_ms.saturating_sub(since_ms));
             self.send_parked(now);
         }
-        if self.retry_evacuation(now, reply.id, &reply.outcome) {
+        // Another send of the call may be accepted, and its work would run: its answer counts.
+        if is_held_back || self.retry_evacuation(now, reply.id, &reply.outcome) {
             return;
         }
         let answer = match reply.outcome {
@@ -404,11 +403,12 @@
     }
 
     /// Sends requests again that a leader at work has not answered yet, as far as the budget
-    /// allows; the others wait on. Requests that were never sent cost nothing.
+    /// allows; the others wait on. Requests that this leader never got cost nothing.
     fn resend_within_budget(&mut self, now: Now, due: Vec<u64>) {
         for id in due {
             let Some(call) = self.calls.get_mut(&id) else { continue };
-            if call.unanswered_sends == 0 || self.resend_budget.try_spend() {
+            let is_new = call.unanswered_sends == 0 || call.sent_to != self.leader_finder.leader();
+            if is_new || self.resend_budget.try_spend() {
                 self.send(now, id);
             } else {
                 call.next_send_ms = now.mono_ms + self.options.resend_ms;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -237,3 +237,42 @@
         "{answers:?}"
     );
 }
+
+/// Load: a leader changes while many requests wait for it; the old one answered none of them.
+#[test]
+fn a_new_leader_gets_what_only_the_old_one_had() {
+    let mut gateway = controlled_gateway();
+    (0..50).for_each(|token| gateway.handle(now(2), submission(token)));
+    let sent = take_calls(&mut gateway);
+    let old = sent[0].0;
+    let new = CONTROL.map(address).into_iter().find(|it| *it != old).unwrap();
+    let hint = WorkflowOutcome::NotLeader(Some(new));
+    answer(&mut gateway, 3, sent[0].1.id, hint);
+    answer(&mut gateway, 4, sent[0].1.id, WorkflowOutcome::Accepted);
+    take_calls(&mut gateway);
+    gateway.handle(now(390), cancel(99));
+    let id = take_calls(&mut gateway)[0].1.id;
+    answer(&mut gateway, 391, id, WorkflowOutcome::Accepted);
+    gateway.handle(now(680), Input::Tick);
+    let resent = take_calls(&mut gateway);
+    let is_submission = |it: &WorkflowRequest| matches!(it, WorkflowRequest::SubmitFrom(_));
+    let to_new = resent.iter().filter(|(to, it)| *to == new && is_submission(&it.request));
+    assert_eq!(to_new.count(), 49, "all but the answered one");
+}
+
+/// Load: a leader answers the second copy of a submission, and no other request for some time.
+#[test]
+fn a_rejection_that_is_held_back_shows_a_leader() {
+    let mut gateway = controlled_gateway();
+    gateway.handle(now(2), submission(1));
+    let id = take_calls(&mut gateway)[0].1.id;
+    gateway.handle(now(400), Input::Tick);
+    gateway.handle(now(600), Input::Tick);
+    let probe = take_calls(&mut gateway).pop().unwrap().1;
+    answer(&mut gateway, 601, probe.id, WorkflowOutcome::Pong);
+    assert_eq!(take_calls(&mut gateway)[0].1.id, id, "the call is sent again");
+    let rejection = AdmissionRejection { cause: AdmissionCause::Late, retry_after_ms: 5_000 };
+    answer(&mut gateway, 1_500, id, WorkflowOutcome::Rejected(rejection));
+    assert_eq!(take_answers(&mut gateway), [], "a copy may be accepted");
+    assert!(gateway.is_ready(now(2_200)), "the leader has answered lately");
+}
