--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -60,10 +60,8 @@
             WorkflowRequest::SubmitFrom(it) => self.submit(workflows, it, calls, now),
             WorkflowRequest::Inspect(it) => RequestDecision::Answer(inspect(workflows, &it)),
             WorkflowRequest::Cancel(it) => match resolve_target(workflows, &it) {
-                Ok((_, Some(id))) if workflows.get(id).is_some() => {
-                    RequestDecision::Propose(WorkflowCommand::Cancel(id))
-                }
-                Ok((_, Some(_))) => RequestDecision::Answer(WorkflowOutcome::Gone),
+                // Its submission may be under way: the ledger orders the two.
+                Ok((_, Some(id))) => RequestDecision::Propose(WorkflowCommand::Cancel(id)),
                 Ok((_, None)) => RequestDecision::Answer(WorkflowOutcome::NotFound),
                 Err(it) => RequestDecision::Answer(it),
             },
--- a/tests/workflows/admission.rs
+++ b/tests/workflows/admission.rs
@@ -125,6 +125,20 @@
     assert!(is_accepted(&leader.decide(4, 900, large())), "it is stored");
 }
 
+/// Load: a client cancels a submission whose commit is under way.
+#[test]
+fn a_cancel_goes_behind_a_commit_under_way() {
+    let mut leader = overloaded(1);
+    let RequestDecision::Propose(submit) = leader.decide(1, 900, whole_worker()) else { panic!() };
+    let cancel = leader.request(2, WorkflowRequest::Cancel(target(900)));
+    let RequestDecision::Propose(cancel) = cancel else { panic!("answered early: {cancel:?}") };
+    leader.apply(submit);
+    leader.apply(cancel);
+    assert!(leader.workflows.active().all(|(id, _)| id != WorkflowId(900)));
+    let outcome = leader.workflows.apply(&WorkflowCommand::Cancel(WorkflowId(901)), leader.now_ms);
+    assert_eq!(outcome, WorkflowOutcome::Gone, "it was never submitted");
+}
+
 /// Load: overload that ends. A rejected submission that comes again gets the same time, and is
 /// accepted as soon as it would be of use; a copy of a call gets that call's answer.
 #[test]
