Let a service that fits no worker shut out no other one

It was counted as waiting for capacity for as long as it existed, and each later service was told that there is none. Before a worker is registered, nothing is rejected.

--- a/src/control/dispatch/admission/backlog.rs
+++ b/src/control/dispatch/admission/backlog.rs
@@ -5,7 +5,7 @@
 use crate::{
     control::{
         dispatch::plan::{chains_ms, objective_ms, size_core_ms, work_core_ms},
-        state::{Occurrence, StepState, Workflow, Workflows},
+        state::{Occurrence, StepState, Workflow, Workflows, fits},
     },
     policy::{
         completion::{Estimate, StepForecast},
@@ -109,6 +109,8 @@
 /// The capacity of a service's workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Pool {
+    /// Whether any worker is registered.
+    pub has_workers: bool,
     /// Capacity that no long-running task has or waits for.
     pub long_running_spare: Amount,
     /// Cores for tasks that reserve processor and end.
@@ -135,6 +137,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolSums {
     capacity: Amount,
+    /// Largest processor, memory and accelerators of one worker; `None` without workers.
+    largest: Option<Resources>,
     reserved: Amount,
     long_running: Amount,
     long_running_waiting: Amount,
@@ -146,6 +150,8 @@
         for (_, worker) in workflows.workers().iter() {
             let sum = sums.entry(worker.service.clone()).or_default();
             sum.capacity.add(worker.capacity, 1);
+            let largest = sum.largest.map_or(worker.capacity, |it| larger(it, worker.capacity));
+            sum.largest = Some(largest);
             sum.reserved.add(worker.reserved, 1);
         }
         let mut waiting = Vec::new();
@@ -201,6 +207,7 @@
         let cores = |it: Amount| it.cpu_millicores as f64 / 1_000.0;
         let without_long_running = self.capacity.minus(self.long_running);
         Pool {
+            has_workers: self.largest.is_some(),
             long_running_spare: without_long_running.minus(self.long_running_waiting),
             plain_cores: cores(without_long_running),
             unreserved_cores: cores(self.capacity.minus(self.reserved)),
@@ -208,13 +215,24 @@
     }
 }
 
+fn larger(a: Resources, b: Resources) -> Resources {
+    Resources {
+        cpu_millicores: a.cpu_millicores.max(b.cpu_millicores),
+        memory_mib: a.memory_mib.max(b.memory_mib),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
+
 fn add_long_running(sum: &mut PoolSums, workflow: &Workflow, occurrence: &Occurrence) {
     let steps = workflow.spec.steps.iter().zip(&occurrence.steps);
     for (step, state) in steps.filter(|(step, _)| step.lasting) {
         let waiting = state.tasks.iter().filter(|it| !it.is_done && it.runs.is_empty()).count();
         let running = state.tasks.iter().filter(|it| !it.runs.is_empty()).count();
         sum.long_running.add(step.need, running);
-        sum.long_running_waiting.add(step.need, waiting);
+        // A task that is larger than any worker takes no capacity from others.
+        if sum.largest.is_some_and(|it| fits(step.need, it)) {
+            sum.long_running_waiting.add(step.need, waiting);
+        }
     }
 }
 
--- a/src/control/dispatch/admission/mod.rs
+++ b/src/control/dispatch/admission/mod.rs
@@ -145,7 +145,7 @@
         let spare = pool.long_running_spare;
         let (need_millicores, need_mib) = (need(|it| it.cpu_millicores), need(|it| it.memory_mib));
         let fits = need_millicores <= spare.cpu_millicores && need_mib <= spare.memory_mib;
-        if fits || self.can_begin(workflows, it, now) {
+        if !pool.has_workers || fits || self.can_begin(workflows, it, now) {
             return None;
         }
         if !self.admission.returns.is_due_later(it.id, now.mono_ms) {
--- a/tests/workflows/admission.rs
+++ b/tests/workflows/admission.rs
@@ -239,6 +239,20 @@
     assert_eq!(it.cause, AdmissionCause::NoCapacity);
 }
 
+/// Load: a service that is larger than any worker waits, and so would never begin. It takes no
+/// capacity from those after it. Before any worker is known, nothing is rejected.
+#[test]
+fn a_service_larger_than_any_worker_shuts_nobody_out() {
+    let mut leader = LeaderHarness::with_features(0, CORES, ADMISSION);
+    assert!(is_accepted(&leader.decide(1, 900, vec![service("web", 1, CORES)])));
+    leader.register_with_cores(1, CORES);
+    leader.register_with_cores(2, CORES);
+    leader.submit(1, vec![service("huge", 1, CORES + 1)]);
+    leader.submit(2, whole_worker());
+    leader.submit(3, whole_worker());
+    assert!(is_accepted(&leader.decide(2, 901, vec![service("web", 1, CORES)])));
+}
+
 /// Load: the same overload with the switch off: everything is accepted.
 #[test]
 fn without_the_switch_nothing_is_rejected() {
