--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -1,11 +1,14 @@
 //! Free capacity of each worker, and how well it suits a task.
 
 mod cache;
+mod withheld;
+
+use std::cmp::Reverse;
 
 use crate::{
     control::{
-        dispatch::run_monitor::RunKind,
-        state::{Worker, Workflows, add, fits, reservation_of, subtract},
+        dispatch::{run_monitor::RunKind, speeds::SpeedClass},
+        state::{Worker, Workflows, add, reservation_of, subtract},
     },
     policy::{
         contention::{
@@ -17,6 +20,7 @@
 };
 
 pub(super) use self::cache::FreeCapacities;
+use self::withheld::Withheld;
 
 /// Least headroom, in percent, that placement of fillers leaves a serving task. It is far above
 /// what the throttler keeps: loads change within seconds and a filler runs for some, so one placed
@@ -42,6 +46,9 @@
     pub queue: &'a Queue,
     pub run_kind: RunKind,
     pub reservation: Resources,
+    /// Time by which a task that begins now has ended, late case included, or the end of time if it
+    /// is not forecast.
+    pub late_end_ms: u64,
 }
 
 impl<'a> TaskDemand<'a> {
@@ -55,6 +62,7 @@
             queue,
             run_kind: RunKind::of(step, contention),
             reservation: reservation_of(step),
+            late_end_ms: u64::MAX,
         }
     }
 }
@@ -112,11 +120,13 @@
     kind: CompactString,
     rack: CompactString,
     free: Resources,
+    withheld: Withheld,
     capacity_millicores: u32,
     /// For each image, the processor that its fillers here use together at full speed.
     fillers: Vec<FillerLoad>,
     filler_millicores: u32,
     served: Vec<ServedImage>,
+    pub(super) speed_class: SpeedClass,
 }
 
 impl FreeCapacity {
@@ -132,10 +142,12 @@
             kind: worker.kind.clone(),
             rack: worker.rack.clone(),
             free: subtract(worker.capacity, worker.reserved),
+            withheld: Withheld::NONE,
             capacity_millicores: worker.capacity.cpu_millicores,
             fillers: Vec::new(),
             filler_millicores: worker.filler_millicores,
             served: Vec::new(),
+            speed_class: SpeedClass::default(),
         };
         for run in &worker.runs {
             let Some(step) = workflows.step_of(run.task) else { continue };
@@ -231,12 +243,16 @@
         costs.sum::<f64>() * self.cores(millicores)
     }
 
+    /// Returns whether the worker is slow.
+    pub(super) fn is_slow(&self) -> bool {
+        self.speed_class.is_slow()
+    }
+
     fn can_hold(&self, demand: &TaskDemand<'_>, placed_count: u32) -> bool {
         let step = demand.step;
-        fits(demand.reservation, self.free)
+        self.has_room_for(demand)
             && (step.per_worker_max == 0 || placed_count < step.per_worker_max)
-            && (step.required_label.is_empty() || step.required_label == self.kind)
-            && self.service == demand.queue.service
+            && self.suits(step, demand.queue)
     }
 
     /// Returns how well the worker suits a task, or `None` if it cannot run it.
@@ -251,12 +267,14 @@
             return None;
         }
         let step = demand.step;
+        let speed_rank = self.speed_class.rank(step.lasting);
         let serving: u32 = self.served.iter().map(|it| it.millicores).sum();
         let packing = i64::from(serving) - i64::from(self.idle_millicores());
         let rank = match demand.run_kind {
             // Highest speed first, then least cost to serving tasks, then most unused processor.
             RunKind::Filler { image, millicores } => {
-                let speed = self.speed_of(image, millicores, contention);
+                let speed =
+                    self.speed_of(image, millicores, contention) * self.speed_class.speed_share();
                 if mode == PlacementMode::ProtectLatency && speed < FILLER_SPEED_MIN {
                     return None;
                 }
@@ -283,11 +301,12 @@
             RunKind::Plain => [packing, 0, 0],
         };
         let is_in_data_rack = !step.data_rack.is_empty() && self.rack == step.data_rack;
-        Some(Preference { is_in_data_rack, rank })
+        Some(Preference { speed: Reverse(speed_rank), is_in_data_rack, rank })
     }
 
     pub(super) fn reserve(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
-        self.free = subtract(self.free, demand.reservation);
+        self.take(demand.reservation);
+        self.speed_class.is_probe_due = false;
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
                 self.filler_millicores = self.filler_millicores.saturating_add(millicores);
@@ -349,6 +368,8 @@
 /// How well a worker suits a task; the largest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Preference {
+    /// A slow worker is used last, since the data of a task is nearer to every other one.
+    speed: Reverse<u8>,
     is_in_data_rack: bool,
     rank: [i64; 3],
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's workflow scheduling: processes node reports, grants leases, places runs and derives
 //! the orders for workers from the ledger.
 
+mod admission;
 mod capacity;
 mod features;
 mod lost_workers;
@@ -11,7 +12,10 @@
 mod requests;
 mod retention;
 mod run_monitor;
+mod run_times;
 mod sessions;
+mod speeds;
+mod waiting_report;
 
 use std::{collections::BTreeSet, net::SocketAddr};
 
@@ -20,19 +24,21 @@
     policy::{
         contention::{ContentionModel, FillerLoad, ServingTask, headroom_percent, reference_cores},
         disruption::{RunStop, StopCause},
-        forecast::{RunTimeModel, TaskKind},
+        forecast::RunTimeModel,
     },
     prelude::*,
 };
 
 use self::{
+    admission::Admission,
     capacity::FreeCapacities,
     lost_workers::LossCause,
-    moves::StopBudget,
+    moves::{Reservations, StopBudget},
     probations::Probations,
     retention::ClockReadings,
     run_monitor::{RunKind, RunMonitor},
     sessions::{Sessions, SlowRun, UsabilityCriteria},
+    speeds::WorkerSpeeds,
 };
 pub use self::{
     features::Features, orders::run_name, plan::PlanOptions, requests::RequestDecision,
@@ -86,11 +92,15 @@
     sessions: Sessions,
     contention: ContentionModel,
     run_times: RunTimeModel,
+    speeds: WorkerSpeeds,
     stop_budget: StopBudget,
+    reservations: Reservations,
+    admission: Admission,
     free_capacities: FreeCapacities,
     probations: Probations,
     idle_since: plan::IdleSince,
     waiting_steps: plan::WaitingSteps,
+    fair_shares: plan::FairShares,
     /// Whether a `Begin` command is proposed and not yet applied; the next plan waits for it.
     begin_in_flight: bool,
     last_plan_ms: u64,
@@ -114,11 +124,15 @@
             sessions: Sessions::take_over(workflows, now.mono_ms + options.lease_with_margin_ms()),
             contention: ContentionModel::with_known_costs(workflows.image_costs(), now.mono_ms),
             run_times: RunTimeModel::with_learned(workflows.demand().run_times()),
+            speeds: WorkerSpeeds::take_over(options.features, workflows, now),
             stop_budget: StopBudget::default(),
+            reservations: Reservations::default(),
+            admission: Admission::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
             idle_since: plan::IdleSince::default(),
             waiting_steps: plan::WaitingSteps::default(),
+            fair_shares: plan::FairShares::default(),
             begin_in_flight: false,
             last_plan_ms: 0,
             plan_count: 0,
@@ -160,14 +174,6 @@
         self.free_capacities.audit(workflows, &mut self.contention)
     }
 
-    /// Proposes the learned run times where they differ from the ledger.
-    fn propose_run_times(&mut self, workflows: &Workflows) {
-        let learned = self.run_times.learned();
-        if learned != workflows.demand().run_times() {
-            self.output.commands.push(WorkflowCommand::LearnRunTimes(learned));
-        }
-    }
-
     /// Runs the periodic work: expires leases, removes old workflows, and writes learned costs and
     /// the occupancy log line.
     pub fn tick(&mut self, workflows: &Workflows, now: Now) {
@@ -186,13 +192,18 @@
                 self.output.commands.push(WorkflowCommand::Learn(known_costs));
             }
             if self.options.features.needs_run_times() {
+                self.run_times.decay(LEARN_INTERVAL_MS);
                 self.propose_run_times(workflows);
             }
+            if self.options.features.worker_speeds {
+                self.propose_speeds(workflows, now);
+            }
             self.settle_failures_of_lost(workflows, now);
         }
         if self.occupancy_at_ms <= now.mono_ms {
             self.occupancy_at_ms = now.mono_ms + OCCUPANCY_INTERVAL_MS;
             log_occupancy(workflows);
+            self.log_forecast_errors();
         }
     }
 
@@ -213,24 +224,40 @@
         self.plan_count += 1;
         self.last_plan_ms = now.mono_ms;
         self.next_plan_ms = now.mono_ms + self.options.plan.interval_ms;
+        self.measure_throughput(workflows, now);
+        let usability =
+            UsabilityCriteria { term: self.term, silent_ms: self.options.silent_ms, now };
+        let on_slow_workers = self.runs_to_move(workflows, usability);
+        let moves_under_way = self.speeds.moves_under_way(workflows, now.mono_ms);
+        let sessions = &self.sessions;
+        let is_usable = |id| sessions.is_usable(id, usability) && !workflows.is_evacuated(id);
+        self.reservations.end_invalid(workflows, is_usable, now.mono_ms);
+        let reserving = plan::ReservingState {
+            reservations: &mut self.reservations,
+            run_times: &self.run_times,
+            stop_budget: &self.stop_budget,
+        };
         let input = plan::PlanInput {
             workflows,
-            sessions: &self.sessions,
+            sessions,
+            speeds: &self.speeds,
+            on_slow_workers,
+            moves_under_way,
             free_capacities: &mut self.free_capacities,
             contention: &mut self.contention,
             probations: self.probations.active(now),
-            usability: UsabilityCriteria {
-                term: self.term,
-                silent_ms: self.options.silent_ms,
-                now,
-            },
+            usability,
+            reserving: self.options.features.reservations.then_some(reserving),
+            fair_shares: self.options.features.fair_shares.then_some(&mut self.fair_shares),
         };
         let plan = plan::plan(input, &mut self.idle_since, &mut self.waiting_steps);
+        self.speeds.note_probes(&plan.runs, now.mono_ms);
         if !plan.runs.is_empty() {
             self.begin_in_flight = true;
             self.output.commands.push(WorkflowCommand::Begin(plan.runs));
         }
-        self.move_fillers(workflows, &plan.moves, members, now);
+        self.move_runs(workflows, &plan.moves, members, now);
+        self.reserve(workflows, &plan.reservations, members, now);
     }
 
     /// Schedules a plan for `pause_ms` after the last one, unless one is due earlier.
@@ -251,6 +278,7 @@
                 self.begin_in_flight = false;
                 let workers: BTreeSet<_> = runs.iter().map(|it| it.worker).collect();
                 self.probations.note_begin(workflows, runs, now);
+                self.reservations.note_begin(runs, now);
                 for it in workers {
                     self.free_capacities.mark_stale(it);
                     self.send_orders(workflows, it, members);
@@ -299,6 +327,7 @@
             }
             WorkflowCommand::Dismiss(id) => {
                 self.sessions.drop(*id);
+                self.speeds.drop(*id);
                 self.free_capacities.mark_stale(*id);
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
@@ -317,9 +346,13 @@
                 self.withdraw_starts(workflows, &it.zone, members);
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
-            WorkflowCommand::Submit(_)
-            | WorkflowCommand::SubmitFrom(_)
-            | WorkflowCommand::Install(_) => self.schedule_plan(PLAN_PAUSE_MS),
+            WorkflowCommand::SubmitFrom(it) => {
+                self.admission.note_stored(it.workflow.id);
+                self.schedule_plan(PLAN_PAUSE_MS);
+            }
+            WorkflowCommand::Submit(_) | WorkflowCommand::Install(_) => {
+                self.schedule_plan(PLAN_PAUSE_MS)
+            }
             WorkflowCommand::Forget(_)
             | WorkflowCommand::Learn(_)
             | WorkflowCommand::LearnRunTimes(_)
@@ -353,13 +386,14 @@
                 session.health.note_stalled(now.mono_ms);
                 tracing::warn!(event = "run_stalled", run = %run_name(task.run), worker = %report.name, progress_percent = task.progress_percent);
             }
-            if let Some(speed_share) = monitor.speed_share_if_slow(now.mono_ms) {
-                let progress_percent = task.progress_percent;
+            if let Some((full_speed_ms, speed_share)) = monitor.speed_share_if_slow(now.mono_ms) {
                 session.slow_fillers.push(SlowRun {
                     run: task.run,
                     worker: id,
+                    cause: StopCause::SlowFiller,
+                    full_speed_ms,
                     speed_share,
-                    progress_percent,
+                    progress_percent: task.progress_percent,
                 });
             }
             match monitor.run_kind {
@@ -386,44 +420,29 @@
         let report_number = session.report_number;
         session.monitored_runs.retain(|_, it| it.last_report_number == report_number);
         self.sessions.update_slow(id);
-        self.contention.observe(&serving, &fillers, now.mono_ms);
+        // On a slow worker, tail latencies tell neither the load of a step nor the cost of an image.
+        if self.speeds.is_of_normal_speed(id, now.mono_ms) {
+            self.contention.observe(&serving, &fillers, now.mono_ms);
+        }
     }
 
-    /// Stops the fillers that are to move to other workers.
-    fn move_fillers(
+    /// Stops the runs that are to move to other workers.
+    fn move_runs(
         &mut self,
         workflows: &Workflows,
         moves: &[SlowRun],
         members: &[SocketAddr],
         now: Now,
     ) {
-        let stop =
-            |it: &SlowRun| RunStop { run: it.run, worker: it.worker, cause: StopCause::SlowFiller };
+        let stop = |it: &SlowRun| RunStop { run: it.run, worker: it.worker, cause: it.cause };
         let stops: Vec<_> = moves.iter().map(stop).collect();
         let stopped = self.stop_runs(workflows, &stops, members, now);
         for it in moves.iter().filter(|it| stopped.contains(&it.run)) {
-            tracing::info!(event = "filler_moved", run = %run_name(it.run), worker = it.worker.0, speed_percent = (it.speed_share * 100.0) as u32, progress_percent = it.progress_percent);
-        }
-    }
-
-    /// Learns from the ended runs of a worker's newest report how long they took.
-    fn observe_run_times(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
-        if !self.options.features.needs_run_times() {
-            return;
-        }
-        let Some(session) = self.sessions.get_mut(id) else { return };
-        let Some(report) = &session.report else { return };
-        let done = report.ended.iter().filter(|it| it.end.outcome == RunOutcome::Done);
-        for run in done.map(|it| it.end.run) {
-            let Some(begun_ms) = session.begun_ms.remove(&run) else { continue };
-            let Some(step) = workflows.step_of(run.task) else { continue };
-            let Some(workflow) = workflows.get(run.task.workflow) else { continue };
-            // A best-effort task takes as long as the tasks beside it let it.
-            if step.lasting || step.gang || step.filler {
+            if it.cause == StopCause::SlowWorker {
+                self.speeds.note_stop(it.run.task, now.mono_ms);
                 continue;
             }
-            let kind = TaskKind { queue: workflow.queue.clone(), image: step.image.clone() };
-            self.run_times.observe(kind, step.estimate_ms, now.mono_ms - begun_ms);
+            tracing::info!(event = "filler_moved", run = %run_name(it.run), worker = it.worker.0, speed_percent = (it.speed_share * 100.0) as u32, progress_percent = it.progress_percent);
         }
     }
 
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -4,7 +4,10 @@
 
 mod builder;
 mod candidates;
+mod fair_shares;
+mod holds;
 mod moves;
+mod reserving;
 mod waiting_steps;
 
 use std::collections::{HashMap, HashSet};
@@ -13,19 +16,25 @@
     control::{
         dispatch::{
             capacity::{FreeCapacities, FreeCapacity, PlacementMode},
+            moves::{NewReservation, Reservations, StopBudget},
             probations::Probations,
             sessions::{Sessions, SlowRun, UsabilityCriteria},
+            speeds::WorkerSpeeds,
         },
         state::Workflows,
     },
-    policy::contention::ContentionModel,
+    policy::{contention::ContentionModel, forecast::RunTimeModel},
     prelude::*,
 };
 
-pub(super) use self::waiting_steps::WaitingSteps;
 use self::{
     builder::PlanBuilder,
-    candidates::{Candidate, candidates},
+    reserving::{ReservingInput, find_reservations},
+};
+pub(super) use self::{
+    candidates::{Candidate, candidates, chains_ms, objective_ms, size_core_ms, work_core_ms},
+    fair_shares::FairShares,
+    waiting_steps::WaitingSteps,
 };
 
 /// Settings of the planner.
@@ -52,44 +61,83 @@
 #[derive(Debug, Default)]
 pub(super) struct Plan {
     pub runs: Vec<RunPlacement>,
-    /// Fillers to stop, so that they move to other workers.
+    /// Runs to stop, so that they move to other workers.
     pub moves: Vec<SlowRun>,
+    /// Capacity to reserve for tasks that fit on no worker.
+    pub reservations: Vec<NewReservation>,
 }
 
 /// State that a plan is based on.
 pub(super) struct PlanInput<'a> {
     pub workflows: &'a Workflows,
     pub sessions: &'a Sessions,
+    pub speeds: &'a WorkerSpeeds,
+    /// Runs on slow workers that may be stopped.
+    pub on_slow_workers: Vec<SlowRun>,
+    /// Tasks that were stopped on slow workers, and whose runs have not ended.
+    pub moves_under_way: Vec<TaskRef>,
     pub free_capacities: &'a mut FreeCapacities,
     pub contention: &'a mut ContentionModel,
     /// Workers where no other task may begin, since one is on probation there.
     pub probations: Probations,
     pub usability: UsabilityCriteria,
+    /// `None` if capacity is not reserved in this installation.
+    pub reserving: Option<ReservingState<'a>>,
+    /// Set if scarce capacity is divided between callers.
+    pub fair_shares: Option<&'a mut FairShares>,
+}
+
+/// State that reservations are based on.
+pub(super) struct ReservingState<'a> {
+    pub reservations: &'a mut Reservations,
+    pub run_times: &'a RunTimeModel,
+    pub stop_budget: &'a StopBudget,
 }
 
-/// Returns the runs to begin now, and the fillers to move.
+/// Returns the runs to begin now, and the runs to move.
 pub(super) fn plan(
     input: PlanInput<'_>,
     idle_since: &mut IdleSince,
     waiting_steps: &mut WaitingSteps,
 ) -> Plan {
-    let PlanInput { workflows, sessions, free_capacities, contention, probations, usability } =
-        input;
+    let PlanInput {
+        workflows,
+        sessions,
+        speeds,
+        on_slow_workers,
+        moves_under_way,
+        free_capacities,
+        contention,
+        probations,
+        usability,
+        reserving,
+        mut fair_shares,
+    } = input;
     let now = usability.now;
-    let candidates = candidates(workflows, now);
-    let slow = sessions.slow_runs(workflows, usability);
-    if candidates.is_empty() && slow.is_empty() {
+    let mut candidates = candidates(workflows, now);
+    if let Some(it) = &mut fair_shares {
+        it.end_scarcity(workflows, now);
+        it.order(workflows, &mut candidates, now);
+    }
+    let slow_fillers = sessions.slow_runs(workflows, usability);
+    if candidates.is_empty() && slow_fillers.is_empty() && on_slow_workers.is_empty() {
         idle_since.clear();
-        waiting_steps.clear();
+        waiting_steps.clear(now.mono_ms);
+        if let Some(it) = reserving {
+            it.reservations.note_unplaced(&[], now.mono_ms);
+        }
         return Plan::default();
     }
     free_capacities.refresh(workflows, contention, now);
     let mut builder = PlanBuilder::new(
         workflows,
-        free_capacities.usable(workflows, sessions, usability),
+        free_capacities.usable(workflows, sessions, speeds, usability),
         contention,
         probations,
     );
+    if let Some(it) = &reserving {
+        builder.withhold(it.reservations.entries(), it.run_times, now.mono_ms);
+    }
     for it in &candidates {
         builder.place(it.step_ref, it.workflow, PlacementMode::ProtectLatency);
     }
@@ -104,12 +152,24 @@
         }
     }
     waiting_steps.update(&candidates, &builder, now.mono_ms);
-    let moves = moves::reserve_moves(&slow, &mut builder);
+    if let Some(it) = fair_shares {
+        it.note_plan(workflows, &candidates, &builder, now);
+    }
+    moves::reserve_under_way(&moves_under_way, &mut builder);
+    let mut moves = moves::reserve_moves(&on_slow_workers, &mut builder);
+    let is_moved = |it: &SlowRun| on_slow_workers.iter().any(|other| other.run == it.run);
+    let slow_fillers: Vec<_> = slow_fillers.into_iter().filter(|it| !is_moved(it)).collect();
+    moves.extend(moves::reserve_moves(&slow_fillers, &mut builder));
+    let reservations = reserving.map(|it| {
+        let ReservingState { reservations, run_times, stop_budget } = it;
+        let input = ReservingInput { sessions, run_times, stop_budget, usability };
+        find_reservations(&builder, reservations, input)
+    });
     let rows_visited = builder.rows_visited();
     let (runs, changed_workers) = builder.finish();
     free_capacities.note_visited(rows_visited);
     changed_workers.into_iter().for_each(|it| free_capacities.mark_stale(it));
-    Plan { runs, moves }
+    Plan { runs, moves, reservations: reservations.unwrap_or_default() }
 }
 
 /// Returns the candidates of workflows that have no run on a usable worker, also after this plan.
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -1,8 +1,9 @@
 //! Decides how the leader answers requests of clients and operators.
 
 use crate::{
-    control::dispatch::Dispatcher,
+    control::dispatch::{Dispatcher, admission::Submission},
     control::state::{ValidationError, Workflows, check_queues, check_spec},
+    policy::verdict::CallId,
     prelude::*,
 };
 
@@ -16,10 +17,22 @@
 }
 
 impl Dispatcher {
-    /// Decides how to answer a request.
+    /// Returns the workflow that a request submits.
+    pub fn submitted_id(workflows: &Workflows, request: &WorkflowRequest) -> Option<WorkflowId> {
+        let target = match request {
+            WorkflowRequest::Submit(it) => &it.target,
+            WorkflowRequest::SubmitFrom(it) => &it.submission.target,
+            _ => return None,
+        };
+        resolve_target(workflows, target).ok()?.1
+    }
+
+    /// Decides how to answer a request; `calls` are its copies that wait for the answer.
     pub fn decide_request(
+        &mut self,
         workflows: &Workflows,
         request: WorkflowRequest,
+        calls: &[CallId],
         now: Now,
     ) -> RequestDecision {
         match request {
@@ -36,20 +49,55 @@
                 }
             },
             WorkflowRequest::ReadEvacuations => RequestDecision::Answer(evacuations(workflows)),
+            WorkflowRequest::ReadWaiting(rows_max) => RequestDecision::Answer(
+                WorkflowOutcome::Waiting(self.waiting_report(workflows, rows_max, now)),
+            ),
             WorkflowRequest::Evacuate(it) => evacuate(workflows, it),
-            WorkflowRequest::Submit(it) => submit(workflows, it, CompactString::default(), now),
-            WorkflowRequest::SubmitFrom(it) => submit(workflows, it.submission, it.zone, now),
+            WorkflowRequest::Submit(it) => {
+                let zone = CompactString::default();
+                self.submit(workflows, OriginatedSubmission { zone, submission: it }, calls, now)
+            }
+            WorkflowRequest::SubmitFrom(it) => self.submit(workflows, it, calls, now),
             WorkflowRequest::Inspect(it) => RequestDecision::Answer(inspect(workflows, &it)),
             WorkflowRequest::Cancel(it) => match resolve_target(workflows, &it) {
-                Ok((_, Some(id))) if workflows.get(id).is_some() => {
-                    RequestDecision::Propose(WorkflowCommand::Cancel(id))
-                }
-                Ok((_, Some(_))) => RequestDecision::Answer(WorkflowOutcome::Gone),
+                // Its submission may be under way: the ledger orders the two.
+                Ok((_, Some(id))) => RequestDecision::Propose(WorkflowCommand::Cancel(id)),
                 Ok((_, None)) => RequestDecision::Answer(WorkflowOutcome::NotFound),
                 Err(it) => RequestDecision::Answer(it),
             },
         }
     }
+    fn submit(
+        &mut self,
+        workflows: &Workflows,
+        it: OriginatedSubmission,
+        calls: &[CallId],
+        now: Now,
+    ) -> RequestDecision {
+        let OriginatedSubmission { zone, submission } = it;
+        let (queue, id) = match resolve_target(workflows, &submission.target) {
+            Ok((queue, Some(id))) => (queue, id),
+            Ok((_, None)) => return RequestDecision::Answer(WorkflowOutcome::NotFound),
+            Err(it) => return RequestDecision::Answer(it),
+        };
+        if workflows.get(id).is_some() {
+            return RequestDecision::Answer(WorkflowOutcome::Accepted);
+        }
+        if queue.needs_ticket {
+            return RequestDecision::Answer(WorkflowOutcome::Unserved);
+        }
+        let spec = submission.spec;
+        if let Err(ValidationError(reason)) = check_spec(&spec) {
+            return RequestDecision::Answer(WorkflowOutcome::Invalid(reason));
+        }
+        let submission = Submission { id, queue, zone: &zone, spec: &spec, calls };
+        if let Some(it) = self.rejection(workflows, submission, now) {
+            return RequestDecision::Answer(WorkflowOutcome::Rejected(it));
+        }
+        let queue = queue.name.clone();
+        let workflow = SubmitWorkflow { id, queue, spec, accepted_ms: now.wall_ms };
+        RequestDecision::Propose(WorkflowCommand::SubmitFrom(OriginatedWorkflow { zone, workflow }))
+    }
 }
 
 fn evacuations(workflows: &Workflows) -> WorkflowOutcome {
@@ -76,31 +124,6 @@
     }
 }
 
-fn submit(
-    workflows: &Workflows,
-    it: WorkflowSubmission,
-    zone: CompactString,
-    now: Now,
-) -> RequestDecision {
-    let (queue, id) = match resolve_target(workflows, &it.target) {
-        Ok((queue, Some(id))) => (queue, id),
-        Ok((_, None)) => return RequestDecision::Answer(WorkflowOutcome::NotFound),
-        Err(it) => return RequestDecision::Answer(it),
-    };
-    if workflows.get(id).is_some() {
-        return RequestDecision::Answer(WorkflowOutcome::Accepted);
-    }
-    if queue.needs_ticket {
-        return RequestDecision::Answer(WorkflowOutcome::Unserved);
-    }
-    if let Err(ValidationError(reason)) = check_spec(&it.spec) {
-        return RequestDecision::Answer(WorkflowOutcome::Invalid(reason));
-    }
-    let queue = queue.name.clone();
-    let workflow = SubmitWorkflow { id, queue, spec: it.spec, accepted_ms: now.wall_ms };
-    RequestDecision::Propose(WorkflowCommand::SubmitFrom(OriginatedWorkflow { zone, workflow }))
-}
-
 fn inspect(workflows: &Workflows, it: &WorkflowTarget) -> WorkflowOutcome {
     match resolve_target(workflows, it) {
         Ok((_, Some(id))) => match workflows.get(id) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,8 @@
 //! naive reference implementation.
 
 pub mod admission;
+pub mod compaction;
+pub mod completion;
 pub mod contention;
 pub mod crash_evidence;
 pub mod disruption;
@@ -12,12 +14,17 @@
 pub mod forecast;
 pub mod interference;
 pub mod migration;
+pub mod overload;
 pub mod placement;
 pub mod preemption;
+pub mod reservation;
 pub mod retry;
 pub mod routing;
 pub mod run_times;
+pub mod shares;
 pub mod task_queue;
 pub mod throttling;
 pub mod urgency;
+pub mod verdict;
 pub mod worker_health;
+pub mod worker_speed;
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -4,6 +4,7 @@
 //! switch between threads would cost a wake-up and gain no parallelism.
 
 mod adapters;
+mod operators;
 mod options;
 
 use std::{
@@ -41,6 +42,7 @@
         role::{RoleActor, RoleStatus, start_actor},
         single_threaded::{
             adapters::{GatewayAdapter, Loopback, MemberAdapter, MessageSender, NodeAdapter},
+            operators::own_request,
             options::{
                 control_links, features, gateway_options, member_settings, node_options,
                 small_server_options,
@@ -410,7 +412,8 @@
                 }
             };
             let parsed = match is_for_operators {
-                true => platform.operator_request(&http_request),
+                true => own_request(&http_request)
+                    .map_or_else(|| platform.operator_request(&http_request), Ok),
                 false => platform.client_request(&http_request),
             };
             match parsed {
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -123,13 +123,13 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DispatchSettings {
-    ///1 to reject submissions that are forecast to end too late to be of use.
+    ///1 to reject submissions that are forecast to end too late to be of use, and services that no worker will have capacity for.
     pub admission: u32,
     ///Folder of the log and the snapshots.
     pub data_folder: ::compact_str::CompactString,
     ///Minimum silence of the leader after which a voter starts an election; the maximum is twice this.
     pub election_timeout_ms: u32,
-    ///1 to divide scarce capacity equally between callers (queue and availability zone), and to bound the slowdown of large workflows.
+    ///1 to divide scarce capacity equally between callers (queue and availability zone), and to finish first what has begun.
     pub fair_shares: u32,
     ///1 while the whole installation starts for the first time, with empty disks: the control addresses of `[link]` then found the group.
     pub first_start: u32,
@@ -147,6 +147,8 @@
     pub lease_slack_percent: u32,
     ///Control processes that may be lost at once; the group keeps twice that plus one voters.
     pub losses_tolerated: u32,
+    ///1 to work on requests in turns by class, and to turn away those of least use, with a time to return, before they wait too long.
+    pub overload_control: u32,
     ///Longest pause between two scheduling passes.
     pub plan_interval_ms: u32,
     ///1 to reserve capacity for tasks that fit into the sum of the free capacities but on no single worker, and to move running tasks to make room for them.
@@ -157,7 +159,7 @@
     pub silent_ms: u32,
     ///Log entries after which a snapshot is taken.
     pub snapshot_entries: u32,
-    ///1 to learn the speed of each worker from the progress of its tasks, and to use slow workers last.
+    ///1 to learn the speed of each worker from the progress of its tasks, to use slow workers last, and to move tasks off them.
     pub worker_speeds: u32,
 }
 impl ::std::convert::From<&DispatchSettings> for DispatchSettings {
@@ -217,6 +219,8 @@
     pub listen: ::std::net::SocketAddr,
     ///Address at which metrics are served.
     pub metrics_listen: ::std::net::SocketAddr,
+    ///1 to bound resends by a budget, to keep room for changes and reads, and to answer before a client stops waiting; control processes must be of this version first.
+    pub overload_control: u32,
     ///Longest time that a request waits unsent while no leader is known.
     pub park_ms: u32,
     ///Interval at which the gateway checks that it reaches a leader.
--- a/tests/workflows/fillers.rs
+++ b/tests/workflows/fillers.rs
@@ -3,12 +3,15 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use aspenrail::{
-    control::{dispatch::Dispatcher, state::Workflows},
-    policy::contention::ContentionModel,
+    control::{
+        dispatch::{DispatchOptions, Dispatcher, Features, RequestDecision},
+        state::Workflows,
+    },
+    policy::{contention::ContentionModel, verdict::CallId},
     prelude::*,
 };
 
-use crate::world::{dispatch_options, queues, spec, step};
+use crate::world::{dispatch_options, queues, spec, step, target};
 
 const MEMORY_MIB: u32 = 10_000;
 
@@ -16,7 +19,10 @@
 pub struct LeaderHarness {
     cores: u32,
     pub workflows: Workflows,
-    dispatcher: Dispatcher,
+    options: DispatchOptions,
+    /// Term of the leader; another one takes over by [`LeaderHarness::replace_leader`].
+    term: u64,
+    pub dispatcher: Dispatcher,
     pub now_ms: u64,
     /// Boot number of every node that sends reports.
     pub boot: u64,
@@ -50,13 +56,28 @@
 
     /// Creates a leader of workers with `cores` cores each.
     pub fn with_cores(workers: u64, cores: u32) -> LeaderHarness {
+        LeaderHarness::with_features(workers, cores, Features::default())
+    }
+
+    /// Creates a leader with optional decisions turned on.
+    pub fn with_features(workers: u64, cores: u32, features: Features) -> LeaderHarness {
+        LeaderHarness::with_options(
+            workers,
+            cores,
+            DispatchOptions { features, ..dispatch_options() },
+        )
+    }
+
+    pub fn with_options(workers: u64, cores: u32, options: DispatchOptions) -> LeaderHarness {
         let mut workflows = Workflows::default();
         workflows.apply(&WorkflowCommand::Install(queues(1)), 1);
         let now = Now { mono_ms: 1_000, wall_ms: 1_000 };
-        let dispatcher = Dispatcher::new(dispatch_options(), &workflows, 1, now);
+        let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let mut res = LeaderHarness {
             cores,
             workflows,
+            options,
+            term: 1,
             dispatcher,
             now_ms: 1_000,
             boot: 1,
@@ -89,7 +110,19 @@
         self.apply_commands();
     }
 
-    fn apply(&mut self, command: WorkflowCommand) {
+    /// Decides on a submission that a gateway sent as call `call`.
+    pub fn decide(&mut self, call: u64, id: u64, steps: Vec<WorkflowStep>) -> RequestDecision {
+        let submission = WorkflowSubmission { target: target(id), spec: spec(steps) };
+        let request = OriginatedSubmission { zone: "zone".into(), submission };
+        self.request(call, WorkflowRequest::SubmitFrom(request))
+    }
+
+    pub fn request(&mut self, call: u64, request: WorkflowRequest) -> RequestDecision {
+        let (call, now) = (CallId { gateway: node(0), id: call }, self.now());
+        self.dispatcher.decide_request(&self.workflows, request, &[call], now)
+    }
+
+    pub fn apply(&mut self, command: WorkflowCommand) {
         self.workflows.apply(&command, self.now_ms);
         self.dispatcher.note_applied(&self.workflows, &command, &[], self.now());
     }
@@ -100,6 +133,13 @@
         self.report(worker, &[]);
     }
 
+    /// Registers a worker with another number of cores.
+    pub fn register_with_cores(&mut self, worker: u64, cores: u32) {
+        let usual = std::mem::replace(&mut self.cores, cores);
+        self.register(worker);
+        self.cores = usual;
+    }
+
     /// Reports the runs that the leader placed on a worker, with a load for each workflow.
     pub fn report(&mut self, worker: u64, loads: &[(u64, u32)]) {
         let running = self.runs_on(worker).into_iter().map(|run| {
@@ -127,6 +167,20 @@
         self.deliver(worker, self.number, report);
     }
 
+    /// Lets another leader take over from the ledger.
+    pub fn replace_leader(&mut self) {
+        self.term += 1;
+        self.dispatcher = Dispatcher::new(self.options, &self.workflows, self.term, self.now());
+    }
+
+    /// Removes a worker, as after its loss.
+    pub fn dismiss(&mut self, worker: u64) {
+        let name = format_compact!("worker-{worker}");
+        let id = self.workflows.workers().find(node(worker), &name).unwrap();
+        self.apply(WorkflowCommand::Dismiss(id));
+        self.apply_commands();
+    }
+
     /// Advances the clock without reports.
     pub fn advance(&mut self, time_ms: u64) {
         self.now_ms += time_ms;
@@ -167,7 +221,7 @@
             draining: false,
             remaining_ms: 0,
             gone: false,
-            term: 1,
+            term: self.term,
             running,
             ended,
             refused: Vec::new(),
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -6,6 +6,7 @@
 //! `ASPENRAIL_SEEDS` sets their number.
 #![allow(clippy::unwrap_used)]
 
+mod admission;
 mod capacity;
 mod colocation;
 mod crashes;
@@ -15,8 +16,10 @@
 mod disk;
 mod evacuations;
 mod failures;
+mod fair_shares;
 mod faults;
 mod fillers;
+mod fleet;
 mod gateway;
 mod held_runs;
 mod late_ends;
@@ -24,8 +27,12 @@
 mod lifetimes;
 mod node;
 mod node_restarts;
+mod overload;
 mod ranges;
+mod reservations;
 mod rules;
 mod same_id;
+mod slow_workers;
+mod usage;
 mod worker;
 mod world;
