--- a/src/control/core/intake.rs
+++ b/src/control/core/intake.rs
@@ -15,7 +15,8 @@
 /// Requests worked on in one turn: a few milliseconds, which leases can wait.
 const CALLS_PER_TURN: usize = 4;
 
-/// Changes of the ledger for requests under way. Ends of tasks are behind at most these in the log.
+/// Proposed entries of requests that are not applied yet, at most. Ends of tasks wait behind at most
+/// these in the log.
 const CHANGES_UNDER_WAY_MAX: usize = 256;
 
 /// Pause between turns while requests wait, in which messages are taken in.
@@ -83,7 +84,8 @@
     /// The workflows whose submission is proposed and not applied, by index in the log.
     under_way: BTreeMap<u64, WorkflowId>,
     next_turn_ms: u64,
-    /// Since when requests have waited without a pause, or the last turn in that time.
+    /// Time of the last measured turn, or of the first arrival since the queues were empty; `None`
+    /// while they are empty.
     busy_since_ms: Option<u64>,
     service: ServiceTime,
     return_times: ReturnTimes,
@@ -122,7 +124,8 @@
     }
 
     /// Adds a further copy of a submission that waits, to be answered with it; returns whether
-    /// there is one. A copy that was turned away while another is accepted would be told a falsehood.
+    /// there is one. A copy that is turned away while another is accepted would get a
+    /// wrong answer.
     pub(super) fn join(
         &mut self,
         now: Now,
--- a/src/control/dispatch/capacity/cache.rs
+++ b/src/control/dispatch/capacity/cache.rs
@@ -1,8 +1,8 @@
 //! Free capacities, cached between plans.
 //!
 //! A worker's free capacity is rebuilt only if its runs have changed. The loads and costs in it are
-//! refreshed at an interval of their own, since reports arrive at most every half second: with 240
-//! workers, plans that rebuilt every entry took most of the leader's time.
+//! refreshed at an interval of their own, since reports arrive at most every half second, and
+//! a rebuild visits every run of a worker.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -25,10 +25,6 @@
 /// Least headroom, in percent, that placement of fillers leaves a serving task. It is far above
 /// what the throttler keeps: loads change within seconds and a filler runs for some, so one placed
 /// at less headroom is soon suspended and delays its workflow.
-///
-/// At 120 % and a minimum speed of 0.5, 753 of 5,661 two-second slots of services were unserved and
-/// 998 of 1,811 batch workflows ended in time; at 160 % and 0.9, with costs estimated from similar
-/// images, 579 and 1,052.
 const HEADROOM_MIN_PERCENT: f64 = 160.0;
 
 /// Share of its full speed below which a filler is not placed: it would delay the rest of its step
@@ -81,8 +77,7 @@
     used_percent: f64,
     /// Processor that the tasks reserve for their peaks.
     millicores: u32,
-    /// Share of the reservation in use now. A fixed share of 45 % scored 0.027 (+-0.011) less over
-    /// 60 days of seven deployments.
+    /// Share of the reservation in use now.
     cpu_use_share: f64,
 }
 
--- a/src/control/dispatch/moves/mod.rs
+++ b/src/control/dispatch/moves/mod.rs
@@ -159,9 +159,9 @@
         let mut stopped = Vec::new();
         let mut workers = BTreeSet::new();
         for it in stops {
-            let verdict = self.stop_budget.check(workflows, &self.sessions, self.term, *it, now);
-            if let Err(cause) = verdict {
-                tracing::debug!(event = "stop_rejected", run = %run_name(it.run), why = it.cause.as_str(), cause = ?cause);
+            let check = self.stop_budget.check(workflows, &self.sessions, self.term, *it, now);
+            if let Err(rejection) = check {
+                tracing::debug!(event = "stop_rejected", run = %run_name(it.run), cause = it.cause.as_str(), rejection = ?rejection);
                 continue;
             }
             let Some(session) = self.sessions.get_mut(it.worker) else { continue };
--- a/src/control/dispatch/plan/waiting_steps.rs
+++ b/src/control/dispatch/plan/waiting_steps.rs
@@ -142,7 +142,7 @@
             _ if workers == 0 => "no_worker",
             it if it.waiting_for_quiet == it.tasks => "recent_crashes",
             it if it.suspects == it.tasks => "probation",
-            _ if is_fragmented => "fragmented",
+            _ if is_fragmented => "no_capacity_in_one_piece",
             _ => "no_capacity",
         };
         let probations = builder.probations().len();
--- a/src/control/dispatch/speeds/leader.rs
+++ b/src/control/dispatch/speeds/leader.rs
@@ -1,4 +1,4 @@
-//! What the leader does with the speeds of workers.
+//! Observes worker speeds, selects runs to move off slow workers, and proposes the speeds for the log.
 
 use std::collections::BTreeSet;
 
--- a/src/control/dispatch/speeds/run_pace.rs
+++ b/src/control/dispatch/speeds/run_pace.rs
@@ -25,17 +25,21 @@
 /// best-effort tasks beside it add to it.
 const TAIL_SPREAD: f64 = 0.4;
 
-/// Logarithm of a factor by which a tail latency is longer than elsewhere that shows a slow worker.
-/// Above it, the latency grows with the queue of the task and not with the slowness.
+/// Largest logarithm of a ratio that a tail latency contributes: a factor of five. Beyond it, the
+/// latency follows the queue of the task and not the speed of the worker.
 const TAIL_LOG_RATIO_MAX: f64 = 1.6;
 
 /// Fall of the logarithm of a tail latency between two readings that shows a queue that drains,
 /// which the tasks of a slow worker do not.
 const TAIL_LOG_FALL_MIN: f64 = 0.7;
 
-/// Share of a change of its own pace that a run accounts for, as a standard deviation.
+/// Standard deviation of the logarithm of a run's pace around its usual one, on a worker of constant
+/// speed.
 const OWN_SPREAD: f64 = 0.15;
 
+/// Weight of the newest pace in a run's usual one.
+const USUAL_GAIN: f64 = 0.3;
+
 /// Largest deviation from its siblings at which the pace of a run may be its usual one.
 const USUAL_LOG_RATIO_MAX: f64 = 0.5;
 
@@ -161,7 +165,7 @@
         let ends = matches!(self.expectation, Expectation::Ends { .. });
         if ends && deviation.abs() < USUAL_LOG_RATIO_MAX {
             let usual = self.usual_log_ratio.get_or_insert(pace.log_ratio);
-            *usual += (pace.log_ratio - *usual) * 0.3;
+            *usual += (pace.log_ratio - *usual) * USUAL_GAIN;
         }
     }
 }
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -8,10 +8,10 @@
 const MEDIAN_PROBABILITY: f64 = 0.5;
 const LATE_PROBABILITY: f64 = 0.9;
 
-/// Core-milliseconds in a core-millisecond of millicores.
-const MILLICORES: f64 = 1_000.0;
+/// Millicores of one core.
+const MILLICORES_PER_CORE: f64 = 1_000.0;
 
-/// A forecast quantity: in the best case, in the middle, and in the worst case.
+/// A forecast quantity: early, median and late.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Estimate {
     pub early: f64,
@@ -49,9 +49,10 @@
 }
 
 impl StepForecast<'_> {
-    /// Returns the processor time, in core-milliseconds, of this many tasks.
+    /// Returns the processor time, in core-milliseconds, of this many tasks. The early case is the
+    /// median, since long and short runs of many tasks offset each other.
     pub fn work_core_ms(&self, tasks: u32) -> Estimate {
-        let cores = f64::from(tasks) * f64::from(self.cpu_millicores) / MILLICORES;
+        let cores = f64::from(tasks) * f64::from(self.cpu_millicores) / MILLICORES_PER_CORE;
         let median = cores * self.run_time.median_ms() as f64;
         Estimate { early: median, median, late: cores * self.run_time.late_ms() as f64 }
     }
@@ -92,8 +93,8 @@
 
 /// Returns in how many milliseconds a workflow ends, with infinity where nothing serves it.
 ///
-/// The early case is a bound from below: no order of tasks ends sooner than the chain, nor than the
-/// sum of the work at full use. The late case is one from above for any order that leaves no fitting
+/// The early case is the work at full use of all capacity, or the early case of the chain if that is
+/// longer: no order of tasks with these run times ends sooner. The late case is one from above for any order that leaves no fitting
 /// capacity idle (Graham, *Bounds on multiprocessing timing anomalies*, 1969).
 pub fn completion_ms(chain: Estimate, competitions: &[Competition]) -> Estimate {
     let mut res = chain;
--- a/src/policy/disruption.rs
+++ b/src/policy/disruption.rs
@@ -1,4 +1,5 @@
-//! Limits how many running tasks may be stopped so that they begin again elsewhere.
+//! Limits how many long-running tasks may be stopped so that they begin again elsewhere. Other tasks
+//! have no limit here.
 //!
 //! Every stop costs the task its place for about a second, so all causes of stops share these
 //! limits: several causes that act at once must not take more from a step than one may.
@@ -9,8 +10,8 @@
 /// the others go on serving.
 const AWAY_MAX_DEFAULT: u32 = 1;
 
-/// Minimum time between two stops of one long-running task. A stop and its new start take about a
-/// second, which stays below a tenth of the task's time.
+/// Minimum time between two stops of one long-running task. A stop and its new start take one to one
+/// and a half seconds, a small part of the task's time.
 pub const STOP_INTERVAL_MS: u64 = 10_000;
 
 /// Long-running tasks that may be away at once because they were moved to make room: the moves of a
@@ -54,38 +55,19 @@
 pub enum StopCause {
     /// It is a best-effort task that would end sooner elsewhere.
     SlowFiller,
-    /// It has made no progress for some time.
-    Stalled,
     /// Its worker is slow.
     SlowWorker,
     /// Its capacity makes room for a larger task.
     Compaction,
-    /// Its worker leaves soon.
-    WorkerLeaves,
-    /// A more urgent task needs its capacity.
-    Preemption,
 }
 
 impl StopCause {
-    /// All causes, for counters that exist from the start.
-    pub const ALL: [StopCause; 6] = [
-        StopCause::SlowFiller,
-        StopCause::Stalled,
-        StopCause::SlowWorker,
-        StopCause::Compaction,
-        StopCause::WorkerLeaves,
-        StopCause::Preemption,
-    ];
-
-    /// Returns the label of its counter.
+    /// Returns the text of the cause in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
             StopCause::SlowFiller => "slow_filler",
-            StopCause::Stalled => "stalled",
             StopCause::SlowWorker => "slow_worker",
             StopCause::Compaction => "compaction",
-            StopCause::WorkerLeaves => "worker_leaves",
-            StopCause::Preemption => "preemption",
         }
     }
 }
--- a/src/policy/forecast.rs
+++ b/src/policy/forecast.rs
@@ -8,7 +8,7 @@
 
 use crate::prelude::*;
 
-/// Observations that count at most; older ones are outweighed, since kinds change.
+/// Maximum weight of past observations: with a bound, the median follows a kind that changes.
 const WEIGHT_MAX: f64 = 36.0;
 
 /// Spread of an unknown kind: two thirds of declared run times are within a factor of 1.6.
@@ -25,15 +25,16 @@
 /// stall and say nothing of the others.
 const DEVIATION_MAX: f64 = 2.5;
 
-/// Least and first gain of the spread.
+/// Gain of the spread at each observation: the first divided by the number of observations to the
+/// power of 1.5, and at least the second.
 const SPREAD_GAIN_MIN: f64 = 0.1;
 const SPREAD_GAIN_FIRST: f64 = 4.0;
 
 /// Probability with which a task ends by [`RunTimeForecast::late_ms`].
 const LATE_PROBABILITY: f64 = 0.9;
 
-/// Share of tasks that take [`STALL_FACTOR`] times as long as others of their kind. Among a step's
-/// many tasks one is likely such a one, which no spread of single tasks shows.
+/// Share of tasks that take [`STALL_FACTOR`] times as long as others of their kind. A step with many
+/// tasks likely has one, and the spread of single tasks does not show it.
 const STALL_SHARE: f64 = 0.03;
 const STALL_FACTOR: f64 = 7.0;
 
--- a/src/policy/overload.rs
+++ b/src/policy/overload.rs
@@ -29,8 +29,8 @@
 /// Classes of work of a leader, most useful first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WorkClass {
-    /// Keeps what runs running: leases, acknowledgements of ends, and the search for a leader. It
-    /// never waits for another class.
+    /// The search for a leader. It is answered on arrival, as reports, leases and acknowledgements
+    /// are, which are no requests and have no class.
     Lease,
     /// Cancels, configurations and evacuations: few, and of use to all others.
     Change,
--- a/src/policy/shares.rs
+++ b/src/policy/shares.rs
@@ -7,8 +7,7 @@
 //! turn, so that nothing stays free.
 //!
 //! Within the tolerance, and within a caller, the order is by what ends most work in time; see
-//! [`order`]. Rank by size times remaining size (Scully, *Bounding mean slowdown in multiserver
-//! systems*) serves the largest workflows no better.
+//! [`order`].
 
 use std::{cmp::Reverse, collections::BTreeSet};
 
@@ -17,18 +16,19 @@
 /// A workflow past this multiple of its objective is of no use to its caller any more.
 pub const USELESS_AFTER_OBJECTIVES: u64 = 3;
 
-/// Time without use after which a workflow has starved. Long against objectives, so that useful work
-/// goes first through every peak of load that ends.
+/// Time past its last use after which a workflow has starved. It is much longer than objectives, so
+/// that useful work goes first through a short overload.
 pub const STARVED_AFTER_MS: u64 = 60_000;
 
 /// Of the work that a caller begins, one part in this many is that of starved workflows.
 pub const STARVED_TURN: u64 = 8;
 
-/// Begun work, in core-milliseconds, after which older turns count half. Far above the work of one
-/// step, so that one large step does not end the account of all others.
+/// Begun work, in core-milliseconds, beyond which the counts of turns are halved. It is much larger
+/// than one step, so that no single step halves them twice.
 const TURNS_MEMORY_CORE_MS: u64 = 4_000_000;
 
-/// A caller may be ahead of another by an equal part of what they have, divided by this. With less,
+/// A caller may be next if its share exceeds the least by at most the mean share divided by this.
+/// With a smaller tolerance,
 /// small differences between callers of the same demand would decide the order in place of the
 /// work, and fewer workflows would end in time.
 const TOLERANCE_DIVISOR: u64 = 2;
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -123,7 +123,7 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct DispatchSettings {
-    ///1 to reject submissions that are forecast to end too late to be of use, and services that no worker will have capacity for.
+    ///1 to reject submissions that would end too late to be of use, and long-running ones that would not fit in sum if only long-running tasks ran.
     pub admission: u32,
     ///Folder of the log and the snapshots.
     pub data_folder: ::compact_str::CompactString,
