Fence a worker that is back under its id before its tasks start elsewhere

Cause: a worker crashed while starts for it were in transit, and was back under its id. Such a start is accepted by the next incarnation, whose clock knows nothing of the lease in it. The node stopped these starts one by one there; stops without an answer took longer than the lease of the earlier incarnation, by which the leader ended the runs and started their tasks elsewhere. A node that restarted meanwhile did not stop them at all.

Change: the calls that block starts carry the token after the one the leader granted, so that one answered call fences all orders for the earlier incarnation; what the list still shows is stopped.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod capacity;
+mod enrolment;
 mod features;
 mod lost_workers;
 mod moves;
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -11,10 +11,9 @@
             Dispatcher, LOAD_PLAN_PAUSE_MS, PLAN_PAUSE_MS, lost_workers::LossCause,
             sessions::Session,
         },
-        state::{NO_RESOURCES, Worker, Workflows, fits},
+        state::{Worker, Workflows, fits},
     },
     prelude::*,
-    util::id_of_incarnation,
 };
 
 impl Dispatcher {
@@ -34,20 +33,8 @@
             return self.send_empty_grant(workflows, report.node, report.number, members);
         };
         let Some(id) = workflows.workers().find(report.node, &worker_report.name) else {
-            match workflows.is_unconfigured_service(&worker_report.service) {
-                _ if worker_report.gone => (),
-                true => {
-                    tracing::debug!(event = "worker_foreign", worker = %worker_report.name, node = %report.node, service = %worker_report.service);
-                }
-                false if self.is_enrolled_by_id(workflows, report.node, &worker_report.name) => (),
-                false => {
-                    self.mark_replaced_lost(workflows, report.node, now);
-                    self.output
-                        .commands
-                        .push(WorkflowCommand::Enrol(enrolment(report.node, &worker_report)));
-                }
-            }
-            return self.send_empty_grant(workflows, report.node, report.number, members);
+            let (node, number) = (report.node, report.number);
+            return self.on_unknown_worker(workflows, node, number, &worker_report, members, now);
         };
         let Some(session) = self.sessions.get_mut(id) else { return };
         if session.is_being_dismissed {
@@ -90,13 +77,6 @@
         }
     }
 
-    /// Returns whether an earlier version has enrolled a worker incarnation by its id alone. What
-    /// runs there is then known only when that enrolment's lease has expired.
-    fn is_enrolled_by_id(&self, workflows: &Workflows, node: SocketAddr, name: &str) -> bool {
-        let Some(id) = id_of_incarnation(name) else { return false };
-        workflows.workers().find(node, id).is_some()
-    }
-
     /// Proposes a worker's reported capacity where it differs from the ledger.
     ///
     /// A worker whose capacity falls below its reservations keeps its runs, since to stop them
@@ -148,37 +128,6 @@
         }
     }
 
-    /// Answers a node whose worker is not enrolled with a token for queries to it: a worker
-    /// incarnation that has seen a token rejects queries with lower ones. The token must not fence
-    /// an enrolled worker at the same node.
-    fn send_empty_grant(
-        &mut self,
-        workflows: &Workflows,
-        node: SocketAddr,
-        number: u64,
-        members: &[SocketAddr],
-    ) {
-        let ids = workflows.workers().ids_at_node(node);
-        let last_id = ids.into_iter().max().unwrap_or(workflows.workers().last_id());
-        let grant = NodeGrant {
-            number,
-            sequence: 0,
-            sent_ms: 0,
-            term: self.term,
-            token: token(self.term, last_id),
-            is_complete: false,
-            lease_ms: 0,
-            worker: CompactString::default(),
-            capacity: NO_RESOURCES,
-            acked_cursor: 0,
-            orders: Vec::new(),
-            services: services(workflows),
-            costs: Vec::new(),
-            members: members.to_vec(),
-        };
-        self.output.messages.push((node, Message::NodeGrant(grant)));
-    }
-
     /// Sends all orders for a worker and renews its lease, counted from when its newest report was
     /// sent.
     pub(super) fn send_grant(
@@ -353,7 +302,7 @@
 }
 
 /// Returns the worker pools of the configuration, or none if no configuration is installed.
-fn services(workflows: &Workflows) -> Vec<CompactString> {
+pub(super) fn services(workflows: &Workflows) -> Vec<CompactString> {
     workflows.config().map(|it| it.services.clone()).unwrap_or_default()
 }
 
@@ -389,22 +338,10 @@
 /// The term is in the high bits, so a later leader fences an earlier one. Within a term, a worker
 /// that enrols again after its loss gets a higher token, so that calls under its earlier lease are
 /// rejected.
-fn token(term: u64, worker: WorkerId) -> u64 {
+pub(super) fn token(term: u64, worker: WorkerId) -> u64 {
     (term << WORKER_ID_BITS) | (worker.0 & ((1 << WORKER_ID_BITS) - 1))
 }
 
-fn enrolment(node: SocketAddr, it: &WorkerReport) -> EnrolWorker {
-    EnrolWorker {
-        name: it.name.clone(),
-        node,
-        service: it.service.clone(),
-        zone: it.zone.clone(),
-        kind: it.kind.clone(),
-        rack: it.rack.clone(),
-        capacity: it.capacity,
-    }
-}
-
 /// Returns the name of a run in logs: workflow, occurrence, step, index and run number.
 pub fn run_name(it: RunRef) -> CompactString {
     let task = it.task;
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -37,6 +37,7 @@
     /// Costs last sent to the node.
     pub sent_costs: Vec<ImageCost>,
     pub costs_sent_ms: u64,
+    /// Sequence of the newest grant.
     pub grants_sent: u64,
     /// Highest cursor of the ends proposed for the ledger.
     pub proposed_cursor: u64,
@@ -83,6 +84,8 @@
     }
 
     pub(super) fn open(&mut self, id: WorkerId, node: SocketAddr, lease_expires_ms: u64) {
+        // A grant before the enrolment had the number of a report as its sequence.
+        let grants_sent = self.newest_reports.get(&node).map_or(0, |it| it.number);
         let session = Session {
             node,
             lease_expires_ms,
@@ -98,7 +101,7 @@
             slow_fillers: Vec::new(),
             sent_costs: Vec::new(),
             costs_sent_ms: 0,
-            grants_sent: 0,
+            grants_sent,
             proposed_cursor: 0,
             is_being_dismissed: false,
         };
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -269,8 +269,10 @@
                 self.unconfirmed = None;
             }
             Verdict::Answered if !doubtful.is_empty() => {
-                tracing::info!(event = "starts_blocked", worker = %unconfirmed.announcement.incarnation_name(), starts = doubtful.len());
-                unconfirmed.block_starts(doubtful, now);
+                let incarnation_name = unconfirmed.announcement.incarnation_name();
+                let is_other = predecessor.is_some_and(|it| it.name != incarnation_name);
+                tracing::info!(event = "starts_blocked", worker = %incarnation_name, starts = doubtful.len(), is_fenced = is_other);
+                unconfirmed.block_starts(doubtful, is_other, now);
             }
             Verdict::Answered | Verdict::Ready => {
                 let announcement = unconfirmed.announcement.clone();
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -228,8 +228,7 @@
         {
             self.next_call += 1;
             let id = self.next_call;
-            let action = unconfirmed.begin_call(id);
-            let call = WorkerCall { worker: unconfirmed.announcement.id.clone(), token, action };
+            let call = unconfirmed.begin_call(id, token);
             self.effects.push(super::Effect::Call { id, call });
         }
     }
--- a/src/node/unconfirmed.rs
+++ b/src/node/unconfirmed.rs
@@ -4,9 +4,14 @@
 //! incarnation that has ended. And if the new incarnation has the same id, orders for the previous
 //! one may still reach it. So the node first polls it and blocks such orders there, before it
 //! reports the incarnation to the leader, which then restarts elsewhere what ran before.
+//!
+//! Blocking takes one answered call: it carries a fencing token above that of the previous
+//! incarnation, so the worker refuses all orders for that one. Starts that it carried out before are
+//! listed, and are stopped. Starts that were blocked one by one took longer than the lease of the
+//! previous incarnation where stops got no answer, and tasks ran in two places.
 
 use crate::{
-    node::calls::{Action, Announcement, CallResult},
+    node::calls::{Action, Announcement, CallRefusal, CallResult, WorkerCall},
     prelude::*,
 };
 
@@ -18,10 +23,20 @@
     pub announcement: Announcement,
     announced_ms: u64,
     stage: Stage,
-    call: Option<u64>,
+    /// The leader's token that the worker has refused as outdated, if any.
+    refused_token: Option<u64>,
+    call: Option<PendingCall>,
     next_ms: u64,
 }
 
+/// The call under way.
+#[derive(Clone, Copy, Debug)]
+struct PendingCall {
+    id: u64,
+    /// The leader's token at the time of the call.
+    leader_token: u64,
+}
+
 /// Time after the newest announcement for which calls without a usable answer are repeated: a few
 /// announcement intervals. Without a limit, one late announcement would cause polls for ever.
 const CONFIRMATION_TIMEOUT_MS: u64 = 5_000;
@@ -29,11 +44,15 @@
 #[derive(Debug)]
 enum Stage {
     NotAnswered,
-    /// The worker has answered. Starts meant for the previous incarnation are blocked one by one;
-    /// then a list must show that none of them runs.
+    /// The worker has answered. Starts meant for the previous incarnation are blocked; then a list
+    /// must show that none of them runs.
     Blocking {
+        /// Runs to stop.
         remaining: Vec<RunRef>,
-        blocked: Vec<RunRef>,
+        /// Runs whose stop the worker has confirmed.
+        stopped: Vec<RunRef>,
+        /// Whether calls carry a token that fences all orders for the previous incarnation.
+        is_fencing: bool,
     },
 }
 
@@ -57,6 +76,7 @@
             announcement,
             announced_ms,
             stage: Stage::NotAnswered,
+            refused_token: None,
             call: None,
             next_ms,
         }
@@ -77,7 +97,7 @@
 
     /// Returns whether `call` is the one under way.
     pub(super) fn awaits(&self, call: u64) -> bool {
-        self.call == Some(call)
+        self.call.is_some_and(|it| it.id == call)
     }
 
     /// Makes the next call due at once, after a newer token has arrived.
@@ -85,22 +105,49 @@
         self.next_ms = now.mono_ms;
     }
 
-    /// Marks `call` as under way, and returns its action.
-    pub(super) fn begin_call(&mut self, call: u64) -> Action {
-        self.call = Some(call);
-        match &self.stage {
+    /// Marks the call `id` as under way, and returns it. `leader_token` is the newest token of the
+    /// leader.
+    pub(super) fn begin_call(&mut self, id: u64, leader_token: u64) -> WorkerCall {
+        self.call = Some(PendingCall { id, leader_token });
+        let action = match &self.stage {
             Stage::Blocking { remaining, .. } if let Some(run) = remaining.last() => {
                 Action::Stop { run: *run }
             }
             // Without a lease or an acknowledgement, the poll changes no state of the worker.
             _ => Action::Poll { lease_until_ms: None, acked_cursor: 0, wait_ms: 0 },
+        };
+        let token = self.call_token(leader_token);
+        WorkerCall { worker: self.announcement.id.clone(), token, action }
+    }
+
+    /// Returns the token for the next call.
+    ///
+    /// The next enrolment at this node has a higher token than the leader has granted so far, so
+    /// the token after the granted one fences orders for the previous incarnation, and none for
+    /// this one. An earlier process of this node may have fenced them already: a worker that
+    /// refuses the granted token has received a higher one.
+    fn call_token(&self, leader_token: u64) -> u64 {
+        let is_fencing = matches!(self.stage, Stage::Blocking { is_fencing: true, .. });
+        match is_fencing || self.refused_token == Some(leader_token) {
+            true => leader_token + 1,
+            false => leader_token,
         }
     }
 
-    /// Begins to block starts that may still reach the worker.
-    pub(super) fn block_starts(&mut self, starts: Vec<RunRef>, now: Now) {
+    /// Begins to block starts that may still reach the worker. `is_other_incarnation` says whether
+    /// they were meant for another incarnation than this one.
+    pub(super) fn block_starts(
+        &mut self,
+        starts: Vec<RunRef>,
+        is_other_incarnation: bool,
+        now: Now,
+    ) {
         self.next_ms = now.mono_ms;
-        self.stage = Stage::Blocking { remaining: starts.clone(), blocked: starts };
+        self.stage = Stage::Blocking {
+            remaining: starts,
+            stopped: Vec::new(),
+            is_fencing: is_other_incarnation,
+        };
     }
 
     /// Handles the result of the call under way. `may_share_id` says whether another incarnation
@@ -112,7 +159,10 @@
         retry_ms: u64,
         now: Now,
     ) -> Verdict {
-        self.call = None;
+        let call = self.call.take();
+        if matches!(result, CallResult::Refused { cause: CallRefusal::Fenced, .. }) {
+            self.refused_token = call.map(|it| it.leader_token);
+        }
         let verdict = match (&mut self.stage, result) {
             (_, CallResult::OtherLifetime) => Verdict::Absent,
             (
@@ -139,15 +189,24 @@
             {
                 Verdict::Answered
             }
-            (Stage::Blocking { remaining, .. }, CallResult::Done { .. }) => {
-                remaining.pop();
+            (Stage::Blocking { remaining, stopped, is_fencing }, CallResult::Done { .. }) => {
+                stopped.extend(remaining.pop());
+                if *is_fencing {
+                    // The worker has received the token, so it refuses the other starts.
+                    remaining.clear();
+                }
                 self.next_ms = now.mono_ms;
                 return Verdict::Unclear;
             }
-            (Stage::Blocking { remaining, blocked }, CallResult::RunList { running, .. })
-                if remaining.is_empty() && !running.iter().any(|it| blocked.contains(&it.run)) =>
-            {
-                Verdict::Ready
+            (
+                Stage::Blocking { remaining, stopped, is_fencing },
+                CallResult::RunList { running, .. },
+            ) if remaining.is_empty() => {
+                let listed = running.iter().map(|it| it.run);
+                let strays: Vec<_> =
+                    listed.filter(|it| *is_fencing || stopped.contains(it)).collect();
+                remaining.extend(strays.iter().filter(|it| !stopped.contains(it)));
+                if strays.is_empty() { Verdict::Ready } else { Verdict::Unclear }
             }
             _ if self.announced_ms + CONFIRMATION_TIMEOUT_MS <= now.mono_ms => Verdict::Absent,
             _ => Verdict::Unclear,
--- a/tests/workflows/faults.rs
+++ b/tests/workflows/faults.rs
@@ -131,6 +131,38 @@
     assert_unbroken(100_046);
 }
 
+/// A worker is back under its id while starts for its forerunner are in transit. One is carried out
+/// after the lease by which the leader starts its task elsewhere.
+#[test]
+fn no_start_for_the_lifetime_before_outlasts_its_lease() {
+    assert_unbroken(100_041);
+}
+
+/// A worker and its node restart while starts are in transit. Some are carried out by the next
+/// incarnation, which has the same id, before the node is back. The leader enrolled it and started
+/// their tasks elsewhere.
+#[test]
+fn a_start_sent_by_an_earlier_node_process_runs_nowhere_beside_the_next_run() {
+    for seed in SEEDS {
+        let mut world = World::new(seed, 3, 2);
+        world.keeps_ids = Some(true);
+        world.install_queue();
+        world.late_percent = 100;
+        world.crash_worker(0, 1_500);
+        let nature = TaskBehavior { work_ms: 5_000, fails_every: 0, crash: None };
+        world.submit(7, spec(vec![step(12, 1, &[])]), nature);
+        world.run_for(100);
+        // Stops get no answer either.
+        world.late_percent = 50;
+        world.kill_node(0, 3_300);
+        world.run_for(8_000);
+        world.late_percent = 0;
+        world.run_for(15_000);
+        assert!(world.rules.violations.is_empty(), "seed {seed}: {:#?}", world.rules.violations);
+        assert_eq!(world.phase(7), Some(WorkflowPhase::Completed), "seed {seed}");
+    }
+}
+
 #[test]
 fn the_same_seed_plays_the_same() {
     assert_eq!(play(3).rules.starts, play(3).rules.starts);
--- a/tests/workflows/lifetimes.rs
+++ b/tests/workflows/lifetimes.rs
@@ -132,6 +132,49 @@
     assert_eq!(harness.worker(), worker_name(SECOND_START_UNIX_MS));
 }
 
+/// A worker crashes while starts for it are in transit, and is back under its id. Stopped one by one
+/// there, some came first, and their tasks ran on other workers too.
+#[test]
+fn one_answer_of_the_second_lifetime_fences_all_starts_for_the_first() {
+    const STARTS: u32 = 3;
+    let start_of = |index| match start() {
+        RunOrder::Start(it) => {
+            let task = TaskRef { index, ..RUN.task };
+            RunOrder::Start(StartRun { run: RunRef { task, ..RUN }, ..it })
+        }
+        other => other,
+    };
+    let mut harness = with_first_incarnation();
+    harness.grant(true, (0..STARTS).map(start_of).collect());
+    for _ in 0..STARTS {
+        harness.take_call(is_start);
+    }
+    harness.calls.clear();
+    harness.input(announced(SECOND_START_UNIX_MS, 1));
+    let first_token = harness.newest_token;
+    answer_newest_poll(&mut harness, run_list(Some(SECOND_START_UNIX_MS), Vec::new()));
+    let stop = harness.take_call(is_stop);
+    assert!(first_token < harness.newest_token, "the second incarnation accepts starts");
+    harness.end_call(stop, CallResult::Done { clock_ms: 91 });
+    answer_newest_poll(&mut harness, run_list(Some(SECOND_START_UNIX_MS), Vec::new()));
+    assert_eq!(harness.worker(), worker_name(SECOND_START_UNIX_MS));
+}
+
+/// The process that fenced the worker has restarted, and its leader still grants the token before.
+#[test]
+fn a_lifetime_that_was_fenced_is_asked_with_the_next_token() {
+    let mut harness = NodeHarness::without_worker();
+    harness.grant_without_worker(1 << 24);
+    harness.input(announced(SECOND_START_UNIX_MS, 3));
+    assert_eq!(harness.newest_token, 1 << 24);
+    let refused = CallResult::Refused { clock_ms: 90, cause: CallRefusal::Fenced };
+    answer_newest_poll(&mut harness, refused);
+    harness.advance(110);
+    assert_eq!(harness.newest_token, (1 << 24) + 1);
+    answer_newest_poll(&mut harness, run_list(Some(SECOND_START_UNIX_MS), Vec::new()));
+    assert_eq!(harness.worker(), worker_name(SECOND_START_UNIX_MS));
+}
+
 #[test]
 fn a_list_of_another_lifetime_is_not_taken_for_its_own() {
     let mut harness = with_first_incarnation();
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -14,6 +14,8 @@
     node: NodeCore,
     pub now_ms: u64,
     pub calls: Vec<(u64, Action)>,
+    /// Fencing token of the newest call.
+    pub newest_token: u64,
     pub reports: Vec<NodeReport>,
     /// Destination of each report.
     report_targets: Vec<std::net::SocketAddr>,
@@ -44,7 +46,16 @@
         let node = NodeCore::new(options);
         let (calls, reports, report_targets) = (Vec::new(), Vec::new(), Vec::new());
         let rejections = Vec::new();
-        NodeHarness { node, now_ms: 1_000, calls, reports, report_targets, rejections }
+        let newest_token = 0;
+        NodeHarness {
+            node,
+            now_ms: 1_000,
+            calls,
+            newest_token,
+            reports,
+            report_targets,
+            rejections,
+        }
     }
 
     /// Creates a node that has just started and knows one worker.
@@ -77,7 +88,10 @@
         self.node.handle(Now { mono_ms: self.now_ms, wall_ms: 0 }, input);
         for effect in self.node.take_effects() {
             match effect {
-                Effect::Call { id, call } => self.calls.push((id, call.action)),
+                Effect::Call { id, call } => {
+                    self.newest_token = call.token;
+                    self.calls.push((id, call.action));
+                }
                 Effect::Send { to, message: Message::NodeReport(it) } => {
                     self.report_targets.push(to);
                     self.reports.push(it);
