Start tasks at their last chance apart from each other

All tasks that have lost three workers wait for the same quiet period, and then start on the same worker.

Change: a worker hosts such tasks of one workflow at a time, until they are too old to be suspected.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod enrolment;
 mod features;
+mod isolations;
 mod lost_workers;
 mod moves;
 mod orders;
--- a/src/control/dispatch/plan/builder.rs
+++ b/src/control/dispatch/plan/builder.rs
@@ -9,6 +9,7 @@
     control::{
         dispatch::{
             capacity::{FreeCapacity, PlacementMode, Preference, TaskDemand},
+            isolations::Isolations,
             plan::holds::Holds,
             probations::Probations,
             run_monitor::RunKind,
@@ -26,6 +27,7 @@
     pub(super) workers: Vec<&'r mut FreeCapacity>,
     pub(super) contention: &'a mut ContentionModel,
     pub(super) probations: Probations,
+    isolations: Isolations,
     pub(super) runs: Vec<RunPlacement>,
     pub(super) changed_workers: BTreeSet<WorkerId>,
     pub(super) holds: Holds<'a>,
@@ -83,6 +85,7 @@
         workers: Vec<&'r mut FreeCapacity>,
         contention: &'a mut ContentionModel,
         probations: Probations,
+        isolations: Isolations,
     ) -> PlanBuilder<'a, 'r> {
         let (runs, changed_workers, unmet) = (Vec::new(), BTreeSet::new(), Vec::new());
         PlanBuilder {
@@ -90,6 +93,7 @@
             workers,
             contention,
             probations,
+            isolations,
             runs,
             changed_workers,
             holds: Holds::default(),
@@ -156,8 +160,8 @@
                 // One running task is enough for the workflow not to be idle.
                 let limit = if mode == PlacementMode::AnyWorker { 1 } else { usize::MAX };
                 let limit = limit.min(waiting.len());
-                let SplitTasks { on_probation, others } = self.split(step_ref, &waiting[..limit]);
-                self.place_on_probation(step_ref, &demand, state, &on_probation, mode);
+                let SplitTasks { suspects, others } = self.split(step_ref, &waiting[..limit]);
+                self.place_suspects(step_ref, &demand, state, &suspects, mode);
                 let reserved = match has_reservations {
                     true => self.place_reserved(step_ref, &demand, state, &others),
                     false => 0,
@@ -189,15 +193,15 @@
         let run = waiting.iter().map(|(_, run)| *run).max().unwrap_or(1);
         let members: Vec<_> = waiting.iter().map(|(index, _)| (*index, run)).collect();
         let first_run = self.runs.len();
-        let probations = self.probations.clone();
-        let SplitTasks { on_probation, others } = self.split(step_ref, &members);
-        let is_placed = self.place_on_probation(step_ref, demand, state, &on_probation, mode)
-            == on_probation.len()
+        let (probations, isolations) = (self.probations.clone(), self.isolations.clone());
+        let SplitTasks { suspects, others } = self.split(step_ref, &members);
+        let is_placed = self.place_suspects(step_ref, demand, state, &suspects, mode)
+            == suspects.len()
             && self.place_tasks(step_ref, demand, state, &others, mode) == others.len();
         if is_placed {
             return;
         }
-        self.probations = probations;
+        (self.probations, self.isolations) = (probations, isolations);
         for placed in self.runs.split_off(first_run) {
             if let Some(worker) = self.workers.iter_mut().find(|it| it.id == placed.worker) {
                 worker.release(demand, self.contention);
@@ -210,21 +214,23 @@
         self.probations.is_quiet() || !self.workflows.suspects().needs_quiet_period(task)
     }
 
-    /// Separates the tasks that need probation from the others.
+    /// Separates the tasks that need probation or isolation from the others.
     fn split(&self, step_ref: StepRef, tasks: &[(u32, u32)]) -> SplitTasks {
-        let suspects = self.workflows.suspects();
-        let needs_probation =
-            |(index, _): &(u32, u32)| suspects.needs_probation(task_of(step_ref, *index));
-        let (on_probation, others) = tasks.iter().copied().partition(needs_probation);
-        SplitTasks { on_probation, others }
+        let evidence = self.workflows.suspects();
+        let is_set_apart = |(index, _): &(u32, u32)| {
+            let task = task_of(step_ref, *index);
+            evidence.needs_probation(task) || evidence.needs_isolation(task)
+        };
+        let (suspects, others) = tasks.iter().copied().partition(is_set_apart);
+        SplitTasks { suspects, others }
     }
 
-    /// Places tasks of a workflow that need probation, each on the worker with the fewest runs
-    /// where no other task begins; returns how many. The rest wait until active probations have
-    /// ended.
+    /// Places tasks of a workflow that need probation or isolation, each on the worker with the
+    /// fewest runs that may host it; returns how many. The rest wait until active probations and
+    /// isolations have ended.
     ///
     /// Tasks of one workflow may share a worker: whichever of them crashes it, the workflow fails.
-    fn place_on_probation(
+    fn place_suspects(
         &mut self,
         step_ref: StepRef,
         demand: &TaskDemand<'_>,
@@ -232,45 +238,52 @@
         tasks: &[(u32, u32)],
         mode: PlacementMode,
     ) -> usize {
+        let evidence = self.workflows.suspects();
         let mut counts = counts_of(demand.step, state);
-        let must_wait = self.probations.is_limit_reached(self.workers.len());
+        let is_limit_reached = self.probations.is_limit_reached(self.workers.len());
         let mut used_workers: Vec<usize> = Vec::new();
         for (placed, (index, run)) in tasks.iter().enumerate() {
+            let task = task_of(step_ref, *index);
+            let needs_probation = evidence.needs_probation(task);
+            let needs_isolation = evidence.needs_isolation(task);
             let count = |it: WorkerId| counts.get(&it).copied().unwrap_or(0);
             let has_capacity = |it: &usize| {
                 let worker = &self.workers[*it];
                 worker.offer(demand, count(worker.id), mode, self.contention).is_some()
             };
+            let may_host = |it: &usize| {
+                !needs_isolation || self.isolations.may_host(self.workers[*it].id, task.workflow)
+            };
+            let must_wait = needs_probation && is_limit_reached;
             let shared = used_workers.iter().copied().find(has_capacity);
-            let unused_worker =
-                || self.least_loaded_worker(demand, &counts, mode).filter(|_| !must_wait);
+            let unused_worker = || {
+                let offers = self.offers(demand, &counts, mode).into_iter().map(|(_, it)| it);
+                let best = offers.filter(may_host).min_by_key(|it| self.load_of(*it));
+                best.filter(|_| !must_wait)
+            };
             let Some(best) = shared.or_else(unused_worker) else { return placed };
             let worker = self.workers[best].id;
             self.workers[best].reserve(demand, self.contention);
-            self.probations.begin(worker);
+            if needs_probation {
+                self.probations.begin(worker);
+            }
+            if needs_isolation {
+                self.isolations.begin(worker, task.workflow);
+            }
             used_workers.push(best);
             self.changed_workers.insert(worker);
             *counts.entry(worker).or_insert(0) += 1;
-            let run = RunRef { task: task_of(step_ref, *index), run: *run };
-            self.runs.push(RunPlacement { run, worker });
+            self.runs.push(RunPlacement { run: RunRef { task, run: *run }, worker });
         }
         tasks.len()
     }
 
-    /// Returns the worker with the fewest runs that can take a task; workers that have not enrolled
-    /// recently are preferred.
-    fn least_loaded_worker(
-        &self,
-        demand: &TaskDemand<'_>,
-        counts: &HashMap<WorkerId, u32>,
-        mode: PlacementMode,
-    ) -> Option<usize> {
-        let load = |it: &usize| {
-            let id = self.workers[*it].id;
-            let runs = self.workflows.workers().get(id).map(|it| it.runs.len());
-            (self.probations.is_recently_enrolled(id), runs, *it)
-        };
-        self.offers(demand, counts, mode).into_iter().map(|(_, it)| it).min_by_key(load)
+    /// Returns the load by which a suspected task is placed: on the worker with the fewest runs, and
+    /// preferably on one that has not enrolled recently.
+    fn load_of(&self, worker_index: usize) -> (bool, Option<usize>, usize) {
+        let id = self.workers[worker_index].id;
+        let runs = self.workflows.workers().get(id).map(|it| it.runs.len());
+        (self.probations.is_recently_enrolled(id), runs, worker_index)
     }
 
     /// Places tasks, each with its run number, until no worker can take the next; returns how many.
@@ -378,7 +391,7 @@
 
 /// Tasks to place, each by its index and the number of its next run.
 struct SplitTasks {
-    on_probation: Vec<(u32, u32)>,
+    suspects: Vec<(u32, u32)>,
     others: Vec<(u32, u32)>,
 }
 
--- a/src/control/dispatch/plan/mod.rs
+++ b/src/control/dispatch/plan/mod.rs
@@ -16,6 +16,7 @@
     control::{
         dispatch::{
             capacity::{FreeCapacities, FreeCapacity, PlacementMode},
+            isolations::Isolations,
             moves::{NewReservation, Reservations, StopBudget},
             probations::Probations,
             sessions::{Sessions, SlowRun, UsabilityCriteria},
@@ -134,6 +135,7 @@
         free_capacities.usable(workflows, sessions, speeds, usability),
         contention,
         probations,
+        Isolations::new(workflows, now),
     );
     if let Some(it) = &reserving {
         builder.withhold(it.reservations.entries(), it.run_times, now.mono_ms);
--- a/src/control/state/workflows/suspects.rs
+++ b/src/control/state/workflows/suspects.rs
@@ -61,6 +61,11 @@
         self.get(task).is_some_and(CrashEvidence::needs_quiet_period)
     }
 
+    /// Returns whether a task must begin where no task of another workflow does that needs this too.
+    pub fn needs_isolation(&self, task: TaskRef) -> bool {
+        self.get(task).is_some_and(CrashEvidence::needs_isolation)
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (TaskRef, CrashEvidence)> {
         self.tasks.iter().map(|(task, it)| (*task, *it))
     }
--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -194,6 +194,12 @@
         QUIET_PERIOD_CRASHES <= self.crashes_in_row + self.silent_workers
     }
 
+    /// Returns whether the next crash gives the task up, so that it must not start beside another
+    /// such task: the crash would give up both.
+    pub fn needs_isolation(self) -> bool {
+        self.needs_quiet_period()
+    }
+
     /// Returns whether the task is taken to have caused the crashes, and is given up.
     pub fn is_culprit(self) -> bool {
         CRASHES_MIN <= self.crashes_in_row && LIKELIHOOD_RATIO_MIN <= self.likelihood_ratio
