--- a/src/control/dispatch/enrolment.rs
+++ b/src/control/dispatch/enrolment.rs
@@ -3,7 +3,7 @@
 //! An incarnation that takes the place of another one ends the runs of that one, whose tasks then
 //! start elsewhere. If both have the same id, starts that were sent to the earlier incarnation may
 //! still be carried out by the later one, also when they came from an earlier process of its node.
-//! So the leader first fences and empties the later incarnation: it grants a token above that of
+//! The runs that these begin are called strays. So the leader first fences and empties the later incarnation: it grants a token above that of
 //! the earlier one, orders what the worker lists to be stopped, and enrols the worker once a list
 //! read under that token shows no run.
 
