Fence the calls of earlier node processes without a leader

Callers saw a task run in two places: its work was done, and billed, twice.

Cause: a worker's calls carried the token of the leader's grant. A node process that has just started does not know it before it reaches the leader.

Change: the node issues the tokens that the worker sees, from the VM's steady clock. So each is higher than those of all earlier processes at this VM, with or without a leader, and the first call that a worker answers fences all calls before it. A new token is issued for each unconfirmed incarnation, registration and term. The tokens of grants still order grants. A worker that refuses the newest token is asked with larger ones.

--- a/src/node/calls.rs
+++ b/src/node/calls.rs
@@ -7,7 +7,7 @@
 pub struct WorkerCall {
     /// Worker id that the call is meant for; a worker with another id refuses it.
     pub worker: CompactString,
-    /// Fencing token of the leader's grant; the worker refuses calls with an older one.
+    /// Fencing token; the worker refuses calls with one below the highest that it has received.
     pub token: u64,
     pub action: Action,
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod calls;
 mod fillers;
 mod orders;
+mod tokens;
 mod unconfirmed;
 mod worker;
 
@@ -20,6 +21,7 @@
     Action, Announcement, AnnouncementRejection, CallRefusal, CallResult, Departure, WorkerCall,
 };
 use self::{
+    tokens::TokenIssuer,
     unconfirmed::{UnconfirmedWorker, Verdict},
     worker::WorkerIncarnation,
 };
@@ -85,10 +87,10 @@
     worker: Option<WorkerIncarnation>,
     /// A worker incarnation that announced itself and has not answered a call yet.
     unconfirmed: Option<UnconfirmedWorker>,
+    /// Tokens for all calls of workers.
+    tokens: TokenIssuer,
     /// When the latest input was handled.
     last_input_ms: u64,
-    /// The leader's token for calls of a worker that the leader does not know.
-    unconfirmed_token: u64,
     /// Services that the configuration names; empty while the configuration is not known.
     services: Vec<CompactString>,
     /// Names of worker incarnations that have ended; their late announcements are ignored.
@@ -123,8 +125,8 @@
             term: 0,
             worker: None,
             unconfirmed: None,
+            tokens: TokenIssuer::new(),
             last_input_ms: 0,
-            unconfirmed_token: 0,
             services: Vec::new(),
             past_incarnations: Vec::new(),
             outdated_in_a_row: 0,
@@ -235,7 +237,11 @@
             }
             // A worker marked as gone may only have been unreachable, or this may be another
             // incarnation that does not report its start time.
-            _ => self.unconfirmed = Some(UnconfirmedWorker::new(announcement, now)),
+            _ => {
+                // From its first answer on, the worker refuses all calls sent before.
+                self.tokens.issue(now);
+                self.unconfirmed = Some(UnconfirmedWorker::new(announcement, now));
+            }
         }
     }
 
@@ -258,9 +264,14 @@
         let predecessor = self.worker.as_ref().filter(|it| it.announcement.id == *id);
         // After its own start, a node does not know which incarnations had this id.
         let may_share_id = predecessor.is_some() || self.worker.is_none();
+        let is_fenced = matches!(result, CallResult::Refused { cause: CallRefusal::Fenced, .. });
+        if let Some(token) = unconfirmed.pending_token().filter(|_| is_fenced) {
+            self.tokens.note_refused(token);
+        }
         let verdict = unconfirmed.handle_answer(result, may_share_id, self.options.retry_ms, now);
         let doubtful = predecessor.map(|it| it.doubtful_starts(now)).unwrap_or_default();
         match verdict {
+            Verdict::Unclear if is_fenced => unconfirmed.make_call_due(now),
             Verdict::Unclear => (),
             Verdict::Absent => {
                 let incarnation_name = unconfirmed.announcement.incarnation_name();
@@ -272,6 +283,7 @@
                 let incarnation_name = unconfirmed.announcement.incarnation_name();
                 let is_other = predecessor.is_some_and(|it| it.name != incarnation_name);
                 tracing::info!(event = "starts_blocked", worker = %incarnation_name, starts = doubtful.len(), is_fenced = is_other);
+                self.tokens.issue(now);
                 unconfirmed.block_starts(doubtful, is_other, now);
             }
             Verdict::Answered | Verdict::Ready => {
@@ -360,16 +372,10 @@
         self.unanswered_reports = 0;
         self.leader_finder.set_members(&grant.members);
         self.leader_finder.set_leader(self.leader_finder.target());
-        if grant.worker.is_empty() && self.unconfirmed_token < grant.token {
-            self.unconfirmed_token = grant.token;
-            self.unconfirmed
-                .as_mut()
-                .into_iter()
-                .for_each(|unconfirmed| unconfirmed.make_call_due(now));
-        }
         let Some(worker) = self.worker.as_mut().filter(|known| known.name == grant.worker) else {
             return;
         };
+        let token_before = worker.token;
         if !worker.note_grant(grant.token, grant.sequence) {
             tracing::info!(
                 event = "grant_ignored",
@@ -380,6 +386,10 @@
             );
             return;
         }
+        if token_before < grant.token {
+            // Calls under an earlier leader or registration must no longer be carried out.
+            self.tokens.issue(now);
+        }
         if 0 < grant.sent_ms {
             worker.lease_until_ms = worker.lease_until_ms.max(grant.sent_ms + grant.lease_ms);
         }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -222,13 +222,12 @@
     /// Makes the calls that are due, of the worker and of an unconfirmed one.
     pub(super) fn make_calls(&mut self, now: Now) {
         self.call_worker(now);
-        let token = self.worker.as_ref().map_or(0, |it| it.token).max(self.unconfirmed_token);
         if let Some(unconfirmed) = &mut self.unconfirmed
             && unconfirmed.next_call_ms().is_some_and(|it| it <= now.mono_ms)
         {
             self.next_call += 1;
             let id = self.next_call;
-            let call = unconfirmed.begin_call(id, token);
+            let call = unconfirmed.begin_call(id, self.tokens.newest());
             self.effects.push(super::Effect::Call { id, call });
         }
     }
@@ -267,9 +266,15 @@
             let action = Action::Poll { lease_until_ms: lease, acked_cursor, wait_ms };
             let call = call(action, &mut self.next_call);
             let previous_lease_until_ms = worker.sent_lease_until_ms.filter(|_| may_have_lapsed);
-            let sent_ms = now.mono_ms;
-            worker.poll =
-                Some(PendingPoll { call, sent_ms, wait_ms, acked_cursor, previous_lease_until_ms });
+            let (sent_ms, token) = (now.mono_ms, self.tokens.newest());
+            worker.poll = Some(PendingPoll {
+                call,
+                token,
+                sent_ms,
+                wait_ms,
+                acked_cursor,
+                previous_lease_until_ms,
+            });
             worker.sent_lease_until_ms = worker.sent_lease_until_ms.max(lease);
         }
         let may_be_replaced = worker.may_be_replaced;
@@ -308,7 +313,7 @@
             let id = call(Action::Throttle { run, speed_percent }, &mut self.next_call);
             worker.throttle_calls.insert(id, (run, speed_percent));
         }
-        let (worker, token) = (worker.announcement.id.clone(), worker.token);
+        let (worker, token) = (worker.announcement.id.clone(), self.tokens.newest());
         for (id, action) in calls {
             let call = WorkerCall { worker: worker.clone(), token, action };
             self.effects.push(super::Effect::Call { id, call });
@@ -413,7 +418,12 @@
                 }
                 (clock_ms, running, ended, is_whole)
             }
-            result => return worker.defer_poll(now, self.term, self.options.retry_ms, &result),
+            result => {
+                if matches!(result, CallResult::Refused { cause: CallRefusal::Fenced, .. }) {
+                    self.tokens.note_refused(poll.token);
+                }
+                return worker.defer_poll(now, self.term, self.options.retry_ms, &result);
+            }
         };
         let was_listed = worker.listed_term == self.term;
         let is_awaited_by_leader = worker.update_noted_ends(poll, clock_ms, &ended, now);
--- a/src/node/unconfirmed.rs
+++ b/src/node/unconfirmed.rs
@@ -5,13 +5,13 @@
 //! one may still reach it. So the node first polls it and blocks such orders there, before it
 //! reports the incarnation to the leader, which then restarts elsewhere what ran before.
 //!
-//! Blocking takes one answered call: it carries a fencing token above that of the previous
-//! incarnation, so the worker refuses all orders for that one. Starts that it carried out before are
+//! Blocking takes one answered call: it carries a fencing token above those of all calls before, so
+//! the worker refuses the orders for the previous incarnation. Starts that it carried out before are
 //! listed, and are stopped. Starts that were blocked one by one took longer than the lease of the
 //! previous incarnation where stops got no answer, and tasks ran in two places.
 
 use crate::{
-    node::calls::{Action, Announcement, CallRefusal, CallResult, WorkerCall},
+    node::calls::{Action, Announcement, CallResult, WorkerCall},
     prelude::*,
 };
 
@@ -23,18 +23,15 @@
     pub announcement: Announcement,
     announced_ms: u64,
     stage: Stage,
-    /// The leader's token that the worker has refused as outdated, if any.
-    refused_token: Option<u64>,
+    /// The call under way.
     call: Option<PendingCall>,
     next_ms: u64,
 }
 
-/// The call under way.
 #[derive(Clone, Copy, Debug)]
 struct PendingCall {
     id: u64,
-    /// The leader's token at the time of the call.
-    leader_token: u64,
+    token: u64,
 }
 
 /// Time after the newest announcement for which calls without a usable answer are repeated: a few
@@ -51,8 +48,9 @@
         remaining: Vec<RunRef>,
         /// Runs whose stop the worker has confirmed.
         stopped: Vec<RunRef>,
-        /// Whether calls carry a token that fences all orders for the previous incarnation.
-        is_fencing: bool,
+        /// Whether all starts were meant for another incarnation, so that all listed runs are to be
+        /// stopped.
+        is_other_incarnation: bool,
     },
 }
 
@@ -76,7 +74,6 @@
             announcement,
             announced_ms,
             stage: Stage::NotAnswered,
-            refused_token: None,
             call: None,
             next_ms,
         }
@@ -100,15 +97,19 @@
         self.call.is_some_and(|it| it.id == call)
     }
 
-    /// Makes the next call due at once, after a newer token has arrived.
+    /// Returns the token of the call under way, if any.
+    pub(super) fn pending_token(&self) -> Option<u64> {
+        self.call.map(|it| it.token)
+    }
+
+    /// Makes the next call due at once.
     pub(super) fn make_call_due(&mut self, now: Now) {
         self.next_ms = now.mono_ms;
     }
 
-    /// Marks the call `id` as under way, and returns it. `leader_token` is the newest token of the
-    /// leader.
-    pub(super) fn begin_call(&mut self, id: u64, leader_token: u64) -> WorkerCall {
-        self.call = Some(PendingCall { id, leader_token });
+    /// Marks the call `id` as under way, and returns it.
+    pub(super) fn begin_call(&mut self, id: u64, token: u64) -> WorkerCall {
+        self.call = Some(PendingCall { id, token });
         let action = match &self.stage {
             Stage::Blocking { remaining, .. } if let Some(run) = remaining.last() => {
                 Action::Stop { run: *run }
@@ -116,24 +117,9 @@
             // Without a lease or an acknowledgement, the poll changes no state of the worker.
             _ => Action::Poll { lease_until_ms: None, acked_cursor: 0, wait_ms: 0 },
         };
-        let token = self.call_token(leader_token);
         WorkerCall { worker: self.announcement.id.clone(), token, action }
     }
 
-    /// Returns the token for the next call.
-    ///
-    /// The next enrolment at this node has a higher token than the leader has granted so far, so
-    /// the token after the granted one fences orders for the previous incarnation, and none for
-    /// this one. An earlier process of this node may have fenced them already: a worker that
-    /// refuses the granted token has received a higher one.
-    fn call_token(&self, leader_token: u64) -> u64 {
-        let is_fencing = matches!(self.stage, Stage::Blocking { is_fencing: true, .. });
-        match is_fencing || self.refused_token == Some(leader_token) {
-            true => leader_token + 1,
-            false => leader_token,
-        }
-    }
-
     /// Begins to block starts that may still reach the worker. `is_other_incarnation` says whether
     /// they were meant for another incarnation than this one.
     pub(super) fn block_starts(
@@ -143,11 +129,8 @@
         now: Now,
     ) {
         self.next_ms = now.mono_ms;
-        self.stage = Stage::Blocking {
-            remaining: starts,
-            stopped: Vec::new(),
-            is_fencing: is_other_incarnation,
-        };
+        self.stage =
+            Stage::Blocking { remaining: starts, stopped: Vec::new(), is_other_incarnation };
     }
 
     /// Handles the result of the call under way. `may_share_id` says whether another incarnation
@@ -159,10 +142,7 @@
         retry_ms: u64,
         now: Now,
     ) -> Verdict {
-        let call = self.call.take();
-        if matches!(result, CallResult::Refused { cause: CallRefusal::Fenced, .. }) {
-            self.refused_token = call.map(|it| it.leader_token);
-        }
+        self.call = None;
         let verdict = match (&mut self.stage, result) {
             (_, CallResult::OtherLifetime) => Verdict::Absent,
             (
@@ -189,9 +169,12 @@
             {
                 Verdict::Answered
             }
-            (Stage::Blocking { remaining, stopped, is_fencing }, CallResult::Done { .. }) => {
+            (
+                Stage::Blocking { remaining, stopped, is_other_incarnation },
+                CallResult::Done { .. },
+            ) => {
                 stopped.extend(remaining.pop());
-                if *is_fencing {
+                if *is_other_incarnation {
                     // The worker has received the token, so it refuses the other starts.
                     remaining.clear();
                 }
@@ -199,12 +182,12 @@
                 return Verdict::Unclear;
             }
             (
-                Stage::Blocking { remaining, stopped, is_fencing },
+                Stage::Blocking { remaining, stopped, is_other_incarnation },
                 CallResult::RunList { running, .. },
             ) if remaining.is_empty() => {
                 let listed = running.iter().map(|it| it.run);
                 let strays: Vec<_> =
-                    listed.filter(|it| *is_fencing || stopped.contains(it)).collect();
+                    listed.filter(|it| *is_other_incarnation || stopped.contains(it)).collect();
                 remaining.extend(strays.iter().filter(|it| !stopped.contains(it)));
                 if strays.is_empty() { Verdict::Ready } else { Verdict::Unclear }
             }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -23,6 +23,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PendingPoll {
     pub call: u64,
+    pub token: u64,
     pub sent_ms: u64,
     /// Longest time for which the worker may hold the call open.
     pub wait_ms: u64,
@@ -91,7 +92,7 @@
     pub failure_cursor: u64,
     /// Latest lease end that this process sent to the worker, by the worker's clock, if any.
     pub sent_lease_until_ms: Option<u64>,
-    /// Fencing token for calls, from the newest grant; `grant_sequence` orders grants of one token.
+    /// Token of the newest grant; `grant_sequence` orders grants of one token.
     pub token: u64,
     pub grant_sequence: u64,
     pub lease_until_ms: u64,
