Keep a lapse of a worker's lease until the leader knows of it

Callers saw a workflow shown as failed after two of three failures.

Change: a lapse that begins where the last one ended extends it. Three more ways to lose a lapse, found by looking for the same fault: - A poll that is replaced, by a new leader or a stop, may have renewed the lease. Its answer is evaluated now. - A poll without an answer may not have renewed the lease, and its acknowledgement may have arrived. While a failure is not acknowledged, the node renews the lease only where the lapse is certain.

The tests in node.rs are red before.

--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -362,8 +362,7 @@
             self.term = grant.term;
             if let Some(worker) = &mut self.worker {
                 // The new leader needs the worker's lists read under its own term.
-                worker.poll = None;
-                worker.next_poll_ms = now.mono_ms;
+                worker.drop_poll(now);
                 worker.drop_stops();
             }
         }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -131,7 +131,15 @@
                 self.listed_ms = now.mono_ms;
                 self.acked_cursor_received = self.acked_cursor_received.max(poll.acked_cursor);
             }
-            CallResult::NoAnswer | CallResult::ConnectionRefused => self.may_be_replaced = true,
+            CallResult::NoAnswer => {
+                self.may_be_replaced = true;
+                self.note_failed_poll(poll, false);
+            }
+            CallResult::ConnectionRefused => {
+                self.may_be_replaced = true;
+                self.note_failed_poll(poll, true);
+            }
+            CallResult::Refused { .. } | CallResult::Unhealthy => self.note_failed_poll(poll, true),
             _ => (),
         }
     }
@@ -238,7 +246,9 @@
         }
         let Some(worker) = &mut self.worker else { return };
         worker.block_unfit_starts(now);
-        let lease = worker.lease_by_worker_ms(now);
+        let may_lapse = worker.may_lapse_during_call(now);
+        // Renewed once it has surely expired or surely has not.
+        let lease = worker.lease_by_worker_ms(now).filter(|_| !may_lapse);
         let mut calls = Vec::new();
         let mut call = |action: Action, next_call: &mut u64| {
             *next_call += 1;
@@ -259,6 +269,7 @@
             // Another incarnation has another clock, and its own ends under the same cursors.
             let (lease, acked_cursor) = match worker.may_be_replaced {
                 true => (None, 0),
+                false if may_lapse => (None, 0),
                 // Not repeated once received, since the call may still reach another incarnation.
                 false if worker.acked_cursor == worker.acked_cursor_received => (lease, 0),
                 false => (lease, worker.acked_cursor),
@@ -365,16 +376,24 @@
             Some(run) => self.on_order_ended(now, run, result),
             // A stop has replaced the start that this call was for, or the call is a poll of an
             // earlier term.
-            None => self.on_late_result(now, result),
+            None => self.on_late_result(now, id, result),
         }
     }
 
-    fn on_late_result(&mut self, now: Now, result: CallResult) {
-        let (CallResult::RunList { ended, .. } | CallResult::PartialRunList { ended, .. }) = result
+    fn on_late_result(&mut self, now: Now, id: u64, result: CallResult) {
+        let poll = self.worker.as_mut().and_then(|it| it.take_dropped_poll(id));
+        let (CallResult::RunList { ended, clock_ms, .. }
+        | CallResult::PartialRunList { ended, clock_ms, .. }) = result
         else {
+            if let (Some(worker), Some(poll)) = (&mut self.worker, poll) {
+                worker.note_failed_poll(poll, !matches!(result, CallResult::NoAnswer));
+            }
             return;
         };
         if let Some(worker) = &mut self.worker {
+            if let Some(poll) = poll {
+                self.needs_report |= worker.update_noted_ends(poll, clock_ms, &ended, now);
+            }
             // The list of running tasks may be outdated, but ends are final.
             for run in ended.into_iter().filter(|it| worker.acked_cursor < it.cursor) {
                 worker.ended.insert(run.cursor, run.end);
@@ -476,7 +495,7 @@
                     Order::Stop { refused: Some(cause) } => {
                         pending.order = Order::Blocked { cause, after_call: self.next_call };
                         // The pending poll may have been answered before the stop.
-                        worker.poll = None;
+                        worker.drop_poll(now);
                     }
                     _ => drop(worker.orders.remove(&run)),
                 }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -45,6 +45,12 @@
     pub may_still_execute: bool,
 }
 
+/// Time that a call of the worker on the same VM takes at most, unless one of both stalls.
+const CALL_MAX_MS: u64 = 50;
+
+/// Number of replaced polls that are remembered: each is answered or fails within seconds.
+const DROPPED_POLLS_MAX: usize = 8;
+
 #[derive(Clone, Debug)]
 pub(super) enum Order {
     Start {
@@ -108,6 +114,12 @@
     pub sent_speed_percents: HashMap<RunRef, u32>,
     pub throttle_calls: HashMap<u64, (RunRef, u32)>,
     pub poll: Option<PendingPoll>,
+    /// Polls whose lists are outdated once they arrive. They may still renew the lease and
+    /// acknowledge ends.
+    dropped_polls: Vec<PendingPoll>,
+    /// Highest cursor acknowledged by a poll that got no answer, until a list shows whether the
+    /// worker received it.
+    unanswered_ack_cursor: u64,
     pub next_poll_ms: u64,
     /// Consecutive lists with unreadable rows.
     pub incomplete_lists: u32,
@@ -161,6 +173,8 @@
             sent_speed_percents: HashMap::new(),
             throttle_calls: HashMap::new(),
             poll: None,
+            dropped_polls: Vec::new(),
+            unanswered_ack_cursor: 0,
             next_poll_ms: now.mono_ms,
             incomplete_lists: 0,
             missing_since_ms: None,
@@ -240,6 +254,47 @@
         self.sent_lease_until_ms.is_some_and(|it| it < max_clock_ms)
     }
 
+    /// Returns whether the lease may expire while a call is on its way, although the worker does not
+    /// know yet that a failure is acknowledged. Whether the failure counts could then not be known.
+    pub(super) fn may_lapse_during_call(&self, now: Now) -> bool {
+        let clock_ms = self.clock.clock_ms + (now.mono_ms - self.clock.at_ms);
+        self.noted.noted_cursor < self.failure_cursor
+            && self.sent_lease_until_ms.is_some_and(|it| it.abs_diff(clock_ms) <= CALL_MAX_MS)
+    }
+
+    /// Replaces the poll under way by one that is due at once.
+    pub(super) fn drop_poll(&mut self, now: Now) {
+        self.dropped_polls.extend(self.poll.take());
+        let excess = self.dropped_polls.len().saturating_sub(DROPPED_POLLS_MAX);
+        self.dropped_polls.drain(..excess);
+        self.next_poll_ms = self.next_poll_ms.min(now.mono_ms);
+    }
+
+    /// Removes and returns a poll that was replaced before it was answered.
+    pub(super) fn take_dropped_poll(&mut self, call: u64) -> Option<PendingPoll> {
+        let index = self.dropped_polls.iter().position(|it| it.call == call)?;
+        Some(self.dropped_polls.remove(index))
+    }
+
+    /// Notes that a poll returned no list: its lease and its acknowledgement may not have arrived.
+    /// `is_refused` says that they surely have not.
+    pub(super) fn note_failed_poll(&mut self, poll: PendingPoll, is_refused: bool) {
+        if poll.previous_lease_until_ms.is_some() {
+            self.sent_lease_until_ms = poll.previous_lease_until_ms;
+        }
+        if !is_refused {
+            self.unanswered_ack_cursor = self.unanswered_ack_cursor.max(poll.acked_cursor);
+        }
+    }
+
+    /// Returns the ends that are noted once the incarnation has ended. An acknowledgement that it may
+    /// have received counts as received.
+    fn finally_noted(&self) -> NotedEnds {
+        let pending_cursors = self.poll.iter().chain(&self.dropped_polls).map(|it| it.acked_cursor);
+        let pending_cursor = pending_cursors.max().unwrap_or(0).max(self.unanswered_ack_cursor);
+        NotedEnds { noted_cursor: self.noted.noted_cursor.max(pending_cursor), ..self.noted }
+    }
+
     /// Updates which ends the worker knows to be acknowledged, by the list that a poll returned.
     /// Returns whether the leader waits for this update.
     ///
@@ -252,6 +307,13 @@
         ended: &[EndedRun],
         now: Now,
     ) -> bool {
+        let noted_at_first = self.noted;
+        let is_unanswered_ack_received =
+            ended.iter().all(|it| self.unanswered_ack_cursor < it.cursor);
+        if is_unanswered_ack_received {
+            self.noted.noted_cursor = self.noted.noted_cursor.max(self.unanswered_ack_cursor);
+            self.unanswered_ack_cursor = 0;
+        }
         let noted_before = self.noted;
         // Lower bound of the worker's clock at the arrival of the poll, which was after `sent_ms`.
         let min_clock_ms = clock_ms.saturating_sub(now.mono_ms - poll.sent_ms);
@@ -264,14 +326,18 @@
         let late_acked_cursor = lease_ended.then_some(poll.acked_cursor);
         let lapsed_cursor = lapsed_cursors.max().max(late_acked_cursor);
         if let Some(it) = lapsed_cursor.filter(|it| noted_before.noted_cursor < *it) {
-            self.noted.lapsed_after_cursor = noted_before.noted_cursor;
+            // Acknowledgements that came after a lapse do not end it: the leader may not know yet
+            // which ends preceded it.
+            if noted_before.lapsed_cursor < noted_before.noted_cursor {
+                self.noted.lapsed_after_cursor = noted_before.noted_cursor;
+            }
             self.noted.lapsed_cursor = it;
         }
         self.noted.noted_cursor = noted_before.noted_cursor.max(poll.acked_cursor);
         let failures = ended.iter().filter(|it| it.end.outcome == RunOutcome::Failed);
         self.failure_cursor =
             failures.map(|it| it.cursor).max().unwrap_or(0).max(self.failure_cursor);
-        noted_before != self.noted && noted_before.noted_cursor < self.failure_cursor
+        noted_at_first != self.noted && noted_at_first.noted_cursor < self.failure_cursor
     }
 
     /// Returns whether the next poll must not wait, because the leader waits for the report that a
@@ -344,7 +410,7 @@
                 .map(|(run, cause)| RefusedRun { run: *run, cause: *cause })
                 .collect(),
             roles_missing,
-            noted: self.noted,
+            noted: if self.is_gone { self.finally_noted() } else { self.noted },
             faded: self.ended_filler_uses(),
         }
     }
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -127,6 +127,19 @@
         }))));
     }
 
+    /// Sends a grant like [`NodeHarness::grant_acked`] that was delayed until its lease is over.
+    fn grant_acked_without_lease(&mut self, acked_cursor: u64) {
+        let grant = NodeGrant {
+            term: 1,
+            token: 1 << 24,
+            sequence: self.now_ms,
+            sent_ms: 1,
+            acked_cursor,
+            ..grant_of_next_leader(self)
+        };
+        self.input(Input::Message(Box::new(Message::NodeGrant(grant))));
+    }
+
     /// Sends a grant that acknowledges ended runs up to a cursor.
     pub fn grant_acked(&mut self, acked_cursor: u64) {
         self.grant_with(true, Vec::new(), acked_cursor);
@@ -615,6 +628,22 @@
         self.calls.iter().find_map(poll_wait_ms).unwrap()
     }
 
+    /// Returns the lease in the newest poll, if it carries one.
+    fn lease_until_ms(&self) -> Option<u64> {
+        self.calls.iter().rev().find_map(|(_, it)| match it {
+            Action::Poll { lease_until_ms, .. } => Some(*lease_until_ms),
+            _ => None,
+        })?
+    }
+
+    /// Answers the newest poll with ended runs.
+    fn list_ends(&mut self, ended: Vec<EndedRun>) {
+        let newest = self.calls.iter().rposition(|(_, it)| is_poll(it)).unwrap();
+        let (id, _) = self.calls.remove(newest);
+        let clock_ms = self.now_ms + 49_000;
+        self.end_call(id, list(clock_ms, ended));
+    }
+
     /// Answers the poll in progress with a failed run; returns the noted ends in the latest report.
     fn list_failure(&mut self) -> NotedEnds {
         let id = self.take_call(is_poll);
@@ -650,6 +679,111 @@
     assert!(noted.has_lapsed(1), "{noted:?}");
 }
 
+fn list(clock_ms: u64, ended: Vec<EndedRun>) -> CallResult {
+    CallResult::RunList { clock_ms, started_unix_ms: None, running: Vec::new(), ended }
+}
+
+/// A node that was paused for longer than a lease sends the acknowledgement of a failure first, and
+/// then lists ends after it. The leader hears of the lapse only then, and counted the failure.
+#[test]
+fn a_lapse_is_reported_though_later_ends_were_listed_since() {
+    let mut harness = NodeHarness::new();
+    harness.grant(true, Vec::new());
+    harness.answer_poll(Vec::new());
+    harness.list_failure();
+    harness.now_ms += 6_000;
+    harness.input(Input::Tick);
+    let noted = harness.list_failure();
+    assert!(noted.has_lapsed(1), "{noted:?}");
+    harness.grant_acked_without_lease(1);
+    harness.advance(110);
+    for _ in 0..2 {
+        harness.list_ends(vec![failed(2)]);
+        harness.advance(110);
+    }
+    let noted = harness.reports.last().unwrap().workers[0].noted;
+    assert!(noted.has_lapsed(1) && noted.has_lapsed(2), "{noted:?}");
+}
+
+/// The acknowledgement of a failure arrives in the last milliseconds of the lease. Sent at once, it
+/// reached the worker just before or just after the lapse.
+#[test]
+fn an_acknowledgement_waits_where_the_lease_ends() {
+    let mut harness = NodeHarness::new();
+    harness.grant(true, Vec::new());
+    harness.answer_poll(Vec::new());
+    let lease_end_ms = harness.lease_until_ms().expect("the worker has a lease");
+    harness.list_failure();
+    // The worker's clock is 49 s ahead of the node's.
+    harness.now_ms = lease_end_ms - 49_000 - 10;
+    harness.calls.clear();
+    harness.grant_acked(1);
+    let noted = loop {
+        let is_over = lease_end_ms < harness.now_ms + 49_000;
+        let carries_nothing = |it: &(u64, Action)| match it.1 {
+            Action::Poll { lease_until_ms, acked_cursor, .. } => {
+                (lease_until_ms, acked_cursor) == (None, 0)
+            }
+            _ => false,
+        };
+        assert!(is_over || harness.calls.iter().all(carries_nothing), "{:?}", harness.calls);
+        if is_over && harness.lease_until_ms().is_some() {
+            harness.list_ends(vec![failed(1)]);
+            break harness.reports.last().unwrap().workers[0].noted;
+        }
+        if !harness.calls.is_empty() {
+            harness.list_ends(vec![failed(1)]);
+        }
+        harness.advance(20);
+    };
+    assert!(noted.has_lapsed(1), "{noted:?}");
+}
+
+/// The poll that renewed a lapsed lease was replaced by one for the next leader. Its answer shows
+/// that the failure lapsed; without it the next poll seemed to acknowledge the failure in time.
+#[test]
+fn a_lapse_shown_by_a_replaced_poll_is_reported() {
+    let mut harness = NodeHarness::new();
+    harness.grant(true, Vec::new());
+    harness.answer_poll(Vec::new());
+    harness.list_failure();
+    harness.now_ms += 6_000;
+    harness.grant_acked(1);
+    let replaced = harness.calls.iter().rposition(|(_, it)| is_poll(it)).unwrap();
+    let (replaced, _) = harness.calls.remove(replaced);
+    harness.input(Input::Message(Box::new(Message::NodeGrant(grant_of_next_leader(&harness)))));
+    let clock_ms = harness.now_ms + 49_000;
+    harness.end_call(replaced, list(clock_ms, vec![failed(1)]));
+    harness.list_ends(Vec::new());
+    harness.advance(600);
+    let noted = harness.reports.last().unwrap().workers[0].noted;
+    assert!(!noted.is_noted(1), "{noted:?}");
+}
+
+/// A poll with an acknowledgement got no answer. Whether it arrived shows in the next list.
+#[yare::parameterized(
+    arrived = { Vec::new(), true },
+    lost = { vec![failed(1)], false },
+)]
+fn an_acknowledgement_without_an_answer_shows_in_the_next_list(
+    ended: Vec<EndedRun>,
+    is_noted: bool,
+) {
+    let mut harness = NodeHarness::new();
+    harness.grant(true, Vec::new());
+    harness.answer_poll(Vec::new());
+    harness.list_failure();
+    harness.grant_acked(1);
+    harness.advance(110);
+    let id = harness.take_call(is_poll);
+    harness.end_call(id, CallResult::NoAnswer);
+    harness.now_ms += 6_000;
+    harness.input(Input::Tick);
+    harness.list_ends(ended);
+    let noted = harness.reports.last().unwrap().workers[0].noted;
+    assert_eq!((noted.is_noted(1), noted.has_lapsed(1)), (is_noted, !is_noted), "{noted:?}");
+}
+
 /// A failure that completes a waiting poll happened within the lease. Reporting it as lapsed allowed
 /// tasks to start again after their last attempt.
 #[test]
