Let only a task's last attempt wait for the verdict on its failures

Cause: whether such a failure counts is known once the worker's node is heard again. The leader waited six seconds for that, and then counted the failure. A longer wait would have kept every task with a failure on that worker from its next start.

Change: a failure that is not settled holds its task, or its gang, only if the task has no attempts left should all its unsettled failures count. The checkpoint of a failed run is stored when the failure is recorded, since a later run may have a newer one by the time of the verdict.

a_failure_counts_once_its_worker_knows asserted that a first failure holds its task. It now asserts the same of the last attempt, and only_the_last_attempt_waits_for_its_verdict of the others.

--- a/src/control/dispatch/lost_workers.rs
+++ b/src/control/dispatch/lost_workers.rs
@@ -14,11 +14,6 @@
 /// Number of runs named in the log line on a loss: those that began last, the likeliest cause.
 const LOGGED_RUNS_MAX: usize = 4;
 
-/// Time for which the failures on a lost worker stay unsettled in case it returns. With the lease,
-/// it covers network partitions of up to ten seconds. After it the failures count, so that a task
-/// does not wait for a VM that is gone for good.
-const LOST_FAILURES_MAX_MS: u64 = 6_000;
-
 /// Why a worker was marked as lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LossCause {
@@ -97,8 +92,7 @@
     /// Counts the failures on lost workers that did not return in time: these workers may have
     /// received the acknowledgement of them.
     pub(super) fn settle_failures_of_lost(&mut self, workflows: &Workflows, now: Now) {
-        let before_ms = now.wall_ms.saturating_sub(LOST_FAILURES_MAX_MS);
-        let counted = workflows.lost_failures_before(before_ms);
+        let counted = self.lost_failures.update(&workflows.lost_failures_before(u64::MAX), now);
         if !counted.is_empty() {
             let settle = SettleFailures { counted, lapsed: Vec::new() };
             self.output.commands.push(WorkflowCommand::Settle(settle));
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod enrolment;
 mod features;
 mod isolations;
+mod lost_failures;
 mod lost_workers;
 mod moves;
 mod orders;
@@ -34,6 +35,7 @@
 use self::{
     admission::Admission,
     capacity::FreeCapacities,
+    lost_failures::LostFailures,
     lost_workers::LossCause,
     moves::{Reservations, StopBudget},
     probations::Probations,
@@ -100,6 +102,7 @@
     admission: Admission,
     free_capacities: FreeCapacities,
     probations: Probations,
+    lost_failures: LostFailures,
     idle_since: plan::IdleSince,
     waiting_steps: plan::WaitingSteps,
     fair_shares: plan::FairShares,
@@ -132,6 +135,7 @@
             admission: Admission::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
+            lost_failures: LostFailures::default(),
             idle_since: plan::IdleSince::default(),
             waiting_steps: plan::WaitingSteps::default(),
             fair_shares: plan::FairShares::default(),
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -63,8 +63,9 @@
         self.observe_speeds(workflows, id, now);
         self.observe_run_times(workflows, id, now);
         self.observe_running(workflows, id, now);
-        let has_ends = self.propose_ends(workflows, id, now);
+        // Before the ends of the report are acknowledged: the worker's next lapse may hide this one.
         self.settle_failures(workflows, id);
+        let has_ends = self.propose_ends(workflows, id, now);
         self.propose_voids(workflows, id);
         if is_gone {
             let loss = if is_leaving { LossCause::Left } else { LossCause::Crashed };
--- a/src/control/state/workflows/failures.rs
+++ b/src/control/state/workflows/failures.rs
@@ -2,7 +2,8 @@
 //!
 //! A failure counts as an attempt once its worker has received the acknowledgement. If the worker's
 //! lease expires first, the failure does not count: users see the run as lapsed. Until one of both
-//! is known, the task neither begins again nor fails. Failures that counted as soon as they were
+//! is known, the task does not fail. It begins again only if it has attempts left in any case, so
+//! that only the verdict on its last attempt delays it. Failures that counted as soon as they were
 //! recorded ended workflows after fewer attempts than their queue allows, whenever a worker was cut
 //! off at that moment. Failures that did not count because their worker was marked as lost let a
 //! task begin a fourth time in one of 400 schedules.
@@ -76,6 +77,19 @@
         runs_of(self.open.get(&worker).into_iter().flatten())
     }
 
+    /// Returns the failed runs that `is_wanted` selects, with their workers.
+    pub(super) fn runs_where(&self, is_wanted: impl Fn(RunRef) -> bool) -> Vec<RunPlacement> {
+        let of_lost = self.lost.iter().flat_map(|it| &it.failures);
+        let all = self.open.values().flatten().chain(of_lost);
+        let wanted = all.filter(|it| is_wanted(it.end.run));
+        wanted.map(|it| RunPlacement { run: it.end.run, worker: it.worker }).collect()
+    }
+
+    /// Returns whether a failure of this start of a gang was counted.
+    pub(super) fn is_counted_for_gang(&self, run: RunRef) -> bool {
+        self.gangs.get(&StepRef::of_task(run.task)).is_some_and(|last| run.run <= *last)
+    }
+
     /// Returns the failed runs on worker incarnations that were marked as lost before `time_ms`.
     pub(super) fn lost_before(&self, time_ms: u64) -> Vec<RunRef> {
         let lost = self.lost.iter().filter(|it| it.lost_ms < time_ms);
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -320,17 +320,59 @@
         }
         self.release(worker, end.run, time_ms);
         match end.outcome {
-            // The run's resources are free, but its task waits until the failure is settled.
             RunOutcome::Failed if self.has_limited_attempts(end.run.task) => {
-                self.failures.add(worker, end.clone(), cursor);
+                self.add_unsettled_failure(worker, end, cursor, time_ms);
             }
             _ => self.conclude(worker, end, time_ms),
         }
     }
 
+    /// Records a failure that counts or lapses later. The run's resources are free, and its task may
+    /// begin again if it has attempts left whether or not the failure counts.
+    fn add_unsettled_failure(&mut self, worker: WorkerId, end: &RunEnd, cursor: u64, time_ms: u64) {
+        // Applied now: a later run may store a newer checkpoint before the failure is settled.
+        if let Some(workflow) = self.workflows.get_mut(&end.run.task.workflow) {
+            workflow.note_checkpoint(end);
+        }
+        self.suspects.note_end(end, time_ms);
+        self.suspects.forget_run(end.run);
+        let end = RunEnd { checkpoint: CompactString::default(), ..end.clone() };
+        let task = end.run.task;
+        self.failures.add(worker, end, cursor);
+        self.hold_or_release(task);
+    }
+
+    /// Lets a task, or its gang, begin again if it has attempts left even if all of its unsettled
+    /// failures count. If not, the runs of these failures hold their tasks until they are settled.
+    fn hold_or_release(&mut self, task: TaskRef) {
+        let Some(workflow) = self.workflows.get(&task.workflow) else { return };
+        let is_gang = self.step_of(task).is_some_and(|it| it.gang);
+        let is_concerned = |it: RunRef| match is_gang {
+            true => StepRef::of_task(it.task) == StepRef::of_task(task),
+            false => it.task == task,
+        };
+        let failed_runs = self.failures.runs_where(is_concerned);
+        let is_attempt = |it: &RunRef| !is_gang || !self.failures.is_counted_for_gang(*it);
+        let attempts = failed_runs.iter().map(|it| it.run).filter(is_attempt);
+        let unsettled: BTreeSet<_> = attempts.map(|it| it.run).collect();
+        let failures = workflow.failures_of(task) + unsettled.len() as u32;
+        let has_attempts_left = failures < self.attempts_max_of(task.workflow);
+        let Some(workflow) = self.workflows.get_mut(&task.workflow) else { return };
+        for it in &failed_runs {
+            match has_attempts_left {
+                true => workflow.void(it.worker, it.run),
+                false => workflow.hold(it.worker, it.run),
+            }
+        }
+        for it in failed_runs {
+            self.index_step(StepRef::of_task(it.run.task));
+        }
+    }
+
     fn count_failure(&mut self, run: RunRef, time_ms: u64) {
         if let Some(it) = self.failures.take(run) {
             self.conclude(it.worker, &it.end, time_ms);
+            self.hold_or_release(run.task);
         }
     }
 
@@ -365,6 +407,8 @@
         for run in &settled.lapsed {
             if let Some(it) = self.failures.take(*run) {
                 self.void_run(it.worker, *run);
+                // Other failures of the task may have been its last attempt until now.
+                self.hold_or_release(run.task);
             }
         }
         WorkflowOutcome::Accepted
--- a/src/control/state/workflows/workflow.rs
+++ b/src/control/state/workflows/workflow.rs
@@ -191,6 +191,38 @@
         }
     }
 
+    /// Keeps a task from beginning again by a run that has failed.
+    pub(super) fn hold(&mut self, worker: WorkerId, run: RunRef) {
+        if let Some(task) = self.task_mut(run.task)
+            && !task.runs.iter().any(|it| it.run == run.run)
+        {
+            task.runs.push(TaskRun { run: run.run, worker });
+        }
+    }
+
+    /// Stores the checkpoint that a run has left, if any.
+    pub(super) fn note_checkpoint(&mut self, end: &RunEnd) {
+        let spec = self.spec.clone();
+        if let Some(step) = spec.steps.get(end.run.task.step as usize)
+            && !end.checkpoint.is_empty()
+        {
+            self.keep_checkpoint(step, end);
+        }
+    }
+
+    /// Returns the number of failures counted for a task, or for its gang.
+    pub(super) fn failures_of(&self, task_ref: TaskRef) -> u32 {
+        let is_gang = self.spec.steps.get(task_ref.step as usize).is_some_and(|it| it.gang);
+        let occurrence = self.occurrences.get(task_ref.occurrence as usize);
+        let tasks = occurrence
+            .and_then(|it| it.steps.get(task_ref.step as usize))
+            .map_or(&[][..], |it| &it.tasks);
+        match is_gang {
+            true => tasks.iter().map(|it| it.failures).sum(),
+            false => tasks.get(task_ref.index as usize).map_or(0, |it| it.failures),
+        }
+    }
+
     /// Applies the end of a run. Returns the final phase if the workflow ends by it.
     pub(super) fn finish(
         &mut self,
@@ -199,11 +231,9 @@
         attempts_max: u32,
     ) -> Option<WorkflowPhase> {
         self.void(worker, end.run);
+        self.note_checkpoint(end);
         let spec = self.spec.clone();
         let step = spec.steps.get(end.run.task.step as usize)?;
-        if !end.checkpoint.is_empty() {
-            self.keep_checkpoint(step, end);
-        }
         match end.outcome {
             RunOutcome::Done if !step.lasting => self.note_done(step, end.run.task),
             RunOutcome::Failed => return self.note_failed(step, end.run.task, attempts_max),
@@ -251,18 +281,7 @@
         if step.lasting || task.is_done {
             return None;
         }
-        let failures = match step.gang {
-            false => task.failures,
-            true => {
-                let state = self
-                    .occurrences
-                    .get(task_ref.occurrence as usize)?
-                    .steps
-                    .get(task_ref.step as usize)?;
-                state.tasks.iter().map(|it| it.failures).sum()
-            }
-        };
-        (attempts_max <= failures).then_some(WorkflowPhase::Failed)
+        (attempts_max <= self.failures_of(task_ref)).then_some(WorkflowPhase::Failed)
     }
 }
 
--- a/tests/workflows/failures.rs
+++ b/tests/workflows/failures.rs
@@ -5,7 +5,6 @@
 use aspenrail::{
     control::state::{State, Workflows},
     prelude::*,
-    util::GroupId,
 };
 
 use crate::world::{queues, spec, step};
@@ -86,15 +85,12 @@
 
 #[test]
 fn lost_failures_are_read_from_snapshots_of_earlier_versions() {
-    let mut state = State::new(GroupId { region: 1, group: 1 });
-    for it in two_lost_workers().iter().filter(|it| **it != WorkflowCommand::Dismiss(WorkerId(2))) {
-        state.apply_workflow(1, 3, it);
-    }
-    let bytes = state.to_bytes().unwrap();
-    let hex: String = bytes.iter().map(|it| format!("{it:02x}")).collect();
-    assert!(hex.starts_with(EARLIER_SNAPSHOT), "the encoding has changed: {hex}");
-    let earlier = &bytes[..EARLIER_SNAPSHOT.len() / 2];
-    let mut read = State::from_bytes(earlier).unwrap().workflows;
+    let pairs = EARLIER_SNAPSHOT.as_bytes().chunks(2).map(|it| std::str::from_utf8(it).unwrap());
+    let earlier: Vec<_> = pairs.map(|it| u8::from_str_radix(it, 16).unwrap()).collect();
+    let read = State::from_bytes(&earlier).unwrap();
+    let bytes = read.to_bytes().unwrap();
+    assert!(bytes.starts_with(&earlier), "the encoding has changed: {bytes:02x?}");
+    let mut read = read.workflows;
     assert_eq!(read.lost_failures_before(4), [first_run_of(0)]);
     read.apply(&enrol(node(1), "w"), 5);
     assert_eq!(read.unsettled_failed_runs_on(WorkerId(3)), [first_run_of(0)]);
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -167,23 +167,30 @@
 }
 
 /// A failure counts once its worker received the acknowledgement, and never if the lease lapsed
-/// before. Where this cannot be known, it counts, since a task must not get too many attempts.
+/// before. Where this cannot be known, it counts, since a task must not get too many attempts. The
+/// task, whose other attempts have failed, does not begin again meanwhile.
 #[yare::parameterized(
-    hears = { WorkerFate::ReceivesAck, 1 },
-    lapses = { WorkerFate::LeaseLapses, 0 },
-    is_replaced = { WorkerFate::IsReplaced, 1 },
-    returns_and_has_lapsed = { WorkerFate::Returns, 0 },
+    hears = { WorkerFate::ReceivesAck, 3 },
+    lapses = { WorkerFate::LeaseLapses, 2 },
+    is_replaced = { WorkerFate::IsReplaced, 3 },
+    returns_and_has_lapsed = { WorkerFate::Returns, 2 },
 )]
 fn a_failure_counts_once_its_worker_knows(worker_fate: WorkerFate, failures: u32) {
     let mut workflows = with_workflow(spec(vec![step(1, 1, &[])]));
-    let first = run(7, 0, 0, 1);
+    for number in 1..3 {
+        let counted = run(7, 0, 0, number);
+        workflows.apply(&begin(1, &[counted]), 1);
+        workflows.apply(&finish(1, u64::from(number), counted, RunOutcome::Failed), 1);
+        workflows.apply(&settle(&[counted], &[]), 1);
+    }
+    let first = run(7, 0, 0, 3);
     workflows.apply(&begin(1, &[first]), 2);
     workflows.apply(&finish(1, 5, first, RunOutcome::Failed), 3);
     assert!(
         workflows.workers().get(WorkerId(1)).unwrap().runs.is_empty(),
         "the failed run still reserves capacity"
     );
-    workflows.apply(&begin(1, &[run(7, 0, 0, 2)]), 3);
+    workflows.apply(&begin(1, &[run(7, 0, 0, 4)]), 3);
     assert!(
         workflows.workers().get(WorkerId(1)).unwrap().runs.is_empty(),
         "the task restarted before its failure was settled"
@@ -209,7 +216,77 @@
     }
     let task = workflows.get(WorkflowId(7)).unwrap().task(first.task).unwrap();
     assert_eq!((task.failures, task.runs.len()), (failures, 0));
-    assert_eq!(workflows.ready_steps().count(), 1);
+    let (ready, expected_phase) = match failures {
+        3 => (0, WorkflowPhase::Failed),
+        _ => (1, WorkflowPhase::Running),
+    };
+    assert_eq!((workflows.ready_steps().count(), phase(&workflows)), (ready, expected_phase));
+}
+
+/// All tasks whose run failed on a worker that was cut off waited for it to return, also those with
+/// attempts left whether or not the failure counts.
+#[yare::parameterized(
+    first_counts = { [true, true], WorkflowPhase::Failed },
+    first_lapses = { [false, true], WorkflowPhase::Running },
+    both_lapse = { [false, false], WorkflowPhase::Running },
+)]
+fn only_the_last_attempt_waits_for_its_verdict(verdicts: [bool; 2], last_phase: WorkflowPhase) {
+    let mut workflows = with_workflow(spec(vec![step(1, 1, &[])]));
+    let runs = [1, 2, 3].map(|it| run(7, 0, 0, it));
+    for (cursor, it) in runs.iter().enumerate() {
+        workflows.apply(&begin(1, &[*it]), 1);
+        assert!(workflows.has_run(WorkerId(1), *it), "{it:?} waits for an earlier verdict");
+        workflows.apply(&finish(1, cursor as u64 + 1, *it, RunOutcome::Failed), 1);
+    }
+    assert_eq!(workflows.ready_steps().count(), 0, "a fourth run may exceed the attempts");
+    workflows.apply(&settle(&[runs[2]], &[]), 2);
+    assert_eq!(workflows.ready_steps().count(), 0, "a fourth run may exceed the attempts");
+    for (it, is_counted) in runs.iter().zip(verdicts) {
+        assert_eq!(phase(&workflows), WorkflowPhase::Running);
+        match is_counted {
+            true => workflows.apply(&settle(&[*it], &[]), 3),
+            false => workflows.apply(&settle(&[], &[*it]), 3),
+        };
+    }
+    assert_eq!(phase(&workflows), last_phase);
+    let is_ready = last_phase == WorkflowPhase::Running;
+    assert_eq!(workflows.ready_steps().count() == 1, is_ready);
+}
+
+/// A checkpoint of a failed run must not replace that of a later run when the failure is settled.
+#[test]
+fn a_failure_that_is_settled_late_keeps_the_newer_checkpoint() {
+    let mut workflows = with_workflow(spec(vec![step(1, 1, &[])]));
+    let (first, second) = (run(7, 0, 0, 1), run(7, 0, 0, 2));
+    let finish_with_checkpoint = |cursor, run, outcome, checkpoint: &str| {
+        let end = RunEnd { run, outcome, checkpoint: checkpoint.into() };
+        WorkflowCommand::Finish(FinishRuns { worker: WorkerId(1), cursor, ends: vec![end] })
+    };
+    workflows.apply(&begin(1, &[first]), 1);
+    workflows.apply(&finish_with_checkpoint(1, first, RunOutcome::Failed, "older"), 2);
+    workflows.apply(&begin(1, &[second]), 3);
+    workflows.apply(&finish_with_checkpoint(2, second, RunOutcome::Stopped, "newer"), 4);
+    workflows.apply(&settle(&[first], &[]), 5);
+    let task = workflows.get(WorkflowId(7)).unwrap().task(first.task).unwrap();
+    assert_eq!((task.failures, task.checkpoint.as_str()), (1, "newer"));
+}
+
+/// A gang whose start failed under a lease that is in doubt starts again with all members.
+#[test]
+fn a_gang_with_attempts_left_does_not_wait_for_its_verdict() {
+    let mut gang = step(2, 1, &[]);
+    gang.gang = true;
+    let mut workflows = with_workflow(spec(vec![gang]));
+    for number in 1..=3 {
+        let members = [run(7, 0, 0, number), run(7, 0, 1, number)];
+        workflows.apply(&begin(1, &members), 1);
+        assert!(members.iter().all(|it| workflows.has_run(WorkerId(1), *it)), "start {number}");
+        workflows.apply(&finish(1, u64::from(number) * 2 - 1, members[0], RunOutcome::Failed), 2);
+        workflows.apply(&finish(1, u64::from(number) * 2, members[1], RunOutcome::Failed), 2);
+    }
+    let fourth = run(7, 0, 0, 4);
+    workflows.apply(&begin(1, &[fourth]), 3);
+    assert!(!workflows.has_run(WorkerId(1), fourth), "a fourth start may exceed the attempts");
 }
 
 #[test]
