Ask the node which failures a crashed worker had noted

Cause, found by reading: when a worker crashes while its node is cut off, the next incarnation registers, and all unsettled failures of the one before count at once. The node was there and knows which acknowledgements it delivered; it was not asked. A failure that the worker never noted then counts, and a workflow may be shown as failed too early.

Change: the first reports on an incarnation hold a final report on the one before. The leader settles the failures there by it, also of workers that it has marked as lost, before the next incarnation registers.

--- a/src/control/dispatch/enrolment.rs
+++ b/src/control/dispatch/enrolment.rs
@@ -34,7 +34,7 @@
     ) {
         let may_hold_strays = || worker.term != self.term || !worker.running.is_empty();
         match workflows.is_unconfigured_service(&worker.service) {
-            _ if worker.gone => (),
+            _ if worker.gone => self.settle_failures_on_ended(workflows, node, worker),
             true => {
                 tracing::debug!(event = "worker_foreign", worker = %worker.name, node = %node, service = %worker.service);
             }
--- a/src/control/dispatch/lost_workers.rs
+++ b/src/control/dispatch/lost_workers.rs
@@ -89,6 +89,23 @@
         }
     }
 
+    /// Settles the failures on a worker incarnation that another one has replaced, by its node's
+    /// final report.
+    pub(super) fn settle_failures_on_ended(
+        &mut self,
+        workflows: &Workflows,
+        node: SocketAddr,
+        ended: &WorkerReport,
+    ) {
+        if !ended.gone {
+            return;
+        }
+        let settle = workflows.failures_to_settle_at_end(node, &ended.name, ended.noted);
+        if !settle.counted.is_empty() || !settle.lapsed.is_empty() {
+            self.output.commands.push(WorkflowCommand::Settle(settle));
+        }
+    }
+
     /// Counts the failures on lost workers that did not return in time: these workers may have
     /// received the acknowledgement of them.
     pub(super) fn settle_failures_of_lost(&mut self, workflows: &Workflows, now: Now) {
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -29,9 +29,11 @@
             tracing::info!(event = "report_ignored", node = %report.node, number = report.number);
             return;
         }
-        let Some(worker_report) = report.workers.into_iter().next() else {
+        let mut workers = report.workers.into_iter();
+        let Some(worker_report) = workers.next() else {
             return self.send_empty_grant(workflows, report.node, report.number, members);
         };
+        workers.for_each(|it| self.settle_failures_on_ended(workflows, report.node, &it));
         let Some(id) = workflows.workers().find(report.node, &worker_report.name) else {
             let (node, number) = (report.node, report.number);
             return self.on_unknown_worker(workflows, node, number, &worker_report, members, now);
--- a/src/control/state/workflows/failures.rs
+++ b/src/control/state/workflows/failures.rs
@@ -85,6 +85,26 @@
         wanted.map(|it| RunPlacement { run: it.end.run, worker: it.worker }).collect()
     }
 
+    /// Returns the failed runs on a worker incarnation, whether it is enrolled as `id` or was marked
+    /// as lost.
+    pub(super) fn runs_on_incarnation(
+        &self,
+        id: Option<WorkerId>,
+        name: &str,
+        node: SocketAddr,
+        noted: NotedEnds,
+    ) -> SettleFailures {
+        let of_lost = self.lost.iter().filter(|it| it.key() == (name, node));
+        let of_lost = of_lost.flat_map(|it| &it.failures);
+        let of_enrolled = id.and_then(|it| self.open.get(&it)).into_iter().flatten();
+        let is_noted = |it: &&UnsettledFailure| noted.is_noted(it.cursor);
+        let (counted, lapsed): (Vec<_>, Vec<_>) = of_enrolled.chain(of_lost).partition(is_noted);
+        SettleFailures {
+            counted: runs_of(counted.into_iter()),
+            lapsed: runs_of(lapsed.into_iter()),
+        }
+    }
+
     /// Returns whether a failure of this start of a gang was counted.
     pub(super) fn is_counted_for_gang(&self, run: RunRef) -> bool {
         self.gangs.get(&StepRef::of_task(run.task)).is_some_and(|last| run.run <= *last)
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -15,6 +15,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, btree_map::Entry},
+    net::SocketAddr,
     sync::Arc,
 };
 
@@ -149,6 +150,18 @@
         self.failures.runs_on(worker)
     }
 
+    /// Settles the unsettled failures of a worker incarnation that has ended, by the final state of
+    /// its list: those that were not noted never will be.
+    pub fn failures_to_settle_at_end(
+        &self,
+        node: SocketAddr,
+        name: &str,
+        noted: NotedEnds,
+    ) -> SettleFailures {
+        let id = self.workers.find(node, name);
+        self.failures.runs_on_incarnation(id, name, node, noted)
+    }
+
     /// Returns the unsettled failed runs whose workers were marked as lost before `time_ms`.
     pub fn lost_failures_before(&self, time_ms: u64) -> Vec<RunRef> {
         self.failures.lost_before(time_ms)
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -85,6 +85,9 @@
     leader_finder: LeaderFinder,
     term: u64,
     worker: Option<WorkerIncarnation>,
+    /// The final report on the incarnation before the present one, until the leader knows the
+    /// present one.
+    predecessor: Option<WorkerReport>,
     /// A worker incarnation that announced itself and has not answered a call yet.
     unconfirmed: Option<UnconfirmedWorker>,
     /// Tokens for all calls of workers.
@@ -124,6 +127,7 @@
             leader_finder: LeaderFinder::new(options.control_addresses.clone(), options.boot),
             term: 0,
             worker: None,
+            predecessor: None,
             unconfirmed: None,
             tokens: TokenIssuer::new(),
             last_input_ms: 0,
@@ -299,6 +303,7 @@
         if let Some(old) = self.worker.take() {
             tracing::info!(event = "worker_replaced", worker = %old.name, by = %incarnation_name, runs = old.running.len());
             if old.name != incarnation_name {
+                self.predecessor = Some(old.final_report());
                 self.remember_past_incarnation(old.name);
             }
         }
@@ -385,6 +390,8 @@
             );
             return;
         }
+        // The leader has settled the failures on the incarnation before.
+        self.predecessor = None;
         if token_before < grant.token {
             // Calls under an earlier leader or registration must no longer be carried out.
             self.tokens.issue(now);
@@ -436,12 +443,10 @@
             boot: self.options.boot,
             number: self.report_number,
             sent_ms: now.mono_ms,
-            workers: self
-                .worker
-                .iter()
-                .filter(is_reported)
-                .map(WorkerIncarnation::report)
-                .collect(),
+            workers: match self.worker.as_ref().filter(is_reported) {
+                Some(it) => [it.report()].into_iter().chain(self.predecessor.clone()).collect(),
+                None => Vec::new(),
+            },
         };
         self.effects.push(Effect::Send { to, message: Message::NodeReport(report) });
     }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -295,6 +295,19 @@
         NotedEnds { noted_cursor: self.noted.noted_cursor.max(pending_cursor), ..self.noted }
     }
 
+    /// Returns the last report on an incarnation that another one has replaced.
+    pub(super) fn final_report(&self) -> WorkerReport {
+        WorkerReport {
+            gone: true,
+            noted: self.finally_noted(),
+            running: Vec::new(),
+            ended: Vec::new(),
+            refused: Vec::new(),
+            faded: Vec::new(),
+            ..self.report()
+        }
+    }
+
     /// Updates which ends the worker knows to be acknowledged, by the list that a poll returned.
     /// Returns whether the leader waits for this update.
     ///
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -289,6 +289,31 @@
     assert!(!workflows.has_run(WorkerId(1), fourth), "a fourth start may exceed the attempts");
 }
 
+/// The final report on an incarnation settles its failures: those that it never noted have lapsed.
+#[yare::parameterized(
+    noted = { 5, true },
+    not_noted = { 4, false },
+)]
+fn a_final_report_settles_the_failures_of_an_incarnation(noted_cursor: u64, is_counted: bool) {
+    let mut workflows = with_workflow(spec(vec![step(1, 1, &[])]));
+    let first = run(7, 0, 0, 1);
+    workflows.apply(&begin(1, &[first]), 2);
+    workflows.apply(&finish(1, 5, first, RunOutcome::Failed), 3);
+    let noted = NotedEnds { noted_cursor, lapsed_after_cursor: 0, lapsed_cursor: 0 };
+    let node = workflows.workers().get(WorkerId(1)).unwrap().node;
+    let name = workflows.workers().get(WorkerId(1)).unwrap().name.clone();
+    for _ in 0..2 {
+        let settled = workflows.failures_to_settle_at_end(node, &name, noted);
+        assert_eq!(
+            (settled.counted == [first], settled.lapsed == [first]),
+            (is_counted, !is_counted)
+        );
+        workflows.apply(&WorkflowCommand::Dismiss(WorkerId(1)), 4);
+    }
+    let settled = workflows.failures_to_settle_at_end(node, "other", noted);
+    assert!(settled.counted.is_empty() && settled.lapsed.is_empty());
+}
+
 #[test]
 fn failures_of_workers_that_do_not_come_back_are_found() {
     let mut workflows = with_workflow(spec(vec![step(1, 1, &[])]));
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -784,6 +784,29 @@
     assert_eq!((noted.is_noted(1), noted.has_lapsed(1)), (is_noted, !is_noted), "{noted:?}");
 }
 
+/// A worker crashes while its node is cut off, and the next incarnation registers. Only the node
+/// knows which acknowledgements the first one received.
+#[test]
+fn the_last_report_on_an_incarnation_comes_with_the_first_on_the_next() {
+    let mut harness = NodeHarness::new();
+    harness.grant(true, Vec::new());
+    harness.answer_poll(Vec::new());
+    harness.list_failure();
+    harness.input(Input::WorkerAnnounced(announcement("worker-2", "pool", 1, Some(7))));
+    let id = harness.calls.iter().rposition(|(_, it)| is_poll(it)).unwrap();
+    let (id, _) = harness.calls.remove(id);
+    let started_unix_ms = Some(7);
+    let (running, ended) = (Vec::new(), Vec::new());
+    harness.end_call(id, CallResult::RunList { clock_ms: 90, started_unix_ms, running, ended });
+    let workers = &harness.reports.last().unwrap().workers;
+    assert_eq!((workers[0].name.as_str(), workers[0].gone), ("worker-2@7", false));
+    assert_eq!((workers[1].name.as_str(), workers[1].gone), ("worker", true));
+    assert!(!workers[1].noted.is_noted(1), "{:?}", workers[1].noted);
+    harness.grant(true, Vec::new());
+    harness.advance(600);
+    assert_eq!(harness.reports.last().unwrap().workers.len(), 1, "the leader knows it by now");
+}
+
 /// A failure that completes a waiting poll happened within the lease. Reporting it as lapsed allowed
 /// tasks to start again after their last attempt.
 #[test]
