--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -26,16 +26,33 @@
     AcceptWrites(usize),
 }
 
+/// Pause between two processes of a series, in milliseconds.
+const SERIES_PAUSE_MS: std::ops::Range<u64> = 50..900;
+
+/// A signal that a series sends to one process after the other.
+#[derive(Clone, Copy, Debug)]
+enum SeriesSignal {
+    Stop,
+    Reload,
+}
+
 /// The faults of one run.
 pub struct Schedule {
     random: fastrand::Rng,
     repairs: Vec<(Instant, Repair)>,
+    /// Signals of series under way, which overlap with each other and with other faults.
+    series: Vec<(Instant, SeriesSignal, usize)>,
     count: u32,
 }
 
 impl Schedule {
     pub fn new(seed: u64) -> Schedule {
-        Schedule { random: fastrand::Rng::with_seed(seed), repairs: Vec::new(), count: 0 }
+        Schedule {
+            random: fastrand::Rng::with_seed(seed),
+            repairs: Vec::new(),
+            series: Vec::new(),
+            count: 0,
+        }
     }
 
     pub fn count(&self) -> u32 {
@@ -49,6 +66,7 @@
         while Instant::now() < end {
             std::thread::sleep(Duration::from_millis(10));
             self.repair(site);
+            self.continue_series(site);
             site.restart_ended();
             if next <= Instant::now() {
                 self.inject_fault(site);
@@ -69,6 +87,25 @@
         }
     }
 
+    /// Begins to send a signal to all processes of a role, one after the other.
+    fn begin_series(&mut self, site: &Site, signal: SeriesSignal, role: Role) {
+        let mut at = Instant::now();
+        for index in site.indexes_of(role) {
+            self.series.push((at, signal, index));
+            at += Duration::from_millis(self.random.u64(SERIES_PAUSE_MS));
+        }
+    }
+
+    fn continue_series(&mut self, site: &mut Site) {
+        let now = Instant::now();
+        for (_, signal, index) in self.series.extract_if(.., |(due, ..)| *due <= now) {
+            match signal {
+                SeriesSignal::Stop => site.stop(index),
+                SeriesSignal::Reload => site.reload(index),
+            }
+        }
+    }
+
     fn schedule_repair(&mut self, repair: Repair) {
         let duration = Duration::from_millis(self.random.u64(FAULT_MS));
         self.repairs.push((Instant::now() + duration, repair));
@@ -82,7 +119,7 @@
 
     fn inject_fault(&mut self, site: &mut Site) {
         self.count += 1;
-        match self.random.u32(0..20) {
+        match self.random.u32(0..24) {
             0 => {
                 let index = self.random_process(site, None);
                 site.kill(index);
@@ -142,6 +179,14 @@
                 let ahead_ms = self.random.u32(0..CLOCK_AHEAD_MAX_MS);
                 site.set_clock_ahead(index, ahead_ms);
             }
+            19 | 20 => {
+                let role = [Role::Control, Role::Entry, Role::Node][self.random.usize(0..3)];
+                self.begin_series(site, SeriesSignal::Stop, role);
+            }
+            21 | 22 => {
+                let role = [Role::Control, Role::Entry, Role::Node][self.random.usize(0..3)];
+                self.begin_series(site, SeriesSignal::Reload, role);
+            }
             _ if self.random.u32(0..4) == 0 => {
                 for index in site.indexes_of(Role::Control) {
                     site.kill(index);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -1,8 +1,8 @@
 //! Soak test: the real programs as separate processes on one machine, under injected faults.
 //!
 //! Control processes, entries and nodes run as in production. A proxy in front of each delays,
-//! blocks, resets or silences connections, and signals stop, freeze and kill processes; faults
-//! overlap. Workers are simulated with leases, fencing tokens and run ends, as in the tests under
+//! blocks, resets or silences connections, and signals stop, freeze and kill processes. Stops,
+//! reloads and changes of the configuration come in series; faults overlap. Workers are simulated with leases, fencing tokens and run ends, as in the tests under
 //! virtual time, but behind HTTP. The rules are checked on what workers and callers observe.
 //!
 //! CI runs [`SEEDS`]. By hand, with the processes' logs under `ASPENRAIL_SOAK_LOGS`:
@@ -17,6 +17,7 @@
 
 mod callers;
 mod faults;
+mod operator;
 mod proxy;
 #[path = "../workflows/rules.rs"]
 #[allow(dead_code)]
@@ -40,6 +41,7 @@
 
 use callers::Callers;
 use faults::Schedule;
+use operator::Operator;
 use site::{Site, SiteSize};
 
 /// Seeds that run in CI. Seed 1, with a run of 20 s, ended without a leader for good: silent
@@ -57,10 +59,13 @@
     let began = Instant::now();
     let mut site = Site::start(seed, size);
     let callers = Callers::start(&site, seed);
+    let host = site.entry_addresses[0].ip().to_string();
+    let operator = Operator::start(site.operator_addresses.clone(), host, seed);
     let mut schedule = Schedule::new(seed);
     schedule.run(&mut site, RUN_TIME);
     site.end_faults();
-    let mut violations = callers.finish(&site);
+    let mut violations = operator.finish();
+    violations.extend(callers.finish(&site));
     violations.extend(site.unexpected_ends());
     violations.extend(site.workers.take_violations());
     println!(
@@ -74,6 +79,14 @@
     violations
 }
 
+fn size_of(seed: u64) -> SiteSize {
+    match seed {
+        it if it % 25 == 0 => SiteSize::LARGEST,
+        it if it % 5 == 0 => SiteSize::LARGE,
+        _ => SiteSize::SMALL,
+    }
+}
+
 #[test]
 fn short_soak() {
     for seed in SEEDS {
@@ -90,9 +103,7 @@
     let from = number("ASPENRAIL_SOAK_FROM", LONG_SOAK_SEED_MIN);
     let seeds = from..from + number("ASPENRAIL_SEEDS", 50);
     let violations: Vec<_> = seeds
-        .map(|seed| {
-            (seed, run_seed(seed, if seed % 5 == 0 { SiteSize::LARGE } else { SiteSize::SMALL }))
-        })
+        .map(|seed| (seed, run_seed(seed, size_of(seed))))
         .filter(|(_, it)| !it.is_empty())
         .collect();
     assert!(violations.is_empty(), "{violations:#?}");
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -10,11 +10,12 @@
 
 use aspenrail::{http::client::new_client, standin::layout::free_addresses};
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use crate::{
+    operator::configuration,
     proxy::{Mode, Proxy},
-    workers::{ATTEMPTS_MAX, Workers},
+    workers::Workers,
 };
 
 /// Longest wait for a step of the test itself.
@@ -34,6 +35,7 @@
 impl SiteSize {
     pub const SMALL: SiteSize = SiteSize { controls: 3, entries: 2, nodes: 5 };
     pub const LARGE: SiteSize = SiteSize { controls: 5, entries: 4, nodes: 40 };
+    pub const LARGEST: SiteSize = SiteSize { controls: 5, entries: 6, nodes: 200 };
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,7 +62,7 @@
     pub processes: Vec<Process>,
     pub workers: Workers,
     pub entry_addresses: Vec<SocketAddr>,
-    operator_addresses: Vec<SocketAddr>,
+    pub operator_addresses: Vec<SocketAddr>,
     unexpected_exits: Vec<String>,
     _folder: tempfile::TempDir,
 }
@@ -192,6 +194,11 @@
         self.signal(index, Signal::TERM);
     }
 
+    /// Asks a process to read its settings again.
+    pub fn reload(&self, index: usize) {
+        self.signal(index, Signal::HUP);
+    }
+
     /// Sets whether writes of a process that make a file longer fail.
     pub fn set_refuses_writes(&self, index: usize, refuses: bool) {
         let Some(child) = &self.processes[index].child else { return };
@@ -259,10 +266,7 @@
     fn install(&self) {
         let client = new_client(1);
         let host = self.entry_addresses[0].ip().to_string();
-        let body = json!({"version": 1, "services": [{"name": "pool"}], "limits": {},
-            "routes": [{"name": "q", "host": host, "path_prefix": "/q/", "service": "pool",
-                "timeout_ms": 3_000, "max_attempts": ATTEMPTS_MAX, "stretch": 1.5,
-                "target_completion_ms": 250, "priority": 0}]});
+        let body = configuration(1, &host);
         let began = Instant::now();
         let url = format!("http://{}/-/config", self.operator_addresses[0]);
         while client.put(&url).send_json(&body).map_or(0, |it| it.status().as_u16()) != 200 {
