Give a task up one crash later where none was observed

Cause: a run that was ordered and never listed counts as lost in a crash like one that ran, since a task may crash its worker before its start is answered.

Change: a task none of whose crashes was observed is given up at the fifth. Users allow two starts after the third crash. One of them was reserved for crashes behind a cut, which are counted now.

--- a/src/policy/crash_evidence.rs
+++ b/src/policy/crash_evidence.rs
@@ -27,6 +27,9 @@
 /// partitioned node.
 const CRASHES_MAX: u32 = 4;
 
+/// The same for a task none of whose crashes was observed: its runs may never have begun.
+const UNOBSERVED_CRASHES_MAX: u32 = CRASHES_MAX + 1;
+
 /// Crashes in a row from which a task starts only in a quiet period. After one more crash
 /// the task is given up, so that crash must not have another cause.
 const QUIET_PERIOD_CRASHES: u32 = CRASHES_MAX - 1;
@@ -218,13 +221,18 @@
 
     /// Returns whether the task must not start again, whatever the likelihood ratio.
     pub fn is_at_crash_limit(self) -> bool {
-        CRASHES_MAX <= self.crashes_in_row
+        self.crashes_max() <= self.crashes_in_row
     }
 
     /// Returns whether the task must not start until it is known what became of silent workers: it is
     /// at the limit if these have crashed.
     pub fn waits_for_silent_workers(self) -> bool {
-        !self.is_at_crash_limit() && CRASHES_MAX <= self.crashes_in_row + self.silent_workers
+        !self.is_at_crash_limit() && self.crashes_max() <= self.crashes_in_row + self.silent_workers
+    }
+
+    /// Returns the number of crashes in a row at which the task is given up.
+    fn crashes_max(self) -> u32 {
+        if 0 < self.crash_age_ms { CRASHES_MAX } else { UNOBSERVED_CRASHES_MAX }
     }
 }
 
