--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -6,6 +6,7 @@
 
 mod failures;
 mod index;
+mod settling;
 mod silences;
 mod suspects;
 mod usage;
@@ -16,7 +17,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, btree_map::Entry},
-    net::SocketAddr,
     sync::Arc,
 };
 
@@ -24,7 +24,7 @@
 
 use self::{
     failures::UnsettledFailures,
-    silences::{Silence, Silences},
+    silences::Silences,
     suspects::{Crash, CrashedRun, is_crash},
 };
 pub use self::{
@@ -110,11 +110,6 @@
         &self.suspects
     }
 
-    /// Returns the tasks of the silent workers of which the last registration told what became.
-    pub fn last_resolved(&self) -> &ResolvedTasks {
-        &self.last_resolved
-    }
-
     /// Returns what callers ask for, and what leaders have learned.
     pub fn demand(&self) -> &Demand {
         &self.demand
@@ -151,34 +146,6 @@
         self.workers.get(worker).is_some_and(|it| it.runs.contains(&run))
     }
 
-    /// Returns the unsettled failures of a worker that `noted` settles, or `None` if it settles
-    /// none.
-    pub fn failures_to_settle(&self, worker: WorkerId, noted: NotedEnds) -> Option<SettleFailures> {
-        self.failures.failures_to_settle(worker, noted)
-    }
-
-    /// Returns the failed runs on a worker that are not settled.
-    pub fn unsettled_failed_runs_on(&self, worker: WorkerId) -> Vec<RunRef> {
-        self.failures.runs_on(worker)
-    }
-
-    /// Settles the unsettled failures of a worker incarnation that has ended, by the final state of
-    /// its list: those that were not noted never will be.
-    pub fn failures_to_settle_at_end(
-        &self,
-        node: SocketAddr,
-        name: &str,
-        noted: NotedEnds,
-    ) -> SettleFailures {
-        let id = self.workers.find(node, name);
-        self.failures.runs_on_incarnation(id, name, node, noted)
-    }
-
-    /// Returns the unsettled failed runs whose workers were marked as lost before `time_ms`.
-    pub fn lost_failures_before(&self, time_ms: u64) -> Vec<RunRef> {
-        self.failures.lost_before(time_ms)
-    }
-
     /// Returns whether a run is no longer needed: its task is done or its workflow has ended.
     pub fn is_redundant(&self, run: RunRef) -> bool {
         let Some(workflow) = self.workflows.get(&run.task.workflow) else { return true };
@@ -313,45 +280,6 @@
         WorkflowOutcome::Accepted
     }
 
-    /// Notes which tasks may have crashed a worker that was marked as lost in silence.
-    fn note_silence(&mut self, ended_runs: &FinishRuns, time_ms: u64) {
-        let Some(worker) = self.workers.get(ended_runs.worker) else { return };
-        let may_have_crashed = |it: &&RunEnd| {
-            it.outcome == RunOutcome::Lapsed
-                && !self.is_redundant(it.run)
-                && self.suspects.may_be_suspected(it.run, time_ms)
-        };
-        let tasks: Vec<_> =
-            ended_runs.ends.iter().filter(may_have_crashed).map(|it| it.run.task).collect();
-        if tasks.is_empty() {
-            return;
-        }
-        let (name, node) = (worker.name.clone(), worker.node);
-        self.silences.add(Silence { name, node, since_ms: time_ms, tasks });
-    }
-
-    /// Resolves the silences at a node, where an incarnation registers.
-    fn resolve_silences(&mut self, registration: &EnrolWorker, time_ms: u64) {
-        let resolved = self.silences.resolve(registration);
-        let is_needed = |it: &TaskRef| !self.is_redundant(RunRef { task: *it, run: 0 });
-        let crashed: Vec<_> = resolved.crashed.iter().copied().filter(is_needed).collect();
-        for task in self.suspects.note_silent_crash(&crashed) {
-            self.end_workflow(task.workflow, WorkflowPhase::Failed, time_ms);
-        }
-        let tasks = resolved.harmless.iter().chain(&resolved.crashed).copied();
-        self.recount_silent_workers(tasks.collect::<Vec<_>>().into_iter());
-        self.last_resolved = resolved;
-    }
-
-    /// Counts the silent workers of suspected tasks anew.
-    fn recount_silent_workers(&mut self, tasks: impl Iterator<Item = TaskRef>) {
-        for task in tasks {
-            if self.suspects.get(task).is_some() {
-                self.suspects.set_silent_workers(task, self.silences.count(task));
-            }
-        }
-    }
-
     /// Returns the worker crash that the run ends report, with the crashed runs that were still
     /// needed. Returns `None` if no run crashed.
     fn crash_from_ends(&self, ends: &[RunEnd], time_ms: u64) -> Option<Crash> {
@@ -397,55 +325,6 @@
         }
     }
 
-    /// Records a failure that counts or lapses later. The run's resources are free, and its task may
-    /// begin again if it has attempts left whether or not the failure counts.
-    fn add_unsettled_failure(&mut self, worker: WorkerId, end: &RunEnd, cursor: u64, time_ms: u64) {
-        // Applied now: a later run may store a newer checkpoint before the failure is settled.
-        if let Some(workflow) = self.workflows.get_mut(&end.run.task.workflow) {
-            workflow.note_checkpoint(end);
-        }
-        self.suspects.note_end(end, time_ms);
-        self.suspects.forget_run(end.run);
-        let end = RunEnd { checkpoint: CompactString::default(), ..end.clone() };
-        let task = end.run.task;
-        self.failures.add(worker, end, cursor);
-        self.hold_or_release(task);
-    }
-
-    /// Lets a task, or its gang, begin again if it has attempts left even if all of its unsettled
-    /// failures count. If not, the runs of these failures hold their tasks until they are settled.
-    fn hold_or_release(&mut self, task: TaskRef) {
-        let Some(workflow) = self.workflows.get(&task.workflow) else { return };
-        let is_gang = self.step_of(task).is_some_and(|it| it.gang);
-        let is_concerned = |it: RunRef| match is_gang {
-            true => StepRef::of_task(it.task) == StepRef::of_task(task),
-            false => it.task == task,
-        };
-        let failed_runs = self.failures.runs_where(is_concerned);
-        let is_attempt = |it: &RunRef| !is_gang || !self.failures.is_counted_for_gang(*it);
-        let attempts = failed_runs.iter().map(|it| it.run).filter(is_attempt);
-        let unsettled: BTreeSet<_> = attempts.map(|it| it.run).collect();
-        let failures = workflow.failures_of(task) + unsettled.len() as u32;
-        let has_attempts_left = failures < self.attempts_max_of(task.workflow);
-        let Some(workflow) = self.workflows.get_mut(&task.workflow) else { return };
-        for it in &failed_runs {
-            match has_attempts_left {
-                true => workflow.void(it.worker, it.run),
-                false => workflow.hold(it.worker, it.run),
-            }
-        }
-        for it in failed_runs {
-            self.index_step(StepRef::of_task(it.run.task));
-        }
-    }
-
-    fn count_failure(&mut self, run: RunRef, time_ms: u64) {
-        if let Some(it) = self.failures.take(run) {
-            self.conclude(it.worker, &it.end, time_ms);
-            self.hold_or_release(run.task);
-        }
-    }
-
     /// Returns whether the attempts of a task are limited: those of a long-running task are not.
     fn has_limited_attempts(&self, task: TaskRef) -> bool {
         self.step_of(task).is_some_and(|it| !it.lasting)
@@ -472,20 +351,6 @@
         }
     }
 
-    /// Counts the failures whose acknowledgement reached their worker in time, and voids those
-    /// whose lease expired before.
-    fn settle(&mut self, settled: &SettleFailures, time_ms: u64) -> WorkflowOutcome {
-        settled.counted.iter().for_each(|run| self.count_failure(*run, time_ms));
-        for run in &settled.lapsed {
-            if let Some(it) = self.failures.take(*run) {
-                self.void_run(it.worker, *run);
-                // Other failures of the task may have been its last attempt until now.
-                self.hold_or_release(run.task);
-            }
-        }
-        WorkflowOutcome::Accepted
-    }
-
     fn attempts_max_of(&self, id: WorkflowId) -> u32 {
         let queue = self.workflows.get(&id).and_then(|it| self.queue(&it.queue));
         queue.map_or(ATTEMPTS_WITHOUT_QUEUE, |it| it.attempts_max.max(1))
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -8,6 +8,7 @@
 
 mod calls;
 mod fillers;
+mod noted_ends;
 mod orders;
 mod tokens;
 mod unconfirmed;
