Turn away a waiting submission that is cancelled

The leader now turns the waiting submission away when the cancel arrives, and counts it (calls_withdrawn). a_cancel_does_not_overtake_its_submission.

--- a/src/control/core/intake.rs
+++ b/src/control/core/intake.rs
@@ -71,6 +71,8 @@
     pub overdue: u64,
     /// Their clients had stopped waiting.
     pub expired: u64,
+    /// Their workflows were cancelled.
+    pub withdrawn: u64,
 }
 
 /// The requests that wait for their turn.
@@ -144,6 +146,19 @@
         true
     }
 
+    /// Removes the submission of a workflow that is to be cancelled, if it waits. The cancel, whose
+    /// turn comes first, would find no workflow, and the submission would run.
+    pub(super) fn withdraw(&mut self, now: Now, id: WorkflowId) -> Option<TurnedAway> {
+        if !self.waiting.remove(&id) {
+            return None;
+        }
+        let position = self.submissions.iter().position(|it| it.submits == Some(id))?;
+        let submission = self.submissions.remove(position)?;
+        self.counts.withdrawn += 1;
+        tracing::info!(event = "submission_withdrawn", workflow = %format_args!("{:016x}", id.0), waited_ms = now.mono_ms.saturating_sub(submission.arrived_ms), cause = "cancelled");
+        Some(self.turn_away(now, &submission))
+    }
+
     /// Returns the index in the log of a submission that is proposed and not applied.
     pub(super) fn index_under_way(&self, id: WorkflowId) -> Option<u64> {
         self.under_way.iter().find(|(_, it)| **it == id).map(|(index, _)| *index)
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -39,6 +39,10 @@
         if !self.has_overload_control() || WorkClass::of(&it.request) == WorkClass::Lease {
             return self.work_on_call(now, vec![to], it.request);
         }
+        let cancels = Dispatcher::cancelled_id(&self.state.workflows, &it.request);
+        if let Some(submission) = cancels.and_then(|id| self.intake.withdraw(now, id)) {
+            self.turn_away(submission);
+        }
         let submits = Dispatcher::submitted_id(&self.state.workflows, &it.request);
         if let Some(id) = submits {
             if self.state.workflows.get(id).is_some() {
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -27,6 +27,12 @@
         resolve_target(workflows, target).ok()?.1
     }
 
+    /// Returns the workflow that a request cancels.
+    pub fn cancelled_id(workflows: &Workflows, request: &WorkflowRequest) -> Option<WorkflowId> {
+        let WorkflowRequest::Cancel(target) = request else { return None };
+        resolve_target(workflows, target).ok()?.1
+    }
+
     /// Decides how to answer a request; `calls` are its copies that wait for the answer.
     pub fn decide_request(
         &mut self,
--- a/src/runtime/single_threaded/adapters.rs
+++ b/src/runtime/single_threaded/adapters.rs
@@ -160,6 +160,7 @@
             ("calls_refused", counts.refused as usize),
             ("calls_overdue", counts.overdue as usize),
             ("calls_expired", counts.expired as usize),
+            ("calls_withdrawn", counts.withdrawn as usize),
         ];
         self.metrics.set_state(&rows);
     }
--- a/tests/workflows/overload.rs
+++ b/tests/workflows/overload.rs
@@ -392,3 +392,20 @@
     assert!(workflows.get(WorkflowId(1_000)).is_none());
     assert!(workflows.get(WorkflowId(40)).is_some());
 }
+
+/// Cancels are worked on before submissions. A cancel found no workflow while its submission waited,
+/// and the work ran after the cancel had been answered.
+#[test]
+fn a_cancel_does_not_overtake_its_submission() {
+    const CANCEL: u64 = 1 << 40;
+    let mut leader = Leader::new(true, NO_LOAD);
+    (1..=40).for_each(|it| leader.arrive_submission(5_000_000, it));
+    leader.arrive_call(5_000_000, CANCEL, &WorkflowRequest::Cancel(target(40)), 0);
+    leader.run_until(8_000);
+    let answer = |id: u64| &leader.answers.iter().find(|(_, it)| it.id == id).unwrap().1.outcome;
+    assert!(matches!(answer(40), WorkflowOutcome::Busy(_)), "{:?}", answer(40));
+    assert_eq!(answer(CANCEL), &WorkflowOutcome::Gone);
+    assert_eq!(leader.core.intake_counts().withdrawn, 1);
+    assert!(leader.core.state().workflows.get(WorkflowId(40)).is_none());
+    assert!(leader.core.state().workflows.get(WorkflowId(39)).is_some());
+}
