--- a/src/node/noted_ends.rs
+++ b/src/node/noted_ends.rs
@@ -52,7 +52,7 @@
             self.sent_lease_until_ms = poll.previous_lease_until_ms;
         }
         if !is_refused {
-            self.unanswered_ack_cursor = self.unanswered_ack_cursor.max(poll.acked_cursor);
+            self.unanswered_cursor = self.unanswered_cursor.max(poll.acked_cursor);
         }
     }
 
@@ -60,7 +60,7 @@
     /// have received counts as received.
     pub(super) fn finally_noted(&self) -> NotedEnds {
         let pending_cursors = self.poll.iter().chain(&self.dropped_polls).map(|it| it.acked_cursor);
-        let pending_cursor = pending_cursors.max().unwrap_or(0).max(self.unanswered_ack_cursor);
+        let pending_cursor = pending_cursors.max().unwrap_or(0).max(self.unanswered_cursor);
         NotedEnds { noted_cursor: self.noted.noted_cursor.max(pending_cursor), ..self.noted }
     }
 
@@ -77,11 +77,10 @@
         now: Now,
     ) -> bool {
         let noted_at_first = self.noted;
-        let is_unanswered_ack_received =
-            ended.iter().all(|it| self.unanswered_ack_cursor < it.cursor);
-        if is_unanswered_ack_received {
-            self.noted.noted_cursor = self.noted.noted_cursor.max(self.unanswered_ack_cursor);
-            self.unanswered_ack_cursor = 0;
+        let is_unanswered_received = ended.iter().all(|it| self.unanswered_cursor < it.cursor);
+        if is_unanswered_received {
+            self.noted.noted_cursor = self.noted.noted_cursor.max(self.unanswered_cursor);
+            self.unanswered_cursor = 0;
         }
         let noted_before = self.noted;
         // Lower bound of the worker's clock at the arrival of the poll, which was after `sent_ms`.
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -113,7 +113,7 @@
     pub dropped_polls: Vec<PendingPoll>,
     /// Highest cursor acknowledged by a poll that got no answer, until a list shows whether the
     /// worker received it.
-    pub unanswered_ack_cursor: u64,
+    pub unanswered_cursor: u64,
     pub next_poll_ms: u64,
     /// Consecutive lists with unreadable rows.
     pub incomplete_lists: u32,
@@ -168,7 +168,7 @@
             throttle_calls: HashMap::new(),
             poll: None,
             dropped_polls: Vec::new(),
-            unanswered_ack_cursor: 0,
+            unanswered_cursor: 0,
             next_poll_ms: now.mono_ms,
             incomplete_lists: 0,
             missing_since_ms: None,
