--- a/src/control/state/workflows/failures.rs
+++ b/src/control/state/workflows/failures.rs
@@ -85,8 +85,8 @@
         wanted.map(|it| RunPlacement { run: it.end.run, worker: it.worker }).collect()
     }
 
-    /// Returns the failed runs on a worker incarnation, whether it is enrolled as `id` or was marked
-    /// as lost.
+    /// Settles the failures on a worker incarnation that has ended, whether it is enrolled as `id` or
+    /// was marked as lost: those that it had not noted have lapsed.
     pub(super) fn runs_on_incarnation(
         &self,
         id: Option<WorkerId>,
