--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -19,7 +19,7 @@
 };
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
-    let plan = Plan { controls: 3, entries: 1, nodes: 0, nodes_per_rack: 1 };
+    let plan = Plan { controls: 3, entries: 1, nodes: 0, nodes_per_rack: 1, kinds: &[] };
     let mut site = Site::start(record, &plan)?;
     let mut version = 1;
     site.install(version, &big(version))?;
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -13,15 +13,15 @@
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
     // Ten executors, three a rack: the last one has a rack of its own.
-    let plan = Plan { controls: 3, entries: 2, nodes: 10, nodes_per_rack: 3 };
+    let plan = Plan { controls: 3, entries: 2, nodes: 10, nodes_per_rack: 3, kinds: &["b"] };
     let mut site = Site::start(record, &plan)?;
     site.install(1, &config(1, &[route("r-q", "/q/", 3_000)]))?;
     site.wait_until_ready()?;
     if trouble {
-        site.tell_executor(9, "unhealthy");
+        site.tell_executor(0, "unhealthy");
     }
     for it in 0..COUNT {
-        let body = "{\"spec\":\"ms=600\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":600,\"requirements\":\"rack-3\"}]}";
+        let body = "{\"spec\":\"ms=600\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":64,\"estimate_ms\":600,\"requirements\":\"b\"}]}";
         site.submit(&format!("/q/5c0e7a21d94b36f{it}"), body)?;
     }
     // visible_ms + 2 s after the last of them was accepted, and a little more.
@@ -42,7 +42,7 @@
     let lowest = lowest.ok_or("no answer")?;
     record.line("case", &format!("{starts} starts, {waiting} submissions wait, pending {lowest}"));
     if trouble {
-        site.tell_executor(9, "healthy");
+        site.tell_executor(0, "healthy");
         std::thread::sleep(Duration::from_millis(3_000));
     }
     Ok(match lowest * 2 < waiting {
--- a/review/standin/executor.rs
+++ b/review/standin/executor.rs
@@ -52,6 +52,7 @@
     control: SocketAddr,
     zone: String,
     rack: String,
+    kind: String,
     began: Instant,
     state: Mutex<State>,
     has_end: Condvar,
@@ -68,6 +69,7 @@
         control: value("control").parse().expect("control"),
         zone: value("zone"),
         rack: value("rack"),
+        kind: value("kind"),
         began: Instant::now(),
         state: Mutex::new(State {
             is_unhealthy: value("unhealthy") == "1",
@@ -112,9 +114,10 @@
                 (if state.is_draining { "draining" } else { "ready" }, state.sequence)
             };
             let body = format!(
-                "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":64000,\"mem_mb\":256000,\"gpu\":0}},\"labels\":[\"a\",{}],\"clock_ms\":{},\"sequence\":{sequence}}}",
+                "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":{},\"version\":\"v1\",\"slots\":8,\"state\":\"{state}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":64000,\"mem_mb\":256000,\"gpu\":0}},\"labels\":[{},{}],\"clock_ms\":{},\"sequence\":{sequence}}}",
                 self.app,
                 quote(&self.zone),
+                quote(&self.kind),
                 quote(&self.rack),
                 self.clock_ms()
             );
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -66,6 +66,7 @@
 pub struct Executor {
     pub zone: String,
     pub rack: String,
+    pub kind: String,
     pub app: SocketAddr,
     pub control: SocketAddr,
     pub lives: u32,
@@ -79,6 +80,8 @@
     pub entries: usize,
     pub nodes: usize,
     pub nodes_per_rack: usize,
+    /// Kinds of the first executors; the others are of kind `a`.
+    pub kinds: &'static [&'static str],
 }
 
 pub struct Site {
@@ -169,6 +172,7 @@
             site.executors.push(Executor {
                 zone: "zone-a".to_owned(),
                 rack: format!("rack-{}", index / plan.nodes_per_rack),
+                kind: plan.kinds.get(index).unwrap_or(&"a").to_string(),
                 app,
                 control,
                 lives: 0,
@@ -232,6 +236,7 @@
                 &format!("control={}", executor.control),
                 &format!("zone={}", executor.zone),
                 &format!("rack={}", executor.rack),
+                &format!("kind={}", executor.kind),
             ])
             .args(executor.extra.split_whitespace())
             .stdin(Stdio::piped())
