--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,144 +1,190 @@
-//! The processes of the core are killed at the same moment; what was acknowledged has to be there.
+//! All processes of the core are killed at the same moment, while the operator changes the config.
+//! What was acknowledged has to be read back afterwards.
+//!
+//! A round sends configs, eight at a time, until two control processes have begun a new log file
+//! behind a snapshot, kills the three processes, starts them again at once, and reads the config.
+//! With `AIM=0` the kill comes at a moment that does not depend on any file. With `TROUBLE=0` nothing
+//! is killed.
 
 use std::{
+    collections::BTreeSet,
     fs,
-    path::PathBuf,
+    path::Path,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::SeqCst},
     },
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
-    Verdict,
-    http,
+    Verdict, http,
     json::Json,
     site::{Plan, Record, SIGKILL, Site, config, route, signal, wait},
 };
 
+/// Orders of an operator in progress at once, at most (PROTOCOL.md).
+const ORDERS: usize = 8;
+
+/// Routes of each config: its body stays below `max_body_bytes`, 262,144.
+const ROUTES: usize = 1_000;
+
+/// Longest time for which configs are sent in a round.
+const ROUND_MAX: Duration = Duration::from_secs(12);
+
+/// Time after which no other round begins.
+const ROUNDS_MAX: Duration = Duration::from_secs(80);
+
+/// Rounds without a kill, if `TROUBLE=0`.
+const CALM_ROUNDS: usize = 3;
+
+/// `contact_ms`, for which the operator reads the config.
+const READ_TIME: Duration = Duration::from_millis(3_000);
+
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
-    let plan = Plan { controls: 3, entries: 1, nodes: 0, nodes_per_rack: 1, kinds: &[] };
+    let plan = Plan { controls: 3, entries: 1, nodes: 0, nodes_per_rack: 1 };
     let mut site = Site::start(record, &plan)?;
-    let mut version = 1;
-    site.install(version, &big(version))?;
+    let first = config_of(1);
+    record.line("case", &format!("a config has {} bytes", first.len()));
+    site.install(1, &first)?;
     site.wait_until_ready()?;
     let began = Instant::now();
-    let mut kills = 0;
-    while began.elapsed() < Duration::from_secs(90) {
-        let newest = storm(&site, &mut version, trouble)?;
-        kills += 1;
+    let mut next_version = 2;
+    for round in 1.. {
+        if ROUNDS_MAX < began.elapsed() || !trouble && CALM_ROUNDS < round {
+            record.line("case", &format!("{} rounds", round - 1));
+            return Ok(Verdict::Held);
+        }
+        let acknowledged = send_configs(&site, &mut next_version, trouble)?;
         if trouble {
-            for index in 0..3 {
+            for index in 0..plan.controls {
                 site.restart_control(index)?;
             }
         }
-        let shown = read_back(&site)?;
-        record.line("operator", &format!("newest acknowledged {newest}, read back {shown}"));
-        if shown < newest {
+        let shown = read_back(&site, acknowledged)?;
+        record.line(
+            "operator",
+            &format!("round {round}: newest acknowledged {acknowledged}, read back {shown}"),
+        );
+        if shown < acknowledged {
             return Ok(Verdict::Broken(format!(
-                "config {newest} was acknowledged, and {shown} is in force after kill {kills}"
+                "config {acknowledged} was acknowledged; after round {round}, {shown} is read back"
             )));
         }
-        version = version.max(shown);
     }
-    record.line("case", &format!("{kills} rounds"));
-    Ok(Verdict::Held)
+    unreachable!()
 }
 
-fn big(version: u64) -> String {
-    let routes: Vec<_> = (0..900).map(|it| route(&format!("r-{it}"), &format!("/q{it}/"), 3_000 + version % 7)).collect();
-    config(version, &routes)
+fn config_of(version: u64) -> String {
+    let timeout_ms = 3_000 + version % 1_000;
+    let of = |it: usize| route(&format!("r-{it}"), &format!("/q{it}/"), timeout_ms);
+    config(version, &(0..ROUTES).map(of).collect::<Vec<_>>())
 }
 
-/// Sends configs, eight at a time, until the processes are killed; returns the newest acknowledged.
-fn storm(site: &Site, version: &mut u64, trouble: bool) -> Result<u64, String> {
+/// Sends configs until the kill, and returns the newest version that was acknowledged.
+fn send_configs(site: &Site, next_version: &mut u64, trouble: bool) -> Result<u64, String> {
     let is_over = Arc::new(AtomicBool::new(false));
-    let next = Arc::new(AtomicU64::new(*version + 1));
-    let newest = Arc::new(AtomicU64::new(0));
-    let acked = Arc::new(Mutex::new(Vec::new()));
-    let mut senders = Vec::new();
-    for _ in 0..8 {
-        let (is_over, next, newest, acked) = (is_over.clone(), next.clone(), newest.clone(), acked.clone());
-        let addresses = site.control_addresses.clone();
-        senders.push(thread::spawn(move || {
-            while !is_over.load(Ordering::SeqCst) {
-                let version = next.fetch_add(1, Ordering::SeqCst);
-                let body = big(version);
-                let mut at = version as usize;
-                while !is_over.load(Ordering::SeqCst) {
-                    let to = addresses[at % addresses.len()];
-                    let host = to.ip().to_string();
-                    let answer = http::call(to, "PUT", "/-/config", &host, &body, Duration::from_secs(1));
-                    if answer.is_some_and(|(status, _)| status == 200) {
-                        newest.fetch_max(version, Ordering::SeqCst);
-                        acked.lock().unwrap().push(version);
-                        break;
+    let next = Arc::new(AtomicU64::new(*next_version));
+    let acknowledged = Arc::new(Mutex::new(BTreeSet::new()));
+    let operators: Vec<_> = (0..ORDERS)
+        .map(|_| {
+            let (is_over, next) = (is_over.clone(), next.clone());
+            let (acknowledged, addresses) = (acknowledged.clone(), site.control_addresses.clone());
+            thread::spawn(move || {
+                while !is_over.load(SeqCst) {
+                    let version = next.fetch_add(1, SeqCst);
+                    let body = config_of(version);
+                    // Without a clear response, the same goes to another daemon.
+                    for at in version as usize.. {
+                        if is_over.load(SeqCst) {
+                            break;
+                        }
+                        let to = addresses[at % addresses.len()];
+                        let (host, time) = (to.ip().to_string(), Duration::from_secs(1));
+                        let answer = http::call(to, "PUT", "/-/config", &host, &body, time);
+                        if answer.is_some_and(|(status, _)| status == 200) {
+                            acknowledged.lock().unwrap().insert(version);
+                            break;
+                        }
+                        thread::sleep(Duration::from_millis(20));
                     }
-                    at += 1;
-                    thread::sleep(Duration::from_millis(20));
                 }
-            }
-        }));
-    }
-    let logs = |folder: &PathBuf| -> Vec<String> {
-        let names = fs::read_dir(folder).into_iter().flatten().flatten();
-        let names = names.filter_map(|it| it.file_name().into_string().ok());
-        names.filter(|it| it.starts_with("log-") && !it.ends_with(".new")).collect()
-    };
-    let before: Vec<_> = site.data_folders.iter().map(logs).collect();
-    let pids: Vec<_> = site.controls.iter().map(|it| it.pid()).collect();
-    let seen: Arc<Vec<AtomicBool>> = Arc::new((0..3).map(|_| AtomicBool::new(false)).collect());
-    let began = Instant::now();
-    let mut watchers = Vec::new();
-    for index in 0..3 {
-        let (folder, before, seen) = (site.data_folders[index].clone(), before[index].clone(), seen.clone());
-        let is_over = is_over.clone();
-        watchers.push(thread::spawn(move || {
-            while !is_over.load(Ordering::SeqCst) {
-                let names = fs::read_dir(&folder).into_iter().flatten().flatten();
-                let mut names = names.filter_map(|it| it.file_name().into_string().ok());
-                if names.any(|it| it.starts_with("log-") && !it.ends_with(".new") && !before.contains(&it)) {
-                    seen[index].store(true, Ordering::SeqCst);
-                    return;
+            })
+        })
+        .collect();
+    let new_logs = Arc::new(AtomicUsize::new(0));
+    let watchers: Vec<_> = site
+        .data_folders
+        .iter()
+        .map(|folder| {
+            let (folder, before) = (folder.clone(), logs_in(folder));
+            let (is_over, new_logs) = (is_over.clone(), new_logs.clone());
+            thread::spawn(move || {
+                while !is_over.load(SeqCst) {
+                    if logs_in(&folder).iter().any(|it| !before.contains(it)) {
+                        new_logs.fetch_add(1, SeqCst);
+                        return;
+                    }
                 }
-            }
-        }));
-    }
-    let max = Duration::from_secs(20);
-    while began.elapsed() < max {
-        let count = seen.iter().filter(|it| it.load(Ordering::SeqCst)).count();
-        if 2 <= count {
-            break;
+            })
+        })
+        .collect();
+    let began = Instant::now();
+    match std::env::var("AIM").as_deref() {
+        Ok("0") => {
+            let random_ms = (site.record.seconds() * 1e6) as u64 % 700;
+            thread::sleep(Duration::from_millis(300 + random_ms));
         }
-        std::hint::spin_loop();
+        _ => while new_logs.load(SeqCst) < 2 && began.elapsed() < ROUND_MAX {},
     }
     if trouble {
-        pids.iter().for_each(|it| signal(*it, SIGKILL));
+        let pids: Vec<_> = site.controls.iter().map(|it| it.pid()).collect();
+        pids.into_iter().for_each(|it| signal(it, SIGKILL));
+    }
+    let seconds = began.elapsed().as_secs_f64();
+    is_over.store(true, SeqCst);
+    operators.into_iter().chain(watchers).for_each(|it| drop(it.join()));
+    let sent = next.load(SeqCst) - *next_version;
+    *next_version = next.load(SeqCst);
+    let acknowledged = acknowledged.lock().unwrap();
+    let newest = acknowledged.last().copied().unwrap_or(0);
+    let what = if trouble { "killed the core (SIGKILL)" } else { "stopped sending" };
+    site.record.line("operator", &format!("sent {sent} configs, {} acknowledged, newest {newest}", acknowledged.len()));
+    site.record.line("case", &format!("{what} after {seconds:.3} s"));
+    for (index, folder) in site.data_folders.iter().enumerate().filter(|_| trouble) {
+        let logs = logs_in(folder);
+        let bytes = |it: &String| fs::metadata(folder.join(it)).map_or(0, |it| it.len());
+        let logs: Vec<_> = logs.iter().map(|it| format!("{it} of {} bytes", bytes(it))).collect();
+        site.record.line("case", &format!("for information: disk {index} has {}", logs.join(", ")));
     }
-    let count = seen.iter().filter(|it| it.load(Ordering::SeqCst)).count();
-    is_over.store(true, Ordering::SeqCst);
-    let sizes: Vec<_> = site.data_folders.iter().map(|folder| {
-        logs(folder).iter().map(|it| format!("{it}:{}", fs::metadata(folder.join(it)).map_or(0, |it| it.len()))).collect::<Vec<_>>().join(",")
-    }).collect();
-    senders.into_iter().chain(watchers).for_each(|it| drop(it.join()));
-    *version = next.load(Ordering::SeqCst);
-    let newest = newest.load(Ordering::SeqCst);
-    site.record.line("case", &format!("after {:.2} s: {count} new logs, acknowledged {}, newest {newest}, logs {sizes:?}", began.elapsed().as_secs_f64(), acked.lock().unwrap().len()));
     Ok(newest)
 }
 
-fn read_back(site: &Site) -> Result<u64, String> {
-    let mut shown = 0;
-    wait("the config", Duration::from_secs(15), || {
-        (0..3).any(|at| match site.operator(at, "GET", "/-/config", "") {
-            Some((200, text)) => {
-                shown = Json::parse(&text).and_then(|it| it.get("version")?.number()).unwrap_or(0);
-                true
-            }
-            _ => false,
-        })
+/// Returns the names of the log files in a data folder.
+fn logs_in(folder: &Path) -> Vec<String> {
+    let names = fs::read_dir(folder).into_iter().flatten().flatten();
+    let names = names.filter_map(|it| it.file_name().into_string().ok());
+    names.filter(|it| it.starts_with("log-") && !it.ends_with(".new")).collect()
+}
+
+/// Reads the config from all control processes; returns the newest version shown. As long as that is
+/// older than `acknowledged`, it is read again for `contact_ms`.
+fn read_back(site: &Site, acknowledged: u64) -> Result<u64, String> {
+    let read = |at: usize| -> Option<u64> {
+        let (status, text) = site.operator(at, "GET", "/-/config", "")?;
+        (status == 200).then_some(())?;
+        Json::parse(&text)?.get("version")?.number()
+    };
+    let mut shown = None;
+    wait("the config", Duration::from_secs(12), || {
+        shown = (0..3).filter_map(read).max();
+        shown.is_some()
     })?;
-    Ok(shown)
+    let began = Instant::now();
+    while shown < Some(acknowledged) && began.elapsed() < READ_TIME {
+        shown = shown.max((0..3).filter_map(read).max());
+        thread::sleep(Duration::from_millis(300));
+    }
+    shown.ok_or_else(|| "no config was read".to_owned())
 }
