--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -91,6 +91,7 @@
         .map(|_| {
             let (is_over, next) = (is_over.clone(), next.clone());
             let (acknowledged, addresses) = (acknowledged.clone(), site.control_addresses.clone());
+            let record = site.record.clone();
             thread::spawn(move || {
                 while !is_over.load(SeqCst) {
                     let version = next.fetch_add(1, SeqCst);
@@ -103,7 +104,10 @@
                         let to = addresses[at % addresses.len()];
                         let (host, time) = (to.ip().to_string(), Duration::from_secs(1));
                         let answer = http::call(to, "PUT", "/-/config", &host, &body, time);
-                        if answer.is_some_and(|(status, _)| status == 200) {
+                        let status = answer.map(|(status, _)| status);
+                        let text = status.map_or("no response".to_owned(), |it| it.to_string());
+                        record.line("operator", &format!("PUT config {version} to {to} -> {text}"));
+                        if status == Some(200) {
                             acknowledged.lock().unwrap().insert(version);
                             break;
                         }
@@ -173,8 +177,10 @@
 fn read_back(site: &Site, acknowledged: u64) -> Result<u64, String> {
     let read = |at: usize| -> Option<u64> {
         let (status, text) = site.operator(at, "GET", "/-/config", "")?;
-        (status == 200).then_some(())?;
-        Json::parse(&text)?.get("version")?.number()
+        let version = Json::parse(&text).and_then(|it| it.get("version")?.number());
+        let to = site.control_addresses[at];
+        site.record.line("operator", &format!("GET config from {to} -> {status}, version {version:?}"));
+        version.filter(|_| status == 200)
     };
     let mut shown = None;
     wait("the config", Duration::from_secs(12), || {
--- a/review/standin/executor.rs
+++ b/review/standin/executor.rs
@@ -208,7 +208,13 @@
                 }
                 let spec = body.get("spec").and_then(Json::text).unwrap_or_default();
                 let saved = body.get("last_checkpoint").and_then(Json::text).unwrap_or_default();
-                println!("start {task} run {run} spec {} checkpoint {}", quote(spec), quote(saved));
+                let shown: String = spec.chars().take(24).collect();
+                println!(
+                    "start {task} run {run} spec {} of {} bytes, checkpoint {}",
+                    quote(&shown),
+                    spec.len(),
+                    quote(saved)
+                );
                 let work = spec.split_whitespace().find_map(|it| it.strip_prefix("ms="));
                 state.highest.insert(task.clone(), run);
                 state.running.insert(
