--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -30,11 +30,11 @@
 /// Submissions that come in while the executor is unhealthy.
 const COUNT: usize = 6;
 
-const LONG: &str = "/q/5c0e7a21d94b36f8";
-const LONG_TASK: &str = "5c0e7a21d94b36f8.0.0.0";
-const TWO_STEPS: &str = "/q/1d94b36f85c0e7a2";
-const FIRST_STEP: &str = "1d94b36f85c0e7a2.0.0.0";
-const SECOND_STEP: &str = "1d94b36f85c0e7a2.0.1.0";
+const LONG: &str = "/q/5c0e7a21d94b36fa";
+const LONG_TASK: &str = "5c0e7a21d94b36fa.0.0.0";
+const TWO_STEPS: &str = "/q/1d94b36f85c0e7ab";
+const FIRST_STEP: &str = "1d94b36f85c0e7ab.0.0.0";
+const SECOND_STEP: &str = "1d94b36f85c0e7ab.0.1.0";
 
 pub fn run(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let plan = Plan { controls: 3, entries: 2, nodes: 11, nodes_per_rack: 3 };
@@ -76,7 +76,7 @@
         site.tell_executor(in_use, "unhealthy");
     }
     for it in 0..COUNT {
-        site.submit(&format!("/q/7e21d94b36f85c0{it}"), &body(600, false))?;
+        site.submit(&format!("/q/{}", id_of(it)), &body(600, false))?;
     }
     thread::sleep(VISIBLE);
     let mut lowest: Option<u64> = None;
@@ -88,11 +88,11 @@
         }
     }
     let begun = (0..COUNT).filter(|it| {
-        started_on(site, &format!("7e21d94b36f85c0{it}.0.0.0")).is_some()
+        started_on(site, &format!("{}.0.0.0", id_of(*it))).is_some()
     });
     let waiting = (COUNT - begun.count()) as u64;
     for it in 0..COUNT {
-        site.state(&format!("/q/7e21d94b36f85c0{it}"));
+        site.state(&format!("/q/{}", id_of(it)));
     }
     thread::sleep(UNHEALTHY.saturating_sub(began.elapsed()));
     if trouble {
@@ -143,6 +143,11 @@
     Ok(idle)
 }
 
+/// Returns the id of a submission that comes in while the executor is unhealthy.
+fn id_of(number: usize) -> String {
+    format!("7e21d94b36f85c0{:x}", 10 + number)
+}
+
 /// Returns a submission of one task, or of two in turn.
 fn body(work_ms: u64, has_second: bool) -> String {
     let step = format!("\"count\":1,\"cpu\":1000,\"mem_mb\":256,\"estimate_ms\":{work_ms}");
