Put the file operations of the data folder behind a trait

Disk and Identity use the operations of a Storage: the data folder in the file system, or one of a test that ends or fails any of them.

--- a/src/control/log/mod.rs
+++ b/src/control/log/mod.rs
@@ -10,7 +10,7 @@
 mod raft;
 mod record;
 
-pub use self::disk::{Disk, DiskLock, Identity};
+pub use self::disk::{DataFolder, Disk, Identity, Storage, StorageFile};
 pub use self::options::RaftOptions;
 pub use self::raft::{Committed, ProposeError, Raft, Role};
 pub use self::record::{DiskWrite, HardState, RecoveredState, Snapshot};
