--- a/src/control/log/disk/mod.rs
+++ b/src/control/log/disk/mod.rs
@@ -6,7 +6,7 @@
 mod identity;
 mod storage;
 
-use std::{io, path::Path};
+use std::{io, path::Path, sync::Arc};
 
 use error_stack::ResultExt;
 
@@ -120,23 +120,17 @@
                     )?;
                 }
                 DiskWrite::Append(entries) => {
-                    for entry in entries {
-                        record::encode(
-                            &Record::Entry((**entry).clone()),
-                            self.durable_bytes,
-                            &mut buffer,
-                        )?;
-                    }
+                    encode_entries(entries, self.durable_bytes, &mut buffer)?
                 }
                 DiskWrite::Truncate { from_index } => record::encode(
                     &Record::Truncate { from_index: *from_index },
                     self.durable_bytes,
                     &mut buffer,
                 )?,
-                DiskWrite::Snapshot(snapshot) => {
-                    self.append(&buffer)?;
+                DiskWrite::Snapshot { snapshot, later_entries } => {
+                    // The new log file holds what the records so far have changed.
                     buffer.clear();
-                    self.start_log_at(snapshot)?;
+                    self.start_log_at(snapshot, later_entries)?;
                     self.durable_write_count = position + 1;
                 }
             }
@@ -209,8 +203,12 @@
         Ok(())
     }
 
-    /// Writes a snapshot, starts a new log file at its index and removes the files of other indexes.
-    fn start_log_at(&mut self, snapshot: &Snapshot) -> Result<()> {
+    /// Writes a snapshot, replaces the log file by one that begins at its index, and removes the files
+    /// of other indexes.
+    ///
+    /// The new log file holds the later entries before it gets its name. A start in between would
+    /// otherwise find a log without entries that this member has acknowledged.
+    fn start_log_at(&mut self, snapshot: &Snapshot, later_entries: &[Arc<LogEntry>]) -> Result<()> {
         let index = snapshot.index;
         let mut data = vec![0; 4];
         bincode::serde::encode_into_std_write(snapshot, &mut data, bincode::config::standard())
@@ -221,6 +219,7 @@
 
         let mut start = Vec::new();
         record::encode(&Record::HardState(self.hard_state), 0, &mut start)?;
+        encode_entries(later_entries, 0, &mut start)?;
         let name = format!("{LOG_PREFIX}{index}");
         replace_file(&self.storage, &name, &start)?;
         let opened = self.storage.open(&name);
@@ -238,6 +237,17 @@
     }
 }
 
+fn encode_entries(
+    entries: &[Arc<LogEntry>],
+    durable_bytes: u64,
+    buffer: &mut Vec<u8>,
+) -> Result<()> {
+    for entry in entries {
+        record::encode(&Record::Entry((**entry).clone()), durable_bytes, buffer)?;
+    }
+    Ok(())
+}
+
 const SNAPSHOT_PREFIX: &str = "snapshot-";
 
 const LOG_PREFIX: &str = "log-";
--- a/src/control/log/raft/snapshots.rs
+++ b/src/control/log/raft/snapshots.rs
@@ -18,7 +18,9 @@
         let Some(term) = self.term_at(index) else { return };
         let members = self.members_at(index);
         let snapshot = Arc::new(Snapshot { index, term, members, checksum: checksum(&data), data });
-        self.pending_writes.push(DiskWrite::Snapshot(snapshot.clone()));
+        let later_entries = self.entries.iter().filter(|it| index < it.index).cloned().collect();
+        let write = DiskWrite::Snapshot { snapshot: snapshot.clone(), later_entries };
+        self.pending_writes.push(write);
         self.snapshot = Some(snapshot);
         let keep_from = index.saturating_sub(self.options.retained_entries);
         while self.base_index < keep_from
@@ -33,12 +35,6 @@
         while 1 < self.memberships.len() && self.memberships[1].0 <= self.base_index {
             self.memberships.pop_front();
         }
-        // The snapshot starts a new log file on the disk: write the later entries to it again.
-        let later_entries: Vec<_> =
-            self.entries.iter().filter(|it| index < it.index).cloned().collect();
-        if !later_entries.is_empty() {
-            self.pending_writes.push(DiskWrite::Append(later_entries));
-        }
     }
 
     pub(super) fn send_snapshot_chunk(&mut self, now: Now, to: MemberId) {
@@ -133,7 +129,8 @@
             *last_index = snapshot.index;
         }
         self.memberships = VecDeque::from([(snapshot.index, snapshot.members.clone())]);
-        self.pending_writes.push(DiskWrite::Snapshot(snapshot.clone()));
+        let write = DiskWrite::Snapshot { snapshot: snapshot.clone(), later_entries: Vec::new() };
+        self.pending_writes.push(write);
         self.snapshots_to_install.push_back(snapshot.clone());
         self.snapshot = Some(snapshot);
     }
--- a/src/control/log/record.rs
+++ b/src/control/log/record.rs
@@ -36,8 +36,12 @@
     Truncate {
         from_index: u64,
     },
-    /// Replaces all entries up to the snapshot's index.
-    Snapshot(Arc<Snapshot>),
+    /// Replaces the log by a snapshot and all entries after it, in one step: the entries may have
+    /// been acknowledged, so the disk must hold them at each moment.
+    Snapshot {
+        snapshot: Arc<Snapshot>,
+        later_entries: Vec<Arc<LogEntry>>,
+    },
 }
 
 /// Durable state of a member, as read from its disk at start-up.
@@ -69,7 +73,7 @@
                 self.entries.push(entry);
             }
             Record::Truncate { from_index } => {
-                let first = self.first_index();
+                let first = self.snapshot_index() + 1;
                 self.entries.truncate(from_index.saturating_sub(first) as usize);
             }
             Record::Mark => (),
@@ -77,12 +81,14 @@
         Ok(())
     }
 
-    fn first_index(&self) -> u64 {
-        self.snapshot.as_ref().map_or(0, |it| it.index) + 1
+    /// Returns the index of the snapshot, or 0 without one.
+    pub fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |it| it.index)
     }
 
-    fn last_index(&self) -> u64 {
-        self.first_index() + self.entries.len() as u64 - 1
+    /// Returns the index of the last entry, or of the snapshot without entries.
+    pub fn last_index(&self) -> u64 {
+        self.snapshot_index() + self.entries.len() as u64
     }
 }
 
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -276,7 +276,7 @@
         let identity =
             Identity::read_or_create(folder, group_id, self.settings.link.listen, &founders)?;
         let (disk, recovered) = Disk::open(folder, &identity, settings.free_min_bytes.into())?;
-        tracing::info!(event = "disk_opened", member = %identity.member, founders = identity.founders.len(), entries = recovered.entries.len(), term = recovered.hard_state.term);
+        tracing::info!(event = "disk_opened", member = %identity.member, founders = identity.founders.len(), entries = recovered.entries.len(), snapshot_index = recovered.snapshot_index(), last_index = recovered.last_index(), term = recovered.hard_state.term);
         Ok(OpenDisk { disk, recovered, identity })
     }
 
--- a/tests/disk.rs
+++ b/tests/disk.rs
@@ -26,6 +26,10 @@
     DiskWrite::Append(indexes.map(entry).collect())
 }
 
+fn compact(snapshot: Arc<Snapshot>) -> DiskWrite {
+    DiskWrite::Snapshot { snapshot, later_entries: Vec::new() }
+}
+
 fn snapshot_at_8() -> Snapshot {
     let data = vec![7; 1_000];
     let members = Membership::default();
@@ -63,7 +67,7 @@
     write_ten_entries(folder.path());
     let (mut disk, _) = open(folder.path()).unwrap();
     let snapshot = snapshot_at_8();
-    disk.write(&[DiskWrite::Snapshot(Arc::new(snapshot.clone())), append(9..=10)]).unwrap();
+    disk.write(&[compact(Arc::new(snapshot.clone())), append(9..=10)]).unwrap();
     drop(disk);
     let (_, recovered) = open(folder.path()).unwrap();
     assert_eq!(recovered.snapshot, Some(snapshot));
@@ -141,7 +145,7 @@
     let folder = tempfile::tempdir().unwrap();
     let (mut disk, _) = open(folder.path()).unwrap();
     let snapshot = snapshot_at_8();
-    disk.write(&[DiskWrite::Snapshot(Arc::new(snapshot))]).unwrap();
+    disk.write(&[compact(Arc::new(snapshot))]).unwrap();
     drop(disk);
     let path = folder.path().join("snapshot-8");
     let mut data = fs::read(&path).unwrap();
--- a/tests/disk_refused.rs
+++ b/tests/disk_refused.rs
@@ -26,6 +26,10 @@
     DiskWrite::Append(indexes.map(entry).collect())
 }
 
+fn compact(snapshot: Arc<Snapshot>) -> DiskWrite {
+    DiskWrite::Snapshot { snapshot, later_entries: Vec::new() }
+}
+
 fn set_file_size_limit(limit_bytes: Option<u64>) {
     let maximum = getrlimit(Resource::Fsize).maximum;
     setrlimit(Resource::Fsize, Rlimit { current: limit_bytes, maximum }).unwrap();
@@ -70,5 +74,5 @@
         checksum: checksum(&data),
         data,
     };
-    check_retry(&[DiskWrite::Snapshot(Arc::new(snapshot)), append(11..=11)], &[11, 12]);
+    check_retry(&[compact(Arc::new(snapshot)), append(11..=11)], &[11, 12]);
 }
--- a/tests/promises/disk.rs
+++ b/tests/promises/disk.rs
@@ -57,9 +57,9 @@
             }
         }
         DiskWrite::Truncate { from_index } => disk.entries.truncate((from_index - first) as usize),
-        DiskWrite::Snapshot(it) => {
-            disk.snapshot = Some((*it).clone());
-            disk.entries.clear();
+        DiskWrite::Snapshot { snapshot, later_entries } => {
+            disk.snapshot = Some((*snapshot).clone());
+            disk.entries = later_entries.iter().map(|it| (**it).clone()).collect();
         }
     }
 }
