--- a/src/control/log/raft/snapshots.rs
+++ b/src/control/log/raft/snapshots.rs
@@ -75,6 +75,20 @@
                 self.append_reply(true, self.commit_index.min(self.durable_index), chunk.sent_ms);
             return self.send_when_durable(from, reply);
         }
+        if self.term_at(chunk.index) == Some(chunk.index_term) {
+            // The log has the last entry of the snapshot, so it holds the same entries up to there,
+            // which are committed. The later ones stay: this member may have acknowledged them.
+            tracing::info!(
+                event = "snapshot_not_needed",
+                index = chunk.index,
+                commit_index = self.commit_index,
+                last_index = self.last_index()
+            );
+            self.incoming_snapshot = None;
+            self.commit_index = chunk.index;
+            let reply = self.append_reply(true, chunk.index, chunk.sent_ms);
+            return self.send_when_durable(from, reply);
+        }
         let is_same_snapshot = |(first, _): &(SnapshotChunk, Vec<u8>)| {
             (first.index, first.checksum) == (chunk.index, chunk.checksum)
         };
--- a/tests/crash_points/member.rs
+++ b/tests/crash_points/member.rs
@@ -227,3 +227,33 @@
         vote(3, (45, 2)),
     ]);
 }
+
+/// Guards against a follower that drops acknowledged entries after a snapshot that its own log
+/// matches. A new leader sends the snapshot when it retains no older entries than its own.
+#[test]
+fn a_snapshot_that_the_log_matches_leaves_the_entries_after_it() {
+    let steps = [
+        append(1, (0, 0), 60, 10),
+        // A conflict, after which the leader has no entries old enough.
+        append(3, (51, 2), 51, 45),
+        install(3, 40, 1),
+        // A candidate without the entries that this member has acknowledged.
+        vote(4, (40, 1)),
+    ];
+    check_schedule(&steps);
+    let promises = run_steps(&ModelStorage::default(), &steps);
+    assert_eq!(promises.entries.len(), 60);
+    assert!(promises.votes.is_empty(), "a vote against acknowledged entries: {promises:?}");
+}
+
+/// Guards against a snapshot that only advances the commit index although the log conflicts with it.
+#[test]
+fn a_snapshot_that_the_log_conflicts_with_replaces_the_log() {
+    let steps = [append(1, (0, 0), 60, 10), install(3, 40, 2), append(3, (40, 2), 42, 41)];
+    let storage = ModelStorage::default();
+    run_steps(&storage, &steps);
+    let (_, recovered) = Disk::recover(storage, &identity(), 0).unwrap();
+    assert_eq!(recovered.snapshot.map(|it| (it.index, it.term)), Some((40, 2)));
+    let found: Vec<_> = recovered.entries.iter().map(|it| (it.index, it.term)).collect();
+    assert_eq!(found, [(41, 3), (42, 3)]);
+}
