Keep new work away from a worker that refuses starts

Cause: a refused run was voided and counted nothing against its worker.

A circuit breaker for each worker opens at a refused start for 0.5 s, then 1 and 2 s, and lets one start at a time test the worker after that, for 10 s only with work that no other worker can run. A start that is begun closes it. So work goes elsewhere at once, a worker comes back by itself, and one that alone can run a step is still tried. A refusal for room that the worker's own report contradicts counts as well.

--- a/src/control/dispatch/capacity/cache.rs
+++ b/src/control/dispatch/capacity/cache.rs
@@ -14,7 +14,7 @@
         },
         state::Workflows,
     },
-    policy::contention::ContentionModel,
+    policy::{contention::ContentionModel, start_breaker::BreakerState},
     prelude::*,
 };
 
@@ -94,7 +94,9 @@
         let mut res: Vec<_> = self.by_worker.values_mut().filter(|it| is_usable(it.id)).collect();
         for it in &mut res {
             it.speed_class = speeds.class_of(it.id, usability.now.mono_ms);
+            it.breaker = sessions.breaker_state(it.id, workflows, usability.now);
         }
+        res.retain(|it| it.breaker != BreakerState::Open);
         res
     }
 
@@ -112,8 +114,9 @@
             let expected = FreeCapacity::new(workflows, id, worker, contention);
             let cached = self.by_worker.get(&id).cloned().map(|mut it| {
                 it.refresh_loads(contention);
-                // The speed follows from reports, and is set for each plan.
+                // The speed and the breaker follow from reports, and are set for each plan.
                 it.speed_class = expected.speed_class;
+                it.breaker = expected.breaker;
                 it
             });
             if cached.as_ref() != Some(&expected) {
--- a/src/control/dispatch/capacity/mod.rs
+++ b/src/control/dispatch/capacity/mod.rs
@@ -14,6 +14,7 @@
         contention::{
             ContentionModel, FillerLoad, MEAN_CPU_USE_SHARE, images::ImageKey, reference_cores,
         },
+        start_breaker::BreakerState,
         throttling::NEGLIGIBLE_COST_PERCENT,
     },
     prelude::*,
@@ -122,6 +123,7 @@
     filler_millicores: u32,
     served: Vec<ServedImage>,
     pub(super) speed_class: SpeedClass,
+    pub(super) breaker: BreakerState,
 }
 
 impl FreeCapacity {
@@ -143,6 +145,7 @@
             filler_millicores: worker.filler_millicores,
             served: Vec::new(),
             speed_class: SpeedClass::default(),
+            breaker: BreakerState::default(),
         };
         for run in &worker.runs {
             let Some(step) = workflows.step_of(run.task) else { continue };
@@ -245,7 +248,8 @@
 
     fn can_hold(&self, demand: &TaskDemand<'_>, placed_count: u32) -> bool {
         let step = demand.step;
-        self.has_room_for(demand)
+        self.breaker != BreakerState::Open
+            && self.has_room_for(demand)
             && (step.per_worker_max == 0 || placed_count < step.per_worker_max)
             && self.suits(step, demand.queue)
     }
@@ -296,12 +300,23 @@
             RunKind::Plain => [packing, 0, 0],
         };
         let is_in_data_rack = !step.data_rack.is_empty() && self.rack == step.data_rack;
-        Some(Preference { speed: Reverse(speed_rank), is_in_data_rack, rank })
+        let is_last_resort =
+            matches!(self.breaker, BreakerState::HalfOpen { is_last_resort: true });
+        Some(Preference {
+            is_last_resort: Reverse(is_last_resort),
+            speed: Reverse(speed_rank),
+            is_in_data_rack,
+            rank,
+        })
     }
 
     pub(super) fn reserve(&mut self, demand: &TaskDemand<'_>, contention: &ContentionModel) {
         self.take(demand.reservation);
         self.speed_class.is_probe_due = false;
+        if self.breaker != BreakerState::Closed {
+            // One start at a time tests a worker that has refused some.
+            self.breaker = BreakerState::Open;
+        }
         match demand.run_kind {
             RunKind::Filler { image, millicores } => {
                 self.filler_millicores = self.filler_millicores.saturating_add(millicores);
@@ -363,6 +378,8 @@
 /// How well a worker suits a task; the largest is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Preference {
+    /// A worker that has refused starts and has accepted none since.
+    is_last_resort: Reverse<bool>,
     /// A slow worker is used last, since the data of a task is nearer to every other one.
     speed: Reverse<u8>,
     is_in_data_rack: bool,
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -418,6 +418,10 @@
             let image = self.contention.image_key(&it.image);
             fillers.push(FillerLoad { image, cores: cores(it.cpu_millicores) });
         }
+        let is_new = |it: &RunningTask| !session.ever_listed_runs.contains(&it.run);
+        if report.running.iter().any(is_new) {
+            session.breaker.note_accepted();
+        }
         if let Some(worker) = workflows.workers().get(id) {
             session.ever_listed_runs.extend(report.running.iter().map(|it| it.run));
             session.ever_listed_runs.retain(|it| worker.runs.contains(it));
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -68,7 +68,7 @@
         // Before the ends of the report are acknowledged: the worker's next lapse may hide this one.
         self.settle_failures(workflows, id);
         let has_ends = self.propose_ends(workflows, id, now);
-        self.propose_voids(workflows, id);
+        self.propose_voids(workflows, id, now);
         if is_gone {
             let loss = if is_leaving { LossCause::Left } else { LossCause::Crashed };
             return self.mark_lost(workflows, id, loss, now);
@@ -106,6 +106,13 @@
         // Ends of runs that the worker no longer holds say nothing about its present health.
         let known = ends.iter().filter(|it| workflows.has_run(id, it.run));
         known.for_each(|it| update_health(session, worker, it, now));
+        // A run that was never listed began and ended since the last report.
+        let is_new = |it: &&RunEnd| {
+            workflows.has_run(id, it.run) && !session.ever_listed_runs.contains(&it.run)
+        };
+        if ends.iter().any(|it| is_new(&it)) {
+            session.breaker.note_accepted();
+        }
         self.output.commands.push(WorkflowCommand::Finish(FinishRuns { worker: id, cursor, ends }));
         true
     }
@@ -117,15 +124,23 @@
         self.output.commands.extend(settled.map(WorkflowCommand::Settle));
     }
 
-    /// Proposes to void the runs that the worker has refused to begin.
-    fn propose_voids(&mut self, workflows: &Workflows, id: WorkerId) {
+    /// Proposes to void the runs that the worker has refused to begin, and keeps new work away from a
+    /// worker that refuses it.
+    fn propose_voids(&mut self, workflows: &Workflows, id: WorkerId, now: Now) {
         let Some(worker) = workflows.workers().get(id) else { return };
-        let Some(report) = self.sessions.get(id).and_then(|it| it.report.as_ref()) else { return };
-        let refused = report.refused.iter().filter(|it| worker.runs.contains(&it.run));
-        let runs: Vec<_> = refused
-            .inspect(|it| tracing::warn!(event = "run_refused", run = %run_name(it.run), worker = %worker.name, cause = %it.cause))
-            .map(|it| it.run)
-            .collect();
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        let Some(report) = &session.report else { return };
+        let refused: Vec<_> =
+            report.refused.iter().filter(|it| worker.runs.contains(&it.run)).collect();
+        for it in &refused {
+            tracing::warn!(event = "run_refused", run = %run_name(it.run), worker = %worker.name, cause = %it.cause);
+            if is_refusal_of_worker(it.cause, worker, report)
+                && let Some(pause_ms) = session.breaker.note_refused(now.mono_ms)
+            {
+                tracing::warn!(event = "worker_avoided", worker = %worker.name, cause = "refused_start", run = %run_name(it.run), pause_ms);
+            }
+        }
+        let runs: Vec<_> = refused.into_iter().map(|it| it.run).collect();
         if !runs.is_empty() {
             self.output.commands.push(WorkflowCommand::Void(VoidRuns { worker: id, runs }));
         }
@@ -239,6 +254,18 @@
     }
 }
 
+/// Returns whether a refused start tells that the worker would refuse the next one too.
+///
+/// A worker without the capacity that it reports holds something that the ledger does not know. One
+/// that reports less than is reserved there gets no new runs by the ledger alone.
+fn is_refusal_of_worker(cause: RefusalCause, worker: &Worker, report: &WorkerReport) -> bool {
+    match cause {
+        RefusalCause::Unhealthy => true,
+        RefusalCause::Room => fits(worker.reserved, report.capacity),
+        RefusalCause::Superseded | RefusalCause::Leaving => false,
+    }
+}
+
 /// Updates a worker's health by the end of a run.
 fn update_health(session: &mut Session, worker: &Worker, end: &RunEnd, now: Now) {
     let workflow = end.run.task.workflow;
--- a/src/control/dispatch/plan/builder.rs
+++ b/src/control/dispatch/plan/builder.rs
@@ -19,6 +19,7 @@
     policy::{
         contention::{ContentionModel, images::ImageKey},
         crash_evidence::is_too_old_to_suspect,
+        start_breaker::BreakerState,
     },
     prelude::*,
 };
@@ -379,9 +380,13 @@
         if self.unmet.iter().any(|it| it.rules_out(&requirements)) {
             return None;
         }
-        let Some((_, worker_index)) =
-            self.offers(&demand, &counts_of(step, state), PlacementMode::ProtectLatency).pop()
-        else {
+        let mut offers =
+            self.offers(&demand, &counts_of(step, state), PlacementMode::ProtectLatency);
+        // A run that works is not stopped to test another worker.
+        let accepts_moves =
+            |(_, index): &(Preference, usize)| self.workers[*index].breaker == BreakerState::Closed;
+        let best = std::iter::from_fn(|| offers.pop()).find(accepts_moves);
+        let Some((_, worker_index)) = best else {
             if step.per_worker_max == 0 {
                 self.unmet.push(requirements);
             }
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -7,8 +7,15 @@
 };
 
 use crate::{
-    control::{dispatch::run_monitor::RunMonitor, state::Workflows},
-    policy::{disruption::StopCause, worker_health::WorkerHealth},
+    control::{
+        dispatch::run_monitor::RunMonitor,
+        state::{Worker, Workflows},
+    },
+    policy::{
+        disruption::StopCause,
+        start_breaker::{BreakerState, StartBreaker},
+        worker_health::WorkerHealth,
+    },
     prelude::*,
 };
 
@@ -26,6 +33,7 @@
     pub report_sent_ms: u64,
     pub report: Option<WorkerReport>,
     pub health: WorkerHealth,
+    pub breaker: StartBreaker,
     /// The runs in the newest report.
     pub monitored_runs: HashMap<RunRef, RunMonitor>,
     /// The runs of the worker in the ledger that any report has listed as running.
@@ -95,6 +103,7 @@
             report_sent_ms: 0,
             report: None,
             health: WorkerHealth::default(),
+            breaker: StartBreaker::default(),
             monitored_runs: HashMap::new(),
             ever_listed_runs: HashSet::new(),
             begun_ms: HashMap::new(),
@@ -222,7 +231,24 @@
         res
     }
 
-    /// Returns whether new runs may be placed on a worker.
+    /// Returns whether new runs may be placed on a worker, by the starts that it has refused. One that
+    /// is being tested takes no second run until it has begun the first.
+    pub(super) fn breaker_state(
+        &self,
+        id: WorkerId,
+        workflows: &Workflows,
+        now: Now,
+    ) -> BreakerState {
+        let Some(session) = self.get(id) else { return BreakerState::Closed };
+        let is_tested =
+            || workflows.workers().get(id).is_some_and(|it| session.has_run_to_begin(it));
+        match session.breaker.state(now.mono_ms) {
+            BreakerState::HalfOpen { .. } if is_tested() => BreakerState::Open,
+            it => it,
+        }
+    }
+
+    /// Returns whether new runs may be placed on a worker, apart from the starts that it has refused.
     pub(super) fn is_usable(&self, id: WorkerId, criteria: UsabilityCriteria) -> bool {
         self.get(id).is_some_and(|it| it.is_usable(criteria))
     }
@@ -286,6 +312,11 @@
             && it.now.mono_ms < self.last_report_ms + it.silent_ms
     }
 
+    /// Returns whether a run in the ledger has not been listed by the worker yet.
+    fn has_run_to_begin(&self, worker: &Worker) -> bool {
+        worker.runs.iter().any(|it| !self.ever_listed_runs.contains(it))
+    }
+
     fn slow_not_evicted(&self) -> impl Iterator<Item = SlowRun> {
         let is_stopping = |run: RunRef| self.monitored_runs.get(&run).is_none_or(|it| it.evicted);
         self.slow_fillers.iter().copied().filter(move |it| !is_stopping(it.run))
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub mod routing;
 pub mod run_times;
 pub mod shares;
+pub mod start_breaker;
 pub mod task_queue;
 pub mod throttling;
 pub mod urgency;
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -30,6 +30,7 @@
 mod node_restarts;
 mod overload;
 mod ranges;
+mod refused_starts;
 mod reservations;
 mod returning_workers;
 mod rules;
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// How a worker refuses starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRefusal {
+    Unhealthy,
+    /// It claims not to have the capacity that it announces.
+    Room,
+}
+
 #[derive(Debug)]
 struct Running {
     began_ms: u64,
@@ -74,6 +82,12 @@
     pub stalls: bool,
     /// Whether every run on this worker fails.
     pub fails_all: bool,
+    /// How the worker answers starts while it refuses all of them; its other answers are sound.
+    pub start_refusal: Option<StartRefusal>,
+    /// Times of the starts that it refused so.
+    pub refused_starts_ms: Vec<u64>,
+    /// Label that a step may require.
+    pub kind: CompactString,
     /// Whether the worker refuses runs that do not fit. If not, it starts all of them.
     pub checks_capacity: bool,
     /// Whether the current call is executed late, for which its sender is not to blame.
@@ -104,6 +118,9 @@
             draining: false,
             stalls: false,
             fails_all: false,
+            start_refusal: None,
+            refused_starts_ms: Vec::new(),
+            kind: "a".into(),
             checks_capacity: true,
             is_late: false,
             capacities: vec![(0, CAPACITY)],
@@ -153,7 +170,7 @@
             id: self.id(),
             service: "pool".into(),
             zone: crate::world::zone_of(self.vm),
-            kind: "a".into(),
+            kind: self.kind.clone(),
             rack: format_compact!("rack-{}", self.vm / 2),
             capacity: self.capacity(),
             draining: self.draining,
@@ -321,6 +338,13 @@
         rules: &mut InvariantChecker,
     ) -> CallResult {
         let clock_ms = self.clock(now_ms);
+        if let Some(refusal) = self.start_refusal {
+            self.refused_starts_ms.push(now_ms);
+            return match refusal {
+                StartRefusal::Unhealthy => CallResult::Unhealthy,
+                StartRefusal::Room => CallResult::Refused { clock_ms, cause: CallRefusal::Room },
+            };
+        }
         if self.running.contains_key(&run) {
             return CallResult::Done { clock_ms };
         }
