Count work as begun once a worker has begun it

Cause: the ledger set has_begun as it recorded a run, which it does before the worker is asked to start it.

Ends that the leader concludes by itself prove nothing.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -2,6 +2,7 @@
 //! the orders for workers from the ledger.
 
 mod admission;
+mod begun;
 mod capacity;
 mod enrolment;
 mod features;
@@ -34,6 +35,7 @@
 
 use self::{
     admission::Admission,
+    begun::BegunWorkflows,
     capacity::FreeCapacities,
     lost_failures::LostFailures,
     lost_workers::LossCause,
@@ -100,6 +102,7 @@
     stop_budget: StopBudget,
     reservations: Reservations,
     admission: Admission,
+    begun: BegunWorkflows,
     free_capacities: FreeCapacities,
     probations: Probations,
     lost_failures: LostFailures,
@@ -133,6 +136,7 @@
             stop_budget: StopBudget::default(),
             reservations: Reservations::default(),
             admission: Admission::default(),
+            begun: BegunWorkflows::default(),
             free_capacities,
             probations: Probations::take_over(workflows, now),
             lost_failures: LostFailures::default(),
@@ -158,7 +162,8 @@
         // No plan is made while a `Begin` command is in flight.
         let next_plan_ms = if self.begin_in_flight { u64::MAX } else { self.next_plan_ms };
         let expiry_ms = self.sessions.next_expiry_ms();
-        next_plan_ms.min(expiry_ms).min(self.forget_at_ms).min(self.learn_at_ms)
+        let periodic_ms = self.forget_at_ms.min(self.learn_at_ms);
+        next_plan_ms.min(expiry_ms).min(periodic_ms).min(self.begun.next_write_ms())
     }
 
     pub fn plan_count(&self) -> u64 {
@@ -184,6 +189,7 @@
     /// the occupancy log line.
     pub fn tick(&mut self, workflows: &Workflows, now: Now) {
         self.expire(workflows, now);
+        self.propose_begun(now);
         if self.forget_at_ms <= now.mono_ms {
             self.forget_at_ms = now.mono_ms + FORGET_INTERVAL_MS;
             let age_ms = self.options.retention_ms;
@@ -362,7 +368,8 @@
             WorkflowCommand::Forget(_)
             | WorkflowCommand::Learn(_)
             | WorkflowCommand::LearnRunTimes(_)
-            | WorkflowCommand::LearnSpeeds(_) => (),
+            | WorkflowCommand::LearnSpeeds(_)
+            | WorkflowCommand::ConfirmBegun(_) => (),
         }
     }
 
@@ -418,10 +425,13 @@
             let image = self.contention.image_key(&it.image);
             fillers.push(FillerLoad { image, cores: cores(it.cpu_millicores) });
         }
-        let is_new = |it: &RunningTask| !session.ever_listed_runs.contains(&it.run);
-        if report.running.iter().any(is_new) {
+        let listed = report.running.iter().map(|it| it.run);
+        let mut newly_listed =
+            listed.filter(|it| !session.ever_listed_runs.contains(it)).peekable();
+        if newly_listed.peek().is_some() {
             session.breaker.note_accepted();
         }
+        self.begun.note_listed(workflows, newly_listed);
         if let Some(worker) = workflows.workers().get(id) {
             session.ever_listed_runs.extend(report.running.iter().map(|it| it.run));
             session.ever_listed_runs.retain(|it| worker.runs.contains(it));
--- a/src/control/log/record.rs
+++ b/src/control/log/record.rs
@@ -186,6 +186,7 @@
         WorkflowCommand::Learn(it) => it.len() * size_of::<ImageCost>(),
         WorkflowCommand::LearnRunTimes(it) => it.len() * size_of::<LearnedRunTime>(),
         WorkflowCommand::LearnSpeeds(it) => it.len() * size_of::<WorkerSpeed>(),
+        WorkflowCommand::ConfirmBegun(it) => it.len() * size_of::<WorkflowId>(),
         _ => 0,
     };
     ENTRY_BYTES + command_bytes
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -196,6 +196,7 @@
                 self.demand.learn_speeds(it);
                 WorkflowOutcome::Accepted
             }
+            WorkflowCommand::ConfirmBegun(ids) => self.confirm_begun(ids),
         }
     }
 
@@ -270,6 +271,9 @@
         }
         let crash = self.crash_from_ends(&ended_runs.ends, time_ms);
         for end in &ended_runs.ends {
+            if !was_silent {
+                self.confirm_begun(&[end.run.task.workflow]);
+            }
             self.finish_run(ended_runs.worker, end, ended_runs.cursor, time_ms);
         }
         let given_up = crash.map(|it| self.suspects.note_crash(&it)).unwrap_or_default();
@@ -280,6 +284,15 @@
         WorkflowOutcome::Accepted
     }
 
+    fn confirm_begun(&mut self, ids: &[WorkflowId]) -> WorkflowOutcome {
+        for id in ids {
+            if let Some(it) = self.workflows.get_mut(id) {
+                it.has_begun = true;
+            }
+        }
+        WorkflowOutcome::Accepted
+    }
+
     /// Returns the worker crash that the run ends report, with the crashed runs that were still
     /// needed. Returns `None` if no run crashed.
     fn crash_from_ends(&self, ends: &[RunEnd], time_ms: u64) -> Option<Crash> {
--- a/src/control/state/workflows/workflow.rs
+++ b/src/control/state/workflows/workflow.rs
@@ -59,7 +59,7 @@
     pub spec: Arc<WorkflowSpec>,
     pub accepted_ms: u64,
     pub occurrences: Vec<Occurrence>,
-    /// Whether a run was ever placed on a worker.
+    /// Whether a worker has begun a run, as far as the leader has learned it from a list.
     pub has_begun: bool,
     /// The final phase, once the workflow has ended.
     end: Option<WorkflowPhase>,
@@ -181,7 +181,6 @@
         }
         task.last_run = run.run;
         task.runs.push(TaskRun { run: run.run, worker });
-        self.has_begun = true;
         true
     }
 
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -3877,6 +3877,7 @@
     SubmitFrom(OriginatedWorkflow),
     LearnRunTimes(::std::vec::Vec<LearnedRunTime>),
     LearnSpeeds(::std::vec::Vec<WorkerSpeed>),
+    ConfirmBegun(::std::vec::Vec<WorkflowId>),
 }
 impl ::std::convert::From<&Self> for WorkflowCommand {
     fn from(value: &WorkflowCommand) -> Self {
@@ -3963,6 +3964,11 @@
         Self::LearnSpeeds(value)
     }
 }
+impl ::std::convert::From<::std::vec::Vec<WorkflowId>> for WorkflowCommand {
+    fn from(value: ::std::vec::Vec<WorkflowId>) -> Self {
+        Self::ConfirmBegun(value)
+    }
+}
 ///Identity of a workflow, chosen by its client.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/tests/workflows/ledger.rs
+++ b/tests/workflows/ledger.rs
@@ -599,6 +599,38 @@
     assert!(State::from_bytes(&[&older[..], &[0]].concat()).is_err());
 }
 
+/// The worker has listed a run of workflow 7.
+fn confirm_begun() -> WorkflowCommand {
+    WorkflowCommand::ConfirmBegun(vec![WorkflowId(7)])
+}
+
+/// A workflow has begun once its leader has learned from a worker that a run began there, by its
+/// list or by an end. Placed runs, and ends that the leader concluded, prove nothing.
+#[test]
+fn a_workflow_has_begun_once_a_worker_has_told_so() {
+    let told: [(Option<WorkflowCommand>, WorkflowPhase); 5] = [
+        (None, WorkflowPhase::Queued),
+        (Some(confirm_begun()), WorkflowPhase::Running),
+        (Some(finish(1, 1, run(7, 0, 0, 1), RunOutcome::Stopped)), WorkflowPhase::Running),
+        (Some(finish(1, 0, run(7, 0, 0, 1), RunOutcome::Lapsed)), WorkflowPhase::Queued),
+        (
+            Some(WorkflowCommand::Void(VoidRuns {
+                worker: WorkerId(1),
+                runs: vec![run(7, 0, 0, 1)],
+            })),
+            WorkflowPhase::Queued,
+        ),
+    ];
+    for (command, expected) in told {
+        let mut workflows = with_workflow(spec(vec![step(2, 1, &[])]));
+        workflows.apply(&begin(1, &[run(7, 0, 0, 1)]), 2);
+        if let Some(it) = &command {
+            workflows.apply(it, 3);
+        }
+        assert_eq!(phase(&workflows), expected, "{command:?}");
+    }
+}
+
 /// Starts a task on a new worker `times` times, and lets each worker crash `age_ms` later.
 fn crash_workers_under(state: &mut State, times: u32, age_ms: u64) {
     for it in 1..=times {
@@ -607,6 +639,7 @@
         state.apply_workflow(1, at_ms, &enrol(&name));
         let worker = state.workflows.workers().find(NODE, &name).unwrap().0;
         state.apply_workflow(1, at_ms, &begin(worker, &[run(7, 0, 0, it)]));
+        state.apply_workflow(1, at_ms, &confirm_begun());
         let end = finish(worker, 0, run(7, 0, 0, it), RunOutcome::Crashed);
         state.apply_workflow(1, at_ms + age_ms, &end);
     }
@@ -645,6 +678,7 @@
     state.apply_workflow(1, at_ms, &enrol(&name));
     let worker = state.workflows.workers().find(NODE, &name).unwrap().0;
     state.apply_workflow(1, at_ms, &begin(worker, &[run(7, 0, 0, number)]));
+    state.apply_workflow(1, at_ms, &confirm_begun());
     let end = finish(worker, 0, run(7, 0, 0, number), RunOutcome::Lapsed);
     state.apply_workflow(1, at_ms + 4_000, &end);
     state.apply_workflow(1, at_ms + 4_000, &WorkflowCommand::Dismiss(WorkerId(worker)));
@@ -717,6 +751,7 @@
         let worker = state.workflows.workers().find(NODE, &name).unwrap().0;
         let task = run(7, 0, 0, it);
         state.apply_workflow(1, at_ms, &begin(worker, &[task]));
+        state.apply_workflow(1, at_ms, &confirm_begun());
         let (age_ms, outcome) =
             if it % 2 == 0 { (40_000, outcome) } else { (3_000, RunOutcome::Crashed) };
         state.apply_workflow(1, at_ms + age_ms, &finish(worker, 0, task, outcome));
--- a/tests/workflows/refused_starts.rs
+++ b/tests/workflows/refused_starts.rs
@@ -1,8 +1,10 @@
 //! Workers that refuse starts while their announcements and lists are sound.
 
+use aspenrail::{gateway::GatewayAnswer, prelude::*};
+
 use crate::{
     worker::{StartRefusal, TaskBehavior},
-    world::{World, spec, step},
+    world::{World, spec, step, target},
 };
 
 const SHORT: TaskBehavior = TaskBehavior { work_ms: 500, fails_every: 0, crash: None };
@@ -140,3 +142,56 @@
     assert!(time_to_begin(&mut world, 5..=5, IDLE_MAX_MS).is_some());
     assert_eq!(world.rules.violations, [""; 0]);
 }
+
+/// Returns the number of the queue's workflows that are counted as waiting.
+fn pending_count(world: &mut World) -> u64 {
+    let queue = WorkflowTarget { path: "/queue/".into(), ..target(0) };
+    let token = world.request(WorkflowRequest::Inspect(queue));
+    world.run_for(500);
+    match world.answers.remove(&token) {
+        Some(GatewayAnswer::Outcome(WorkflowOutcome::Pending(it))) => it,
+        other => panic!("no count: {other:?}"),
+    }
+}
+
+/// Guards against a workflow that is shown as running, and counted as begun, since a run of it is
+/// placed on a worker that refuses it.
+#[test]
+fn work_that_all_workers_refuse_is_counted_as_waiting() {
+    let (mut world, _) = world_with_worker_in_use(3);
+    for vm in 0..3 {
+        world.nodes[vm].worker.start_refusal = Some(StartRefusal::Unhealthy);
+    }
+    submit_small(&mut world, 2..=7);
+    for _ in 0..6 {
+        world.run_for(1_000);
+        assert_eq!(pending_count(&mut world), 6);
+    }
+    assert_eq!(world.phase(2), Some(WorkflowPhase::Queued));
+    (0..3).for_each(|vm| world.nodes[vm].worker.start_refusal = None);
+    world.run_for(4_000);
+    assert_eq!(pending_count(&mut world), 0);
+    assert_eq!(world.rules.violations, [""; 0]);
+}
+
+/// Guards against the same for a worker that is cut off: its run stays in the ledger until the lease
+/// has expired.
+#[test]
+fn work_placed_on_a_worker_that_is_cut_off_is_counted_as_waiting() {
+    let (mut world, in_use) = world_with_worker_in_use(3);
+    world.partitioned.insert(200 + in_use);
+    submit_small(&mut world, 2..=7);
+    world.run_for(500);
+    let begun = |world: &World| (2..=7).filter(|it| world.rules.has_started_workflow(*it)).count();
+    assert!(begun(&world) < 6, "no work is placed on the worker that is cut off");
+    for _ in 0..4 {
+        let waiting = 6 - begun(&world) as u64;
+        // A begin is known with the next report of its worker.
+        assert!(waiting <= pending_count(&mut world));
+        world.run_for(500);
+    }
+    world.run_for(8_000);
+    assert_eq!(pending_count(&mut world), 0);
+    (2..=7).for_each(|id| assert_eq!(world.phase(id), Some(WorkflowPhase::Completed)));
+    assert_eq!(world.rules.violations, [""; 0]);
+}
--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -193,6 +193,9 @@
         {
             self.violations.push(format!("{id} is shown as completed, but {task:?} is not done"));
         }
+        if phase == WorkflowPhase::Running && !self.has_started_workflow(id) {
+            self.violations.push(format!("{id} is shown as running, but no worker has begun it"));
+        }
         let may_be_given_up =
             CRASHES_MIN <= self.lost_runs_by_workflow.get(&id).copied().unwrap_or(0);
         let failures = self.failures_max(id);
