List work that waits for a worker that answers no call

A worker that announces itself and answers no call still gets new work, which waits until its lease has expired.

--- a/tests/workflows/refused_starts.rs
+++ b/tests/workflows/refused_starts.rs
@@ -143,6 +143,22 @@
     assert_eq!(world.rules.violations, [""; 0]);
 }
 
+/// Guards against work that waits for a worker that answers no call, although it announces itself.
+#[test]
+fn work_for_a_worker_that_answers_no_call_begins_on_another() {
+    let (mut world, in_use) = world_with_worker_in_use(11);
+    world.nodes[in_use].worker.is_mute = true;
+    world.run_for(1_000);
+    for first in [2, 8, 14] {
+        submit_small(&mut world, first..=first + 5);
+        let time = time_to_begin(&mut world, first..=first + 5, IDLE_MAX_MS);
+        assert!(time.is_some(), "work waits for a worker that answers nothing");
+    }
+    world.nodes[in_use].worker.is_mute = false;
+    world.run_for(10_000);
+    assert_eq!(world.rules.violations, [""; 0]);
+}
+
 /// Returns the number of the queue's workflows that are counted as waiting.
 fn pending_count(world: &mut World) -> u64 {
     let queue = WorkflowTarget { path: "/queue/".into(), ..target(0) };
--- a/tests/workflows/worker.rs
+++ b/tests/workflows/worker.rs
@@ -82,6 +82,8 @@
     pub stalls: bool,
     /// Whether every run on this worker fails.
     pub fails_all: bool,
+    /// Whether the worker answers no call. It still announces itself.
+    pub is_mute: bool,
     /// How the worker answers starts while it refuses all of them; its other answers are sound.
     pub start_refusal: Option<StartRefusal>,
     /// Times of the starts that it refused so.
@@ -118,6 +120,7 @@
             draining: false,
             stalls: false,
             fails_all: false,
+            is_mute: false,
             start_refusal: None,
             refused_starts_ms: Vec::new(),
             kind: "a".into(),
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -34,6 +34,9 @@
 
 const HOUR_MS: u64 = 3_600_000;
 
+/// Time after which a node gives up a call without an answer.
+const UNANSWERED_CALL_MS: u64 = 500;
+
 /// Interval at which a worker announces itself.
 const ANNOUNCE_MS: u64 = 500;
 
@@ -396,6 +399,10 @@
                     };
                     return self.push(after_ms, Event::Result { vm, boot, id, result });
                 }
+                if self.nodes[vm].worker.is_mute {
+                    let result = CallResult::NoAnswer;
+                    return self.push(UNANSWERED_CALL_MS, Event::Result { vm, boot, id, result });
+                }
                 let result = self.execute_call(vm, &call, false);
                 self.push(1, Event::Result { vm, boot, id, result });
             }
