--- a/tests/crash_points/main.rs
+++ b/tests/crash_points/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod disk_writes;
+mod group;
 mod member;
 mod storage;
 
