Log spells over a latency target, and speeds that were not confirmed

The log showed changes of speed only. While nothing changes, a spell over a target showed neither its length, nor how many readings within the target split it, nor whether the speeds on the worker are those that the node ordered.

--- a/src/node/fillers.rs
+++ b/src/node/fillers.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    node::worker::{ImageUsage, WorkerIncarnation},
+    node::{
+        target_misses::FillerActivity,
+        worker::{ImageUsage, WorkerIncarnation},
+    },
     policy::{
         contention::{UNKNOWN_COST_PERCENT, headroom_percent, reference_cores},
         throttling::{CpuUsageWindow, FillerReading, ServingReading, Throttler},
@@ -110,11 +113,34 @@
     /// Recomputes the speeds of all fillers after new readings.
     pub(super) fn throttle_fillers(&mut self, now: Now) {
         self.observe_usages(now);
+        self.observe_target_misses(now);
         self.update_speeds(|throttler, serving, fillers| {
             throttler.observe(serving, fillers, now.mono_ms)
         });
     }
 
+    fn observe_target_misses(&mut self, now: Now) {
+        let serving: Vec<_> = self.serving().into_iter().map(|(it, _)| it).collect();
+        let fillers = self.fillers(&[]);
+        let sent_percent =
+            |it: &FillerReading| self.sent_speed_percents.get(&it.run).copied().unwrap_or(100);
+        let activity = FillerActivity {
+            cores: self.running.iter().map(|it| self.filler_cores(it)).sum(),
+            speed_max_percent: fillers.iter().map(sent_percent).max().unwrap_or(0),
+            doubtful_speeds: self.throttle_calls.len(),
+        };
+        let (worker, harm_max_ms) = (&self.name, self.harm_max_ms);
+        self.target_misses.observe(worker, &serving, activity, harm_max_ms, now.mono_ms);
+    }
+
+    /// Returns the cores that a task uses by its last reading, if it is a filler.
+    fn filler_cores(&self, task: &RunningTask) -> f64 {
+        match self.roles.get(&task.run) {
+            Some(TaskRole::Filler(_)) => f64::from(task.load) / 1_000.0,
+            _ => 0.0,
+        }
+    }
+
     /// Recomputes the speeds after the start of a filler, from the latest readings.
     pub(super) fn throttle_started_filler(&mut self, now: Now) {
         self.update_speeds(|throttler, serving, fillers| {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod fillers;
 mod noted_ends;
 mod orders;
+mod target_misses;
 mod tokens;
 mod unconfirmed;
 mod worker;
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -367,6 +367,8 @@
         if let Some((run, percent)) = worker.throttle_calls.remove(&id) {
             if matches!(result, CallResult::Done { .. }) {
                 worker.sent_speed_percents.insert(run, percent);
+            } else {
+                tracing::info!(event = "speed_unconfirmed", worker = %worker.name, run = %crate::control::dispatch::run_name(run), percent, outcome = ?result);
             }
             return;
         }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -5,6 +5,7 @@
 use crate::{
     node::{
         calls::{Announcement, CallResult},
+        target_misses::TargetMisses,
         unconfirmed::LATE_ORDER_MAX_MS,
     },
     policy::throttling::{CpuUsageWindow, Throttler},
@@ -100,6 +101,8 @@
     pub refused: BTreeMap<RunRef, RefusalCause>,
     pub roles: HashMap<RunRef, TaskRole>,
     pub throttler: Throttler,
+    pub target_misses: TargetMisses,
+    pub harm_max_ms: u64,
     /// CPU usage of fillers over the window of latency readings; includes recently ended fillers.
     pub filler_usages: HashMap<RunRef, ImageUsage>,
     /// Headroom in percent that a filler's core costs a serving task, by (serving, filler) image.
@@ -162,6 +165,8 @@
             refused: BTreeMap::new(),
             roles: HashMap::new(),
             throttler: Throttler::new(harm_max_ms),
+            target_misses: TargetMisses::default(),
+            harm_max_ms,
             filler_usages: HashMap::new(),
             costs: HashMap::new(),
             sent_speed_percents: HashMap::new(),
