--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -18,6 +18,7 @@
 mod failures;
 mod fair_shares;
 mod faults;
+mod filler_speeds;
 mod fillers;
 mod fleet;
 mod gateway;
