Repeat the speed of a filler until the worker has answered, and fence earlier calls

Callers of a service saw its target missed beside a filler that the node took to be at rest. Cause: the speed on the worker was taken to be the one of the last answered call. A call without an answer counted as one that never arrived; carried out seconds later it changed the speed, and nothing was sent since nothing seemed to have changed. A newer speed waited for the end of a call under way. And a node that had restarted took each filler to be at full speed, so that a suspended one rested for good.

Now a speed is certain only after an answer to the newest call. A filler whose start this process has not seen is sent its speed.

--- a/src/node/fillers.rs
+++ b/src/node/fillers.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     node::{
+        speeds::SpeedCall,
         target_misses::FillerActivity,
         worker::{ImageUsage, WorkerIncarnation},
     },
@@ -97,8 +98,7 @@
         usages.values_mut().for_each(|it| it.usage.expire(now.mono_ms));
         for task in &self.running {
             let Some(TaskRole::Filler(role)) = self.roles.get(&task.run) else { continue };
-            let sent_speed =
-                f64::from(self.sent_speed_percents.get(&task.run).copied().unwrap_or(100)) / 100.0;
+            let sent_speed = f64::from(self.speeds.newest_percent(task.run)) / 100.0;
             let allowed_cores = f64::from(role.cpu_millicores) / 1_000.0 * sent_speed;
             let read_cores = f64::from(task.load) / 1_000.0;
             let new_usage =
@@ -121,13 +121,11 @@
 
     fn observe_target_misses(&mut self, now: Now) {
         let serving: Vec<_> = self.serving().into_iter().map(|(it, _)| it).collect();
-        let fillers = self.fillers(&[]);
-        let sent_percent =
-            |it: &FillerReading| self.sent_speed_percents.get(&it.run).copied().unwrap_or(100);
+        let percents = self.running_fillers().map(|run| self.speeds.newest_percent(run));
         let activity = FillerActivity {
             cores: self.running.iter().map(|it| self.filler_cores(it)).sum(),
-            speed_max_percent: fillers.iter().map(sent_percent).max().unwrap_or(0),
-            doubtful_speeds: self.throttle_calls.len(),
+            speed_max_percent: percents.max().unwrap_or(0),
+            doubtful_speeds: self.speeds.doubtful(self.running_fillers()),
         };
         let (worker, harm_max_ms) = (&self.name, self.harm_max_ms);
         self.target_misses.observe(worker, &serving, activity, harm_max_ms, now.mono_ms);
@@ -172,18 +170,21 @@
         }
     }
 
-    /// Returns the fillers whose speed differs from the last one that was set, unless a call for it
-    /// is under way.
-    pub(super) fn speeds_to_send(&self) -> Vec<(RunRef, u32)> {
-        let is_filler =
-            |it: &&RunningTask| matches!(self.roles.get(&it.run), Some(TaskRole::Filler(_)));
-        let is_sent = |run: RunRef, percent: u32| {
-            self.sent_speed_percents.get(&run).copied().unwrap_or(100) == percent
-                || self.throttle_calls.values().any(|(it, _)| *it == run)
-        };
-        let fillers = self.running.iter().filter(is_filler);
-        let speeds = fillers.map(|it| (it.run, self.throttler.speed_percent(it.run)));
-        speeds.filter(|(run, percent)| !is_sent(*run, *percent)).collect()
+    /// Returns the speeds that are to be sent now.
+    pub(super) fn speeds_to_send(&self, retry_ms: u64, now: Now) -> Vec<SpeedCall> {
+        let wanted = |run| SpeedCall { run, percent: self.throttler.speed_percent(run) };
+        let all = self.running_fillers().map(wanted);
+        all.filter(|it| self.speeds.is_due(*it, retry_ms, now)).collect()
+    }
+
+    /// Returns when a speed is due that needs no new reading, if any.
+    pub(super) fn next_speed_ms(&self, retry_ms: u64) -> Option<u64> {
+        self.running_fillers().filter_map(|run| self.speeds.retry_at_ms(run, retry_ms)).min()
+    }
+
+    fn running_fillers(&self) -> impl Iterator<Item = RunRef> {
+        let is_filler = |run: &RunRef| matches!(self.roles.get(run), Some(TaskRole::Filler(_)));
+        self.running.iter().map(|it| it.run).filter(is_filler)
     }
 
     fn cost_percent(&self, serving: &CompactString, filler: &CompactString) -> f64 {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -10,6 +10,7 @@
 mod fillers;
 mod noted_ends;
 mod orders;
+mod speeds;
 mod target_misses;
 mod tokens;
 mod unconfirmed;
@@ -165,6 +166,7 @@
             }
             let idle = it.orders.values().filter(|it| it.call.is_none());
             res = res.min(idle.map(|it| it.next_ms).min().unwrap_or(u64::MAX));
+            res = res.min(it.next_speed_ms(self.options.retry_ms).unwrap_or(u64::MAX));
         }
         res
     }
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -153,7 +153,7 @@
     /// Drops a pending call, so that its result is ignored and its order can be retried.
     fn forget_call(&mut self, id: u64) {
         self.poll.take_if(|it| it.call == id);
-        self.throttle_calls.remove(&id);
+        self.speeds.note_ended(id, &CallResult::NoAnswer);
         self.orders.values_mut().filter(|it| it.call == Some(id)).for_each(|it| it.call = None);
     }
 
@@ -246,6 +246,11 @@
         }
         let Some(worker) = &mut self.worker else { return };
         worker.block_unfit_starts(now);
+        let speeds = worker.speeds_to_send(self.options.retry_ms, now);
+        if speeds.iter().any(|it| worker.speeds.may_be_overwritten(it.run)) {
+            // Fences the earlier calls for these runs.
+            self.tokens.issue(now);
+        }
         let may_lapse = worker.may_lapse_during_call(now);
         // Renewed once it has surely expired or surely has not.
         let lease = worker.lease_by_worker_ms(now).filter(|_| !may_lapse);
@@ -320,9 +325,9 @@
             pending.call = Some(call(action, &mut self.next_call));
         }
         worker.sent_lease_until_ms = sent_lease_until_ms;
-        for (run, speed_percent) in worker.speeds_to_send() {
-            let id = call(Action::Throttle { run, speed_percent }, &mut self.next_call);
-            worker.throttle_calls.insert(id, (run, speed_percent));
+        for it in speeds {
+            let action = Action::Throttle { run: it.run, speed_percent: it.percent };
+            worker.speeds.note_sent(call(action, &mut self.next_call), it, now);
         }
         let (worker, token) = (worker.announcement.id.clone(), self.tokens.newest());
         for (id, action) in calls {
@@ -364,11 +369,9 @@
         if let Some(poll) = worker.poll.filter(|it| it.call == id) {
             return self.on_poll_ended(now, poll, result);
         }
-        if let Some((run, percent)) = worker.throttle_calls.remove(&id) {
-            if matches!(result, CallResult::Done { .. }) {
-                worker.sent_speed_percents.insert(run, percent);
-            } else {
-                tracing::info!(event = "speed_unconfirmed", worker = %worker.name, run = %crate::control::dispatch::run_name(run), percent, outcome = ?result);
+        if let Some(it) = worker.speeds.note_ended(id, &result) {
+            if !matches!(result, CallResult::Done { .. }) {
+                tracing::info!(event = "speed_unconfirmed", worker = %worker.name, run = %crate::control::dispatch::run_name(it.run), percent = it.percent, outcome = ?result);
             }
             return;
         }
@@ -462,7 +465,7 @@
         }
         let listed_runs: std::collections::HashSet<_> =
             worker.running.iter().map(|it| it.run).collect();
-        worker.sent_speed_percents.retain(|run, _| listed_runs.contains(run));
+        worker.speeds.retain_runs(&listed_runs);
         let orders = &worker.orders;
         worker.roles.retain(|run, _| listed_runs.contains(run) || orders.contains_key(run));
         let has_new_ends = ends_before < worker.ended.len();
@@ -482,6 +485,7 @@
         let is_start = matches!(pending.order, Order::Start { .. });
         match result {
             CallResult::Done { .. } if is_start => {
+                let is_first_call = pending.attempts == 1;
                 worker.orders.remove(&run);
                 if !worker.lists_run(run) {
                     let checkpoint = CompactString::default();
@@ -489,6 +493,9 @@
                     worker.running.push(task);
                     worker.started_by_call.insert(run, self.next_call);
                     worker.begin_usage(run, now);
+                    if is_first_call {
+                        worker.speeds.note_started(run, now);
+                    }
                     worker.throttle_started_filler(now);
                 }
             }
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -5,6 +5,7 @@
 use crate::{
     node::{
         calls::{Announcement, CallResult},
+        speeds::FillerSpeeds,
         target_misses::TargetMisses,
         unconfirmed::LATE_ORDER_MAX_MS,
     },
@@ -107,9 +108,7 @@
     pub filler_usages: HashMap<RunRef, ImageUsage>,
     /// Headroom in percent that a filler's core costs a serving task, by (serving, filler) image.
     pub costs: HashMap<(CompactString, CompactString), f64>,
-    /// Speed that each filler was last set to; `throttle_calls` has the calls under way.
-    pub sent_speed_percents: HashMap<RunRef, u32>,
-    pub throttle_calls: HashMap<u64, (RunRef, u32)>,
+    pub speeds: FillerSpeeds,
     pub poll: Option<PendingPoll>,
     /// Polls whose lists are outdated once they arrive. They may still renew the lease and
     /// acknowledge ends.
@@ -169,8 +168,7 @@
             harm_max_ms,
             filler_usages: HashMap::new(),
             costs: HashMap::new(),
-            sent_speed_percents: HashMap::new(),
-            throttle_calls: HashMap::new(),
+            speeds: FillerSpeeds::default(),
             poll: None,
             dropped_polls: Vec::new(),
             unanswered_cursor: 0,
