--- a/src/node/fillers.rs
+++ b/src/node/fillers.rs
@@ -140,10 +140,8 @@
     }
 
     /// Recomputes the speeds after the start of a filler, from the latest readings.
-    pub(super) fn throttle_started_filler(&mut self, now: Now) {
-        self.update_speeds(|throttler, serving, fillers| {
-            throttler.reallocate(serving, fillers, now.mono_ms)
-        });
+    pub(super) fn throttle_started_filler(&mut self) {
+        self.update_speeds(|throttler, serving, fillers| throttler.reallocate(serving, fillers));
     }
 
     fn update_speeds(
--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -496,7 +496,7 @@
                     if is_first_call {
                         worker.speeds.note_started(run, now);
                     }
-                    worker.throttle_started_filler(now);
+                    worker.throttle_started_filler();
                 }
             }
             CallResult::Done { .. } => {
--- a/tests/throttling/noise.rs
+++ b/tests/throttling/noise.rs
@@ -1,6 +1,6 @@
 //! What noisy readings must not do to services and fillers.
 
-use crate::worker::{FillerGroup, HARM_MAX_MS, Served, Worker};
+use crate::worker::{FillerGroup, HARM_MAX_MS, SPEED_DELAY_MS, Served, Worker};
 
 const SEEDS: u64 = 100;
 
@@ -11,10 +11,21 @@
     scatter: f64,
     groups: &[FillerGroup],
     idle_headroom_percent: impl Fn(u64, u64) -> f64,
+) -> Served {
+    play_late(SPEED_DELAY_MS, scatter, groups, idle_headroom_percent)
+}
+
+/// Like [`play`], with speeds that take effect after `speed_delay_ms`.
+fn play_late(
+    speed_delay_ms: u64,
+    scatter: f64,
+    groups: &[FillerGroup],
+    idle_headroom_percent: impl Fn(u64, u64) -> f64,
 ) -> Served {
     let mut res = Served::default();
     for seed in 0..SEEDS {
         let mut worker = Worker::new(seed, scatter, 1, groups);
+        worker.delay_speeds(speed_delay_ms);
         let served = worker.play(PLAYED_MS, |at_ms| idle_headroom_percent(seed, at_ms));
         res.longest_miss_ms = res.longest_miss_ms.max(served.longest_miss_ms);
         res.missed_ms += served.missed_ms / SEEDS;
@@ -48,6 +59,13 @@
     assert!(served.longest_miss_ms < HARM_MAX_MS, "{served:?}");
 }
 
+#[test]
+fn speeds_that_are_carried_out_late_do_not_prolong_a_miss() {
+    let groups = [group(3, 7.0, 4.0, 1.2)];
+    let served = play_late(600, 0.05, &groups, |seed, _| near_the_bound(&groups, seed));
+    assert!(served.longest_miss_ms < HARM_MAX_MS, "{served:?}");
+}
+
 /// Fillers that are thought to be cheap fill the queue of a service under steady load.
 #[yare::parameterized(
     exact = { 0.0 },
--- a/tests/throttling/worker.rs
+++ b/tests/throttling/worker.rs
@@ -17,8 +17,8 @@
 /// Resolution of the simulation.
 const STEP_MS: u64 = 50;
 
-/// Time after which a speed takes effect.
-const SPEED_DELAY_MS: u64 = 100;
+/// Time after which a speed takes effect, if the call for it is not late.
+pub const SPEED_DELAY_MS: u64 = 100;
 
 /// Time constant of the average tail that a worker reports for the last half second.
 const TAIL_AVERAGE_MS: f64 = 400.0;
@@ -82,6 +82,7 @@
     random: fastrand::Rng,
     /// Standard deviation of a reading, as a share of it.
     scatter: f64,
+    speed_delay_ms: u64,
     throttler: Throttler,
     serving: Vec<ServingTask>,
     fillers: Vec<Filler>,
@@ -116,6 +117,7 @@
         Worker {
             random: fastrand::Rng::with_seed(seed),
             scatter,
+            speed_delay_ms: SPEED_DELAY_MS,
             throttler: Throttler::new(HARM_MAX_MS),
             serving: serving.collect(),
             fillers: fillers.collect(),
@@ -125,6 +127,11 @@
         }
     }
 
+    /// Lets each speed take effect after this time.
+    pub fn delay_speeds(&mut self, delay_ms: u64) {
+        self.speed_delay_ms = delay_ms;
+    }
+
     /// Plays `duration_ms`; `idle_headroom_percent` is the headroom without fillers by the time
     /// since the start.
     pub fn play(&mut self, duration_ms: u64, idle_headroom_percent: impl Fn(u64) -> f64) -> Served {
@@ -197,7 +204,7 @@
         self.throttler.observe(&readings, &fillers, now_ms);
         for it in &mut self.fillers {
             let percent = self.throttler.speed_percent(it.run);
-            it.speeds.push((now_ms + SPEED_DELAY_MS, percent));
+            it.speeds.push((now_ms + self.speed_delay_ms, percent));
         }
     }
 }
