Test the feedback loop of agents with noisy reports

A look for the same cause elsewhere: the loop counts reports in a row, so that one reading resets it.

--- a/tests/throttling/main.rs
+++ b/tests/throttling/main.rs
@@ -2,5 +2,6 @@
 //! gives them: late, noisy and in whole milliseconds.
 #![allow(clippy::unwrap_used)]
 
+mod feedback;
 mod noise;
 mod worker;
