Keep the last tail of a service for a list that has none

Callers could see a service over its target beside fillers that had just been suspended. Cause: a list without a tail of the service left it out of the decision, so that its time over the bound was forgotten and the fillers beside it went to full speed at once.

A missing tail is replaced by the last one for two seconds. Evidence: the test in tests/workflows/filler_speeds.rs read a filler at 100 % after one such list before.

--- a/src/node/fillers.rs
+++ b/src/node/fillers.rs
@@ -15,6 +15,16 @@
     prelude::*,
 };
 
+/// Time for which the last tail of a serving task stands for missing ones.
+const TAIL_RETENTION_MS: u64 = 2_000;
+
+/// The newest tail latency of a serving task.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TailReading {
+    tail_ms: u32,
+    read_ms: u64,
+}
+
 impl WorkerIncarnation {
     /// Returns whether fillers run beside serving tasks, so that tail latency must be watched.
     pub(super) fn has_fillers_beside_serving(&self) -> bool {
@@ -29,8 +39,9 @@
     /// latency reading yet, and is left out.
     fn serving(&self) -> Vec<(ServingReading, &CompactString)> {
         let reading = |it: &RunningTask| match self.roles.get(&it.run) {
-            Some(TaskRole::Serving(role)) if 0 < it.load => {
-                let headroom_percent = headroom_percent(it.load, role.target_ms);
+            Some(TaskRole::Serving(role)) => {
+                let tail_ms = self.tails.get(&it.run)?.tail_ms;
+                let headroom_percent = headroom_percent(tail_ms, role.target_ms);
                 Some((ServingReading { run: it.run, headroom_percent }, &role.image))
             }
             _ => None,
@@ -38,6 +49,17 @@
         self.running.iter().filter_map(reading).collect()
     }
 
+    /// Records the tails in the newest list. A tail that is missing there stands for a while.
+    fn observe_tails(&mut self, now: Now) {
+        self.tails.retain(|_, it| now.mono_ms < it.read_ms + TAIL_RETENTION_MS);
+        for task in self.running.iter().filter(|it| 0 < it.load) {
+            if let Some(TaskRole::Serving(_)) = self.roles.get(&task.run) {
+                let reading = TailReading { tail_ms: task.load, read_ms: now.mono_ms };
+                self.tails.insert(task.run, reading);
+            }
+        }
+    }
+
     /// Returns the fillers, with the headroom that each costs the serving tasks. Fillers that have
     /// just ended are included for as long as their usage affects tail latency.
     fn fillers(&self, serving: &[&CompactString]) -> Vec<FillerReading> {
@@ -112,6 +134,7 @@
 
     /// Recomputes the speeds of all fillers after new readings.
     pub(super) fn throttle_fillers(&mut self, now: Now) {
+        self.observe_tails(now);
         self.observe_usages(now);
         self.observe_target_misses(now);
         self.update_speeds(|throttler, serving, fillers| {
--- a/src/node/worker.rs
+++ b/src/node/worker.rs
@@ -5,6 +5,7 @@
 use crate::{
     node::{
         calls::{Announcement, CallResult},
+        fillers::TailReading,
         speeds::FillerSpeeds,
         target_misses::TargetMisses,
         unconfirmed::LATE_ORDER_MAX_MS,
@@ -102,6 +103,8 @@
     pub refused: BTreeMap<RunRef, RefusalCause>,
     pub roles: HashMap<RunRef, TaskRole>,
     pub throttler: Throttler,
+    /// Newest tails of the serving tasks.
+    pub tails: HashMap<RunRef, TailReading>,
     pub target_misses: TargetMisses,
     pub harm_max_ms: u64,
     /// CPU usage of fillers over the window of latency readings; includes recently ended fillers.
@@ -164,6 +167,7 @@
             refused: BTreeMap::new(),
             roles: HashMap::new(),
             throttler: Throttler::new(harm_max_ms),
+            tails: HashMap::new(),
             target_misses: TargetMisses::default(),
             harm_max_ms,
             filler_usages: HashMap::new(),
--- a/tests/workflows/filler_speeds.rs
+++ b/tests/workflows/filler_speeds.rs
@@ -327,3 +327,16 @@
         assert_eq!(working_ms, 0, "seed {seed}");
     }
 }
+
+#[test]
+fn a_list_without_a_reading_of_the_service_does_not_wake_a_suspended_filler() {
+    let mut installation = suspended();
+    for _ in 0..10 {
+        installation.tail_ms = 0;
+        installation.play(300);
+        assert_eq!(installation.speed_percent, 0, "at {} ms", installation.now_ms);
+        installation.tail_ms = HIGH_TAIL_MS;
+        installation.play(700);
+        assert_eq!(installation.speed_percent, 0, "at {} ms", installation.now_ms);
+    }
+}
