--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -144,7 +144,11 @@
     /// Sends a client's request; returns the status and the body, or 0 without an answer.
     pub fn client(&self, method: &str, path: &str, body: &str) -> (u16, String) {
         let answer = http::call(self.front, method, path, HOST, body).unwrap_or_default();
-        let shown = if body.is_empty() { String::new() } else { format!(" {body}") };
+        let shown = match body.len() {
+            0 => String::new(),
+            1..400 => format!(" {body}"),
+            it => format!(" {}... ({it} bytes)", &body[..60]),
+        };
         note(&format!("client: {method} {path}{shown} -> {} {}", answer.0, answer.1));
         answer
     }
--- a/review/standin-2/executor.rs
+++ b/review/standin-2/executor.rs
@@ -19,7 +19,9 @@
 /// Time after its start at which a lasting task is at work.
 const STARTUP: Duration = Duration::from_millis(300);
 
-const CAPACITY_CPU: u64 = 16_000;
+/// As the executors of the site: 64 cores and 250 GB.
+const CAPACITY_CPU: u64 = 64_000;
+const CAPACITY_MEM_MB: u64 = 256_000;
 
 /// A run in progress.
 struct Work {
@@ -160,6 +162,11 @@
         self.state.lock().unwrap().running.keys().any(|(name, _)| name == task)
     }
 
+    /// Returns whether a task whose name begins so runs here.
+    pub fn runs_any(&self, prefix: &str) -> bool {
+        self.state.lock().unwrap().running.keys().any(|(name, _)| name.starts_with(prefix))
+    }
+
     /// Returns the number of runs in progress.
     pub fn run_count(&self) -> usize {
         self.state.lock().unwrap().running.len()
@@ -175,7 +182,7 @@
             let (name, remaining) =
                 if is_draining { ("draining", ",\"remaining_ms\":6000") } else { ("ready", "") };
             let body = format!(
-                "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"{name}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{CAPACITY_CPU},\"mem_mb\":65536,\"gpu\":0}},\"labels\":[\"a\",\"{}\"],\"clock_ms\":{},\"sequence\":{sequence}{remaining}}}",
+                "{{\"service\":\"pool\",\"address\":\"{}\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,\"state\":\"{name}\",\"cold_remaining_ms\":0,\"capacity\":{{\"cpu\":{CAPACITY_CPU},\"mem_mb\":{CAPACITY_MEM_MB},\"gpu\":0}},\"labels\":[\"a\",\"{}\"],\"clock_ms\":{},\"sequence\":{sequence}{remaining}}}",
                 self.address, self.rack, self.clock_ms()
             );
             let path = format!("/-/instances/{}", self.id);
@@ -380,6 +387,7 @@
 /// Returns when and how a run ends, by the `spec` of its submission.
 fn end_of(spec: &str, now: Instant) -> Option<(Instant, &'static str)> {
     let (how, after) = spec.split_once(" after ")?;
-    let after = Duration::from_millis(after.parse().ok()?);
+    let after_ms = after.split(" ").next()?.parse().ok()?;
+    let after = Duration::from_millis(after_ms);
     Some((now + after, if how == "failed" { "failed" } else { "done" }))
 }
