--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -125,6 +125,8 @@
 pub struct DispatchSettings {
     ///1 to reject submissions that would end too late to be of use, and long-running ones that would not fit in sum if only long-running tasks ran.
     pub admission: u32,
+    ///Most memory for submissions that wait for their turn or are not stored yet; more are refused.
+    pub calls_max_bytes: u32,
     ///Folder of the log and the snapshots.
     pub data_folder: ::compact_str::CompactString,
     ///Minimum silence of the leader after which a voter starts an election; the maximum is twice this.
@@ -145,6 +147,8 @@
     pub lease_ms: u32,
     ///Percentage by which a worker's clock may be slow; extends the leader's wait for the end of a lease.
     pub lease_slack_percent: u32,
+    ///Memory of the log entries at which a snapshot is taken; half of it is kept behind the snapshot.
+    pub log_max_bytes: u32,
     ///Control processes that may be lost at once; the group keeps twice that plus one voters.
     pub losses_tolerated: u32,
     ///1 to work on requests in turns by class, and to turn away those of least use, with a time to return, before they wait too long.
@@ -161,6 +165,8 @@
     pub snapshot_entries: u32,
     ///1 to learn the speed of each worker from the progress of its tasks, to use slow workers last, and to move tasks off them.
     pub worker_speeds: u32,
+    ///Most memory for all workflows kept, with their tasks; further submissions are refused.
+    pub workflows_max_bytes: u32,
 }
 impl ::std::convert::From<&DispatchSettings> for DispatchSettings {
     fn from(value: &DispatchSettings) -> Self {
@@ -209,6 +215,8 @@
     pub body_max_bytes: u32,
     ///Maximum number of requests in flight; more are refused.
     pub calls_max: u32,
+    ///Most memory for the requests in flight, in their decoded form; more are refused.
+    pub calls_max_bytes: u32,
     ///Pause before a retry after an answer that names no leader.
     pub election_pause_ms: u32,
     ///Longest time that a request waits for an answer.
@@ -250,6 +258,8 @@
     pub frame_max_bytes: u32,
     ///Address at which other processes reach this one.
     pub listen: ::std::net::SocketAddr,
+    ///Most memory for the messages queued for all peers together; more are dropped and counted.
+    pub queue_max_bytes: u32,
     ///Maximum number of messages queued for one peer; more are dropped and counted.
     pub queue_messages: u32,
 }
@@ -294,8 +304,12 @@
 #[derive(::serde::Deserialize, ::serde::Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ProcessSettings {
+    ///Most memory for answers that are not sent yet, over all HTTP listeners; beyond it connections with unread answers are closed.
+    pub answers_max_bytes: u32,
     ///Correction added to the time of day on a VM whose clock is known to be behind; leases do not depend on it. Reloaded on SIGHUP.
     pub clock_ahead_ms: u32,
+    ///Maximum number of open connections to all HTTP listeners of the process; beyond it the one that has waited longest for a request is closed.
+    pub connections_max: u32,
     ///Longest time that a planned stop waits for work in flight; a second SIGTERM ends the process at once.
     pub drain_max_ms: u32,
     ///Control group number, part of every identifier.
@@ -308,6 +322,8 @@
     pub rack: ::compact_str::CompactString,
     ///Region number, part of every identifier.
     pub region: u32,
+    ///Most memory for request bodies that are being read, over all HTTP listeners; a body for which it has no room is refused.
+    pub requests_max_bytes: u32,
     ///Roles of the process, separated by commas.
     pub roles: ::std::vec::Vec<Role>,
     ///Availability zone of the VM.
--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -93,7 +93,8 @@
         let options = ServerOptions {
             listen,
             threads: 1,
-            body_max_bytes: 1 << 20,
+            // More than the largest payload of a submission.
+            body_max_bytes: 2 << 20,
             headers_max_bytes: 1 << 14,
         };
         let own = res.clone();
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -25,15 +25,37 @@
 /// Far longer than any step of a test takes.
 const STEP_MAX: Duration = Duration::from_secs(60);
 
+/// Further lines of the settings files, by section; each ends with a line break.
+#[derive(Clone, Copy, Default)]
+pub struct SettingsLines {
+    /// In the `[process]` section of every process.
+    pub process: &'static str,
+    /// In the `[link]` section of every process.
+    pub link: &'static str,
+    /// In the `[gateway]` section of the entry and of the control processes.
+    pub gateway: &'static str,
+    pub dispatch: &'static str,
+}
+
+/// A process of an installation.
+#[derive(Clone, Copy, Debug)]
+pub enum ProcessKind {
+    Entry,
+    Node,
+    /// The first control process.
+    Control,
+}
+
 /// An installation; dropping it ends its processes.
 pub struct Installation {
     pub executor: Executor,
-    front: SocketAddr,
-    node_listen: SocketAddr,
-    node_metrics: SocketAddr,
-    readiness: SocketAddr,
-    metrics: SocketAddr,
-    control: SocketAddr,
+    pub front: SocketAddr,
+    pub node_listen: SocketAddr,
+    pub node_metrics: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    pub control: SocketAddr,
+    pub entry_link: SocketAddr,
     control_files: Vec<PathBuf>,
     controls: Vec<Child>,
     entry: Child,
@@ -45,13 +67,19 @@
 
 impl Installation {
     pub fn start(members: usize) -> Installation {
+        Installation::start_with(members, SettingsLines::default())
+    }
+
+    /// Starts an installation whose settings have further lines.
+    pub fn start_with(members: usize, lines: SettingsLines) -> Installation {
         let folder = tempfile::tempdir().unwrap();
         let addresses = free_addresses(members * 2 + 8).unwrap();
         let links = &addresses[..members];
         let seeds = links.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
         let head = |name: &str, roles: &str, link: SocketAddr| {
             format!(
-                "[process]\nname = {name}\nroles = {roles}\nzone = z\n[link]\nlisten = {link}\ncontrol = {seeds}\n"
+                "[process]\nname = {name}\nroles = {roles}\nzone = z\n{}[link]\nlisten = {link}\ncontrol = {seeds}\n{}",
+                lines.process, lines.link
             )
         };
         let [front, readiness, metrics, entry_link, node_link, node_listen, worker, node_metrics] =
@@ -64,18 +92,21 @@
                 let data = folder.path().join(format!("data-{at}"));
                 fs::create_dir(&data).unwrap();
                 let text = format!(
-                    "{}[gateway]\nlisten = {}\n[dispatch]\ndata_folder = {}\nfirst_start = 1\nlosses_tolerated = {}\nfree_min_bytes = 0\n",
+                    "{}[gateway]\nlisten = {}\n{}[dispatch]\ndata_folder = {}\nfirst_start = 1\nlosses_tolerated = {}\nfree_min_bytes = 0\n{}",
                     head(&format!("control-{at}"), "gateway, dispatch", links[at]),
                     addresses[members + at],
+                    lines.gateway,
                     data.display(),
                     members / 2,
+                    lines.dispatch,
                 );
                 write(folder.path(), &format!("control-{at}.ini"), &text)
             })
             .collect();
         let entry = format!(
-            "{}[gateway]\nlisten = {front}\nreadiness_listen = {readiness}\nmetrics_listen = {metrics}\n",
-            head("entry", "gateway", entry_link)
+            "{}[gateway]\nlisten = {front}\nreadiness_listen = {readiness}\nmetrics_listen = {metrics}\n{}",
+            head("entry", "gateway", entry_link),
+            lines.gateway
         );
         let node = format!(
             "{}[node]\nlisten = {node_listen}\nworker = {worker}\nhold_wait_ms = 20\nmetrics_listen = {node_metrics}\n",
@@ -93,6 +124,7 @@
             readiness,
             metrics,
             control: addresses[members],
+            entry_link,
             control_files,
             controls,
             entry,
@@ -239,6 +271,33 @@
         }
     }
 
+    /// Lets all control processes go on after a SIGSTOP.
+    pub fn thaw_control(&self) {
+        for child in &self.controls {
+            kill_process(Pid::from_raw(child.id() as i32).unwrap(), Signal::CONT).unwrap();
+        }
+    }
+
+    /// Returns whether a process runs.
+    pub fn runs(&mut self, kind: ProcessKind) -> bool {
+        let child = match kind {
+            ProcessKind::Entry => &mut self.entry,
+            ProcessKind::Node => &mut self.node,
+            ProcessKind::Control => &mut self.controls[0],
+        };
+        child.try_wait().unwrap().is_none()
+    }
+
+    /// Returns the folder under `/proc` of a process.
+    pub fn proc_folder(&self, kind: ProcessKind) -> PathBuf {
+        let child = match kind {
+            ProcessKind::Entry => &self.entry,
+            ProcessKind::Node => &self.node,
+            ProcessKind::Control => &self.controls[0],
+        };
+        PathBuf::from(format!("/proc/{}", child.id()))
+    }
+
     /// Returns whether all control processes run.
     pub fn control_runs(&mut self) -> bool {
         self.controls.iter_mut().all(|it| it.try_wait().unwrap().is_none())
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 
 mod executor;
 mod foreign;
+#[allow(dead_code)]
 mod installation;
 mod same_id;
 
