--- a/src/http/server.rs
+++ b/src/http/server/mod.rs
@@ -4,32 +4,22 @@
 //! callers that connected at the same moment and kept their connections, up to 10 waited until
 //! another connection closed. DESIGN.md has the figures; tests/http_server.rs guards against it.
 
-use std::{
-    collections::HashMap,
-    convert::Infallible,
-    net::SocketAddr,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
-    thread,
-    time::Duration,
-};
+mod pending;
+mod request;
+
+use std::{convert::Infallible, net::SocketAddr, thread, time::Duration};
 
 use bytes::Bytes;
 use error_stack::ResultExt;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpListener, sync::oneshot};
+use tokio::net::TcpListener;
 
 use crate::{http::HttpAnswer, prelude::*};
 
-/// Most bytes of a too large body that are read before its connection is closed.
-const DISCARDED_MAX_BYTES: usize = 64 * 1024 * 1024;
-
-/// Time limit for a caller to send its headers, and then its body.
-const READ_TIMEOUT: Duration = Duration::from_secs(10);
+use self::request::{READ_TIMEOUT, read_request};
+pub use self::{pending::Pending, request::HttpRequest};
 
 /// The options of a server.
 #[derive(Clone, Copy, Debug)]
@@ -40,90 +30,6 @@
     pub headers_max_bytes: usize,
 }
 
-/// A request that has been read completely.
-#[derive(Clone, Debug)]
-pub struct HttpRequest {
-    pub method: CompactString,
-    /// Path without the query.
-    pub path: CompactString,
-    pub query: HashMap<CompactString, CompactString>,
-    /// Path and query as they were sent.
-    pub path_and_query: CompactString,
-    headers: http::HeaderMap,
-    pub body: Vec<u8>,
-}
-
-impl HttpRequest {
-    /// Returns the value of a header; its name is case-insensitive.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.get(name)?.to_str().ok()
-    }
-
-    /// Returns the number in a query parameter, by default `default`.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal that names the parameter if its value is not a whole number.
-    pub fn query_number(&self, name: &str, default: u64) -> Result<u64, Refusal> {
-        let Some(text) = self.query.get(name) else { return Ok(default) };
-        let invalid = |_| {
-            refusal(
-                ErrorKind::BadRequest,
-                format_compact!("{name} is '{text}', not a whole number"),
-            )
-        };
-        text.parse().map_err(invalid)
-    }
-
-    /// Parses the body as JSON.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal with the position and cause of the parse error.
-    pub fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, Refusal> {
-        serde_json::from_slice(&self.body).map_err(|it| {
-            refusal(ErrorKind::BadRequest, format_compact!("the body is not as documented: {it}"))
-        })
-    }
-}
-
-/// Requests that wait for their answer from a core.
-///
-/// A long poll occupies an entry here and its connection, but no thread.
-#[derive(Clone, Default)]
-pub struct Pending {
-    inner: Arc<Inner>,
-}
-
-#[derive(Default)]
-struct Inner {
-    answers: Mutex<HashMap<u64, oneshot::Sender<HttpAnswer>>>,
-    next: AtomicU64,
-}
-
-impl Pending {
-    /// Answers the request with this token; a second answer has no effect.
-    pub fn answer(&self, token: u64, answer: HttpAnswer) {
-        let waiting = self.lock().remove(&token);
-        if let Some(it) = waiting {
-            // Fails if the caller has disconnected; the answer is then discarded.
-            let _ = it.send(answer);
-        }
-    }
-
-    fn wait(&self) -> (u64, oneshot::Receiver<HttpAnswer>) {
-        let token = self.inner.next.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
-        self.lock().insert(token, sender);
-        (token, receiver)
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<HttpAnswer>>> {
-        // The table is consistent at every unlock, also after a panic.
-        self.inner.answers.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Starts a server on its own threads.
 ///
 /// `handle` receives each request, or the reason why it could not be read, with a token. It returns
@@ -254,51 +160,6 @@
     Ok(respond(answer))
 }
 
-async fn read_request(
-    request: Request<Incoming>,
-    body_max_bytes: usize,
-) -> Result<HttpRequest, Refusal> {
-    let (head, body) = request.into_parts();
-    let body = match tokio::time::timeout(READ_TIMEOUT, read_body(body, body_max_bytes)).await {
-        Ok(it) => it?,
-        Err(_) => return Err(refusal(ErrorKind::BadRequest, "the body did not arrive in time")),
-    };
-    let query_pairs =
-        head.uri.query().unwrap_or_default().split('&').filter_map(|it| it.split_once('='));
-    Ok(HttpRequest {
-        method: head.method.as_str().into(),
-        path: head.uri.path().into(),
-        path_and_query: head.uri.path_and_query().map_or("/", |it| it.as_str()).into(),
-        query: query_pairs.map(|(name, value)| (name.into(), value.into())).collect(),
-        headers: head.headers,
-        body,
-    })
-}
-
-/// Reads a body. A too large one is read and discarded up to [`DISCARDED_MAX_BYTES`], since a
-/// caller that is still sending would see a broken connection instead of the refusal.
-async fn read_body(mut body: Incoming, body_max_bytes: usize) -> Result<Vec<u8>, Refusal> {
-    let mut res = Vec::new();
-    let mut size_bytes = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|it| {
-            refusal(ErrorKind::BadRequest, format_compact!("the body cannot be read: {it}"))
-        })?;
-        let Ok(data) = frame.into_data() else { continue };
-        size_bytes += data.len();
-        if size_bytes <= body_max_bytes {
-            res.extend_from_slice(&data);
-        } else if DISCARDED_MAX_BYTES < size_bytes {
-            break;
-        }
-    }
-    if body_max_bytes < size_bytes {
-        let detail = format_compact!("the body is larger than {body_max_bytes} bytes");
-        return Err(refusal(ErrorKind::PayloadTooLarge, detail));
-    }
-    Ok(res)
-}
-
 fn respond(answer: HttpAnswer) -> Response<Full<Bytes>> {
     let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
     let mut response = Response::new(Full::new(Bytes::from(answer.body)));
--- /dev/null
+++ b/src/http/server/request.rs
@@ -0,0 +1,111 @@
+//! Reading a request.
+
+use std::{collections::HashMap, time::Duration};
+
+use http_body_util::BodyExt;
+use hyper::{Request, body::Incoming};
+
+use crate::prelude::*;
+
+/// Most bytes of a too large body that are read before its connection is closed.
+const DISCARDED_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// Time limit for a caller to send its headers, and then its body.
+pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A request that has been read completely.
+#[derive(Clone, Debug)]
+pub struct HttpRequest {
+    pub method: CompactString,
+    /// Path without the query.
+    pub path: CompactString,
+    pub query: HashMap<CompactString, CompactString>,
+    /// Path and query as they were sent.
+    pub path_and_query: CompactString,
+    headers: http::HeaderMap,
+    pub body: Vec<u8>,
+}
+
+impl HttpRequest {
+    /// Returns the value of a header; its name is case-insensitive.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns the number in a query parameter, by default `default`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that names the parameter if its value is not a whole number.
+    pub fn query_number(&self, name: &str, default: u64) -> Result<u64, Refusal> {
+        let Some(text) = self.query.get(name) else { return Ok(default) };
+        let invalid = |_| {
+            refusal(
+                ErrorKind::BadRequest,
+                format_compact!("{name} is '{text}', not a whole number"),
+            )
+        };
+        text.parse().map_err(invalid)
+    }
+
+    /// Parses the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal with the position and cause of the parse error.
+    pub fn json<T: serde::de::DeserializeOwned>(&self) -> Result<T, Refusal> {
+        serde_json::from_slice(&self.body).map_err(|it| {
+            refusal(ErrorKind::BadRequest, format_compact!("the body is not as documented: {it}"))
+        })
+    }
+}
+
+/// Reads a request to the end of its body.
+///
+/// # Errors
+///
+/// Returns a refusal if the body is too large, breaks off, or does not arrive in time.
+pub(super) async fn read_request(
+    request: Request<Incoming>,
+    body_max_bytes: usize,
+) -> Result<HttpRequest, Refusal> {
+    let (head, body) = request.into_parts();
+    let body = match tokio::time::timeout(READ_TIMEOUT, read_body(body, body_max_bytes)).await {
+        Ok(it) => it?,
+        Err(_) => return Err(refusal(ErrorKind::BadRequest, "the body did not arrive in time")),
+    };
+    let query_pairs =
+        head.uri.query().unwrap_or_default().split('&').filter_map(|it| it.split_once('='));
+    Ok(HttpRequest {
+        method: head.method.as_str().into(),
+        path: head.uri.path().into(),
+        path_and_query: head.uri.path_and_query().map_or("/", |it| it.as_str()).into(),
+        query: query_pairs.map(|(name, value)| (name.into(), value.into())).collect(),
+        headers: head.headers,
+        body,
+    })
+}
+
+/// Reads a body. A too large one is read and discarded up to [`DISCARDED_MAX_BYTES`], since a
+/// caller that is still sending would see a broken connection instead of the refusal.
+async fn read_body(mut body: Incoming, body_max_bytes: usize) -> Result<Vec<u8>, Refusal> {
+    let mut res = Vec::new();
+    let mut size_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|it| {
+            refusal(ErrorKind::BadRequest, format_compact!("the body cannot be read: {it}"))
+        })?;
+        let Ok(data) = frame.into_data() else { continue };
+        size_bytes += data.len();
+        if size_bytes <= body_max_bytes {
+            res.extend_from_slice(&data);
+        } else if DISCARDED_MAX_BYTES < size_bytes {
+            break;
+        }
+    }
+    if body_max_bytes < size_bytes {
+        let detail = format_compact!("the body is larger than {body_max_bytes} bytes");
+        return Err(refusal(ErrorKind::PayloadTooLarge, detail));
+    }
+    Ok(res)
+}
