Refuse a too large body when its size is known, and keep none of it

Clients whose bodies were far over the limit, announced or just sent, made an entry hold a full buffer of the largest size for each of them, for up to 10 s or 64 MiB of further bytes: the server read such a body to its end before it refused it, and kept what had fitted.

Now an announced size over the limit is refused before the first byte is read, and a body of unknown size at the first byte too many; its buffer is freed. The rest is read and discarded, 8 MiB at most and 10 s, since a caller that still sends would see a broken connection instead of the refusal; tests/http_server.rs holds that.

The clients of a crowd are also kept in their order now, which refused_submissions_never_run relies on.

--- a/src/http/server/request.rs
+++ b/src/http/server/request.rs
@@ -2,13 +2,17 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::{Request, body::Incoming};
+use hyper::{
+    Request,
+    body::{Body, Incoming},
+};
 
 use crate::prelude::*;
 
-/// Most bytes of a too large body that are read before its connection is closed.
-const DISCARDED_MAX_BYTES: usize = 64 * 1024 * 1024;
+/// Most bytes of a refused body that are read before its connection is closed.
+const DISCARDED_MAX_BYTES: usize = 8 * 1024 * 1024;
 
 /// Time limit for a caller to send its headers, and then its body.
 pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(10);
@@ -86,26 +90,45 @@
     })
 }
 
-/// Reads a body. A too large one is read and discarded up to [`DISCARDED_MAX_BYTES`], since a
-/// caller that is still sending would see a broken connection instead of the refusal.
+/// Reads a body. One that is refused is answered at once; what its caller still sends is discarded
+/// meanwhile, since a caller that is still sending would see a broken connection instead of the
+/// refusal.
 async fn read_body(mut body: Incoming, body_max_bytes: usize) -> Result<Vec<u8>, Refusal> {
+    if body.size_hint().exact().is_some_and(|it| (body_max_bytes as u64) < it) {
+        discard(body);
+        return Err(too_large(body_max_bytes));
+    }
     let mut res = Vec::new();
-    let mut size_bytes = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|it| {
             refusal(ErrorKind::BadRequest, format_compact!("the body cannot be read: {it}"))
         })?;
         let Ok(data) = frame.into_data() else { continue };
-        size_bytes += data.len();
-        if size_bytes <= body_max_bytes {
-            res.extend_from_slice(&data);
-        } else if DISCARDED_MAX_BYTES < size_bytes {
-            break;
+        if body_max_bytes < res.len() + data.len() {
+            discard(body);
+            return Err(too_large(body_max_bytes));
         }
-    }
-    if body_max_bytes < size_bytes {
-        let detail = format_compact!("the body is larger than {body_max_bytes} bytes");
-        return Err(refusal(ErrorKind::PayloadTooLarge, detail));
+        res.extend_from_slice(&data);
     }
     Ok(res)
 }
+
+fn too_large(body_max_bytes: usize) -> Refusal {
+    let detail = format_compact!("the body is larger than {body_max_bytes} bytes");
+    refusal(ErrorKind::PayloadTooLarge, detail)
+}
+
+/// Reads and discards the rest of a refused body, for a limited time and size; then its connection
+/// closes.
+fn discard(mut body: Incoming) {
+    let read = async move {
+        let mut size_bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            size_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if DISCARDED_MAX_BYTES < size_bytes {
+                break;
+            }
+        }
+    };
+    tokio::task::spawn_local(tokio::time::timeout(READ_TIMEOUT, read));
+}
--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -29,19 +29,21 @@
     where
         F: Fn(usize) -> Vec<u8> + Sync,
     {
-        let send = |sender: usize| -> Vec<TcpStream> {
+        let send = |sender: usize| -> Vec<(usize, TcpStream)> {
             let own = (sender..clients).step_by(SENDERS);
-            own.filter_map(|client| send_one(to, &bytes_of(client))).collect()
+            own.filter_map(|client| Some((client, send_one(to, &bytes_of(client))?))).collect()
         };
-        let streams = thread::scope(|scope| {
+        let mut streams: Vec<_> = thread::scope(|scope| {
             let senders: Vec<_> =
                 (0..SENDERS).map(|sender| scope.spawn(move || send(sender))).collect();
             senders.into_iter().flat_map(|it| it.join().unwrap()).collect()
         });
-        Crowd { streams }
+        streams.sort_by_key(|(client, _)| *client);
+        Crowd { streams: streams.into_iter().map(|(_, it)| it).collect() }
     }
 
-    /// Reads what the process has sent to each client so far.
+    /// Reads what the process has sent to each client since the last call, by the clients' numbers if
+    /// all could connect.
     pub fn answers(&mut self) -> Vec<String> {
         let read = |stream: &mut TcpStream| {
             let mut buffer = [0; 4096];
