Bound the memory of all request bodies of a process together

Clients that sent bodies of legal size and stopped just short of their end, in chunks of any size or of announced length, ended a process: each body was bounded, all of them together were not, and each was held for up to 10 s. The same holds for whole bodies, which stay in memory until they are worked on.

All HTTP listeners of a process now share `requests_max_bytes` of [process] (32 MiB). A body reserves its buffer before it grows, and keeps the reservation until its request is answered. A holder gets at most a quarter of what the others leave (ByteBudget): many large bodies refuse each other, and a small one finds room beside any number of them. What finds no room is refused at once with 429 and a time to return; it has not run and never will. Buffers grow to the announced size at most. The setting is checked against body_max_bytes, so that a single body of the largest size always finds room in calm.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -11,6 +11,7 @@
 use crate::{
     prelude::*,
     schema::settings::{Role, Settings},
+    util::ByteBudget,
 };
 
 const SCHEMA: &str = include_str!("../../schema/settings.json");
@@ -332,6 +333,7 @@
         );
         problems.push(problem(file, "process", "log_level", &message));
     }
+    check_bodies(file, settings, &mut problems);
     if let Some(control) = &settings.control {
         check_control(file, control, &mut problems);
     }
@@ -349,6 +351,21 @@
     if problems.is_empty() { Ok(settings.clone()) } else { Err(problems) }
 }
 
+/// Checks that a body of the largest size finds room while no other request is read.
+fn check_bodies(file: &str, settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+    let entry = settings.entry.as_ref().map(|it| it.body_max_bytes);
+    let gateway = settings.gateway.as_ref().map(|it| it.body_max_bytes);
+    let body_max_bytes = entry.max(gateway).unwrap_or(0) as usize;
+    let total_bytes = settings.process.requests_max_bytes;
+    let holder_max_bytes = ByteBudget::holder_max_bytes(total_bytes as usize);
+    if holder_max_bytes < body_max_bytes {
+        let message = format!(
+            "{total_bytes} leaves {holder_max_bytes} bytes to a single body, less than body_max_bytes, which is {body_max_bytes}"
+        );
+        problems.push(problem(file, "process", "requests_max_bytes", &message));
+    }
+}
+
 fn check_dispatch(
     file: &str,
     settings: &crate::schema::settings::DispatchSettings,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -16,7 +16,7 @@
 pub use self::{
     answer::HttpAnswer,
     outgoing::{HttpCall, HttpReply, OutgoingError, OutgoingPool},
-    server::{HttpRequest, Pending, ServerOptions, start_local_server, start_server},
+    server::{HttpRequest, Pending, ServerLimits, ServerOptions, start_local_server, start_server},
     tokens::Tokens,
     unescape::unescape,
 };
--- a/src/http/server/mod.rs
+++ b/src/http/server/mod.rs
@@ -4,6 +4,7 @@
 //! callers that connected at the same moment and kept their connections, up to 10 waited until
 //! another connection closed. DESIGN.md has the figures; tests/http_server.rs guards against it.
 
+mod limits;
 mod pending;
 mod request;
 
@@ -14,12 +15,12 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::{http::HttpAnswer, prelude::*};
 
 use self::request::{READ_TIMEOUT, read_request};
-pub use self::{pending::Pending, request::HttpRequest};
+pub use self::{limits::ServerLimits, pending::Pending, request::HttpRequest};
 
 /// The options of a server.
 #[derive(Clone, Copy, Debug)]
@@ -39,7 +40,12 @@
 /// # Errors
 ///
 /// Returns an error if the server cannot listen on the address.
-pub fn start_server<H>(options: ServerOptions, pending: &Pending, handle: H) -> Result<()>
+pub fn start_server<H>(
+    options: ServerOptions,
+    limits: &ServerLimits,
+    pending: &Pending,
+    handle: H,
+) -> Result<()>
 where
     H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer> + Clone + Send + 'static,
 {
@@ -52,10 +58,15 @@
         let runtime = runtime.change_context_lazy(|| {
             Error::new(ErrorKind::Internal, "cannot start the runtime of an HTTP server")
         })?;
-        let (pending, handle) = (pending.clone(), handle.clone());
+        let server = Server {
+            options,
+            limits: limits.clone(),
+            pending: pending.clone(),
+            handle: handle.clone(),
+        };
         let serve = move || {
             let local = tokio::task::LocalSet::new();
-            local.block_on(&runtime, accept_connections(listener, options, pending, handle));
+            local.block_on(&runtime, server.accept_connections(listener));
         };
         let started = thread::Builder::new().name("http".to_owned()).spawn(serve);
         started.change_context_lazy(|| {
@@ -74,12 +85,18 @@
 /// # Panics
 ///
 /// Panics if called outside of a local set.
-pub fn start_local_server<H>(options: ServerOptions, pending: &Pending, handle: H) -> Result<()>
+pub fn start_local_server<H>(
+    options: ServerOptions,
+    limits: &ServerLimits,
+    pending: &Pending,
+    handle: H,
+) -> Result<()>
 where
     H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer> + Clone + 'static,
 {
     let listener = listen(options.listen)?;
-    tokio::task::spawn_local(accept_connections(listener, options, pending.clone(), handle));
+    let server = Server { options, limits: limits.clone(), pending: pending.clone(), handle };
+    tokio::task::spawn_local(server.accept_connections(listener));
     Ok(())
 }
 
@@ -97,39 +114,46 @@
     Ok(std::net::TcpListener::from(socket))
 }
 
-async fn accept_connections<H>(
-    listener: std::net::TcpListener,
+/// What all connections of a listener share.
+#[derive(Clone)]
+struct Server<H> {
     options: ServerOptions,
+    limits: ServerLimits,
     pending: Pending,
     handle: H,
-) where
+}
+
+impl<H> Server<H>
+where
     H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer> + Clone + 'static,
 {
-    let listener = match TcpListener::from_std(listener) {
-        Ok(it) => it,
-        Err(error) => return tracing::error!(event = "http_listen_failed", %error),
-    };
-    loop {
-        let tcp = match listener.accept().await {
-            Ok((it, _)) => it,
-            Err(error) => {
-                // Errors such as too many open files are transient; the pause avoids a busy loop.
-                tracing::warn!(event = "http_accept_failed", %error);
-                tokio::time::sleep(Duration::from_millis(100)).await;
-                continue;
-            }
+    async fn accept_connections(self, listener: std::net::TcpListener) {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(it) => it,
+            Err(error) => return tracing::error!(event = "http_listen_failed", %error),
         };
+        loop {
+            match listener.accept().await {
+                Ok((it, _)) => self.start_connection(it),
+                Err(error) => {
+                    // Errors such as too many open files are transient; the pause avoids a busy loop.
+                    tracing::warn!(event = "http_accept_failed", %error);
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    fn start_connection(&self, tcp: TcpStream) {
         // With Nagle's algorithm, an answer in two segments waits for a delayed acknowledgement.
         let _ = tcp.set_nodelay(true);
-        let (pending, handle) = (pending.clone(), handle.clone());
-        let service = service_fn(move |request| {
-            serve_request(request, options, pending.clone(), handle.clone())
-        });
+        let server = self.clone();
+        let service = service_fn(move |request| server.clone().serve_request(request));
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(READ_TIMEOUT)
             // The minimum of the library and of the setting is 8 KiB.
-            .max_buf_size(options.headers_max_bytes.max(8 * 1024))
+            .max_buf_size(self.options.headers_max_bytes.max(8 * 1024))
             .serve_connection(TokioIo::new(tcp), service);
         tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
@@ -137,27 +161,29 @@
             }
         });
     }
-}
 
-async fn serve_request<H>(
-    request: Request<Incoming>,
-    options: ServerOptions,
-    pending: Pending,
-    handle: H,
-) -> Result<Response<Full<Bytes>>, Infallible>
-where
-    H: Fn(u64, Result<HttpRequest, Refusal>) -> Option<HttpAnswer>,
-{
-    let request = read_request(request, options.body_max_bytes).await;
-    // Registered first, since the answer may arrive before the handler returns.
-    let (token, answer) = pending.wait();
-    if let Some(it) = handle(token, request) {
-        pending.answer(token, it);
+    async fn serve_request(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let request = read_request(request, self.options.body_max_bytes, &self.limits).await;
+        let (request, reserved) = match request {
+            Ok((request, reserved)) => (Ok(request), Some(reserved)),
+            Err(it) => (Err(it), None),
+        };
+        // Registered first, since the answer may arrive before the handler returns.
+        let (token, answer) = self.pending.wait(reserved);
+        if let Some(it) = (self.handle)(token, request) {
+            self.pending.answer(token, it);
+        }
+        let answer = answer.await.unwrap_or_else(|_| {
+            HttpAnswer::refusal(&refusal(
+                ErrorKind::Internal,
+                "the answer to this request was lost",
+            ))
+        });
+        Ok(respond(answer))
     }
-    let answer = answer.await.unwrap_or_else(|_| {
-        HttpAnswer::refusal(&refusal(ErrorKind::Internal, "the answer to this request was lost"))
-    });
-    Ok(respond(answer))
 }
 
 fn respond(answer: HttpAnswer) -> Response<Full<Bytes>> {
--- a/src/http/server/pending.rs
+++ b/src/http/server/pending.rs
@@ -10,7 +10,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::http::HttpAnswer;
+use crate::{http::HttpAnswer, util::ReservedBytes};
 
 /// Requests that wait for their answer from a core.
 ///
@@ -22,28 +22,39 @@
 
 #[derive(Default)]
 struct Inner {
-    answers: Mutex<HashMap<u64, oneshot::Sender<HttpAnswer>>>,
+    answers: Mutex<HashMap<u64, Waiting>>,
     next: AtomicU64,
 }
 
+/// A request that waits for its answer.
+struct Waiting {
+    answer: oneshot::Sender<HttpAnswer>,
+    /// Memory of the request, which the core may hold until it answers.
+    _reserved: Option<ReservedBytes>,
+}
+
 impl Pending {
     /// Answers the request with this token; a second answer has no effect.
     pub fn answer(&self, token: u64, answer: HttpAnswer) {
         let waiting = self.lock().remove(&token);
         if let Some(it) = waiting {
             // Fails if the caller has disconnected; the answer is then discarded.
-            let _ = it.send(answer);
+            let _ = it.answer.send(answer);
         }
     }
 
-    pub(super) fn wait(&self) -> (u64, oneshot::Receiver<HttpAnswer>) {
+    /// Adds a request, whose memory stays reserved until it is answered.
+    pub(super) fn wait(
+        &self,
+        reserved: Option<ReservedBytes>,
+    ) -> (u64, oneshot::Receiver<HttpAnswer>) {
         let token = self.inner.next.fetch_add(1, Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
-        self.lock().insert(token, sender);
+        let (answer, receiver) = oneshot::channel();
+        self.lock().insert(token, Waiting { answer, _reserved: reserved });
         (token, receiver)
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<HttpAnswer>>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Waiting>> {
         // The table is consistent at every unlock, also after a panic.
         self.inner.answers.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -3,6 +3,8 @@
 //! Label values come from closed lists, so every counter exists at zero from the start. Alerts on
 //! it can thus be written before its first increment.
 
+mod limits;
+
 use std::sync::Arc;
 
 use prometheus::{
@@ -15,6 +17,9 @@
     policy::retry::RetryReason, prelude::*,
 };
 
+pub use self::limits::Limit;
+use self::limits::LimitLogs;
+
 /// Why an entry dropped an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerDropReason {
@@ -54,6 +59,8 @@
     announcements_passed_over: IntCounterVec,
     gateway_answers: HistogramVec,
     link_dropped: IntCounterVec,
+    limits_reached: IntCounterVec,
+    limit_logs: Arc<LimitLogs>,
     pub requests: IntCounter,
     pub ejections: IntCounter,
     pub orders_ignored: IntCounter,
@@ -125,6 +132,12 @@
         )?;
         let link_dropped =
             counters("aspenrail_link_dropped_total", "Messages not sent, by reason.", "reason")?;
+        let limits_reached = counters(
+            "aspenrail_limits_reached_total",
+            "Times that a limit on a total refused something, by setting.",
+            "limit",
+        )?;
+        Limit::ALL.iter().for_each(|it| drop(limits_reached.with_label_values(&[it.as_str()])));
         ERROR_ANSWERS
             .iter()
             .for_each(|it| drop(refusals.with_label_values(&[&it.kind.to_string()])));
@@ -182,6 +195,8 @@
             announcements_passed_over,
             gateway_answers,
             link_dropped,
+            limits_reached,
+            limit_logs: Arc::default(),
             requests: counter("aspenrail_requests_total", "Requests taken in at the edges.")?,
             ejections: counter(
                 "aspenrail_ejections_total",
@@ -283,6 +298,20 @@
         self.answer_seconds.with_label_values(&[class]).observe(seconds);
     }
 
+    /// Counts that a limit refused something, and logs it at most once a second for each limit.
+    pub fn note_limit_reached(&self, limit: Limit) {
+        let counter = self.limits_reached.with_label_values(&[limit.as_str()]);
+        counter.inc();
+        if self.limit_logs.is_due(limit) {
+            tracing::warn!(event = "limit_reached", limit = limit.as_str(), total = counter.get());
+        }
+    }
+
+    /// Returns how often a limit has refused something.
+    pub fn limit_reached_count(&self, limit: Limit) -> u64 {
+        self.limits_reached.with_label_values(&[limit.as_str()]).get()
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut buffer = Vec::new();
--- a/src/runtime/http_listeners.rs
+++ b/src/runtime/http_listeners.rs
@@ -7,8 +7,8 @@
 use crate::{
     agent, control, entry,
     http::{
-        self, HttpAnswer, HttpRequest, Pending, ServerOptions, Tokens, local::LocalRequest,
-        start_server,
+        self, HttpAnswer, HttpRequest, Pending, ServerLimits, ServerOptions, Tokens,
+        local::LocalRequest, start_server,
     },
     metrics::Metrics,
     prelude::*,
@@ -36,6 +36,7 @@
     pub metrics: Arc<Metrics>,
     pub status: Arc<RoleStatus>,
     pub pending: Pending,
+    pub limits: ServerLimits,
 }
 
 impl HttpListener {
@@ -88,8 +89,8 @@
             body_max_bytes: settings.body_max_bytes as usize,
             headers_max_bytes: settings.headers_max_bytes as usize,
         };
-        let pending = self.pending.clone();
-        start_server(options, &pending, move |token, request| {
+        let (pending, limits) = (self.pending.clone(), self.limits.clone());
+        start_server(options, &limits, &pending, move |token, request| {
             let http_request = match self.answer_common(request) {
                 Ok(it) => it,
                 Err(answer) => return Some(answer),
@@ -114,8 +115,9 @@
     /// The same as for [`HttpListener::start_caller`].
     pub(super) fn start_admin(self, settings: &ControlSettings) -> Result<()> {
         let tokens = Arc::new(Tokens::load(Path::new(settings.operators_file.as_str()))?);
-        let pending = self.pending.clone();
-        start_server(small_server_options(settings.listen), &pending, move |token, request| {
+        let (pending, limits) = (self.pending.clone(), self.limits.clone());
+        let options = small_server_options(settings.listen);
+        start_server(options, &limits, &pending, move |token, request| {
             let http_request = match self.answer_common(request) {
                 Ok(it) => it,
                 Err(answer) => return Some(answer),
@@ -137,8 +139,9 @@
     ///
     /// Returns an error if the server cannot listen on the address.
     pub(super) fn start_local(self, settings: &AgentSettings) -> Result<()> {
-        let pending = self.pending.clone();
-        start_server(small_server_options(settings.listen), &pending, move |token, request| {
+        let (pending, limits) = (self.pending.clone(), self.limits.clone());
+        let options = small_server_options(settings.listen);
+        start_server(options, &limits, &pending, move |token, request| {
             let http_request = match self.answer_common(request) {
                 Ok(it) => it,
                 Err(answer) => return Some(answer),
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -19,7 +19,7 @@
         log::{Disk, Identity},
     },
     entry::{self, EntryCore, EntryOptions},
-    http::Pending,
+    http::{Pending, ServerLimits},
     link::{Link, LinkEvent, LinkOptions, LinkSink},
     metrics::Metrics,
     prelude::*,
@@ -227,6 +227,7 @@
         >,
     > {
         let mut statuses = Vec::new();
+        let limits = ServerLimits::new(&self.settings.process, self.metrics.clone());
         let mut new_listener = || {
             let status = Arc::new(RoleStatus::default());
             statuses.push(status.clone());
@@ -235,6 +236,7 @@
                 metrics: self.metrics.clone(),
                 status,
                 pending: Pending::default(),
+                limits: limits.clone(),
             }
         };
         let process = &self.settings.process;
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -30,7 +30,7 @@
     gateway::{self, GatewayCore},
     http::{
         HttpAnswer, HttpCall, HttpReply, HttpRequest, OutgoingError, OutgoingPool, Pending,
-        ServerOptions, start_local_server,
+        ServerLimits, ServerOptions, start_local_server,
     },
     link::{Link, LinkEvent, LinkOptions, LinkSink},
     metrics::Metrics,
@@ -187,6 +187,7 @@
     settings_file: PathBuf,
     platform: P,
     metrics: Arc<Metrics>,
+    limits: ServerLimits,
     handle: SingleThreadedHandle,
     events: mpsc::UnboundedReceiver<Event>,
 }
@@ -213,14 +214,9 @@
         set_clock_ahead(settings.process.clock_ahead_ms.into());
         let (sender, events) = mpsc::unbounded_channel();
         let handle = SingleThreadedHandle { events: sender };
-        SingleThreadedProcess {
-            settings,
-            settings_file,
-            platform,
-            metrics: Metrics::new(),
-            handle,
-            events,
-        }
+        let metrics = Metrics::new();
+        let limits = ServerLimits::new(&settings.process, metrics.clone());
+        SingleThreadedProcess { settings, settings_file, platform, metrics, limits, handle, events }
     }
 
     /// Returns a handle that stops the process or reloads its settings.
@@ -401,7 +397,7 @@
         let (platform, handle) = (self.platform.clone(), self.handle.clone());
         let metrics = self.metrics.clone();
         let is_for_operators = self.settings.dispatch.is_some();
-        start_local_server(options, pending, move |token, request| {
+        start_local_server(options, &self.limits, pending, move |token, request| {
             last_activity.set(Instant::now());
             let http_request = match request {
                 Ok(it) => it,
@@ -437,6 +433,7 @@
         let metrics = self.metrics.clone();
         start_local_server(
             small_server_options(settings.listen),
+            &self.limits,
             &Pending::default(),
             move |_, request| {
                 let http_request = match request {
@@ -463,19 +460,25 @@
 
     fn start_readiness_listener(&self, listen: SocketAddr, status: Arc<RoleStatus>) -> Result<()> {
         let platform = self.platform.clone();
-        start_local_server(small_server_options(listen), &Pending::default(), move |_, request| {
-            match request {
+        start_local_server(
+            small_server_options(listen),
+            &self.limits,
+            &Pending::default(),
+            move |_, request| match request {
                 Ok(it) => Some(platform.readiness(&it, status.is_ready())),
                 Err(it) => Some(platform.refusal(&it)),
-            }
-        })
+            },
+        )
     }
 
     fn start_metrics_listener(&self, listen: SocketAddr) -> Result<()> {
         let metrics = self.metrics.clone();
-        start_local_server(small_server_options(listen), &Pending::default(), move |_, _| {
-            Some(HttpAnswer::text(200, "text/plain; version=0.0.4", metrics.render()))
-        })
+        start_local_server(
+            small_server_options(listen),
+            &self.limits,
+            &Pending::default(),
+            move |_, _| Some(HttpAnswer::text(200, "text/plain; version=0.0.4", metrics.render())),
+        )
     }
 
     /// Dispatches events and runs the actors until the process ends.
--- a/src/standin/executor.rs
+++ b/src/standin/executor.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 
 use crate::{
-    http::{HttpAnswer, Pending, ServerOptions, client::new_client, start_server},
+    http::{HttpAnswer, Pending, ServerLimits, ServerOptions, client::new_client, start_server},
     prelude::*,
 };
 
@@ -89,7 +89,7 @@
         headers_max_bytes: 16 * 1024,
     };
     let (shared, endpoint, answers) = (state.clone(), options.clone(), pending.clone());
-    start_server(server, &pending, move |token, request| {
+    start_server(server, &ServerLimits::unlimited(), &pending, move |token, request| {
         let request = match request {
             Ok(it) => it,
             Err(it) => return Some(HttpAnswer::refusal(&it)),
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     agent::{WorkerCall, WorkerResult},
-    http::{HttpAnswer, HttpRequest, Pending, ServerOptions, start_server},
+    http::{HttpAnswer, HttpRequest, Pending, ServerLimits, ServerOptions, start_server},
     prelude::*,
     standin::worker_model::WorkerModel,
     util::Clock,
@@ -37,7 +37,7 @@
     let pending = Pending::default();
     let options =
         ServerOptions { listen, threads: 2, body_max_bytes: 1 << 20, headers_max_bytes: 16 * 1024 };
-    start_server(options, &pending, move |_, request| {
+    start_server(options, &ServerLimits::unlimited(), &pending, move |_, request| {
         let call = match request.and_then(|it| parse(&it)) {
             Ok(it) => it,
             Err(it) => return Some(HttpAnswer::refusal(&it)),
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,11 +1,13 @@
-//! Clocks, digests and identifiers that all parts use.
+//! Clocks, digests, identifiers and shared memory that all parts use.
 
+mod byte_budget;
 mod clock;
 mod digest;
 mod group_id;
 mod incarnation;
 mod step;
 
+pub use self::byte_budget::{ByteBudget, ReservedBytes};
 pub use self::clock::{Clock, Now, set_clock_ahead};
 pub use self::digest::{checksum, digest_of};
 pub use self::group_id::{GroupId, index_of};
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -46,9 +46,10 @@
 /// Largest body that the processes accept; the default.
 const BODY_MAX_BYTES: usize = 1 << 20;
 
-/// A quarter of the default of each limit on a total.
+/// A quarter of the default of each limit on a total, and of the node's in its template in deploy/.
 const LINES: SettingsLines = SettingsLines {
     process: "connections_max = 750\nrequests_max_bytes = 8388608\nanswers_max_bytes = 4194304\n",
+    node_process: "connections_max = 64\nrequests_max_bytes = 1048576\n",
     link: "queue_max_bytes = 16777216\n",
     gateway: "calls_max_bytes = 8388608\n",
     dispatch: "calls_max_bytes = 4194304\nlog_max_bytes = 8388608\nworkflows_max_bytes = 8388608\n",
@@ -333,7 +334,7 @@
             Some("200") => assert_eq!(status, 200, "{client} was accepted"),
             Some("429" | "503") => {
                 assert!(answer.to_lowercase().contains("retry-after: "), "{answer}");
-                assert_eq!(status, 410, "{client} was refused");
+                assert_eq!(status, 410, "{client} was refused: {answer}");
             }
             // Its outcome is unknown to the client, which asks again.
             Some("504") => (),
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -10,7 +10,7 @@
 };
 
 use aspenrail::{
-    http::{HttpAnswer, Pending, ServerOptions, start_server},
+    http::{HttpAnswer, Pending, ServerLimits, ServerOptions, start_server},
     standin::layout::free_addresses,
 };
 
@@ -25,7 +25,7 @@
         body_max_bytes: 1_000,
         headers_max_bytes: 16 * 1024,
     };
-    start_server(options, &Pending::default(), |_, it| {
+    start_server(options, &ServerLimits::unlimited(), &Pending::default(), |_, it| {
         Some(match it {
             Ok(it) => HttpAnswer::text(200, "text/plain", format!("{} bytes", it.body.len())),
             Err(it) => HttpAnswer::refusal(&it),
--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use aspenrail::http::{HttpAnswer, HttpRequest, Pending, ServerOptions, start_server};
+use aspenrail::http::{
+    HttpAnswer, HttpRequest, Pending, ServerLimits, ServerOptions, start_server,
+};
 use serde_json::{Value, json};
 
 /// Name of the first incarnation of the executor.
@@ -98,8 +100,10 @@
             headers_max_bytes: 1 << 14,
         };
         let own = res.clone();
-        start_server(options, &Pending::default(), move |_, it| Some(own.answer(&it.unwrap())))
-            .unwrap();
+        start_server(options, &ServerLimits::unlimited(), &Pending::default(), move |_, it| {
+            Some(own.answer(&it.unwrap()))
+        })
+        .unwrap();
         res
     }
 
--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -28,8 +28,10 @@
 /// Further lines of the settings files, by section; each ends with a line break.
 #[derive(Clone, Copy, Default)]
 pub struct SettingsLines {
-    /// In the `[process]` section of every process.
+    /// In the `[process]` section of the entry and of the control processes.
     pub process: &'static str,
+    /// In the `[process]` section of the node.
+    pub node_process: &'static str,
     /// In the `[link]` section of every process.
     pub link: &'static str,
     /// In the `[gateway]` section of the entry and of the control processes.
@@ -77,9 +79,10 @@
         let links = &addresses[..members];
         let seeds = links.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
         let head = |name: &str, roles: &str, link: SocketAddr| {
+            let process = if roles == "node" { lines.node_process } else { lines.process };
             format!(
-                "[process]\nname = {name}\nroles = {roles}\nzone = z\n{}[link]\nlisten = {link}\ncontrol = {seeds}\n{}",
-                lines.process, lines.link
+                "[process]\nname = {name}\nroles = {roles}\nzone = z\n{process}[link]\nlisten = {link}\ncontrol = {seeds}\n{}",
+                lines.link
             )
         };
         let [front, readiness, metrics, entry_link, node_link, node_listen, worker, node_metrics] =
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -62,6 +62,17 @@
     assert!(found.contains(expected), "expected: {expected}\nfound: {found}");
 }
 
+/// The largest body that is accepted would never find room.
+#[test]
+fn a_total_that_is_too_small_for_one_body_is_refused() {
+    let text = "[process]\nname = a\nroles = gateway\nzone = z\nrequests_max_bytes = 4000000\n[link]\n\
+                listen = 127.0.0.1:7000\ncontrol = 127.0.0.1:7001\n[gateway]\nlisten = 127.0.0.1:7003\n";
+    let found = problems(text);
+    let expected = "[process] requests_max_bytes: 4000000 leaves 1000000 bytes to a single body, \
+                    less than body_max_bytes, which is 1048576";
+    assert!(found.contains(expected), "{found}");
+}
+
 #[test]
 fn every_problem_is_told_at_once() {
     let text = AGENT_SETTINGS
--- a/tests/soak/workers.rs
+++ b/tests/soak/workers.rs
@@ -12,7 +12,10 @@
 };
 
 use aspenrail::{
-    http::{HttpAnswer, HttpRequest, Pending, ServerOptions, client::new_client, start_server},
+    http::{
+        HttpAnswer, HttpRequest, Pending, ServerLimits, ServerOptions, client::new_client,
+        start_server,
+    },
     node::{Action, CallRefusal, CallResult, WorkerCall},
     prelude::*,
 };
@@ -167,7 +170,10 @@
             headers_max_bytes: 1 << 14,
         };
         let own = self.clone();
-        start_server(options, &Pending::default(), move |_, it| own.answer(vm, &it.ok()?)).unwrap();
+        start_server(options, &ServerLimits::unlimited(), &Pending::default(), move |_, it| {
+            own.answer(vm, &it.ok()?)
+        })
+        .unwrap();
     }
 
     /// Executes a call; returns no answer if the worker is down or executes the call late.
