Bound the connections of callers, and close the one that has waited longest

Clients that connected and sent nothing, or no whole header, or kept their connection after an answer, took a descriptor and up to some 30 KB each, without a bound: 1,200 of them took 1,218 descriptors of an entry with room for 974. Beyond its descriptors a process can open no link and no file either. The same held for the listeners for readiness and metrics, and a node's memory was mostly the buffers of such connections.

Beyond it a new connection takes the place of the one that has waited longest for a request; one whose request is worked on is never closed. So ordinary callers, who send when they connect, get through however many connections are kept idle.

--- a/src/http/server/limits.rs
+++ b/src/http/server/limits.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
+use tokio::sync::oneshot;
+
 use crate::{
+    http::server::connections::{Connections, OpenConnection},
     metrics::{Limit, Metrics},
     prelude::*,
     schema::settings::ProcessSettings,
@@ -16,18 +19,36 @@
 #[derive(Clone, Debug)]
 pub struct ServerLimits {
     requests: ByteBudget,
+    connections: Connections,
     metrics: Arc<Metrics>,
 }
 
 impl ServerLimits {
     /// Returns the limits in the settings of a process.
     pub fn new(settings: &ProcessSettings, metrics: Arc<Metrics>) -> ServerLimits {
-        ServerLimits { requests: ByteBudget::new(settings.requests_max_bytes as usize), metrics }
+        ServerLimits {
+            requests: ByteBudget::new(settings.requests_max_bytes as usize),
+            connections: Connections::new(settings.connections_max as usize),
+            metrics,
+        }
     }
 
     /// Returns limits that are never reached, for stand-ins.
     pub fn unlimited() -> ServerLimits {
-        ServerLimits { requests: ByteBudget::new(usize::MAX), metrics: Metrics::new() }
+        ServerLimits {
+            requests: ByteBudget::new(usize::MAX),
+            connections: Connections::new(usize::MAX),
+            metrics: Metrics::new(),
+        }
+    }
+
+    /// Adds a connection; returns `None` if it has to be closed at once.
+    pub(super) fn open_connection(&self) -> Option<(OpenConnection, oneshot::Receiver<()>)> {
+        let opened = self.connections.open();
+        if opened.as_ref().is_none_or(|it| it.displaced_another) {
+            self.metrics.note_limit_reached(Limit::Connections);
+        }
+        opened.map(|it| (it.connection, it.closed))
     }
 
     /// Returns an empty reservation for a body.
--- a/src/http/server/mod.rs
+++ b/src/http/server/mod.rs
@@ -4,11 +4,12 @@
 //! callers that connected at the same moment and kept their connections, up to 10 waited until
 //! another connection closed. DESIGN.md has the figures; tests/http_server.rs guards against it.
 
+mod connections;
 mod limits;
 mod pending;
 mod request;
 
-use std::{convert::Infallible, net::SocketAddr, thread, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, thread, time::Duration};
 
 use bytes::Bytes;
 use error_stack::ResultExt;
@@ -19,7 +20,10 @@
 
 use crate::{http::HttpAnswer, prelude::*};
 
-use self::request::{READ_TIMEOUT, read_request};
+use self::{
+    connections::OpenConnection,
+    request::{READ_TIMEOUT, read_request},
+};
 pub use self::{limits::ServerLimits, pending::Pending, request::HttpRequest};
 
 /// The options of a server.
@@ -145,10 +149,15 @@
     }
 
     fn start_connection(&self, tcp: TcpStream) {
+        let Some((open_connection, closed)) = self.limits.open_connection() else { return };
+        let open_connection = Rc::new(open_connection);
         // With Nagle's algorithm, an answer in two segments waits for a delayed acknowledgement.
         let _ = tcp.set_nodelay(true);
         let server = self.clone();
-        let service = service_fn(move |request| server.clone().serve_request(request));
+        let service_connection = open_connection.clone();
+        let service = service_fn(move |request| {
+            server.clone().serve_request(request, service_connection.clone())
+        });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(READ_TIMEOUT)
@@ -156,21 +165,27 @@
             .max_buf_size(self.options.headers_max_bytes.max(8 * 1024))
             .serve_connection(TokioIo::new(tcp), service);
         tokio::task::spawn_local(async move {
-            if let Err(error) = connection.await {
-                tracing::debug!(event = "caller_gone", %error);
+            tokio::select! {
+                result = connection => if let Err(error) = result {
+                    tracing::debug!(event = "caller_gone", %error);
+                },
+                _ = closed => tracing::debug!(event = "caller_displaced"),
             }
+            drop(open_connection);
         });
     }
 
     async fn serve_request(
         self,
         request: Request<Incoming>,
+        connection: Rc<OpenConnection>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let request = read_request(request, self.options.body_max_bytes, &self.limits).await;
         let (request, reserved) = match request {
             Ok((request, reserved)) => (Ok(request), Some(reserved)),
             Err(it) => (Err(it), None),
         };
+        connection.note_request();
         // Registered first, since the answer may arrive before the handler returns.
         let (token, answer) = self.pending.wait(reserved);
         if let Some(it) = (self.handle)(token, request) {
@@ -182,6 +197,7 @@
                 "the answer to this request was lost",
             ))
         });
+        connection.note_answer();
         Ok(respond(answer))
     }
 }
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -10,7 +10,9 @@
 };
 
 use aspenrail::{
+    config::parse_settings,
     http::{HttpAnswer, Pending, ServerLimits, ServerOptions, start_server},
+    metrics::Metrics,
     standin::layout::free_addresses,
 };
 
@@ -44,6 +46,53 @@
     (stream, String::from_utf8_lossy(&buffer[..read]).into_owned())
 }
 
+/// Returns the limits of a process whose settings have a further line.
+fn limits(line: &str) -> ServerLimits {
+    let text = format!(
+        "[process]\nname = a\nroles = node\nzone = z\n{line}\n[link]\nlisten = 127.0.0.1:7000\n\
+         control = 127.0.0.1:7001\n[node]\nlisten = 127.0.0.1:7003\nworker = 127.0.0.1:7004\n"
+    );
+    ServerLimits::new(&parse_settings("file.ini", &text).unwrap().process, Metrics::new())
+}
+
+/// A new connection displaces one that waits for a request, and never one whose request is worked on.
+#[test]
+fn a_request_at_work_is_answered_beside_any_number_of_connections() {
+    let address = free_addresses(1).unwrap()[0];
+    let options = ServerOptions {
+        listen: address,
+        threads: 2,
+        body_max_bytes: 1_000,
+        headers_max_bytes: 16 * 1024,
+    };
+    let pending = Pending::default();
+    let (sender, tokens) = std::sync::mpsc::channel();
+    start_server(options, &limits("connections_max = 8"), &pending, move |token, request| {
+        let request = request.unwrap();
+        if request.path == "/slow" {
+            sender.send(token).unwrap();
+            return None;
+        }
+        Some(HttpAnswer::text(200, "text/plain", "quick".to_owned()))
+    })
+    .unwrap();
+    let mut slow = TcpStream::connect(address).unwrap();
+    slow.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    slow.write_all(b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+    let token = tokens.recv_timeout(READ_TIMEOUT).unwrap();
+    let mut idle: Vec<_> = (0..20).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let (_, text) = exchange(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    for it in &mut idle[..12] {
+        it.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        assert!(matches!(it.read(&mut [0; 16]), Ok(0) | Err(_)), "closed for a newer one");
+    }
+    pending.answer(token, HttpAnswer::text(200, "text/plain", "slow".to_owned()));
+    let mut buffer = [0; 4096];
+    let read = slow.read(&mut buffer).unwrap();
+    assert!(buffer[..read].ends_with(b"slow"));
+}
+
 /// With `tiny_http`, up to 10 of these 32 requests waited until another connection closed.
 #[test]
 fn callers_that_connect_at_once_and_stay_are_all_answered() {
