Bound the answers that callers have not read, and the copies of large ones

Callers that asked a control process for its configuration and read nothing made it hold one copy of the document for each of them: 100 callers and 1 MiB took 137 MB of 64, and no timeout ended it. Closing connections alone changed nothing, since the copies came up before: all reads were sent at once, and the leader's own messages were delivered without a pause in which answers are sent.

An answer counts until its last byte is handed to the kernel; a new one closes the connections that have waited longest to be read. A single answer of any size is always sent. - A gateway sends at most four large reads (configuration, waiting work) at a time; the others wait for their turn, in the order of their arrival. - A process lets answers out between its own messages.

Counter aspenrail_limits_reached_total{limit="process.answers_max_bytes"}.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod interface;
+mod large_reads;
 
 use std::collections::BTreeMap;
 
@@ -18,8 +19,11 @@
     prelude::*,
 };
 
-use self::calls::{Call, log_answer};
 pub use self::interface::{Effect, GatewayAnswer, GatewayOptions, Input, RejectionCause};
+use self::{
+    calls::{Call, log_answer},
+    large_reads::LargeReads,
+};
 
 /// Value of `leaderless_since_ms` until the first tick sets the time.
 const BEFORE_FIRST_TICK_MS: u64 = u64::MAX;
@@ -36,6 +40,7 @@
     options: GatewayOptions,
     leader_finder: LeaderFinder,
     calls: BTreeMap<u64, Call>,
+    large_reads: LargeReads,
     next_id: u64,
     leader_confirmed_ms: Option<u64>,
     /// Since when no leader is known, or the known one is silent.
@@ -55,6 +60,7 @@
         GatewayCore {
             leader_finder: LeaderFinder::new(options.control_addresses.clone(), options.boot),
             calls: BTreeMap::new(),
+            large_reads: LargeReads::default(),
             next_id: options.boot,
             leader_confirmed_ms: None,
             leaderless_since_ms: Some(BEFORE_FIRST_TICK_MS),
@@ -315,6 +321,9 @@
 
     fn finish(&mut self, now: Now, id: u64, answer: GatewayAnswer) {
         let Some(call) = self.calls.remove(&id) else { return };
+        if let Some(it) = self.large_reads.end(id) {
+            self.send(now, it);
+        }
         if call.token == PROBE_TOKEN {
             self.probe = None;
             return;
@@ -419,6 +428,11 @@
     fn send(&mut self, now: Now, id: u64) {
         let Some(to) = self.leader_finder.target() else { return };
         let Some(call) = self.calls.get_mut(&id) else { return };
+        if !self.large_reads.may_send(id, &call.request) {
+            // Sent when its turn comes.
+            call.next_send_ms = u64::MAX;
+            return;
+        }
         let is_leader_search = call.token == PROBE_TOKEN && self.leaderless_since_ms.is_some();
         let pause_ms = match is_leader_search {
             true => self.options.election_pause_ms,
--- a/src/http/server/connections.rs
+++ b/src/http/server/connections.rs
@@ -1,4 +1,4 @@
-//! The open connections of all HTTP listeners of a process.
+//! The open connections of all HTTP listeners of a process, and their unsent answers.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -10,14 +10,16 @@
 /// Number of a connection, unique in the process.
 type ConnectionId = u64;
 
-/// The open connections, up to a maximum.
+/// The open connections and their unsent answers, up to a maximum of each.
 ///
 /// At the maximum, a new connection takes the place of the one that has waited longest for a
-/// request: clients that connect and send nothing cannot keep others out.
+/// request, and a new answer that of the one that has waited longest to be read: clients that
+/// connect and send nothing, or read nothing, cannot keep others out.
 #[derive(Clone, Debug)]
 pub(super) struct Connections {
     table: Arc<Mutex<Table>>,
     max: usize,
+    unsent_max_bytes: usize,
 }
 
 #[derive(Debug, Default)]
@@ -25,6 +27,9 @@
     open: HashMap<ConnectionId, Entry>,
     /// Connections without a complete request, by the turn since which they wait for it.
     waiting: BTreeSet<(u64, ConnectionId)>,
+    /// Connections with unsent answers, by the turn since which they have some.
+    answering: BTreeSet<(u64, ConnectionId)>,
+    unsent_bytes: usize,
     /// Rises with each connection and each change.
     last_turn: u64,
 }
@@ -35,6 +40,9 @@
     _close: oneshot::Sender<()>,
     /// `None` while a request of the connection is worked on.
     waiting_since: Option<u64>,
+    /// `None` while all answers are sent.
+    answering_since: Option<u64>,
+    unsent_bytes: usize,
 }
 
 /// One open connection; dropping it makes room for another.
@@ -44,6 +52,14 @@
     id: ConnectionId,
 }
 
+/// An answer that its connection has not sent yet, or not whole; it is sent when this is dropped.
+#[derive(Debug)]
+pub(super) struct UnsentAnswer {
+    connections: Connections,
+    id: ConnectionId,
+    bytes: usize,
+}
+
 /// A new connection, and whether another one was closed for it.
 #[derive(Debug)]
 pub(super) struct Opened {
@@ -55,8 +71,8 @@
 
 impl Connections {
     /// Returns an empty table.
-    pub(super) fn new(max: usize) -> Connections {
-        Connections { table: Arc::default(), max }
+    pub(super) fn new(max: usize, unsent_max_bytes: usize) -> Connections {
+        Connections { table: Arc::default(), max, unsent_max_bytes }
     }
 
     /// Adds a connection. Returns `None` if there is no room for it: all others are at work.
@@ -69,7 +85,13 @@
         }
         let turn = table.next_turn();
         let (close, closed) = oneshot::channel();
-        table.open.insert(turn, Entry { _close: close, waiting_since: Some(turn) });
+        let entry = Entry {
+            _close: close,
+            waiting_since: Some(turn),
+            answering_since: None,
+            unsent_bytes: 0,
+        };
+        table.open.insert(turn, entry);
         table.waiting.insert((turn, turn));
         let connection = OpenConnection { connections: self.clone(), id: turn };
         Some(Opened { connection, closed, displaced_another: is_full })
@@ -88,10 +110,36 @@
     }
 
     fn remove(&mut self, id: ConnectionId) {
-        let since = self.open.remove(&id).and_then(|it| it.waiting_since);
-        if let Some(it) = since {
+        let Some(entry) = self.open.remove(&id) else { return };
+        if let Some(it) = entry.waiting_since {
             self.waiting.remove(&(it, id));
         }
+        if let Some(it) = entry.answering_since {
+            self.answering.remove(&(it, id));
+        }
+        self.unsent_bytes -= entry.unsent_bytes;
+    }
+
+    fn add_unsent(&mut self, id: ConnectionId, bytes: usize) {
+        let turn = self.next_turn();
+        let Some(entry) = self.open.get_mut(&id) else { return };
+        entry.unsent_bytes += bytes;
+        self.unsent_bytes += bytes;
+        if entry.answering_since.is_none() {
+            entry.answering_since = Some(turn);
+            self.answering.insert((turn, id));
+        }
+    }
+
+    fn remove_unsent(&mut self, id: ConnectionId, bytes: usize) {
+        let Some(entry) = self.open.get_mut(&id) else { return };
+        entry.unsent_bytes -= bytes;
+        self.unsent_bytes -= bytes;
+        if entry.unsent_bytes == 0
+            && let Some(it) = entry.answering_since.take()
+        {
+            self.answering.remove(&(it, id));
+        }
     }
 
     /// Notes whether a connection waits for a request from now on.
@@ -114,9 +162,29 @@
         self.connections.lock().set_waiting(self.id, false);
     }
 
-    /// Notes that the request is answered.
-    pub(super) fn note_answer(&self) {
-        self.connections.lock().set_waiting(self.id, true);
+    /// Notes that the request is answered. Returns the answer, to be kept until it is sent, and how
+    /// many other connections were closed to make room for it.
+    pub(super) fn note_answer(&self, bytes: usize) -> (UnsentAnswer, usize) {
+        let unsent_max_bytes = self.connections.unsent_max_bytes;
+        let mut table = self.connections.lock();
+        table.set_waiting(self.id, true);
+        let mut closed_count = 0;
+        while unsent_max_bytes < table.unsent_bytes + bytes
+            && let Some((_, longest)) =
+                table.answering.iter().copied().find(|(_, id)| *id != self.id)
+        {
+            table.remove(longest);
+            closed_count += 1;
+        }
+        table.add_unsent(self.id, bytes);
+        let connections = self.connections.clone();
+        (UnsentAnswer { connections, id: self.id, bytes }, closed_count)
+    }
+}
+
+impl Drop for UnsentAnswer {
+    fn drop(&mut self) {
+        self.connections.lock().remove_unsent(self.id, self.bytes);
     }
 }
 
--- a/src/http/server/limits.rs
+++ b/src/http/server/limits.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    http::server::connections::{Connections, OpenConnection},
+    http::server::connections::{Connections, OpenConnection, UnsentAnswer},
     metrics::{Limit, Metrics},
     prelude::*,
     schema::settings::ProcessSettings,
@@ -28,7 +28,10 @@
     pub fn new(settings: &ProcessSettings, metrics: Arc<Metrics>) -> ServerLimits {
         ServerLimits {
             requests: ByteBudget::new(settings.requests_max_bytes as usize),
-            connections: Connections::new(settings.connections_max as usize),
+            connections: Connections::new(
+                settings.connections_max as usize,
+                settings.answers_max_bytes as usize,
+            ),
             metrics,
         }
     }
@@ -37,7 +40,7 @@
     pub fn unlimited() -> ServerLimits {
         ServerLimits {
             requests: ByteBudget::new(usize::MAX),
-            connections: Connections::new(usize::MAX),
+            connections: Connections::new(usize::MAX, usize::MAX),
             metrics: Metrics::new(),
         }
     }
@@ -51,6 +54,13 @@
         opened.map(|it| (it.connection, it.closed))
     }
 
+    /// Notes that a connection has an answer to send; it is kept until the answer is sent.
+    pub(super) fn add_answer(&self, connection: &OpenConnection, bytes: usize) -> UnsentAnswer {
+        let (answer, closed_count) = connection.note_answer(bytes);
+        (0..closed_count).for_each(|_| self.metrics.note_limit_reached(Limit::AnswersBytes));
+        answer
+    }
+
     /// Returns an empty reservation for a body.
     pub(super) fn new_body(&self) -> ReservedBytes {
         self.requests.reserve_none()
--- a/src/http/server/mod.rs
+++ b/src/http/server/mod.rs
@@ -4,6 +4,7 @@
 //! callers that connected at the same moment and kept their connections, up to 10 waited until
 //! another connection closed. DESIGN.md has the figures; tests/http_server.rs guards against it.
 
+mod answer;
 mod connections;
 mod limits;
 mod pending;
@@ -11,7 +12,6 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, thread, time::Duration};
 
-use bytes::Bytes;
 use error_stack::ResultExt;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, service::service_fn};
@@ -21,6 +21,7 @@
 use crate::{http::HttpAnswer, prelude::*};
 
 use self::{
+    answer::{AnswerBytes, respond},
     connections::OpenConnection,
     request::{READ_TIMEOUT, read_request},
 };
@@ -179,7 +180,7 @@
         self,
         request: Request<Incoming>,
         connection: Rc<OpenConnection>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    ) -> Result<Response<Full<AnswerBytes>>, Infallible> {
         let request = read_request(request, self.options.body_max_bytes, &self.limits).await;
         let (request, reserved) = match request {
             Ok((request, reserved)) => (Ok(request), Some(reserved)),
@@ -197,24 +198,7 @@
                 "the answer to this request was lost",
             ))
         });
-        connection.note_answer();
-        Ok(respond(answer))
+        let unsent = self.limits.add_answer(&connection, answer.body.len());
+        Ok(respond(answer, unsent))
     }
 }
-
-fn respond(answer: HttpAnswer) -> Response<Full<Bytes>> {
-    let status = http::StatusCode::from_u16(answer.status).unwrap_or(http::StatusCode::BAD_GATEWAY);
-    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
-    *response.status_mut() = status;
-    let headers =
-        answer.headers.into_iter().chain([("Content-Type", answer.content_type.to_string())]);
-    for (name, value) in headers {
-        // Invalid names and values are left out, so that the answer itself is sent.
-        if let (Ok(name), Ok(value)) =
-            (http::HeaderName::from_bytes(name.as_bytes()), value.parse())
-        {
-            response.headers_mut().insert(name, value);
-        }
-    }
-    response
-}
--- a/src/metrics/limits.rs
+++ b/src/metrics/limits.rs
@@ -12,17 +12,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Limit {
     RequestsBytes,
+    AnswersBytes,
     Connections,
 }
 
 impl Limit {
     /// All limits, for counters that exist from the start.
-    pub const ALL: [Limit; 2] = [Limit::RequestsBytes, Limit::Connections];
+    pub const ALL: [Limit; 3] = [Limit::RequestsBytes, Limit::AnswersBytes, Limit::Connections];
 
     /// Returns the section and the key of the setting.
     pub fn as_str(self) -> &'static str {
         match self {
             Limit::RequestsBytes => "process.requests_max_bytes",
+            Limit::AnswersBytes => "process.answers_max_bytes",
             Limit::Connections => "process.connections_max",
         }
     }
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -493,7 +493,11 @@
         while stakker.not_shutdown() {
             let wait_max = if stopping_since.is_some() { STOP_CHECK_INTERVAL } else { WAIT_MAX };
             let mut batch = Vec::new();
-            if loopback.borrow().is_empty() {
+            let has_own_messages = !loopback.borrow().is_empty();
+            if has_own_messages {
+                // Answers are sent meanwhile, which would otherwise pile up beside own messages.
+                tokio::task::yield_now().await;
+            } else {
                 let wait = stakker.next_wait_max(Instant::now(), wait_max, false);
                 tokio::select! {
                     biased;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -194,6 +194,30 @@
 
 /// Load: requests wait while control is unreachable. When a leader is found, it gets first what is of
 /// use to others, and each is told how long its client still waits.
+/// Load: many operators read a large configuration at once. Each answer is copied on its way, so that
+/// few are asked for at a time; all reads are answered in their order.
+#[test]
+fn large_reads_are_sent_a_few_at_a_time() {
+    const IN_FLIGHT_MAX: usize = 4;
+    let mut gateway = controlled_gateway();
+    (0..20).for_each(|it| gateway.handle(now(2), request(it, WorkflowRequest::ReadConfig)));
+    let mut open: Vec<_> = take_calls(&mut gateway).into_iter().map(|(_, it)| it.id).collect();
+    let mut answered = Vec::new();
+    while let Some(id) = open.pop() {
+        assert!(open.len() < IN_FLIGHT_MAX);
+        answer(&mut gateway, 3, id, WorkflowOutcome::NoConfig);
+        for effect in gateway.take_effects() {
+            match effect {
+                Effect::Answer { token, .. } => answered.push(token),
+                Effect::Send { message: Message::TimedCall(it), .. } => open.push(it.call.id),
+                Effect::Send { .. } => (),
+            }
+        }
+    }
+    answered.sort_unstable();
+    assert_eq!(answered, (0..20).collect::<Vec<_>>());
+}
+
 #[test]
 fn changes_go_before_submissions_to_a_new_leader() {
     let options = GatewayOptions { calls_max: 100, overload_control: true, ..options() };
