Refuse a submission of too many steps before it is decoded

The leader accepts 1,000 steps at most, but that was checked there, after everything had been decoded and encoded again.

A list in a body of the platform is now decoded up to its limit, and refused with 400 at its first element too many: steps, and the steps that one waits for, 1,000 each, as the leader checks. Other lists in clients' bodies grow by a few times only.

--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -27,8 +27,8 @@
     vms::{NO_RESOURCES, Session, Vm, Vms, add, fits, subtract},
     watches::{Watch, Watches},
     workflows::{
-        Occurrence, ResolvedTasks, StepState, Suspects, TaskRun, ValidationError, Worker, Workers,
-        Workflow, Workflows, check_queues, check_spec, reservation_of,
+        Occurrence, ResolvedTasks, STEPS_MAX, StepState, Suspects, TaskRun, ValidationError,
+        Worker, Workers, Workflow, Workflows, check_queues, check_spec, reservation_of,
     },
 };
 
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -30,7 +30,7 @@
 pub use self::{
     silences::ResolvedTasks,
     suspects::Suspects,
-    validation::{ValidationError, check_queues, check_spec},
+    validation::{STEPS_MAX, ValidationError, check_queues, check_spec},
     workers::{Worker, Workers},
     workflow::{Occurrence, StepState, TaskRun, Workflow, reservation_of},
 };
--- a/src/control/state/workflows/validation.rs
+++ b/src/control/state/workflows/validation.rs
@@ -5,8 +5,8 @@
 /// Maximum number of tasks in one occurrence, so that one workflow cannot fill the state.
 const TASKS_MAX: u64 = 10_000;
 
-/// Maximum number of steps in a workflow.
-const STEPS_MAX: usize = 1_000;
+/// Maximum number of steps in a workflow, and of steps that one of them waits for.
+pub const STEPS_MAX: usize = 1_000;
 
 /// Maximum number of tasks in all occurrences together.
 const RUNS_MAX: u64 = 100_000;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,5 +1,6 @@
-//! Clocks, digests, identifiers and shared memory that all parts use.
+//! Clocks, digests, identifiers and bounds on memory that all parts use.
 
+mod bounded_list;
 mod byte_budget;
 mod clock;
 mod digest;
@@ -7,6 +8,7 @@
 mod incarnation;
 mod step;
 
+pub use self::bounded_list::bounded_list;
 pub use self::byte_budget::{ByteBudget, ReservedBytes};
 pub use self::clock::{Clock, Now, set_clock_ahead};
 pub use self::digest::{checksum, digest_of};
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -57,6 +57,13 @@
         ("POST", "/q/00000000000000aa", json!({"spec": "x"}), 400),
         ("POST", "/q/00000000000000aa", json!({"steps": []}), 400),
         ("POST", "/q/00000000000000aa", json!({"steps": [{"count": 1, "after": [3]}]}), 400),
+        ("POST", "/q/00000000000000aa", json!({"steps": vec![json!({"count": 1}); 1_001]}), 400),
+        (
+            "POST",
+            "/q/00000000000000aa",
+            json!({"steps": [{"count": 1}, {"count": 1, "after": vec![0; 1_001]}]}),
+            400,
+        ),
         ("POST", "/q/not-an-id", valid.clone(), 400),
         ("POST", "/other/00000000000000aa", valid.clone(), 404),
         ("GET", "/q/00000000000000aa", Value::Null, 410),
