Bound the memory of all requests that a gateway forwards, in their decoded form

A gateway bounded the number of its open requests, not their memory. While a leader takes nothing, clients fill it with requests that are small as bodies and large once decoded: 700 clients with 1,000 steps in 3 KB each took an entry to 230 MB of 65 allowed (this commit with the limit set to 1 GiB).

A request gets at most a quarter of what the others leave, and is refused at once with 429 otherwise: it was not sent and never runs. The setting is checked against body_max_bytes. Refusals are counted as aspenrail_gateway_refusals_total{cause="no_memory"} and logged as others are.

Memory estimates of messages move to one module.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -14,6 +14,9 @@
     util::ByteBudget,
 };
 
+/// Largest ratio of the memory of a large request to the bytes of its body.
+const DECODED_RATIO_MAX: usize = 2;
+
 const SCHEMA: &str = include_str!("../../schema/settings.json");
 
 /// One error in a settings file.
@@ -351,7 +354,7 @@
     if problems.is_empty() { Ok(settings.clone()) } else { Err(problems) }
 }
 
-/// Checks that a body of the largest size finds room while no other request is read.
+/// Checks that a request with the largest body finds room while there is no other.
 fn check_bodies(file: &str, settings: &Settings, problems: &mut Vec<SettingsProblem>) {
     let entry = settings.entry.as_ref().map(|it| it.body_max_bytes);
     let gateway = settings.gateway.as_ref().map(|it| it.body_max_bytes);
@@ -364,6 +367,16 @@
         );
         problems.push(problem(file, "process", "requests_max_bytes", &message));
     }
+    let Some(gateway) = &settings.gateway else { return };
+    let holder_max_bytes = ByteBudget::holder_max_bytes(gateway.calls_max_bytes as usize);
+    let decoded_max_bytes = gateway.body_max_bytes as usize * DECODED_RATIO_MAX;
+    if holder_max_bytes < decoded_max_bytes {
+        let message = format!(
+            "{} leaves {holder_max_bytes} bytes to a single request, which may take {decoded_max_bytes} decoded, by body_max_bytes",
+            gateway.calls_max_bytes
+        );
+        problems.push(problem(file, "gateway", "calls_max_bytes", &message));
+    }
 }
 
 fn check_dispatch(
--- a/src/control/log/record.rs
+++ b/src/control/log/record.rs
@@ -8,7 +8,11 @@
 
 use std::sync::Arc;
 
-use crate::{prelude::*, util::checksum};
+use crate::{
+    prelude::*,
+    schema::memory::{config_bytes, spec_bytes},
+    util::checksum,
+};
 
 /// Term and vote of a member.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -173,13 +177,9 @@
 pub(super) fn estimated_bytes(entry: &LogEntry) -> usize {
     let EntryBody::Command(Command::Workflow(command)) = &entry.body else { return ENTRY_BYTES };
     let command_bytes = match command {
-        WorkflowCommand::Install(it) => {
-            let text_bytes = |it: &Queue| it.name.len() + it.host.len() + it.path_prefix.len();
-            let queues: usize = it.queues.iter().map(text_bytes).sum();
-            it.document.len() + queues + it.queues.len() * size_of::<Queue>()
-        }
-        WorkflowCommand::Submit(it) => workflow_bytes(it),
-        WorkflowCommand::SubmitFrom(it) => workflow_bytes(&it.workflow),
+        WorkflowCommand::Install(it) => config_bytes(it),
+        WorkflowCommand::Submit(it) => spec_bytes(&it.spec),
+        WorkflowCommand::SubmitFrom(it) => spec_bytes(&it.workflow.spec),
         WorkflowCommand::Begin(it) => it.len() * size_of::<RunPlacement>(),
         WorkflowCommand::Finish(it) => it.ends.len() * size_of::<RunEnd>(),
         WorkflowCommand::Void(it) => it.runs.len() * size_of::<RunRef>(),
@@ -192,9 +192,5 @@
     ENTRY_BYTES + command_bytes
 }
 
-fn workflow_bytes(it: &SubmitWorkflow) -> usize {
-    it.spec.payload.len() + it.spec.steps.len() * size_of::<WorkflowStep>()
-}
-
 /// Estimated memory of an entry without the variable-size contents of its command.
 const ENTRY_BYTES: usize = 200;
--- a/src/gateway/calls.rs
+++ b/src/gateway/calls.rs
@@ -2,12 +2,14 @@
 
 use std::net::SocketAddr;
 
-use crate::{gateway::GatewayAnswer, prelude::*};
+use crate::{gateway::GatewayAnswer, prelude::*, util::ReservedBytes};
 
 /// A request that is not answered yet.
 pub(super) struct Call {
     pub token: u64,
     pub request: WorkflowRequest,
+    /// The memory of `request`.
+    pub _reserved: ReservedBytes,
     pub received_ms: u64,
     pub wait_ms: u64,
     pub deadline_ms: u64,
--- a/src/gateway/interface.rs
+++ b/src/gateway/interface.rs
@@ -26,6 +26,8 @@
     pub probe_ms: u64,
     /// Open requests from which on new ones are refused.
     pub calls_max: usize,
+    /// Most memory of all open requests; more are refused.
+    pub calls_max_bytes: usize,
     /// Bounds resends by a budget, keeps room for changes and reads, and answers before a client
     /// stops waiting.
     pub overload_control: bool,
@@ -67,6 +69,8 @@
     NoConfig,
     Busy,
     TooManyCalls,
+    /// The open requests leave no memory for another one of its size.
+    NoMemory,
     /// The queue needs tickets of a policy service, which are not served.
     Unserved,
     /// The workflow would end too late to be of use.
@@ -86,11 +90,12 @@
 
 impl RejectionCause {
     /// All causes, for counters that exist from the start.
-    pub const ALL: [RejectionCause; 7] = [
+    pub const ALL: [RejectionCause; 8] = [
         RejectionCause::NoLeader,
         RejectionCause::NoConfig,
         RejectionCause::Busy,
         RejectionCause::TooManyCalls,
+        RejectionCause::NoMemory,
         RejectionCause::Unserved,
         RejectionCause::Late,
         RejectionCause::NoCapacity,
@@ -103,6 +108,7 @@
             RejectionCause::NoConfig => "no_config",
             RejectionCause::Busy => "busy",
             RejectionCause::TooManyCalls => "too_many_calls",
+            RejectionCause::NoMemory => "no_memory",
             RejectionCause::Unserved => "unserved",
             RejectionCause::Late => "late",
             RejectionCause::NoCapacity => "no_capacity",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,8 @@
         retry::RetryBudget,
     },
     prelude::*,
+    schema::memory::request_bytes,
+    util::ByteBudget,
 };
 
 pub use self::interface::{Effect, GatewayAnswer, GatewayOptions, Input, RejectionCause};
@@ -40,6 +42,8 @@
     options: GatewayOptions,
     leader_finder: LeaderFinder,
     calls: BTreeMap<u64, Call>,
+    /// The memory of `calls`.
+    memory: ByteBudget,
     large_reads: LargeReads,
     next_id: u64,
     leader_confirmed_ms: Option<u64>,
@@ -60,6 +64,7 @@
         GatewayCore {
             leader_finder: LeaderFinder::new(options.control_addresses.clone(), options.boot),
             calls: BTreeMap::new(),
+            memory: ByteBudget::new(options.calls_max_bytes),
             large_reads: LargeReads::default(),
             next_id: options.boot,
             leader_confirmed_ms: None,
@@ -109,22 +114,20 @@
 
     fn start_call(&mut self, now: Now, token: u64, request: WorkflowRequest, wait_ms: u64) {
         if token != PROBE_TOKEN && !self.has_room_for(&request) {
-            let answer = GatewayAnswer::Rejected {
-                cause: RejectionCause::TooManyCalls,
-                retry_after_ms: self.options.resend_ms,
-            };
-            tracing::warn!(
-                event = "request_refused",
-                token,
-                cause = "too_many_calls",
-                calls = self.client_call_count()
-            );
-            return self.effects.push(Effect::Answer { token, answer, took_ms: 0 });
+            return self.refuse(token, RejectionCause::TooManyCalls);
         }
+        let reserved = match token {
+            PROBE_TOKEN => Some(self.memory.reserve_none()),
+            _ => self.memory.reserve(request_bytes(&request)),
+        };
+        let Some(reserved) = reserved else {
+            return self.refuse(token, RejectionCause::NoMemory);
+        };
         self.next_id = self.next_id.wrapping_add(1);
         let call = Call {
             token,
             request: self.with_origin(request),
+            _reserved: reserved,
             received_ms: now.mono_ms,
             wait_ms,
             deadline_ms: now.mono_ms + self.longest_wait_ms(wait_ms),
@@ -145,6 +148,20 @@
         }
     }
 
+    /// Answers a request that is not accepted for want of room.
+    fn refuse(&mut self, token: u64, cause: RejectionCause) {
+        let retry_after_ms = self.options.resend_ms;
+        tracing::warn!(
+            event = "request_refused",
+            token,
+            cause = cause.as_str(),
+            calls = self.client_call_count(),
+            calls_bytes = self.memory.used_bytes()
+        );
+        let answer = GatewayAnswer::Rejected { cause, retry_after_ms };
+        self.effects.push(Effect::Answer { token, answer, took_ms: 0 });
+    }
+
     /// Returns whether one more request may be open.
     fn has_room_for(&self, request: &WorkflowRequest) -> bool {
         let (open, calls_max) = (self.client_call_count(), self.options.calls_max);
--- a/src/runtime/single_threaded/options.rs
+++ b/src/runtime/single_threaded/options.rs
@@ -55,6 +55,7 @@
         park_ms: settings.park_ms.into(),
         probe_ms: settings.probe_ms.into(),
         calls_max: settings.calls_max as usize,
+        calls_max_bytes: settings.calls_max_bytes as usize,
         overload_control: settings.overload_control == 1,
     }
 }
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -3,6 +3,7 @@
 //! The schema files are the source. `tests/schema.rs` checks that the committed code matches them
 //! and regenerates it on request, so the build itself needs no generator.
 
+pub mod memory;
 #[allow(clippy::all, missing_docs, rustdoc::all)]
 #[rustfmt::skip]
 pub mod messages;
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -219,6 +219,7 @@
 /// The leader takes nothing from its links meanwhile, so that each copy of a request stays in the entry.
 #[yare::parameterized(
     large_payloads = { CLIENTS, |it| announced(&path(it), &submission(BODY_MAX_BYTES), 0) },
+    small_steps = { BUSY_CLIENTS, |it| announced(&path(it), &submission_of_small_steps(3_000), 0) },
     long_paths = { BUSY_CLIENTS, |it| read_of_long_path(it) },
 )]
 fn an_entry_bounds_what_waits_for_a_leader(clients: usize, bytes_of: fn(usize) -> Vec<u8>) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -36,6 +36,7 @@
         park_ms: 900,
         probe_ms: 500,
         calls_max: CALLS_MAX,
+        calls_max_bytes: 1 << 25,
         overload_control: false,
     }
 }
@@ -194,6 +195,35 @@
 
 /// Load: requests wait while control is unreachable. When a leader is found, it gets first what is of
 /// use to others, and each is told how long its client still waits.
+/// Load: large requests up to the limit on their memory. A small one still finds room, and a refused
+/// one is never sent.
+#[test]
+fn large_requests_leave_room_for_small_ones() {
+    let options = GatewayOptions { calls_max: 100, calls_max_bytes: 1 << 20, ..options() };
+    let mut gateway = GatewayCore::new(options);
+    let large = |token| match submission(token) {
+        Input::Request { request: WorkflowRequest::Submit(mut it), wait_ms, .. } => {
+            it.spec.payload = "x".repeat(100_000).into();
+            Input::Request { token, request: WorkflowRequest::Submit(it), wait_ms }
+        }
+        it => it,
+    };
+    (0..50).for_each(|it| gateway.handle(now(1), large(it)));
+    let refused = take_answers(&mut gateway);
+    assert!((40..50).contains(&refused.len()), "{} refused", refused.len());
+    let is_refusal = |it: &GatewayAnswer| {
+        matches!(it, GatewayAnswer::Rejected { cause: RejectionCause::NoMemory, .. })
+    };
+    assert!(refused.iter().all(|(_, it)| is_refusal(it)), "{refused:?}");
+    gateway.handle(now(1), submission(60));
+    assert!(take_answers(&mut gateway).is_empty(), "a small request was refused");
+    // Requests that have ended leave their memory to others.
+    gateway.handle(now(10_000), Input::Tick);
+    take_answers(&mut gateway);
+    gateway.handle(now(10_000), large(61));
+    assert!(take_answers(&mut gateway).is_empty(), "memory was not given back");
+}
+
 /// Load: many operators read a large configuration at once. Each answer is copied on its way, so that
 /// few are asked for at a time; all reads are answered in their order.
 #[test]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -62,14 +62,20 @@
     assert!(found.contains(expected), "expected: {expected}\nfound: {found}");
 }
 
-/// The largest body that is accepted would never find room.
-#[test]
-fn a_total_that_is_too_small_for_one_body_is_refused() {
-    let text = "[process]\nname = a\nroles = gateway\nzone = z\nrequests_max_bytes = 4000000\n[link]\n\
-                listen = 127.0.0.1:7000\ncontrol = 127.0.0.1:7001\n[gateway]\nlisten = 127.0.0.1:7003\n";
-    let found = problems(text);
-    let expected = "[process] requests_max_bytes: 4000000 leaves 1000000 bytes to a single body, \
-                    less than body_max_bytes, which is 1048576";
+/// A request with the largest body that is accepted would never find room.
+#[yare::parameterized(
+    body = { "requests_max_bytes = 4000000", "", "[process] requests_max_bytes: 4000000 leaves 1000000 bytes to a single body, less than body_max_bytes, which is 1048576" },
+    decoded = { "", "calls_max_bytes = 8000000", "[gateway] calls_max_bytes: 8000000 leaves 2000000 bytes to a single request, which may take 2097152 decoded" },
+)]
+fn totals_that_are_too_small_for_one_request_are_refused(
+    process: &str,
+    gateway: &str,
+    expected: &str,
+) {
+    let found = problems(&format!(
+        "[process]\nname = a\nroles = gateway\nzone = z\n{process}\n[link]\nlisten = 127.0.0.1:7000\n\
+         control = 127.0.0.1:7001\n[gateway]\nlisten = 127.0.0.1:7003\n{gateway}\n"
+    ));
     assert!(found.contains(expected), "{found}");
 }
 
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -608,6 +608,7 @@
         park_ms: 900,
         probe_ms: 500,
         calls_max: 100,
+        calls_max_bytes: 1 << 25,
         overload_control: false,
     }
 }
