Bound the memory of messages on links, by bytes in place of counts alone

A link queued up to 4,096 messages of up to 4 MiB for each peer, decoded and once more for each send of a request, and handed received ones on without a bound. Clients of an entry reach both: what they send is copied for the leader, again after 300 ms without an answer, and a leader that is busy takes it all in.

Messages are encoded when they are queued, and all queues of a process share `queue_max_bytes` of [link] (64 MiB; 16 for an entry). A message gets at most a quarter of what the others leave, so that heartbeats and leases pass beside large messages; more are dropped and counted, as those for a full queue are (aspenrail_link_dropped_total{reason="queue_bytes"} and aspenrail_limits_reached_total{limit="link.queue_max_bytes"}, with a log line). As much is received and not yet worked on; then the process reads no more until it has worked on some, and each peer may send 1 MiB ahead (4 before). The setting is checked against frame_max_bytes.

tests/links.rs, with a limit of 1 MiB: of 15 messages of 90 KB for a peer that takes nothing 8 are queued, and another peer is reached meanwhile; 11 are received by a process that works on none, and the others follow. With the limit out of reach both tests fail: nothing is dropped, and all 30 are received.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -336,7 +336,7 @@
         );
         problems.push(problem(file, "process", "log_level", &message));
     }
-    check_bodies(file, settings, &mut problems);
+    check_totals(file, settings, &mut problems);
     if let Some(control) = &settings.control {
         check_control(file, control, &mut problems);
     }
@@ -354,8 +354,8 @@
     if problems.is_empty() { Ok(settings.clone()) } else { Err(problems) }
 }
 
-/// Checks that a request with the largest body finds room while there is no other.
-fn check_bodies(file: &str, settings: &Settings, problems: &mut Vec<SettingsProblem>) {
+/// Checks that a request or a message of the largest size finds room while there is no other.
+fn check_totals(file: &str, settings: &Settings, problems: &mut Vec<SettingsProblem>) {
     let entry = settings.entry.as_ref().map(|it| it.body_max_bytes);
     let gateway = settings.gateway.as_ref().map(|it| it.body_max_bytes);
     let body_max_bytes = entry.max(gateway).unwrap_or(0) as usize;
@@ -367,6 +367,15 @@
         );
         problems.push(problem(file, "process", "requests_max_bytes", &message));
     }
+    let link = &settings.link;
+    let message_max_bytes = ByteBudget::holder_max_bytes(link.queue_max_bytes as usize);
+    if message_max_bytes < link.frame_max_bytes as usize {
+        let message = format!(
+            "{} leaves {message_max_bytes} bytes to a single message, less than frame_max_bytes, which is {}",
+            link.queue_max_bytes, link.frame_max_bytes
+        );
+        problems.push(problem(file, "link", "queue_max_bytes", &message));
+    }
     let Some(gateway) = &settings.gateway else { return };
     let holder_max_bytes = ByteBudget::holder_max_bytes(gateway.calls_max_bytes as usize);
     let decoded_max_bytes = gateway.body_max_bytes as usize * DECODED_RATIO_MAX;
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     link::{LinkEvent, LinkOptions, LinkSink, codec::encode_frame},
-    metrics::Metrics,
+    metrics::{Limit, Metrics},
     prelude::*,
+    util::{ByteBudget, ReservedBytes},
 };
 
 /// Timeout for opening a connection, with all its TCP connection attempts.
@@ -69,6 +70,37 @@
     SendError::Other(format_compact!("{it}"))
 }
 
+/// A message on its way to a peer, encoded.
+struct QueuedFrame {
+    bytes: Bytes,
+    /// Its part of the memory of all queues.
+    _reserved: ReservedBytes,
+}
+
+/// Encodes a message and reserves its memory; returns `None` if it is dropped.
+fn queue_frame(
+    to: SocketAddr,
+    envelope: &Envelope,
+    options: &LinkOptions,
+    memory: &ByteBudget,
+    metrics: &Metrics,
+) -> Option<QueuedFrame> {
+    let bytes = match encode_frame(envelope, options.frame_max_bytes) {
+        Ok(it) => it,
+        Err(error) => {
+            tracing::error!(event = "message_too_large", peer = %to, %error);
+            metrics.count_dropped_message("too_large");
+            return None;
+        }
+    };
+    let Some(reserved) = memory.reserve(bytes.len()) else {
+        metrics.count_dropped_message("queue_bytes");
+        metrics.note_limit_reached(Limit::LinkQueueBytes);
+        return None;
+    };
+    Some(QueuedFrame { bytes, _reserved: reserved })
+}
+
 /// Distributes messages to the queues of their peers.
 pub(super) async fn route_messages<S: LinkSink>(
     mut incoming: mpsc::UnboundedReceiver<(SocketAddr, Envelope)>,
@@ -76,13 +108,17 @@
     metrics: Arc<Metrics>,
     sink: S,
 ) {
-    let mut peers: HashMap<SocketAddr, mpsc::Sender<Envelope>> = HashMap::new();
+    let mut peers: HashMap<SocketAddr, mpsc::Sender<QueuedFrame>> = HashMap::new();
+    let memory = ByteBudget::new(options.queue_max_bytes);
     let mut last_sweep = time::Instant::now();
-    while let Some((to, mut envelope)) = incoming.recv().await {
+    while let Some((to, envelope)) = incoming.recv().await {
         if SWEEP_INTERVAL < last_sweep.elapsed() {
             last_sweep = time::Instant::now();
             peers.retain(|_, it| !it.is_closed());
         }
+        let Some(mut frame) = queue_frame(to, &envelope, &options, &memory, &metrics) else {
+            continue;
+        };
         // The task of an idle peer has ended; the second attempt starts a new one.
         for _ in 0..2 {
             let queue = peers.entry(to).or_insert_with(|| {
@@ -91,14 +127,14 @@
                 tokio::task::spawn_local(send_to_peer(peer, receiver, sink.clone()));
                 sender
             });
-            match queue.try_send(envelope) {
+            match queue.try_send(frame) {
                 Ok(()) => break,
                 Err(mpsc::error::TrySendError::Full(_)) => {
                     metrics.count_dropped_message("queue_full");
                     break;
                 }
                 Err(mpsc::error::TrySendError::Closed(it)) => {
-                    envelope = it;
+                    frame = it;
                     peers.remove(&to);
                 }
             }
@@ -113,7 +149,7 @@
 }
 
 /// Sends the messages for one peer; ends after [`IDLE_TIMEOUT`] without messages.
-async fn send_to_peer<S: LinkSink>(peer: Peer, mut queue: mpsc::Receiver<Envelope>, sink: S) {
+async fn send_to_peer<S: LinkSink>(peer: Peer, mut queue: mpsc::Receiver<QueuedFrame>, sink: S) {
     let mut backoff = BACKOFF_MIN;
     while let Ok(Some(first)) = time::timeout(IDLE_TIMEOUT, queue.recv()).await {
         let connection = time::timeout(CONNECT_TIMEOUT, connect(&peer)).await;
@@ -137,10 +173,12 @@
         backoff = BACKOFF_MIN;
         let mut next = Some(first);
         let result = loop {
-            let Some(envelope) = next.take() else {
+            let Some(frame) = next.take() else {
                 break Ok(());
             };
-            if let Err(error) = send(&peer, &mut stream, &envelope).await {
+            peer.metrics.link_bytes_sent.inc_by(frame.bytes.len() as u64);
+            peer.metrics.link_frames_sent.inc();
+            if let Err(error) = write_frame(&mut stream, frame.bytes).await {
                 break Err(error);
             }
             let received = time::timeout(IDLE_TIMEOUT, receive_or_break(&mut queue, &mut stream));
@@ -170,9 +208,9 @@
 
 /// Waits for the next message, or for the connection to fail.
 async fn receive_or_break(
-    queue: &mut mpsc::Receiver<Envelope>,
+    queue: &mut mpsc::Receiver<QueuedFrame>,
     stream: &mut Stream,
-) -> Option<Envelope> {
+) -> Option<QueuedFrame> {
     tokio::select! {
         biased;
         _ = &mut stream.closed => {
@@ -238,20 +276,6 @@
     Ok(stream)
 }
 
-async fn send(peer: &Peer, stream: &mut Stream, envelope: &Envelope) -> Result<(), SendError> {
-    let frame = match encode_frame(envelope, peer.options.frame_max_bytes) {
-        Ok(it) => it,
-        Err(error) => {
-            tracing::error!(event = "message_too_large", peer = %peer.address, %error);
-            peer.metrics.count_dropped_message("too_large");
-            return Ok(());
-        }
-    };
-    peer.metrics.link_bytes_sent.inc_by(frame.len() as u64);
-    peer.metrics.link_frames_sent.inc();
-    write_frame(stream, frame).await
-}
-
 /// Returns once the peer does not answer a ping in time. Pings are sent only after other data.
 async fn wait_until_silent(mut ping: h2::PingPong, sent_since_ping: Rc<Cell<bool>>) {
     loop {
--- a/src/link/codec.rs
+++ b/src/link/codec.rs
@@ -60,12 +60,12 @@
         self.buffer.extend_from_slice(data);
     }
 
-    /// Returns the next complete frame, or `None` until more bytes arrive.
+    /// Returns the size of the next frame if it is complete.
     ///
     /// # Errors
     ///
-    /// Returns an error when the frame is too large, cannot be decoded as a `T`, or has excess bytes.
-    pub fn next_frame<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+    /// Returns an error when the frame is too large.
+    pub fn next_frame_bytes(&self) -> Result<Option<usize>, FrameError> {
         let Some(length) = self.buffer.get(..LENGTH_BYTES).and_then(|it| it.try_into().ok()) else {
             return Ok(None);
         };
@@ -73,9 +73,16 @@
         if self.max_bytes < length {
             return Err(FrameError::TooLarge { bytes: length, max_bytes: self.max_bytes });
         }
-        if self.buffer.len() < LENGTH_BYTES + length {
-            return Ok(None);
-        }
+        Ok((LENGTH_BYTES + length <= self.buffer.len()).then_some(length))
+    }
+
+    /// Returns the next complete frame, or `None` until more bytes arrive.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the frame is too large, cannot be decoded as a `T`, or has excess bytes.
+    pub fn next_frame<T: DeserializeOwned>(&mut self) -> Result<Option<T>, FrameError> {
+        let Some(length) = self.next_frame_bytes()? else { return Ok(None) };
         self.buffer.advance(LENGTH_BYTES);
         let body = self.buffer.split_to(length);
         let decoded = bincode::serde::decode_from_slice(&body, bincode::config::standard());
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -12,7 +12,7 @@
 use std::{net::SocketAddr, sync::Arc, thread};
 
 use error_stack::ResultExt;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 
 use crate::{
     metrics::Metrics,
@@ -23,16 +23,16 @@
 pub use self::codec::{FrameDecoder, FrameError, encode_frame};
 
 /// Event that a link reports to its process.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum LinkEvent {
     Message {
         from: SocketAddr,
         envelope: Box<Envelope>,
+        /// Its part of `queue_max_bytes`; no more is received while all of it is held.
+        held: Option<OwnedSemaphorePermit>,
     },
     /// The connection to a peer failed; the messages sent last may be lost.
-    ConnectionLost {
-        peer: SocketAddr,
-    },
+    ConnectionLost { peer: SocketAddr },
 }
 
 /// Receiver of the events of a link; called on the link's thread.
@@ -47,6 +47,8 @@
     pub listen: SocketAddr,
     pub queue_messages: usize,
     pub frame_max_bytes: usize,
+    /// Most memory of the messages queued for all peers, and of those received and not worked on.
+    pub queue_max_bytes: usize,
 }
 
 impl LinkOptions {
@@ -69,6 +71,7 @@
             listen: SocketAddr::new(link.listen.ip(), bind_port),
             queue_messages: link.queue_messages as usize,
             frame_max_bytes: link.frame_max_bytes as usize,
+            queue_max_bytes: link.queue_max_bytes as usize,
         }
     }
 }
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+};
 
 use crate::{
     error::{Error, answer_for_error},
@@ -14,6 +17,10 @@
     prelude::*,
 };
 
+/// Bytes that a peer may send ahead while the process has no room for its messages; more than what
+/// is under way between distant availability zones.
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+
 /// Accepts connections until the process ends.
 pub(super) async fn serve<S: LinkSink>(
     listener: std::net::TcpListener,
@@ -25,15 +32,17 @@
         Ok(it) => it,
         Err(error) => return tracing::error!(event = "link_listen_failed", %error),
     };
+    let inbox = Inbox::new(options.queue_max_bytes);
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => {
-                tokio::task::spawn_local(receive(
-                    tcp,
-                    options.clone(),
-                    metrics.clone(),
-                    sink.clone(),
-                ));
+                let receiver = Receiver {
+                    options: options.clone(),
+                    metrics: metrics.clone(),
+                    inbox: inbox.clone(),
+                    sink: sink.clone(),
+                };
+                tokio::task::spawn_local(receiver.receive(tcp));
             }
             Err(error) => {
                 // Often temporary, such as too many open files; the pause prevents a busy loop.
@@ -44,80 +53,102 @@
     }
 }
 
-async fn receive<S: LinkSink>(
-    tcp: TcpStream,
-    options: Arc<LinkOptions>,
-    metrics: Arc<Metrics>,
-    sink: S,
-) {
-    let _ = tcp.set_nodelay(true);
-    let handshake = h2::server::Builder::new()
-        .initial_window_size(1 << 22)
-        .initial_connection_window_size(1 << 23)
-        .max_concurrent_streams(4)
-        .handshake::<_, bytes::Bytes>(tcp)
-        .await;
-    let Ok(mut connection) = handshake else { return };
-    while let Some(Ok((request, respond))) = connection.accept().await {
-        let stream = read_stream(
-            request.into_body(),
-            respond,
-            options.clone(),
-            metrics.clone(),
-            sink.clone(),
-        );
-        tokio::task::spawn_local(stream);
+/// Memory of the messages that are received and not worked on.
+#[derive(Clone, Debug)]
+struct Inbox {
+    free_bytes: Arc<Semaphore>,
+}
+
+impl Inbox {
+    fn new(max_bytes: usize) -> Inbox {
+        Inbox { free_bytes: Arc::new(Semaphore::new(max_bytes)) }
+    }
+
+    /// Waits until there is room for a message.
+    async fn hold(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        // The largest frame is smaller than the inbox, which is never closed.
+        self.free_bytes.clone().acquire_many_owned(bytes as u32).await.ok()
     }
 }
 
-async fn read_stream<S: LinkSink>(
-    mut body: h2::RecvStream,
-    mut respond: h2::server::SendResponse<bytes::Bytes>,
+/// The receiving side of one connection.
+#[derive(Clone)]
+struct Receiver<S> {
     options: Arc<LinkOptions>,
     metrics: Arc<Metrics>,
+    inbox: Inbox,
     sink: S,
-) {
-    let mut frames = FrameDecoder::new(options.frame_max_bytes);
-    let mut peer: Option<Hello> = None;
-    while let Some(Ok(data)) = body.data().await {
-        metrics.link_bytes_received.inc_by(data.len() as u64);
-        let _ = body.flow_control().release_capacity(data.len());
-        frames.push(&data);
-        if peer.is_none() {
-            match read_hello(&mut frames, &options) {
-                Ok(None) => continue,
-                Ok(Some(hello)) => {
-                    let _ = respond.send_response(http::Response::new(()), true);
-                    peer = Some(hello);
-                }
-                Err(error) => {
-                    metrics.count_refusal(error.kind());
-                    tracing::error!(event = "link_greeting_refused", %error);
-                    let status = answer_for_error(error.kind()).status;
-                    let refused = http::Response::builder().status(status).body(());
-                    if let Ok(it) = refused {
-                        let _ = respond.send_response(it, true);
+}
+
+impl<S: LinkSink> Receiver<S> {
+    async fn receive(self, tcp: TcpStream) {
+        let _ = tcp.set_nodelay(true);
+        let handshake = h2::server::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(STREAM_WINDOW_BYTES)
+            .max_concurrent_streams(4)
+            .handshake::<_, bytes::Bytes>(tcp)
+            .await;
+        let Ok(mut connection) = handshake else { return };
+        while let Some(Ok((request, respond))) = connection.accept().await {
+            let stream = self.clone().read_stream(request.into_body(), respond);
+            tokio::task::spawn_local(stream);
+        }
+    }
+
+    async fn read_stream(
+        self,
+        mut body: h2::RecvStream,
+        mut respond: h2::server::SendResponse<bytes::Bytes>,
+    ) {
+        let mut frames = FrameDecoder::new(self.options.frame_max_bytes);
+        let mut peer: Option<Hello> = None;
+        while let Some(Ok(data)) = body.data().await {
+            self.metrics.link_bytes_received.inc_by(data.len() as u64);
+            let _ = body.flow_control().release_capacity(data.len());
+            frames.push(&data);
+            if peer.is_none() {
+                match read_hello(&mut frames, &self.options) {
+                    Ok(None) => continue,
+                    Ok(Some(hello)) => {
+                        let _ = respond.send_response(http::Response::new(()), true);
+                        peer = Some(hello);
                     }
-                    return;
+                    Err(error) => return self.refuse_greeting(&error, respond),
                 }
             }
-        }
-        let Some(hello) = &peer else { continue };
-        loop {
-            match frames.next_frame::<Envelope>() {
-                Ok(Some(envelope)) => sink.on_event(LinkEvent::Message {
-                    from: hello.address,
-                    envelope: Box::new(envelope),
-                }),
-                Ok(None) => break,
-                Err(error) => {
-                    metrics.count_refusal(ErrorKind::BadRequest);
-                    tracing::error!(event = "link_frame_refused", peer = %hello.process, %error);
-                    return;
-                }
+            let Some(hello) = &peer else { continue };
+            if let Err(error) = self.deliver(&mut frames, hello).await {
+                self.metrics.count_refusal(ErrorKind::BadRequest);
+                tracing::error!(event = "link_frame_refused", peer = %hello.process, %error);
+                return;
             }
         }
     }
+
+    fn refuse_greeting(&self, error: &Error, mut respond: h2::server::SendResponse<bytes::Bytes>) {
+        self.metrics.count_refusal(error.kind());
+        tracing::error!(event = "link_greeting_refused", %error);
+        let status = answer_for_error(error.kind()).status;
+        if let Ok(it) = http::Response::builder().status(status).body(()) {
+            let _ = respond.send_response(it, true);
+        }
+    }
+
+    /// Delivers the complete frames, as far as the process has room for them; it reads no more
+    /// meanwhile.
+    async fn deliver(&self, frames: &mut FrameDecoder, peer: &Hello) -> Result<(), FrameError> {
+        while let Some(bytes) = frames.next_frame_bytes()? {
+            let held = self.inbox.hold(bytes).await;
+            let Some(envelope) = frames.next_frame::<Envelope>()? else { break };
+            self.sink.on_event(LinkEvent::Message {
+                from: peer.address,
+                envelope: Box::new(envelope),
+                held,
+            });
+        }
+        Ok(())
+    }
 }
 
 /// Reads and checks the first frame of a connection.
--- a/src/metrics/limits.rs
+++ b/src/metrics/limits.rs
@@ -14,11 +14,13 @@
     RequestsBytes,
     AnswersBytes,
     Connections,
+    LinkQueueBytes,
 }
 
 impl Limit {
     /// All limits, for counters that exist from the start.
-    pub const ALL: [Limit; 3] = [Limit::RequestsBytes, Limit::AnswersBytes, Limit::Connections];
+    pub const ALL: [Limit; 4] =
+        [Limit::RequestsBytes, Limit::AnswersBytes, Limit::Connections, Limit::LinkQueueBytes];
 
     /// Returns the section and the key of the setting.
     pub fn as_str(self) -> &'static str {
@@ -26,6 +28,7 @@
             Limit::RequestsBytes => "process.requests_max_bytes",
             Limit::AnswersBytes => "process.answers_max_bytes",
             Limit::Connections => "process.connections_max",
+            Limit::LinkQueueBytes => "link.queue_max_bytes",
         }
     }
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -83,7 +83,8 @@
 ];
 
 /// Reasons for dropping a message between processes.
-pub const LINK_DROP_REASONS: [&str; 3] = ["queue_full", "no_connection", "too_large"];
+pub const LINK_DROP_REASONS: [&str; 4] =
+    ["queue_full", "queue_bytes", "no_connection", "too_large"];
 
 /// Ends of a request in a gateway: answered, rejected or outcome unknown.
 pub const GATEWAY_ENDS: [&str; 3] = ["told", "not_taken", "unknown"];
--- a/src/runtime/adapters.rs
+++ b/src/runtime/adapters.rs
@@ -33,6 +33,7 @@
             let event = Event::Link(LinkEvent::Message {
                 from: self.own_address,
                 envelope: Box::new(envelope),
+                held: None,
             });
             self.loopback.borrow_mut().push_back(event);
         } else {
--- a/src/runtime/process.rs
+++ b/src/runtime/process.rs
@@ -387,7 +387,7 @@
 {
     fn dispatch(&self, event: Event) {
         match event {
-            Event::Link(LinkEvent::Message { from, envelope }) => self.deliver(from, *envelope),
+            Event::Link(LinkEvent::Message { from, envelope, .. }) => self.deliver(from, *envelope),
             Event::Link(LinkEvent::ConnectionLost { peer }) => {
                 self.send_to_entry(entry::Input::LinkLost { peer })
             }
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -575,7 +575,7 @@
 impl<P: Platform> Actors<P> {
     fn dispatch(&self, event: Event) {
         match event {
-            Event::Link(LinkEvent::Message { from, envelope }) => {
+            Event::Link(LinkEvent::Message { from, envelope, .. }) => {
                 self.deliver(from, envelope.message)
             }
             Event::Gateway(it) => self.send_to_gateway(it),
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -258,7 +258,7 @@
     pub frame_max_bytes: u32,
     ///Address at which other processes reach this one.
     pub listen: ::std::net::SocketAddr,
-    ///Most memory for the messages queued for all peers together; more are dropped and counted.
+    ///Most memory for the messages queued for all peers together, beyond which they are dropped and counted, and as much again for those received and not worked on, beyond which no more are received.
     pub queue_max_bytes: u32,
     ///Maximum number of messages queued for one peer; more are dropped and counted.
     pub queue_messages: u32,
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -6,7 +6,7 @@
 use aspenrail::{
     error::ERROR_ANSWERS,
     link::{Link, LinkEvent, LinkOptions, LinkSink},
-    metrics::Metrics,
+    metrics::{Limit, Metrics},
     prelude::*,
     schema::PROTOCOL_VERSION,
     standin::layout::free_addresses,
@@ -22,6 +22,9 @@
 /// Far longer than any event takes to arrive.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(30);
 
+const FRAME_MAX_BYTES: usize = 100_000;
+const QUEUE_MAX_BYTES: usize = 1 << 20;
+
 #[derive(Clone)]
 struct Sink(Sender<LinkEvent>);
 
@@ -41,8 +44,13 @@
 fn start(version: u32, group: u32) -> Process {
     let address = free_addresses(1).unwrap()[0];
     let hello = Hello { version, process: "p".into(), region: 1, group, address };
-    let options =
-        LinkOptions { hello, listen: address, queue_messages: 16, frame_max_bytes: 100_000 };
+    let options = LinkOptions {
+        hello,
+        listen: address,
+        queue_messages: 16,
+        frame_max_bytes: FRAME_MAX_BYTES,
+        queue_max_bytes: QUEUE_MAX_BYTES,
+    };
     let (sender, events) = unbounded();
     let metrics = Metrics::new();
     let link = Link::start(options, metrics.clone(), Sink(sender)).unwrap();
@@ -58,7 +66,8 @@
     let (a, b) = (start(PROTOCOL_VERSION, 1), start(PROTOCOL_VERSION, 1));
     (1..=10).for_each(|it| a.link.send(b.address, message(it)));
     for number in 1..=10 {
-        let LinkEvent::Message { from, envelope } = b.events.recv_timeout(EVENT_TIMEOUT).unwrap()
+        let LinkEvent::Message { from, envelope, .. } =
+            b.events.recv_timeout(EVENT_TIMEOUT).unwrap()
         else {
             panic!("connection lost")
         };
@@ -94,6 +103,51 @@
     );
 }
 
+fn large_message() -> Envelope {
+    let target = WorkflowTarget { host: "h".into(), path: "x".repeat(90_000).into() };
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let call = WorkflowCall { id: 1, reply_to: address, request: WorkflowRequest::Inspect(target) };
+    Envelope { in_force: Revision(0), message: Message::WorkflowCall(call) }
+}
+
+/// A peer that takes nothing gets as many messages queued as their memory allows, and another peer
+/// is reached meanwhile.
+#[test]
+fn messages_for_a_peer_that_takes_nothing_are_bounded_by_memory() {
+    let (a, b) = (start(PROTOCOL_VERSION, 1), start(PROTOCOL_VERSION, 1));
+    let mute = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mute_address = mute.local_addr().unwrap();
+    (0..15).for_each(|_| a.link.send(mute_address, large_message()));
+    a.link.send(b.address, message(7));
+    let LinkEvent::Message { envelope, .. } = b.events.recv_timeout(EVENT_TIMEOUT).unwrap() else {
+        panic!("connection lost")
+    };
+    assert_eq!(*envelope, message(7));
+    // Beside eight of them, a quarter of the remainder is too little for another one.
+    assert_eq!(a.metrics.limit_reached_count(Limit::LinkQueueBytes), 15 - 8);
+}
+
+/// A process that works on nothing receives as many messages as their memory allows; the others
+/// follow once it works on them.
+#[test]
+fn received_messages_are_bounded_by_memory() {
+    let (a, b) = (start(PROTOCOL_VERSION, 1), start(PROTOCOL_VERSION, 1));
+    for _ in 0..30 {
+        a.link.send(b.address, large_message());
+        // Lets the sender's queue, which is bounded too, run empty.
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let mut unhandled = Vec::new();
+    while let Ok(it) = b.events.recv_timeout(Duration::from_secs(1)) {
+        unhandled.push(it);
+    }
+    let is_message = |it: &LinkEvent| matches!(it, LinkEvent::Message { .. });
+    assert!(unhandled.iter().all(is_message));
+    assert_eq!(unhandled.len(), QUEUE_MAX_BYTES / 90_000);
+    unhandled.clear();
+    assert!(is_message(&b.events.recv_timeout(EVENT_TIMEOUT).unwrap()));
+}
+
 /// Longest time until messages arrive again: users expect a VM to be in contact within it.
 const RECOVERY_MAX: Duration = Duration::from_secs(3);
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -62,19 +62,21 @@
     assert!(found.contains(expected), "expected: {expected}\nfound: {found}");
 }
 
-/// A request with the largest body that is accepted would never find room.
+/// A request or a message of the largest size that is accepted would never find room.
 #[yare::parameterized(
     body = { "requests_max_bytes = 4000000", "", "[process] requests_max_bytes: 4000000 leaves 1000000 bytes to a single body, less than body_max_bytes, which is 1048576" },
+    message = { "[link]\nqueue_max_bytes = 16000000", "", "[link] queue_max_bytes: 16000000 leaves 4000000 bytes to a single message, less than frame_max_bytes, which is 4194304" },
     decoded = { "", "calls_max_bytes = 8000000", "[gateway] calls_max_bytes: 8000000 leaves 2000000 bytes to a single request, which may take 2097152 decoded" },
 )]
 fn totals_that_are_too_small_for_one_request_are_refused(
-    process: &str,
+    process_and_link: &str,
     gateway: &str,
     expected: &str,
 ) {
+    let (process, link) = process_and_link.split_once("[link]").unwrap_or((process_and_link, ""));
     let found = problems(&format!(
         "[process]\nname = a\nroles = gateway\nzone = z\n{process}\n[link]\nlisten = 127.0.0.1:7000\n\
-         control = 127.0.0.1:7001\n[gateway]\nlisten = 127.0.0.1:7003\n{gateway}\n"
+         control = 127.0.0.1:7001\n{link}\n[gateway]\nlisten = 127.0.0.1:7003\n{gateway}\n"
     ));
     assert!(found.contains(expected), "{found}");
 }
