Bound the connections to links of peers that have not said hello

Connections to a process's link that stayed silent were kept without a bound: 1,200 of them took 1,218 descriptors of an entry with room for 974, for ever, since no timeout ended them; each could also send 4 MiB of a first frame before it was known as a peer.

A peer says hello with its first bytes, and is never closed for another one afterwards. A hello has 4 KiB at most. Counter aspenrail_limits_reached_total{limit="link.greetings_max"}, and at most one log line a second.

--- a/src/link/codec.rs
+++ b/src/link/codec.rs
@@ -55,6 +55,11 @@
         FrameDecoder { buffer: BytesMut::new(), max_bytes }
     }
 
+    /// Accepts frames of at most `max_bytes` from now on.
+    pub fn set_max_bytes(&mut self, max_bytes: usize) {
+        self.max_bytes = max_bytes;
+    }
+
     /// Appends received bytes.
     pub fn push(&mut self, data: &[u8]) {
         self.buffer.extend_from_slice(data);
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,6 +7,7 @@
 
 mod client;
 mod codec;
+mod greetings;
 mod server;
 
 use std::{net::SocketAddr, sync::Arc, thread};
@@ -49,6 +50,8 @@
     pub frame_max_bytes: usize,
     /// Most memory of the messages queued for all peers, and of those received and not worked on.
     pub queue_max_bytes: usize,
+    /// Most connections of peers that have not said hello.
+    pub greetings_max: usize,
 }
 
 impl LinkOptions {
@@ -72,6 +75,7 @@
             queue_messages: link.queue_messages as usize,
             frame_max_bytes: link.frame_max_bytes as usize,
             queue_max_bytes: link.queue_max_bytes as usize,
+            greetings_max: link.greetings_max as usize,
         }
     }
 }
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -1,6 +1,6 @@
 //! Receiving side: accepts connections and decodes their frames.
 
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -12,8 +12,9 @@
     link::{
         LinkEvent, LinkOptions, LinkSink,
         codec::{FrameDecoder, FrameError},
+        greetings::{Greetings, NewConnection},
     },
-    metrics::Metrics,
+    metrics::{Limit, Metrics},
     prelude::*,
 };
 
@@ -21,6 +22,9 @@
 /// is under way between distant availability zones.
 const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 
+/// Largest hello.
+const HELLO_MAX_BYTES: usize = 4 * 1024;
+
 /// Accepts connections until the process ends.
 pub(super) async fn serve<S: LinkSink>(
     listener: std::net::TcpListener,
@@ -33,16 +37,27 @@
         Err(error) => return tracing::error!(event = "link_listen_failed", %error),
     };
     let inbox = Inbox::new(options.queue_max_bytes);
+    let greetings = Greetings::new(options.greetings_max);
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => {
+                let (connection, closed, displaced_another) = greetings.open();
+                if displaced_another {
+                    metrics.note_limit_reached(Limit::Greetings);
+                }
                 let receiver = Receiver {
+                    connection: Rc::new(connection),
                     options: options.clone(),
                     metrics: metrics.clone(),
                     inbox: inbox.clone(),
                     sink: sink.clone(),
                 };
-                tokio::task::spawn_local(receiver.receive(tcp));
+                tokio::task::spawn_local(async move {
+                    tokio::select! {
+                        () = receiver.receive(tcp) => (),
+                        _ = closed => tracing::debug!(event = "link_displaced"),
+                    }
+                });
             }
             Err(error) => {
                 // Often temporary, such as too many open files; the pause prevents a busy loop.
@@ -74,6 +89,7 @@
 /// The receiving side of one connection.
 #[derive(Clone)]
 struct Receiver<S> {
+    connection: Rc<NewConnection>,
     options: Arc<LinkOptions>,
     metrics: Arc<Metrics>,
     inbox: Inbox,
@@ -101,7 +117,7 @@
         mut body: h2::RecvStream,
         mut respond: h2::server::SendResponse<bytes::Bytes>,
     ) {
-        let mut frames = FrameDecoder::new(self.options.frame_max_bytes);
+        let mut frames = FrameDecoder::new(HELLO_MAX_BYTES);
         let mut peer: Option<Hello> = None;
         while let Some(Ok(data)) = body.data().await {
             self.metrics.link_bytes_received.inc_by(data.len() as u64);
@@ -112,6 +128,8 @@
                     Ok(None) => continue,
                     Ok(Some(hello)) => {
                         let _ = respond.send_response(http::Response::new(()), true);
+                        self.connection.note_hello();
+                        frames.set_max_bytes(self.options.frame_max_bytes);
                         peer = Some(hello);
                     }
                     Err(error) => return self.refuse_greeting(&error, respond),
--- a/src/metrics/limits.rs
+++ b/src/metrics/limits.rs
@@ -15,12 +15,18 @@
     AnswersBytes,
     Connections,
     LinkQueueBytes,
+    Greetings,
 }
 
 impl Limit {
     /// All limits, for counters that exist from the start.
-    pub const ALL: [Limit; 4] =
-        [Limit::RequestsBytes, Limit::AnswersBytes, Limit::Connections, Limit::LinkQueueBytes];
+    pub const ALL: [Limit; 5] = [
+        Limit::RequestsBytes,
+        Limit::AnswersBytes,
+        Limit::Connections,
+        Limit::LinkQueueBytes,
+        Limit::Greetings,
+    ];
 
     /// Returns the section and the key of the setting.
     pub fn as_str(self) -> &'static str {
@@ -29,6 +35,7 @@
             Limit::AnswersBytes => "process.answers_max_bytes",
             Limit::Connections => "process.connections_max",
             Limit::LinkQueueBytes => "link.queue_max_bytes",
+            Limit::Greetings => "link.greetings_max",
         }
     }
 }
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -256,6 +256,8 @@
     pub control_port: u32,
     ///Largest message accepted from a peer.
     pub frame_max_bytes: u32,
+    ///Maximum number of connections of peers that have not said hello; beyond it the one that has waited longest is closed.
+    pub greetings_max: u32,
     ///Address at which other processes reach this one.
     pub listen: ::std::net::SocketAddr,
     ///Most memory for the messages queued for all peers together, beyond which they are dropped and counted, and as much again for those received and not worked on, beyond which no more are received.
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -50,7 +50,7 @@
 const LINES: SettingsLines = SettingsLines {
     process: "connections_max = 750\nrequests_max_bytes = 8388608\nanswers_max_bytes = 4194304\n",
     node_process: "connections_max = 64\nrequests_max_bytes = 1048576\n",
-    link: "queue_max_bytes = 16777216\n",
+    link: "queue_max_bytes = 16777216\ngreetings_max = 500\n",
     gateway: "calls_max_bytes = 8388608\n",
     dispatch: "calls_max_bytes = 4194304\nlog_max_bytes = 8388608\nworkflows_max_bytes = 8388608\n",
 };
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -24,6 +24,7 @@
 
 const FRAME_MAX_BYTES: usize = 100_000;
 const QUEUE_MAX_BYTES: usize = 1 << 20;
+const GREETINGS_MAX: usize = 8;
 
 #[derive(Clone)]
 struct Sink(Sender<LinkEvent>);
@@ -50,6 +51,7 @@
         queue_messages: 16,
         frame_max_bytes: FRAME_MAX_BYTES,
         queue_max_bytes: QUEUE_MAX_BYTES,
+        greetings_max: GREETINGS_MAX,
     };
     let (sender, events) = unbounded();
     let metrics = Metrics::new();
@@ -127,6 +129,30 @@
     assert_eq!(a.metrics.limit_reached_count(Limit::LinkQueueBytes), 15 - 8);
 }
 
+/// Connections that say no hello displace each other, and no peer that has said hello.
+#[test]
+fn silent_connections_keep_no_peer_out() {
+    let (a, b) = (start(PROTOCOL_VERSION, 1), start(PROTOCOL_VERSION, 1));
+    a.link.send(b.address, message(1));
+    assert!(b.events.recv_timeout(EVENT_TIMEOUT).is_ok());
+    let mut silent: Vec<_> =
+        (0..30).map(|_| std::net::TcpStream::connect(b.address).unwrap()).collect();
+    let c = start(PROTOCOL_VERSION, 1);
+    c.link.send(b.address, message(2));
+    a.link.send(b.address, message(3));
+    for _ in 0..2 {
+        let event = b.events.recv_timeout(EVENT_TIMEOUT).unwrap();
+        assert!(matches!(event, LinkEvent::Message { .. }), "{event:?}");
+    }
+    for it in &mut silent[..30 - GREETINGS_MAX] {
+        it.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+        // The process sends its settings first; the connection then ends.
+        assert!(std::io::copy(it, &mut std::io::sink()).is_ok_and(|it| it < 1_000));
+    }
+    assert!(a.events.try_recv().is_err(), "a lost its connection");
+    assert!(30 - GREETINGS_MAX as u64 <= b.metrics.limit_reached_count(Limit::Greetings));
+}
+
 /// A process that works on nothing receives as many messages as their memory allows; the others
 /// follow once it works on them.
 #[test]
