Compute what the steps of an occurrence share once in a plan, not for each step

Each plan computed the chains and the remaining work of a whole workflow again for each of its steps that is ready, so that its time grew with the square of the steps. Nine submissions of 1,000 steps, as many as are accepted, kept a leader busy for over a minute (debug build): it lost its lease, and no ordinary submission was accepted. Samples of the process showed it in work_core_ms.

The steps that are ready are listed by occurrence; what they share is now computed at the first one.

--- a/src/control/dispatch/plan/candidates.rs
+++ b/src/control/dispatch/plan/candidates.rs
@@ -74,37 +74,81 @@
     workflows: &Workflows,
     now: Now,
 ) -> Vec<Candidate<'_>> {
-    let ready = workflows.ready_steps();
-    let mut res: Vec<_> = ready.filter_map(|it| candidate(workflows, it, now)).collect();
+    let mut res = Vec::new();
+    let mut last: Option<ReadyOccurrence> = None;
+    // Steps of one occurrence follow each other, so that its figures are computed once for all.
+    for step_ref in workflows.ready_steps() {
+        let key = (step_ref.workflow, step_ref.occurrence);
+        if last.as_ref().is_none_or(|it| it.key != key) {
+            last = ReadyOccurrence::new(workflows, step_ref, now);
+        }
+        res.extend(last.as_ref().and_then(|it| it.candidate(step_ref, now)));
+    }
     res.sort_by_key(|it| (it.urgency, it.step_ref));
     res
 }
 
-fn candidate(workflows: &Workflows, step_ref: StepRef, now: Now) -> Option<Candidate<'_>> {
-    let workflow = workflows.get(step_ref.workflow)?;
-    let queue = workflows.queue(&workflow.queue)?;
-    let due_ms = workflow.due_ms(step_ref.occurrence as usize);
-    if now.wall_ms < due_ms {
-        return None;
+/// An occurrence that is due, with what its steps share.
+struct ReadyOccurrence<'a> {
+    key: (WorkflowId, u32),
+    workflow: &'a Workflow,
+    queue: &'a Queue,
+    begin_ms: u64,
+    objective_ms: u64,
+    /// For each step, the longest chain that begins with it.
+    chains_ms: Vec<u64>,
+    work_core_ms: u64,
+    size_core_ms: u64,
+}
+
+impl<'a> ReadyOccurrence<'a> {
+    /// Returns the occurrence of a step, or `None` if it is not due or has no queue.
+    fn new(workflows: &'a Workflows, step_ref: StepRef, now: Now) -> Option<Self> {
+        let workflow = workflows.get(step_ref.workflow)?;
+        let queue = workflows.queue(&workflow.queue)?;
+        let due_ms = workflow.due_ms(step_ref.occurrence as usize);
+        if now.wall_ms < due_ms {
+            return None;
+        }
+        let occurrence = workflow.occurrences.get(step_ref.occurrence as usize)?;
+        let chains_ms = chains_ms(&workflow.spec);
+        let longest_chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
+        Some(ReadyOccurrence {
+            key: (step_ref.workflow, step_ref.occurrence),
+            workflow,
+            queue,
+            begin_ms: workflow.accepted_ms.max(due_ms),
+            objective_ms: objective_ms(queue, longest_chain_ms),
+            chains_ms,
+            work_core_ms: work_core_ms(workflow, occurrence),
+            size_core_ms: size_core_ms(&workflow.spec),
+        })
+    }
+
+    fn candidate(&self, step_ref: StepRef, now: Now) -> Option<Candidate<'a>> {
+        let step = step_ref.step as usize;
+        let remaining_ms = self.chains_ms[step];
+        let pending = PendingStep {
+            priority: self.queue.priority,
+            is_long_running: self.workflow.spec.steps.get(step)?.lasting,
+            objective_deadline_ms: self.begin_ms.saturating_add(self.objective_ms),
+            remaining_ms,
+            work_core_ms: self.work_core_ms,
+        };
+        Some(Candidate {
+            urgency: urgency(pending, now.wall_ms),
+            step_ref,
+            workflow: self.workflow,
+            queue: self.queue,
+            objective: Objective {
+                begin_ms: self.begin_ms,
+                objective_ms: self.objective_ms,
+                remaining_ms,
+            },
+            work_core_ms: self.work_core_ms,
+            size_core_ms: self.size_core_ms,
+        })
     }
-    let occurrence = workflow.occurrences.get(step_ref.occurrence as usize)?;
-    let chains_ms = chains_ms(&workflow.spec);
-    let longest_chain_ms = chains_ms.iter().copied().max().unwrap_or(0);
-    let objective_ms = objective_ms(queue, longest_chain_ms);
-    let step = step_ref.step as usize;
-    let begin_ms = workflow.accepted_ms.max(due_ms);
-    let objective = Objective { begin_ms, objective_ms, remaining_ms: chains_ms[step] };
-    let work_core_ms = work_core_ms(workflow, occurrence);
-    let size_core_ms = size_core_ms(&workflow.spec);
-    let pending = PendingStep {
-        priority: queue.priority,
-        is_long_running: workflow.spec.steps.get(step)?.lasting,
-        objective_deadline_ms: begin_ms.saturating_add(objective_ms),
-        remaining_ms: objective.remaining_ms,
-        work_core_ms,
-    };
-    let urgency = urgency(pending, now.wall_ms);
-    Some(Candidate { urgency, step_ref, workflow, queue, objective, work_core_ms, size_core_ms })
 }
 
 /// Returns the time within which a workflow with this longest chain gives its caller full value.
