Send starts in grants of bounded size

Many such submissions made a leader hold each payload once for every task: 100 clients with 10,000 tasks each took it to 1,209 MB of 64, with its stored workflows bounded.

A grant now takes 1 MiB of starts, and all grants of a turn 16 MiB; the others follow with the next reports. What was sent before and is still due comes first. If some of it does not fit, the grant says that it is not complete, since a node withdraws pending starts that are missing in a complete one.

--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -19,6 +19,7 @@
 mod run_times;
 mod sessions;
 mod speeds;
+mod start_batches;
 mod waiting_report;
 
 use std::{collections::BTreeSet, net::SocketAddr};
@@ -45,6 +46,7 @@
     run_monitor::{RunKind, RunMonitor},
     sessions::{Sessions, SlowRun, UsabilityCriteria},
     speeds::WorkerSpeeds,
+    start_batches::StartMemory,
 };
 pub use self::{
     features::Features, orders::run_name, plan::PlanOptions, requests::RequestDecision,
@@ -109,6 +111,8 @@
     idle_since: plan::IdleSince,
     waiting_steps: plan::WaitingSteps,
     fair_shares: plan::FairShares,
+    /// Reset at the end of each turn.
+    start_memory: StartMemory,
     /// Whether a `Begin` command is proposed and not yet applied; the next plan waits for it.
     begin_in_flight: bool,
     last_plan_ms: u64,
@@ -143,6 +147,7 @@
             idle_since: plan::IdleSince::default(),
             waiting_steps: plan::WaitingSteps::default(),
             fair_shares: plan::FairShares::default(),
+            start_memory: StartMemory::default(),
             begin_in_flight: false,
             last_plan_ms: 0,
             plan_count: 0,
@@ -229,6 +234,7 @@
         if self.next_plan_ms <= now.mono_ms && !self.begin_in_flight {
             self.plan(workflows, members, now);
         }
+        self.start_memory = StartMemory::default();
         std::mem::take(&mut self.output)
     }
 
--- a/src/control/dispatch/orders.rs
+++ b/src/control/dispatch/orders.rs
@@ -9,7 +9,7 @@
     control::{
         dispatch::{
             Dispatcher, LOAD_PLAN_PAUSE_MS, PLAN_PAUSE_MS, lost_workers::LossCause,
-            sessions::Session,
+            sessions::Session, start_batches::StartMemory,
         },
         state::{Worker, Workflows, fits},
     },
@@ -188,7 +188,7 @@
         let current_report = session.report.as_ref().filter(|it| it.term == self.term);
         // Without a report of this term the worker's runs are not known yet.
         let orders = current_report
-            .map(|it| orders_for(workflows, id, worker, it, session))
+            .map(|it| orders_for(workflows, id, worker, it, session, &mut self.start_memory))
             .unwrap_or_default();
         let mut grant = NodeGrant {
             number: session.report_number,
@@ -196,12 +196,12 @@
             sent_ms,
             term: self.term,
             token: token(self.term, id),
-            is_complete: current_report.is_some(),
+            is_complete: current_report.is_some() && orders.has_all_sent_starts,
             lease_ms: self.options.lease_ms,
             worker: worker.name.clone(),
             capacity: worker.capacity,
             acked_cursor: worker.cursor,
-            orders,
+            orders: orders.list,
             services: services(workflows),
             costs: Vec::new(),
             members: members.to_vec(),
@@ -209,6 +209,7 @@
         let node = session.node;
         if let Some(it) = self.sessions.get_mut(id) {
             it.grants_sent += 1;
+            it.sent_starts = orders.sent_starts;
         }
         let costs = self
             .free_capacities
@@ -294,18 +295,30 @@
     costs.len() != sent.len() || !costs.iter().zip(sent).all(is_same)
 }
 
-/// Returns the orders that make a worker's runs match the ledger.
+/// The orders for a worker.
+#[derive(Debug, Default)]
+struct Orders {
+    list: Vec<RunOrder>,
+    has_all_sent_starts: bool,
+    /// The starts that are due and were sent, with these orders or before.
+    sent_starts: BTreeSet<RunRef>,
+}
+
+/// Returns the orders that make a worker's runs match the ledger, with as many starts as
+/// `start_memory` allows.
 fn orders_for(
     workflows: &Workflows,
     id: WorkerId,
     worker: &Worker,
     report: &WorkerReport,
     session: &Session,
-) -> Vec<RunOrder> {
+    start_memory: &mut StartMemory,
+) -> Orders {
     let ended: HashSet<_> = report.ended.iter().map(|it| it.end.run).collect();
     // Runs placed on a worker whose capacity has shrunk since may no longer fit.
     let may_not_begin = workflows.is_evacuated(id) || !fits(worker.reserved, worker.capacity);
     let mut res = Vec::new();
+    let mut due_starts = Vec::new();
     for run in &worker.runs {
         match session.monitored_runs.contains_key(run) {
             _ if workflows.is_redundant(*run) => res.push(RunOrder::Stop(*run)),
@@ -321,14 +334,17 @@
             false if session.ever_listed_runs.contains(run) => res.push(RunOrder::Stop(*run)),
             // The node blocks the run and then reports that it will never begin.
             false if may_not_begin => res.push(RunOrder::Stop(*run)),
-            false => res.extend(start_order(workflows, *run).map(RunOrder::Start)),
+            false => due_starts.push(*run),
         }
     }
     // A run that the ledger no longer places here must not continue while its task begins
     // elsewhere.
     let unplaced_runs = report.running.iter().filter(|it| !worker.runs.contains(&it.run));
     res.extend(unplaced_runs.map(|it| RunOrder::Stop(it.run)));
-    res
+    let start_of = |run| start_order(workflows, run);
+    let batch = start_memory.take(&due_starts, &session.sent_starts, start_of);
+    res.extend(batch.starts.into_iter().map(RunOrder::Start));
+    Orders { list: res, has_all_sent_starts: batch.has_all_sent, sent_starts: batch.sent }
 }
 
 /// Returns the worker pools of the configuration, or none if no configuration is installed.
--- a/src/control/dispatch/sessions.rs
+++ b/src/control/dispatch/sessions.rs
@@ -47,6 +47,8 @@
     pub costs_sent_ms: u64,
     /// Sequence of the newest grant.
     pub grants_sent: u64,
+    /// The runs that are due to start and whose start was sent.
+    pub sent_starts: BTreeSet<RunRef>,
     /// Highest cursor of the ends proposed for the ledger.
     pub proposed_cursor: u64,
     /// Whether the worker's dismissal was decided.
@@ -111,6 +113,7 @@
             sent_costs: Vec::new(),
             costs_sent_ms: 0,
             grants_sent,
+            sent_starts: BTreeSet::new(),
             proposed_cursor: 0,
             is_being_dismissed: false,
         };
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -37,6 +37,7 @@
 mod rules;
 mod same_id;
 mod slow_workers;
+mod start_batches;
 mod usage;
 mod worker;
 mod world;
