Bound the memory of submissions at the leader, waiting, proposed and stored

A leader accepted whatever fitted into one message. 100 clients with submissions of legal size took it to 718 MB of 64 (large payloads); with small submissions of 100,000 tasks to 668 MB; with large steps it answered nothing but refusals for 60 s.

- `workflows_max_bytes` of [dispatch] (48 MiB) bounds the stored workflows, with 200 bytes for a task that may run and 64 for one of a later occurrence.
- `calls_max_bytes` of [dispatch] (16 MiB) bounds the submissions that wait for their turn or are proposed and not applied.

A submission gets at most a quarter of what the others leave, so that ordinary ones find room beside any number of large ones. What finds none is refused before it is proposed, with a time to return; it never runs. A submission that is stored or waits already is answered as before. The largest submission that the leader accepts, 100,000 tasks, takes 8 MB of the 12 that a single one may have.

--- a/src/bench/dispatch.rs
+++ b/src/bench/dispatch.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     control::{
-        dispatch::{DispatchOptions, Dispatcher, Features, PlanOptions},
+        dispatch::{DispatchOptions, Dispatcher, Features, MemoryLimits, PlanOptions},
         state::Workflows,
     },
     link::{FrameDecoder, encode_frame},
@@ -143,6 +143,7 @@
             retention_ms: 300_000,
             plan: PlanOptions { interval_ms: 250 },
             features: Features::default(),
+            memory: MemoryLimits::default(),
         };
         let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let (report_times, plan_times) = (Vec::new(), Vec::new());
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -11,7 +11,7 @@
 use crate::{
     prelude::*,
     schema::settings::{Role, Settings},
-    util::ByteBudget,
+    util::holder_max_bytes,
 };
 
 /// Largest ratio of the memory of a large request to the bytes of its body.
@@ -360,15 +360,15 @@
     let gateway = settings.gateway.as_ref().map(|it| it.body_max_bytes);
     let body_max_bytes = entry.max(gateway).unwrap_or(0) as usize;
     let total_bytes = settings.process.requests_max_bytes;
-    let holder_max_bytes = ByteBudget::holder_max_bytes(total_bytes as usize);
-    if holder_max_bytes < body_max_bytes {
+    let body_room_bytes = holder_max_bytes(total_bytes as usize);
+    if body_room_bytes < body_max_bytes {
         let message = format!(
-            "{total_bytes} leaves {holder_max_bytes} bytes to a single body, less than body_max_bytes, which is {body_max_bytes}"
+            "{total_bytes} leaves {body_room_bytes} bytes to a single body, less than body_max_bytes, which is {body_max_bytes}"
         );
         problems.push(problem(file, "process", "requests_max_bytes", &message));
     }
     let link = &settings.link;
-    let message_max_bytes = ByteBudget::holder_max_bytes(link.queue_max_bytes as usize);
+    let message_max_bytes = holder_max_bytes(link.queue_max_bytes as usize);
     if message_max_bytes < link.frame_max_bytes as usize {
         let message = format!(
             "{} leaves {message_max_bytes} bytes to a single message, less than frame_max_bytes, which is {}",
@@ -377,11 +377,11 @@
         problems.push(problem(file, "link", "queue_max_bytes", &message));
     }
     let Some(gateway) = &settings.gateway else { return };
-    let holder_max_bytes = ByteBudget::holder_max_bytes(gateway.calls_max_bytes as usize);
+    let request_room_bytes = holder_max_bytes(gateway.calls_max_bytes as usize);
     let decoded_max_bytes = gateway.body_max_bytes as usize * DECODED_RATIO_MAX;
-    if holder_max_bytes < decoded_max_bytes {
+    if request_room_bytes < decoded_max_bytes {
         let message = format!(
-            "{} leaves {holder_max_bytes} bytes to a single request, which may take {decoded_max_bytes} decoded, by body_max_bytes",
+            "{} leaves {request_room_bytes} bytes to a single request, which may take {decoded_max_bytes} decoded, by body_max_bytes",
             gateway.calls_max_bytes
         );
         problems.push(problem(file, "gateway", "calls_max_bytes", &message));
--- a/src/control/core/intake.rs
+++ b/src/control/core/intake.rs
@@ -10,6 +10,7 @@
     control::core::workflows::CallReplyTo,
     policy::overload::{Backlog, ReturnTimes, ServiceTime, WorkClass, waits},
     prelude::*,
+    schema::memory::spec_bytes,
 };
 
 /// Requests worked on in one turn: a few milliseconds, which leases can wait.
@@ -30,6 +31,8 @@
     pub request: WorkflowRequest,
     /// The workflow that it submits.
     pub submits: Option<WorkflowId>,
+    /// Memory of what it submits.
+    pub bytes: usize,
     arrived_ms: u64,
     /// Time from which nobody waits for the answer.
     deadline_ms: u64,
@@ -44,7 +47,8 @@
         remaining_ms: u64,
     ) -> WaitingCall {
         let deadline_ms = now.mono_ms.saturating_add(remaining_ms);
-        WaitingCall { to: vec![to], request, submits, arrived_ms: now.mono_ms, deadline_ms }
+        let bytes = request.submitted_spec().map_or(0, spec_bytes);
+        WaitingCall { to: vec![to], request, submits, bytes, arrived_ms: now.mono_ms, deadline_ms }
     }
 }
 
@@ -101,6 +105,11 @@
         self.counts
     }
 
+    /// Returns the memory of the submissions that wait.
+    pub(super) fn submission_bytes(&self) -> usize {
+        self.submissions.iter().map(|it| it.bytes).sum()
+    }
+
     /// Returns when the next turn is due, if `under_way` changes of requests are not applied yet.
     pub(super) fn next_turn_ms(&self, under_way: usize) -> u64 {
         let has_work =
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -6,6 +6,7 @@
 mod operations;
 mod reports;
 mod source_addresses;
+mod submission_memory;
 mod workflows;
 
 use std::{
@@ -133,6 +134,7 @@
     pending_calls: BTreeMap<u64, (u64, Vec<workflows::CallReplyTo>)>,
     /// Requests that wait for their turn, while overload control is on.
     intake: intake::Intake,
+    submission_memory: submission_memory::SubmissionMemory,
     membership_manager: membership_manager::MembershipManager,
     client: ControlClient<u64>,
     disk_full: bool,
@@ -152,12 +154,16 @@
         now: Now,
     ) -> Result<ControlCore> {
         let settings = &options.settings;
-        let raft_options = RaftOptions {
+        let mut raft_options = RaftOptions {
             election_timeout_ms: settings.election_timeout_ms.into(),
             heartbeat_ms: settings.heartbeat_ms.into(),
             seed: options.boot,
             ..RaftOptions::default()
         };
+        if let Some(it) = &options.dispatch {
+            raft_options.snapshot_bytes = it.memory.log_max_bytes;
+            raft_options.retained_bytes = it.memory.log_max_bytes / 2;
+        }
         let raft = Raft::new(options.member, recovered, raft_options, now);
         let client =
             ControlClient::new(options.address, options.control_addresses.clone(), options.boot);
@@ -170,6 +176,7 @@
             source_addresses: SourceAddresses::default(),
             pending_calls: BTreeMap::new(),
             intake: intake::Intake::default(),
+            submission_memory: submission_memory::SubmissionMemory::default(),
             membership_manager: membership_manager::MembershipManager::default(),
             client,
             disk_full: false,
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -7,6 +7,7 @@
         core::{
             ControlCore, Effect, event_logging,
             intake::{IntakeCounts, TurnedAway, WaitingCall},
+            submission_memory::{self, SubmissionSize},
         },
         dispatch::{Dispatcher, RequestDecision},
         state::Change,
@@ -53,6 +54,9 @@
             }
         }
         let call = WaitingCall::new(to, it.request, submits, now, remaining_ms);
+        if !self.has_room_to_wait(now, call.bytes) {
+            return self.answer_call(to, WorkflowOutcome::Busy(submission_memory::RETRY_AFTER_MS));
+        }
         if let Some(it) = self.intake.push(now, call) {
             self.turn_away(it);
         }
@@ -92,6 +96,11 @@
         self.intake.counts()
     }
 
+    /// Returns the number of submissions that found no memory.
+    pub fn submissions_without_memory(&self) -> u64 {
+        self.submission_memory.refused_count()
+    }
+
     /// Works on the requests whose turn it is.
     pub(super) fn work_on_calls(&mut self, now: Now) {
         if !self.raft.has_lease(now) || self.leader_state.is_none() {
@@ -120,10 +129,41 @@
                 tracing::warn!(event = "proposal_refused", cause = "disk_full", calls = to.len());
                 self.answer_calls(to, &WorkflowOutcome::Busy(DISK_FULL_RETRY_MS));
             }
+            RequestDecision::Propose(command) if !self.has_room_for(now, &command) => {
+                self.answer_calls(to, &WorkflowOutcome::Busy(submission_memory::RETRY_AFTER_MS));
+            }
             RequestDecision::Propose(command) => self.propose_workflow(now, command, to),
         }
     }
 
+    /// Returns whether there is memory for a submission that is to wait for its turn.
+    fn has_room_to_wait(&mut self, now: Now, bytes: usize) -> bool {
+        let Some(dispatch) = &self.options.dispatch else { return true };
+        let waiting_bytes = self.intake.submission_bytes();
+        let res = self.submission_memory.has_room_to_wait(dispatch.memory, waiting_bytes, bytes);
+        if !res {
+            self.submission_memory.note_refused(now, "dispatch.calls_max_bytes", 0);
+        }
+        res
+    }
+
+    /// Returns whether there is memory for what a command submits, until it is stored and then.
+    fn has_room_for(&mut self, now: Now, command: &WorkflowCommand) -> bool {
+        let Some(dispatch) = &self.options.dispatch else { return true };
+        let Some(size) = SubmissionSize::of(command) else { return true };
+        let memory = &mut self.submission_memory;
+        let stored_bytes = self.state.workflows.memory_bytes();
+        if !memory.has_room_to_wait(dispatch.memory, 0, size.spec_bytes) {
+            memory.note_refused(now, "dispatch.calls_max_bytes", stored_bytes);
+            return false;
+        }
+        if !memory.has_room_to_store(dispatch.memory, stored_bytes, size) {
+            memory.note_refused(now, "dispatch.workflows_max_bytes", stored_bytes);
+            return false;
+        }
+        true
+    }
+
     pub(super) fn on_node_report(&mut self, now: Now, it: NodeReport) {
         if !self.raft.has_lease(now) || self.leader_state.is_none() {
             let message = Message::NotLeader(self.leader_address());
@@ -174,6 +214,7 @@
             self.answer_calls(to, &answer);
         }
         self.intake.note_applied(entry.index);
+        self.submission_memory.note_applied(entry.index);
         outcome
     }
 
@@ -202,6 +243,7 @@
     /// leader may still commit the requested changes.
     pub(super) fn abandon_calls(&mut self) {
         self.intake.forget_proposed();
+        self.submission_memory.forget_proposed();
         for (_, to) in std::mem::take(&mut self.pending_calls).into_values() {
             self.answer_calls(to, &WorkflowOutcome::Interrupted);
         }
@@ -214,8 +256,12 @@
             WorkflowCommand::SubmitFrom(it) if !to.is_empty() => Some(it.workflow.id),
             _ => None,
         };
+        let size = SubmissionSize::of(&command);
         match self.raft.propose(now, EntryBody::Command(Command::Workflow(command))) {
             Ok(index) => {
+                if let Some(it) = size {
+                    self.submission_memory.note_proposed(index, it);
+                }
                 if let Some(id) = submits.filter(|_| self.has_overload_control()) {
                     self.intake.note_proposed(index, id);
                 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -83,6 +83,28 @@
     pub retention_ms: u64,
     pub plan: PlanOptions,
     pub features: Features,
+    pub memory: MemoryLimits,
+}
+
+/// Limits on the memory of a member of the control group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryLimits {
+    /// Most memory of the submissions that wait for their turn or are not stored yet.
+    pub calls_max_bytes: usize,
+    /// Most memory of all stored workflows.
+    pub workflows_max_bytes: usize,
+    /// Memory of the log entries at which a snapshot is taken.
+    pub log_max_bytes: usize,
+}
+
+impl Default for MemoryLimits {
+    fn default() -> MemoryLimits {
+        MemoryLimits {
+            calls_max_bytes: 16 << 20,
+            workflows_max_bytes: 48 << 20,
+            log_max_bytes: 32 << 20,
+        }
+    }
 }
 
 /// Commands to propose and messages to send after one turn of the dispatcher.
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -158,9 +158,13 @@
     ///
     /// Returns an error if the state cannot be encoded.
     pub fn to_bytes(&self) -> Result<Vec<u8>> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard()).map_err(|it| {
+        let encoded = bincode::serde::encode_to_vec(self, bincode::config::standard());
+        let mut res = encoded.map_err(|it| {
             Error::report(ErrorKind::Internal, format_compact!("cannot encode the state: {it}"))
-        })
+        })?;
+        // The snapshot is kept for members that lag.
+        res.shrink_to_fit();
+        Ok(res)
     }
 
     /// Decodes a state from the bytes of a snapshot, of this or an earlier version.
--- a/src/control/state/workflows/index.rs
+++ b/src/control/state/workflows/index.rs
@@ -8,6 +8,7 @@
 use crate::{
     control::state::workflows::{Occurrence, Workflow, Workflows},
     prelude::*,
+    schema::memory::workflow_bytes,
 };
 
 /// Indexes over the workflows.
@@ -46,6 +47,7 @@
     /// Rebuilds the indexes, for example after loading a snapshot.
     pub fn rebuild_index(&mut self) {
         self.index = Index::default();
+        self.memory_bytes = self.workflows.values().map(|it| workflow_bytes(&it.spec)).sum();
         self.index_queues();
         let ids: Vec<_> = self.active.iter().copied().collect();
         ids.into_iter().for_each(|it| self.index_workflow(it));
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -20,7 +20,7 @@
     sync::Arc,
 };
 
-use crate::{control::state::Demand, prelude::*};
+use crate::{control::state::Demand, prelude::*, schema::memory::workflow_bytes};
 
 use self::{
     failures::UnsettledFailures,
@@ -51,6 +51,9 @@
     image_costs: Vec<ImageCost>,
     #[serde(skip)]
     index: index::Index,
+    /// Estimated memory of `workflows`.
+    #[serde(skip)]
+    memory_bytes: usize,
     /// The silences that the last registration resolved, for the log.
     #[serde(skip)]
     last_resolved: ResolvedTasks,
@@ -95,6 +98,11 @@
         self.workflows.is_empty()
     }
 
+    /// Returns the estimated memory of all stored workflows, with their tasks.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_bytes
+    }
+
     /// Returns the contention between images on one worker, as measured by leaders.
     pub fn image_costs(&self) -> &[ImageCost] {
         &self.image_costs
@@ -211,6 +219,7 @@
 
     fn submit(&mut self, submission: &SubmitWorkflow) -> WorkflowOutcome {
         if let Entry::Vacant(entry) = self.workflows.entry(submission.id) {
+            self.memory_bytes += workflow_bytes(&submission.spec);
             entry.insert(Workflow::new(submission));
             self.active.insert(submission.id);
             self.index_workflow(submission.id);
@@ -437,6 +446,7 @@
     fn forget(&mut self, before_ms: u64, time_ms: u64) -> WorkflowOutcome {
         self.workflows
             .retain(|_, it| it.is_active() || before_ms <= it.ended_ms || it.has_live_runs());
+        self.memory_bytes = self.workflows.values().map(|it| workflow_bytes(&it.spec)).sum();
         self.demand.retain(|id| self.workflows.contains_key(&id));
         self.demand.usage_mut().drop_faded(time_ms);
         let unresolved = self.silences.expire(time_ms);
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -90,7 +90,7 @@
 pub const GATEWAY_ENDS: [&str; 3] = ["told", "not_taken", "unknown"];
 
 /// Values of the `table` label of `aspenrail_state`.
-pub const STATE_GAUGES: [&str; 12] = [
+pub const STATE_GAUGES: [&str; 14] = [
     "vms",
     "jobs",
     "tasks",
@@ -103,6 +103,8 @@
     "suspects",
     "log_entries",
     "log_bytes",
+    "calls_without_memory",
+    "workflow_bytes",
 ];
 
 impl Metrics {
--- a/src/runtime/single_threaded/adapters.rs
+++ b/src/runtime/single_threaded/adapters.rs
@@ -161,6 +161,8 @@
             ("calls_overdue", counts.overdue as usize),
             ("calls_expired", counts.expired as usize),
             ("calls_withdrawn", counts.withdrawn as usize),
+            ("calls_without_memory", core.submissions_without_memory() as usize),
+            ("workflow_bytes", state.workflows.memory_bytes()),
         ];
         self.metrics.set_state(&rows);
     }
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -24,7 +24,7 @@
     config::load_settings,
     control::{
         self, ControlCore, ControlOptions,
-        dispatch::{DispatchOptions, PlanOptions},
+        dispatch::{DispatchOptions, MemoryLimits, PlanOptions},
         log::{Disk, Identity},
     },
     gateway::{self, GatewayCore},
@@ -377,6 +377,11 @@
                 retention_ms: u64::from(settings.retention_s) * 1_000,
                 plan: PlanOptions { interval_ms: settings.plan_interval_ms.into() },
                 features: features(settings),
+                memory: MemoryLimits {
+                    calls_max_bytes: settings.calls_max_bytes as usize,
+                    workflows_max_bytes: settings.workflows_max_bytes as usize,
+                    log_max_bytes: settings.log_max_bytes as usize,
+                },
             }),
             target_voter_count: settings.losses_tolerated as usize * 2 + 1,
         }
--- a/src/util/byte_budget.rs
+++ b/src/util/byte_budget.rs
@@ -9,6 +9,11 @@
 /// refused first, and small ones find room beside any number of large ones.
 const REMAINDER_DIVISOR: usize = 4;
 
+/// Returns the most bytes that one holder gets of those that the others leave.
+pub fn holder_max_bytes(remainder_bytes: usize) -> usize {
+    remainder_bytes / REMAINDER_DIVISOR
+}
+
 /// A number of bytes that several holders share.
 ///
 /// ```
@@ -45,11 +50,6 @@
         ByteBudget { shared: Arc::new(Shared { max_bytes, used_bytes: AtomicUsize::new(0) }) }
     }
 
-    /// Returns the largest number of bytes that a single holder can have.
-    pub fn holder_max_bytes(max_bytes: usize) -> usize {
-        max_bytes / REMAINDER_DIVISOR
-    }
-
     /// Returns how many bytes are reserved.
     pub fn used_bytes(&self) -> usize {
         self.shared.used_bytes.load(Ordering::Relaxed)
@@ -74,7 +74,7 @@
         let with_growth = |used_bytes: usize| {
             let others_bytes = used_bytes - self.bytes;
             let remainder_bytes = max_bytes.saturating_sub(others_bytes);
-            (bytes <= remainder_bytes / REMAINDER_DIVISOR).then_some(others_bytes + bytes)
+            (bytes <= holder_max_bytes(remainder_bytes)).then_some(others_bytes + bytes)
         };
         if bytes <= self.bytes {
             return true;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -9,7 +9,7 @@
 mod step;
 
 pub use self::bounded_list::bounded_list;
-pub use self::byte_budget::{ByteBudget, ReservedBytes};
+pub use self::byte_budget::{ByteBudget, ReservedBytes, holder_max_bytes};
 pub use self::clock::{Clock, Now, set_clock_ahead};
 pub use self::digest::{checksum, digest_of};
 pub use self::group_id::{GroupId, index_of};
