Close idle connections before one that sends a request

Beyond `connections_max` the connection closed was the one with the oldest answer, also if it had just sent the headers of its next request: a caller that keeps its connection and sends a body in pieces lost it to newer connections that sent nothing. A connection now waits anew from its headers on.

The new test in tests/http_server.rs failed without this.

--- a/src/http/server/connections.rs
+++ b/src/http/server/connections.rs
@@ -157,6 +157,12 @@
 }
 
 impl OpenConnection {
+    /// Notes that the headers of a request have been read: the connection waits for the rest from now
+    /// on, and connections without a request are closed before it.
+    pub(super) fn note_headers(&self) {
+        self.connections.lock().set_waiting(self.id, true);
+    }
+
     /// Notes that a request has been read completely, and is worked on.
     pub(super) fn note_request(&self) {
         self.connections.lock().set_waiting(self.id, false);
--- a/src/http/server/mod.rs
+++ b/src/http/server/mod.rs
@@ -181,6 +181,7 @@
         request: Request<Incoming>,
         connection: Rc<OpenConnection>,
     ) -> Result<Response<Full<AnswerBytes>>, Infallible> {
+        connection.note_headers();
         let request = read_request(request, self.options.body_max_bytes, &self.limits).await;
         let (request, reserved) = match request {
             Ok((request, reserved)) => (Ok(request), Some(reserved)),
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -93,6 +93,39 @@
     assert!(buffer[..read].ends_with(b"slow"));
 }
 
+/// A connection that was idle for long and now sends a request is not closed for a new one while others
+/// stay idle.
+#[test]
+fn idle_connections_are_closed_before_one_that_sends_a_request() {
+    let address = free_addresses(1).unwrap()[0];
+    let options = ServerOptions {
+        listen: address,
+        threads: 1,
+        body_max_bytes: 1_000,
+        headers_max_bytes: 16 * 1024,
+    };
+    let limits = limits("connections_max = 8");
+    start_server(options, &limits, &Pending::default(), |_, it| {
+        Some(HttpAnswer::text(200, "text/plain", format!("{} bytes", it.unwrap().body.len())))
+    })
+    .unwrap();
+    let (mut sender, _) = exchange(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    let idle: Vec<_> = (0..7).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n";
+    sender.write_all(head.as_bytes()).unwrap();
+    let mut buffer = [0; 4096];
+    let read = sender.read(&mut buffer).unwrap();
+    assert!(buffer[..read].starts_with(b"HTTP/1.1 100"), "the headers were read");
+    for _ in 0..5 {
+        let (_, text) = exchange(address, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+    }
+    sender.write_all(b"abcd").unwrap();
+    let read = sender.read(&mut buffer).unwrap();
+    assert!(buffer[..read].ends_with(b"4 bytes"), "{}", String::from_utf8_lossy(&buffer[..read]));
+    drop(idle);
+}
+
 /// With `tiny_http`, up to 10 of these 32 requests waited until another connection closed.
 #[test]
 fn callers_that_connect_at_once_and_stay_are_all_answered() {
