--- a/tests/clients/crowd.rs
+++ b/tests/clients/crowd.rs
@@ -11,6 +11,9 @@
 /// connections are open and not read reach it.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Pause after which a client takes no further answer for coming.
+const READ_PAUSE_MAX: Duration = Duration::from_secs(2);
+
 /// Clients that send at once.
 const SENDERS: usize = 10;
 
@@ -42,6 +45,21 @@
         Crowd { streams: streams.into_iter().map(|(_, it)| it).collect() }
     }
 
+    /// Connects `clients` clients, all of which send `bytes` and read their answers at the same time.
+    pub fn send_and_read(to: SocketAddr, clients: usize, bytes: &[u8]) -> Crowd {
+        let streams: Vec<_> = (0..clients).filter_map(|_| connect(to)).collect();
+        thread::scope(|scope| {
+            for stream in &streams {
+                let (mut reader, mut writer) = (stream, stream);
+                reader.set_read_timeout(Some(READ_PAUSE_MAX)).unwrap();
+                // Each ends once the process has closed the connection, or answers no more.
+                scope.spawn(move || drop(std::io::copy(&mut reader, &mut std::io::sink())));
+                scope.spawn(move || drop(writer.write_all(bytes)));
+            }
+        });
+        Crowd { streams }
+    }
+
     /// Reads what the process has sent to each client since the last call, by the clients' numbers if
     /// all could connect.
     pub fn answers(&mut self) -> Vec<String> {
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -40,6 +40,10 @@
 /// About as many clients as a process at this size has connections.
 const BUSY_CLIENTS: usize = 700;
 
+/// Clients that report to a node, as many as it has connections, and what each of them sends.
+const REPORTERS: usize = 64;
+const REPORTS: usize = 3_000;
+
 /// More clients than a process at this size has descriptors.
 const IDLE_CLIENTS: usize = 1_200;
 
@@ -297,6 +301,26 @@
     site.installation.wait_for("/q/00000000000000ff", "completed");
 }
 
+/// Reports that are readable and come faster than the node works on them.
+#[test]
+fn a_node_bounds_reports_that_wait() {
+    let mut site = Site::start();
+    let report = json!({
+        "service": "x".repeat(40), "zone": "z".repeat(40), "state": "ready", "labels": ["a".repeat(40), "r".repeat(40)],
+        "capacity": {"cpu": 1, "mem_mb": 1}, "clock_ms": 1, "sequence": 1
+    })
+    .to_string();
+    let request = format!(
+        "PUT /-/instances/{} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{report}",
+        "i".repeat(200),
+        report.len()
+    );
+    let bytes = request.repeat(REPORTS).into_bytes();
+    let _crowd = Crowd::send_and_read(site.installation.node_listen, REPORTERS, &bytes);
+    site.check(ProcessKind::Node);
+    site.installation.wait_for("/q/00000000000000ff", "completed");
+}
+
 /// Load: nothing else. Each refusal below would be wrong.
 #[test]
 fn a_single_request_inside_the_limits_is_served() {
