Send no start again to a worker that drains

A node refused only starts that were new to it when the worker drained.

A pending start on a worker that drains is now given up once it has no call under way: it is stopped there, so that a late call cannot begin it, and refused, so that the leader places it elsewhere.

The new test in tests/workflows/node.rs failed without this.

--- a/src/node/orders.rs
+++ b/src/node/orders.rs
@@ -4,7 +4,7 @@
     control::state::fits,
     node::{
         NodeCore,
-        calls::{Action, CallRefusal, CallResult, WorkerCall},
+        calls::{Action, Announcement, CallRefusal, CallResult, WorkerCall},
         unconfirmed::LATE_ORDER_MAX_MS,
         worker::{Order, PendingOrder, PendingPoll, WorkerIncarnation},
     },
@@ -60,15 +60,21 @@
         self.orders.retain(|_, it| !matches!(it.order, Order::Stop { refused: None }));
     }
 
-    /// Gives up on starts that were planned for a larger capacity of the worker: they may no longer
-    /// fit, and the leader plans again with the present capacity.
-    fn block_unfit_starts(&mut self, now: Now) {
-        let capacity = self.announcement.capacity;
+    /// Gives up on starts that must not be sent again: all without an answer where the worker drains,
+    /// and those that were planned for a larger capacity of the worker. These may no longer fit, and
+    /// the leader plans again with the present capacity.
+    fn block_outdated_starts(&mut self, now: Now) {
+        let Announcement { capacity, draining, .. } = self.announcement;
         for pending in self.orders.values_mut() {
-            if let Order::Start { planned_capacity, .. } = pending.order
-                && !fits(planned_capacity, capacity)
-            {
-                pending.block(RefusalCause::Room, now);
+            match pending.order {
+                Order::Start { planned_capacity, .. } if !fits(planned_capacity, capacity) => {
+                    pending.block(RefusalCause::Room, now);
+                }
+                // A call under way may still be answered; if not, the start is blocked then.
+                Order::Start { .. } if draining && pending.call.is_none() => {
+                    pending.block(RefusalCause::Leaving, now);
+                }
+                _ => (),
             }
         }
     }
@@ -245,7 +251,7 @@
             return;
         }
         let Some(worker) = &mut self.worker else { return };
-        worker.block_unfit_starts(now);
+        worker.block_outdated_starts(now);
         let speeds = worker.speeds_to_send(self.options.retry_ms, now);
         if speeds.iter().any(|it| worker.speeds.may_be_overwritten(it.run)) {
             // Fences the earlier calls for these runs.
--- a/tests/workflows/node.rs
+++ b/tests/workflows/node.rs
@@ -61,7 +61,18 @@
     /// Creates a node that has just started and knows one worker.
     fn with_worker(draining: bool) -> NodeHarness {
         let mut res = NodeHarness::without_worker();
-        res.input(Input::WorkerAnnounced(Announcement {
+        res.announce(draining, 1);
+        res.answer_unconfirmed();
+        res
+    }
+
+    /// Announces that the known worker drains.
+    fn announce_draining(&mut self) {
+        self.announce(true, 2);
+    }
+
+    fn announce(&mut self, draining: bool, sequence: u64) {
+        self.input(Input::WorkerAnnounced(Announcement {
             id: "worker".into(),
             service: "pool".into(),
             zone: "zone".into(),
@@ -71,11 +82,9 @@
             draining,
             remaining_ms: 0,
             clock_ms: 50_000,
-            sequence: 1,
+            sequence,
             started_unix_ms: None,
         }));
-        res.answer_unconfirmed();
-        res
     }
 
     /// Answers the poll of an unconfirmed worker with an empty run list.
@@ -244,6 +253,26 @@
     RunningTask { run: RUN, checkpoint: CompactString::default(), progress_percent: 1, load: 0 }
 }
 
+/// A start without an answer was repeated for as long as the worker lived, and began on a worker about
+/// to leave; its task then ran a second time elsewhere.
+#[test]
+fn a_start_without_an_answer_is_not_repeated_on_a_worker_that_drains() {
+    let mut harness = NodeHarness::new();
+    harness.grant(false, Vec::new());
+    harness.answer_poll(Vec::new());
+    harness.grant(true, vec![start()]);
+    let start_call = harness.take_call(is_start);
+    harness.announce_draining();
+    assert!(!harness.calls.iter().any(|(_, it)| is_stop(it)), "the call may still be answered");
+    harness.end_call(start_call, CallResult::NoAnswer);
+    harness.advance(1_000);
+    assert!(!harness.calls.iter().any(|(_, it)| is_start(it)), "the start was repeated");
+    let stop = harness.take_call(is_stop);
+    harness.end_call(stop, CallResult::Done { clock_ms: 50_200 });
+    harness.answer_newest_poll_empty();
+    assert_eq!(harness.refused(), [RefusalCause::Leaving]);
+}
+
 #[test]
 fn a_start_that_the_leader_no_longer_lists_is_barred_and_reported_only_then() {
     let mut harness = NodeHarness::new();
