Give the ordinary submission of the client tests an id that no client of a crowd has

With 700 clients, one of them submitted under the same id, and the check for an ordinary submission could have been answered by its workflow.

--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -60,6 +60,9 @@
     dispatch: "calls_max_bytes = 8388608\nlog_max_bytes = 8388608\nworkflows_max_bytes = 12582912\n",
 };
 
+/// Path of the ordinary submission; no client of a crowd has it.
+const ORDINARY_PATH: &str = "/q/ffffffffffffffff";
+
 /// Time for which the peak memory of a process that has read everything stays the same.
 const SETTLED_AFTER: Duration = Duration::from_millis(1_500);
 
@@ -106,7 +109,7 @@
     fn submit_one(&self) {
         let body = json!({"spec": "x", "steps": [{"count": 1, "cpu": 100}]});
         wait("an ordinary submission to be accepted", || {
-            self.installation.client("POST", "/q/00000000000000ff", &body).0 == 200
+            self.installation.client("POST", ORDINARY_PATH, &body).0 == 200
         });
     }
 }
@@ -298,7 +301,7 @@
         announced("/-/instances/x", &submission(65_536), 1)
     });
     site.check(ProcessKind::Node);
-    site.installation.wait_for("/q/00000000000000ff", "completed");
+    site.installation.wait_for(ORDINARY_PATH, "completed");
 }
 
 /// Reports that are readable and come faster than the node works on them.
@@ -318,7 +321,7 @@
     let bytes = request.repeat(REPORTS).into_bytes();
     let _crowd = Crowd::send_and_read(site.installation.node_listen, REPORTERS, &bytes);
     site.check(ProcessKind::Node);
-    site.installation.wait_for("/q/00000000000000ff", "completed");
+    site.installation.wait_for(ORDINARY_PATH, "completed");
 }
 
 /// Load: nothing else. Each refusal below would be wrong.
