--- a/src/control/core/submission_memory.rs
+++ b/src/control/core/submission_memory.rs
@@ -50,8 +50,8 @@
         self.refused_count
     }
 
-    /// Returns whether a submission of `spec_bytes` may wait or be proposed, beside `waiting_bytes` of others that
-    /// wait.
+    /// Returns whether a submission of `spec_bytes` may wait or be proposed, beside `waiting_bytes` of
+    /// others that wait.
     pub(super) fn has_room_to_wait(
         &self,
         limits: MemoryLimits,
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -97,6 +97,7 @@
     pub log_max_bytes: usize,
 }
 
+/// The defaults of the settings.
 impl Default for MemoryLimits {
     fn default() -> MemoryLimits {
         MemoryLimits {
--- a/src/link/server.rs
+++ b/src/link/server.rs
@@ -45,7 +45,7 @@
                 if displaced_another {
                     metrics.note_limit_reached(Limit::Greetings);
                 }
-                let receiver = Receiver {
+                let reader = PeerReader {
                     connection: Rc::new(connection),
                     options: options.clone(),
                     metrics: metrics.clone(),
@@ -54,7 +54,7 @@
                 };
                 tokio::task::spawn_local(async move {
                     tokio::select! {
-                        () = receiver.receive(tcp) => (),
+                        () = reader.read(tcp) => (),
                         _ = closed => tracing::debug!(event = "link_displaced"),
                     }
                 });
@@ -88,7 +88,7 @@
 
 /// The receiving side of one connection.
 #[derive(Clone)]
-struct Receiver<S> {
+struct PeerReader<S> {
     connection: Rc<NewConnection>,
     options: Arc<LinkOptions>,
     metrics: Arc<Metrics>,
@@ -96,8 +96,8 @@
     sink: S,
 }
 
-impl<S: LinkSink> Receiver<S> {
-    async fn receive(self, tcp: TcpStream) {
+impl<S: LinkSink> PeerReader<S> {
+    async fn read(self, tcp: TcpStream) {
         let _ = tcp.set_nodelay(true);
         let handshake = h2::server::Builder::new()
             .initial_window_size(STREAM_WINDOW_BYTES)
