Let a platform test send its configuration again while its outcome is unknown

Traced by its logs: control-0 took leadership at 46.87 s and lost it at 47.33 s, as its heartbeats came late on the busy machine; the configuration, sent in between, was answered with 504, which says that its outcome is unknown. The test took that first answer for the last one.

The test now uses it and expects the same 200, and the configuration is still read back whole.

--- a/tests/platform/installation.rs
+++ b/tests/platform/installation.rs
@@ -181,9 +181,14 @@
     /// Sends an order as operators do: again, unchanged, while its outcome is unknown (504) or no
     /// leader is elected (503). Returns the status of the first other answer.
     pub fn order(&self, method: &str, path: &str) -> u16 {
+        self.order_with(method, path, &Value::Null)
+    }
+
+    /// Sends an order with a body, like [`Installation::order`].
+    pub fn order_with(&self, method: &str, path: &str, body: &Value) -> u16 {
         let mut status = 0;
         wait("an answer to an order", || {
-            status = self.operator(method, path, &Value::Null).0;
+            status = self.operator(method, path, body).0;
             !matches!(status, 503 | 504)
         });
         status
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -111,7 +111,7 @@
     other["path_prefix"] = json!("/other/");
     other["advice"] = json!({"decision_ms": 1, "period_ms": 1, "validity_ms": 1_000});
     asks["routes"].as_array_mut().unwrap().push(other);
-    assert_eq!(installation.operator("PUT", "/-/config", &asks).0, 200);
+    assert_eq!(installation.order_with("PUT", "/-/config", &asks), 200);
     assert_eq!(installation.operator("GET", "/-/config", &Value::Null), (200, asks));
     let body = json!({"spec": "x", "steps": [{"count": 1, "cpu": 100}]});
     let (status, answer) = installation.client("POST", "/other/00000000000000dd", &body);
