--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -38,7 +38,7 @@
 }
 
 fn play(record: &Record) -> Verdict {
-    let site = Site::start(record, Size { entries: 2, executors: 3, has_proxies: false });
+    let site = Site::start(record, Size { entries: 2, executors: 3, has_proxies: false, first_kind: "a" });
     site.install(&config(1, vec![route("queue", 3)]));
     let ready = || site.client(1, "GET", PREFIX, "").is_some_and(|it| it.0 == 200);
     assert!(site.wait(15_000, ready), "the entry serves");
--- a/review/standin-3/executor.rs
+++ b/review/standin-3/executor.rs
@@ -104,8 +104,11 @@
     state: Arc<Mutex<State>>,
     changed: Arc<Condvar>,
     record: Record,
+    kind: String,
     rack: String,
     zone: String,
+    /// Whether it answers no call, and carries out none, while its status reports go on.
+    is_hanging: Arc<AtomicBool>,
     is_over: Arc<AtomicBool>,
 }
 
@@ -114,7 +117,7 @@
 
 impl Executor {
     /// Starts an executor that listens on `listen` and reports to `node`.
-    pub fn start(name: &str, zone: &str, rack: &str, listen: SocketAddr, node: SocketAddr, record: &Record) -> Executor {
+    pub fn start(name: &str, zone: &str, labels: [&str; 2], listen: SocketAddr, node: SocketAddr, record: &Record) -> Executor {
         let state = State {
             name: name.to_owned(),
             lives: 0,
@@ -126,8 +129,10 @@
             state: Arc::new(Mutex::new(state)),
             changed: Arc::default(),
             record: record.clone(),
-            rack: rack.to_owned(),
+            kind: labels[0].to_owned(),
+            rack: labels[1].to_owned(),
             zone: zone.to_owned(),
+            is_hanging: Arc::default(),
             is_over: Arc::default(),
         };
         res.begin_life();
@@ -177,6 +182,13 @@
         }
     }
 
+    /// Sets whether it hangs. Calls that came meanwhile are never carried out.
+    pub fn set_hanging(&self, hangs: bool) {
+        let id = self.state.lock().unwrap().name.clone();
+        self.record.note(format!("executor {id} {}", if hangs { "hangs" } else { "answers again" }));
+        self.is_hanging.store(hangs, Ordering::Relaxed);
+    }
+
     pub fn history(&self) -> Vec<PastRun> {
         self.state.lock().unwrap().history.clone()
     }
@@ -256,7 +268,7 @@
                             ("gpu", Json::number(0)),
                         ]),
                     ),
-                    ("labels", Json::List(vec![Json::text("a"), Json::text(&self.rack)])),
+                    ("labels", Json::List(vec![Json::text(&self.kind), Json::text(&self.rack)])),
                     ("clock_ms", Json::number(life.clock_ms())),
                     ("sequence", Json::number(life.sequence)),
                 ])
@@ -302,6 +314,13 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, Json) {
+        if self.is_hanging.load(Ordering::Relaxed) {
+            // Longer than any caller waits, so that the answer reaches nobody.
+            while self.is_hanging.load(Ordering::Relaxed) {
+                thread::sleep(TICK);
+            }
+            return (503, Json::Null);
+        }
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         let now_ms = self.record.now_ms();
         let mut guard = self.state.lock().unwrap();
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -57,6 +57,8 @@
     pub entries: u8,
     pub executors: u8,
     pub has_proxies: bool,
+    /// Kind of the first executor; the others are of kind `a`.
+    pub first_kind: &'static str,
 }
 
 fn free_port(ip: IpAddr) -> u16 {
@@ -112,7 +114,9 @@
             }
             let node = SocketAddr::new(res.ip(3, at), ports.control);
             let rack = format!("r1-{}", at.div_ceil(3));
-            res.executors.push(Executor::start(&format!("x{at}"), "hall", &rack, listen, node, record));
+            let kind = if at == 1 { size.first_kind } else { "a" };
+            let name = format!("x{at}");
+            res.executors.push(Executor::start(&name, "hall", [kind, &rack], listen, node, record));
         }
         res
     }
