--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -191,7 +191,8 @@
     pub fn signal(&self, name: &str, signal: &str) {
         let id = self.with(name, |it| it.child.as_ref().map(Child::id)).expect("it runs");
         self.record.note(format!("{name} gets SIG{signal}"));
-        let sent = Command::new("kill").arg(format!("-{signal}")).arg(id.to_string()).status();
+        // The shell has it built in.
+        let sent = Command::new("sh").arg("-c").arg(format!("kill -{signal} {id}")).status();
         assert!(sent.is_ok_and(|it| it.success()), "the signal was sent");
     }
 
