--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 for case in 7 8 9 10 11; do
-    if [ -f "review/$case/case.rs" ]; then
-        rustc --edition 2024 -O -o "target/review-3/case-$case" "review/$case/case.rs"
-    fi
+    rustc --edition 2024 -O -o "target/review-3/case-$case" "review/$case/case.rs"
 done
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -77,10 +77,18 @@
     }
 }
 
-/// Sends the text of a request.
-pub fn send(stream: &mut TcpStream, method: &str, host: &str, path: &str, body: &str) -> io::Result<()> {
+/// Sends the text of a request, with the time for which its caller waits.
+pub fn send(
+    stream: &mut TcpStream,
+    method: &str,
+    host: &str,
+    path: &str,
+    body: &str,
+    wait: Duration,
+) -> io::Result<()> {
+    let wait_ms = wait.as_millis();
     let text = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Aspenrail-Deadline-Ms: {wait_ms}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
     stream.write_all(text.as_bytes())
@@ -98,7 +106,7 @@
     let mut stream = TcpStream::connect_timeout(&to, timeout)?;
     stream.set_read_timeout(Some(timeout))?;
     stream.set_nodelay(true)?;
-    send(&mut stream, method, host, path, body)?;
+    send(&mut stream, method, host, path, body, timeout)?;
     let mut reader = BufReader::new(stream);
     let (first, headers) = read_head(&mut reader)?.ok_or_else(invalid)?;
     let status = first.split(' ').nth(1).and_then(|it| it.parse().ok()).ok_or_else(invalid)?;
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -5,7 +5,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -61,6 +61,17 @@
     pub first_kind: &'static str,
 }
 
+/// Longest time for which a case runs, in total 120 s at most.
+const CASE_MAX: Duration = Duration::from_secs(112);
+
+/// Processes of the system that the case has started.
+static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// A lock that also opens after a failed check, so that the processes are ended then.
+fn lock<T>(it: &Mutex<T>) -> MutexGuard<'_, T> {
+    it.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn free_port(ip: IpAddr) -> u16 {
     TcpListener::bind((ip, 0)).and_then(|it| it.local_addr()).expect("a free port").port()
 }
@@ -101,7 +112,7 @@
         for at in 1..=size.executors {
             res.add_process("node", &format!("side-{at}"), res.ip(3, at));
         }
-        let names: Vec<_> = res.processes.lock().unwrap().iter().map(|it| it.name.clone()).collect();
+        let names: Vec<_> = lock(&res.processes).iter().map(|it| it.name.clone()).collect();
         names.iter().for_each(|it| res.run(it));
         for at in 1..=size.executors {
             let app = SocketAddr::new(res.ip(3, at), ports.app);
@@ -163,11 +174,11 @@
         fs::write(&settings, text).expect("the settings can be written");
         let log = self.folder.join(format!("{name}.log"));
         let process = Process { name: name.to_owned(), settings, log, child: None };
-        self.processes.lock().unwrap().push(process);
+        lock(&self.processes).push(process);
     }
 
     fn with<T>(&self, name: &str, act: impl FnOnce(&mut Process) -> T) -> T {
-        let mut processes = self.processes.lock().unwrap();
+        let mut processes = lock(&self.processes);
         act(processes.iter_mut().find(|it| it.name == name).expect("a process of that name"))
     }
 
@@ -183,6 +194,7 @@
                 .stdout(log)
                 .spawn()
                 .expect("the build of the deploy file has run");
+            lock(&CHILDREN).push(child.id());
             it.child = Some(child);
         });
     }
@@ -293,7 +305,7 @@
 impl Drop for Site {
     fn drop(&mut self) {
         self.executors.iter().for_each(Executor::stop);
-        for it in self.processes.lock().unwrap().iter_mut() {
+        for it in lock(&self.processes).iter_mut() {
             if let Some(mut child) = it.child.take() {
                 let _ = child.kill();
                 let _ = child.wait();
@@ -389,6 +401,15 @@
 pub fn run_case(folder: &str, case: impl FnOnce(&Record) -> Verdict + std::panic::UnwindSafe) -> ! {
     let record = Record::create(&Path::new(folder).join("record.txt"));
     let own = record.clone();
+    thread::spawn(move || {
+        thread::sleep(CASE_MAX);
+        own.note("the case took too long");
+        for id in lock(&CHILDREN).iter() {
+            let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+        }
+        std::process::exit(2);
+    });
+    let own = record.clone();
     let code = match std::panic::catch_unwind(move || case(&own)) {
         Ok(Verdict::Held) => {
             record.note("the rule held");
