--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -21,7 +21,7 @@
 use record::Record;
 use site::{HOST, PREFIX, Site, Size, Verdict, config, has_trouble, route, run_case, step, submission};
 
-const ID: &str = "00000000000000c1";
+const ID: &str = "000000000000001c";
 
 /// Longest time for which a machine is frozen.
 const FROZEN_MS: u64 = 5_000;
@@ -38,7 +38,7 @@
 }
 
 fn play(record: &Record) -> Verdict {
-    let site = Site::start(record, Size { entries: 2, executors: 3, has_proxies: false, first_kind: "a" });
+    let site = Site::start(record, Size { entries: 2, executors: 5, has_proxies: false, first_kind: "a" });
     site.install(&config(1, vec![route("queue", 3)]));
     let ready = || site.client(1, "GET", PREFIX, "").is_some_and(|it| it.0 == 200);
     assert!(site.wait(15_000, ready), "the entry serves");
@@ -46,6 +46,10 @@
     let lasting = step(2, 2_000, 1_000, vec![("runs_forever", Json::Bool(true))]);
     let body = submission("lasts cpu=2000", vec![lasting]).to_string();
     let path = format!("{PREFIX}{ID}");
+    // Three other clients stay.
+    for at in 2..=4 {
+        site.submit(&format!("00000000000000{at}c"), &submission("work 500", vec![step(2, 1_000, 500, vec![])]));
+    }
     let began_ms = record.now_ms();
     if has_trouble() {
         site.signal("edge-1", "STOP");
@@ -53,7 +57,7 @@
     // The client sends its submission, waits, and leaves without an answer.
     let mut stream = TcpStream::connect(site.front(1)).expect("a channel to the entry");
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    http::send(&mut stream, "POST", HOST, &path, &body).expect("the submission is sent");
+    http::send(&mut stream, "POST", HOST, &path, &body, PATIENCE).expect("the submission is sent");
     record.note(format!("client, edge-1: POST {path} {body}"));
     let mut answer = [0; 200];
     let read = std::io::Read::read(&mut stream, &mut answer).unwrap_or(0);
@@ -76,7 +80,8 @@
     thread::sleep(Duration::from_secs(12));
     let state = site.state(ID);
     let history: Vec<_> = site.executors.iter().flat_map(|it| it.history()).collect();
-    let late: Vec<_> = history.iter().filter(|it| acked_ms + CANCEL_MS < it.began_ms).collect();
+    let own = history.iter().filter(|it| it.task.starts_with(ID));
+    let late: Vec<_> = own.filter(|it| acked_ms + CANCEL_MS < it.began_ms).collect();
     let running = site.running(ID).len();
     let is_over = record.now_ms() < acked_ms + CANCEL_MS + STOP_MS || running == 0;
     match late.is_empty() && is_over {
