Refuse copies of a submission whose cancel was acknowledged before it was known

What callers saw: a client submits, gets no answer, leaves and cancels by another entry, which answers 410. The submission still waits, in the socket of an entry that is frozen.

Cause: the leader answered the cancel of a workflow that it does not know from its state, and remembered nothing. A copy that came later, from wherever, was new to it.

Change: such a cancel is a write now. The ledger keeps a tombstone and refuses submissions of that id with 410, as it does for workflows that were cancelled when known. The order of the two in the log decides, so it does not matter which leader proposes what. The command is a new one: in a log of an earlier version, a workflow that was accepted after the cancel of an unknown id stays accepted.

Bounds: dispatch.tombstones_max (65,536) and dispatch.tombstone_s (60 s). A leader drops a tombstone only after it has led for the whole lifetime by its steady clock, and counts anew after a pause of its process. Cancels of unknown ids share log entries, wait in a queue of their own, by turns of the gateways, and are recorded at half the rate that fills the limit in a lifetime: a crowd neither fills it nor takes turns of other requests. Refused ones are counted and logged once a second. Cancelled workflows are kept for at least the same time.

--- a/src/bench/dispatch.rs
+++ b/src/bench/dispatch.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     control::{
-        dispatch::{DispatchOptions, Dispatcher, Features, MemoryLimits, PlanOptions},
+        dispatch::{
+            DispatchOptions, Dispatcher, Features, MemoryLimits, PlanOptions, TombstoneLimits,
+        },
         state::Workflows,
     },
     link::{FrameDecoder, encode_frame},
@@ -144,6 +146,7 @@
             plan: PlanOptions { interval_ms: 250 },
             features: Features::default(),
             memory: MemoryLimits::default(),
+            tombstones: TombstoneLimits::default(),
         };
         let dispatcher = Dispatcher::new(options, &workflows, 1, now);
         let (report_times, plan_times) = (Vec::new(), Vec::new());
--- a/src/control/core/event_logging.rs
+++ b/src/control/core/event_logging.rs
@@ -40,6 +40,19 @@
         WorkflowCommand::Cancel(id) => {
             tracing::info!(event = "workflow_cancelled", workflow = %format_args!("{:016x}", id.0), outcome = ?outcome, index, term);
         }
+        WorkflowCommand::RecordTombstones(it) => {
+            let stored = state.workflows.tombstones().len();
+            let first = it.ids.first().map(|id| format_compact!("{:016x}", id.0));
+            tracing::info!(
+                event = "tombstones_recorded",
+                workflows = it.ids.len(),
+                first = first.as_deref(),
+                expired_before_ms = it.expired_before_ms,
+                stored,
+                index,
+                term
+            );
+        }
         WorkflowCommand::Evacuate(it) => {
             let workers = state.workflows.workers().iter();
             let workers = workers.filter(|(_, worker)| worker.zone == it.zone).count();
--- a/src/control/core/mod.rs
+++ b/src/control/core/mod.rs
@@ -7,6 +7,7 @@
 mod reports;
 mod source_addresses;
 mod submission_memory;
+mod unknown_cancels;
 mod workflows;
 
 use std::{
@@ -135,6 +136,7 @@
     /// Requests that wait for their turn, while overload control is on.
     intake: intake::Intake,
     submission_memory: submission_memory::SubmissionMemory,
+    unknown_cancels: unknown_cancels::UnknownCancels,
     membership_manager: membership_manager::MembershipManager,
     client: ControlClient<u64>,
     disk_full: bool,
@@ -177,6 +179,7 @@
             pending_calls: BTreeMap::new(),
             intake: intake::Intake::default(),
             submission_memory: submission_memory::SubmissionMemory::default(),
+            unknown_cancels: unknown_cancels::UnknownCancels::default(),
             membership_manager: membership_manager::MembershipManager::default(),
             client,
             disk_full: false,
@@ -218,6 +221,7 @@
             .min(leader_ms)
             .min(self.membership_tick_ms())
             .min(self.intake.next_turn_ms(self.pending_calls.len()))
+            .min(self.unknown_cancels.next_batch_ms())
             .min(self.client.next_tick_ms().unwrap_or(u64::MAX))
     }
 
--- a/src/control/core/workflows.rs
+++ b/src/control/core/workflows.rs
@@ -8,8 +8,9 @@
             ControlCore, Effect, event_logging,
             intake::{IntakeCounts, TurnedAway, WaitingCall},
             submission_memory::{self, SubmissionSize},
+            unknown_cancels::{self, WaitingCancel},
         },
-        dispatch::{Dispatcher, RequestDecision},
+        dispatch::{Dispatcher, RequestDecision, record_tombstones},
         state::Change,
     },
     policy::{overload::WorkClass, verdict::CallId},
@@ -37,13 +38,17 @@
         if !self.raft.has_lease(now) || self.leader_state.is_none() {
             return self.answer_call(to, WorkflowOutcome::NotLeader(self.leader_address()));
         }
-        if !self.has_overload_control() || WorkClass::of(&it.request) == WorkClass::Lease {
-            return self.work_on_call(now, vec![to], it.request);
-        }
         let cancels = Dispatcher::cancelled_id(&self.state.workflows, &it.request);
         if let Some(submission) = cancels.and_then(|id| self.intake.withdraw(now, id)) {
             self.turn_away(submission);
         }
+        if let Some(id) = cancels.filter(|id| self.state.workflows.get(*id).is_none()) {
+            let deadline_ms = now.mono_ms.saturating_add(remaining_ms);
+            return self.on_unknown_cancel(now, WaitingCancel { to, id, deadline_ms });
+        }
+        if !self.has_overload_control() || WorkClass::of(&it.request) == WorkClass::Lease {
+            return self.work_on_call(now, vec![to], it.request);
+        }
         let submits = Dispatcher::submitted_id(&self.state.workflows, &it.request);
         if let Some(id) = submits {
             if self.state.workflows.get(id).is_some() {
@@ -101,14 +106,57 @@
         self.submission_memory.refused_count()
     }
 
+    /// Handles the cancel of a workflow that is not known. Its submission may still arrive, or be
+    /// proposed: the ledger orders the two.
+    fn on_unknown_cancel(&mut self, now: Now, cancel: WaitingCancel) {
+        if self.unknown_cancels.push(cancel) {
+            return self.record_cancels(now);
+        }
+        self.refuse_cancels(now, vec![cancel]);
+    }
+
+    /// Proposes the cancels of unknown workflows that are due.
+    fn record_cancels(&mut self, now: Now) {
+        // A group without the dispatch role runs no workflows.
+        let Some(dispatch) = &self.options.dispatch else { return };
+        let stored = self.state.workflows.tombstones().len();
+        let mut batch = self.unknown_cancels.take_batch(now, dispatch.tombstones, stored);
+        if self.disk_full || self.disk_writes_refused {
+            batch.refused.append(&mut batch.cancels);
+        }
+        if !batch.refused.is_empty() {
+            self.refuse_cancels(now, batch.refused);
+        }
+        if !batch.cancels.is_empty() {
+            let (ids, to) = batch.cancels.iter().map(|it| (it.id, it.to)).unzip();
+            self.propose_workflow(now, record_tombstones(ids), to);
+        }
+    }
+
+    fn refuse_cancels(&mut self, now: Now, cancels: Vec<WaitingCancel>) {
+        let stored = self.state.workflows.tombstones().len();
+        self.unknown_cancels.note_refused(now, cancels.len(), stored);
+        let busy = WorkflowOutcome::Busy(unknown_cancels::RETRY_AFTER_MS);
+        self.answer_calls(cancels.into_iter().map(|it| it.to).collect(), &busy);
+    }
+
+    /// Returns the number of cancels of unknown workflows that were refused.
+    pub fn refused_cancels(&self) -> u64 {
+        self.unknown_cancels.refused_count()
+    }
+
     /// Works on the requests whose turn it is.
     pub(super) fn work_on_calls(&mut self, now: Now) {
         if !self.raft.has_lease(now) || self.leader_state.is_none() {
+            let cancels = self.unknown_cancels.take_all();
+            let not_leader = WorkflowOutcome::NotLeader(self.leader_address());
+            self.answer_calls(cancels.into_iter().map(|it| it.to).collect(), &not_leader);
             for it in self.intake.take_all() {
                 self.answer_calls(it.to, &WorkflowOutcome::NotLeader(self.leader_address()));
             }
             return;
         }
+        self.record_cancels(now);
         let turn = self.intake.take_turn(now, self.pending_calls.len());
         turn.turned_away.into_iter().for_each(|it| self.turn_away(it));
         for it in turn.calls {
@@ -215,6 +263,7 @@
         }
         self.intake.note_applied(entry.index);
         self.submission_memory.note_applied(entry.index);
+        self.unknown_cancels.note_applied(entry.index);
         outcome
     }
 
@@ -244,6 +293,7 @@
     pub(super) fn abandon_calls(&mut self) {
         self.intake.forget_proposed();
         self.submission_memory.forget_proposed();
+        self.unknown_cancels.forget_proposed();
         for (_, to) in std::mem::take(&mut self.pending_calls).into_values() {
             self.answer_calls(to, &WorkflowOutcome::Interrupted);
         }
@@ -257,11 +307,18 @@
             _ => None,
         };
         let size = SubmissionSize::of(&command);
+        let cancel_count = match &command {
+            WorkflowCommand::RecordTombstones(it) => it.ids.len(),
+            _ => 0,
+        };
         match self.raft.propose(now, EntryBody::Command(Command::Workflow(command))) {
             Ok(index) => {
                 if let Some(it) = size {
                     self.submission_memory.note_proposed(index, it);
                 }
+                if 0 < cancel_count {
+                    self.unknown_cancels.note_proposed(index, cancel_count);
+                }
                 if let Some(id) = submits.filter(|_| self.has_overload_control()) {
                     self.intake.note_proposed(index, id);
                 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -49,13 +49,19 @@
     start_batches::StartMemory,
 };
 pub use self::{
-    features::Features, orders::run_name, plan::PlanOptions, requests::RequestDecision,
+    features::Features,
+    orders::run_name,
+    plan::PlanOptions,
+    requests::{RequestDecision, record_tombstones},
     sessions::Session,
 };
 
 /// Interval at which workflows past their retention time are removed.
 const FORGET_INTERVAL_MS: u64 = 10_000;
 
+/// Interval at which tombstones past their lifetime are removed.
+const TOMBSTONE_INTERVAL_MS: u64 = 2_000;
+
 /// Interval at which learned image costs are written to the ledger: a new leader may start with
 /// costs this old.
 const LEARN_INTERVAL_MS: u64 = 3_000;
@@ -84,6 +90,7 @@
     pub plan: PlanOptions,
     pub features: Features,
     pub memory: MemoryLimits,
+    pub tombstones: TombstoneLimits,
 }
 
 /// Limits on the memory of a member of the control group.
@@ -108,6 +115,21 @@
     }
 }
 
+/// Limits on the cancels of unknown workflows that are remembered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TombstoneLimits {
+    pub max: usize,
+    /// Time for which each is remembered at least.
+    pub lifetime_ms: u64,
+}
+
+/// The defaults of the settings.
+impl Default for TombstoneLimits {
+    fn default() -> TombstoneLimits {
+        TombstoneLimits { max: 65_536, lifetime_ms: 60_000 }
+    }
+}
+
 /// Commands to propose and messages to send after one turn of the dispatcher.
 #[derive(Debug, Default)]
 pub struct DispatchOutput {
@@ -143,6 +165,8 @@
     plan_count: u64,
     forget_at_ms: u64,
     clock_readings: ClockReadings,
+    tombstones_at_ms: u64,
+    tombstone_readings: ClockReadings,
     occupancy_at_ms: u64,
     learn_at_ms: u64,
     output: DispatchOutput,
@@ -179,6 +203,8 @@
             // an earlier leader is counted from it.
             forget_at_ms: now.mono_ms,
             clock_readings: ClockReadings::default(),
+            tombstones_at_ms: now.mono_ms,
+            tombstone_readings: ClockReadings::default(),
             occupancy_at_ms: now.mono_ms + OCCUPANCY_INTERVAL_MS,
             learn_at_ms: now.mono_ms + LEARN_INTERVAL_MS,
             output: DispatchOutput::default(),
@@ -190,7 +216,7 @@
         // No plan is made while a `Begin` command is in flight.
         let next_plan_ms = if self.begin_in_flight { u64::MAX } else { self.next_plan_ms };
         let expiry_ms = self.sessions.next_expiry_ms();
-        let periodic_ms = self.forget_at_ms.min(self.learn_at_ms);
+        let periodic_ms = self.forget_at_ms.min(self.learn_at_ms).min(self.tombstones_at_ms);
         next_plan_ms.min(expiry_ms).min(periodic_ms).min(self.begun.next_write_ms())
     }
 
@@ -220,11 +246,14 @@
         self.propose_begun(now);
         if self.forget_at_ms <= now.mono_ms {
             self.forget_at_ms = now.mono_ms + FORGET_INTERVAL_MS;
-            let age_ms = self.options.retention_ms;
+            let age_ms = self.options.workflow_retention_ms();
             self.clock_readings.note(now, age_ms);
             let forgets = self.clock_readings.wall_before(now, age_ms).map(WorkflowCommand::Forget);
             self.output.commands.extend(forgets);
         }
+        if self.tombstones_at_ms <= now.mono_ms {
+            self.expire_tombstones(workflows, now);
+        }
         if self.learn_at_ms <= now.mono_ms {
             self.learn_at_ms = now.mono_ms + LEARN_INTERVAL_MS;
             let known_costs = self.contention.known_costs();
@@ -247,6 +276,25 @@
         }
     }
 
+    /// Drops the tombstones whose lifetime has passed. It is counted anew after a time in which this
+    /// process did not run: copies of submissions may have waited for it all the while.
+    fn expire_tombstones(&mut self, workflows: &Workflows, now: Now) {
+        let late_ms = now.mono_ms - self.tombstones_at_ms;
+        if TOMBSTONE_INTERVAL_MS <= late_ms {
+            self.tombstone_readings = ClockReadings::default();
+        }
+        self.tombstones_at_ms = now.mono_ms + TOMBSTONE_INTERVAL_MS;
+        let age_ms = self.options.tombstones.lifetime_ms;
+        self.tombstone_readings.note(now, age_ms);
+        let before_ms = self.tombstone_readings.wall_before(now, age_ms);
+        if let Some(expired_before_ms) = before_ms
+            && workflows.tombstones().has_expired(expired_before_ms)
+        {
+            let expired = RecordedTombstones { ids: Vec::new(), expired_before_ms };
+            self.output.commands.push(WorkflowCommand::RecordTombstones(expired));
+        }
+    }
+
     /// Plans if a plan is due, and returns the commands to propose and the messages to send.
     pub fn finish_turn(
         &mut self,
@@ -383,6 +431,11 @@
                 self.schedule_plan(PLAN_PAUSE_MS);
             }
             WorkflowCommand::Cancel(id) => self.stop_cancelled(workflows, *id, members),
+            WorkflowCommand::RecordTombstones(it) => {
+                for id in &it.ids {
+                    self.stop_cancelled(workflows, *id, members);
+                }
+            }
             WorkflowCommand::Evacuate(it) => {
                 self.withdraw_starts(workflows, &it.zone, members);
                 self.schedule_plan(PLAN_PAUSE_MS);
@@ -508,6 +561,12 @@
     pub fn lease_with_margin_ms(&self) -> u64 {
         self.lease_ms + self.lease_ms * self.lease_slack_percent / 100 + self.lease_margin_ms
     }
+
+    /// Returns how long an ended workflow is kept. One that was cancelled refuses copies of its
+    /// submission for as long as a tombstone does.
+    fn workflow_retention_ms(&self) -> u64 {
+        self.retention_ms.max(self.tombstones.lifetime_ms)
+    }
 }
 
 const OCCUPANCY_INTERVAL_MS: u64 = 5_000;
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -67,7 +67,10 @@
             WorkflowRequest::Inspect(it) => RequestDecision::Answer(inspect(workflows, &it)),
             WorkflowRequest::Cancel(it) => match resolve_target(workflows, &it) {
                 // Its submission may be under way: the ledger orders the two.
-                Ok((_, Some(id))) => RequestDecision::Propose(WorkflowCommand::Cancel(id)),
+                Ok((_, Some(id))) if workflows.get(id).is_some() => {
+                    RequestDecision::Propose(WorkflowCommand::Cancel(id))
+                }
+                Ok((_, Some(id))) => RequestDecision::Propose(record_tombstones(vec![id])),
                 Ok((_, None)) => RequestDecision::Answer(WorkflowOutcome::NotFound),
                 Err(it) => RequestDecision::Answer(it),
             },
@@ -86,6 +89,10 @@
             Ok((_, None)) => return RequestDecision::Answer(WorkflowOutcome::NotFound),
             Err(it) => return RequestDecision::Answer(it),
         };
+        if workflows.is_cancelled(id) {
+            tracing::info!(event = "submission_refused", workflow = %format_args!("{:016x}", id.0), cause = "cancelled");
+            return RequestDecision::Answer(WorkflowOutcome::Gone);
+        }
         if workflows.get(id).is_some() {
             return RequestDecision::Answer(WorkflowOutcome::Accepted);
         }
@@ -106,6 +113,11 @@
     }
 }
 
+/// Returns the command that cancels workflows which are not known.
+pub fn record_tombstones(ids: Vec<WorkflowId>) -> WorkflowCommand {
+    WorkflowCommand::RecordTombstones(RecordedTombstones { ids, expired_before_ms: 0 })
+}
+
 fn evacuations(workflows: &Workflows) -> WorkflowOutcome {
     WorkflowOutcome::Evacuations(workflows.evacuations().clone())
 }
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -27,8 +27,9 @@
     vms::{NO_RESOURCES, Session, Vm, Vms, add, fits, subtract},
     watches::{Watch, Watches},
     workflows::{
-        Occurrence, ResolvedTasks, STEPS_MAX, StepState, Suspects, TaskRun, ValidationError,
-        Worker, Workers, Workflow, Workflows, check_queues, check_spec, reservation_of,
+        Occurrence, ResolvedTasks, STEPS_MAX, StepState, Suspects, TaskRun, Tombstones,
+        ValidationError, Worker, Workers, Workflow, Workflows, check_queues, check_spec,
+        reservation_of,
     },
 };
 
@@ -41,9 +42,9 @@
 }
 
 /// Numbers of bytes that snapshots of earlier versions lack at their end. Empty fields are encoded
-/// as zeros: 1 byte for silences, before it 1 for usage, before it 3 for the rest of demand, before these
+/// as zeros: 1 byte for tombstones, before it 1 for silences, before it 1 for usage, before it 3 for the rest of demand, before these
 /// 3 for failures, before these 3 for suspected tasks, and first 2 for evacuations.
-const MISSING_TAIL_BYTES: [usize; 6] = [1, 2, 5, 8, 11, 13];
+const MISSING_TAIL_BYTES: [usize; 7] = [1, 2, 3, 6, 9, 12, 14];
 
 /// The outcome of one command.
 pub type ReplyResult = Result<Reply, Refusal>;
--- a/src/control/state/workflows/mod.rs
+++ b/src/control/state/workflows/mod.rs
@@ -9,6 +9,7 @@
 mod settling;
 mod silences;
 mod suspects;
+mod tombstones;
 mod usage;
 mod validation;
 mod workers;
@@ -30,6 +31,7 @@
 pub use self::{
     silences::ResolvedTasks,
     suspects::Suspects,
+    tombstones::Tombstones,
     validation::{STEPS_MAX, ValidationError, check_queues, check_spec},
     workers::{Worker, Workers},
     workflow::{Occurrence, StepState, TaskRun, Workflow, reservation_of},
@@ -63,6 +65,7 @@
     failures: UnsettledFailures,
     demand: Demand,
     silences: Silences,
+    tombstones: Tombstones,
 }
 
 impl Workflows {
@@ -118,6 +121,19 @@
         &self.suspects
     }
 
+    /// Returns the cancelled workflows that were not known.
+    pub fn tombstones(&self) -> &Tombstones {
+        &self.tombstones
+    }
+
+    /// Returns whether a workflow was cancelled, so that its submission is refused.
+    pub fn is_cancelled(&self, id: WorkflowId) -> bool {
+        match self.workflows.get(&id) {
+            Some(it) => it.phase() == WorkflowPhase::Cancelled,
+            None => self.tombstones.contains(id),
+        }
+    }
+
     /// Returns what callers ask for, and what leaders have learned.
     pub fn demand(&self) -> &Demand {
         &self.demand
@@ -205,6 +221,7 @@
                 WorkflowOutcome::Accepted
             }
             WorkflowCommand::ConfirmBegun(ids) => self.confirm_begun(ids),
+            WorkflowCommand::RecordTombstones(it) => self.record_tombstones(it, time_ms),
         }
     }
 
@@ -218,6 +235,9 @@
     }
 
     fn submit(&mut self, submission: &SubmitWorkflow) -> WorkflowOutcome {
+        if self.is_cancelled(submission.id) {
+            return WorkflowOutcome::Gone;
+        }
         if let Entry::Vacant(entry) = self.workflows.entry(submission.id) {
             self.memory_bytes += workflow_bytes(&submission.spec);
             entry.insert(Workflow::new(submission));
@@ -229,7 +249,7 @@
 
     fn submit_from(&mut self, it: &OriginatedWorkflow) -> WorkflowOutcome {
         // The caller of a workflow stays, since its usage is counted by it.
-        if !self.workflows.contains_key(&it.workflow.id) {
+        if !self.workflows.contains_key(&it.workflow.id) && !self.is_cancelled(it.workflow.id) {
             self.demand.note_submitted(it.workflow.id, it.zone.clone());
         }
         self.submit(&it.workflow)
@@ -243,6 +263,19 @@
         WorkflowOutcome::Accepted
     }
 
+    /// Cancels workflows, and remembers the cancels of those that are not known. [`Self::cancel`]
+    /// remembers none: in logs of earlier versions, such a workflow was accepted later.
+    fn record_tombstones(&mut self, it: &RecordedTombstones, time_ms: u64) -> WorkflowOutcome {
+        for id in &it.ids {
+            match self.workflows.contains_key(id) {
+                true => self.end_workflow(*id, WorkflowPhase::Cancelled, time_ms),
+                false => self.tombstones.record(*id, time_ms),
+            }
+        }
+        self.tombstones.expire(it.expired_before_ms);
+        WorkflowOutcome::Gone
+    }
+
     /// Records runs before their workers are ordered to start them. Skips runs that are no longer
     /// valid.
     fn begin(&mut self, runs: &[RunPlacement], time_ms: u64) -> WorkflowOutcome {
--- a/src/runtime/single_threaded/adapters.rs
+++ b/src/runtime/single_threaded/adapters.rs
@@ -162,6 +162,8 @@
             ("calls_expired", counts.expired as usize),
             ("calls_withdrawn", counts.withdrawn as usize),
             ("calls_without_memory", core.submissions_without_memory() as usize),
+            ("cancels_refused", core.refused_cancels() as usize),
+            ("tombstones", state.workflows.tombstones().len()),
             ("workflow_bytes", state.workflows.memory_bytes()),
         ];
         self.metrics.set_state(&rows);
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -24,7 +24,7 @@
     config::load_settings,
     control::{
         self, ControlCore, ControlOptions,
-        dispatch::{DispatchOptions, MemoryLimits, PlanOptions},
+        dispatch::{DispatchOptions, MemoryLimits, PlanOptions, TombstoneLimits},
         log::{Disk, Identity},
     },
     gateway::{self, GatewayCore},
@@ -382,6 +382,10 @@
                     workflows_max_bytes: settings.workflows_max_bytes as usize,
                     log_max_bytes: settings.log_max_bytes as usize,
                 },
+                tombstones: TombstoneLimits {
+                    max: settings.tombstones_max as usize,
+                    lifetime_ms: u64::from(settings.tombstone_s) * 1_000,
+                },
             }),
             target_voter_count: settings.losses_tolerated as usize * 2 + 1,
         }
--- a/src/schema/messages.rs
+++ b/src/schema/messages.rs
@@ -2139,6 +2139,20 @@
         value.clone()
     }
 }
+///Cancels workflows, and refuses the submissions of those that are not known.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(::serde::Deserialize, ::serde::Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecordedTombstones {
+    ///Tombstones recorded before this time, by the log's clock, are dropped.
+    pub expired_before_ms: u64,
+    pub ids: ::std::vec::Vec<WorkflowId>,
+}
+impl ::std::convert::From<&RecordedTombstones> for RecordedTombstones {
+    fn from(value: &RecordedTombstones) -> Self {
+        value.clone()
+    }
+}
 ///An error returned to a client.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
@@ -3878,6 +3892,7 @@
     LearnRunTimes(::std::vec::Vec<LearnedRunTime>),
     LearnSpeeds(::std::vec::Vec<WorkerSpeed>),
     ConfirmBegun(::std::vec::Vec<WorkflowId>),
+    RecordTombstones(RecordedTombstones),
 }
 impl ::std::convert::From<&Self> for WorkflowCommand {
     fn from(value: &WorkflowCommand) -> Self {
@@ -3969,6 +3984,11 @@
         Self::ConfirmBegun(value)
     }
 }
+impl ::std::convert::From<RecordedTombstones> for WorkflowCommand {
+    fn from(value: RecordedTombstones) -> Self {
+        Self::RecordTombstones(value)
+    }
+}
 ///Identity of a workflow, chosen by its client.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[derive(::serde::Deserialize, ::serde::Serialize)]
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -163,6 +163,10 @@
     pub silent_ms: u32,
     ///Log entries after which a snapshot is taken.
     pub snapshot_entries: u32,
+    ///Time for which a cancelled workflow is remembered at least; longer than a copy of its submission waits at an entry, on a link and at a leader.
+    pub tombstone_s: u32,
+    ///Maximum number of cancelled workflows that are remembered without having been submitted, so that a late copy of the submission is refused; further cancels of unknown workflows are refused.
+    pub tombstones_max: u32,
     ///1 to learn the speed of each worker from the progress of its tasks, to use slow workers last, and to move tasks off them.
     pub worker_speeds: u32,
     ///Most memory for all workflows kept, with their tasks; further submissions are refused.
--- a/tests/workflows/main.rs
+++ b/tests/workflows/main.rs
@@ -7,6 +7,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod admission;
+mod cancels;
 mod capacity;
 mod colocation;
 mod crashes;
