Drop messages that have waited in a link's queue for 5 s

What callers would see: a request that waited in an entry behind a peer that takes nothing arrives whenever that peer goes on, and a submission in it is new to a leader that has forgotten its cancel.

Cause: the age of a queued message had no bound. A peer that answers pings and reads nothing held its messages for as long as it liked.

Change: a message that has been queued for 5 s by the monotonic clock is dropped and counted (reason "outdated"); its sender has repeated it or given up by then. Together with the 3 s after which TCP closes an unacknowledged connection, this bounds the way behind a gateway: the settings of a control process are refused if `tombstone_s` is shorter than `give_up_ms` and these 8 s.

Evidence: `outdated_messages_are_not_sent` failed before (the message arrived after 5.5 s), as did the check of the settings, which is new.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -342,6 +342,7 @@
     }
     if let Some(dispatch) = &settings.dispatch {
         check_dispatch(file, dispatch, &mut problems);
+        check_tombstones(file, dispatch, settings.gateway.as_ref(), &mut problems);
     }
     for (section, key, path) in [
         ("entry", "teams_file", settings.entry.as_ref().map(|it| &it.teams_file)),
@@ -400,6 +401,28 @@
     }
 }
 
+/// Time for which a copy of a request may wait behind its gateway: in the queue of a link, and
+/// unacknowledged in its connection.
+const LINK_AGE_MAX_MS: u32 = 8_000;
+
+/// Checks that cancels are remembered for longer than a copy of a submission waits on its way.
+fn check_tombstones(
+    file: &str,
+    dispatch: &crate::schema::settings::DispatchSettings,
+    gateway: Option<&crate::schema::settings::GatewaySettings>,
+    problems: &mut Vec<SettingsProblem>,
+) {
+    let Some(gateway) = gateway else { return };
+    let age_max_ms = gateway.give_up_ms + LINK_AGE_MAX_MS;
+    if dispatch.tombstone_s * 1_000 < age_max_ms {
+        let message = format!(
+            "{} s is less than the {age_max_ms} ms for which a request may be under way, by give_up_ms: a submission that was cancelled could be accepted",
+            dispatch.tombstone_s
+        );
+        problems.push(problem(file, "dispatch", "tombstone_s", &message));
+    }
+}
+
 fn check_election(
     file: &str,
     section: &str,
--- a/src/link/client.rs
+++ b/src/link/client.rs
@@ -11,7 +11,7 @@
     link::{LinkEvent, LinkOptions, LinkSink, codec::encode_frame},
     metrics::{Limit, Metrics},
     prelude::*,
-    util::{ByteBudget, ReservedBytes},
+    util::{ByteBudget, Clock, ReservedBytes},
 };
 
 /// Timeout for opening a connection, with all its TCP connection attempts.
@@ -36,6 +36,10 @@
 const PING_INTERVAL: Duration = Duration::from_millis(1_500);
 const PING_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Age from which a queued message is dropped. The sender has sent a new one or has given up, and a
+/// request in it may have been cancelled since.
+const MESSAGE_AGE_MAX_MS: u64 = 5_000;
+
 /// Why a connection could not be opened, or failed.
 #[derive(Debug)]
 enum SendError {
@@ -73,6 +77,8 @@
 /// A message on its way to a peer, encoded.
 struct QueuedFrame {
     bytes: Bytes,
+    /// The time by the monotonic clock, which advances while the process is suspended.
+    queued_ms: u64,
     /// Its part of the memory of all queues.
     _reserved: ReservedBytes,
 }
@@ -98,7 +104,13 @@
         metrics.note_limit_reached(Limit::LinkQueueBytes);
         return None;
     };
-    Some(QueuedFrame { bytes, _reserved: reserved })
+    Some(QueuedFrame { bytes, queued_ms: Clock.now().mono_ms, _reserved: reserved })
+}
+
+impl QueuedFrame {
+    fn is_outdated(&self) -> bool {
+        self.queued_ms + MESSAGE_AGE_MAX_MS <= Clock.now().mono_ms
+    }
 }
 
 /// Distributes messages to the queues of their peers.
@@ -176,10 +188,14 @@
             let Some(frame) = next.take() else {
                 break Ok(());
             };
-            peer.metrics.link_bytes_sent.inc_by(frame.bytes.len() as u64);
-            peer.metrics.link_frames_sent.inc();
-            if let Err(error) = write_frame(&mut stream, frame.bytes).await {
-                break Err(error);
+            if frame.is_outdated() {
+                peer.metrics.count_dropped_message("outdated");
+            } else {
+                peer.metrics.link_bytes_sent.inc_by(frame.bytes.len() as u64);
+                peer.metrics.link_frames_sent.inc();
+                if let Err(error) = write_frame(&mut stream, frame.bytes).await {
+                    break Err(error);
+                }
             }
             let received = time::timeout(IDLE_TIMEOUT, receive_or_break(&mut queue, &mut stream));
             next = received.await.unwrap_or_default();
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -163,7 +163,7 @@
     pub silent_ms: u32,
     ///Log entries after which a snapshot is taken.
     pub snapshot_entries: u32,
-    ///Time for which a cancelled workflow is remembered at least; longer than a copy of its submission waits at an entry, on a link and at a leader.
+    ///Time for which a cancelled workflow is remembered at least; longer than a copy of its submission waits on its way, which is `give_up_ms` of its gateway and 8 s on links.
     pub tombstone_s: u32,
     ///Maximum number of cancelled workflows that are remembered without having been submitted, so that a late copy of the submission is refused; further cancels of unknown workflows are refused.
     pub tombstones_max: u32,
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -174,6 +174,34 @@
     assert!(is_message(&b.events.recv_timeout(EVENT_TIMEOUT).unwrap()));
 }
 
+/// Time after which a message that is still queued is outdated, and a margin.
+const OUTDATED_AFTER: Duration = Duration::from_millis(5_500);
+
+/// Messages that have waited for long for a peer that takes nothing are dropped: a request among them
+/// may have been cancelled since. Newer ones arrive.
+#[test]
+fn outdated_messages_are_not_sent() {
+    let (a, b) = (start(PROTOCOL_VERSION, 1), start(PROTOCOL_VERSION, 1));
+    for _ in 0..30 {
+        a.link.send(b.address, large_message());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let unhandled: Vec<_> =
+        std::iter::from_fn(|| b.events.recv_timeout(Duration::from_secs(1)).ok()).collect();
+    a.link.send(b.address, message(7));
+    std::thread::sleep(OUTDATED_AFTER);
+    drop(unhandled);
+    a.link.send(b.address, message(8));
+    let mut numbers = Vec::new();
+    while numbers.last() != Some(&8) {
+        match b.events.recv_timeout(EVENT_TIMEOUT).unwrap() {
+            LinkEvent::Message { envelope, .. } => numbers.push(envelope.in_force.0),
+            event => panic!("{event:?}"),
+        }
+    }
+    assert!(!numbers.contains(&7), "{numbers:?}");
+}
+
 /// Longest time until messages arrive again: users expect a VM to be in contact within it.
 const RECOVERY_MAX: Duration = Duration::from_secs(3);
 
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -81,6 +81,17 @@
     assert!(found.contains(expected), "{found}");
 }
 
+/// A copy of a submission could arrive after its cancel is forgotten.
+#[test]
+fn cancels_that_are_remembered_for_too_short_are_refused() {
+    let found = problems(
+        "[process]\nname = a\nroles = gateway, dispatch\nzone = z\n[link]\nlisten = 127.0.0.1:7000\n\
+         control = 127.0.0.1:7001\n[gateway]\nlisten = 127.0.0.1:7003\ngive_up_ms = 3000\n\
+         [dispatch]\ndata_folder = /\ntombstone_s = 10\n",
+    );
+    assert!(found.contains("[dispatch] tombstone_s: 10 s is less than the 11000 ms"), "{found}");
+}
+
 #[test]
 fn every_problem_is_told_at_once() {
     let text = AGENT_SETTINGS
