Count the wait of a client from when its request may have come

An entry that was frozen reads a request whose client has left or has cancelled it long ago, and forwards it as if it had just come. With cancels remembered for a time, this shows where the freeze outlasts that time, with a client that waits for a minute: its submission was answered 200 after its cancel. An entry that was frozen with a request in flight, and then heard of another leader, also sent it there after its deadline.

Cause: the wait was counted from the moment of reading, and the deadline of a request was looked at in ticks only, not before a send.

Change: HTTP servers for callers notice a stall of 3 s or more of their thread. What they read within half a second after it counts as received when it began. A gateway refuses what nobody can wait for any more at once (`expired`, 503 with a time to return), and sends nothing after its deadline; the entry role refuses it too. No system call is added to a request.

Why 3 s: shorter stalls are covered by the tombstones, and a process on a busy VM is not taken for a frozen one.

--- a/src/gateway/interface.rs
+++ b/src/gateway/interface.rs
@@ -36,11 +36,13 @@
 /// Input of a gateway.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// A request; `wait_ms` is how long its client waits.
+    /// A request; `wait_ms` is how long its client waits, and `waited_ms` how long it may have waited
+    /// before it was read.
     Request {
         token: u64,
         request: WorkflowRequest,
         wait_ms: u64,
+        waited_ms: u64,
     },
     Message(Box<Message>),
     /// Control addresses from changed settings.
@@ -77,6 +79,8 @@
     Late,
     /// No worker has capacity for the workflow now.
     NoCapacity,
+    /// It was read only after its client had stopped waiting.
+    Expired,
 }
 
 impl From<AdmissionCause> for RejectionCause {
@@ -90,7 +94,7 @@
 
 impl RejectionCause {
     /// All causes, for counters that exist from the start.
-    pub const ALL: [RejectionCause; 8] = [
+    pub const ALL: [RejectionCause; 9] = [
         RejectionCause::NoLeader,
         RejectionCause::NoConfig,
         RejectionCause::Busy,
@@ -99,6 +103,7 @@
         RejectionCause::Unserved,
         RejectionCause::Late,
         RejectionCause::NoCapacity,
+        RejectionCause::Expired,
     ];
 
     /// Returns the label of its counter.
@@ -112,6 +117,7 @@
             RejectionCause::Unserved => "unserved",
             RejectionCause::Late => "late",
             RejectionCause::NoCapacity => "no_capacity",
+            RejectionCause::Expired => "expired",
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -102,8 +102,9 @@
 
     pub fn handle(&mut self, now: Now, input: Input) {
         match input {
-            Input::Request { token, request, wait_ms } => {
-                self.start_call(now, token, request, wait_ms)
+            Input::Request { token, request, wait_ms, waited_ms } => {
+                let received_ms = now.mono_ms.saturating_sub(waited_ms);
+                self.start_call(now, token, request, received_ms, wait_ms)
             }
             Input::Message(it) => self.on_message(now, *it),
             Input::ControlAddresses(it) => self.leader_finder.set_seeds(it),
@@ -112,7 +113,18 @@
         }
     }
 
-    fn start_call(&mut self, now: Now, token: u64, request: WorkflowRequest, wait_ms: u64) {
+    fn start_call(
+        &mut self,
+        now: Now,
+        token: u64,
+        request: WorkflowRequest,
+        received_ms: u64,
+        wait_ms: u64,
+    ) {
+        let deadline_ms = received_ms.saturating_add(self.longest_wait_ms(wait_ms));
+        if deadline_ms <= now.mono_ms {
+            return self.refuse(token, RejectionCause::Expired);
+        }
         if token != PROBE_TOKEN && !self.has_room_for(&request) {
             return self.refuse(token, RejectionCause::TooManyCalls);
         }
@@ -128,9 +140,9 @@
             token,
             request: self.with_origin(request),
             _reserved: reserved,
-            received_ms: now.mono_ms,
+            received_ms,
             wait_ms,
-            deadline_ms: now.mono_ms + self.longest_wait_ms(wait_ms),
+            deadline_ms,
             next_send_ms: now.mono_ms,
             sends: 0,
             unanswered_sends: 0,
@@ -357,7 +369,7 @@
         if self.next_probe_ms <= now.mono_ms {
             self.next_probe_ms = now.mono_ms + self.options.probe_ms;
             if self.probe.is_none() {
-                self.start_call(now, PROBE_TOKEN, WorkflowRequest::Ping, u64::MAX);
+                self.start_call(now, PROBE_TOKEN, WorkflowRequest::Ping, now.mono_ms, u64::MAX);
             }
             if self.leaderless_since_ms.is_some() {
                 self.next_probe_ms = now.mono_ms + self.options.election_pause_ms;
@@ -445,6 +457,12 @@
     fn send(&mut self, now: Now, id: u64) {
         let Some(to) = self.leader_finder.target() else { return };
         let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.deadline_ms <= now.mono_ms {
+            // Nobody waits for the answer, and the client may have cancelled the submission since.
+            // The next tick ends the call.
+            call.next_send_ms = u64::MAX;
+            return;
+        }
         if !self.large_reads.may_send(id, &call.request) {
             // Sent when its turn comes.
             call.next_send_ms = u64::MAX;
--- a/src/http/server/mod.rs
+++ b/src/http/server/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod pending;
 mod request;
+mod stalls;
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, thread, time::Duration};
 
@@ -24,6 +25,7 @@
     answer::{AnswerBytes, respond},
     connections::OpenConnection,
     request::{READ_TIMEOUT, read_request},
+    stalls::StallWatch,
 };
 pub use self::{limits::ServerLimits, pending::Pending, request::HttpRequest};
 
@@ -34,6 +36,8 @@
     pub threads: usize,
     pub body_max_bytes: usize,
     pub headers_max_bytes: usize,
+    /// Whether requests state how long they may have waited unread ([`HttpRequest::waited_ms`]).
+    pub watches_stalls: bool,
 }
 
 /// Starts a server on its own threads.
@@ -137,9 +141,13 @@
             Ok(it) => it,
             Err(error) => return tracing::error!(event = "http_listen_failed", %error),
         };
+        let stalls = self.options.watches_stalls.then(|| Rc::new(StallWatch::new()));
+        if let Some(it) = stalls.clone() {
+            tokio::task::spawn_local(async move { it.run().await });
+        }
         loop {
             match listener.accept().await {
-                Ok((it, _)) => self.start_connection(it),
+                Ok((it, _)) => self.start_connection(it, stalls.clone()),
                 Err(error) => {
                     // Errors such as too many open files are transient; the pause avoids a busy loop.
                     tracing::warn!(event = "http_accept_failed", %error);
@@ -149,7 +157,7 @@
         }
     }
 
-    fn start_connection(&self, tcp: TcpStream) {
+    fn start_connection(&self, tcp: TcpStream, stalls: Option<Rc<StallWatch>>) {
         let Some((open_connection, closed)) = self.limits.open_connection() else { return };
         let open_connection = Rc::new(open_connection);
         // With Nagle's algorithm, an answer in two segments waits for a delayed acknowledgement.
@@ -157,7 +165,8 @@
         let server = self.clone();
         let service_connection = open_connection.clone();
         let service = service_fn(move |request| {
-            server.clone().serve_request(request, service_connection.clone())
+            let waited_ms = stalls.as_ref().map_or(0, |it| it.waited_ms());
+            server.clone().serve_request(request, service_connection.clone(), waited_ms)
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
@@ -180,11 +189,15 @@
         self,
         request: Request<Incoming>,
         connection: Rc<OpenConnection>,
+        waited_ms: u64,
     ) -> Result<Response<Full<AnswerBytes>>, Infallible> {
         connection.note_headers();
         let request = read_request(request, self.options.body_max_bytes, &self.limits).await;
         let (request, reserved) = match request {
-            Ok((request, reserved)) => (Ok(request), Some(reserved)),
+            Ok((mut request, reserved)) => {
+                request.waited_ms = waited_ms;
+                (Ok(request), Some(reserved))
+            }
             Err(it) => (Err(it), None),
         };
         connection.note_request();
--- a/src/http/server/request.rs
+++ b/src/http/server/request.rs
@@ -31,6 +31,8 @@
     pub path_and_query: CompactString,
     headers: http::HeaderMap,
     pub body: Vec<u8>,
+    /// Longest time for which it may have waited unread; 0 if the process did not stand still.
+    pub waited_ms: u64,
 }
 
 impl HttpRequest {
@@ -94,6 +96,7 @@
         query: query_pairs.map(|(name, value)| (name.into(), value.into())).collect(),
         headers: head.headers,
         body,
+        waited_ms: 0,
     };
     Ok((request, reserved))
 }
--- a/src/runtime/http_listeners.rs
+++ b/src/runtime/http_listeners.rs
@@ -88,13 +88,19 @@
             threads: settings.threads as usize,
             body_max_bytes: settings.body_max_bytes as usize,
             headers_max_bytes: settings.headers_max_bytes as usize,
+            watches_stalls: true,
         };
         let (pending, limits) = (self.pending.clone(), self.limits.clone());
+        let wait_max_ms = u64::from(settings.operation_max_ms);
         start_server(options, &limits, &pending, move |token, request| {
             let http_request = match self.answer_common(request) {
                 Ok(it) => it,
                 Err(answer) => return Some(answer),
             };
+            if wait_max_ms <= http_request.waited_ms {
+                let detail = "the request was read too late";
+                return self.refuse(&refusal(ErrorKind::DeadlineExpiredQueued, detail));
+            }
             match http::caller::parse(&tokens, &http_request) {
                 Ok((team, request)) => {
                     self.send_event(Event::Entry(Box::new(entry::Input::Request {
@@ -164,5 +170,6 @@
         threads: SMALL_THREADS,
         body_max_bytes: SMALL_BODY_BYTES,
         headers_max_bytes: SMALL_HEADERS_BYTES,
+        watches_stalls: false,
     }
 }
--- a/src/runtime/single_threaded/mod.rs
+++ b/src/runtime/single_threaded/mod.rs
@@ -402,6 +402,7 @@
             threads: 1,
             body_max_bytes: settings.body_max_bytes as usize,
             headers_max_bytes: settings.headers_max_bytes as usize,
+            watches_stalls: true,
         };
         let (platform, handle) = (self.platform.clone(), self.handle.clone());
         let metrics = self.metrics.clone();
@@ -424,7 +425,8 @@
             match parsed {
                 Ok((request, wait_ms)) => {
                     metrics.requests.inc();
-                    let input = gateway::Input::Request { token, request, wait_ms };
+                    let waited_ms = http_request.waited_ms;
+                    let input = gateway::Input::Request { token, request, wait_ms, waited_ms };
                     handle.send_event(Event::Gateway(input));
                     None
                 }
--- a/src/runtime/single_threaded/options.rs
+++ b/src/runtime/single_threaded/options.rs
@@ -35,6 +35,7 @@
         threads: 1,
         body_max_bytes: SMALL_BODY_BYTES,
         headers_max_bytes: SMALL_HEADERS_BYTES,
+        watches_stalls: false,
     }
 }
 
--- a/src/standin/executor.rs
+++ b/src/standin/executor.rs
@@ -87,6 +87,7 @@
         threads: 1,
         body_max_bytes: 16 << 20,
         headers_max_bytes: 16 * 1024,
+        watches_stalls: false,
     };
     let (shared, endpoint, answers) = (state.clone(), options.clone(), pending.clone());
     start_server(server, &ServerLimits::unlimited(), &pending, move |token, request| {
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -35,8 +35,13 @@
 pub fn start_worker(listen: SocketAddr, model: WorkerModel) -> Result<()> {
     let model = Arc::new(Mutex::new(model));
     let pending = Pending::default();
-    let options =
-        ServerOptions { listen, threads: 2, body_max_bytes: 1 << 20, headers_max_bytes: 16 * 1024 };
+    let options = ServerOptions {
+        listen,
+        threads: 2,
+        body_max_bytes: 1 << 20,
+        headers_max_bytes: 16 * 1024,
+        watches_stalls: false,
+    };
     start_server(options, &ServerLimits::unlimited(), &pending, move |_, request| {
         let call = match request.and_then(|it| parse(&it)) {
             Ok(it) => it,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -61,7 +61,7 @@
         interval_ms: 0,
     };
     let request = WorkflowRequest::Submit(WorkflowSubmission { target, spec });
-    Input::Request { token, request, wait_ms: 2_000 }
+    Input::Request { token, request, wait_ms: 2_000, waited_ms: 0 }
 }
 
 fn take_calls(gateway: &mut GatewayCore) -> Vec<(SocketAddr, WorkflowCall)> {
@@ -122,7 +122,7 @@
 }
 
 fn request(token: u64, request: WorkflowRequest) -> Input {
-    Input::Request { token, request, wait_ms: 2_000 }
+    Input::Request { token, request, wait_ms: 2_000, waited_ms: 0 }
 }
 
 fn cancel(token: u64) -> Input {
@@ -204,7 +204,7 @@
     let large = |token| match submission(token) {
         Input::Request { request: WorkflowRequest::Submit(mut it), wait_ms, .. } => {
             it.spec.payload = "x".repeat(100_000).into();
-            Input::Request { token, request: WorkflowRequest::Submit(it), wait_ms }
+            Input::Request { token, request: WorkflowRequest::Submit(it), wait_ms, waited_ms: 0 }
         }
         it => it,
     };
@@ -278,7 +278,7 @@
     let options = GatewayOptions { overload_control: true, ..options() };
     let mut gateway = GatewayCore::new(options);
     let Input::Request { token, request, .. } = submission(1) else { unreachable!() };
-    gateway.handle(now(0), Input::Request { token, request, wait_ms: 400 });
+    gateway.handle(now(0), Input::Request { token, request, wait_ms: 400, waited_ms: 0 });
     for at_ms in 0..=134 {
         gateway.handle(now(at_ms), Input::Tick);
     }
@@ -330,3 +330,71 @@
     assert_eq!(take_answers(&mut gateway), [], "a copy may be accepted");
     assert!(gateway.is_ready(now(2_200)), "the leader has answered lately");
 }
+
+/// A request was read only after its client had stopped waiting, since the gateway stood still. It
+/// counted the client's wait from the moment of reading, and forwarded the submission.
+#[yare::parameterized(
+    client_has_left = { 1_000, 5_000, false },
+    longest_wait_has_passed = { 60_000, 2_500, false },
+    client_waits = { 2_000, 600, true },
+)]
+fn the_wait_of_a_client_begins_when_its_request_may_have_come(
+    wait_ms: u64,
+    waited_ms: u64,
+    is_sent: bool,
+) {
+    let mut gateway = controlled_gateway();
+    let Input::Request { token, request, .. } = submission(1) else { unreachable!() };
+    gateway.handle(now(10_000), Input::Request { token, request, wait_ms, waited_ms });
+    if is_sent {
+        let sent = gateway.take_effects().into_iter().find_map(|it| match it {
+            Effect::Send { message: Message::TimedCall(it), .. } => Some(it),
+            _ => None,
+        });
+        // An answer needs 100 ms to reach its client.
+        assert_eq!(sent.unwrap().remaining_ms, wait_ms - waited_ms - 100);
+        return;
+    }
+    let effects = gateway.take_effects();
+    let expired = GatewayAnswer::Rejected { cause: RejectionCause::Expired, retry_after_ms: 300 };
+    assert!(
+        matches!(&effects[..], [Effect::Answer { token: 1, answer, .. }] if *answer == expired),
+        "{effects:?}"
+    );
+}
+
+/// A gateway stood still while its clients waited. What it hears first when it goes on may be that
+/// another process leads: it sends nothing that nobody waits for any more.
+#[yare::parameterized(
+    sent = { true },
+    kept = { false },
+)]
+fn nothing_is_sent_after_its_deadline(is_sent: bool) {
+    let mut gateway = controlled_gateway();
+    if !is_sent {
+        gateway.handle(now(1_000), cancel(9));
+        let id = take_calls(&mut gateway)[0].1.id;
+        answer(&mut gateway, 1_001, id, WorkflowOutcome::NotLeader(None));
+    }
+    gateway.handle(now(1_100), submission(1));
+    let calls = take_calls(&mut gateway);
+    let is_submission = |it: &WorkflowRequest| matches!(it, WorkflowRequest::SubmitFrom(_));
+    let submitted = calls.iter().find(|(_, it)| is_submission(&it.request));
+    assert_eq!(submitted.is_some(), is_sent);
+    gateway.handle(now(20_000), request(2, WorkflowRequest::ReadConfig));
+    let mut sent = take_calls(&mut gateway);
+    if let Some((to, it)) = submitted {
+        let other = CONTROL.map(address).into_iter().find(|it| it != to);
+        answer(&mut gateway, 20_000, it.id, WorkflowOutcome::NotLeader(other));
+    }
+    for at_ms in 20_001..20_100 {
+        sent.extend(take_calls(&mut gateway));
+        if let Some(probe) = sent.iter().find(|(_, it)| it.request == WorkflowRequest::Ping) {
+            let id = probe.1.id;
+            answer(&mut gateway, at_ms, id, WorkflowOutcome::Pong);
+        }
+        gateway.handle(now(at_ms), Input::Tick);
+    }
+    sent.extend(take_calls(&mut gateway));
+    assert!(!sent.iter().any(|(_, it)| is_submission(&it.request)), "{sent:?}");
+}
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -26,6 +26,7 @@
         threads: 2,
         body_max_bytes: 1_000,
         headers_max_bytes: 16 * 1024,
+        watches_stalls: false,
     };
     start_server(options, &ServerLimits::unlimited(), &Pending::default(), |_, it| {
         Some(match it {
@@ -64,6 +65,7 @@
         threads: 2,
         body_max_bytes: 1_000,
         headers_max_bytes: 16 * 1024,
+        watches_stalls: false,
     };
     let pending = Pending::default();
     let (sender, tokens) = std::sync::mpsc::channel();
@@ -103,6 +105,7 @@
         threads: 1,
         body_max_bytes: 1_000,
         headers_max_bytes: 16 * 1024,
+        watches_stalls: false,
     };
     let limits = limits("connections_max = 8");
     start_server(options, &limits, &Pending::default(), |_, it| {
--- a/tests/platform/cancels.rs
+++ b/tests/platform/cancels.rs
@@ -131,6 +131,59 @@
     assert_gone(&installation, 0x1d0);
 }
 
+/// An entry was frozen for longer than a cancel is remembered, and then forwarded a submission whose
+/// client waits for a minute: it counted the wait from the moment of reading. The submission waits in
+/// the entry's socket, or in the entry, which knows no leader when it is frozen.
+#[yare::parameterized(
+    in_its_socket = { false },
+    in_the_entry = { true },
+)]
+fn a_submission_of_an_entry_frozen_for_long_stays_cancelled(is_read: bool) {
+    let lines = SettingsLines { dispatch: "tombstone_s = 10\n", ..SettingsLines::default() };
+    let mut installation = Installation::start_with(3, lines);
+    installation.install(1);
+    installation.start_second_entry();
+    if is_read {
+        installation.freeze_control();
+        // The entry misses its leader after 0.3 s of silence, and keeps further requests.
+        installation.client("GET", "/q/", &Value::Null);
+    } else {
+        installation.freeze_entry();
+    }
+    let mut stream = send_submission(installation.front, 0x1f0, 60_000);
+    if is_read {
+        std::thread::sleep(Duration::from_millis(100));
+        installation.freeze_entry();
+        installation.thaw_control();
+    }
+    cancel(&installation, 0x1f0);
+    // The lifetime, the interval at which its end is looked for, and a margin.
+    std::thread::sleep(Duration::from_secs(10 + 2 + 3));
+    installation.thaw_entry();
+    let status = read_status(&mut stream);
+    assert!(matches!(status, 410 | 503 | 504), "{status}");
+    std::thread::sleep(GONE_AFTER);
+    assert_eq!(installation.executor.running(), [0; 0]);
+    assert_eq!(installation.state(&path(0x1f0)).0, 410);
+}
+
+/// All control processes are frozen for longer than a cancel is remembered, and a submission waits in
+/// the leader's socket meanwhile.
+#[test]
+fn a_cancel_is_remembered_while_control_is_frozen() {
+    let lines = SettingsLines { dispatch: "tombstone_s = 10\n", ..SettingsLines::default() };
+    let mut installation = Installation::start_with(1, lines);
+    installation.install(1);
+    installation.start_second_entry();
+    cancel(&installation, 0x1f8);
+    installation.freeze_control();
+    drop(send_submission(installation.front, 0x1f8, 1_000));
+    std::thread::sleep(Duration::from_secs(10 + 2 + 3));
+    installation.thaw_control();
+    wait("a leader", || installation.client("GET", "/q/", &Value::Null).0 == 200);
+    assert_gone(&installation, 0x1f8);
+}
+
 /// All control processes are frozen while an entry forwards a submission, and the client cancels by
 /// another entry: the copies wait on the links, in either order.
 #[yare::parameterized(
--- a/tests/platform/executor.rs
+++ b/tests/platform/executor.rs
@@ -98,6 +98,7 @@
             // More than the largest payload of a submission.
             body_max_bytes: 2 << 20,
             headers_max_bytes: 1 << 14,
+            watches_stalls: false,
         };
         let own = res.clone();
         start_server(options, &ServerLimits::unlimited(), &Pending::default(), move |_, it| {
--- a/tests/soak/workers.rs
+++ b/tests/soak/workers.rs
@@ -168,6 +168,7 @@
             threads: 1,
             body_max_bytes: 1 << 20,
             headers_max_bytes: 1 << 14,
+            watches_stalls: false,
         };
         let own = self.clone();
         start_server(options, &ServerLimits::unlimited(), &Pending::default(), move |_, it| {
--- a/tests/state_twin.rs
+++ b/tests/state_twin.rs
@@ -7,6 +7,29 @@
 
 const CAPACITY: u32 = 1_000;
 
+/// The own interface: a job is cancelled by the id in the answer to its submission. A copy of the
+/// submission that comes later, wherever it waited, names the same key: it is answered with the
+/// cancelled job, and nothing of it runs, also after a snapshot and until the job's retention ends.
+#[test]
+fn a_copy_of_a_cancelled_job_starts_nothing() {
+    let mut twin = StateAndModel::new();
+    twin.submit(100);
+    let (job, task) = twin.ids[0];
+    let copy = twin.submit_command(0, 100);
+    let cancel = CancelCommand { team: "t".into(), jobs: vec![job] };
+    assert_eq!(twin.apply(Command::Cancel(cancel)), Ok(Reply::Done));
+    for _ in 0..2 {
+        let answer = twin.apply(Command::Submit(copy.clone()));
+        assert_eq!(answer, Ok(Reply::JobAccepted(JobAccepted { job, resent: true })));
+        assert_eq!(twin.state.jobs.task(task).unwrap().state, TaskState::Cancelled);
+        assert_eq!(twin.state.jobs.task_count(), 1);
+        twin.state = State::from_bytes(&twin.state.to_bytes().unwrap()).unwrap();
+        let finished_ms = twin.state.jobs.job(job).unwrap().finished_ms.unwrap();
+        let expire = ExpireCommand { jobs_before_ms: finished_ms, claims_before_ms: 0 };
+        twin.apply(Command::Expire(expire)).unwrap();
+    }
+}
+
 /// Placement of a task in the model.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum TaskPlacement {
@@ -155,8 +178,7 @@
         self.model.sessions[vm] = Some(index);
     }
 
-    fn submit(&mut self, need: u32) {
-        let number = self.ids.len();
+    fn submit_command(&self, number: usize, need: u32) -> SubmitCommand {
         let spec = JobSpec {
             kind: "k".into(),
             class: "c".into(),
@@ -166,7 +188,11 @@
             declared_run_ms: 1,
             payload: "".into(),
         };
-        let command = SubmitCommand { team: "t".into(), key: format_compact!("{number}"), spec };
+        SubmitCommand { team: "t".into(), key: format_compact!("{number}"), spec }
+    }
+
+    fn submit(&mut self, need: u32) {
+        let command = self.submit_command(self.ids.len(), need);
         let Ok(Reply::JobAccepted(it)) = self.apply(Command::Submit(command)) else {
             panic!("refused")
         };
--- a/tests/workflows/admission.rs
+++ b/tests/workflows/admission.rs
@@ -341,7 +341,10 @@
     gateway.handle(now(10), gateway::Input::Tick);
     let (probes, _) = take(&mut gateway);
     gateway.handle(now(11), answer(probes[0], WorkflowOutcome::Pong));
-    gateway.handle(now(12), gateway::Input::Request { token: 1, request, wait_ms: 3_000 });
+    gateway.handle(
+        now(12),
+        gateway::Input::Request { token: 1, request, wait_ms: 3_000, waited_ms: 0 },
+    );
     let (calls, _) = take(&mut gateway);
     // The silent leader is probed, answers, and gets the call again.
     gateway.handle(now(400), gateway::Input::Tick);
--- a/tests/workflows/world.rs
+++ b/tests/workflows/world.rs
@@ -329,7 +329,8 @@
     pub fn request(&mut self, request: WorkflowRequest) -> u64 {
         self.next_token += 1;
         let (token, now) = (self.next_token, self.now());
-        self.gateway.handle(now, gateway::Input::Request { token, request, wait_ms: 3_000 });
+        self.gateway
+            .handle(now, gateway::Input::Request { token, request, wait_ms: 3_000, waited_ms: 0 });
         self.apply_gateway_effects();
         token
     }
