--- a/src/control/core/event_logging.rs
+++ b/src/control/core/event_logging.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     control::{
-        dispatch::run_name,
+        dispatch::{log_cancelled_before, run_name},
         state::{ResolvedTasks, State},
     },
     prelude::*,
@@ -35,8 +35,8 @@
                 term
             );
         }
-        WorkflowCommand::Submit(it) => log_accepted(it, "", entry),
-        WorkflowCommand::SubmitFrom(it) => log_accepted(&it.workflow, &it.zone, entry),
+        WorkflowCommand::Submit(it) => log_submitted(it, "", outcome, entry),
+        WorkflowCommand::SubmitFrom(it) => log_submitted(&it.workflow, &it.zone, outcome, entry),
         WorkflowCommand::Cancel(id) => {
             tracing::info!(event = "workflow_cancelled", workflow = %format_args!("{:016x}", id.0), outcome = ?outcome, index, term);
         }
@@ -97,7 +97,10 @@
     }
 }
 
-fn log_accepted(it: &SubmitWorkflow, zone: &str, entry: &LogEntry) {
+fn log_submitted(it: &SubmitWorkflow, zone: &str, outcome: &WorkflowOutcome, entry: &LogEntry) {
+    if *outcome == WorkflowOutcome::Gone {
+        return log_cancelled_before(it.id);
+    }
     tracing::info!(event = "workflow_accepted", workflow = %format_args!("{:016x}", it.id.0), queue = %it.queue, zone, steps = it.spec.steps.len(), index = entry.index, term = entry.term);
 }
 
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -52,7 +52,7 @@
     features::Features,
     orders::run_name,
     plan::PlanOptions,
-    requests::{RequestDecision, record_tombstones},
+    requests::{RequestDecision, log_cancelled_before, record_tombstones},
     sessions::Session,
 };
 
@@ -202,9 +202,9 @@
             // The first clock reading is taken at once: the retention of workflows that ended under
             // an earlier leader is counted from it.
             forget_at_ms: now.mono_ms,
-            clock_readings: ClockReadings::default(),
+            clock_readings: ClockReadings::new(FORGET_INTERVAL_MS),
             tombstones_at_ms: now.mono_ms,
-            tombstone_readings: ClockReadings::default(),
+            tombstone_readings: ClockReadings::new(TOMBSTONE_INTERVAL_MS),
             occupancy_at_ms: now.mono_ms + OCCUPANCY_INTERVAL_MS,
             learn_at_ms: now.mono_ms + LEARN_INTERVAL_MS,
             output: DispatchOutput::default(),
@@ -276,13 +276,8 @@
         }
     }
 
-    /// Drops the tombstones whose lifetime has passed. It is counted anew after a time in which this
-    /// process did not run: copies of submissions may have waited for it all the while.
+    /// Drops the tombstones whose lifetime has passed.
     fn expire_tombstones(&mut self, workflows: &Workflows, now: Now) {
-        let late_ms = now.mono_ms - self.tombstones_at_ms;
-        if TOMBSTONE_INTERVAL_MS <= late_ms {
-            self.tombstone_readings = ClockReadings::default();
-        }
         self.tombstones_at_ms = now.mono_ms + TOMBSTONE_INTERVAL_MS;
         let age_ms = self.options.tombstones.lifetime_ms;
         self.tombstone_readings.note(now, age_ms);
--- a/src/control/dispatch/requests.rs
+++ b/src/control/dispatch/requests.rs
@@ -90,7 +90,7 @@
             Err(it) => return RequestDecision::Answer(it),
         };
         if workflows.is_cancelled(id) {
-            tracing::info!(event = "submission_refused", workflow = %format_args!("{:016x}", id.0), cause = "cancelled");
+            log_cancelled_before(id);
             return RequestDecision::Answer(WorkflowOutcome::Gone);
         }
         if workflows.get(id).is_some() {
@@ -113,6 +113,11 @@
     }
 }
 
+/// Logs that a copy of a submission came after its cancel.
+pub fn log_cancelled_before(id: WorkflowId) {
+    tracing::info!(event = "submission_refused", workflow = %format_args!("{:016x}", id.0), cause = "cancelled");
+}
+
 /// Returns the command that cancels workflows which are not known.
 pub fn record_tombstones(ids: Vec<WorkflowId>) -> WorkflowCommand {
     WorkflowCommand::RecordTombstones(RecordedTombstones { ids, expired_before_ms: 0 })
--- a/tests/platform/cancels.rs
+++ b/tests/platform/cancels.rs
@@ -167,6 +167,20 @@
     assert_eq!(installation.state(&path(0x1f0)).0, 410);
 }
 
+/// Ended workflows are kept for a second here. A cancelled one refuses copies of its submission for as
+/// long as a tombstone would.
+#[test]
+fn a_cancelled_workflow_is_kept_like_a_tombstone() {
+    let lines = SettingsLines { dispatch: "retention_s = 1\n", ..SettingsLines::default() };
+    let installation = Installation::start_with(1, lines);
+    installation.install(1);
+    assert_eq!(submit(&installation, 0x1c8, &lasting()), 200);
+    assert_eq!(installation.settled("DELETE", &path(0x1c8), &Value::Null).0, 200);
+    // Two intervals at which a leader forgets workflows, and less than the lifetime of 30 s.
+    std::thread::sleep(Duration::from_secs(22));
+    assert_eq!(submit(&installation, 0x1c8, &lasting()), 410);
+}
+
 /// All control processes are frozen for longer than a cancel is remembered, and a submission waits in
 /// the leader's socket meanwhile.
 #[test]
