--- a/tests/workflows/rules.rs
+++ b/tests/workflows/rules.rs
@@ -119,6 +119,11 @@
         self.live_runs.len()
     }
 
+    /// Returns whether a run of a workflow is in progress.
+    pub fn is_running(&self, id: u64) -> bool {
+        self.live_runs.keys().any(|it| it.workflow.0 == id)
+    }
+
     /// Returns the number of noted failures of a task.
     pub fn noted_failures(&self, task: TaskRef) -> u32 {
         self.noted_failures.get(&task).copied().unwrap_or(0)
