Close idle connections to a worker after a call that got no answer

What callers saw: tasks of a service were killed although their workers were sound.

Cause: a call without an answer dropped its own connection only. Up to eight idle ones were tried one after the other, each for 0.6 s, after up to 1.5 s for the poll under way.

Change: such a call closes the idle connections too, and the next one opens a new connection.

--- a/src/http/outgoing.rs
+++ b/src/http/outgoing.rs
@@ -62,8 +62,12 @@
     pub async fn call(&self, call: HttpCall) -> Result<HttpReply, OutgoingError> {
         let timeout = Duration::from_millis(call.timeout_ms);
         let result = tokio::time::timeout(timeout, self.call_untimed(call)).await;
-        // A timeout drops the connection, so that a late reply cannot answer another request.
-        result.unwrap_or(Err(OutgoingError::NoAnswer))
+        result.unwrap_or_else(|_| {
+            // The timeout has dropped the connection, so that a late reply cannot answer another
+            // request. The idle ones may be silent too, and each would cost another timeout.
+            self.idle.borrow_mut().clear();
+            Err(OutgoingError::NoAnswer)
+        })
     }
 
     async fn call_untimed(&self, call: HttpCall) -> Result<HttpReply, OutgoingError> {
